--- a/packages/goldcrestgrade-node/goldcrestgrade_node/commands/run.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/commands/run.py
@@ -22,7 +22,7 @@
 from goldcrestgrade_node.endpoint import lifecycle
 from goldcrestgrade_node.entry import app as entry_app
 from goldcrestgrade_node.entry import calls
-from goldcrestgrade_node.membership import exchange, members
+from goldcrestgrade_node.membership import discovery, exchange, members, peers, selection
 from goldcrestgrade_node.once import claims, guard, relay
 from goldcrestgrade_node.routing import choice, evidence
 
@@ -83,23 +83,37 @@
         store = http_tables.HttpTables(control_session, config["platform"]["tables"])
         objects = http_objects.HttpObjects(control_session, config["platform"]["objects"])
         self.lifecycle = lifecycle.Lifecycle(self.clocks, self.revise)
+        remote = peers.HttpPeers(control_session, config["keys"][0])
         self.sheets = adoption.Adoption(
             store,
             objects,
-            control_session,
-            config["keys"][0],
+            remote,
             self.sheet_adopted,
+            lambda: selection.polls_quickly(self.exchange.view()),
+            self.clocks,
             self.counts,
             self.rng,
         )
         self.exchange = exchange.Exchange(
             self.own,
             self.members,
-            config["peers"],
-            control_session,
-            config["keys"][0],
+            remote,
+            exchange.Hooks(
+                touched=self.touched,
+                sheet_version=lambda: self.sheets.version,
+                sheet_heard=self.sheets.hear,
+                busy=lambda: self.counts.in_flight > 0,
+            ),
+            self.clocks,
+            self.counts,
+            self.rng,
+        )
+        self.discovery = discovery.Discovery(
+            lambda: self.own.record,
+            [f"http://{seed['host']}:{seed['port']}" for seed in config["peers"]],
             store,
-            self.touched,
+            self.exchange.join,
+            self.clocks,
             self.rng,
         )
         self.committer = claims.Committer(store, self.clocks)
@@ -124,9 +138,9 @@
         self.revise()
 
     def revise(self) -> None:
-        """Make a new revision of the own record and take it in."""
-        record = self.own.revise(self.lifecycle.state, self.lifecycle.endpoint, self.sheets.version)
-        self.touched(self.members.merge([record]))
+        """Make a new revision of the own record and tell peers of it."""
+        state, endpoint = self.lifecycle.state, self.lifecycle.endpoint
+        self.exchange.announce(self.own.revise(state, endpoint, self.sheets.version))
 
     def touched(self, services: set[str]) -> None:
         """Bring the evidence of `services` in line with the records."""
@@ -135,7 +149,7 @@
 
     def sheet_adopted(self, _adopted: sheet.Sheet) -> None:
         """Tell peers of the version in force."""
-        self.revise()
+        self.exchange.spread_sheet()
 
     async def start(self, request: requests.Request, attempt_id: str) -> results.AttemptResult:
         """Send a claimed request to the own endpoint."""
@@ -161,6 +175,8 @@
             "/v1/endpoint": routes.endpoint_resource(self.lifecycle),
             "/v1/drain": routes.drain_resource(self.lifecycle),
             "/v1/exchange": routes.exchange_resource(self.exchange),
+            "/v1/reconcile": routes.reconcile_resource(self.exchange),
+            "/v1/probe": routes.probe_resource(self.exchange),
             "/v1/sheet": routes.sheet_resource(self.sheets),
             "/v1/ready": routes.ready_resource(self.sheets, self.stopping.is_set),
             "/v1/status": routes.status_resource(
@@ -191,35 +207,37 @@
         self.counts.calls["not_run"] += 1
         self.counts.refusals[reason] += 1
 
-    async def refresh_forever(self) -> None:
-        """Keep the own record alive and drop an endpoint whose lease passed."""
+    async def expire_forever(self) -> None:
+        """Drop an endpoint whose lease passed."""
         while True:
             self.lifecycle.expire()
-            lease_left_s = self.own.record["expires_at"] - self.clocks.wall()
-            if lease_left_s < members.RECORD_LEASE_S / 2:
-                self.revise()
             await asyncio.sleep(TICK_S)
 
     async def drain(self) -> None:
         """Wait until no node sends new work and all work in flight has ended."""
         started = self.clocks.monotonic()
         deadline = started + self.config["drain_timeout_s"]
+        spread_at = started + DRAIN_SPREAD_S
         self.lifecycle.stop()
         await self.exchange.farewell()
-        await self._until(lambda: self.clocks.monotonic() >= started + DRAIN_SPREAD_S, deadline)
-        await self._until(self._idle, deadline)
-        timed_out = not self._idle()
-        if timed_out:
-            log.warning(
-                "drain cut calls",
-                extra={"calls": self.counts.in_flight, "endpoint": self.lifecycle.in_flight},
-            )
-        self.lifecycle.finish(timed_out)
+        await self._until(lambda: self._drained(spread_at), deadline)
+        if not self._drained(spread_at):
+            self._log_cut()
+        self.lifecycle.finish(not self._drained(spread_at))
         await self.exchange.farewell()
+        await self.discovery.leave()
+
+    def _log_cut(self) -> None:
+        cut = self.lifecycle.cut()
+        calls, claimed = self.counts.in_flight, len(self.guard.tasks)
+        level = logging.WARNING if calls or claimed or cut.endpoint_calls else logging.INFO
+        fields = {"calls": calls, "claimed": claimed, **cut._asdict()}
+        log.log(level, "drain ended early", extra=fields)
 
-    def _idle(self) -> bool:
+    def _drained(self, spread_at: instants.Instant) -> bool:
         own_work = self.counts.in_flight == 0 and not self.guard.tasks
-        return own_work and self.lifecycle.in_flight == 0
+        spread = self.clocks.monotonic() >= spread_at
+        return spread and own_work and self.lifecycle.idle(spread_at)
 
     async def _until(self, done: typing.Callable[[], bool], deadline: instants.Instant) -> None:
         while not done() and not self.forced.is_set() and self.clocks.monotonic() < deadline:
@@ -258,10 +276,13 @@
             group.create_task(task)
             for task in (
                 node.committer.run(),
-                node.exchange.exchange_forever(),
-                node.exchange.lease_forever(),
-                node.sheets.poll_forever(),
-                node.refresh_forever(),
+                node.exchange.rounds_forever(),
+                node.exchange.push_forever(),
+                node.exchange.tick_forever(),
+                node.discovery.run(),
+                node.sheets.poll_forever(node.discovery.joined),
+                node.sheets.fetch_forever(),
+                node.expire_forever(),
             )
         ]
         log.info("node started")
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/configuration/adoption.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/configuration/adoption.py
@@ -6,22 +6,39 @@
 import logging
 import random
 import typing
+import zlib
 
-import aiohttp
+import pydantic
 
-from goldcrestgrade import exceptions, headers, sheet, telemetry
+from goldcrestgrade import exceptions, instants, sheet, telemetry
 from goldcrestgrade.platform import tables
+from goldcrestgrade_node.membership import peers
 
 log = logging.getLogger(__name__)
 
-POLL_INTERVAL_S = 2.0
-"""Time between reads of the head row."""
+QUICK_POLL_S = 1.5
+"""Time between reads of the head row by the few nodes of a region that read it often."""
 
-FETCH_TIMEOUT_S = 2.0
-"""Longest wait for a sheet from a peer."""
+SLOW_POLL_S = 60.0
+"""Time between reads of the head row by all other nodes."""
 
-VERSION_HEADER = "goldcrestgrade-sheet-version"
-"""Header that names the version of a sheet sent by a peer."""
+JOIN_TIMEOUT_S = 5.0
+"""Longest wait for peers at the start before the table service is believed."""
+
+HOLD_S = 10.0
+"""Time for which a version heard of keeps the node from adopting a lower one."""
+
+MAX_OFFERS = 32
+"""Largest number of peers that wait to be asked for a sheet."""
+
+_HEAD: pydantic.TypeAdapter[sheet.HeadDocument] = pydantic.TypeAdapter(sheet.HeadDocument)
+
+
+class Offer(typing.NamedTuple):
+    """A version that a peer has in force."""
+
+    version: int
+    url: str
 
 
 class Adoption:
@@ -31,30 +48,44 @@
         self,
         store: tables.TableService,
         objects: tables.ObjectStore,
-        session: aiohttp.ClientSession,
-        shared_key: str,
+        remote: peers.Peers,
         adopted: typing.Callable[[sheet.Sheet], None],
+        polls_quickly: typing.Callable[[], bool],
+        clocks: instants.Clocks,
         counts: telemetry.Counts,
         rng: random.Random,
     ) -> None:
         self.store = store
         self.objects = objects
-        self.session = session
-        self.shared_key = shared_key
+        self.remote = remote
         self.adopted = adopted
+        self.polls_quickly = polls_quickly
+        self.clocks = clocks
         self.counts = counts
         self.rng = rng
+        self.offers: asyncio.Queue[Offer] = asyncio.Queue(MAX_OFFERS)
         self.in_force: sheet.Sheet | None = None
+        self.compressed_version = 0
+        self.compressed_body = b""
+        self.heard_version = 0
+        self.held_until: instants.Instant = 0.0
+        """Until then no version below the heard one is adopted."""
 
     @property
     def version(self) -> int:
         """Version in force, 0 before the first."""
         return 0 if self.in_force is None else self.in_force.version
 
+    def compressed(self) -> bytes:
+        """Return the sheet in force as it travels between nodes."""
+        if self.compressed_version != self.version:
+            self.compressed_body = zlib.compress(self.in_force.body if self.in_force else b"")
+            self.compressed_version = self.version
+        return self.compressed_body
+
     def offer(self, version: int, body: bytes) -> bool:
         """Adopt `body` if its version is higher than the one in force."""
-        if version <= self.version:
-            self.counts.events["sheet_stale_ignored"] += version < self.version
+        if self._stale(version):
             return False
         try:
             self.in_force = sheet.compile_sheet(version, body)
@@ -66,38 +97,65 @@
         self.adopted(self.in_force)
         return True
 
-    async def poll_forever(self) -> None:
-        """Read the head row again and again until cancelled."""
+    def hear(self, version: int, url: str) -> None:
+        """Take in that the peer at `url` has `version` in force."""
+        if version <= self.version:
+            return
+        if version > self.heard_version:
+            self.heard_version = version
+            self.held_until = self.clocks.monotonic() + HOLD_S
+        if not self.offers.full():
+            self.offers.put_nowait(Offer(version, url))
+
+    async def fetch_forever(self) -> None:
+        """Fetch the versions that peers offer until cancelled."""
         while True:
-            try:
-                await self._poll()
-            except (tables.ReadError, tables.ObjectError) as error:
-                log.info("head row not read", extra={"error": str(error)})
-            await asyncio.sleep(POLL_INTERVAL_S * self.rng.uniform(0.5, 1.5))
+            offered = await self.offers.get()
+            if offered.version > self.version:
+                await self.fetch(offered.url)
 
     async def fetch(self, peer_url: str) -> None:
         """Ask a peer for its sheet and adopt it if it is newer."""
         try:
-            async with self.session.get(
-                f"{peer_url}/v1/sheet",
-                headers={headers.CONTROL_KEY: self.shared_key},
-                timeout=aiohttp.ClientTimeout(total=FETCH_TIMEOUT_S),
-            ) as response:
-                body = await response.read()
-                if response.status == 200:
-                    self.offer(int(response.headers[VERSION_HEADER]), body)
-        except (TimeoutError, aiohttp.ClientError, OSError, KeyError, ValueError) as error:
-            log.info("sheet not fetched", extra={"peer": peer_url, "error": repr(error)})
-
-    async def _poll(self) -> None:
-        row = await self.store.read(sheet.HEAD_TABLE, sheet.HEAD_KEY)
-        if row is None:
+            copy = await self.remote.sheet(peer_url)
+        except peers.PeerError as error:
+            log.info("sheet not fetched", extra={"peer": peer_url, "error": str(error)})
             return
-        head = typing.cast(sheet.HeadDocument, row.value)
-        if head["version"] < self.version:
-            self.counts.events["sheet_stale_ignored"] += 1
-        if head["version"] <= self.version:
+        self.offer(copy.version, copy.body)
+
+    async def poll_forever(self, joined: asyncio.Event) -> None:
+        """Read the head row again and again until cancelled, after the peers were asked."""
+        try:
+            async with asyncio.timeout(JOIN_TIMEOUT_S):
+                await joined.wait()
+        except TimeoutError:
+            log.info("no peer answered in time")
+        slow_at = self.clocks.monotonic()
+        while True:
+            now = self.clocks.monotonic()
+            if now >= slow_at or self.in_force is None or self.polls_quickly():
+                slow_at = now + SLOW_POLL_S * self.rng.uniform(0.5, 1.5)
+                await self.poll()
+            await asyncio.sleep(QUICK_POLL_S * self.rng.uniform(0.8, 1.2))
+
+    async def poll(self) -> None:
+        """Read the head row and adopt its sheet if it is newer."""
+        try:
+            row = await self.store.read(sheet.HEAD_TABLE, sheet.HEAD_KEY)
+            if row is not None:
+                await self._adopt_head(_HEAD.validate_python(row.value))
+        except (tables.ReadError, tables.ObjectError, pydantic.ValidationError) as error:
+            log.info("head row not read", extra={"error": str(error)})
+
+    async def _adopt_head(self, head: sheet.HeadDocument) -> None:
+        if self._stale(head["version"]):
             return
         body = await self.objects.get(head["object_name"])
         if body is not None:
             self.offer(head["version"], body)
+
+    def _stale(self, version: int) -> bool:
+        held = self.clocks.monotonic() < self.held_until
+        newest = max(self.version, self.heard_version if held else 0)
+        self.counts.events["sheet_stale_ignored"] += version < newest
+        return version < newest or version == self.version
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/control/routes.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/control/routes.py
@@ -9,11 +9,11 @@
 import pydantic
 import typing_extensions
 
-from goldcrestgrade import records
+from goldcrestgrade import headers, records
 from goldcrestgrade_node.configuration import adoption
 from goldcrestgrade_node.control import app
 from goldcrestgrade_node.endpoint import lifecycle
-from goldcrestgrade_node.membership import exchange, members
+from goldcrestgrade_node.membership import exchange, members, messages
 
 ANNOUNCE: pydantic.TypeAdapter[lifecycle.AnnounceDocument] = pydantic.TypeAdapter(
     lifecycle.AnnounceDocument
@@ -43,6 +43,7 @@
 
     async def announce(request: falcon.asgi.Request, response: falcon.asgi.Response) -> None:
         own.announce(await app.read_document(request, ANNOUNCE))
+        response.set_header(headers.ENDPOINT_STATE, own.state)
         response.status = falcon.HTTP_204
 
     async def leave(_request: falcon.asgi.Request, response: falcon.asgi.Response) -> None:
@@ -63,23 +64,47 @@
 
 
 def exchange_resource(peers: exchange.Exchange) -> app.Resource:
-    """Return the resource by which peers exchange records."""
+    """Return the resource by which peers tell each other what is new."""
 
-    async def swap(request: falcon.asgi.Request, response: falcon.asgi.Response) -> None:
-        received = await app.read_document(request, exchange.EXCHANGE)
+    async def receive(request: falcon.asgi.Request, response: falcon.asgi.Response) -> None:
+        received = await app.read_document(request, messages.EXCHANGE)
         response.data = app.json_body(peers.receive(received))
 
-    return app.Resource(post=swap)
+    return app.Resource(post=receive)
+
+
+def reconcile_resource(peers: exchange.Exchange) -> app.Resource:
+    """Return the resource by which peers settle the entries in which they differ."""
+
+    async def reconcile(request: falcon.asgi.Request, response: falcon.asgi.Response) -> None:
+        received = await app.read_document(request, messages.RECONCILE)
+        response.data = app.json_body(peers.reconcile(received))
+
+    return app.Resource(post=reconcile)
+
+
+def probe_resource(peers: exchange.Exchange) -> app.Resource:
+    """Return the resource by which peers ask whether a node is reached from here."""
+
+    async def probe(request: falcon.asgi.Request, response: falcon.asgi.Response) -> None:
+        received = await app.read_document(request, messages.PROBE)
+        response.data = app.json_body(await peers.probe(received))
+
+    return app.Resource(post=probe)
 
 
 def sheet_resource(sheets: adoption.Adoption) -> app.Resource:
     """Return the resource by which peers fetch the sheet in force."""
 
-    async def get(_request: falcon.asgi.Request, response: falcon.asgi.Response) -> None:
+    async def get(request: falcon.asgi.Request, response: falcon.asgi.Response) -> None:
         if sheets.in_force is None:
             raise falcon.HTTPNotFound(title="no sheet in force")
-        response.set_header(adoption.VERSION_HEADER, str(sheets.version))
-        response.data = sheets.in_force.body
+        response.set_header(headers.SHEET_VERSION, str(sheets.version))
+        if request.get_header("accept-encoding") == "deflate":
+            response.set_header("content-encoding", "deflate")
+            response.data = sheets.compressed()
+        else:
+            response.data = sheets.in_force.body
 
     return app.Resource(get=get)
 
@@ -111,7 +136,7 @@
                 sheet_version=sheets.version,
                 sheet_day="" if sheets.in_force is None else sheets.in_force.day,
                 in_flight=in_flight(),
-                members=list(known.by_id.values()),
+                members=known.alive(),
             )
         )
 
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/endpoint/lifecycle.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/endpoint/lifecycle.py
@@ -5,6 +5,8 @@
 import logging
 import typing
 
+import pydantic
+
 from goldcrestgrade import instants, records, statecharts
 
 log = logging.getLogger(__name__)
@@ -18,7 +20,16 @@
 class AnnounceDocument(records.EndpointDocument):
     """Body of an announcement: the endpoint and the requests that it has in flight."""
 
-    in_flight: int
+    in_flight: typing.Annotated[int, pydantic.Field(ge=0, le=1_000_000)]
+
+
+class Cut(typing.NamedTuple):
+    """What a drain that did not end by itself cut off."""
+
+    endpoint_calls: int
+    """Requests in flight at the endpoint by its last announcement."""
+    announced_s_ago: float
+    """Age of that announcement in seconds."""
 
 
 class Lifecycle:
@@ -30,12 +41,12 @@
         self.state = records.EndpointState(CHART.initial)
         self.endpoint: records.EndpointDocument | None = None
         self.in_flight = 0
-        self.lease_until: instants.Instant = 0.0
+        self.announced_at: instants.Instant = -HEARTBEAT_LEASE_S
 
     def announce(self, document: AnnounceDocument) -> None:
         """Take in an announcement of the endpoint; raises `UnexpectedEvent` once it left."""
         self._step("announced")
-        self.lease_until = self.clocks.monotonic() + HEARTBEAT_LEASE_S
+        self.announced_at = self.clocks.monotonic()
         self.in_flight = document["in_flight"]
         endpoint = records.EndpointDocument(
             service=document["service"],
@@ -63,13 +74,26 @@
 
     def expire(self) -> None:
         """Drop the endpoint if its lease has passed."""
-        if self.clocks.monotonic() >= self.lease_until and CHART.allows(self.state, "expired"):
+        if self.silent() and CHART.allows(self.state, "expired"):
             self._step("expired")
 
     def accepting(self) -> bool:
         """Tell whether the endpoint takes new work."""
         return self.state == records.EndpointState.READY
 
+    def silent(self) -> bool:
+        """Tell whether the endpoint let its lease pass, so that it has nothing in flight."""
+        return self.clocks.monotonic() >= self.announced_at + HEARTBEAT_LEASE_S
+
+    def idle(self, since: instants.Instant) -> bool:
+        """Tell whether the endpoint said after `since` that nothing is in flight, or is gone."""
+        return self.silent() or (self.announced_at >= since and self.in_flight == 0)
+
+    def cut(self) -> Cut:
+        """Return what ends with the endpoint now."""
+        age_s = self.clocks.monotonic() - self.announced_at
+        return Cut(0 if self.silent() else self.in_flight, round(age_s, 3))
+
     def _step(self, event: str) -> None:
         state = records.EndpointState(CHART.next_state(self.state, event))
         if state != self.state:
--- /dev/null
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/membership/contacts.py
@@ -0,0 +1,47 @@
+"""When each region was last in contact with the own region."""
+
+from __future__ import annotations
+
+import typing
+
+from goldcrestgrade import instants
+
+SILENT_AFTER_S = 30.0
+"""Time without contact after which a region counts as silent."""
+
+
+class Contacts:
+    """The instant of the last contact with each region; owned by the event loop of the node."""
+
+    def __init__(self, own_region: str, clocks: instants.Clocks) -> None:
+        self.own_region = own_region
+        self.clocks = clocks
+        self.last: dict[str, instants.Instant] = {}
+
+    def direct(self, region: str) -> None:
+        """Take in that a node of `region` was in contact with this node."""
+        if region != self.own_region:
+            self.last[region] = self.clocks.monotonic()
+
+    def relayed(self, ages_s: typing.Mapping[str, float]) -> None:
+        """Take in what a node of the own region knows."""
+        now = self.clocks.monotonic()
+        for region, age_s in ages_s.items():
+            if region != self.own_region and age_s < SILENT_AFTER_S:
+                self.last[region] = max(self.last.get(region, now - age_s), now - age_s)
+
+    def ages(self) -> dict[str, float]:
+        """Return the seconds since the last contact with each region that is not silent."""
+        now = self.clocks.monotonic()
+        ages_s = {region: round(now - last, 1) for region, last in self.last.items()}
+        return {region: age_s for region, age_s in ages_s.items() if age_s < SILENT_AFTER_S}
+
+    def silent(self, regions: typing.Iterable[str]) -> frozenset[str]:
+        """Return those of `regions` without contact; a region first seen now counts as heard."""
+        now = self.clocks.monotonic()
+        for region in regions:
+            if region != self.own_region:
+                self.last.setdefault(region, now)
+        return frozenset(
+            region for region, last in self.last.items() if now - last >= SILENT_AFTER_S
+        )
--- /dev/null
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/membership/digests.py
@@ -0,0 +1,49 @@
+"""Digests by which two nodes find the entries in which they differ."""
+
+from __future__ import annotations
+
+import typing
+
+import xxhash
+
+from goldcrestgrade import records
+
+BUCKETS = 64
+"""Groups of entries that have a digest of their own."""
+
+DIGEST_BITS = 48
+"""Length of a digest, short enough to be exact in JSON."""
+
+
+def bucket_of(node_id: str) -> int:
+    """Return the bucket that holds the entry of a node."""
+    return int(xxhash.xxh3_64_intdigest(node_id.encode())) % BUCKETS
+
+
+def digest_of(node_id: str, order: records.Order) -> int:
+    """Return the digest of one entry."""
+    text = f"{node_id}|{order.incarnation}|{order.revision}|{int(order.standing)}"
+    return int(xxhash.xxh3_64_intdigest(text.encode())) >> (64 - DIGEST_BITS)
+
+
+class Digests:
+    """The digest of each bucket; an entry is added and removed by exclusive or."""
+
+    def __init__(self) -> None:
+        self.buckets = [0] * BUCKETS
+
+    def toggle(self, entry: records.Entry) -> None:
+        """Add an entry, or remove it where it is held."""
+        node_id = entry["record"]["node_id"]
+        self.buckets[bucket_of(node_id)] ^= digest_of(node_id, records.entry_order(entry))
+
+    def root(self, extra: int = 0) -> int:
+        """Return the digest of all entries and of something else."""
+        text = repr((self.buckets, extra))
+        return int(xxhash.xxh3_64_intdigest(text.encode())) >> (64 - DIGEST_BITS)
+
+    def differing(self, others: typing.Sequence[int]) -> list[int]:
+        """Return the buckets whose digests are not those of a peer."""
+        return [
+            n for n, pair in enumerate(zip(self.buckets, others, strict=True)) if len({*pair}) > 1
+        ]
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/membership/exchange.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/membership/exchange.py
@@ -1,135 +1,450 @@
-"""Exchange of node records between peers, and discovery through the table service."""
+"""Exchange of entries between nodes: rounds, immediate pushes and confirmed suspicion."""
 
 from __future__ import annotations
 
 import asyncio
+import itertools
 import logging
 import random
 import typing
 
-import aiohttp
-import orjson
 import pydantic
-import typing_extensions
 
-from goldcrestgrade import headers, records, settings
-from goldcrestgrade.platform import tables
-from goldcrestgrade_node.membership import members
+from goldcrestgrade import instants, records, telemetry
+from goldcrestgrade_node.membership import (
+    budgets,
+    contacts,
+    members,
+    messages,
+    notices,
+    peers,
+    selection,
+)
 
 log = logging.getLogger(__name__)
 
-TABLE = "nodes"
-"""Table that holds a lease row for each node, for discovery only."""
+EXCHANGE_PATH = "/v1/exchange"
+RECONCILE_PATH = "/v1/reconcile"
+PROBE_PATH = "/v1/probe"
 
-DISCOVERY_LIMIT = 2000
-"""Largest number of lease rows read."""
+BUSY_ROUND_S = 1.0
+"""Time between rounds while calls or entries change."""
 
-EXCHANGE_INTERVAL_S = 0.5
-"""Time between exchanges that a node begins."""
+IDLE_ROUND_S = 3.0
+"""Time between rounds while nothing changes."""
 
-LEASE_INTERVAL_S = 10.0
-"""Time between writes of the own lease row."""
+BUSY_FOR_S = 30.0
+"""Time after a change for which rounds stay quick."""
 
-EXCHANGE_TIMEOUT_S = 2.0
-"""Longest wait for the answer of a peer."""
+PUSH_DELAY_S = 0.05
+"""Time in which changes gather before they are pushed."""
 
+PUSH_FANOUT = 3
+"""Peers that a change is pushed to."""
 
-class ExchangeDocument(typing_extensions.TypedDict):
-    """What peers send each other: the records that they hold."""
+PUSH_WAVES = 2
+"""Times that a change is pushed to other peers."""
 
-    records: list[records.NodeRecord]
+PUSH_ENTRIES = 100
+"""Largest number of entries in one push."""
 
+PUSH_BYTES_PER_S = 1500.0
+"""Rate of the byte budget of pushes."""
 
-EXCHANGE: pydantic.TypeAdapter[ExchangeDocument] = pydantic.TypeAdapter(ExchangeDocument)
+PUSH_BURST_BYTES = 48_000.0
+"""Size of the byte budget of pushes."""
+
+ENTRY_BYTES = 350
+"""Size of an entry on the wire."""
+
+RECONCILE_BUCKETS = 8
+"""Buckets that one message reconciles."""
+
+OBSERVERS = 2
+"""Nodes asked to confirm that another is not reached."""
+
+TICK_S = 0.5
+"""Time between looks at the deadlines of entries."""
+
+PAUSE_LIMIT_S = 15.0
+"""Length of a pause of this process after which its entries count as old."""
+
+T = typing.TypeVar("T")
+K = typing.TypeVar("K")
+
+
+class Pending(typing.NamedTuple, typing.Generic[T]):
+    """A change that is to be pushed, and how often."""
+
+    change: T
+    waves: int
+
+
+class Hooks(typing.NamedTuple):
+    """What the exchange tells the rest of the node."""
+
+    touched: typing.Callable[[set[str]], None]
+    """Services whose endpoints may have changed."""
+    sheet_version: typing.Callable[[], int]
+    sheet_heard: typing.Callable[[int, str], None]
+    """A peer at this URL has this version of the sheet in force."""
+    busy: typing.Callable[[], bool]
+    """Tells whether the node has calls to serve."""
 
 
 class Exchange:
-    """The tasks that keep the records of a node and its peers alike."""
+    """What a node and its peers tell each other; owned by the event loop of the node."""
 
     def __init__(
         self,
         own: members.OwnRecord,
         known: members.Members,
-        seeds: typing.Sequence[settings.Address],
-        session: aiohttp.ClientSession,
-        shared_key: str,
-        store: tables.TableService,
-        touched: typing.Callable[[set[str]], None],
+        remote: peers.Peers,
+        hooks: Hooks,
+        clocks: instants.Clocks,
+        counts: telemetry.Counts,
         rng: random.Random,
     ) -> None:
         self.own = own
         self.known = known
-        self.seeds = [f"http://{seed['host']}:{seed['port']}" for seed in seeds]
-        self.session = session
-        self.shared_key = shared_key
-        self.store = store
-        self.touched = touched
+        self.remote = remote
+        self.hooks = hooks
+        self.clocks = clocks
+        self.counts = counts
         self.rng = rng
+        self.contacts = contacts.Contacts(own.record["region"], clocks)
+        self.notices = notices.Notices(clocks)
+        self.budget = budgets.Budget(PUSH_BYTES_PER_S, PUSH_BURST_BYTES, clocks.monotonic)
+        self.pending: dict[str, Pending[records.Entry]] = {}
+        self.pending_notices: dict[tuple[str, str], Pending[messages.Notice]] = {}
+        self.sheet_waves = 0
+        """Pushes left that tell of the version in force."""
+        self.push_wanted = asyncio.Event()
+        self.busy_until: instants.Instant = 0.0
+        self.last_tick = clocks.wall()
+        self.viewed = selection.view(own.record, [])
+        self.viewed_generation = known.generation
+        self.former: list[str] = []
+        """URLs to join again after a pause."""
 
-    def receive(self, document: ExchangeDocument) -> ExchangeDocument:
-        """Take in what a peer sent and return what this node holds."""
-        self.touched(self.known.merge(document["records"]))
-        return self.document()
+    # Messages of peers
+
+    def receive(self, message: messages.Exchange) -> messages.ExchangeReply:
+        """Take in what a peer tells and return what it may lack."""
+        self.check_pause()
+        self._heard(message["node_id"], message["region"], message["heard"])
+        self.take(message["entries"])
+        self.take_notices(message["notices"])
+        sender = self.known.record(message["node_id"])
+        if sender is not None and message["sheet_version"] > self.hooks.sheet_version():
+            self.hooks.sheet_heard(message["sheet_version"], records.control_url(sender))
+        alike = message["digest"] == self._root()
+        return messages.ExchangeReply(
+            node_id=self.own.record["node_id"],
+            region=self.own.record["region"],
+            sheet_version=self.hooks.sheet_version(),
+            heard=self._ages_for(message["region"]),
+            buckets=[] if alike else self.known.digests.buckets,
+        )
+
+    def reconcile(self, message: messages.Reconcile) -> messages.ReconcileReply:
+        """Return the entries that the asker lacks and the nodes of which it holds newer ones."""
+        self.check_pause()
+        self.take_notices(message["notices"])
+        asked = {summary.node_id: summary for summary in message["summaries"]}
+        held = self.known.in_buckets(message["buckets"])
+        held_orders = {e["record"]["node_id"]: records.entry_order(e) for e in held}
+        newer = [
+            entry
+            for entry in held
+            if (summary := asked.get(entry["record"]["node_id"])) is None
+            or records.entry_order(entry) > summary[1:]
+        ]
+        wanted = [
+            node_id
+            for node_id, summary in asked.items()
+            if node_id not in held_orders or held_orders[node_id] < summary[1:]
+        ]
+        return messages.ReconcileReply(
+            entries=newer[: messages.MAX_ENTRIES], wanted=wanted, notices=self.notices.latest()
+        )
+
+    async def probe(self, message: messages.Probe) -> messages.ProbeReply:
+        """Return whether this node reaches another."""
+        record = self.known.record(message["node_id"])
+        return messages.ProbeReply(reached=record is not None and await self._exchange(record))
+
+    # Changes
+
+    def take(self, entries: typing.Iterable[records.Entry]) -> None:
+        """Take in entries, refute those about this node, and push what is new."""
+        received = list(entries)
+        own_id = self.own.record["node_id"]
+        self._refute([entry for entry in received if entry["record"]["node_id"] == own_id])
+        others = [entry for entry in received if entry["record"]["node_id"] != own_id]
+        self._push(self.known.merge(others))
+
+    def announce(self, entry: records.Entry) -> None:
+        """Take in a new entry of this node and push it."""
+        self._push(self.known.merge([entry]))
+
+    def take_notices(self, found: typing.Iterable[messages.Notice]) -> None:
+        """Take in notices and push those that are new."""
+        for notice in self.notices.merge(found):
+            self.pending_notices[notices.key_of(notice)] = Pending(notice, PUSH_WAVES)
+            self.push_wanted.set()
+
+    def spread_sheet(self) -> None:
+        """Tell a few peers at once of the version that came into force."""
+        self.sheet_waves = PUSH_WAVES
+        self.push_wanted.set()
+
+    def _push(self, merged: members.Merged) -> None:
+        if not merged.fresh:
+            return
+        self.busy_until = self.clocks.monotonic() + BUSY_FOR_S
+        # In debt, what is not urgent is left to the rounds.
+        spread = merged.fresh if self.budget.in_credit() else list(filter(_urgent, merged.fresh))
+        self.pending.update(
+            (entry["record"]["node_id"], Pending(entry, PUSH_WAVES)) for entry in spread
+        )
+        if spread:
+            self.push_wanted.set()
+        if merged.touched:
+            self.hooks.touched(merged.touched)
+
+    def _refute(self, claims: list[records.Entry]) -> None:
+        own_order = records.entry_order(self.own.entry())
+        higher = [order for order in map(records.entry_order, claims) if order > own_order]
+        if not higher:
+            return
+        highest = max(higher)
+        if highest.incarnation > own_order.incarnation:
+            self.counts.events["node_id_replaced"] += 1
+            return
+        self.counts.events["suspicion_refuted"] += 1
+        self.announce(self.own.outrank(highest))
+
+    # Tasks
+
+    async def rounds_forever(self) -> None:
+        """Exchange with one peer in each round until cancelled."""
+        while True:
+            now = self.clocks.monotonic()
+            busy = now < self.busy_until or self.hooks.busy()
+            interval_s = BUSY_ROUND_S if busy else IDLE_ROUND_S
+            await asyncio.sleep(interval_s * self.rng.uniform(0.5, 1.5))
+            await self.round()
 
-    def document(self) -> ExchangeDocument:
-        """Return every record that this node holds."""
-        return ExchangeDocument(records=list(self.known.by_id.values()))
+    async def round(self) -> None:
+        """Exchange with one peer, and have it confirmed if the peer is not reached."""
+        peer = selection.choose_peer(self.view(), self.rng)
+        if peer is not None and not await self._exchange(peer):
+            await self._suspect(peer)
 
-    async def exchange_forever(self) -> None:
-        """Exchange with one random peer at a time until cancelled."""
+    async def push_forever(self) -> None:
+        """Push changes to a few peers as soon as they come, until cancelled."""
         while True:
-            await asyncio.sleep(EXCHANGE_INTERVAL_S * self.rng.uniform(0.5, 1.5))
-            self.touched(self.known.expire())
-            peers = self._peers()
-            if peers:
-                await self._exchange(self.rng.choice(peers))
-
-    async def lease_forever(self) -> None:
-        """Write the own lease row, and read those of others, until cancelled."""
+            await self.push_wanted.wait()
+            await asyncio.sleep(PUSH_DELAY_S * self.rng.uniform(0.5, 1.5))
+            await self.push()
+
+    async def push(self) -> None:
+        """Push what is pending to a few peers."""
+        self.push_wanted.clear()
+        entries = _next_wave(self.pending, PUSH_ENTRIES)
+        found = _next_wave(self.pending_notices, messages.MAX_NOTICES)
+        self.sheet_waves = max(0, self.sheet_waves - 1)
+        if self.pending or self.pending_notices or self.sheet_waves:
+            self.push_wanted.set()
+        seen = self.view()
+        chosen = [selection.choose_peer(seen, self.rng) for _ in range(PUSH_FANOUT)]
+        targets = {peer["node_id"]: peer for peer in chosen if peer is not None}
+        self.budget.spend(ENTRY_BYTES * len(entries) * len(targets))
+        await asyncio.gather(*(self._exchange(peer, entries, found) for peer in targets.values()))
+
+    async def tick_forever(self) -> None:
+        """Keep the deadlines of entries until cancelled."""
         while True:
-            await self._lease()
-            await asyncio.sleep(LEASE_INTERVAL_S * self.rng.uniform(0.8, 1.2))
+            self.check_pause()
+            self.tick()
+            urls, self.former = self.former, []
+            await asyncio.gather(*(self.join(url) for url in urls))
+            await asyncio.sleep(TICK_S)
+
+    def check_pause(self) -> None:
+        """Drop the entries of others if this process was paused, since they may be old."""
+        paused_s = self.clocks.wall() - self.last_tick
+        self.last_tick = self.clocks.wall()
+        if paused_s <= PAUSE_LIMIT_S:
+            return
+        log.warning("process was paused, entries are dropped", extra={"paused_s": paused_s})
+        self.counts.events["paused"] += 1
+        chosen = [selection.choose_peer(self.view(), self.rng) for _ in range(PUSH_FANOUT)]
+        self.former = [records.control_url(peer) for peer in chosen if peer is not None]
+        self.hooks.touched(self.known.keep_only(self.own.record["node_id"]))
+
+    def tick(self) -> None:
+        """Act on the deadlines that passed."""
+        touched = self.known.tick()
+        self.notices.expire()
+        touched |= self.known.set_silent(self.contacts.silent(self.view().regions))
+        if touched:
+            self.hooks.touched(touched)
+
+    def view(self) -> selection.View:
+        """Return the live nodes by how near they are."""
+        if self.viewed_generation != self.known.generation:
+            self.viewed = selection.view(self.own.record, self.known.alive())
+            self.viewed_generation = self.known.generation
+        return self.viewed
+
+    async def join(self, url: str) -> None:
+        """Exchange with the node at `url`, known or not."""
+        await self._exchange_at(url, None, [], [])
 
     async def farewell(self) -> None:
-        """Tell a few peers of the latest own record."""
-        peers = self._peers()
-        chosen = self.rng.sample(peers, min(3, len(peers)))
-        await asyncio.gather(*(self._exchange(peer) for peer in chosen))
+        """Push the latest own entry without delay."""
+        self.pending[self.own.record["node_id"]] = Pending(self.own.entry(), PUSH_WAVES)
+        await self.push()
 
-    def _peers(self) -> list[str]:
-        own_id = self.own.record["node_id"]
-        found = [
-            records.control_url(record)
-            for record in self.known.by_id.values()
-            if record["node_id"] != own_id and record["state"] != records.EndpointState.LEFT
-        ]
-        return found or [
-            seed for seed in self.seeds if seed != records.control_url(self.own.record)
-        ]
+    # Requests to peers
+
+    async def _exchange(
+        self,
+        peer: records.NodeRecord,
+        entries: typing.Sequence[records.Entry] = (),
+        found: typing.Sequence[messages.Notice] = (),
+    ) -> bool:
+        crossing = peer["region"] != self.own.record["region"]
+        self.counts.events["exchange_crossing" if crossing else "exchange_local"] += 1
+        return await self._exchange_at(
+            records.control_url(peer), peer["node_id"], list(entries), list(found)
+        )
 
-    async def _exchange(self, peer: str) -> None:
+    async def _exchange_at(
+        self,
+        url: str,
+        expected_id: str | None,
+        entries: list[records.Entry],
+        found: list[messages.Notice],
+    ) -> bool:
+        self.check_pause()
         try:
-            async with self.session.post(
-                f"{peer}/v1/exchange",
-                data=orjson.dumps(self.document()),
-                headers={headers.CONTROL_KEY: self.shared_key},
-                timeout=aiohttp.ClientTimeout(total=EXCHANGE_TIMEOUT_S),
-            ) as response:
-                body = await response.read()
-                if response.status == 200:
-                    self.touched(self.known.merge(EXCHANGE.validate_json(body)["records"]))
-        except (TimeoutError, aiohttp.ClientError, OSError, pydantic.ValidationError) as error:
-            log.info("exchange failed", extra={"peer": peer, "error": repr(error)})
-
-    async def _lease(self) -> None:
-        record = self.own.record
-        write = tables.Write(TABLE, record["node_id"], typing.cast(tables.Value, record))
-        await self.store.transact(tables.Transaction((), (write,)))
+            reply = await self._tell(url, entries, found)
+            if expected_id not in (None, reply["node_id"]):
+                return False
+            self._heard(reply["node_id"], reply["region"], reply["heard"])
+            if reply["sheet_version"] > self.hooks.sheet_version():
+                self.hooks.sheet_heard(reply["sheet_version"], url)
+            await self._settle(url, reply["buckets"])
+        except peers.PeerError as error:
+            self.counts.events["exchange_failed"] += 1
+            log.debug("exchange failed", extra={"peer": url, "error": str(error)})
+            return False
+        return True
+
+    async def _settle(self, url: str, buckets: list[int]) -> None:
+        if len(buckets) != len(self.known.digests.buckets):
+            return
+        differing = self.known.digests.differing(buckets)
+        # Where no bucket differs, the notices do; one message settles them.
+        for start in range(0, max(1, len(differing)), RECONCILE_BUCKETS):
+            await self._reconcile(url, differing[start : start + RECONCILE_BUCKETS])
+
+    async def _reconcile(self, url: str, buckets: list[int]) -> None:
+        held = self.known.in_buckets(buckets)[: messages.MAX_ENTRIES]
+        message = messages.Reconcile(
+            buckets=buckets,
+            summaries=[members.summary(entry) for entry in held],
+            notices=self.notices.latest(),
+        )
+        reply = await self._ask(
+            url, RECONCILE_PATH, messages.RECONCILE.dump_json(message), messages.RECONCILE_REPLY
+        )
+        self.counts.events["reconciled"] += 1
+        self.take(reply["entries"])
+        self.take_notices(reply["notices"])
+        wanted = [self.known.entries[i] for i in reply["wanted"] if i in self.known.entries]
+        if wanted:
+            await self._tell(url, wanted, [])
+
+    async def _tell(
+        self, url: str, entries: list[records.Entry], found: list[messages.Notice]
+    ) -> messages.ExchangeReply:
+        message = messages.Exchange(
+            node_id=self.own.record["node_id"],
+            region=self.own.record["region"],
+            sheet_version=self.hooks.sheet_version(),
+            digest=self._root(),
+            heard=self.contacts.ages(),
+            entries=entries,
+            notices=found,
+        )
+        return await self._ask(
+            url, EXCHANGE_PATH, messages.EXCHANGE.dump_json(message), messages.EXCHANGE_REPLY
+        )
+
+    async def _suspect(self, peer: records.NodeRecord) -> None:
+        if peer["region"] != self.own.record["region"]:
+            return
+        observers = selection.choose_observers(self.view(), peer, OBSERVERS, self.rng)
+        verdicts = await asyncio.gather(*(self._observe(peer, by) for by in observers))
+        if True in verdicts or (observers and False not in verdicts):
+            self.counts.events["suspicion_not_confirmed"] += 1
+            return
+        entry = self.known.entries.get(peer["node_id"])
+        if entry is None or records.order(entry["record"]) != records.order(peer):
+            return
+        log.info("node suspected", extra={"suspect": peer["node_id"]})
+        self.counts.events["node_suspected"] += 1
+        until = self.clocks.wall() + members.SUSPICION_S
+        self.take([records.Entry(record=peer, standing=records.Standing.SUSPECT, until=until)])
+
+    async def _observe(
+        self, accused: records.NodeRecord, observer: records.NodeRecord
+    ) -> bool | None:
+        message = messages.Probe(node_id=accused["node_id"])
+        try:
+            reply = await self._ask(
+                records.control_url(observer),
+                PROBE_PATH,
+                messages.PROBE.dump_json(message),
+                messages.PROBE_REPLY,
+            )
+        except peers.PeerError:
+            return None
+        return reply["reached"]
+
+    async def _ask(self, url: str, path: str, body: bytes, adapter: pydantic.TypeAdapter[T]) -> T:
+        self.counts.events["peer_requests"] += 1
+        reply = await self.remote.post(url, path, body)
         try:
-            rows = await self.store.scan(TABLE, "", DISCOVERY_LIMIT)
-        except tables.ReadError as error:
-            log.info("discovery failed", extra={"error": str(error)})
+            return adapter.validate_json(reply)
+        except pydantic.ValidationError as error:
+            raise peers.PeerError("invalid reply") from error
+
+    def _root(self) -> int:
+        return self.known.digests.root(self.notices.digest)
+
+    def _heard(self, node_id: str, region: str, ages_s: dict[str, float]) -> None:
+        if node_id == self.own.record["node_id"]:
             return
-        found = typing.cast("list[records.NodeRecord]", [row.value for row in rows])
-        now = self.known.clocks.wall()
-        self.touched(self.known.merge(r for r in found if r["expires_at"] > now))
+        self.contacts.direct(region)
+        if region == self.own.record["region"]:
+            self.contacts.relayed(ages_s)
+
+    def _ages_for(self, region: str) -> dict[str, float]:
+        return self.contacts.ages() if region == self.own.record["region"] else {}
+
+
+def _urgent(entry: records.Entry) -> bool:
+    """Tell whether `entry` takes work from an endpoint."""
+    working = (records.EndpointState.READY, records.EndpointState.ABSENT)
+    return entry["standing"] != records.Standing.ALIVE or entry["record"]["state"] not in working
+
+
+def _next_wave(pending: dict[K, Pending[T]], count: int) -> list[T]:
+    first = [(key, pending.pop(key)) for key in list(itertools.islice(pending, count))]
+    pending.update((key, p._replace(waves=p.waves - 1)) for key, p in first if p.waves > 1)
+    return [p.change for _, p in first]
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/membership/members.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/membership/members.py
@@ -1,59 +1,190 @@
-"""The records of all nodes that this node knows of."""
+"""The entries of all nodes that this node knows of."""
 
 from __future__ import annotations
 
+import collections
+import itertools
 import typing
 
 from goldcrestgrade import instants, records
+from goldcrestgrade_node.membership import digests, messages
 
-RECORD_LEASE_S = 15.0
-"""Time that a record holds after its node last refreshed it."""
+SUSPICION_S = 3.0
+"""Time in which a suspected node may refute."""
+
+TOMBSTONE_S = 600.0
+"""Time for which a node that is gone is remembered, so that old records do not bring it back."""
+
+MAX_MEMBERS = 4096
+"""Largest number of nodes that are remembered."""
+
+
+class Merged(typing.NamedTuple):
+    """What a merge changed."""
+
+    fresh: list[records.Entry]
+    """Entries that were taken in."""
+    touched: set[str]
+    """Services whose endpoints may have changed."""
 
 
 class Members:
-    """The newest record of each node; owned by the event loop of the node."""
+    """The newest entry of each node; owned by the event loop of the node."""
 
     def __init__(self, clocks: instants.Clocks) -> None:
         self.clocks = clocks
-        self.by_id: dict[str, records.NodeRecord] = {}
-
-    def merge(self, received: typing.Iterable[records.NodeRecord]) -> set[str]:
-        """Take in the records that are newer than the known; return the services they touch."""
-        fresh = [record for record in received if self._newer(record)]
-        touched = {
-            endpoint["service"]
-            for record in fresh
-            for endpoint in (record["endpoint"], self._endpoint(record["node_id"]))
-            if endpoint is not None
-        }
-        self.by_id.update((record["node_id"], record) for record in fresh)
-        return touched
-
-    def expire(self) -> set[str]:
-        """Drop the records whose deadline passed; return the services they touch."""
+        self.entries: dict[str, records.Entry] = {}
+        self.digests = digests.Digests()
+        self.by_bucket: list[set[str]] = [set() for _ in range(digests.BUCKETS)]
+        self.by_service: collections.defaultdict[str, set[str]] = collections.defaultdict(set)
+        self.deadlines: set[str] = set()
+        """Nodes whose entry has a deadline."""
+        self.generation = 0
+        """Rises with each change."""
+        self.silent: frozenset[str] = frozenset()
+        """Regions without contact; their endpoints get no work, but they are remembered."""
+
+    def merge(self, received: typing.Iterable[records.Entry]) -> Merged:
+        """Take in the entries that are newer than the known."""
+        now = self.clocks.wall()
+        merged = Merged([], set())
+        for entry in (_aged(entry, now) for entry in received):
+            if self._newer(entry, now):
+                merged.fresh.append(entry)
+                merged.touched.update(self._put(entry))
+        return merged
+
+    def tick(self) -> set[str]:
+        """Turn suspicions into losses and forget tombstones at their deadlines."""
         now = self.clocks.wall()
-        expired = [record for record in self.by_id.values() if record["expires_at"] <= now]
-        for record in expired:
-            del self.by_id[record["node_id"]]
-        return {r["endpoint"]["service"] for r in expired if r["endpoint"] is not None}
+        pending = [self.entries[node_id] for node_id in self.deadlines]
+        due = [entry for entry in pending if entry["until"] <= now]
+        for entry in due:
+            if entry["standing"] == records.Standing.SUSPECT:
+                self._put(_aged(entry, now))
+            else:
+                self._remove(entry["record"]["node_id"])
+        return {e["record"]["endpoint"]["service"] for e in due if e["record"]["endpoint"]}
+
+    def alive(self) -> list[records.NodeRecord]:
+        """Return the records of all nodes that are neither gone nor lost."""
+        return [entry["record"] for entry in self.entries.values() if present(entry)]
 
     def ready(self, service: str) -> list[records.NodeRecord]:
         """Return the records of nodes whose endpoint takes new work of `service`."""
+        found = (self.entries[node_id] for node_id in sorted(self.by_service.get(service, ())))
         return [
-            record
-            for record in self.by_id.values()
-            if record["state"] == records.EndpointState.READY
-            and record["endpoint"] is not None
-            and record["endpoint"]["service"] == service
+            entry["record"]
+            for entry in found
+            if entry["record"]["state"] == records.EndpointState.READY
+            and entry["standing"] != records.Standing.LOST
+            and entry["record"]["region"] not in self.silent
         ]
 
-    def _newer(self, record: records.NodeRecord) -> bool:
-        known = self.by_id.get(record["node_id"])
-        return known is None or records.order(record) > records.order(known)
+    def record(self, node_id: str) -> records.NodeRecord | None:
+        """Return the record of a node that is neither gone nor lost."""
+        entry = self.entries.get(node_id)
+        return entry["record"] if entry is not None and present(entry) else None
+
+    def set_silent(self, regions: frozenset[str]) -> set[str]:
+        """Set the regions without contact; return the services that this touches."""
+        changed = regions ^ self.silent
+        self.silent = regions
+        if not changed:
+            return set()
+        return {
+            record["endpoint"]["service"]
+            for record in self.alive()
+            if record["endpoint"] is not None and record["region"] in changed
+        }
+
+    def in_buckets(self, buckets: typing.Iterable[int]) -> list[records.Entry]:
+        """Return the entries in some buckets."""
+        ids = itertools.chain.from_iterable(self.by_bucket[bucket] for bucket in buckets)
+        return [self.entries[node_id] for node_id in ids]
+
+    def keep_only(self, node_id: str) -> set[str]:
+        """Forget all nodes but one; return the services that this touches."""
+        return set(
+            itertools.chain.from_iterable(
+                self._remove(other) for other in list(self.entries) if other != node_id
+            )
+        )
+
+    def _newer(self, entry: records.Entry, now: instants.WallInstant) -> bool:
+        record = entry["record"]
+        if 0 < entry["until"] <= now or not _plausible(entry, now):
+            return False
+        known = self.entries.get(record["node_id"])
+        if known is None:
+            return len(self.entries) < MAX_MEMBERS
+        return records.entry_order(entry) > records.entry_order(known)
+
+    def _put(self, entry: records.Entry) -> set[str]:
+        node_id = entry["record"]["node_id"]
+        touched = self._remove(node_id)
+        self.entries[node_id] = entry
+        self.generation += 1
+        if entry["until"] > 0:
+            self.deadlines.add(node_id)
+        self.digests.toggle(entry)
+        self.by_bucket[digests.bucket_of(node_id)].add(node_id)
+        endpoint = entry["record"]["endpoint"]
+        if endpoint is not None:
+            self.by_service[endpoint["service"]].add(node_id)
+            touched.add(endpoint["service"])
+        return touched
+
+    def _remove(self, node_id: str) -> set[str]:
+        entry = self.entries.pop(node_id, None)
+        if entry is None:
+            return set()
+        self.generation += 1
+        self.deadlines.discard(node_id)
+        self.digests.toggle(entry)
+        self.by_bucket[digests.bucket_of(node_id)].discard(node_id)
+        endpoint = entry["record"]["endpoint"]
+        if endpoint is None:
+            return set()
+        self.by_service[endpoint["service"]].discard(node_id)
+        return {endpoint["service"]}
+
+
+def present(entry: records.Entry) -> bool:
+    """Tell whether the node of `entry` is neither gone nor lost."""
+    return (
+        entry["standing"] != records.Standing.LOST
+        and entry["record"]["state"] != records.EndpointState.LEFT
+    )
+
+
+def summary(entry: records.Entry) -> messages.Summary:
+    """Return the summary of `entry`."""
+    incarnation, revision = records.order(entry["record"])
+    return messages.Summary(entry["record"]["node_id"], incarnation, revision, entry["standing"])
+
 
-    def _endpoint(self, node_id: str) -> records.EndpointDocument | None:
-        known = self.by_id.get(node_id)
-        return None if known is None else known["endpoint"]
+def alive_entry(record: records.NodeRecord) -> records.Entry:
+    """Return the entry of a node that speaks for itself."""
+    return records.Entry(record=record, standing=records.Standing.ALIVE, until=0.0)
+
+
+def _aged(entry: records.Entry, now: instants.WallInstant) -> records.Entry:
+    if entry["standing"] == records.Standing.SUSPECT and entry["until"] <= now:
+        until = entry["until"] + TOMBSTONE_S
+        return records.Entry(record=entry["record"], standing=records.Standing.LOST, until=until)
+    return entry
+
+
+def _plausible(entry: records.Entry, now: instants.WallInstant) -> bool:
+    # A time far ahead would outrank all that the node itself can say, or never be forgotten.
+    ahead = now + instants.MAX_CLOCK_SKEW_S
+    gone = not present(entry) or entry["standing"] == records.Standing.SUSPECT
+    return (
+        entry["record"]["incarnation"] <= ahead * 1000
+        and entry["until"] <= ahead + SUSPICION_S + TOMBSTONE_S
+        and gone == (entry["until"] > 0)
+    )
 
 
 class OwnRecord:
@@ -68,17 +199,28 @@
         state: records.EndpointState,
         endpoint: records.EndpointDocument | None,
         sheet_version: int,
-    ) -> records.NodeRecord:
-        """Return the record with these values, a new revision and a new deadline."""
+    ) -> records.Entry:
+        """Return the entry with these values and a new revision."""
         self.record = {
             **self.record,
             "state": state,
             "endpoint": endpoint,
             "sheet_version": sheet_version,
             "revision": self.record["revision"] + 1,
-            "expires_at": self.clocks.wall() + RECORD_LEASE_S,
         }
-        return self.record
+        return self.entry()
+
+    def outrank(self, other: records.Order) -> records.Entry:
+        """Return the entry with a revision above that of `other`."""
+        revision = max(self.record["revision"], other.revision) + 1
+        self.record = {**self.record, "revision": revision}
+        return self.entry()
+
+    def entry(self) -> records.Entry:
+        """Return the entry by which the node speaks for itself."""
+        left = self.record["state"] == records.EndpointState.LEFT
+        until = self.clocks.wall() + TOMBSTONE_S if left else 0.0
+        return records.Entry(record=self.record, standing=records.Standing.ALIVE, until=until)
 
 
 def first_record(
--- /dev/null
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/membership/notices.py
@@ -0,0 +1,72 @@
+"""Notices of other parts of the node, spread to all nodes until their deadlines."""
+
+from __future__ import annotations
+
+import typing
+
+import xxhash
+
+from goldcrestgrade import instants
+from goldcrestgrade_node.membership import messages
+
+MAX_AHEAD_S = 3600.0
+"""Longest time for which a notice holds."""
+
+Received = typing.Callable[[messages.Notice], None]
+"""Takes in a notice of one kind."""
+
+
+class Notices:
+    """The newest notice of each kind and key; owned by the event loop of the node."""
+
+    def __init__(self, clocks: instants.Clocks) -> None:
+        self.clocks = clocks
+        self.by_key: dict[tuple[str, str], messages.Notice] = {}
+        self.receivers: dict[str, Received] = {}
+        self.digest = 0
+
+    def on(self, kind: str, received: Received) -> None:
+        """Have `received` called for each new notice of `kind`."""
+        self.receivers[kind] = received
+
+    def merge(self, found: typing.Iterable[messages.Notice]) -> list[messages.Notice]:
+        """Take in the notices that are newer than the known, and return them."""
+        fresh = [notice for notice in found if self._newer(notice)]
+        self.by_key.update((key_of(notice), notice) for notice in fresh)
+        self._keep(sorted(self.by_key.values(), key=_rank)[-messages.MAX_NOTICES :])
+        kept = [notice for notice in fresh if self.by_key.get(key_of(notice)) is notice]
+        for notice in kept:
+            if notice["kind"] in self.receivers:
+                self.receivers[notice["kind"]](notice)
+        return kept
+
+    def expire(self) -> None:
+        """Forget the notices whose deadline passed."""
+        now = self.clocks.wall()
+        if any(notice["until"] <= now for notice in self.by_key.values()):
+            self._keep([notice for notice in self.by_key.values() if notice["until"] > now])
+
+    def latest(self) -> list[messages.Notice]:
+        """Return all notices."""
+        return list(self.by_key.values())
+
+    def _keep(self, kept: list[messages.Notice]) -> None:
+        self.by_key = {key_of(notice): notice for notice in kept}
+        names = sorted(f"{n['kind']}|{n['key']}|{n['order']}" for n in kept)
+        self.digest = int(xxhash.xxh3_64_intdigest("|".join(names).encode()))
+
+    def _newer(self, notice: messages.Notice) -> bool:
+        now = self.clocks.wall()
+        known = self.by_key.get(key_of(notice))
+        return now < notice["until"] <= now + MAX_AHEAD_S and (
+            known is None or notice["order"] > known["order"]
+        )
+
+
+def key_of(notice: messages.Notice) -> tuple[str, str]:
+    """Return what a newer notice replaces an older one by."""
+    return notice["kind"], notice["key"]
+
+
+def _rank(notice: messages.Notice) -> tuple[float, str, str]:
+    return notice["until"], *key_of(notice)
--- /dev/null
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/membership/peers.py
@@ -0,0 +1,98 @@
+"""Requests to peers over HTTP with JSON."""
+
+from __future__ import annotations
+
+import typing
+import zlib
+
+import aiohttp
+
+from goldcrestgrade import headers
+
+REQUEST_TIMEOUT_S = 1.5
+"""Longest wait for the answer of a peer."""
+
+CONNECT_TIMEOUT_S = 0.5
+"""Longest wait for a connection to a peer."""
+
+MAX_REPLY_BYTES = 4 << 20
+"""Largest reply of a peer."""
+
+
+class PeerError(Exception):
+    """A request that a peer did not answer, or answered wrongly."""
+
+
+class SheetCopy(typing.NamedTuple):
+    """A sheet as a peer holds it."""
+
+    version: int
+    body: bytes
+
+
+class Peers(typing.Protocol):
+    """How a node reaches its peers."""
+
+    async def post(self, url: str, path: str, body: bytes) -> bytes:
+        """Return the reply to `body`; raises `PeerError`."""
+        ...
+
+    async def sheet(self, url: str) -> SheetCopy:
+        """Return the sheet that a peer has in force; raises `PeerError`."""
+        ...
+
+
+class HttpPeers:
+    """Peers reached through `session`."""
+
+    def __init__(self, session: aiohttp.ClientSession, shared_key: str) -> None:
+        self.session = session
+        self.headers = {headers.CONTROL_KEY: shared_key, "accept-encoding": "deflate"}
+        self.timeout = aiohttp.ClientTimeout(
+            total=REQUEST_TIMEOUT_S, sock_connect=CONNECT_TIMEOUT_S
+        )
+
+    async def post(self, url: str, path: str, body: bytes) -> bytes:
+        """Return the reply to `body`; raises `PeerError`."""
+        reply, _ = await self._exchange("POST", url + path, body)
+        return reply
+
+    async def sheet(self, url: str) -> SheetCopy:
+        """Return the sheet that a peer has in force; raises `PeerError`."""
+        packed, version = await self._exchange("GET", f"{url}/v1/sheet", None)
+        if version is None or not version.isdecimal():
+            raise PeerError("sheet without a version")
+        return SheetCopy(int(version), unpack(packed))
+
+    async def _exchange(
+        self, method: str, url: str, body: bytes | None
+    ) -> tuple[bytes, str | None]:
+        try:
+            async with self.session.request(
+                method,
+                url,
+                data=body,
+                headers=self.headers,
+                timeout=self.timeout,
+                allow_redirects=False,
+            ) as response:
+                reply = await response.content.read(MAX_REPLY_BYTES)
+                while not response.content.at_eof() and len(reply) < MAX_REPLY_BYTES:
+                    reply += await response.content.read(MAX_REPLY_BYTES - len(reply))
+        except (TimeoutError, aiohttp.ClientError, OSError) as error:
+            raise PeerError(repr(error)) from error
+        if response.status != 200 or len(reply) >= MAX_REPLY_BYTES:
+            raise PeerError(f"status {response.status}")
+        return reply, response.headers.get(headers.SHEET_VERSION)
+
+
+def unpack(packed: bytes) -> bytes:
+    """Return a sheet as it was before it was compressed; raises `PeerError`."""
+    inflater = zlib.decompressobj()
+    try:
+        body = inflater.decompress(packed, MAX_REPLY_BYTES)
+    except zlib.error as error:
+        raise PeerError("sheet not readable") from error
+    if not inflater.eof:
+        raise PeerError("sheet too large or cut")
+    return body
--- /dev/null
+++ b/packages/goldcrestgrade-node/tests/membership/test_fleet_failures.py
@@ -0,0 +1,199 @@
+"""Failures of a fleet of real membership tasks, in virtual time and with a seed."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import typing
+
+import pytest
+
+from goldcrestgrade import records
+from goldcrestgrade_node.membership import exchange, members
+from goldcrestgrade_testing import fleet, virtual_time
+
+SEEDS = (1, 2)
+"""Seeds of each scenario."""
+
+SIXTEEN = fleet.Shape(nodes=16)
+
+EIGHT = fleet.Shape(nodes=8, services=1)
+"""Shape of the scenarios that take hours."""
+
+Scenario = typing.Callable[[fleet.Fleet], typing.Awaitable[None]]
+
+
+def run(scenario: Scenario, seed: int, shape: fleet.Shape = SIXTEEN) -> None:
+    async def main() -> None:
+        running = fleet.Fleet(shape, seed)
+        with contextlib.closing(_Stop(running)):
+            await running.start()
+            await scenario(running)
+            assert running.reverts() == 0
+
+    virtual_time.run(main())
+
+
+class _Stop(typing.NamedTuple):
+    running: fleet.Fleet
+
+    def close(self) -> None:
+        self.running.stop()
+
+
+def cut_regions(network: fleet.Network) -> None:
+    network.unreached = lambda a, b: a.region != b.region
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_whole_failure_domain_is_dropped_everywhere(seed: int):
+    async def scenario(running: fleet.Fleet) -> None:
+        for node in running.running():
+            if node.place.failure_domain == "region-0-1":
+                node.kill()
+        await running.until(running.converged, 30.0)
+        survivor = running.running()[0]
+        assert {r["failure_domain"] for r in survivor.known.ready("service-000")} == {
+            "region-0-0",
+            "region-1-0",
+            "region-1-1",
+        }
+
+    run(scenario, seed)
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_node_that_one_observer_does_not_reach_is_kept(seed: int):
+    async def scenario(running: fleet.Fleet) -> None:
+        blind, target = running.nodes[0], running.nodes[4]
+        running.network.unreached = lambda a, b: a is blind and b is target
+        await asyncio.sleep(120.0)
+        assert running.converged()
+        assert running.events()["suspicion_not_confirmed"] > 0
+        assert running.events()["node_suspected"] == 0
+
+    run(scenario, seed)
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_node_that_was_dropped_wrongly_returns(seed: int):
+    async def scenario(running: fleet.Fleet) -> None:
+        target = running.nodes[3]
+        running.network.unreached = lambda a, b: target in (a, b)
+        others = [node for node in running.nodes if node is not target]
+        await running.until(lambda: not any(_knows(node, target) for node in others), 60.0)
+        running.network.unreached = lambda _a, _b: False
+        await running.until(running.converged, 30.0)
+
+    run(scenario, seed)
+
+
+@pytest.mark.parametrize("seed", SEEDS[:1])
+def test_paused_node_does_not_bring_back_those_that_went_meanwhile(seed: int):
+    async def scenario(running: fleet.Fleet) -> None:
+        paused, gone = running.nodes[0], running.nodes[1]
+        paused.pause()
+        gone.kill()
+        await asyncio.sleep(2 * members.TOMBSTONE_S)
+        others = [node for node in running.running() if node is not paused]
+        assert not any(_knows(node, gone) for node in others)
+        paused.resume()
+        await running.until(running.converged, 30.0)
+        assert not any(_knows(node, gone) for node in running.running())
+        assert paused.counts.events["paused"] == 1
+
+    run(scenario, seed, EIGHT)
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_tenth_of_the_nodes_replaced_in_a_minute(seed: int):
+    async def scenario(running: fleet.Fleet) -> None:
+        for node in running.running()[:4]:
+            await node.leave()
+            replaced = node.place._replace(node_id=f"{node.place.node_id}-new")
+            running.add(replaced._replace(host=node.place.host.replace("10.0", "10.1")))
+            await asyncio.sleep(12.0)
+        await running.until(running.converged, 10.0)
+
+    run(scenario, seed, fleet.Shape(nodes=40))
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_leaving_endpoint_is_out_of_every_view_within_two_seconds(seed: int):
+    async def scenario(running: fleet.Fleet) -> None:
+        leaving = running.nodes[5]
+        leaving.change(records.EndpointState.DRAINING)
+        service = leaving.place.service
+        took_s = await running.until(
+            lambda: (
+                not any(
+                    leaving.place.node_id in {r["node_id"] for r in node.known.ready(service)}
+                    for node in running.running()
+                )
+            ),
+            2.0,
+        )
+        assert took_s <= 2.0
+
+    run(scenario, seed, fleet.Shape(nodes=64))
+
+
+@pytest.mark.parametrize("seed", SEEDS[:1])
+def test_sheet_accepted_on_one_side_of_a_cut_is_in_force_on_both_after_it(seed: int):
+    async def scenario(running: fleet.Fleet) -> None:
+        first = await running.accept(fleet.sheet_document("2026-01-01"))
+        await running.until(lambda: running.all_in_force(first), 5.0)
+        near = [node for node in running.nodes if node.region == "region-0"]
+        for node in running.nodes:
+            if node not in near:
+                node.sheets.store = fleet.memory_platform.MemoryTables(
+                    fleet.memory_platform.Faults(down=True)
+                )
+        cut_regions(running.network)
+        second = await running.accept(fleet.sheet_document("2026-01-02"))
+        await asyncio.sleep(3600.0)
+        assert all(n.sheets.version == (second if n in near else first) for n in running.nodes)
+        assert {r["region"] for r in near[0].known.ready("service-000")} == {"region-0"}
+        running.network.unreached = lambda _a, _b: False
+        await running.until(lambda: running.all_in_force(second), 12.0)
+        await running.until(running.converged, 30.0)
+
+    run(scenario, seed, EIGHT)
+
+
+@pytest.mark.parametrize("seed", SEEDS[:1])
+def test_node_joins_through_its_settings_while_the_store_is_down(seed: int):
+    async def scenario(running: fleet.Fleet) -> None:
+        version = await running.accept(fleet.sheet_document("2026-01-01"))
+        await running.until(lambda: running.all_in_force(version), 5.0)
+        running.faults.down = True
+        await asyncio.sleep(2 * 3600.0)
+        assert running.converged()
+        running.seeds = [running.nodes[7].url]
+        place = running.places[0]._replace(node_id="node-new", host="10.9.0.1")
+        running.add(place)
+        await running.until(running.converged, 10.0)
+        await running.until(lambda: running.all_in_force(version), 10.0)
+
+    run(scenario, seed, EIGHT)
+
+
+def test_notice_reaches_every_node_and_is_forgotten_at_its_deadline():
+    heard: list[str] = []
+
+    async def scenario(running: fleet.Fleet) -> None:
+        for node in running.nodes:
+            name = node.place.node_id
+            node.exchange.notices.on("quarantine", lambda _notice, name=name: heard.append(name))
+        until = running.nodes[0].clocks.wall() + 60.0
+        notice = {"kind": "quarantine", "key": "d1", "order": 1, "text": "{}", "until": until}
+        running.nodes[0].exchange.take_notices([notice])
+        await running.until(lambda: len(heard) == len(running.nodes), 10.0)
+        await asyncio.sleep(60.0 + 2 * exchange.TICK_S)
+        assert not any(node.exchange.notices.by_key for node in running.nodes)
+
+    run(scenario, 1)
+
+
+def _knows(node: fleet.Node, other: fleet.Node) -> bool:
+    return node.known.record(other.place.node_id) is not None
--- /dev/null
+++ b/packages/goldcrestgrade-testing/goldcrestgrade_testing/fleet.py
@@ -0,0 +1,410 @@
+"""A fleet of the membership and configuration tasks of many nodes in one process.
+
+The tasks and messages are those of real nodes; requests between them pass through `Network`.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import collections
+import itertools
+import random
+import typing
+
+import pydantic
+
+from goldcrestgrade import instants, records, settings, sheet, telemetry
+from goldcrestgrade_node.configuration import adoption
+from goldcrestgrade_node.membership import (
+    discovery,
+    exchange,
+    members,
+    messages,
+    peers,
+    selection,
+)
+from goldcrestgrade_operator.sheets import acceptance
+from goldcrestgrade_testing import memory_platform
+
+EPOCH = 1_700_000_000.0
+"""Wall instant at which the loop's time starts."""
+
+LOCAL_DELAY_S = 0.0005
+REGION_DELAY_S = 0.008
+"""One-way delays of a request within a region and between regions."""
+
+CONNECT_TIMEOUT_S = 0.5
+"""Time after which a node that is not there counts as not reached."""
+
+MESSAGE_OVERHEAD_BYTES = 330
+"""Header bytes of a request and its reply, by `make capacity`."""
+
+T = typing.TypeVar("T")
+
+
+class Traffic:
+    """What one node sent and received."""
+
+    def __init__(self) -> None:
+        self.requests = 0
+        self.sent_bytes = 0
+        self.received_bytes = 0
+        self.crossing_bytes = 0
+
+
+class Network:
+    """Carries requests between the nodes of a fleet, with faults that a test sets."""
+
+    def __init__(self) -> None:
+        self.nodes: dict[str, Node] = {}
+        """Running nodes by URL."""
+        self.unreached: typing.Callable[[Node, Node], bool] = lambda _a, _b: False
+        """Tells whether requests from one node to another are lost."""
+
+    async def reach(self, source: Node, url: str) -> Node:
+        """Return the node at `url` after the delay of the way; raises `PeerError`."""
+        target = self.nodes.get(url)
+        if target is None:
+            raise peers.PeerError("connection refused")
+        if target.paused or source.paused or self.unreached(source, target):
+            await asyncio.sleep(CONNECT_TIMEOUT_S)
+            raise peers.PeerError("timeout")
+        delay_s = LOCAL_DELAY_S if target.region == source.region else REGION_DELAY_S
+        await asyncio.sleep(2 * delay_s)
+        return target
+
+    def carry(self, source: Node, target: Node, request: bytes, reply: bytes) -> None:
+        """Count a request and its reply."""
+        size = len(request) + len(reply) + MESSAGE_OVERHEAD_BYTES
+        source.traffic.requests += 1
+        source.traffic.sent_bytes += len(request) + MESSAGE_OVERHEAD_BYTES // 2
+        source.traffic.received_bytes += len(reply) + MESSAGE_OVERHEAD_BYTES // 2
+        target.traffic.sent_bytes += len(reply) + MESSAGE_OVERHEAD_BYTES // 2
+        target.traffic.received_bytes += len(request) + MESSAGE_OVERHEAD_BYTES // 2
+        if source.region != target.region:
+            source.traffic.crossing_bytes += size
+
+
+class NetworkPeers:
+    """The peers of one node in a fleet."""
+
+    def __init__(self, source: Node, network: Network) -> None:
+        self.source = source
+        self.network = network
+
+    async def post(self, url: str, path: str, body: bytes) -> bytes:
+        """Return the reply to `body`; raises `PeerError`."""
+        target = await self.network.reach(self.source, url)
+        reply = await target.serve(path, body)
+        self.network.carry(self.source, target, body, reply)
+        return reply
+
+    async def sheet(self, url: str) -> peers.SheetCopy:
+        """Return the sheet that a peer has in force; raises `PeerError`."""
+        target = await self.network.reach(self.source, url)
+        if target.sheets.in_force is None:
+            raise peers.PeerError("no sheet")
+        packed = target.sheets.compressed()
+        self.network.carry(self.source, target, b"", packed)
+        return peers.SheetCopy(target.sheets.version, peers.unpack(packed))
+
+
+class Place(typing.NamedTuple):
+    """Where a node stands and what its endpoint serves."""
+
+    node_id: str
+    region: str
+    failure_domain: str
+    service: str
+    host: str
+
+
+class Adopted(typing.NamedTuple):
+    """A version that came into force at a node."""
+
+    at: instants.Instant
+    node_id: str
+    version: int
+
+
+class Node:
+    """The membership and configuration tasks of one node."""
+
+    def __init__(
+        self,
+        place: Place,
+        platform: memory_platform.MemoryTables,
+        objects: memory_platform.MemoryObjects,
+        network: Network,
+        seeds: typing.Sequence[str],
+        rng: random.Random,
+    ) -> None:
+        self.place = place
+        self.region = place.region
+        self.clocks = instants.loop_clocks(EPOCH)
+        self.counts = telemetry.Counts()
+        self.traffic = Traffic()
+        self.network = network
+        self.paused = False
+        self.tasks: list[asyncio.Task[None]] = []
+        self.adopted: list[Adopted] = []
+        self.state = records.EndpointState.ABSENT
+        self.own = members.OwnRecord(
+            members.first_record(
+                place.node_id,
+                place.region,
+                place.failure_domain,
+                place.host,
+                80,
+                int(self.clocks.wall() * 1000),
+            ),
+            self.clocks,
+        )
+        self.known = members.Members(self.clocks)
+        remote = NetworkPeers(self, network)
+        self.sheets = adoption.Adoption(
+            platform,
+            objects,
+            remote,
+            self._adopt,
+            lambda: selection.polls_quickly(self.exchange.view()),
+            self.clocks,
+            self.counts,
+            rng,
+        )
+        self.exchange = exchange.Exchange(
+            self.own,
+            self.known,
+            remote,
+            exchange.Hooks(
+                touched=lambda _services: None,
+                sheet_version=lambda: self.sheets.version,
+                sheet_heard=self.sheets.hear,
+                busy=lambda: False,
+            ),
+            self.clocks,
+            self.counts,
+            rng,
+        )
+        self.discovery = discovery.Discovery(
+            lambda: self.own.record, seeds, platform, self.exchange.join, self.clocks, rng
+        )
+
+    @property
+    def url(self) -> str:
+        """URL of the node's control address."""
+        return records.control_url(self.own.record)
+
+    def start(self) -> None:
+        """Announce the endpoint and start the tasks."""
+        self.network.nodes[self.url] = self
+        self.change(records.EndpointState.READY)
+        self.resume()
+
+    def resume(self) -> None:
+        """Start the tasks, also after a pause."""
+        self.paused = False
+        self.tasks = [
+            asyncio.create_task(task)
+            for task in (
+                self.exchange.rounds_forever(),
+                self.exchange.push_forever(),
+                self.exchange.tick_forever(),
+                self.discovery.run(),
+                self.sheets.poll_forever(self.discovery.joined),
+                self.sheets.fetch_forever(),
+            )
+        ]
+
+    def pause(self) -> None:
+        """Stop the tasks and keep the state, as a stopped process does."""
+        self.paused = True
+        for task in self.tasks:
+            task.cancel()
+
+    def kill(self) -> None:
+        """End the node without a word."""
+        self.pause()
+        self.network.nodes.pop(self.url, None)
+
+    async def leave(self) -> None:
+        """Leave the fleet in order."""
+        self.change(records.EndpointState.DRAINING)
+        await self.exchange.farewell()
+        await asyncio.sleep(2.0)
+        self.change(records.EndpointState.LEFT)
+        await self.exchange.farewell()
+        await self.discovery.leave()
+        self.kill()
+
+    def change(self, state: records.EndpointState) -> None:
+        """Announce a new state of the endpoint."""
+        self.state = state
+        endpoint = records.EndpointDocument(
+            service=self.place.service, host=self.place.host, port=81, slots=10, connections=220
+        )
+        self.exchange.announce(self.own.revise(state, endpoint, self.sheets.version))
+
+    async def serve(self, path: str, body: bytes) -> bytes:
+        """Serve a request of a peer."""
+        try:
+            match path:
+                case exchange.EXCHANGE_PATH:
+                    received = messages.EXCHANGE.validate_json(body)
+                    return messages.EXCHANGE_REPLY.dump_json(self.exchange.receive(received))
+                case exchange.RECONCILE_PATH:
+                    asked = messages.RECONCILE.validate_json(body)
+                    return messages.RECONCILE_REPLY.dump_json(self.exchange.reconcile(asked))
+                case _:
+                    probe = messages.PROBE.validate_json(body)
+                    return messages.PROBE_REPLY.dump_json(await self.exchange.probe(probe))
+        except pydantic.ValidationError as error:
+            raise peers.PeerError("status 400") from error
+
+    def _adopt(self, adopted: sheet.Sheet) -> None:
+        self.adopted.append(Adopted(self.clocks.monotonic(), self.place.node_id, adopted.version))
+        self.exchange.spread_sheet()
+
+
+class Shape(typing.NamedTuple):
+    """Size of a fleet."""
+
+    nodes: int
+    regions: int = 2
+    domains_per_region: int = 2
+    services: int = 3
+
+
+def shape_of(nodes: int) -> Shape:
+    """Return a shape that nears 6 regions, 22 failure domains and 270 services at 1,700 nodes."""
+    regions = 2 if nodes < 128 else 6
+    domains = 2 if nodes < 128 else 4
+    return Shape(nodes, regions, domains, max(3, nodes * 270 // 1700))
+
+
+def places(shape: Shape) -> list[Place]:
+    """Return the places of a fleet, spread evenly."""
+    pairs = itertools.product(range(shape.regions), range(shape.domains_per_region))
+    domains = [(f"region-{region}", f"region-{region}-{domain}") for region, domain in pairs]
+    return [
+        Place(
+            f"node-{number:04d}",
+            *domains[number % len(domains)],
+            f"service-{(number // len(domains)) % shape.services:03d}",
+            f"10.0.{number // 250}.{number % 250 + 1}",
+        )
+        for number in range(shape.nodes)
+    ]
+
+
+class Fleet:
+    """Nodes, their network and their platform; owned by its event loop."""
+
+    def __init__(self, shape: Shape, seed: int, seeds: typing.Sequence[str] = ()) -> None:
+        self.rng = random.Random(seed)
+        self.network = Network()
+        self.faults = memory_platform.Faults()
+        self.tables = memory_platform.MemoryTables(self.faults)
+        self.objects = memory_platform.MemoryObjects(self.faults)
+        self.seeds = seeds
+        self.nodes: list[Node] = []
+        self.places = places(shape)
+
+    def add(self, place: Place) -> Node:
+        """Start a node at `place`."""
+        node = Node(
+            place,
+            self.tables,
+            self.objects,
+            self.network,
+            self.seeds,
+            random.Random(self.rng.getrandbits(64)),
+        )
+        self.nodes.append(node)
+        node.start()
+        return node
+
+    async def start(self, spread_s: float = 5.0) -> None:
+        """Start every node within `spread_s` seconds and wait until all know all."""
+        for place in self.places:
+            self.add(place)
+            await asyncio.sleep(spread_s / len(self.places))
+        await self.until(self.converged, 120.0)
+
+    def running(self) -> list[Node]:
+        """Return the nodes that run."""
+        return [node for node in self.nodes if self.network.nodes.get(node.url) is node]
+
+    def converged(self) -> bool:
+        """Tell whether each running node knows exactly the running nodes."""
+        running = self.running()
+        ids = {node.place.node_id for node in running}
+        return all({r["node_id"] for r in node.known.alive()} == ids for node in running)
+
+    def all_in_force(self, version: int) -> bool:
+        """Tell whether every running node has `version` in force."""
+        return all(node.sheets.version == version for node in self.running())
+
+    async def until(self, done: typing.Callable[[], bool], limit_s: float) -> float:
+        """Wait until `done`, and return the seconds that it took; raises `TimeoutError`."""
+        loop = asyncio.get_running_loop()
+        started = loop.time()
+        while not done():
+            if loop.time() > started + limit_s:
+                raise TimeoutError
+            await asyncio.sleep(0.05)
+        return loop.time() - started
+
+    async def accept(self, document: sheet.SheetDocument) -> int:
+        """Accept a sheet as an operator does, and return its version."""
+        head = await acceptance.read_head(self.tables)
+        result = await acceptance.accept(self.tables, self.objects, document, head, "operator")
+        assert isinstance(result, acceptance.Accepted)
+        return result.version
+
+    def reverts(self) -> int:
+        """Return how often a version was followed by one that was not higher, at any node."""
+        return sum(
+            later.version <= earlier.version
+            for node in self.nodes
+            for earlier, later in itertools.pairwise(node.adopted)
+        )
+
+    def events(self) -> collections.Counter[str]:
+        """Return the counts of all nodes together."""
+        total: collections.Counter[str] = collections.Counter()
+        for node in self.nodes:
+            total.update(node.counts.events)
+        return total
+
+    def stop(self) -> None:
+        """End every node."""
+        for node in self.running():
+            node.kill()
+
+
+def sheet_document(day: str, services: int = 3, kinds: int = 3) -> sheet.SheetDocument:
+    """Return a sheet of the fleet's services."""
+    return sheet.SheetDocument(
+        day=day,
+        services=[
+            sheet.ServiceDocument(
+                name=f"service-{number:03d}",
+                regions=["region-0", "region-1"],
+                kinds=[
+                    sheet.KindDocument(
+                        method=method, path=f"/{path}/*", run_once=method == "POST", timeout_s=5.0
+                    )
+                    for method, path in itertools.islice(
+                        itertools.product(("GET", "POST"), ("letters", "returns")), kinds
+                    )
+                ],
+            )
+            for number in range(services)
+        ],
+    )
+
+
+def seed_address(place: Place) -> settings.Address:
+    """Return the control address of a place."""
+    return {"host": place.host, "port": 80}
--- a/packages/goldcrestgrade/goldcrestgrade/headers.py
+++ b/packages/goldcrestgrade/goldcrestgrade/headers.py
@@ -38,6 +38,12 @@
 CONTROL_KEY = "goldcrestgrade-control-key"
 """Shared key of control and operator requests."""
 
+SHEET_VERSION = "goldcrestgrade-sheet-version"
+"""Version of a sheet that one node sends to another."""
+
+ENDPOINT_STATE = "goldcrestgrade-endpoint-state"
+"""State of the endpoint, in the answer to its announcement."""
+
 INTERNAL = frozenset({ATTEMPT_ID, CALLER_REGION, OUTCOME, REASON, CONTROL_KEY, LOAD, NOT_RUN})
 """Headers that are removed from the requests of callers."""
 
