--- /dev/null
+++ b/packages/goldcrestgrade-node/tests/endpoint/test_lifecycle.py
@@ -0,0 +1,65 @@
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from goldcrestgrade import instants, records, statecharts
+from goldcrestgrade_node.endpoint import lifecycle
+from goldcrestgrade_testing import virtual_time
+
+
+def announcement(in_flight: int) -> lifecycle.AnnounceDocument:
+    return lifecycle.AnnounceDocument(
+        service="archive",
+        host="127.0.0.1",
+        port=1,
+        slots=10,
+        connections=220,
+        in_flight=in_flight,
+    )
+
+
+def make_lifecycle() -> lifecycle.Lifecycle:
+    return lifecycle.Lifecycle(instants.loop_clocks(), lambda: None)
+
+
+def test_drain_waits_for_an_announcement_made_after_the_spread():
+    async def scenario() -> None:
+        own = make_lifecycle()
+        own.announce(announcement(0))
+        own.leave()
+        await asyncio.sleep(1.0)
+        assert not own.idle(since=0.5)
+        own.announce(announcement(1))
+        assert not own.idle(since=0.5)
+        own.announce(announcement(0))
+        assert own.idle(since=0.5)
+
+    virtual_time.run(scenario())
+
+
+def test_endpoint_that_went_silent_has_nothing_to_wait_for():
+    async def scenario() -> None:
+        own = make_lifecycle()
+        own.announce(announcement(1))
+        own.leave()
+        assert own.cut().endpoint_calls == 1
+        await asyncio.sleep(lifecycle.HEARTBEAT_LEASE_S)
+        assert own.idle(since=0.5)
+        assert own.cut().endpoint_calls == 0
+
+    virtual_time.run(scenario())
+
+
+def test_endpoint_that_left_cannot_announce_itself_again():
+    async def scenario() -> None:
+        own = make_lifecycle()
+        own.announce(announcement(0))
+        own.leave()
+        own.finish(timed_out=False)
+        assert own.state == records.EndpointState.LEFT
+        with pytest.raises(statecharts.UnexpectedEvent):
+            own.announce(announcement(0))
+
+    virtual_time.run(scenario())
--- /dev/null
+++ b/packages/goldcrestgrade-testing/goldcrestgrade_testing/capacity.py
@@ -0,0 +1,239 @@
+"""Measures what membership and the sheet cost a node, and fits it over the size of the fleet.
+
+Fleets in virtual time give messages, bytes, store requests and times; nodes that exchange over
+loopback give the processor time and the memory that HTTP adds.
+"""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import gc
+import statistics
+import time
+import tracemalloc
+import typing
+
+import orjson
+
+from goldcrestgrade import sheet
+from goldcrestgrade_testing import fleet, virtual_time
+
+SETTLE_S = 60.0
+"""Time after a start or a failure before a measurement."""
+
+WINDOW_S = 60.0
+"""Time that a measurement of rates takes."""
+
+CHANGES_PER_DAY = 2600
+"""Changes of configuration a day at the target."""
+
+RESTARTS_PER_DAY = 650
+"""Restarts and replacements a day at the target, of `TARGET_NODES`."""
+
+TARGET_NODES = 1700
+TARGET_SERVICES = 270
+DAY_S = 86_400
+
+
+class Rates(typing.NamedTuple):
+    """What a node and the store bear in a window, each a second."""
+
+    bytes_per_s: float
+    """Sent and received by a node, headers included."""
+    max_bytes_per_s: float
+    """The same at the node that has most."""
+    requests_per_s: float
+    cpu_ms_per_s: float
+    crossing_bytes_per_s: float
+    """Of the whole fleet."""
+    store_writes_per_s: float
+    store_reads_per_s: float
+
+
+class Row(typing.NamedTuple):
+    """Result for one size."""
+
+    nodes: int
+    join_s: float
+    """Time from the last start until all know all."""
+    sheet_p50_s: float
+    sheet_max_s: float
+    sheet_bytes: int
+    idle: Rates
+    busy: Rates
+    domain_lost_s: float
+    """Time until all nodes of a lost failure domain are dropped everywhere."""
+    member_bytes: float
+    """Memory of the membership state of one node."""
+
+
+class Point(typing.NamedTuple):
+    """Counters at one instant."""
+
+    at: float
+    cpu_s: float
+    node_bytes: list[int]
+    requests: int
+    crossing: int
+    writes: int
+    reads: int
+
+
+def point(running: fleet.Fleet) -> Point:
+    """Return the counters of a fleet."""
+    traffic = [node.traffic for node in running.nodes]
+    return Point(
+        asyncio.get_running_loop().time(),
+        time.process_time(),
+        [t.sent_bytes + t.received_bytes for t in traffic],
+        sum(t.requests for t in traffic),
+        sum(t.crossing_bytes for t in traffic),
+        running.tables.writes,
+        running.tables.reads,
+    )
+
+
+def rates(before: Point, after: Point) -> Rates:
+    """Return the rates between two points."""
+    window_s = after.at - before.at
+    grown = [b - a for a, b in zip(before.node_bytes, after.node_bytes, strict=False)]
+    nodes = len(grown)
+    return Rates(
+        sum(grown) / window_s / nodes,
+        max(grown) / window_s,
+        (after.requests - before.requests) / window_s / nodes,
+        1000 * (after.cpu_s - before.cpu_s) / window_s / nodes,
+        (after.crossing - before.crossing) / window_s,
+        (after.writes - before.writes) / window_s,
+        (after.reads - before.reads) / window_s,
+    )
+
+
+async def idle(running: fleet.Fleet) -> Rates:
+    """Return the rates while nothing changes."""
+    before = point(running)
+    await asyncio.sleep(WINDOW_S)
+    return rates(before, point(running))
+
+
+async def busy(running: fleet.Fleet, services: int) -> Rates:
+    """Return the rates at the target's changes a second, of sheets and of endpoints."""
+    before = point(running)
+    number = 0
+    until = asyncio.get_running_loop().time() + 2 * WINDOW_S
+    while asyncio.get_running_loop().time() < until:
+        day = f"2026-02-{number + 1:02d}"
+        await running.accept(fleet.sheet_document(day, services))
+        await asyncio.sleep(DAY_S / CHANGES_PER_DAY / 2)
+        node = running.rng.choice(running.running())
+        for state in (fleet.records.EndpointState.DRAINING, fleet.records.EndpointState.READY):
+            node.change(state)
+            await asyncio.sleep(DAY_S / CHANGES_PER_DAY / 4)
+        number += 1
+    return rates(before, point(running))
+
+
+async def propagation(running: fleet.Fleet, services: int) -> tuple[float, float]:
+    """Return the median and the largest time until a sheet is in force at a node."""
+    started = asyncio.get_running_loop().time()
+    version = await running.accept(fleet.sheet_document("2026-01-01", services))
+    await running.until(lambda: running.all_in_force(version), 60.0)
+    times = [a.at - started for node in running.nodes for a in node.adopted]
+    return statistics.median(times), max(times)
+
+
+async def domain_lost(running: fleet.Fleet) -> float:
+    """Return the time until a lost failure domain is dropped everywhere."""
+    domain = running.places[0].failure_domain
+    for node in running.running():
+        if node.place.failure_domain == domain:
+            node.kill()
+    return await running.until(running.converged, 120.0)
+
+
+def member_bytes(running: fleet.Fleet) -> float:
+    """Return the memory of a copy of one node's entries."""
+    node = running.nodes[0]
+    entries = list(node.known.entries.values())
+    body = orjson.dumps(entries)
+    gc.collect()
+    tracemalloc.start()
+    copy = fleet.members.Members(node.clocks)
+    copy.merge(orjson.loads(body))
+    size, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    return size
+
+
+async def measure(nodes: int, seed: int) -> Row:
+    """Return the result for a fleet of `nodes`."""
+    shape = fleet.shape_of(nodes)
+    running = fleet.Fleet(shape, seed)
+    await running.start(spread_s=0.0)
+    joined_s = asyncio.get_running_loop().time()
+    p50_s, max_s = await propagation(running, shape.services)
+    in_force = running.nodes[0].sheets.in_force
+    await asyncio.sleep(SETTLE_S)
+    resting = await idle(running)
+    row = Row(
+        nodes,
+        joined_s,
+        p50_s,
+        max_s,
+        0 if in_force is None else len(in_force.body),
+        resting,
+        await busy(running, shape.services),
+        await domain_lost(running),
+        member_bytes(running),
+    )
+    running.stop()
+    return row
+
+
+def slope(points: typing.Sequence[tuple[float, float]]) -> tuple[float, float]:
+    """Return intercept and slope of the line of least squares."""
+    fit = statistics.linear_regression(*zip(*points, strict=True))
+    return fit.intercept, fit.slope
+
+
+def sheet_cost(services: int) -> tuple[int, int, float]:
+    """Return bytes, compressed bytes and milliseconds to compile a sheet of `services`."""
+    import zlib
+
+    body = sheet.encode(fleet.sheet_document("2026-01-01", services))
+    started = time.process_time()
+    sheet.compile_sheet(1, body)
+    return len(body), len(zlib.compress(body)), 1000 * (time.process_time() - started)
+
+
+def main() -> None:
+    """Measure each size and print tables and fits."""
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--sizes", type=int, nargs="+", default=[8, 32, 128, 256])
+    parser.add_argument("--seed", type=int, default=1)
+    options = parser.parse_args()
+    rows = [virtual_time.run(measure(nodes, options.seed)) for nodes in options.sizes]
+    for row in rows:
+        print(orjson.dumps(_flat(row)).decode())
+    print("sheet of the target: bytes, compressed, compile ms:", sheet_cost(TARGET_SERVICES))
+    for name in _flat(rows[0]):
+        points = [(float(row.nodes), float(_flat(row)[name])) for row in rows]
+        intercept, per_node = slope(points)
+        at_target = intercept + per_node * TARGET_NODES
+        print(f"{name:28} {intercept:12.3f} + {per_node:10.5f} n   at target {at_target:12.3f}")
+
+
+def _flat(row: Row) -> dict[str, float]:
+    nested = {"idle": row.idle, "busy": row.busy}
+    flat = {
+        f"{name}_{key}": value
+        for name, measured in nested.items()
+        for key, value in measured._asdict().items()
+    }
+    plain = {key: value for key, value in row._asdict().items() if key not in nested}
+    return {key: round(value, 3) for key, value in (plain | flat).items()}
+
+
+if __name__ == "__main__":
+    main()
