Read sheets as spreadsheets export them and report every finding together

Cause: the reader took only comma-separated UTF-8 without blank rows; other encodings and broken quotes ended in a traceback, and rows that contradict each other were accepted. Change: decoding, cells and rules across rows are modules of their own; findings have a severity; counts and sizes are bounded; only `*` is special in a path pattern. Ruled out: guessing 1,000 or 12.500; such a number is refused as ambiguous.

--- a/packages/goldcrestgrade-operator/goldcrestgrade_operator/commands/apply.py
+++ b/packages/goldcrestgrade-operator/goldcrestgrade_operator/commands/apply.py
@@ -19,7 +19,7 @@
 
 def run(path: pathlib.Path, platform_url: str, operator: str) -> int:
     """Apply the sheet at `path`; raises `UserError` where it is not accepted."""
-    document = check.load(path)
+    document, _ = check.load(path)
     result = asyncio.run(_apply(document, platform_url, operator))
     match result:
         case acceptance.Accepted(version=version):
--- a/packages/goldcrestgrade-operator/goldcrestgrade_operator/commands/check.py
+++ b/packages/goldcrestgrade-operator/goldcrestgrade_operator/commands/check.py
@@ -4,11 +4,11 @@
 
 import pathlib
 
-from goldcrestgrade import exceptions, sheet
+from goldcrestgrade import exceptions
 from goldcrestgrade_operator.sheets import csv_reader
 
 
-def load(path: pathlib.Path) -> sheet.SheetDocument:
+def load(path: pathlib.Path) -> csv_reader.CheckedSheet:
     """Return the sheet in the file at `path`; raises `UserError`."""
     try:
         body = path.read_bytes()
@@ -19,8 +19,10 @@
 
 def run(path: pathlib.Path) -> int:
     """Print what the sheet holds; raises `InvalidDocument` with every fault."""
-    document = load(path)
+    document, warnings = load(path)
     kinds = sum(len(service["kinds"]) for service in document["services"])
+    for warning in warnings:
+        print(warning)
     print(
         f"{path.name}: day {document['day']}, {len(document['services'])} services, {kinds} kinds"
     )
--- /dev/null
+++ b/packages/goldcrestgrade-operator/goldcrestgrade_operator/sheets/cells.py
@@ -0,0 +1,105 @@
+"""Values of cells in the forms that spreadsheets export; each parser raises `ValueError`."""
+
+from __future__ import annotations
+
+import datetime
+import re
+import typing
+
+from goldcrestgrade import sheet
+
+TRUE_WORDS = frozenset({"true", "yes", "y", "1", "ja", "j", "wahr", "ano"})
+"""Cells that mean yes, in any case."""
+
+FALSE_WORDS = frozenset({"false", "no", "n", "0", "nein", "falsch", "ne"})
+"""Cells that mean no, in any case."""
+
+_ISO_DAY = re.compile(r"(?P<year>\d{4})-(?P<month>\d{2})-(?P<day>\d{2})", re.ASCII)
+_DOTTED_DAY = re.compile(r"(?P<day>\d{1,2})\.(?P<month>\d{1,2})\.(?P<year>\d{4})", re.ASCII)
+_NUMBER = re.compile(r"\d{1,4}([.,]\d{1,6})?", re.ASCII)
+_THOUSANDS = re.compile(r"[1-9]\d{0,2}[.,]\d{3}", re.ASCII)
+_NAME = re.compile(r"[a-z][a-z0-9-]{0,62}", re.ASCII)
+_REGION = re.compile(r"[a-z0-9][a-z0-9-]{0,62}", re.ASCII)
+_REGION_BREAK = re.compile(r"[\s,;|]+")
+_PATH = re.compile(r"[/*][^\s?#]*")
+
+
+def day(text: str) -> str:
+    """Return a day as `YYYY-MM-DD`."""
+    match = _ISO_DAY.fullmatch(text) or _DOTTED_DAY.fullmatch(text)
+    if match is None:
+        raise ValueError(f"{text!r} is not a day such as 2026-03-31 or 31.03.2026")
+    try:
+        found = datetime.date(int(match["year"]), int(match["month"]), int(match["day"]))
+    except ValueError as error:
+        raise ValueError(f"{text!r} is not in the calendar") from error
+    return found.isoformat()
+
+
+def service(text: str) -> str:
+    """Return the name of a service."""
+    if _NAME.fullmatch(text) is None:
+        raise ValueError(f"{text!r} is not a name of lower-case letters, digits and hyphens")
+    return text
+
+
+def regions(text: str) -> tuple[str, ...]:
+    """Return the names of regions, sorted."""
+    names = [name for name in _REGION_BREAK.split(text) if name]
+    wrong = [name for name in names if _REGION.fullmatch(name) is None]
+    if wrong:
+        raise ValueError(f"{wrong[0]!r} is not a name of lower-case letters, digits and hyphens")
+    if len(set(names)) < len(names):
+        raise ValueError(f"{text!r} names a region twice")
+    if not 1 <= len(names) <= sheet.MAX_REGIONS:
+        raise ValueError(f"names {len(names)} regions; 1 to {sheet.MAX_REGIONS} are allowed")
+    return tuple(sorted(names))
+
+
+def method(text: str) -> str:
+    """Return an HTTP method in upper case, or `*`."""
+    found = text.upper()
+    if found != sheet.ANY_METHOD and found not in sheet.METHODS:
+        raise ValueError(f"{text!r} is not one of {', '.join(sorted(sheet.METHODS))} or *")
+    return found
+
+
+def path(text: str) -> str:
+    """Return a path pattern."""
+    if _PATH.fullmatch(text) is None or not text.isprintable():
+        raise ValueError(f"{text!r} is not a path: it starts with / or * and has no space, ? or #")
+    if len(text) > sheet.MAX_PATH_LENGTH:
+        raise ValueError(f"is longer than {sheet.MAX_PATH_LENGTH} characters")
+    return text
+
+
+def run_once(text: str) -> bool:
+    """Return the truth that a cell states."""
+    word = text.casefold()
+    if word not in TRUE_WORDS | FALSE_WORDS:
+        raise ValueError(f"{text!r} is neither yes nor no")
+    return word in TRUE_WORDS
+
+
+def timeout_s(text: str) -> float:
+    """Return a timeout in seconds, written with a decimal point or comma."""
+    if _THOUSANDS.fullmatch(text):
+        raise ValueError(f"{text!r} may mean thousands; write it without a separator")
+    if _NUMBER.fullmatch(text) is None:
+        raise ValueError(f"{text!r} is not a number of seconds")
+    found = float(text.replace(",", "."))
+    if not 0 < found <= sheet.MAX_TIMEOUT_S:
+        raise ValueError(f"{text!r} is not above 0 and at most {sheet.MAX_TIMEOUT_S:g} seconds")
+    return found
+
+
+PARSERS: dict[str, typing.Callable[[str], typing.Any]] = {
+    "day": day,
+    "service": service,
+    "regions": regions,
+    "method": method,
+    "path": path,
+    "run_once": run_once,
+    "timeout_s": timeout_s,
+}
+"""Parser of each column of a sheet."""
--- a/packages/goldcrestgrade-operator/goldcrestgrade_operator/sheets/csv_reader.py
+++ b/packages/goldcrestgrade-operator/goldcrestgrade_operator/sheets/csv_reader.py
@@ -2,82 +2,112 @@
 
 from __future__ import annotations
 
-import csv
-import io
-import itertools
+import collections
+import re
 import typing
 
-import pydantic
-import typing_extensions
-
 from goldcrestgrade import exceptions, findings, sheet
+from goldcrestgrade_operator.sheets import cells, decoding, rules
 
-COLUMNS = ("day", "service", "regions", "method", "path", "run_once", "timeout_s")
+COLUMNS = tuple(cells.PARSERS)
 """Columns of a sheet; their order does not matter."""
 
 
-class RowDocument(typing_extensions.TypedDict):
-    """One row: a service and one of its kinds of requests."""
-
-    day: str
-    service: str
-    regions: str
-    method: str
-    path: str
-    run_once: bool
-    timeout_s: float
-
-
-class _NumberedRow(typing.NamedTuple):
-    line: int
-    row: RowDocument
-
-
-_ROW: pydantic.TypeAdapter[RowDocument] = pydantic.TypeAdapter(RowDocument)
-
-
-def read(body: bytes, name: str) -> sheet.SheetDocument:
-    """Return the sheet in `body`; raises `InvalidDocument` with every fault found."""
-    reader = csv.DictReader(io.StringIO(body.decode("utf-8-sig")))
-    missing = [column for column in COLUMNS if column not in (reader.fieldnames or ())]
-    if missing:
-        raise exceptions.InvalidDocument(
-            [findings.Finding(f"{name}:1:{column}", "column is missing") for column in missing]
-        )
-    faults: list[findings.Finding] = []
-    rows: list[_NumberedRow] = []
-    for line, cells in enumerate(reader, start=2):
+class CheckedSheet(typing.NamedTuple):
+    """A valid sheet and the warnings about it."""
+
+    document: sheet.SheetDocument
+    warnings: tuple[findings.Finding, ...]
+
+
+def read(body: bytes, name: str) -> CheckedSheet:
+    """Return the sheet in `body`; raises `InvalidDocument` with every fault and warning."""
+    rows, found = decoding.split(decoding.decode(body, name), name)
+    if not rows:
+        found.append(findings.Finding(name, "has no rows"))
+        raise exceptions.InvalidDocument(found)
+    header, *rest = rows
+    columns = tuple(_column(cell) for cell in header.cells)
+    found += _header_faults(columns, header.line, name)
+    parsed = [_parse(row, columns, name) for row in rest]
+    found += [fault for row in parsed if isinstance(row, list) for fault in row]
+    valid = [row for row in parsed if isinstance(row, rules.KindRow)]
+    found += rules.check(valid, name)
+    if not rest:
+        found.append(findings.Finding(f"{name}:{header.line}", "no row follows the header"))
+    if findings.errors(found):
+        raise exceptions.InvalidDocument(found)
+    document = sheet.validate(sheet.encode(_document(valid)), name)
+    return CheckedSheet(document, tuple(found))
+
+
+def _column(cell: str) -> str:
+    return re.sub(r"[\s-]+", "_", cell.casefold())
+
+
+def _header_faults(
+    columns: tuple[str, ...], line: int, name: str
+) -> typing.Iterator[findings.Finding]:
+    counts = collections.Counter(column for column in columns if column)
+    texts = {
+        **{column: "column is missing" for column in COLUMNS if column not in counts},
+        **{column: "column is unknown" for column in counts if column not in COLUMNS},
+        **{column: "column is repeated" for column, count in counts.items() if count > 1},
+    }
+    return (findings.Finding(f"{name}:{line}:{column}", text) for column, text in texts.items())
+
+
+def _parse(
+    row: decoding.Row, columns: tuple[str, ...], name: str
+) -> rules.KindRow | list[findings.Finding]:
+    values: dict[str, typing.Any] = {}
+    faults = _stray_cells(row, columns, name)
+    texts = dict(zip(columns, row.cells, strict=False))
+    for column in COLUMNS:
+        if column not in columns:
+            continue
+        place = f"{name}:{row.line}:{column}"
+        text = texts.get(column, "")
+        if not text:
+            faults.append(findings.Finding(place, "cell is empty"))
+            continue
         try:
-            rows.append(_NumberedRow(line, _ROW.validate_python(cells)))
-        except pydantic.ValidationError as error:
-            faults += findings.from_validation(f"{name}:{line}", error)
-    if faults:
-        raise exceptions.InvalidDocument(faults)
-    document = _document([numbered.row for numbered in rows])
-    return sheet.validate(sheet.encode(document), name)
-
-
-def _document(rows: list[RowDocument]) -> sheet.SheetDocument:
-    by_service = itertools.groupby(
-        sorted(rows, key=lambda row: row["service"]), key=lambda row: row["service"]
-    )
-    return sheet.SheetDocument(
-        day=rows[0]["day"] if rows else "",
-        services=[_service(name, list(group)) for name, group in by_service],
+            values[column] = cells.PARSERS[column](text)
+        except ValueError as error:
+            faults.append(findings.Finding(place, str(error)))
+    return faults if faults or len(values) < len(COLUMNS) else _kind_row(row.line, values)
+
+
+def _stray_cells(row: decoding.Row, columns: tuple[str, ...], name: str) -> list[findings.Finding]:
+    return [
+        findings.Finding(f"{name}:{row.line}", f"cell {number} has no column: {cell!r}")
+        for number, cell in enumerate(row.cells, start=1)
+        if cell and not "".join(columns[number - 1 : number])
+    ]
+
+
+def _kind_row(line: int, values: typing.Mapping[str, typing.Any]) -> rules.KindRow:
+    return rules.KindRow(
+        line,
+        values["day"],
+        values["service"],
+        values["regions"],
+        sheet.KindDocument(
+            method=values["method"],
+            path=values["path"],
+            run_once=values["run_once"],
+            timeout_s=values["timeout_s"],
+        ),
     )
 
 
-def _service(name: str, rows: list[RowDocument]) -> sheet.ServiceDocument:
-    return sheet.ServiceDocument(
-        name=name,
-        regions=rows[0]["regions"].split(),
-        kinds=[
-            sheet.KindDocument(
-                method=row["method"],
-                path=row["path"],
-                run_once=row["run_once"],
-                timeout_s=row["timeout_s"],
+def _document(rows: list[rules.KindRow]) -> sheet.SheetDocument:
+    return sheet.SheetDocument(
+        day=rows[0].day,
+        services=[
+            sheet.ServiceDocument(
+                name=name, regions=list(group[0].regions), kinds=[row.kind for row in group]
             )
-            for row in rows
+            for name, group in sorted(rules.by_service(rows).items())
         ],
     )
--- /dev/null
+++ b/packages/goldcrestgrade-operator/goldcrestgrade_operator/sheets/decoding.py
@@ -0,0 +1,66 @@
+"""Decoding of exported files into rows of text cells."""
+
+from __future__ import annotations
+
+import codecs
+import csv
+import io
+import typing
+
+from goldcrestgrade import exceptions, findings, sheet
+
+DELIMITERS = (",", ";", "\t")
+"""Characters that may stand between cells."""
+
+_OTHER_MARKS = (codecs.BOM_UTF16_LE, codecs.BOM_UTF16_BE)
+
+
+class Row(typing.NamedTuple):
+    """The cells of one row, without the spaces around them."""
+
+    line: int
+    """Number of the line that the row starts on; the first is 1."""
+    cells: tuple[str, ...]
+
+
+def decode(body: bytes, name: str) -> str:
+    """Return the text of an exported file; raises `InvalidDocument`."""
+    if len(body) > sheet.MAX_SHEET_BYTES:
+        raise _invalid(name, f"is larger than {sheet.MAX_SHEET_BYTES} bytes")
+    if body.startswith(_OTHER_MARKS):
+        raise _invalid(name, "is encoded in UTF-16; export it as CSV in UTF-8")
+    try:
+        text = body.decode("utf-8-sig")
+    except UnicodeDecodeError as error:
+        line = body.count(b"\n", 0, error.start) + 1
+        raise _invalid(f"{name}:{line}", "is not encoded in UTF-8; export it so") from error
+    if "\0" in text:
+        line = text.count("\n", 0, text.index("\0")) + 1
+        raise _invalid(f"{name}:{line}", "holds a NUL character; export it as CSV in UTF-8")
+    return text
+
+
+def split(text: str, name: str) -> tuple[list[Row], list[findings.Finding]]:
+    """Return the rows of `text` that are not blank, and a finding where reading had to stop."""
+    reader = csv.reader(io.StringIO(text, newline=""), delimiter=_delimiter(text), strict=True)
+    rows: list[Row] = []
+    while True:
+        line = reader.line_num + 1
+        try:
+            cells = tuple(cell.strip() for cell in next(reader))
+        except StopIteration:
+            return rows, []
+        except csv.Error as error:
+            text = f"the rest cannot be read as CSV: {error}"
+            return rows, [findings.Finding(f"{name}:{line}", text)]
+        if any(cells):
+            rows.append(Row(line, cells))
+
+
+def _delimiter(text: str) -> str:
+    first = next((line for line in text.splitlines() if line.strip(" ,;\t")), "")
+    return max(DELIMITERS, key=first.count)
+
+
+def _invalid(place: str, text: str) -> exceptions.InvalidDocument:
+    return exceptions.InvalidDocument([findings.Finding(place, text)])
--- /dev/null
+++ b/packages/goldcrestgrade-operator/goldcrestgrade_operator/sheets/rules.py
@@ -0,0 +1,111 @@
+"""Rules that the rows of a sheet keep together."""
+
+from __future__ import annotations
+
+import collections
+import itertools
+import typing
+
+from goldcrestgrade import findings, sheet
+
+
+class KindRow(typing.NamedTuple):
+    """One row of a sheet whose cells are valid: a service and one of its kinds of requests."""
+
+    line: int
+    day: str
+    service: str
+    regions: tuple[str, ...]
+    kind: sheet.KindDocument
+
+
+Rule = typing.Callable[[typing.Sequence[KindRow], str], typing.Iterable[findings.Finding]]
+"""Returns the findings on rows of the file with this name."""
+
+
+def by_service(rows: typing.Iterable[KindRow]) -> dict[str, list[KindRow]]:
+    """Return the rows of each service, in the order of the file."""
+    grouped: dict[str, list[KindRow]] = collections.defaultdict(list)
+    for row in rows:
+        grouped[row.service].append(row)
+    return grouped
+
+
+def check(rows: typing.Sequence[KindRow], name: str) -> list[findings.Finding]:
+    """Return the findings of all rules on the rows of the file `name`."""
+    services = by_service(rows)
+    found = [*one_day(rows, name), *few_services(services, name)]
+    for rule, group in itertools.product(SERVICE_RULES, services.values()):
+        found += rule(group, name)
+    return found
+
+
+def one_day(rows: typing.Sequence[KindRow], name: str) -> typing.Iterator[findings.Finding]:
+    """Find the rows whose day differs from the first."""
+    for row in rows:
+        if row.day != rows[0].day:
+            yield findings.Finding(
+                f"{name}:{row.line}:day", f"is {row.day}, but line {rows[0].line} has {rows[0].day}"
+            )
+
+
+def few_services(
+    services: typing.Mapping[str, typing.Sequence[KindRow]], name: str
+) -> typing.Iterator[findings.Finding]:
+    """Find services beyond the largest number."""
+    if len(services) > sheet.MAX_SERVICES:
+        yield findings.Finding(
+            f"{name}:service", f"{len(services)} services; at most {sheet.MAX_SERVICES} are allowed"
+        )
+
+
+def few_kinds(rows: typing.Sequence[KindRow], name: str) -> typing.Iterator[findings.Finding]:
+    """Find kinds of one service beyond the largest number."""
+    if len(rows) > sheet.MAX_KINDS:
+        yield findings.Finding(
+            f"{name}:{rows[sheet.MAX_KINDS].line}:service",
+            f"{rows[0].service} has {len(rows)} kinds; at most {sheet.MAX_KINDS} are allowed",
+        )
+
+
+def same_regions(rows: typing.Sequence[KindRow], name: str) -> typing.Iterator[findings.Finding]:
+    """Find the rows of one service whose regions differ from its first."""
+    first = rows[0]
+    for row in rows:
+        if row.regions != first.regions:
+            yield findings.Finding(
+                f"{name}:{row.line}:regions",
+                f"differ from those of {row.service} in line {first.line}",
+            )
+
+
+def reachable_kinds(rows: typing.Sequence[KindRow], name: str) -> typing.Iterator[findings.Finding]:
+    """Find the kinds of one service that an earlier row takes all requests of."""
+    for index, row in enumerate(rows[: sheet.MAX_KINDS]):
+        earlier = next((e for e in rows[:index] if sheet.covers(e.kind, row.kind)), None)
+        if earlier is not None:
+            same = _request(earlier) == _request(row)
+            verb = "repeats" if same else "never applies, since it comes after"
+            yield findings.Finding(
+                f"{name}:{row.line}:path",
+                f"{_request(row)} {verb} {_request(earlier)} in line {earlier.line}",
+            )
+
+
+def doubtful_kinds(rows: typing.Sequence[KindRow], name: str) -> typing.Iterator[findings.Finding]:
+    """Find the kinds that may change something and yet are not run at most once."""
+    for row in rows:
+        if row.kind["method"] not in sheet.SAFE_METHODS and not row.kind["run_once"]:
+            yield findings.Finding(
+                f"{name}:{row.line}:run_once",
+                f"{_request(row)} may be sent more than once; right only if it is idempotent",
+                findings.Severity.WARNING,
+            )
+
+
+def _request(row: KindRow) -> str:
+    return f"{row.kind['method']} {row.kind['path']}"
+
+
+SERVICE_RULES: tuple[Rule, ...] = (few_kinds, same_regions, reachable_kinds, doubtful_kinds)
+"""Rules on the rows of one service."""
--- a/packages/goldcrestgrade/goldcrestgrade/findings.py
+++ b/packages/goldcrestgrade/goldcrestgrade/findings.py
@@ -2,20 +2,36 @@
 
 from __future__ import annotations
 
+import collections.abc
+import enum
 import typing
 
 import pydantic
 
 
+class Severity(enum.StrEnum):
+    """Whether a finding makes its document invalid."""
+
+    ERROR = "error"
+    WARNING = "warning"
+
+
 class Finding(typing.NamedTuple):
-    """One fault in a document."""
+    """One fault, or one doubtful choice, in a document."""
 
     place: str
     """For example `sheet.csv:14:run_once` or `settings.json:platform.tables`."""
     text: str
+    severity: Severity = Severity.ERROR
 
     def __str__(self) -> str:
-        return f"{self.place}: {self.text}"
+        note = "warning: " if self.severity == Severity.WARNING else ""
+        return f"{self.place}: {note}{self.text}"
+
+
+def errors(found: collections.abc.Iterable[Finding]) -> list[Finding]:
+    """Return the findings that make their document invalid."""
+    return [finding for finding in found if finding.severity == Severity.ERROR]
 
 
 def from_validation(document: str, error: pydantic.ValidationError) -> list[Finding]:
--- a/packages/goldcrestgrade/goldcrestgrade/sheet.py
+++ b/packages/goldcrestgrade/goldcrestgrade/sheet.py
@@ -19,6 +19,30 @@
 SAFE_METHODS = frozenset({"GET", "HEAD", "OPTIONS"})
 """Methods that are idempotent where the sheet names no kind for a request."""
 
+METHODS = frozenset({"GET", "HEAD", "OPTIONS", "POST", "PUT", "PATCH", "DELETE"})
+"""Methods that a sheet may name."""
+
+ANY_METHOD = "*"
+"""Stands for any method."""
+
+MAX_SHEET_BYTES = 1 << 20
+"""Largest size of a sheet, as a file and as a document."""
+
+MAX_SERVICES = 1000
+"""Largest number of services in a sheet."""
+
+MAX_KINDS = 64
+"""Largest number of kinds of one service."""
+
+MAX_REGIONS = 16
+"""Largest number of regions of one service."""
+
+MAX_PATH_LENGTH = 512
+"""Largest length of a path pattern, in characters."""
+
+MAX_TIMEOUT_S = 3600.0
+"""Largest timeout of a kind."""
+
 DEFAULT_TIMEOUT_S = 10.0
 """Time within which a call without a deadline of its own is answered."""
 
@@ -32,32 +56,40 @@
 """Prefix of the keys of accepted sheets."""
 
 
+Name = typing.Annotated[str, pydantic.Field(pattern=r"^[a-z][a-z0-9-]{0,62}$")]
+Region = typing.Annotated[str, pydantic.Field(pattern=r"^[a-z0-9][a-z0-9-]{0,62}$")]
+Day = typing.Annotated[str, pydantic.Field(pattern=r"^\d{4}-\d{2}-\d{2}$")]
+Method = typing.Annotated[str, pydantic.Field(pattern=r"^(\*|[A-Z]{3,16})$")]
+Path = typing.Annotated[str, pydantic.Field(pattern=r"^[/*][^\s?#]*$", max_length=MAX_PATH_LENGTH)]
+Timeout = typing.Annotated[float, pydantic.Field(gt=0, le=MAX_TIMEOUT_S)]
+
+
 class KindDocument(typing_extensions.TypedDict):
     """One kind of request of a service."""
 
-    method: str
+    method: Method
     """HTTP method, or `*` for any."""
-    path: str
+    path: Path
     """Path pattern; `*` stands for any run of characters."""
     run_once: bool
     """Whether a request of this kind runs at most once."""
-    timeout_s: typing.Annotated[float, pydantic.Field(gt=0, le=3600)]
+    timeout_s: Timeout
     """Seconds after which a request without a deadline of its own is given up."""
 
 
 class ServiceDocument(typing_extensions.TypedDict):
     """One service."""
 
-    name: typing.Annotated[str, pydantic.Field(pattern=r"^[a-z][a-z0-9-]{0,62}$")]
-    regions: typing.Annotated[list[str], pydantic.Field(min_length=1)]
-    kinds: list[KindDocument]
+    name: Name
+    regions: typing.Annotated[list[Region], pydantic.Field(min_length=1, max_length=MAX_REGIONS)]
+    kinds: typing.Annotated[list[KindDocument], pydantic.Field(max_length=MAX_KINDS)]
 
 
 class SheetDocument(typing_extensions.TypedDict):
     """A sheet, as it lies in the object store."""
 
-    day: typing.Annotated[str, pydantic.Field(pattern=r"^\d{4}-\d{2}-\d{2}$")]
-    services: list[ServiceDocument]
+    day: Day
+    services: typing.Annotated[list[ServiceDocument], pydantic.Field(max_length=MAX_SERVICES)]
 
 
 class HeadDocument(typing_extensions.TypedDict):
@@ -95,7 +127,7 @@
     def kind(self, method: str, path: str) -> Kind:
         """Return the first kind that matches; an unlisted method that is not safe runs once."""
         for rule in self.rules:
-            if rule.method in ("*", method) and rule.pattern.match(path):
+            if rule.method in (ANY_METHOD, method) and rule.pattern.match(path):
                 return rule.kind
         return Kind(
             name=f"{method} (unlisted)",
@@ -146,6 +178,22 @@
     )
 
 
+def path_pattern(path: str) -> re.Pattern[str]:
+    """Return the compiled form of a path pattern, in which only `*` is special."""
+    return re.compile(fnmatch.translate(re.sub(r"([?[])", r"[\1]", path)))
+
+
+def covers(earlier: KindDocument, later: KindDocument) -> bool:
+    """Tell whether every request of the kind `later` is also of the kind `earlier`."""
+    # A character that no path holds stands for what `*` in `later` may match, so that only a `*`
+    # in `earlier` matches it.
+    widest = later["path"].replace("*", "\0")
+    return (
+        earlier["method"] in (ANY_METHOD, later["method"])
+        and path_pattern(earlier["path"]).match(widest) is not None
+    )
+
+
 def _service(document: ServiceDocument) -> Service:
     return Service(
         name=document["name"],
@@ -157,7 +205,7 @@
 def _rule(document: KindDocument) -> _Rule:
     return _Rule(
         method=document["method"],
-        pattern=re.compile(fnmatch.translate(document["path"])),
+        pattern=path_pattern(document["path"]),
         kind=Kind(
             name=f"{document['method']} {document['path']}",
             run_once=document["run_once"],
