Settle a lost answer to an apply by sending its transaction again

Cause: an apply whose answer was lost read the history once, and was undecided if the transaction had not arrived; a rejected transaction, which has no effect, was undecided too; applying the same sheet again made a new version. Change: the transaction is sent again until a deadline; its condition makes that idempotent. A conflict is read back from the history row, which names who was first. Each acceptance has an id. Outcomes `Unchanged` and `Unavailable` are new.

--- a/packages/goldcrestgrade-operator/goldcrestgrade_operator/commands/apply.py
+++ b/packages/goldcrestgrade-operator/goldcrestgrade_operator/commands/apply.py
@@ -25,6 +25,11 @@
         case acceptance.Accepted(version=version):
             print(f"accepted as version {version}")
             return 0
+        case acceptance.Unchanged(in_force=head):
+            print(f"the same sheet is in force as version {head['version']}")
+            return 0
+        case acceptance.Unavailable(text=text):
+            raise exceptions.UserError(f"nothing changed: {text}")
         case acceptance.Overtaken(by=by):
             raise exceptions.UserError(
                 f"{by['operator']} was first with version {by['version']} for {by['day']}"
--- a/packages/goldcrestgrade-operator/goldcrestgrade_operator/sheets/acceptance.py
+++ b/packages/goldcrestgrade-operator/goldcrestgrade_operator/sheets/acceptance.py
@@ -1,14 +1,28 @@
-"""Acceptance of a sheet: one transaction with a compare on the version that the operator saw."""
+"""Acceptance of a sheet: one transaction with a compare on the version that the operator saw.
+
+The transaction may be sent again when its answer is lost: its condition fails once it has taken
+effect, so it takes effect at most once, also where a copy of it arrives late.
+"""
 
 from __future__ import annotations
 
+import asyncio
 import dataclasses
-import time
 import typing
+import uuid
 
-from goldcrestgrade import sheet
+from goldcrestgrade import instants, sheet
 from goldcrestgrade.platform import tables
 
+ACCEPT_TIMEOUT_S = 15.0
+"""Longest time that an acceptance takes."""
+
+TRANSACTION_TIMEOUT_S = 3.0
+"""Longest wait for the answer to one sending of the transaction."""
+
+RETRY_DELAY_S = 0.5
+"""Time before a transaction without an answer is sent again."""
+
 
 class Head(typing.NamedTuple):
     """The sheet in force and the commit version of its head row."""
@@ -25,6 +39,14 @@
     tag: typing.Literal["accepted"] = "accepted"
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Unchanged:
+    """The same sheet is in force already."""
+
+    in_force: sheet.HeadDocument
+    tag: typing.Literal["unchanged"] = "unchanged"
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Overtaken:
     """Another sheet was accepted first."""
@@ -41,6 +63,14 @@
     tag: typing.Literal["outdated"] = "outdated"
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Unavailable:
+    """The platform did not take the sheet; nothing changed."""
+
+    text: str
+    tag: typing.Literal["unavailable"] = "unavailable"
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Undecided:
     """The table service did not say whether the sheet was accepted."""
@@ -49,7 +79,7 @@
     tag: typing.Literal["undecided"] = "undecided"
 
 
-Acceptance = Accepted | Overtaken | Outdated | Undecided
+Acceptance = Accepted | Unchanged | Overtaken | Outdated | Unavailable | Undecided
 
 
 async def read_head(store: tables.TableService) -> Head:
@@ -57,7 +87,7 @@
     row = await store.read(sheet.HEAD_TABLE, sheet.HEAD_KEY)
     if row is None:
         return Head(None, tables.ABSENT)
-    return Head(typing.cast(sheet.HeadDocument, row.value), row.version)
+    return Head(sheet.validate_head(row.value, "head row"), row.version)
 
 
 async def accept(
@@ -66,42 +96,86 @@
     document: sheet.SheetDocument,
     seen: Head,
     operator: str,
+    clocks: instants.Clocks | None = None,
 ) -> Acceptance:
-    """Make `document` the sheet in force; raises `ObjectError` before any effect."""
+    """Make `document` the sheet in force, if the one in force is still `seen`."""
+    clocks = clocks or instants.system_clocks()
+    deadline = clocks.monotonic() + ACCEPT_TIMEOUT_S
+    body = sheet.encode(document)
+    name = sheet.object_name(body)
+    if seen.document is not None and name == seen.document["object_name"]:
+        return Unchanged(seen.document)
     if seen.document is not None and document["day"] < seen.document["day"]:
         return Outdated(seen.document)
-    body = sheet.encode(document)
     head = sheet.HeadDocument(
         version=(seen.document["version"] if seen.document else 0) + 1,
         day=document["day"],
-        object_name=sheet.object_name(body),
-        accepted_at=time.time(),
+        object_name=name,
+        accepted_at=clocks.wall(),
         operator=operator,
+        apply_id=uuid.uuid4().hex,
     )
-    await objects.put(head["object_name"], body)
-    result = await store.transact(_transaction(head, seen))
-    match result:
-        case tables.Committed():
-            return Accepted(head["version"])
-        case tables.Conflicted(failures=failures):
-            row = failures[0].row
-            return Overtaken(typing.cast(sheet.HeadDocument, row.value if row else {}))
-        case tables.Rejected(text=text):
+    try:
+        async with asyncio.timeout_at(deadline):
+            await objects.put(name, body)
+    except (tables.ObjectError, TimeoutError) as error:
+        return Unavailable(f"object store: {str(error) or 'no answer in time'}")
+    return await _commit(store, head, seen, clocks, deadline)
+
+
+async def _commit(
+    store: tables.TableService,
+    head: sheet.HeadDocument,
+    seen: Head,
+    clocks: instants.Clocks,
+    deadline: instants.Instant,
+) -> Acceptance:
+    transaction = _transaction(head, seen)
+    unanswered = False
+    while True:
+        answer_by = min(deadline, clocks.monotonic() + TRANSACTION_TIMEOUT_S)
+        result = await _transact(store, transaction, answer_by)
+        match result:
+            case tables.Committed():
+                return Accepted(head["version"])
+            case tables.Conflicted():
+                return await _read_back(store, head, deadline, unanswered)
+            case tables.Rejected(text=text) if not unanswered:
+                return Unavailable(f"table service: {text}")
+            case tables.Rejected(text=text) | tables.Unanswered(text=text):
+                unanswered = True
+        if clocks.monotonic() + RETRY_DELAY_S >= deadline:
             return Undecided(text)
-        case tables.Unanswered():
-            return await _read_back(store, head)
+        await asyncio.sleep(RETRY_DELAY_S)
 
 
-async def _read_back(store: tables.TableService, head: sheet.HeadDocument) -> Acceptance:
+async def _transact(
+    store: tables.TableService, transaction: tables.Transaction, answer_by: instants.Instant
+) -> tables.Result:
     try:
-        row = await store.read(sheet.HEAD_TABLE, _history_key(head["version"]))
-    except tables.ReadError as error:
-        return Undecided(str(error))
+        async with asyncio.timeout_at(answer_by):
+            return await store.transact(transaction)
+    except TimeoutError:
+        return tables.Unanswered("no answer in time")
+
+
+async def _read_back(
+    store: tables.TableService,
+    head: sheet.HeadDocument,
+    deadline: instants.Instant,
+    unanswered: bool,
+) -> Acceptance:
+    """Return who was accepted as the version of `head`; a conflict says that someone was."""
+    try:
+        async with asyncio.timeout_at(deadline):
+            row = await store.read(sheet.HEAD_TABLE, sheet.history_key(head["version"]))
+    except (tables.ReadError, TimeoutError) as error:
+        text = f"the version is taken, but not known by whom: {str(error) or 'no answer in time'}"
+        return Undecided(text) if unanswered else Unavailable(text)
     if row is None:
-        return Undecided("not accepted so far")
-    if row.value == head:
-        return Accepted(head["version"])
-    return Overtaken(typing.cast(sheet.HeadDocument, row.value))
+        return Undecided(f"the history has no version {head['version']}")
+    first = sheet.validate_head(row.value, "history row")
+    return Accepted(head["version"]) if first == head else Overtaken(first)
 
 
 def _transaction(head: sheet.HeadDocument, seen: Head) -> tables.Transaction:
@@ -110,10 +184,6 @@
         conditions=(tables.Condition(sheet.HEAD_TABLE, sheet.HEAD_KEY, seen.row_version),),
         writes=(
             tables.Write(sheet.HEAD_TABLE, sheet.HEAD_KEY, value),
-            tables.Write(sheet.HEAD_TABLE, _history_key(head["version"]), value),
+            tables.Write(sheet.HEAD_TABLE, sheet.history_key(head["version"]), value),
         ),
     )
-
-
-def _history_key(version: int) -> str:
-    return f"{sheet.HISTORY_PREFIX}{version:012d}"
--- a/packages/goldcrestgrade/goldcrestgrade/sheet.py
+++ b/packages/goldcrestgrade/goldcrestgrade/sheet.py
@@ -101,6 +101,8 @@
     accepted_at: float
     """Wall instant of the acceptance."""
     operator: str
+    apply_id: str
+    """Tells this acceptance from any other, also of the same sheet by the same operator."""
 
 
 class Kind(typing.NamedTuple):
@@ -147,6 +149,7 @@
 
 
 _DOCUMENT: pydantic.TypeAdapter[SheetDocument] = pydantic.TypeAdapter(SheetDocument)
+_HEAD: pydantic.TypeAdapter[HeadDocument] = pydantic.TypeAdapter(HeadDocument)
 
 
 def validate(body: bytes, name: str) -> SheetDocument:
@@ -157,6 +160,19 @@
         raise exceptions.InvalidDocument(findings.from_validation(name, error)) from error
 
 
+def validate_head(value: typing.Mapping[str, typing.Any], name: str) -> HeadDocument:
+    """Return the head or history row `value`; raises `InvalidDocument`."""
+    try:
+        return _HEAD.validate_python(value)
+    except pydantic.ValidationError as error:
+        raise exceptions.InvalidDocument(findings.from_validation(name, error)) from error
+
+
+def history_key(version: int) -> str:
+    """Return the key of the history row of `version`."""
+    return f"{HISTORY_PREFIX}{version:012d}"
+
+
 def encode(document: SheetDocument) -> bytes:
     """Return the bytes of `document`, the same for equal documents."""
     return orjson.dumps(document, option=orjson.OPT_SORT_KEYS)
