Give operators diff, status, endpoints, history, drain and explain

Cause: the command line knew check and apply; `--help` was an unknown flag, and the node's help listed flags of the flags library; a platform that was not reached printed a library's repr. Both binaries share the help of their flags.

--- a/packages/goldcrestgrade-node/goldcrestgrade_node/__main__.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/__main__.py
@@ -8,7 +8,7 @@
 
 from absl import flags
 
-from goldcrestgrade import exceptions, logs, settings
+from goldcrestgrade import command_flags, exceptions, logs, settings
 from goldcrestgrade_node.commands import run
 
 USAGE = """goldcrestgrade-node: the process beside each endpoint instance
@@ -19,7 +19,7 @@
 Exit status 1: the node could not run. 2: the settings or the command line are wrong.
 """
 
-FLAGS = flags.FlagValues()  # type: ignore[no-untyped-call]
+FLAGS = command_flags.new_values()
 SETTINGS = flags.DEFINE_string(
     "settings", None, "Path of the settings file, in JSON.", flag_values=FLAGS
 )
@@ -31,7 +31,6 @@
     "Lowest level logged.",
     flag_values=FLAGS,
 )
-HELP = flags.DEFINE_bool("help", False, "Print this help.", short_name="h", flag_values=FLAGS)
 
 
 def main() -> None:
@@ -44,14 +43,14 @@
 
 
 def _main(arguments: list[str]) -> int:
-    try:
-        FLAGS(arguments)
-    except flags.Error as error:
-        print(f"{error}\n\n{USAGE}", file=sys.stderr)
-        return 2
-    if HELP.value or SETTINGS.value is None:
-        print(f"{USAGE}\nflags:\n{FLAGS.main_module_help() or FLAGS.get_help()}")
-        return 0 if HELP.value else 2
+    positional = command_flags.parse(FLAGS, arguments, USAGE)
+    if command_flags.help_wanted(FLAGS):
+        print(f"{USAGE}\nflags:\n{command_flags.describe(FLAGS)}")
+        return 0
+    if positional:
+        raise exceptions.InvalidCommand(f"unexpected argument {positional[0]!r}\n\n{USAGE}")
+    if SETTINGS.value is None:
+        raise exceptions.InvalidCommand(f"--settings is missing\n\n{USAGE}")
     config = settings.load(pathlib.Path(SETTINGS.value))
     if CHECK.value:
         print("settings are valid")
--- a/packages/goldcrestgrade-operator/goldcrestgrade_operator/__main__.py
+++ b/packages/goldcrestgrade-operator/goldcrestgrade_operator/__main__.py
@@ -2,53 +2,41 @@
 
 from __future__ import annotations
 
-import getpass
-import pathlib
 import sys
+import typing
 
-from absl import flags
+from goldcrestgrade import command_flags, exceptions
+from goldcrestgrade_operator import command_table, options
 
-from goldcrestgrade import exceptions
-from goldcrestgrade_operator.commands import apply, check
-
-USAGE = """goldcrestgrade: the operators command line
-
-usage: goldcrestgrade check SHEET.csv
-       goldcrestgrade apply SHEET.csv --platform=http://HOST:PORT
-
-Exit status 0: done. 1: refused or not reached. 2: the sheet or the command line is wrong.
-"""
-
-FLAGS = flags.FlagValues()  # type: ignore[no-untyped-call]
-PLATFORM = flags.DEFINE_string(
-    "platform", "http://127.0.0.1:6000", "URL of the platform's services.", flag_values=FLAGS
-)
-OPERATOR = flags.DEFINE_string(
-    "operator", getpass.getuser(), "Name that the history shows.", flag_values=FLAGS
-)
+INTERRUPTED_STATUS = 130
+"""Exit status after Ctrl-C, as shells give it."""
 
 
 def main() -> None:
     """Parse the command line and run its command."""
-    try:
-        sys.exit(_main(sys.argv))
-    except exceptions.UserError as error:
-        print(error, file=sys.stderr)
-        sys.exit(error.exit_status)
+    sys.exit(run(sys.argv))
 
 
-def _main(arguments: list[str]) -> int:
+def run(arguments: typing.Sequence[str]) -> int:
+    """Run the command line `arguments` and return its exit status."""
     try:
-        _, *positional = FLAGS(arguments)
-    except flags.Error as error:
-        raise exceptions.InvalidCommand(f"{error}\n\n{USAGE}") from error
-    match positional:
-        case ["check", path]:
-            return check.run(pathlib.Path(path))
-        case ["apply", path]:
-            return apply.run(pathlib.Path(path), PLATFORM.value, OPERATOR.value)
-        case _:
-            raise exceptions.InvalidCommand(USAGE)
+        return _run(arguments)
+    except exceptions.UserError as error:
+        print(error, file=sys.stderr)
+        return error.exit_status
+    except KeyboardInterrupt:
+        return INTERRUPTED_STATUS
+
+
+def _run(arguments: typing.Sequence[str]) -> int:
+    usage = command_table.usage()
+    values = options.define()
+    positional = command_flags.parse(values, arguments, usage)
+    if command_flags.help_wanted(values):
+        print(f"{usage}\n\nflags:\n{command_flags.describe(values)}")
+        return 0
+    command, rest = command_table.find(positional)
+    return command.run(rest, options.from_flags(values))
 
 
 if __name__ == "__main__":
--- /dev/null
+++ b/packages/goldcrestgrade-operator/goldcrestgrade_operator/command_table.py
@@ -0,0 +1,96 @@
+"""The commands of the operators command line."""
+
+from __future__ import annotations
+
+import typing
+
+from goldcrestgrade import exceptions
+from goldcrestgrade_operator import options
+from goldcrestgrade_operator.commands import (
+    apply,
+    check,
+    diff,
+    drain,
+    endpoints,
+    explain,
+    history,
+    status,
+)
+
+Run = typing.Callable[[typing.Sequence[str], options.Options], int]
+"""Runs a command with its arguments and returns the exit status."""
+
+
+class Command(typing.NamedTuple):
+    """One command."""
+
+    arguments: str
+    """Arguments as the usage shows them."""
+    summary: str
+    argument_counts: frozenset[int]
+    run: Run
+
+
+NONE = frozenset({0})
+ONE = frozenset({1})
+
+COMMANDS: dict[str, Command] = {
+    "check": Command("SHEET.csv", "Check a sheet and change nothing.", ONE, check.run),
+    "diff": Command("SHEET.csv", "Show what a sheet would change.", ONE, diff.run),
+    "apply": Command("SHEET.csv", "Make a sheet the one in force.", ONE, apply.run),
+    "history": Command("", "Show the accepted sheets, the latest first.", NONE, history.run),
+    "status": Command("", "Show the nodes and their sheet versions.", NONE, status.run),
+    "endpoints": Command("", "Show the endpoints by service.", NONE, endpoints.run),
+    "drain": Command("NODE_ID", "Have the endpoint beside a node leave.", ONE, drain.run),
+    "explain": Command(
+        "REASON | SERVICE METHOD PATH",
+        "Explain a reason, or how the sheet in force treats a request.",
+        frozenset({1, 3}),
+        explain.run,
+    ),
+}
+"""Commands by name."""
+
+EXIT_STATUSES = {
+    0: "Done.",
+    1: "Refused, or not reached; nothing changed.",
+    2: "The sheet, a file or the command line is wrong; nothing changed.",
+    3: "Not known whether the sheet was accepted; run history.",
+    4: "Done, but not seen everywhere within --wait_timeout_s.",
+    130: "Interrupted.",
+}
+"""Meaning of each exit status."""
+
+
+def usage() -> str:
+    """Return the usage: commands and exit statuses."""
+    commands = [
+        f"  {' '.join((name, command.arguments)).rstrip()}\n      {command.summary}"
+        for name, command in COMMANDS.items()
+    ]
+    statuses = [f"  {status:<4} {meaning}" for status, meaning in EXIT_STATUSES.items()]
+    return "\n".join(
+        [
+            "goldcrestgrade: the operators command line",
+            "",
+            "usage: goldcrestgrade COMMAND [ARGUMENTS] [FLAGS]",
+            "",
+            "commands:",
+            *commands,
+            "",
+            "exit status:",
+            *statuses,
+        ]
+    )
+
+
+def find(positional: typing.Sequence[str]) -> tuple[Command, list[str]]:
+    """Return the command and its arguments; raises `InvalidCommand`."""
+    name, *arguments = positional or [""]
+    command = COMMANDS.get(name)
+    if command is None:
+        problem = f"no command {name!r}" if name else "no command given"
+        raise exceptions.InvalidCommand(f"{problem}\n\n{usage()}")
+    if len(arguments) not in command.argument_counts:
+        raise exceptions.InvalidCommand(f"usage: goldcrestgrade {name} {command.arguments}")
+    return command, arguments
--- a/packages/goldcrestgrade-operator/goldcrestgrade_operator/commands/apply.py
+++ b/packages/goldcrestgrade-operator/goldcrestgrade_operator/commands/apply.py
@@ -4,50 +4,87 @@
 
 import asyncio
 import pathlib
+import typing
 
-from goldcrestgrade import exceptions, http_client, sheet
-from goldcrestgrade.platform import http_objects, http_tables, tables
+from goldcrestgrade import exceptions, sheet
+from goldcrestgrade_operator import adoption_progress, options, output, platforms
 from goldcrestgrade_operator.commands import check
 from goldcrestgrade_operator.sheets import acceptance
 
-CONNECTIONS = 4
-"""Connections that a command holds at most."""
 
-KEEPALIVE_S = 5.0
-"""Time after which an unused connection is closed."""
+class ApplyDocument(typing.TypedDict):
+    """Output of the command as JSON."""
 
+    version: int
+    day: str
+    changed: bool
+    nodes: int | None
+    """Nodes that have the version in force; none without `--wait`."""
 
-def run(path: pathlib.Path, platform_url: str, operator: str) -> int:
-    """Apply the sheet at `path`; raises `UserError` where it is not accepted."""
-    document, _ = check.load(path)
-    result = asyncio.run(_apply(document, platform_url, operator))
+
+def run(arguments: typing.Sequence[str], given: options.Options) -> int:
+    """Apply the sheet in a file; raises `UserError` where it is not accepted."""
+    document, warnings = check.load(pathlib.Path(arguments[0]))
+    output.show_warnings(warnings)
+    result = asyncio.run(_apply(document, given))
+    version = accepted_version(result)
+    changed = isinstance(result, acceptance.Accepted)
+    nodes = None
+    if given.wait:
+        nodes = asyncio.run(adoption_progress.wait(version, given))
+    columns = ("version", "day", "result", "nodes")
+    note = "accepted" if changed else "the same sheet is in force already"
+    output.show(
+        ApplyDocument(version=version, day=document["day"], changed=changed, nodes=nodes),
+        output.Table(
+            "",
+            columns,
+            [(version, document["day"], note, "not asked" if nodes is None else nodes)],
+        ),
+        given.as_json,
+    )
+    return 0
+
+
+def accepted_version(result: acceptance.Acceptance) -> int:
+    """Return the version in force with `result`; raises `UserError` where it was not accepted."""
     match result:
         case acceptance.Accepted(version=version):
-            print(f"accepted as version {version}")
-            return 0
+            return version
         case acceptance.Unchanged(in_force=head):
-            print(f"the same sheet is in force as version {head['version']}")
-            return 0
-        case acceptance.Unavailable(text=text):
-            raise exceptions.UserError(f"nothing changed: {text}")
+            return head["version"]
         case acceptance.Overtaken(by=by):
             raise exceptions.UserError(
-                f"{by['operator']} was first with version {by['version']} for {by['day']}"
+                f"not accepted: {by['operator']} was first, with version {by['version']} for "
+                f"{by['day']} at {output.time_text(by['accepted_at'])}; look at it with diff and "
+                "apply again"
             )
         case acceptance.Outdated(in_force=head):
-            raise exceptions.UserError(f"the sheet in force is for a later day, {head['day']}")
+            raise exceptions.UserError(
+                f"not accepted: version {head['version']} in force is for a later day, "
+                f"{head['day']}"
+            )
+        case acceptance.Unavailable(text=text):
+            raise exceptions.UserError(f"not accepted, nothing changed: {text}")
         case acceptance.Undecided(text=text):
-            raise exceptions.UserError(f"the table service did not decide: {text}")
-
-
-async def _apply(
-    document: sheet.SheetDocument, platform_url: str, operator: str
-) -> acceptance.Acceptance:
-    async with http_client.open_session(CONNECTIONS, KEEPALIVE_S) as session:
-        store = http_tables.HttpTables(session, platform_url)
-        objects = http_objects.HttpObjects(session, platform_url)
-        try:
-            seen = await acceptance.read_head(store)
-            return await acceptance.accept(store, objects, document, seen, operator)
-        except (tables.ReadError, tables.ObjectError) as error:
-            raise exceptions.UserError(f"{platform_url}: {error}") from error
+            raise exceptions.UndecidedError(
+                f"not known whether accepted: {text}; run history to see, before applying again"
+            )
+
+
+async def _apply(document: sheet.SheetDocument, given: options.Options) -> acceptance.Acceptance:
+    async with platforms.connect(given.platform_url) as platform:
+        seen = await acceptance.read_head(platform.store)
+        _require_version(seen, given.on_version)
+        return await acceptance.accept(
+            platform.store, platform.objects, document, seen, given.operator
+        )
+
+
+def _require_version(seen: acceptance.Head, wanted: int | None) -> None:
+    if wanted is None:
+        return
+    if seen.document is not None and seen.document["version"] != wanted:
+        accepted_version(acceptance.Overtaken(seen.document))
+    if seen.document is None and wanted != 0:
+        raise exceptions.UserError(f"not accepted: no sheet is in force, so not version {wanted}")
--- a/packages/goldcrestgrade-operator/goldcrestgrade_operator/commands/check.py
+++ b/packages/goldcrestgrade-operator/goldcrestgrade_operator/commands/check.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 import pathlib
+import typing
 
 from goldcrestgrade import exceptions
+from goldcrestgrade_operator import options, output
 from goldcrestgrade_operator.sheets import csv_reader
 
 
@@ -17,13 +19,21 @@
     return csv_reader.read(body, path.name)
 
 
-def run(path: pathlib.Path) -> int:
-    """Print what the sheet holds; raises `InvalidDocument` with every fault."""
-    document, warnings = load(path)
-    kinds = sum(len(service["kinds"]) for service in document["services"])
-    for warning in warnings:
-        print(warning)
-    print(
-        f"{path.name}: day {document['day']}, {len(document['services'])} services, {kinds} kinds"
+def run(arguments: typing.Sequence[str], given: options.Options) -> int:
+    """Print what the sheet holds; raises `InvalidDocument` with every finding."""
+    document, warnings = load(pathlib.Path(arguments[0]))
+    output.show_warnings(warnings)
+    rows = [
+        (
+            service["name"],
+            " ".join(service["regions"]),
+            len(service["kinds"]),
+            sum(kind["run_once"] for kind in service["kinds"]),
+        )
+        for service in document["services"]
+    ]
+    columns = ("service", "regions", "kinds", "run once")
+    output.show(
+        document, output.Table(f"valid sheet for {document['day']}", columns, rows), given.as_json
     )
     return 0
--- /dev/null
+++ b/packages/goldcrestgrade-operator/goldcrestgrade_operator/commands/endpoints.py
@@ -0,0 +1,43 @@
+"""Shows the endpoints by service."""
+
+from __future__ import annotations
+
+import asyncio
+import typing
+
+from goldcrestgrade import records
+from goldcrestgrade_operator import nodes, options, output
+from goldcrestgrade_operator.commands import status
+
+COLUMNS = ("service", "node", "failure domain", "address", "slots", "connections", "state")
+
+
+def run(_arguments: typing.Sequence[str], given: options.Options) -> int:
+    """Print the endpoints that the node of the options knows; raises `UserError`."""
+    found = endpoints(asyncio.run(status.fetch(given)))
+    rows = [
+        (
+            endpoint["service"],
+            record["node_id"],
+            record["failure_domain"],
+            f"{endpoint['host']}:{endpoint['port']}",
+            endpoint["slots"],
+            endpoint["connections"],
+            record["state"],
+        )
+        for record, endpoint in found
+    ]
+    document = [
+        {**endpoint, "node_id": record["node_id"], "state": record["state"]}
+        for record, endpoint in found
+    ]
+    output.show(document, output.Table(f"{len(rows)} endpoints", COLUMNS, rows), given.as_json)
+    return 0
+
+
+def endpoints(
+    known: nodes.StatusDocument,
+) -> list[tuple[records.NodeRecord, records.EndpointDocument]]:
+    """Return the endpoints with the records of their nodes, by service and node."""
+    found = [(r, r["endpoint"]) for r in known["members"] if r["endpoint"] is not None]
+    return sorted(found, key=lambda pair: (pair[1]["service"], pair[0]["node_id"]))
--- /dev/null
+++ b/packages/goldcrestgrade-operator/goldcrestgrade_operator/commands/history.py
@@ -0,0 +1,42 @@
+"""Shows the sheets that were accepted."""
+
+from __future__ import annotations
+
+import asyncio
+import typing
+
+from goldcrestgrade import sheet
+from goldcrestgrade_operator import options, output, platforms
+from goldcrestgrade_operator.sheets import acceptance
+
+COLUMNS = ("version", "day", "accepted at", "operator", "object")
+
+
+def run(_arguments: typing.Sequence[str], given: options.Options) -> int:
+    """Print the latest versions, the one in force first; raises `UserError`."""
+    found = asyncio.run(_fetch(given))
+    rows = [
+        (
+            head["version"],
+            head["day"],
+            output.time_text(head["accepted_at"]),
+            head["operator"],
+            head["object_name"],
+        )
+        for head in found
+    ]
+    title = f"version {found[0]['version']} is in force" if found else "no sheet was accepted yet"
+    output.show(found, output.Table(title, COLUMNS, rows), given.as_json)
+    return 0
+
+
+async def _fetch(given: options.Options) -> list[sheet.HeadDocument]:
+    async with platforms.connect(given.platform_url) as platform:
+        head = (await acceptance.read_head(platform.store)).document
+        if head is None:
+            return []
+        versions = range(head["version"], max(0, head["version"] - given.limit), -1)
+        rows = await asyncio.gather(
+            *(platform.store.read(sheet.HEAD_TABLE, sheet.history_key(v)) for v in versions)
+        )
+    return [sheet.validate_head(row.value, row.key) for row in rows if row is not None]
--- /dev/null
+++ b/packages/goldcrestgrade-operator/goldcrestgrade_operator/commands/status.py
@@ -0,0 +1,38 @@
+"""Shows the nodes that one node knows."""
+
+from __future__ import annotations
+
+import asyncio
+import typing
+
+from goldcrestgrade_operator import nodes, options, output
+
+COLUMNS = ("node", "region", "failure domain", "service", "state", "sheet version")
+
+
+def run(_arguments: typing.Sequence[str], given: options.Options) -> int:
+    """Print the members; raises `UserError`."""
+    status = asyncio.run(fetch(given))
+    rows = [
+        (
+            record["node_id"],
+            record["region"],
+            record["failure_domain"],
+            record["endpoint"]["service"] if record["endpoint"] else "-",
+            record["state"],
+            record["sheet_version"],
+        )
+        for record in sorted(status["members"], key=lambda record: record["node_id"])
+    ]
+    title = (
+        f"{status['node_id']} knows {len(rows)} nodes; it has sheet version "
+        f"{status['sheet_version']} for {status['sheet_day'] or 'no day'} in force"
+    )
+    output.show(status, output.Table(title, COLUMNS, rows), given.as_json)
+    return 0
+
+
+async def fetch(given: options.Options) -> nodes.StatusDocument:
+    """Return what the node of the options knows; raises `UserError`."""
+    async with nodes.connect(given) as client:
+        return await client.status(given.node_url)
--- /dev/null
+++ b/packages/goldcrestgrade-operator/goldcrestgrade_operator/explanations.py
@@ -0,0 +1,197 @@
+"""What each reason and event means and what an operator does about it."""
+
+from __future__ import annotations
+
+import typing
+
+from goldcrestgrade import reasons
+
+
+class Explanation(typing.NamedTuple):
+    """Meaning of a reason, and what to do about it."""
+
+    meaning: str
+    action: str
+
+
+REFUSALS: dict[reasons.Refusal, Explanation] = {
+    reasons.Refusal.NO_SHEET: Explanation(
+        "The node has no sheet in force yet.",
+        "Apply a sheet; if one is in force elsewhere, see why the node reaches neither the "
+        "platform nor a peer.",
+    ),
+    reasons.Refusal.UNKNOWN_SERVICE: Explanation(
+        "The sheet in force names no such service.",
+        "Correct the caller's service header or host, or add the service to the sheet.",
+    ),
+    reasons.Refusal.UNKNOWN_KIND: Explanation(
+        "The sheet in force does not allow this kind of request.",
+        "Add a row for the method and path to the sheet.",
+    ),
+    reasons.Refusal.INVALID_REQUEST: Explanation(
+        "A header that goldcrestgrade reads is malformed.",
+        "Correct the caller's deadline or idempotency key.",
+    ),
+    reasons.Refusal.BODY_TOO_LARGE: Explanation(
+        "The body is larger than a node holds.", "Have the caller send smaller bodies."
+    ),
+    reasons.Refusal.KEY_MISSING: Explanation(
+        "A run-once request has no idempotency key.",
+        "Have the caller send the same key with each try of one intention.",
+    ),
+    reasons.Refusal.KEY_REUSED: Explanation(
+        "The idempotency key was used before for a different request.",
+        "Have the caller make a new key for each intention.",
+    ),
+    reasons.Refusal.KEY_EXPIRED: Explanation(
+        "The idempotency key is past its deadline.",
+        "Have the caller look up what became of the first try before it makes a new key.",
+    ),
+    reasons.Refusal.DEADLINE_PASSED: Explanation(
+        "The deadline passed before the request started.",
+        "Look at load and latency; check the callers' clocks.",
+    ),
+    reasons.Refusal.NO_ENDPOINT: Explanation(
+        "No endpoint of the service takes work.",
+        "Run `goldcrestgrade endpoints`; start endpoints or see why they left.",
+    ),
+    reasons.Refusal.SATURATED: Explanation(
+        "Every endpoint that may take the request is full.",
+        "Add endpoints if it lasts; callers come back after `Retry-After`.",
+    ),
+    reasons.Refusal.QUARANTINED: Explanation(
+        "The request crashed endpoints before.",
+        "Find the request in the logs by its id; mend the endpoint's fault.",
+    ),
+    reasons.Refusal.ENDPOINT_REFUSED: Explanation(
+        "The endpoint shed the request before any effect.",
+        "Look at the endpoint's load; correct its announced slots.",
+    ),
+    reasons.Refusal.ENDPOINT_UNREACHED: Explanation(
+        "No connection to an endpoint came about.",
+        "Check the endpoint's process, its connection limit and the network.",
+    ),
+    reasons.Refusal.RETRY_BUDGET_SPENT: Explanation(
+        "The request may be retried, but the service's retry budget is spent.",
+        "Look for the failure behind the retries in the retry counters.",
+    ),
+    reasons.Refusal.GUARD_UNREACHED: Explanation(
+        "The node of the chosen endpoint was not reached.",
+        "Check that node's process and the control addresses.",
+    ),
+    reasons.Refusal.GUARD_DRAINING: Explanation(
+        "The chosen endpoint is leaving.", "None if a drain is planned; the caller may try again."
+    ),
+    reasons.Refusal.CLAIM_BARRED: Explanation(
+        "The request was given up before it started and is barred from starting.",
+        "None; the caller may try again.",
+    ),
+    reasons.Refusal.CLAIM_HELD: Explanation(
+        "Another node holds the claim on the idempotency key.",
+        "None if it is short; else look for a node that is gone or paused.",
+    ),
+    reasons.Refusal.STORE_UNAVAILABLE: Explanation(
+        "The table service does not take claims.",
+        "Look at the platform; run-once requests are refused until it is back.",
+    ),
+    reasons.Refusal.STORE_SLOW: Explanation(
+        "The table service did not answer a claim in time.",
+        "Look at the platform's latency and write rate.",
+    ),
+    reasons.Refusal.NODE_DRAINING: Explanation(
+        "The caller's entry node is stopping.", "Have the caller connect to another node."
+    ),
+}
+"""Explanation of each refusal; a refused request did not run and will not."""
+
+UNCERTAINTIES: dict[reasons.Uncertainty, Explanation] = {
+    reasons.Uncertainty.ANSWER_LOST: Explanation(
+        "The connection to the endpoint ended before an answer.",
+        "Look at the endpoint's log for the request id before the request is sent anew.",
+    ),
+    reasons.Uncertainty.ANSWER_CUT: Explanation(
+        "The answer of the endpoint ended early.",
+        "Look for endpoints that stop without a drain.",
+    ),
+    reasons.Uncertainty.ENDPOINT_DIED: Explanation(
+        "The endpoint ended while it ran the request.",
+        "Look at the endpoint's log for the request id.",
+    ),
+    reasons.Uncertainty.TIMED_OUT: Explanation(
+        "The deadline passed while the request ran.",
+        "Look at the endpoint's latency; raise `timeout_s` in the sheet if it is too short.",
+    ),
+    reasons.Uncertainty.GUARD_LOST: Explanation(
+        "The node that ran the request does not answer.",
+        "Check that node; the caller may ask again with the same key.",
+    ),
+    reasons.Uncertainty.CLAIM_ORPHANED: Explanation(
+        "The node that claimed the key is gone and stored no outcome.",
+        "Look at the endpoint's records for the key; it is never run again by itself.",
+    ),
+    reasons.Uncertainty.CLAIM_RUNNING: Explanation(
+        "An earlier try with the key is still running.",
+        "None; the caller asks again with the same key.",
+    ),
+}
+"""Explanation of each unknown outcome; the request may have run."""
+
+RETRIES: dict[reasons.Retry, Explanation] = {
+    reasons.Retry.UNREACHED: Explanation(
+        "No connection to the endpoint came about.", "Check the endpoint and its connection limit."
+    ),
+    reasons.Retry.REFUSED: Explanation(
+        "The endpoint or its node refused the request before any effect.",
+        "Look at load and at drains.",
+    ),
+    reasons.Retry.FAILED: Explanation(
+        "The endpoint answered an idempotent request with a 5xx status.",
+        "Look at the endpoint's log.",
+    ),
+    reasons.Retry.BROKEN: Explanation(
+        "An idempotent request got no whole answer.", "Look for endpoints that crash."
+    ),
+    reasons.Retry.TIMED_OUT: Explanation(
+        "An attempt took longer than it was given.", "Look for stragglers and silent connections."
+    ),
+    reasons.Retry.HEDGED: Explanation(
+        "An idempotent request was sent to a second endpoint, since the first was slow.",
+        "None; a high share tells of stragglers.",
+    ),
+}
+"""Explanation of each retry."""
+
+EVENTS: dict[reasons.Event, Explanation] = {
+    reasons.Event.SHEET_STALE_IGNORED: Explanation(
+        "The platform or a peer offered an older sheet than the one in force.",
+        "None if it is rare; else the platform's table may have been restored to an older state.",
+    ),
+    reasons.Event.SHEET_INVALID_IGNORED: Explanation(
+        "An accepted sheet could not be read by this node.",
+        "Update the node; compare its version with that of the command line.",
+    ),
+}
+"""Explanation of each event that is neither refusal, unknown outcome nor retry."""
+
+
+class Group(typing.NamedTuple):
+    """The explanations of one enumeration."""
+
+    title: str
+    metric: str
+    label: str
+    explanations: typing.Mapping[typing.Any, Explanation]
+
+
+GROUPS = (
+    Group("Refusals: the request did not run", "goldcrestgrade_refusals_total", "reason", REFUSALS),
+    Group(
+        "Unknown outcomes: the request may have run",
+        "goldcrestgrade_unknowns_total",
+        "reason",
+        UNCERTAINTIES,
+    ),
+    Group("Retries", "goldcrestgrade_retries_total", "reason", RETRIES),
+    Group("Events", "goldcrestgrade_events_total", "event", EVENTS),
+)
+"""Every enumeration of reasons, with the metric that counts it."""
--- /dev/null
+++ b/packages/goldcrestgrade-operator/goldcrestgrade_operator/nodes.py
@@ -0,0 +1,79 @@
+"""Requests to the control address of a node."""
+
+from __future__ import annotations
+
+import collections.abc
+import contextlib
+
+import aiohttp
+import pydantic
+import typing_extensions
+
+from goldcrestgrade import exceptions, headers, http_client, records
+from goldcrestgrade_operator import options, platforms
+
+REQUEST_TIMEOUT_S = 5.0
+"""Longest wait for the answer of a node."""
+
+
+class StatusDocument(typing_extensions.TypedDict):
+    """What a node tells of itself and of the nodes that it knows."""
+
+    node_id: str
+    state: records.EndpointState
+    sheet_version: int
+    sheet_day: str
+    in_flight: int
+    members: list[records.NodeRecord]
+
+
+_STATUS: pydantic.TypeAdapter[StatusDocument] = pydantic.TypeAdapter(StatusDocument)
+
+
+class NodeClient:
+    """Sends requests to nodes with the shared key."""
+
+    def __init__(self, session: aiohttp.ClientSession, shared_key: str) -> None:
+        self.session = session
+        self.shared_key = shared_key
+
+    async def status(self, url: str) -> StatusDocument:
+        """Return what the node at `url` knows; raises `UserError`."""
+        body = await self._exchange("GET", f"{url}/v1/status")
+        try:
+            return _STATUS.validate_json(body)
+        except pydantic.ValidationError as error:
+            raise exceptions.UserError(f"{url}: does not answer as a node does") from error
+
+    async def drain(self, url: str) -> None:
+        """Have the node at `url` drain its endpoint; raises `UserError`."""
+        await self._exchange("POST", f"{url}/v1/drain")
+
+    async def _exchange(self, method: str, url: str) -> bytes:
+        try:
+            async with self.session.request(
+                method,
+                url,
+                headers={headers.CONTROL_KEY: self.shared_key},
+                timeout=aiohttp.ClientTimeout(total=REQUEST_TIMEOUT_S),
+                allow_redirects=False,
+            ) as response:
+                body = await response.read()
+                status = response.status
+        except TimeoutError as error:
+            raise exceptions.UserError(f"{url}: no answer in {REQUEST_TIMEOUT_S:g} s") from error
+        except (aiohttp.ClientError, OSError) as error:
+            raise exceptions.UserError(f"{url}: the node was not reached: {error}") from error
+        if status == 401:
+            raise exceptions.UserError(f"{url}: the shared key is not the node's")
+        if status >= 300:
+            raise exceptions.UserError(f"{url}: status {status}")
+        return body
+
+
+@contextlib.asynccontextmanager
+async def connect(given: options.Options) -> collections.abc.AsyncIterator[NodeClient]:
+    """Yield a client with the shared key of the options; raises `UserError` without one."""
+    key = options.shared_key(given)
+    async with http_client.open_session(platforms.CONNECTIONS, platforms.KEEPALIVE_S) as session:
+        yield NodeClient(session, key)
--- /dev/null
+++ b/packages/goldcrestgrade-operator/goldcrestgrade_operator/options.py
@@ -0,0 +1,158 @@
+"""Flags of the operators command line."""
+
+from __future__ import annotations
+
+import getpass
+import os
+import pathlib
+import re
+import typing
+
+from absl import flags
+
+from goldcrestgrade import command_flags, exceptions
+
+KEY_VARIABLE = "GOLDCRESTGRADE_KEY"
+"""Environment variable that may hold the shared key."""
+
+DEFAULT_WAIT_TIMEOUT_S = 60.0
+"""Time for which `--wait` waits."""
+
+DEFAULT_LIMIT = 20
+"""Versions that history shows."""
+
+MAX_LIMIT = 1000
+"""Versions that history shows at most."""
+
+DEFAULT_PLATFORM_URL = "http://127.0.0.1:6000"
+
+DEFAULT_NODE_URL = "http://127.0.0.1:7001"
+
+_URL = re.compile(r"https?://[^/?#\s]+")
+
+
+class Options(typing.NamedTuple):
+    """What the flags say."""
+
+    platform_url: str = DEFAULT_PLATFORM_URL
+    node_url: str = DEFAULT_NODE_URL
+    key_file: pathlib.Path | None = None
+    operator: str = ""
+    on_version: int | None = None
+    wait: bool = False
+    wait_timeout_s: float = DEFAULT_WAIT_TIMEOUT_S
+    limit: int = DEFAULT_LIMIT
+    as_json: bool = False
+
+
+def define() -> flags.FlagValues:
+    """Return the flags with their defaults."""
+    values = command_flags.new_values()
+    flags.DEFINE_string(
+        "platform",
+        DEFAULT_PLATFORM_URL,
+        "URL of the platform's services, for diff, apply, history and explain.",
+        flag_values=values,
+    )
+    flags.DEFINE_string(
+        "node",
+        DEFAULT_NODE_URL,
+        "URL of the control address of any node, for status, endpoints, drain and --wait.",
+        flag_values=values,
+    )
+    flags.DEFINE_string(
+        "key_file",
+        None,
+        f"File that holds the shared key of the nodes. Without it, {KEY_VARIABLE} in the "
+        "environment is the key.",
+        flag_values=values,
+    )
+    flags.DEFINE_string(
+        "operator", None, "Name that history shows; your user name without it.", flag_values=values
+    )
+    flags.DEFINE_integer(
+        "on_version",
+        None,
+        "Apply only if this version, as diff showed it, is still in force.",
+        lower_bound=0,
+        flag_values=values,
+    )
+    flags.DEFINE_bool(
+        "wait",
+        False,
+        "With apply, wait until every node has the version in force; with drain, until the "
+        "endpoint has left.",
+        flag_values=values,
+    )
+    flags.DEFINE_float(
+        "wait_timeout_s",
+        DEFAULT_WAIT_TIMEOUT_S,
+        "Longest time for --wait, in seconds.",
+        lower_bound=0.0,
+        flag_values=values,
+    )
+    flags.DEFINE_integer(
+        "limit",
+        DEFAULT_LIMIT,
+        "Versions that history shows, the latest first.",
+        lower_bound=1,
+        upper_bound=MAX_LIMIT,
+        flag_values=values,
+    )
+    flags.DEFINE_bool("json", False, "Print JSON instead of tables.", flag_values=values)
+    return values
+
+
+def from_flags(values: flags.FlagValues) -> Options:
+    """Return the options of a parsed command line; raises `InvalidCommand`."""
+    given: dict[str, typing.Any] = values.flag_values_dict()
+    return Options(
+        platform_url=_url("platform", given["platform"]),
+        node_url=_url("node", given["node"]),
+        key_file=None if given["key_file"] is None else pathlib.Path(given["key_file"]),
+        operator=given["operator"] or _user(),
+        on_version=given["on_version"],
+        wait=given["wait"],
+        wait_timeout_s=given["wait_timeout_s"],
+        limit=given["limit"],
+        as_json=given["json"],
+    )
+
+
+def shared_key(options: Options) -> str:
+    """Return the shared key; raises `UserError`."""
+    if options.key_file is None:
+        key = os.environ.get(KEY_VARIABLE, "")
+        place = f"{KEY_VARIABLE} in the environment"
+    else:
+        key = _read(options.key_file)
+        place = str(options.key_file)
+    key = key.strip()
+    if not key:
+        raise exceptions.UserError(f"no shared key in {place}; see --key_file")
+    if not (key.isascii() and key.isprintable()):
+        raise exceptions.UserError(f"the shared key in {place} is not printable ASCII")
+    return key
+
+
+def _read(path: pathlib.Path) -> str:
+    try:
+        return path.read_text("utf-8")
+    except OSError as error:
+        raise exceptions.UserError(f"{path}: {error.strerror}") from error
+    except UnicodeDecodeError as error:
+        raise exceptions.UserError(f"{path}: is not text") from error
+
+
+def _user() -> str:
+    try:
+        return getpass.getuser()
+    except (KeyError, OSError) as error:
+        raise exceptions.InvalidCommand("your user has no name; give --operator") from error
+
+
+def _url(name: str, text: str) -> str:
+    url = text.rstrip("/")
+    if _URL.fullmatch(url) is None:
+        raise exceptions.InvalidCommand(f"--{name}: {text!r} is not a URL such as http://HOST:PORT")
+    return url
--- /dev/null
+++ b/packages/goldcrestgrade-operator/goldcrestgrade_operator/output.py
@@ -0,0 +1,66 @@
+"""Output of commands: tables for people, JSON for scripts."""
+
+from __future__ import annotations
+
+import datetime
+import sys
+import typing
+
+import orjson
+import rich.box
+import rich.console
+import rich.table
+
+from goldcrestgrade import findings, instants
+
+PIPED_WIDTH = 200
+"""Width of tables that no terminal shows, in characters."""
+
+Cells = tuple[object, ...]
+"""Values of one row of a table."""
+
+
+class Table(typing.NamedTuple):
+    """A table with a title."""
+
+    title: str
+    columns: tuple[str, ...]
+    rows: typing.Sequence[Cells]
+
+
+def show(document: object, table: Table, as_json: bool) -> None:
+    """Print `document` as one line of JSON, or `table`."""
+    if as_json:
+        print(orjson.dumps(document).decode())
+    else:
+        console(sys.stdout).print(_rendered(table))
+
+
+def show_warnings(warnings: typing.Iterable[findings.Finding]) -> None:
+    """Print warnings to standard error."""
+    for warning in warnings:
+        print(warning, file=sys.stderr)
+
+
+def console(stream: typing.TextIO) -> rich.console.Console:
+    """Return a console that does not fold tables where `stream` is no terminal."""
+    width = None if stream.isatty() else PIPED_WIDTH
+    return rich.console.Console(file=stream, width=width, highlight=False, markup=False)
+
+
+def time_text(wall: instants.WallInstant) -> str:
+    """Return a wall instant in the time zone of the operator."""
+    return datetime.datetime.fromtimestamp(wall).astimezone().isoformat(" ", "seconds")
+
+
+def _rendered(table: Table) -> rich.table.Table:
+    rendered = rich.table.Table(
+        *table.columns,
+        title=table.title or None,
+        title_justify="left",
+        box=rich.box.SIMPLE_HEAD,
+        show_header=any(table.columns),
+    )
+    for row in table.rows:
+        rendered.add_row(*(str(cell) for cell in row))
+    return rendered
--- /dev/null
+++ b/packages/goldcrestgrade-operator/goldcrestgrade_operator/platforms.py
@@ -0,0 +1,51 @@
+"""The platform's services as the commands reach them."""
+
+from __future__ import annotations
+
+import collections.abc
+import contextlib
+import typing
+
+import aiohttp
+import pydantic
+
+from goldcrestgrade import exceptions, http_client, sheet
+from goldcrestgrade.platform import http_objects, http_tables, tables
+
+CONNECTIONS = 8
+"""Connections that a command holds at most."""
+
+KEEPALIVE_S = 5.0
+"""Time after which an unused connection is closed."""
+
+
+class Platform(typing.NamedTuple):
+    """Clients of the platform's services."""
+
+    store: tables.TableService
+    objects: tables.ObjectStore
+
+
+@contextlib.asynccontextmanager
+async def connect(url: str) -> collections.abc.AsyncIterator[Platform]:
+    """Yield clients of the platform at `url`; its failures become a `UserError`."""
+    try:
+        async with http_client.open_session(CONNECTIONS, KEEPALIVE_S) as session:
+            yield Platform(
+                http_tables.HttpTables(session, url), http_objects.HttpObjects(session, url)
+            )
+    except pydantic.ValidationError as error:
+        raise exceptions.UserError(
+            f"{url}: does not answer as the platform's services do"
+        ) from error
+    except (tables.ReadError, tables.ObjectError, aiohttp.ClientError, OSError) as error:
+        cause = error.__cause__ or error
+        raise exceptions.UserError(f"{url}: the platform did not answer: {cause}") from error
+
+
+async def fetch_sheet(platform: Platform, head: sheet.HeadDocument) -> sheet.Sheet:
+    """Return the sheet that `head` names; raises `UserError` or `ObjectError`."""
+    body = await platform.objects.get(head["object_name"])
+    if body is None:
+        raise exceptions.UserError(f"version {head['version']}: {head['object_name']} is missing")
+    return sheet.compile_sheet(head["version"], body)
--- /dev/null
+++ b/packages/goldcrestgrade-operator/goldcrestgrade_operator/sheets/changes.py
@@ -0,0 +1,47 @@
+"""Changes between two sheets."""
+
+from __future__ import annotations
+
+import itertools
+import typing
+
+from goldcrestgrade import sheet
+
+NOTHING = "-"
+"""Stands for the value of what is absent."""
+
+
+class Change(typing.NamedTuple):
+    """One difference between two sheets."""
+
+    service: str
+    what: str
+    before: str
+    after: str
+
+
+def between(old: sheet.SheetDocument | None, new: sheet.SheetDocument) -> list[Change]:
+    """Return the differences from `old` to `new`, by service."""
+    before = _flat(old) if old is not None else {}
+    after = _flat(new)
+    keys = dict.fromkeys(itertools.chain(before, after))
+    return sorted(
+        Change(*key, before.get(key, NOTHING), after.get(key, NOTHING))
+        for key in keys
+        if before.get(key) != after.get(key)
+    )
+
+
+def _flat(document: sheet.SheetDocument) -> dict[tuple[str, str], str]:
+    flat: dict[tuple[str, str], str] = {}
+    for service in document["services"]:
+        flat[service["name"], "regions"] = " ".join(service["regions"])
+        # The order counts, since the first kind that matches is taken.
+        for number, kind in enumerate(service["kinds"], start=1):
+            flat[service["name"], f"kind {number}"] = _describe(kind)
+    return flat
+
+
+def _describe(kind: sheet.KindDocument) -> str:
+    treatment = "run once" if kind["run_once"] else "idempotent"
+    return f"{kind['method']} {kind['path']}, {treatment}, {kind['timeout_s']:g} s"
--- /dev/null
+++ b/packages/goldcrestgrade-operator/tests/test_commands.py
@@ -0,0 +1,184 @@
+from __future__ import annotations
+
+import pathlib
+
+import orjson
+import pytest
+
+from goldcrestgrade import exceptions
+from goldcrestgrade_operator import command_table, options
+from goldcrestgrade_operator.commands import apply
+from goldcrestgrade_operator.sheets import acceptance
+
+HEADER = "day,service,regions,method,path,run_once,timeout_s\n"
+ROWS = "{day},archive,khomas,GET,/letters/*,no,5\n{day},archive,khomas,POST,*,yes,10\n"
+
+
+@pytest.fixture
+def sheet_of(tmp_path):
+    def write(day: str) -> str:
+        path = tmp_path / f"{day}.csv"
+        path.write_text(HEADER + ROWS.format(day=day), "utf-8")
+        return str(path)
+
+    return write
+
+
+def test_applied_sheet_is_in_the_history_and_applying_it_again_changes_nothing(command, sheet_of):
+    path = sheet_of("2026-01-02")
+    assert command("apply", path, "--json")[0] == 0
+    _, out, _ = command("apply", path, "--json")
+    assert orjson.loads(out) == {
+        "version": 1,
+        "day": "2026-01-02",
+        "changed": False,
+        "nodes": None,
+    }
+    _, out, _ = command("history", "--json")
+    assert [(head["version"], head["operator"]) for head in orjson.loads(out)] == [(1, "anna")]
+
+
+def test_diff_names_each_change(command, sheet_of):
+    command("apply", sheet_of("2026-01-02"))
+    other = sheet_of("2026-01-03")
+    with pathlib.Path(other).open("a", encoding="utf-8") as file:
+        file.write("2026-01-03,intake,oshana,*,*,yes,9\n")
+    _, out, _ = command("diff", other, "--json")
+    changes = orjson.loads(out)["changes"]
+    assert [(c["service"], c["what"], c["after"]) for c in changes] == [
+        ("intake", "kind 1", "* *, run once, 9 s"),
+        ("intake", "regions", "oshana"),
+    ]
+
+
+def test_history_shows_the_latest_versions_first(command, sheet_of):
+    for day in range(1, 6):
+        command("apply", sheet_of(f"2026-01-0{day}"))
+    _, out, _ = command("history", "--json", "--limit=2")
+    assert [head["version"] for head in orjson.loads(out)] == [5, 4]
+
+
+def test_older_day_and_overtaken_version_are_refused_in_one_line(command, sheet_of):
+    command("apply", sheet_of("2026-01-02"))
+    status, _, err = command("apply", sheet_of("2026-01-01"))
+    assert (status, err.count("\n")) == (1, 1)
+    assert "2026-01-02" in err
+    status, _, err = command("apply", sheet_of("2026-01-03"), "--on_version=0")
+    assert (status, err.count("\n")) == (1, 1)
+    assert "anna was first, with version 1 for 2026-01-02" in err
+
+
+def test_invalid_sheet_exits_2_with_all_findings_and_changes_nothing(command, tmp_path, store):
+    path = tmp_path / "bad.csv"
+    path.write_text(HEADER + "x,y y,,FETCH,/,maybe,0\n", "utf-8")
+    status, _, err = command("apply", str(path))
+    assert status == 2
+    assert [line.split(":")[2] for line in err.splitlines()] == [
+        "day",
+        "service",
+        "regions",
+        "method",
+        "run_once",
+        "timeout_s",
+    ]
+    assert not store.rows
+
+
+def test_wait_counts_the_nodes_that_have_the_version(command, node, sheet_of):
+    _, out, _ = command("apply", sheet_of("2026-01-02"), "--wait", "--json")
+    assert orjson.loads(out)["nodes"] == 2
+    node.behind = {"archive-2"}
+    path = sheet_of("2026-01-03")
+    status, _, err = command("apply", path, "--wait", "--wait_timeout_s=0")
+    assert status == 4
+    assert "1 of 2 nodes" in err
+    assert "behind: archive-2" in err
+
+
+def test_undecided_apply_exits_3_and_advises_the_history():
+    with pytest.raises(exceptions.UndecidedError, match="run history") as caught:
+        apply.accepted_version(acceptance.Undecided("no answer"))
+    assert caught.value.exit_status == 3
+
+
+@pytest.mark.parametrize("name", ["status", "endpoints"])
+def test_nodes_and_endpoints_are_shown(command, name):
+    status, out, _ = command(name)
+    assert status == 0
+    assert "archive-2" in out
+
+
+def test_drain_waits_until_the_endpoint_has_left(command):
+    status, out, _ = command("drain", "archive-1", "--wait", "--json")
+    assert (status, orjson.loads(out)) == (0, {"node_id": "archive-1", "state": "left"})
+    status, _, err = command("drain", "archive-9")
+    assert (status, err.count("\n")) == (1, 1)
+
+
+def test_explain_tells_the_kind_of_a_request_and_why(command, sheet_of):
+    command("apply", sheet_of("2026-01-02"))
+    _, out, _ = command("explain", "archive", "delete", "/letters/1", "--json")
+    explanation = orjson.loads(out)[0]
+    assert explanation["run_once"] is True
+    assert "DELETE is not a safe method" in explanation["why"]
+    _, out, _ = command("explain", "archive", "GET", "/letters/1", "--json")
+    assert orjson.loads(out)[0]["kind"] == "GET /letters/*"
+
+
+def test_explain_tells_what_to_do_about_a_reason(command):
+    _, out, _ = command("explain", "timed_out", "--json")
+    metrics = [explanation["metric"] for explanation in orjson.loads(out)]
+    assert metrics == [
+        'goldcrestgrade_unknowns_total{reason="timed_out"}',
+        'goldcrestgrade_retries_total{reason="timed_out"}',
+    ]
+    assert command("explain", "bogus")[0] == 1
+
+
+@pytest.mark.parametrize(
+    "arguments",
+    [
+        ("status", "--node=http://127.0.0.1:9"),
+        ("history", "--platform=http://127.0.0.1:9"),
+        ("status", "--key_file=/nonexistent"),
+    ],
+)
+def test_wrong_address_or_key_file_gives_one_line(command, arguments):
+    status, out, err = command(*arguments)
+    assert (status, out, err.count("\n")) == (1, "", 1)
+
+
+def test_server_that_is_no_node_and_no_platform_gives_one_line(command, node):
+    assert command("history", f"--platform={node.url}")[0] == 1
+
+
+def test_wrong_key_gives_one_line(command, monkeypatch):
+    monkeypatch.setenv(options.KEY_VARIABLE, "another-shared-key")
+    status, _, err = command("status")
+    assert (status, err.count("\n")) == (1, 1)
+    assert "shared key" in err
+
+
+@pytest.mark.parametrize(
+    "arguments", [(), ("bogus",), ("check",), ("status", "--bogus"), ("status", "--node=x")]
+)
+def test_wrong_command_line_exits_2(command, arguments):
+    status, out, err = command(*arguments)
+    assert (status, out) == (2, "")
+    assert err
+
+
+@pytest.mark.parametrize("flag", ["--help", "--helpfull"])
+def test_help_names_every_command_flag_and_exit_status(command, flag):
+    status, out, _ = command(flag)
+    assert status == 0
+    assert "absl" not in out
+    assert "flagfile" not in out
+    named = [*command_table.COMMANDS, *map(str, command_table.EXIT_STATUSES)]
+    named += ["--platform", "--node", "--key_file", "--wait", "--json", "--on_version"]
+    assert [word for word in named if word not in out] == []
+
+
+def test_no_flag_takes_the_shared_key_itself():
+    names = [name for name in options.define() if "key" in name]
+    assert names == ["key_file"]
--- a/packages/goldcrestgrade/goldcrestgrade/exceptions.py
+++ b/packages/goldcrestgrade/goldcrestgrade/exceptions.py
@@ -20,6 +20,7 @@
 
     def __init__(self, faults: collections.abc.Sequence[findings.Finding]) -> None:
         self.faults = tuple(faults)
+        """Every finding, warnings included."""
         super().__init__("\n".join(str(fault) for fault in self.faults))
 
 
@@ -27,3 +28,15 @@
     """A command line that names no command, or a flag that does not exist."""
 
     exit_status = 2
+
+
+class UndecidedError(UserError):
+    """A change of which it is not known whether it took effect."""
+
+    exit_status = 3
+
+
+class WaitTimeout(UserError):
+    """A change that took effect, but was not seen everywhere in time."""
+
+    exit_status = 4
--- a/packages/goldcrestgrade/goldcrestgrade/reasons.py
+++ b/packages/goldcrestgrade/goldcrestgrade/reasons.py
@@ -1,4 +1,4 @@
-"""Every reason for a refusal, an unknown outcome or a retry; each has its counter."""
+"""Every reason for a refusal, an unknown outcome or a retry, and every event, each counted."""
 
 from __future__ import annotations
 
@@ -53,3 +53,10 @@
     BROKEN = "broken"
     TIMED_OUT = "timed_out"
     HEDGED = "hedged"
+
+
+class Event(enum.StrEnum):
+    """What else a node counts."""
+
+    SHEET_STALE_IGNORED = "sheet_stale_ignored"
+    SHEET_INVALID_IGNORED = "sheet_invalid_ignored"
--- a/packages/goldcrestgrade/goldcrestgrade/sheet.py
+++ b/packages/goldcrestgrade/goldcrestgrade/sheet.py
@@ -126,12 +126,16 @@
     regions: frozenset[str]
     rules: tuple[_Rule, ...]
 
-    def kind(self, method: str, path: str) -> Kind:
-        """Return the first kind that matches; an unlisted method that is not safe runs once."""
+    def listed_kind(self, method: str, path: str) -> Kind | None:
+        """Return the first kind of the sheet that matches, or none."""
         for rule in self.rules:
             if rule.method in (ANY_METHOD, method) and rule.pattern.match(path):
                 return rule.kind
-        return Kind(
+        return None
+
+    def kind(self, method: str, path: str) -> Kind:
+        """Return the first kind that matches; an unlisted method that is not safe runs once."""
+        return self.listed_kind(method, path) or Kind(
             name=f"{method} (unlisted)",
             run_once=method not in SAFE_METHODS,
             timeout_s=DEFAULT_TIMEOUT_S,
--- a/packages/goldcrestgrade/goldcrestgrade/telemetry.py
+++ b/packages/goldcrestgrade/goldcrestgrade/telemetry.py
@@ -52,7 +52,7 @@
         ("refusals", counts.refusals, "reason", tuple(reasons.Refusal)),
         ("unknowns", counts.unknowns, "reason", tuple(reasons.Uncertainty)),
         ("retries", counts.retries, "reason", tuple(reasons.Retry)),
-        ("events", counts.events, "event", ()),
+        ("events", counts.events, "event", tuple(reasons.Event)),
     )
     for name, counter, label, known in families:
         meter.create_observable_counter(
