Measure the latency that a node adds on real sockets

Cause: the added latency was only seen in the demo, mixed with other load. Stand-in endpoints run as processes and take the faults of the routing issue as a typed behaviour.

--- a/Makefile
+++ b/Makefile
@@ -31,4 +31,7 @@
 demo: install ## Run the Letters Desk on loopback for half a minute
 	$(BIN)/python -m goldcrestgrade_testing.demo
 
-.PHONY: help install test lint format demo
+latency: install ## Measure the latency that a node adds to a call, on real sockets
+	$(BIN)/python -m goldcrestgrade_testing.latency --seed=$(SEED) --json=latency.json
+
+.PHONY: help install test lint format demo latency
--- a/packages/goldcrestgrade-testing/goldcrestgrade_testing/endpoint_server.py
+++ b/packages/goldcrestgrade-testing/goldcrestgrade_testing/endpoint_server.py
@@ -5,13 +5,17 @@
 import asyncio
 import dataclasses
 import itertools
+import os
 import random
+import sys
 import typing
 
 import aiohttp
 import orjson
+import pydantic
+import typing_extensions
 
-from goldcrestgrade import headers, outcomes, settings
+from goldcrestgrade import headers, http_client, outcomes, settings
 from goldcrestgrade_node import asgi, servers
 from goldcrestgrade_node.endpoint import lifecycle
 
@@ -22,6 +26,10 @@
 """One-way delay of a request from another region."""
 
 
+STALL_POLL_S = 0.01
+"""Time between looks at whether a stall has ended."""
+
+
 @dataclasses.dataclass
 class Behaviour:
     """How an endpoint treats its requests; tests change it while it runs."""
@@ -36,6 +44,37 @@
     """Load that it reports whatever it has."""
     failing: bool = False
     """Answers every request at once with status 500."""
+    cold_requests: int = 0
+    """Requests after the start that take `cold_time_s` each."""
+    cold_time_s: float = 0.0
+    shedding: bool = False
+    """Sheds every request before any effect."""
+    stalled: bool = False
+    """Holds the requests that it has started until this is false."""
+    draining: bool = False
+    """Sheds new requests and tells its node that it leaves."""
+    crash_marker: str | None = None
+    """Text in a request's target at which the endpoint crashes."""
+
+
+class EndpointSettings(typing_extensions.TypedDict):
+    """How a stand-in that runs as a process of its own is started."""
+
+    service: str
+    name: str
+    region: str
+    address: settings.Address
+    control_url: str
+    shared_key: str
+    behaviour: Behaviour
+
+
+SETTINGS: pydantic.TypeAdapter[EndpointSettings] = pydantic.TypeAdapter(EndpointSettings)
+
+
+def crash_process() -> typing.NoReturn:
+    """End the process without any cleanup."""
+    os._exit(70)
 
 
 class Execution(typing.NamedTuple):
@@ -50,14 +89,23 @@
     """An endpoint of one service; owned by its event loop."""
 
     def __init__(
-        self, service: str, name: str, region: str, behaviour: Behaviour, rng: random.Random
+        self,
+        service: str,
+        name: str,
+        region: str,
+        behaviour: Behaviour,
+        rng: random.Random,
+        crash: typing.Callable[[], None] = crash_process,
     ) -> None:
         self.service = service
         self.name = name
         self.region = region
         self.behaviour = behaviour
         self.rng = rng
+        self.crash = crash
         self.in_flight = 0
+        self.cancelled = 0
+        """Requests given up because their caller went away."""
         self.slots = asyncio.Semaphore(behaviour.slots)
         self.executions: list[Execution] = []
 
@@ -67,7 +115,9 @@
         received = dict(asgi.headers_of(scope))
         if received.get(headers.CALLER_REGION, self.region) != self.region:
             await asyncio.sleep(2 * REGION_DELAY_S)
-        answer = await self._answer(scope, received, body or b"")
+        answer = await self._answer(scope, receive, received, body or b"")
+        if answer is None:
+            return
         answer = answer._replace(
             headers=(
                 *answer.headers,
@@ -78,19 +128,16 @@
         await asgi.send_answer(send, answer, received.get(headers.REQUEST_ID, ""))
 
     async def _answer(
-        self, scope: asgi.Scope, received: dict[str, str], body: bytes
-    ) -> outcomes.Answer:
-        if self.in_flight >= self.behaviour.slots + self.behaviour.queue_limit:
+        self, scope: asgi.Scope, receive: asgi.Receive, received: dict[str, str], body: bytes
+    ) -> outcomes.Answer | None:
+        if self._sheds():
             return outcomes.Answer(503, ((headers.NOT_RUN, "1"),), b"")
         if self.behaviour.failing:
             return outcomes.Answer(500, (), b"failed")
-        self.in_flight += 1
-        try:
-            async with self.slots:
-                self._record(scope, received)
-                await asyncio.sleep(self._service_time_s())
-        finally:
-            self.in_flight -= 1
+        if self.behaviour.crash_marker and self.behaviour.crash_marker in asgi.target_of(scope):
+            self.crash()
+        if not await self._work(scope, receive, received):
+            return None
         document = {
             "endpoint": self.name,
             "path": scope["path"],
@@ -99,6 +146,36 @@
         }
         return outcomes.Answer(200, (("content-type", "application/json"),), orjson.dumps(document))
 
+    async def _work(
+        self, scope: asgi.Scope, receive: asgi.Receive, received: dict[str, str]
+    ) -> bool:
+        """Work on a request; return false where its caller went away meanwhile."""
+        self.in_flight += 1
+        working = asyncio.create_task(self._work_in_slot(scope, received))
+        leaving = asyncio.create_task(_disconnected(receive))
+        try:
+            await asyncio.wait((working, leaving), return_when=asyncio.FIRST_COMPLETED)
+            if working.done():
+                working.result()
+                return True
+            self.cancelled += 1
+            return False
+        finally:
+            self.in_flight -= 1
+            working.cancel()
+            leaving.cancel()
+
+    async def _work_in_slot(self, scope: asgi.Scope, received: dict[str, str]) -> None:
+        async with self.slots:
+            self._record(scope, received)
+            await asyncio.sleep(self._service_time_s())
+            while self.behaviour.stalled:
+                await asyncio.sleep(STALL_POLL_S)
+
+    def _sheds(self) -> bool:
+        full = self.in_flight >= self.behaviour.slots + self.behaviour.queue_limit
+        return full or self.behaviour.shedding or self.behaviour.draining
+
     def _record(self, scope: asgi.Scope, received: dict[str, str]) -> None:
         self.executions.append(
             Execution(
@@ -109,6 +186,8 @@
         )
 
     def _service_time_s(self) -> float:
+        if len(self.executions) <= self.behaviour.cold_requests:
+            return self.behaviour.cold_time_s
         share = self.behaviour.jitter_share
         return self.behaviour.service_time_s * self.rng.uniform(1 - share, 1 + share)
 
@@ -122,6 +201,11 @@
         return [key for key, group in itertools.groupby(keys) if len(list(group)) > 1]
 
 
+async def _disconnected(receive: asgi.Receive) -> None:
+    while (await receive())["type"] != "http.disconnect":
+        pass
+
+
 async def announce_forever(
     endpoint: Endpoint,
     address: settings.Address,
@@ -130,7 +214,7 @@
     session: aiohttp.ClientSession,
 ) -> None:
     """Announce `endpoint` to its node again and again, until cancelled or until it has left."""
-    while True:
+    while not endpoint.behaviour.draining:
         document = lifecycle.AnnounceDocument(
             service=endpoint.service,
             host=address["host"],
@@ -139,19 +223,53 @@
             connections=220,
             in_flight=endpoint.in_flight,
         )
-        try:
-            async with session.post(
-                f"{control_url}/v1/endpoint",
-                data=orjson.dumps(document),
-                headers={headers.CONTROL_KEY: shared_key},
-                timeout=aiohttp.ClientTimeout(total=1.0),
-            ) as response:
-                await response.read()
-        except (aiohttp.ClientError, TimeoutError, OSError):
-            pass
+        await _tell_node(session, "POST", control_url, shared_key, orjson.dumps(document))
         await asyncio.sleep(ANNOUNCE_INTERVAL_S)
+    await _tell_node(session, "DELETE", control_url, shared_key, b"")
+
+
+async def _tell_node(
+    session: aiohttp.ClientSession, method: str, control_url: str, shared_key: str, body: bytes
+) -> None:
+    try:
+        async with session.request(
+            method,
+            f"{control_url}/v1/endpoint",
+            data=body,
+            headers={headers.CONTROL_KEY: shared_key},
+            timeout=aiohttp.ClientTimeout(total=1.0),
+        ) as response:
+            await response.read()
+    except (aiohttp.ClientError, TimeoutError, OSError):
+        pass
 
 
 async def serve(endpoint: Endpoint, address: settings.Address) -> None:
     """Serve `endpoint` at `address` until cancelled."""
     await servers.create(endpoint, address).serve()
+
+
+def main() -> None:
+    """Run one endpoint as a process, with the settings in the first argument as JSON."""
+    asyncio.run(_run(SETTINGS.validate_json(sys.argv[1])))
+
+
+async def _run(config: EndpointSettings) -> None:
+    endpoint = Endpoint(
+        config["service"],
+        config["name"],
+        config["region"],
+        config["behaviour"],
+        random.Random(config["address"]["port"]),
+    )
+    async with http_client.open_session(4, 20.0) as session, asyncio.TaskGroup() as group:
+        group.create_task(serve(endpoint, config["address"]))
+        group.create_task(
+            announce_forever(
+                endpoint, config["address"], config["control_url"], config["shared_key"], session
+            )
+        )
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/packages/goldcrestgrade-testing/goldcrestgrade_testing/latency/__init__.py
@@ -0,0 +1,1 @@
+"""Latency that a node adds to a call, measured on real sockets."""
--- /dev/null
+++ b/packages/goldcrestgrade-testing/goldcrestgrade_testing/latency/__main__.py
@@ -0,0 +1,217 @@
+"""Measures the latency and the processor time that a node adds to a call."""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import contextlib
+import os
+import pathlib
+import statistics
+import sys
+import tempfile
+import typing
+
+import orjson
+from hdrh import histogram
+
+from goldcrestgrade import http_client, settings
+from goldcrestgrade_operator.sheets import acceptance
+from goldcrestgrade_testing import (
+    endpoint_server,
+    letters_desk,
+    memory_platform,
+    platform_server,
+    processes,
+)
+from goldcrestgrade_testing.latency import callers
+
+RATES = (50, 100, 200, 400, 800)
+"""Calls a second through the node."""
+
+ENDPOINTS = 2
+"""Endpoints that share the calls."""
+
+CALLER_PROCESSES = 2
+"""Processes that share the calling."""
+
+WARM_UP_S = 1.5
+"""Time at each rate before anything is recorded."""
+
+TARGET_ADDED_P99_MS = 1.2
+"""Latency that a node may add to a call for 99 in 100."""
+
+SERVICE = "archive"
+
+
+class Row(typing.NamedTuple):
+    """What was measured at one rate."""
+
+    rate: int
+    direct_p50_ms: float
+    direct_p99_ms: float
+    through_p50_ms: float
+    through_p99_ms: float
+    added_p50_ms: float
+    added_p99_ms: float
+    ratio_p99: float
+    node_cpu_us: float
+    """Processor time of the node for each call."""
+    caller_lag_p99_ms: float
+    failures: int
+    machine_load: float
+    """Mean number of runnable processes on the machine in the last minute."""
+
+
+class Bench(typing.NamedTuple):
+    """The processes that calls go to."""
+
+    node: processes.Process
+    node_url: str
+    direct_urls: list[str]
+
+
+def main() -> int:
+    """Run the measurement and print its table."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--seconds", type=float, default=6.0, help="load time at each rate")
+    parser.add_argument("--repeats", type=int, default=1)
+    parser.add_argument("--rates", type=int, nargs="+", default=RATES)
+    parser.add_argument("--json", type=pathlib.Path, help="file that takes the figures")
+    arguments = parser.parse_args()
+    rows = asyncio.run(
+        measure(arguments.rates, arguments.seconds, arguments.repeats, arguments.seed)
+    )
+    if arguments.json:
+        arguments.json.write_bytes(orjson.dumps([row._asdict() for row in rows]))
+    print(table(rows))
+    return 1 if any(row.failures for row in rows) else 0
+
+
+def table(rows: typing.Sequence[Row]) -> str:
+    """Return the rows as a Markdown table, with the median over all rows at the end."""
+    lines = [" | ".join(Row._fields), " | ".join("---" for _ in Row._fields)]
+    lines += [" | ".join(f"{value:.4g}" for value in row) for row in rows]
+    added = statistics.median(row.added_p99_ms for row in rows)
+    verdict = "within" if added <= TARGET_ADDED_P99_MS else "over"
+    summary = f"median added p99 {added:.2f} ms, {verdict} the target of {TARGET_ADDED_P99_MS} ms"
+    return "\n".join(f"| {line} |" for line in lines) + f"\n\n{summary}"
+
+
+async def measure(rates: typing.Iterable[int], load_s: float, repeats: int, seed: int) -> list[Row]:
+    """Return a row for each rate and repeat."""
+    async with contextlib.AsyncExitStack() as stack:
+        bench = await _start(stack)
+        return [
+            await _measure_rate(bench, rate, load_s, seed + repeat)
+            for repeat in range(repeats)
+            for rate in rates
+        ]
+
+
+async def _start(stack: contextlib.AsyncExitStack) -> Bench:
+    ports = processes.free_ports(1 + 3 * ENDPOINTS)
+    folder = pathlib.Path(stack.enter_context(tempfile.TemporaryDirectory()))
+    tables = memory_platform.MemoryTables()
+    objects = memory_platform.MemoryObjects()
+    serving = asyncio.create_task(platform_server.serve(_address(ports[0]), tables, objects))
+    stack.callback(serving.cancel)
+    document = letters_desk.sheet_document("2026-01-01")
+    await acceptance.accept(tables, objects, document, await acceptance.read_head(tables), "bench")
+    places = [_place(index, ports[1 + 3 * index :]) for index in range(ENDPOINTS)]
+    started: list[processes.Process] = []
+    stack.callback(processes.stop_at_once, started)
+    for place in places:
+        started.append(processes.start_node(letters_desk.node_settings(place, ports[0]), folder))
+        started.append(processes.start_endpoint(_endpoint_settings(place)))
+    session = await stack.enter_async_context(http_client.open_session(10, 5.0))
+    for place in places:
+        url = f"http://{letters_desk.HOST}:{place.control_port}"
+        await processes.wait_ready(url, letters_desk.SHARED_KEY, ENDPOINTS, session)
+    return Bench(
+        started[0],
+        f"http://{letters_desk.HOST}:{places[0].calls_port}/letters/1",
+        [f"http://{letters_desk.HOST}:{place.endpoint_port}/letters/1" for place in places],
+    )
+
+
+async def _measure_rate(bench: Bench, rate: int, load_s: float, seed: int) -> Row:
+    plan = callers.Plan(
+        direct_urls=bench.direct_urls,
+        node_url=bench.node_url,
+        service=SERVICE,
+        rate=rate / CALLER_PROCESSES,
+        warm_up_s=WARM_UP_S,
+        load_s=load_s,
+        seed=seed,
+    )
+    cpu_before_s = processes.cpu_s(bench.node)
+    results = await asyncio.gather(
+        *(_run_callers({**plan, "seed": seed * 100 + n}) for n in range(CALLER_PROCESSES))
+    )
+    cpu_s = processes.cpu_s(bench.node) - cpu_before_s
+    direct = _merged(result["direct"] for result in results)
+    through = _merged(result["through"] for result in results)
+    lag = _merged(result["lag"] for result in results)
+    return Row(
+        rate=rate,
+        direct_p50_ms=_ms(direct, 50),
+        direct_p99_ms=_ms(direct, 99),
+        through_p50_ms=_ms(through, 50),
+        through_p99_ms=_ms(through, 99),
+        added_p50_ms=_ms(through, 50) - _ms(direct, 50),
+        added_p99_ms=_ms(through, 99) - _ms(direct, 99),
+        ratio_p99=_ms(through, 99) / _ms(direct, 99),
+        node_cpu_us=cpu_s * 1e6 / sum(result["calls"] for result in results),
+        caller_lag_p99_ms=_ms(lag, 99),
+        failures=sum(result["failures"] for result in results),
+        machine_load=os.getloadavg()[0],
+    )
+
+
+async def _run_callers(plan: callers.Plan) -> callers.Result:
+    process = await asyncio.create_subprocess_exec(
+        sys.executable,
+        "-m",
+        "goldcrestgrade_testing.latency.callers",
+        orjson.dumps(plan).decode(),
+        stdout=asyncio.subprocess.PIPE,
+    )
+    output, _ = await process.communicate()
+    return callers.RESULT.validate_json(output)
+
+
+def _merged(encoded: typing.Iterable[str]) -> typing.Any:
+    merged = callers.new_histogram()
+    for one in encoded:
+        merged.add(histogram.HdrHistogram.decode(one))
+    return merged
+
+
+def _ms(latencies: typing.Any, percentile: float) -> float:
+    return float(latencies.get_value_at_percentile(percentile)) / 1000
+
+
+def _address(port: int) -> settings.Address:
+    return {"host": letters_desk.HOST, "port": port}
+
+
+def _place(index: int, ports: typing.Sequence[int]) -> letters_desk.Place:
+    return letters_desk.Place(SERVICE, "khomas-a", "khomas", f"{SERVICE}-{index}", *ports[:3])
+
+
+def _endpoint_settings(place: letters_desk.Place) -> endpoint_server.EndpointSettings:
+    return endpoint_server.EndpointSettings(
+        service=place.service,
+        name=place.node_id,
+        region=place.region,
+        address=_address(place.endpoint_port),
+        control_url=f"http://{letters_desk.HOST}:{place.control_port}",
+        shared_key=letters_desk.SHARED_KEY,
+        behaviour=endpoint_server.Behaviour(service_time_s=0.0, jitter_share=0.0, slots=1000),
+    )
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/packages/goldcrestgrade-testing/goldcrestgrade_testing/latency/callers.py
@@ -0,0 +1,122 @@
+"""One process of callers: open-loop calls, direct and through a node in turns."""
+
+from __future__ import annotations
+
+import asyncio
+import gc
+import itertools
+import random
+import sys
+import time
+import typing
+
+import aiohttp
+import orjson
+import pydantic
+import typing_extensions
+from hdrh import histogram
+
+from goldcrestgrade import headers, http_client
+
+LONGEST_US = 60_000_000
+"""Longest latency recorded, in microseconds."""
+
+
+class Plan(typing_extensions.TypedDict):
+    """What one process of callers does."""
+
+    direct_urls: list[str]
+    node_url: str
+    service: str
+    rate: float
+    """Calls a second on each of the two ways."""
+    warm_up_s: float
+    load_s: float
+    seed: int
+
+
+class Result(typing_extensions.TypedDict):
+    """What one process of callers saw; the histograms are encoded."""
+
+    direct: str
+    through: str
+    lag: str
+    """How late calls were begun."""
+    calls: int
+    """Calls through the node, those of the warm-up included."""
+    failures: int
+
+
+PLAN: pydantic.TypeAdapter[Plan] = pydantic.TypeAdapter(Plan)
+RESULT: pydantic.TypeAdapter[Result] = pydantic.TypeAdapter(Result)
+
+
+def new_histogram() -> typing.Any:
+    """Return an empty histogram of microseconds."""
+    return histogram.HdrHistogram(1, LONGEST_US, 3)
+
+
+class Callers:
+    """The calls of one process; owned by one task."""
+
+    def __init__(self, session: aiohttp.ClientSession, plan: Plan) -> None:
+        self.session = session
+        self.plan = plan
+        self.rng = random.Random(plan["seed"])
+        self.direct = new_histogram()
+        self.through = new_histogram()
+        self.lag = new_histogram()
+        self.calls = 0
+        self.failures = 0
+
+    async def run(self) -> Result:
+        """Make the calls of the plan, each at its own time."""
+        begun = time.perf_counter()
+        recorded_from = begun + self.plan["warm_up_s"]
+        until = recorded_from + self.plan["load_s"]
+        due = begun
+        async with asyncio.TaskGroup() as group:
+            for number in itertools.count():
+                due += self.rng.expovariate(2 * self.plan["rate"])
+                if due >= until:
+                    break
+                await asyncio.sleep(max(0.0, due - time.perf_counter()))
+                group.create_task(self._call(number % 2 == 0, due, due >= recorded_from))
+        return Result(
+            direct=self.direct.encode().decode(),
+            through=self.through.encode().decode(),
+            lag=self.lag.encode().decode(),
+            calls=self.calls,
+            failures=self.failures,
+        )
+
+    async def _call(self, through: bool, due: float, recorded: bool) -> None:
+        self.calls += through
+        url = self.plan["node_url"] if through else self.rng.choice(self.plan["direct_urls"])
+        started = time.perf_counter()
+        try:
+            whole = await self._answered(url)
+        except (aiohttp.ClientError, OSError):
+            whole = False
+        ended = time.perf_counter()
+        self.failures += not whole
+        if recorded and whole:
+            latencies = self.through if through else self.direct
+            latencies.record_value(int((ended - started) * 1e6))
+            self.lag.record_value(max(1, int((started - due) * 1e6)))
+
+    async def _answered(self, url: str) -> bool:
+        fields = {headers.SERVICE: self.plan["service"]}
+        async with self.session.get(url, headers=fields) as response:
+            return response.status == 200 and bool(await response.read())
+
+
+async def _main(plan: Plan) -> None:
+    async with http_client.open_session(1000, 30.0) as session:
+        gc.freeze()
+        gc.set_threshold(50_000)
+        print(orjson.dumps(await Callers(session, plan).run()).decode())
+
+
+if __name__ == "__main__":
+    asyncio.run(_main(PLAN.validate_json(sys.argv[1])))
--- /dev/null
+++ b/packages/goldcrestgrade-testing/goldcrestgrade_testing/processes.py
@@ -0,0 +1,110 @@
+"""Processes of a deployment on loopback, for tests and measurements."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import pathlib
+import signal
+import socket
+import subprocess
+import sys
+import time
+import typing
+
+import aiohttp
+import orjson
+
+from goldcrestgrade import headers, settings
+from goldcrestgrade_testing import endpoint_server, letters_desk
+
+START_TIMEOUT_S = 30.0
+"""Longest wait for a process to be ready."""
+
+STOP_TIMEOUT_S = 30.0
+"""Longest wait for a process to end after SIGTERM."""
+
+POLL_INTERVAL_S = 0.05
+"""Time between looks at the state of a process."""
+
+Process = subprocess.Popen[bytes]
+"""A child of the test or the measurement."""
+
+
+def free_ports(count: int) -> list[int]:
+    """Return ports of the loopback interface that are free now."""
+    with contextlib.ExitStack() as stack:
+        sockets = [stack.enter_context(socket.socket()) for _ in range(count)]
+        for one in sockets:
+            one.bind((letters_desk.HOST, 0))
+        return [one.getsockname()[1] for one in sockets]
+
+
+def start_node(config: settings.NodeSettings, folder: pathlib.Path) -> Process:
+    """Start a node whose settings file is written to `folder`."""
+    path = folder / f"{config['node_id']}.json"
+    path.write_bytes(orjson.dumps(config))
+    return start_module("goldcrestgrade_node", f"--settings={path}", "--log_level=warning")
+
+
+def start_endpoint(config: endpoint_server.EndpointSettings) -> Process:
+    """Start a stand-in of an endpoint."""
+    return start_module(
+        "goldcrestgrade_testing.endpoint_server", orjson.dumps(config).decode("utf-8")
+    )
+
+
+def start_module(name: str, *arguments: str) -> Process:
+    """Start a Python module with the interpreter of this process."""
+    return subprocess.Popen([sys.executable, "-m", name, *arguments])
+
+
+def stop(process: Process) -> int:
+    """End `process` if it still runs, at first by SIGTERM; return its exit status."""
+    if process.poll() is None:
+        process.send_signal(signal.SIGCONT)
+        process.terminate()
+        try:
+            process.wait(STOP_TIMEOUT_S)
+        except subprocess.TimeoutExpired:
+            process.kill()
+    return process.wait()
+
+
+def stop_at_once(processes: typing.Iterable[Process]) -> None:
+    """End `processes` without a drain."""
+    for process in processes:
+        process.kill()
+        process.wait()
+
+
+def cpu_s(process: Process) -> float:
+    """Return the processor time that `process` has used."""
+    fields = pathlib.Path(f"/proc/{process.pid}/stat").read_text("ascii").rpartition(")")[2].split()
+    return (int(fields[11]) + int(fields[12])) / 100
+
+
+async def wait_ready(
+    control_url: str, shared_key: str, endpoints: int, session: aiohttp.ClientSession
+) -> None:
+    """Wait until a node has a sheet and knows `endpoints` endpoints; raises `TimeoutError`."""
+    deadline = time.monotonic() + START_TIMEOUT_S
+    while await _ready_endpoints(control_url, shared_key, session) != endpoints:
+        if time.monotonic() > deadline:
+            raise TimeoutError(f"{control_url} is not ready")
+        await asyncio.sleep(POLL_INTERVAL_S)
+
+
+async def _ready_endpoints(
+    control_url: str, shared_key: str, session: aiohttp.ClientSession
+) -> int | None:
+    try:
+        async with session.get(
+            f"{control_url}/v1/status", headers={headers.CONTROL_KEY: shared_key}
+        ) as response:
+            status = orjson.loads(await response.read())
+    except (aiohttp.ClientError, OSError):
+        return None
+    if status["sheet_version"] == 0:
+        return None
+    return [member["state"] for member in status["members"]].count("ready")
