Ask the guard that holds a claim before calling it orphaned

Cause: a key resent to another node met a claim row without an answer and was answered 'unknown: claim_orphaned', although the first guard lived and had the answer. Change: the claim row names its guard's control address and its state. A guard that finds a foreign claim asks its holder: not started -> barred there and taken over by comparing the row's version; running -> waited for within the deadline; done -> replayed. Outcomes are written behind to the row in groups. The entry settles a lost reply on a new connection by attempt id, which bars an attempt that has not arrived; refused attempts stay barred until their deadline. The table service is reached through a breaker, a request budget and deadlines. Dated keys (UUID version 7) name their own deadline and their rows are swept.

--- a/packages/goldcrestgrade-node/goldcrestgrade_node/attempts/retries.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/attempts/retries.py
@@ -19,6 +19,7 @@
     {
         reasons.Refusal.GUARD_UNREACHED,
         reasons.Refusal.GUARD_DRAINING,
+        reasons.Refusal.CLAIM_BARRED,
         reasons.Refusal.ENDPOINT_REFUSED,
         reasons.Refusal.ENDPOINT_UNREACHED,
     }
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/commands/run.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/commands/run.py
@@ -13,7 +13,7 @@
 import aiohttp
 
 from goldcrestgrade import http_client, instants, outcomes, records, settings, sheet, telemetry
-from goldcrestgrade.platform import http_objects, http_tables
+from goldcrestgrade.platform import http_objects, http_tables, resilient_tables
 from goldcrestgrade_node import requests, servers
 from goldcrestgrade_node.attempts import results, transport
 from goldcrestgrade_node.configuration import adoption
@@ -23,7 +23,7 @@
 from goldcrestgrade_node.entry import app as entry_app
 from goldcrestgrade_node.entry import calls
 from goldcrestgrade_node.membership import exchange, members
-from goldcrestgrade_node.once import claims, guard, relay
+from goldcrestgrade_node.once import claims, guard, relay, relay_client, sweeper, write_behind
 from goldcrestgrade_node.routing import choice, evidence
 
 log = logging.getLogger(__name__)
@@ -43,6 +43,9 @@
 DRAIN_SPREAD_S = 2.0
 """Time in which all nodes hear that an endpoint drains."""
 
+FLUSH_TIMEOUT_S = 3.0
+"""Longest time that a planned stop waits for outcomes to be written."""
+
 TICK_S = 0.1
 """Time between looks at the lease and the drain of the endpoint."""
 
@@ -102,21 +105,27 @@
             self.touched,
             self.rng,
         )
-        self.committer = claims.Committer(store, self.clocks)
+        claim_store = resilient_tables.ResilientTables(store, self.clocks, self.rng)
+        self.committer = claims.Committer(claim_store, self.clocks)
+        self.writer = write_behind.WriteBehind(claim_store, self.clocks)
+        self.sweeper = sweeper.Sweeper(claim_store, self.clocks, self.rng)
+        port = relay.HttpPort(control_session, config["keys"][0], self.clocks)
         self.transport = transport.HttpTransport(call_session, self.clocks)
         self.guard = guard.Guard(
-            config["node_id"],
-            incarnation,
+            guard.Identity(config["node_id"], incarnation, records.control_url(self.own.record)),
             self.committer,
+            self.writer,
+            port,
             self.start,
             self.lifecycle.accepting,
+            self.endpoint_died,
             self.clocks,
         )
         self.calls = calls.Calls(
             choice.Caller(config["region"], config["failure_domain"]),
             self.evidences,
             self.transport.send,
-            relay.RelayClient(control_session, config["keys"][0], self.clocks).run,
+            relay_client.RelayClient(port, self.clocks).run,
             self.clocks,
             self.counts,
             self.rng,
@@ -148,6 +157,11 @@
             )
         )
 
+    def endpoint_died(self, request: requests.Request) -> None:
+        """Count a run-once request whose attempt ended with the endpoint's death."""
+        self.counts.events["endpoint_died"] += 1
+        log.warning("endpoint died", extra={"request_id": request.request_id})
+
     async def observed_run(self, request: requests.Request) -> outcomes.Outcome:
         """Run a request of a caller and record its latency."""
         started = self.clocks.monotonic()
@@ -214,6 +228,7 @@
                 "drain cut calls",
                 extra={"calls": self.counts.in_flight, "endpoint": self.lifecycle.in_flight},
             )
+        await self._until(self.writer.idle, self.clocks.monotonic() + FLUSH_TIMEOUT_S)
         self.lifecycle.finish(timed_out)
         await self.exchange.farewell()
 
@@ -258,6 +273,9 @@
             group.create_task(task)
             for task in (
                 node.committer.run(),
+                node.writer.run(),
+                node.guard.evict_forever(),
+                node.sweeper.sweep_forever(),
                 node.exchange.exchange_forever(),
                 node.exchange.lease_forever(),
                 node.sheets.poll_forever(),
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/once/guard.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/once/guard.py
@@ -12,18 +12,27 @@
 from goldcrestgrade.platform import tables
 from goldcrestgrade_node import requests
 from goldcrestgrade_node.attempts import results
-from goldcrestgrade_node.once import claims
+from goldcrestgrade_node.once import asking, bars, claims, keys, messages, write_behind
 
 log = logging.getLogger(__name__)
 
 CLAIM_TIMEOUT_S = 0.5
 """Longest wait for a claim."""
 
-KEEP_OUTCOME_S = 86400.0
-"""Time for which a key is remembered after its claim."""
-
 RETRY_AFTER_S = 2.0
-"""When a caller refused for want of the store may come back."""
+"""When a caller that was refused may come back, where nothing better is known."""
+
+MAX_EXECUTIONS = 20_000
+"""Largest number of executions that a guard keeps; beyond, new requests are refused."""
+
+MAX_KEPT_BYTES = 16 << 20
+"""Bytes of answers that a guard keeps; beyond, new requests are refused."""
+
+MAX_STORED_ANSWER_BYTES = 64 << 10
+"""Largest body of an answer that is written to the table service."""
+
+EVICT_INTERVAL_S = 1.0
+"""Time between looks for executions and bars past their deadlines."""
 
 CHART = statecharts.load("goldcrestgrade_node.statecharts", "claim")
 
@@ -31,136 +40,395 @@
 """Sends a request to the own endpoint; takes the attempt id."""
 
 
+class Identity(typing.NamedTuple):
+    """How a guard names itself in its claims."""
+
+    node_id: str
+    incarnation: int
+    control_url: str
+
+
 @dataclasses.dataclass(slots=True)
 class Execution:
     """The life of one key at its guard."""
 
+    row_key: str
     token: str
     digest: str
+    request: requests.Request
+    starts_before: instants.WallInstant
+    """Deadline for the start on the wall clock, which runs on while an instance is suspended."""
+    key_deadline: instants.WallInstant | None
     outcome: asyncio.Future[outcomes.Outcome]
+    attempts: dict[str, instants.Instant] = dataclasses.field(default_factory=dict)
+    """Deadlines of the attempts that wait for the outcome, by attempt id."""
     state: str = CHART.initial
     version: int = tables.ABSENT
-    """Commit version of the claim row, once known."""
+    """Commit version of the claim row, once the claim is held."""
+    written: bool = False
+    """Whether the row says the outcome."""
 
     def step(self, event: str) -> None:
         """Move to the state after `event`."""
         self.state = CHART.next_state(self.state, event)
 
+    def size(self) -> int:
+        """Return the bytes of the answer that is kept."""
+        outcome = self.outcome.result() if self.outcome.done() else None
+        return len(outcome.answer.body) if isinstance(outcome, outcomes.Ran) else 0
+
 
 class Guard:
     """The executions of one guard; owned by the event loop of the node."""
 
     def __init__(
         self,
-        node_id: str,
-        incarnation: int,
+        identity: Identity,
         committer: claims.Committer,
+        writer: write_behind.WriteBehind,
+        port: messages.Port,
         start: Start,
         accepting: typing.Callable[[], bool],
+        endpoint_died: typing.Callable[[requests.Request], None],
         clocks: instants.Clocks,
     ) -> None:
-        self.node_id = node_id
-        self.incarnation = incarnation
+        self.identity = identity
         self.committer = committer
+        self.writer = writer
+        self.port = port
         self.start = start
         self.accepting = accepting
+        self.endpoint_died = endpoint_died
         self.clocks = clocks
         self.executions: dict[str, Execution] = {}
+        self.attempts: dict[str, Execution] = {}
+        self.bars = bars.Bars()
+        self.kept_bytes = 0
         self.tasks: set[asyncio.Task[None]] = set()
 
-    async def run(self, request: requests.Request, attempt_id: str) -> outcomes.Outcome:
-        """Return how `request` ended here, or how the first request with its key did."""
-        key = f"{request.service}/{request.idempotency_key}"
-        digest = requests.digest(request)
-        execution = self.executions.get(key)
+    async def receive(self, message: messages.Message) -> messages.Reply:
+        """Return the reply to `message`."""
+        match message:
+            case messages.Run():
+                verdict: messages.Verdict = messages.Settled(await self.run(message))
+            case messages.Settle():
+                verdict = await self.settle(message)
+            case messages.Release():
+                verdict = await self.release(message)
+        return messages.Reply(message.attempt_id, verdict)
+
+    async def run(self, message: messages.Run) -> outcomes.Outcome:
+        """Return how the request ended here, or how the first request with its key did."""
+        execution = self._admit(message)
+        if isinstance(execution, outcomes.NotRun):
+            return execution
+        return await self._outcome_until(execution, message.request.deadline) or outcomes.Unknown(
+            reasons.Uncertainty.CLAIM_RUNNING
+        )
+
+    async def settle(self, message: messages.Settle) -> messages.Verdict:
+        """Return what became of an attempt; bar it where it has not arrived."""
+        execution = self.attempts.get(message.attempt_id)
+        if execution is not None:
+            outcome = await self._outcome_until(execution, message.reply_by)
+            return messages.Running() if outcome is None else messages.Settled(outcome)
+        refusal = self.bars.find(message.attempt_id)
+        if refusal is not None:
+            return messages.Settled(refusal)
+        if message.guard_incarnation != self.identity.incarnation:
+            return messages.Gone()
+        if self.clocks.monotonic() >= message.deadline or self.bars.covers(message.deadline):
+            return messages.Gone()
+        refusal = self._refusal(reasons.Refusal.GUARD_UNREACHED)
+        return messages.Settled(self.bars.add(message.attempt_id, message.deadline, refusal))
+
+    async def release(self, message: messages.Release) -> messages.Verdict:
+        """Give up a claim whose request has not started, or return how the request ended."""
+        if message.guard_incarnation != self.identity.incarnation:
+            return messages.Gone()
+        execution = self.executions.get(message.row_key)
+        # An execution that started stays here until its row says its outcome. So a claim that is
+        # not here was dropped before its start, or its row has another version by now.
+        if execution is None or execution.token != message.token:
+            return messages.Released()
+        if CHART.allows(execution.state, "barred"):
+            execution.step("barred")
+            return messages.Released()
+        outcome = await self._outcome_until(execution, message.reply_by)
+        if outcome is None:
+            return messages.Running()
+        return (
+            messages.Released()
+            if isinstance(outcome, outcomes.NotRun)
+            else messages.Settled(outcome)
+        )
+
+    async def evict_forever(self) -> None:
+        """Drop executions and bars past their deadlines, until cancelled."""
+        while True:
+            await asyncio.sleep(EVICT_INTERVAL_S)
+            self.evict()
+
+    def evict(self) -> None:
+        """Drop executions whose row says the outcome and whose attempts are past."""
+        now = self.clocks.monotonic()
+        self.bars.expire(now)
+        for execution in [e for e in self.executions.values() if self._evictable(e, now)]:
+            self.kept_bytes -= execution.size()
+            self._forget(execution)
+
+    def _evictable(self, execution: Execution, now: instants.Instant) -> bool:
+        past = all(until + bars.BAR_MARGIN_S <= now for until in execution.attempts.values())
+        return execution.written and past
+
+    def _admit(self, message: messages.Run) -> Execution | outcomes.NotRun:
+        known = self.attempts.get(message.attempt_id)
+        if known is not None:
+            return known
+        request = message.request
+        row_key = keys.row_key(request.service, request.idempotency_key or "")
+        execution = self.executions.get(row_key)
+        refusal = self.bars.find(message.attempt_id) or self._refuse(message, execution)
+        if refusal is not None:
+            return self.bars.add(message.attempt_id, request.deadline, refusal)
         if execution is None:
-            if not self.accepting():
-                return outcomes.NotRun(
-                    reasons.Refusal.GUARD_DRAINING, self.clocks.monotonic() + RETRY_AFTER_S
-                )
-            execution = self._begin(request, key, digest, attempt_id)
-        elif execution.digest != digest:
-            return outcomes.NotRun(reasons.Refusal.KEY_REUSED)
-        try:
-            async with asyncio.timeout_at(request.deadline):
-                return await asyncio.shield(execution.outcome)
-        except TimeoutError:
-            return outcomes.Unknown(reasons.Uncertainty.CLAIM_RUNNING)
+            execution = self._begin(request, row_key, message.attempt_id)
+        execution.attempts[message.attempt_id] = request.deadline
+        self.attempts[message.attempt_id] = execution
+        return execution
+
+    def _refuse(self, message: messages.Run, execution: Execution | None) -> outcomes.NotRun | None:
+        request = message.request
+        if message.guard_incarnation != self.identity.incarnation:
+            return self._refusal(reasons.Refusal.GUARD_UNREACHED)
+        if self.clocks.monotonic() >= request.deadline:
+            return outcomes.NotRun(reasons.Refusal.DEADLINE_PASSED)
+        if self.bars.covers(request.deadline):
+            return self._refusal(reasons.Refusal.CLAIM_BARRED)
+        key_deadline = keys.deadline(request.idempotency_key or "")
+        if key_deadline is not None and self.clocks.wall() >= key_deadline:
+            return outcomes.NotRun(reasons.Refusal.KEY_EXPIRED)
+        if execution is not None:
+            reused = execution.digest != requests.digest(request)
+            return outcomes.NotRun(reasons.Refusal.KEY_REUSED) if reused else None
+        if not self.accepting():
+            return self._refusal(reasons.Refusal.GUARD_DRAINING)
+        if len(self.executions) >= MAX_EXECUTIONS or self.kept_bytes >= MAX_KEPT_BYTES:
+            return self._refusal(reasons.Refusal.SATURATED)
+        return None
+
+    def _refusal(
+        self, reason: reasons.Refusal, retry_at: instants.Instant | None = None
+    ) -> outcomes.NotRun:
+        return outcomes.NotRun(reason, retry_at or self.clocks.monotonic() + RETRY_AFTER_S)
 
-    def _begin(
-        self, request: requests.Request, key: str, digest: str, attempt_id: str
-    ) -> Execution:
+    def _begin(self, request: requests.Request, row_key: str, attempt_id: str) -> Execution:
         execution = Execution(
+            row_key=row_key,
             token=uuid.uuid4().hex,
-            digest=digest,
+            digest=requests.digest(request),
+            request=request,
+            starts_before=self.clocks.to_wall(request.deadline),
+            key_deadline=keys.deadline(request.idempotency_key or ""),
             outcome=asyncio.get_running_loop().create_future(),
         )
-        self.executions[key] = execution
-        task = asyncio.create_task(self._execute(execution, request, key, attempt_id))
+        self.executions[row_key] = execution
+        task = asyncio.create_task(self._execute(execution, attempt_id))
         self.tasks.add(task)
         task.add_done_callback(self.tasks.discard)
         return execution
 
-    async def _execute(
-        self, execution: Execution, request: requests.Request, key: str, attempt_id: str
-    ) -> None:
-        claimed = await self.committer.claim(self._claim(execution, request, key))
-        match claimed:
-            case claims.Held(version=version):
-                execution.version = version
-                outcome = await self._run_claimed(execution, request, attempt_id)
-            case claims.Foreign(row=row):
-                execution.step("found_foreign")
-                outcome = self._resolve_foreign(execution, row)
-            case claims.Unclaimed(store_down=store_down):
-                execution.step("not_claimed")
-                refusal = (
-                    reasons.Refusal.STORE_UNAVAILABLE if store_down else reasons.Refusal.STORE_SLOW
-                )
-                outcome = outcomes.NotRun(refusal, self.clocks.monotonic() + RETRY_AFTER_S)
-        if isinstance(outcome, outcomes.NotRun):
-            self.executions.pop(key, None)
+    async def _execute(self, execution: Execution, attempt_id: str) -> None:
+        try:
+            outcome = await self._claim_and_run(execution, attempt_id)
+        except Exception:
+            log.exception("execution failed", extra={"attempt_id": attempt_id})
+            outcome = outcomes.Unknown(reasons.Uncertainty.ANSWER_LOST)
+        self._finish(execution, outcome)
+
+    def _finish(self, execution: Execution, outcome: outcomes.Outcome) -> None:
+        held = execution.version != tables.ABSENT
+        if held:
+            self._write_behind(execution, outcome)
+        match outcome:
+            case outcomes.NotRun():
+                self._bar_attempts(execution, outcome)
+                self._forget(execution)
+            case outcomes.Unknown() if not held:
+                # Nothing started here; a later try is to ask the holder of the claim again.
+                self._forget(execution)
+            case outcomes.Ran() if not held:
+                execution.written = True
         execution.outcome.set_result(outcome)
+        self.kept_bytes += execution.size()
 
-    async def _run_claimed(
-        self, execution: Execution, request: requests.Request, attempt_id: str
-    ) -> outcomes.Outcome:
-        if self.clocks.monotonic() >= request.deadline:
+    async def _claim_and_run(self, execution: Execution, attempt_id: str) -> outcomes.Outcome:
+        expected_version = tables.ABSENT
+        while True:
+            claimed = await self.committer.claim(self._claim(execution, expected_version))
+            if execution.state == "not_run":
+                return self._refusal(reasons.Refusal.CLAIM_BARRED)
+            match claimed:
+                case claims.Held(version=version):
+                    execution.version = version
+                    return await self._run_claimed(execution, attempt_id)
+                case claims.Unclaimed():
+                    execution.step("not_claimed")
+                    return self._unclaimed(claimed)
+                case claims.Foreign(row=row):
+                    execution.step("found_foreign")
+                    resolved = await self._resolve(execution, row, attempt_id)
+                    if execution.state == "not_run":
+                        return self._refusal(reasons.Refusal.CLAIM_BARRED)
+                    if resolved is not None:
+                        execution.step(_RESOLVED_EVENTS[type(resolved)])
+                        return resolved
+                    execution.step("released")
+                    expected_version = row.version
+
+    def _unclaimed(self, result: claims.Unclaimed) -> outcomes.NotRun:
+        if result.store_down:
+            return self._refusal(reasons.Refusal.STORE_UNAVAILABLE, result.retry_at)
+        return self._refusal(reasons.Refusal.STORE_SLOW)
+
+    async def _run_claimed(self, execution: Execution, attempt_id: str) -> outcomes.Outcome:
+        if not self._may_start(execution):
             execution.step("expired")
             return outcomes.NotRun(reasons.Refusal.DEADLINE_PASSED)
         execution.step("started")
-        result = await self.start(request, attempt_id)
+        result = await self.start(execution.request, attempt_id)
         match result:
             case results.Answered(answer=answer):
                 execution.step("answered")
                 return outcomes.Ran(answer)
             case results.Shed() | results.Unreached():
                 execution.step("refused")
-                return outcomes.NotRun(
-                    reasons.Refusal.ENDPOINT_REFUSED, self.clocks.monotonic() + RETRY_AFTER_S
-                )
+                return self._refusal(reasons.Refusal.ENDPOINT_REFUSED)
             case results.Broken(reason=reason):
                 execution.step("lost")
+                if reason == reasons.Uncertainty.ENDPOINT_DIED:
+                    self.endpoint_died(execution.request)
                 return outcomes.Unknown(reason)
 
-    def _resolve_foreign(self, execution: Execution, row: tables.Row) -> outcomes.Outcome:
-        if row.value["digest"] != execution.digest:
+    def _may_start(self, execution: Execution) -> bool:
+        wall = self.clocks.wall()
+        return (
+            self.clocks.monotonic() < execution.request.deadline
+            and wall < execution.starts_before
+            and (execution.key_deadline is None or wall < execution.key_deadline)
+        )
+
+    async def _resolve(
+        self, execution: Execution, row: tables.Row, attempt_id: str
+    ) -> outcomes.Outcome | None:
+        """Return how the request of the claim in `row` ended, or none where it will not start."""
+        document = typing.cast(claims.ClaimDocument, row.value)
+        if document["digest"] != execution.digest:
             return outcomes.NotRun(reasons.Refusal.KEY_REUSED)
-        if row.value["answer"] is not None:
-            return outcomes.Ran(claims.kept_answer(row.value["answer"]))
-        return outcomes.Unknown(reasons.Uncertainty.CLAIM_ORPHANED)
+        match document["state"]:
+            case claims.ClaimState.RELEASED:
+                return None
+            case claims.ClaimState.DONE if document["answer"] is not None:
+                return outcomes.Ran(claims.kept_answer(document["answer"]))
+            case claims.ClaimState.UNKNOWN:
+                return outcomes.Unknown(reasons.Uncertainty.ANSWER_LOST)
+        verdict = await self._ask_holder(execution, document, attempt_id)
+        match verdict:
+            case messages.Released():
+                return None if document["state"] == claims.ClaimState.CLAIMED else _ORPHANED
+            case messages.Settled(outcome=outcome):
+                return outcome
+            case messages.Running():
+                return outcomes.Unknown(reasons.Uncertainty.CLAIM_RUNNING)
+            case _:
+                return _ORPHANED
 
-    def _claim(self, execution: Execution, request: requests.Request, key: str) -> claims.Claim:
-        now = self.clocks.monotonic()
+    async def _ask_holder(
+        self, execution: Execution, document: claims.ClaimDocument, attempt_id: str
+    ) -> messages.Verdict | None:
+        def question(reply_by: instants.Instant) -> messages.Release:
+            return messages.Release(
+                attempt_id,
+                execution.row_key,
+                document["token"],
+                document["guard_incarnation"],
+                reply_by,
+            )
+
+        if document["guard_id"] == self.identity.node_id:
+            return await self.release(question(execution.request.deadline))
+        return await asking.ask_until(
+            self.port,
+            document["control_url"],
+            question,
+            execution.request.deadline,
+            self.clocks,
+        )
+
+    def _claim(self, execution: Execution, expected_version: int) -> claims.Claim:
         return claims.Claim(
-            key=key,
-            document=claims.ClaimDocument(
-                token=execution.token,
-                guard_id=self.node_id,
-                guard_incarnation=self.incarnation,
-                digest=execution.digest,
-                expires_at=self.clocks.to_wall(request.deadline) + KEEP_OUTCOME_S,
-                answer=None,
-            ),
-            deadline=min(request.deadline, now + CLAIM_TIMEOUT_S),
+            row_key=execution.row_key,
+            document=self._document(execution, claims.ClaimState.CLAIMED, None),
+            expected_version=expected_version,
+            deadline=min(execution.request.deadline, self.clocks.monotonic() + CLAIM_TIMEOUT_S),
         )
+
+    def _document(
+        self,
+        execution: Execution,
+        state: claims.ClaimState,
+        answer: claims.AnswerDocument | None,
+    ) -> claims.ClaimDocument:
+        return claims.ClaimDocument(
+            token=execution.token,
+            guard_id=self.identity.node_id,
+            guard_incarnation=self.identity.incarnation,
+            control_url=self.identity.control_url,
+            digest=execution.digest,
+            expires_at=execution.key_deadline,
+            state=state,
+            answer=answer,
+        )
+
+    def _write_behind(self, execution: Execution, outcome: outcomes.Outcome) -> None:
+        match outcome:
+            case outcomes.Ran(answer=answer):
+                small = len(answer.body) <= MAX_STORED_ANSWER_BYTES
+                kept = claims.keep_answer(answer) if small else None
+                document = self._document(execution, claims.ClaimState.DONE, kept)
+            case outcomes.NotRun():
+                document = self._document(execution, claims.ClaimState.RELEASED, None)
+            case outcomes.Unknown():
+                document = self._document(execution, claims.ClaimState.UNKNOWN, None)
+
+        def written() -> None:
+            execution.written = True
+
+        self.writer.add(write_behind.Entry(execution.row_key, execution.version, document, written))
+
+    def _bar_attempts(self, execution: Execution, refusal: outcomes.NotRun) -> None:
+        for attempt_id, deadline in execution.attempts.items():
+            self.bars.add(attempt_id, deadline, refusal)
+
+    def _forget(self, execution: Execution) -> None:
+        for attempt_id in execution.attempts:
+            self.attempts.pop(attempt_id, None)
+        self.executions.pop(execution.row_key, None)
+
+    async def _outcome_until(
+        self, execution: Execution, deadline: instants.Instant
+    ) -> outcomes.Outcome | None:
+        try:
+            async with asyncio.timeout_at(deadline):
+                return await asyncio.shield(execution.outcome)
+        except TimeoutError:
+            return None
+
+
+_ORPHANED = outcomes.Unknown(reasons.Uncertainty.CLAIM_ORPHANED)
+
+_RESOLVED_EVENTS: dict[type[outcomes.Outcome], str] = {
+    outcomes.Ran: "replayed",
+    outcomes.NotRun: "refused",
+    outcomes.Unknown: "lost",
+}
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/once/relay.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/once/relay.py
@@ -1,42 +1,82 @@
-"""Relay of run-once requests from their entry node to the guard of an endpoint."""
+"""Messages to guards over HTTP with JSON."""
 
 from __future__ import annotations
 
+import typing
+
 import aiohttp
 import orjson
+import pydantic
 import typing_extensions
 
 from goldcrestgrade import headers, instants, outcomes, reasons, sheet
 from goldcrestgrade_node import asgi, requests
-from goldcrestgrade_node.attempts import retries
-from goldcrestgrade_node.once import guard
-from goldcrestgrade_node.routing import evidence
+from goldcrestgrade_node.once import guard, messages
 
 PATH = "/v1/relay"
-"""Path of the control address that takes relayed requests."""
+"""Path of the control address that takes messages to the guard."""
 
 CONNECT_TIMEOUT_S = 0.25
 """Longest wait for a connection to a guard."""
 
 META = "goldcrestgrade-relay"
-"""Header that carries a `RelayDocument` as JSON."""
+"""Header that carries a message as JSON, apart from the body of a request."""
+
+INVALID = outcomes.Answer(400, (("content-type", "application/json"),), b"{}")
+"""Answer to a message that cannot be read."""
 
+_VERDICTS: dict[str, messages.Verdict] = {
+    verdict.tag: verdict for verdict in (messages.Released(), messages.Running(), messages.Gone())
+}
 
-class RelayDocument(typing_extensions.TypedDict):
-    """What the guard must know of a relayed request beside its body."""
 
+class RunDocument(typing_extensions.TypedDict):
+    """A `Run` on the wire; the body of the request is that of the HTTP request."""
+
+    message: typing.Literal["run"]
+    attempt_id: str
+    guard_incarnation: int
     request_id: str
     service: str
     kind: str
     method: str
     target: str
-    headers: list[list[str]]
+    headers: list[tuple[str, str]]
     idempotency_key: str
     deadline: instants.WallInstant
 
 
-class RelayClient:
-    """Sends run-once requests to guards; owns the connections of its session."""
+class SettleDocument(typing_extensions.TypedDict):
+    """A `Settle` on the wire."""
+
+    message: typing.Literal["settle"]
+    attempt_id: str
+    guard_incarnation: int
+    deadline: instants.WallInstant
+    reply_by: instants.WallInstant
+
+
+class ReleaseDocument(typing_extensions.TypedDict):
+    """A `Release` on the wire."""
+
+    message: typing.Literal["release"]
+    attempt_id: str
+    row_key: str
+    token: str
+    guard_incarnation: int
+    reply_by: instants.WallInstant
+
+
+MessageDocument = typing.Annotated[
+    RunDocument | SettleDocument | ReleaseDocument, pydantic.Field(discriminator="message")
+]
+_MESSAGE: pydantic.TypeAdapter[RunDocument | SettleDocument | ReleaseDocument] = (
+    pydantic.TypeAdapter(MessageDocument)
+)
+
+
+class HttpPort:
+    """Sends messages to guards; owns the connections of its session."""
 
     def __init__(
         self, session: aiohttp.ClientSession, shared_key: str, clocks: instants.Clocks
@@ -45,68 +85,124 @@
         self.shared_key = shared_key
         self.clocks = clocks
 
-    async def run(self, request: requests.Request, endpoint: evidence.Evidence) -> outcomes.Outcome:
-        """Return how the guard of `endpoint` ended `request`."""
+    async def exchange(
+        self, control_url: str, message: messages.Message, deadline: instants.Instant
+    ) -> messages.Reply:
+        """Return the reply by `deadline`; raises `Unreached` or `Lost`."""
         now = self.clocks.monotonic()
         try:
             async with self.session.post(
-                endpoint.control_url + PATH,
-                data=request.body,
+                control_url + PATH,
+                data=message.request.body if isinstance(message, messages.Run) else None,
                 headers={
                     headers.CONTROL_KEY: self.shared_key,
-                    META: orjson.dumps(_document(request, self.clocks)).decode(),
+                    META: orjson.dumps(_document(message, self.clocks)).decode("latin-1"),
                 },
                 timeout=aiohttp.ClientTimeout(
-                    total=request.deadline - now, sock_connect=CONNECT_TIMEOUT_S
+                    total=max(0.001, deadline - now), sock_connect=CONNECT_TIMEOUT_S
                 ),
                 allow_redirects=False,
             ) as response:
-                return _outcome(response, await response.read(), self.clocks)
-        except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError):
-            return outcomes.NotRun(reasons.Refusal.GUARD_UNREACHED, now + retries.RETRY_AFTER_S)
-        except (TimeoutError, aiohttp.ClientError, OSError):
-            return outcomes.Unknown(reasons.Uncertainty.GUARD_LOST)
+                return _reply(response, await response.read(), self.clocks)
+        except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
+            raise messages.Unreached(str(error)) from error
+        except (TimeoutError, aiohttp.ClientError, OSError, ValueError) as error:
+            raise messages.Lost(repr(error)) from error
 
 
 class RelayApp:
-    """ASGI application of a guard that takes relayed requests."""
+    """ASGI application of a guard that takes messages."""
 
     def __init__(self, own: guard.Guard, clocks: instants.Clocks) -> None:
         self.own = own
         self.clocks = clocks
 
     async def __call__(self, scope: asgi.Scope, receive: asgi.Receive, send: asgi.Send) -> None:
-        """Serve one relayed request."""
-        body = await asgi.read_body(receive)
-        document: RelayDocument = orjson.loads(dict(asgi.headers_of(scope))[META])
-        request = _request(document, body or b"", self.clocks)
-        outcome = await self.own.run(request, request.request_id)
-        await asgi.send_answer(
-            send, _wire(outcome, request.request_id, self.clocks), request.request_id
-        )
+        """Serve one message."""
+        try:
+            body = await asgi.read_body(receive)
+            meta = dict(asgi.headers_of(scope)).get(META, "").encode("latin-1")
+            document = _MESSAGE.validate_json(meta)
+        except asgi.Disconnected:
+            return
+        except pydantic.ValidationError:
+            await asgi.send_answer(send, INVALID, "")
+            return
+        if body is None:
+            await asgi.send_answer(send, INVALID._replace(status=413), "")
+            return
+        reply = await self.own.receive(_message(document, body, self.clocks))
+        await asgi.send_answer(send, _wire(reply, self.clocks), reply.attempt_id)
+
+
+def _document(
+    message: messages.Message, clocks: instants.Clocks
+) -> RunDocument | SettleDocument | ReleaseDocument:
+    match message:
+        case messages.Run(request=request):
+            return RunDocument(
+                message="run",
+                attempt_id=message.attempt_id,
+                guard_incarnation=message.guard_incarnation,
+                request_id=request.request_id,
+                service=request.service,
+                kind=request.kind.name,
+                method=request.method,
+                target=request.target,
+                headers=list(request.headers),
+                idempotency_key=request.idempotency_key or "",
+                deadline=clocks.to_wall(request.deadline),
+            )
+        case messages.Settle():
+            return SettleDocument(
+                message="settle",
+                attempt_id=message.attempt_id,
+                guard_incarnation=message.guard_incarnation,
+                deadline=clocks.to_wall(message.deadline),
+                reply_by=clocks.to_wall(message.reply_by),
+            )
+        case messages.Release():
+            return ReleaseDocument(
+                message="release",
+                attempt_id=message.attempt_id,
+                row_key=message.row_key,
+                token=message.token,
+                guard_incarnation=message.guard_incarnation,
+                reply_by=clocks.to_wall(message.reply_by),
+            )
 
 
-def _document(request: requests.Request, clocks: instants.Clocks) -> RelayDocument:
-    return RelayDocument(
-        request_id=request.request_id,
-        service=request.service,
-        kind=request.kind.name,
-        method=request.method,
-        target=request.target,
-        headers=[list(pair) for pair in request.headers],
-        idempotency_key=request.idempotency_key or "",
-        deadline=clocks.to_wall(request.deadline),
+def _message(
+    document: RunDocument | SettleDocument | ReleaseDocument, body: bytes, clocks: instants.Clocks
+) -> messages.Message:
+    if document["message"] == "run":
+        return messages.Run(
+            document["attempt_id"], _request(document, body, clocks), document["guard_incarnation"]
+        )
+    if document["message"] == "settle":
+        return messages.Settle(
+            document["attempt_id"],
+            document["guard_incarnation"],
+            clocks.from_wall(document["deadline"]),
+            clocks.from_wall(document["reply_by"]),
+        )
+    return messages.Release(
+        document["attempt_id"],
+        document["row_key"],
+        document["token"],
+        document["guard_incarnation"],
+        clocks.from_wall(document["reply_by"]),
     )
 
 
-def _request(document: RelayDocument, body: bytes, clocks: instants.Clocks) -> requests.Request:
+def _request(document: RunDocument, body: bytes, clocks: instants.Clocks) -> requests.Request:
     return requests.Request(
         request_id=document["request_id"],
         service=document["service"],
         kind=sheet.Kind(document["kind"], run_once=True, timeout_s=sheet.DEFAULT_TIMEOUT_S),
         method=document["method"],
         target=document["target"],
-        headers=tuple((name, value) for name, value in document["headers"]),
+        headers=tuple(document["headers"]),
         body=body,
         idempotency_key=document["idempotency_key"],
         deadline=clocks.from_wall(document["deadline"]),
@@ -114,17 +210,31 @@
     )
 
 
-def _wire(outcome: outcomes.Outcome, request_id: str, clocks: instants.Clocks) -> outcomes.Answer:
-    answer = outcomes.to_answer(outcome, request_id, clocks.monotonic())
-    if isinstance(outcome, outcomes.Ran):
-        return answer._replace(headers=(*answer.headers, (headers.OUTCOME, outcome.tag)))
-    return answer
+def _wire(reply: messages.Reply, clocks: instants.Clocks) -> outcomes.Answer:
+    echo = (headers.ATTEMPT_ID, reply.attempt_id)
+    match reply.verdict:
+        case messages.Settled(outcome=outcome):
+            answer = outcomes.to_answer(outcome, reply.attempt_id, clocks.monotonic())
+            tag = ((headers.OUTCOME, "ran"),) if isinstance(outcome, outcomes.Ran) else ()
+            return answer._replace(headers=(*answer.headers, *tag, echo))
+        case verdict:
+            return outcomes.Answer(200, ((headers.OUTCOME, verdict.tag), echo), b"")
 
 
-def _outcome(
+def _reply(
     response: aiohttp.ClientResponse, body: bytes, clocks: instants.Clocks
+) -> messages.Reply:
+    attempt_id = response.headers.get(headers.ATTEMPT_ID)
+    if attempt_id is None:
+        raise messages.Lost(f"status {response.status} without a verdict")
+    tag = response.headers.get(headers.OUTCOME, "")
+    verdict = _VERDICTS.get(tag) or messages.Settled(_outcome(tag, response, body, clocks))
+    return messages.Reply(attempt_id, verdict)
+
+
+def _outcome(
+    tag: str, response: aiohttp.ClientResponse, body: bytes, clocks: instants.Clocks
 ) -> outcomes.Outcome:
-    tag = response.headers.get(headers.OUTCOME)
     reason = response.headers.get(headers.REASON, "")
     match tag:
         case "ran":
@@ -139,7 +249,5 @@
             retry_after_s = response.headers.get("retry-after")
             retry_at = None if retry_after_s is None else clocks.monotonic() + int(retry_after_s)
             return outcomes.NotRun(reasons.Refusal(reason), retry_at)
-        case "unknown":
-            return outcomes.Unknown(reasons.Uncertainty(reason))
         case _:
-            return outcomes.Unknown(reasons.Uncertainty.GUARD_LOST)
+            return outcomes.Unknown(reasons.Uncertainty(reason))
--- /dev/null
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/once/relay_client.py
@@ -0,0 +1,66 @@
+"""The entry's side of a run-once request: send it to a guard, and find out how it ended."""
+
+from __future__ import annotations
+
+import itertools
+
+from goldcrestgrade import instants, outcomes, reasons, statecharts
+from goldcrestgrade_node import requests
+from goldcrestgrade_node.attempts import retries
+from goldcrestgrade_node.once import asking, messages
+from goldcrestgrade_node.routing import evidence
+
+CHART = statecharts.load("goldcrestgrade_node.statecharts", "attempt")
+
+
+class RelayClient:
+    """The attempts of an entry node at guards; owned by the event loop of the node."""
+
+    def __init__(self, port: messages.Port, clocks: instants.Clocks) -> None:
+        self.port = port
+        self.clocks = clocks
+        self.numbers = itertools.count(1)
+
+    async def run(self, request: requests.Request, endpoint: evidence.Evidence) -> outcomes.Outcome:
+        """Return how the guard of `endpoint` ended `request`."""
+        attempt_id = f"{request.request_id}-{next(self.numbers)}"
+        message = messages.Run(attempt_id, request, endpoint.incarnation)
+        until = min(request.deadline, self.clocks.monotonic() + asking.REPLY_TIMEOUT_S)
+        state = CHART.initial
+        try:
+            verdict = await asking.ask(self.port, endpoint.control_url, message, until)
+            if isinstance(verdict, messages.Settled):
+                CHART.next_state(state, "settled")
+                return verdict.outcome
+        except messages.Unreached:
+            CHART.next_state(state, "unreached")
+            return outcomes.NotRun(
+                reasons.Refusal.GUARD_UNREACHED, self.clocks.monotonic() + retries.RETRY_AFTER_S
+            )
+        except messages.Lost:
+            pass
+        state = CHART.next_state(state, "lost")
+        return await self._settle(message, endpoint.control_url, state)
+
+    async def _settle(
+        self, message: messages.Run, control_url: str, state: str
+    ) -> outcomes.Outcome:
+        """Ask on new connections what became of an attempt whose reply was lost."""
+
+        def question(reply_by: instants.Instant) -> messages.Settle:
+            return messages.Settle(
+                message.attempt_id, message.guard_incarnation, message.request.deadline, reply_by
+            )
+
+        deadline = message.request.deadline
+        verdict = await asking.ask_until(self.port, control_url, question, deadline, self.clocks)
+        match verdict:
+            case messages.Settled(outcome=outcome):
+                CHART.next_state(state, "settled")
+                return outcome
+            case messages.Running():
+                CHART.next_state(state, "timed_out")
+                return outcomes.Unknown(reasons.Uncertainty.TIMED_OUT)
+            case _:
+                CHART.next_state(state, "timed_out")
+                return outcomes.Unknown(reasons.Uncertainty.GUARD_LOST)
--- /dev/null
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/once/sweeper.py
@@ -0,0 +1,70 @@
+"""Removal of claim rows whose keys are past their deadline."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import random
+import typing
+
+from goldcrestgrade import instants
+from goldcrestgrade.platform import tables
+from goldcrestgrade_node.once import claims, keys
+
+log = logging.getLogger(__name__)
+
+SWEEP_INTERVAL_S = 60.0
+"""Mean time between two pages that one node reads."""
+
+PAGE_ROWS = 100
+"""Rows in one page."""
+
+HEX_DIGITS = "0123456789abcdef"
+
+FIRST_PREFIX_LENGTH = 2
+"""Length of the prefix of a page, where not too many rows share it."""
+
+
+def evictable(row: tables.Row, wall: instants.WallInstant) -> bool:
+    """Tell whether the key of `row` is refused by every node at `wall`."""
+    expires_at = typing.cast(claims.ClaimDocument, row.value)["expires_at"]
+    return expires_at is not None and wall >= expires_at + keys.EVICTION_MARGIN_S
+
+
+class Sweeper:
+    """Reads a page of claim rows now and then and removes the expired; owned by its task."""
+
+    def __init__(
+        self, store: tables.TableService, clocks: instants.Clocks, rng: random.Random
+    ) -> None:
+        self.store = store
+        self.clocks = clocks
+        self.rng = rng
+
+    async def sweep_forever(self) -> None:
+        """Sweep at random intervals until cancelled."""
+        while True:
+            await asyncio.sleep(SWEEP_INTERVAL_S * self.rng.uniform(0.5, 1.5))
+            try:
+                await self.sweep(self._random_prefix(FIRST_PREFIX_LENGTH))
+            except tables.ReadError as error:
+                log.info("sweep failed", extra={"error": str(error)})
+
+    async def sweep(self, prefix: str) -> None:
+        """Remove the expired rows of one page under `prefix`; raises `ReadError`."""
+        rows = await self.store.scan(claims.TABLE, prefix, PAGE_ROWS)
+        if len(rows) == PAGE_ROWS and len(prefix) < keys.HASH_LENGTH:
+            await self.sweep(prefix + self.rng.choice(HEX_DIGITS))
+        expired = [row for row in rows if evictable(row, self.clocks.wall())]
+        if expired:
+            await self.store.transact(_removal(expired))
+
+    def _random_prefix(self, length: int) -> str:
+        return "".join(self.rng.choices(HEX_DIGITS, k=length))
+
+
+def _removal(rows: list[tables.Row]) -> tables.Transaction:
+    return tables.Transaction(
+        conditions=tuple(tables.Condition(claims.TABLE, row.key, row.version) for row in rows),
+        writes=tuple(tables.Write(claims.TABLE, row.key, None) for row in rows),
+    )
--- /dev/null
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/once/write_behind.py
@@ -0,0 +1,97 @@
+"""Outcomes written to the claim rows after the caller has its answer.
+
+The queue holds at most one entry for each execution that the guard keeps, and outlasts an outage
+of the table service.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+import logging
+import typing
+
+from goldcrestgrade import instants
+from goldcrestgrade.platform import tables
+from goldcrestgrade_node.once import claims
+
+log = logging.getLogger(__name__)
+
+FLUSH_DELAY_S = 0.25
+"""Time that an outcome waits for others."""
+
+RETRY_DELAY_S = 1.0
+"""Time between two tries while the table service does not answer."""
+
+MAX_GROUP = tables.MAX_TRANSACTION_WRITES
+"""Largest number of outcomes in one transaction."""
+
+
+class Entry(typing.NamedTuple):
+    """An outcome to be written."""
+
+    row_key: str
+    version: int
+    """Version of the claim row that the outcome belongs to."""
+    document: claims.ClaimDocument
+    written: typing.Callable[[], None]
+    """Called once the row says the outcome, or has passed to another claim."""
+
+
+class WriteBehind:
+    """The queue of outcomes; `run` is the task that owns it."""
+
+    def __init__(self, store: tables.TableService, clocks: instants.Clocks) -> None:
+        self.store = store
+        self.clocks = clocks
+        self.entries: dict[tuple[str, int], Entry] = {}
+        self.added = asyncio.Event()
+
+    def add(self, entry: Entry) -> None:
+        """Have `entry` written."""
+        self.entries[entry.row_key, entry.version] = entry
+        self.added.set()
+
+    def idle(self) -> bool:
+        """Tell whether every outcome is written."""
+        return not self.entries
+
+    async def run(self) -> None:
+        """Write outcomes in groups until cancelled."""
+        while True:
+            await self.added.wait()
+            await asyncio.sleep(FLUSH_DELAY_S)
+            while self.entries:
+                await self._write(list(itertools.islice(self.entries.values(), MAX_GROUP)))
+            self.added.clear()
+
+    async def _write(self, group: list[Entry]) -> None:
+        result = await self.store.transact(_transaction(group))
+        match result:
+            case tables.Committed():
+                self._remove(group)
+            case tables.Conflicted(failures=failures):
+                failed = {failure.condition.key for failure in failures}
+                self._remove([entry for entry in group if entry.row_key in failed])
+            case tables.Rejected() | tables.Unanswered():
+                retry_at = self.clocks.monotonic() + RETRY_DELAY_S
+                if isinstance(result, tables.Rejected):
+                    retry_at = max(retry_at, result.retry_at or 0.0)
+                await asyncio.sleep(retry_at - self.clocks.monotonic())
+
+    def _remove(self, group: list[Entry]) -> None:
+        for entry in group:
+            self.entries.pop((entry.row_key, entry.version), None)
+            entry.written()
+
+
+def _transaction(group: list[Entry]) -> tables.Transaction:
+    return tables.Transaction(
+        conditions=tuple(
+            tables.Condition(claims.TABLE, entry.row_key, entry.version) for entry in group
+        ),
+        writes=tuple(
+            tables.Write(claims.TABLE, entry.row_key, typing.cast(tables.Value, entry.document))
+            for entry in group
+        ),
+    )
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/routing/evidence.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/routing/evidence.py
@@ -31,6 +31,8 @@
     port: int
     control_url: str
     slots: int
+    incarnation: int = 0
+    """Incarnation of the endpoint's node."""
     in_flight: int = 0
     """Attempts of this node that have not ended."""
     latency_s: float = 0.0
@@ -51,6 +53,7 @@
         port=endpoint["port"],
         control_url=records.control_url(record),
         slots=endpoint["slots"],
+        incarnation=record["incarnation"],
     )
 
 
@@ -100,4 +103,5 @@
     if known is None or (known.host, known.port) != (endpoint["host"], endpoint["port"]):
         return from_record(record, endpoint)
     known.slots = endpoint["slots"]
+    known.incarnation = record["incarnation"]
     return known
--- /dev/null
+++ b/packages/goldcrestgrade/goldcrestgrade/platform/breaker.py
@@ -0,0 +1,72 @@
+"""Circuit breaker: stops requests to a service that fails, and tries it again with backoff."""
+
+from __future__ import annotations
+
+import random
+
+from goldcrestgrade import instants, statecharts
+
+FAILURES_TO_OPEN = 2
+"""Consecutive failures that open the breaker."""
+
+BACKOFF_BASE_S = 1.0
+"""Time for which the breaker stays open at first."""
+
+BACKOFF_LIMIT_S = 10.0
+"""Longest time for which the breaker stays open between two trial requests."""
+
+CHART = statecharts.load("goldcrestgrade.platform", "breaker")
+
+
+def backoff_s(openings: int, rng: random.Random) -> float:
+    """Return the jittered time before the next trial request, after `openings` in a row."""
+    limit_s = min(BACKOFF_LIMIT_S, BACKOFF_BASE_S * 2.0 ** (openings - 1))
+    return limit_s * rng.uniform(0.5, 1.0)
+
+
+class Breaker:
+    """The state of one breaker; owned by the event loop of its process."""
+
+    def __init__(self, rng: random.Random) -> None:
+        self.rng = rng
+        self.state = CHART.initial
+        self.failures = 0
+        self.openings = 0
+        self.open_until: instants.Instant = 0.0
+        self.closed_at: instants.Instant = float("-inf")
+        """When the breaker last closed after an outage."""
+        self.trial_until: instants.Instant = 0.0
+        """Deadline of the trial request in flight."""
+
+    def admit(self, now: instants.Instant, deadline: instants.Instant) -> bool:
+        """Tell whether a request that ends by `deadline` may be sent at `now`."""
+        if self.state == "closed":
+            return True
+        if self.state == "open" and now >= self.open_until:
+            self.state = CHART.next_state(self.state, "backoff_passed")
+        if self.state == "open" or now < self.trial_until:
+            return False
+        self.trial_until = deadline
+        return True
+
+    def retry_at(self, now: instants.Instant) -> instants.Instant:
+        """Return when a request that was not admitted may be tried again."""
+        return max(now, self.open_until if self.state == "open" else self.trial_until)
+
+    def note_success(self, now: instants.Instant) -> None:
+        """Take in a request that the service answered."""
+        self.failures = 0
+        if self.state == "half_open":
+            self.state = CHART.next_state(self.state, "succeeded")
+            self.openings = 0
+            self.closed_at = now
+
+    def note_failure(self, now: instants.Instant) -> None:
+        """Take in a request that the service rejected or did not answer."""
+        self.failures += 1
+        trips = self.state == "half_open" or self.failures >= FAILURES_TO_OPEN
+        if trips and CHART.allows(self.state, "tripped"):
+            self.state = CHART.next_state(self.state, "tripped")
+            self.openings += 1
+            self.open_until = now + backoff_s(self.openings, self.rng)
+            self.trial_until = 0.0
--- /dev/null
+++ b/packages/goldcrestgrade/goldcrestgrade/platform/budget.py
@@ -0,0 +1,43 @@
+"""Budget of requests to the platform, small at first after an outage."""
+
+from __future__ import annotations
+
+from goldcrestgrade import instants
+
+RATE = 150.0
+"""Requests a second that one process sends at most in the long run."""
+
+BURST = 50.0
+"""Requests that may be sent at once after a quiet time."""
+
+START_RATE = 4.0
+"""Requests a second that are allowed right after an outage; the rate doubles each second."""
+
+MAX_DOUBLINGS = 16.0
+"""Seconds after an outage from which the full rate holds in any case."""
+
+
+def allowed_rate(since_outage_s: float) -> float:
+    """Return the requests a second that are allowed, `since_outage_s` after an outage."""
+    return float(min(RATE, START_RATE * 2.0 ** min(since_outage_s, MAX_DOUBLINGS)))
+
+
+class Budget:
+    """A token bucket; owned by the event loop of its process."""
+
+    def __init__(self) -> None:
+        self.tokens = BURST
+        self.refilled_at: instants.Instant = 0.0
+
+    def take(self, now: instants.Instant, outage_ended_at: instants.Instant) -> instants.Instant:
+        """Take a token and return the instant from which it may be used."""
+        rate = allowed_rate(now - outage_ended_at)
+        elapsed_s = max(0.0, now - self.refilled_at)
+        self.tokens = min(BURST, rate, self.tokens + elapsed_s * rate)
+        self.refilled_at = now
+        self.tokens -= 1.0
+        return now if self.tokens >= 0 else now - self.tokens / rate
+
+    def give_back(self) -> None:
+        """Return a token that was not used."""
+        self.tokens += 1.0
--- a/packages/goldcrestgrade/goldcrestgrade/platform/http_tables.py
+++ b/packages/goldcrestgrade/goldcrestgrade/platform/http_tables.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import typing
 import urllib.parse
 
 import aiohttp
@@ -17,6 +18,8 @@
 CONNECT_TIMEOUT_S = 0.5
 """Longest wait for a connection to the table service."""
 
+T = typing.TypeVar("T")
+
 
 class RowDocument(typing_extensions.TypedDict):
     """A row on the wire."""
@@ -78,19 +81,22 @@
             return tables.Rejected(f"status {status}")
         if status != 200:
             return tables.Unanswered(f"status {status}")
-        return _result(_COMMIT.validate_json(text))
+        try:
+            return _result(_COMMIT.validate_json(text))
+        except pydantic.ValidationError as error:
+            return tables.Unanswered(str(error))
 
     async def read(self, table: str, key: str) -> tables.Row | None:
         """Return a row as of its last commit; raises `ReadError`."""
         quoted = urllib.parse.quote(key, safe="")
         status, text = await self._read(f"/v1/tables/{table}/rows/{quoted}")
-        return None if status == 404 else _row(_ROW.validate_json(text))
+        return None if status == 404 else _row(_valid(_ROW, text))
 
     async def scan(self, table: str, prefix: str, limit: int) -> list[tables.Row]:
         """Return at most `limit` rows by key order; raises `ReadError`."""
         query = urllib.parse.urlencode({"prefix": prefix, "limit": limit})
         _, text = await self._read(f"/v1/tables/{table}/rows?{query}")
-        return [_row(document) for document in _SCAN.validate_json(text)["rows"]]
+        return [_row(document) for document in _valid(_SCAN, text)["rows"]]
 
     async def _read(self, path: str) -> tuple[int, bytes]:
         try:
@@ -108,6 +114,13 @@
             return response.status, await response.read()
 
 
+def _valid(adapter: pydantic.TypeAdapter[T], text: bytes) -> T:
+    try:
+        return adapter.validate_json(text)
+    except pydantic.ValidationError as error:
+        raise tables.ReadError(str(error)) from error
+
+
 def _row(document: RowDocument) -> tables.Row:
     return tables.Row(**document)
 
--- /dev/null
+++ b/packages/goldcrestgrade/goldcrestgrade/platform/resilient_tables.py
@@ -0,0 +1,91 @@
+"""Client of the table service with deadlines, a circuit breaker and a request budget."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import typing
+
+from goldcrestgrade import instants
+from goldcrestgrade.platform import breaker, budget, tables
+
+REQUEST_TIMEOUT_S = 0.4
+"""Longest wait for an answer of the table service."""
+
+T = typing.TypeVar("T")
+
+
+class Unavailable(tables.ReadError):
+    """A request that was not sent, since the breaker is open or the budget is spent."""
+
+    def __init__(self, text: str, retry_at: instants.Instant) -> None:
+        super().__init__(text)
+        self.retry_at = retry_at
+
+
+class ResilientTables:
+    """A table service behind a breaker and a budget; owned by the event loop of its process."""
+
+    def __init__(
+        self, inner: tables.TableService, clocks: instants.Clocks, rng: random.Random
+    ) -> None:
+        self.inner = inner
+        self.clocks = clocks
+        self.breaker = breaker.Breaker(rng)
+        self.budget = budget.Budget()
+
+    async def transact(self, transaction: tables.Transaction) -> tables.Result:
+        """Commit `transaction`, or reject it at once while the service is down."""
+        try:
+            deadline = await self._admitted()
+        except Unavailable as error:
+            return tables.Rejected(str(error), error.retry_at)
+        result: tables.Result = tables.Unanswered("timeout")
+        try:
+            async with asyncio.timeout_at(deadline):
+                result = await self.inner.transact(transaction)
+        except TimeoutError:
+            pass
+        finally:
+            self._note(isinstance(result, tables.Committed | tables.Conflicted))
+        return result
+
+    async def read(self, table: str, key: str) -> tables.Row | None:
+        """Return a row as of its last commit; raises `ReadError`."""
+        return await self._read(lambda: self.inner.read(table, key))
+
+    async def scan(self, table: str, prefix: str, limit: int) -> list[tables.Row]:
+        """Return at most `limit` rows by key order; raises `ReadError`."""
+        return await self._read(lambda: self.inner.scan(table, prefix, limit))
+
+    async def _read(self, send: typing.Callable[[], typing.Awaitable[T]]) -> T:
+        deadline = await self._admitted()
+        answered = False
+        try:
+            async with asyncio.timeout_at(deadline):
+                result = await send()
+            answered = True
+        except TimeoutError as error:
+            raise tables.ReadError("timeout") from error
+        finally:
+            self._note(answered)
+        return result
+
+    async def _admitted(self) -> instants.Instant:
+        now = self.clocks.monotonic()
+        if not self.breaker.admit(now, now + REQUEST_TIMEOUT_S):
+            raise Unavailable("breaker is open", self.breaker.retry_at(now))
+        usable_at = self.budget.take(now, self.breaker.closed_at)
+        if usable_at > now + REQUEST_TIMEOUT_S:
+            self.budget.give_back()
+            raise Unavailable("budget is spent", usable_at)
+        if usable_at > now:
+            await asyncio.sleep(usable_at - now)
+        return self.clocks.monotonic() + REQUEST_TIMEOUT_S
+
+    def _note(self, answered: bool) -> None:
+        now = self.clocks.monotonic()
+        if answered:
+            self.breaker.note_success(now)
+        else:
+            self.breaker.note_failure(now)
--- a/packages/goldcrestgrade/goldcrestgrade/platform/tables.py
+++ b/packages/goldcrestgrade/goldcrestgrade/platform/tables.py
@@ -5,6 +5,8 @@
 import dataclasses
 import typing
 
+from goldcrestgrade import instants
+
 Value = dict[str, typing.Any]
 """A JSON object kept in a row."""
 
@@ -75,6 +77,8 @@
     """The service did not take the transaction; it had no effect."""
 
     text: str
+    retry_at: instants.Instant | None = None
+    """When it may be sent again, where that is known."""
     tag: typing.Literal["rejected"] = "rejected"
 
 
