Check the deadline in the step that writes a request

Cause: the guard checked the deadline before a connection was opened; a process suspended in between wrote the request after its deadline, since due callbacks run before the time-out's cancellation. Change: the exchange checks both clocks right before it writes; the wall clock runs on while an instance is suspended. Measured: test_request_is_not_written_after_a_suspension_past_its_deadline failed before (the endpoint received the request) and passes after; packages/goldcrestgrade-node/tests/attempts passes. Conclusion: what is left is a suspension between the check and the kernel's write.

--- a/packages/goldcrestgrade-node/goldcrestgrade_node/attempts/exchanges.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/attempts/exchanges.py
@@ -49,10 +49,17 @@
 class Exchange:
     """A request on its way; owned by the task that sends it."""
 
-    def __init__(self, pool: pools.Pool, prepared: Prepared, deadline: instants.Instant) -> None:
+    def __init__(
+        self,
+        pool: pools.Pool,
+        prepared: Prepared,
+        deadline: instants.Instant,
+        may_send: typing.Callable[[], bool],
+    ) -> None:
         self.pool = pool
         self.prepared = prepared
         self.deadline = deadline
+        self.may_send = may_send
         self.request = http_client.BareRequest(
             prepared.method,
             yarl.URL(pool.origin + prepared.target, encoded=True),
@@ -77,7 +84,11 @@
         )
 
     async def send(self) -> aiohttp.ClientResponse:
-        """Send the request and return its answer once the head is there."""
+        """Send the request and return its answer once the head is there; raises `TimeoutError`.
+
+        The deadline is checked in the step that writes, since the process may have been suspended
+        while the connection was opened.
+        """
         connection = self._connection()
         assert connection.protocol is not None
         connection.protocol.set_response_params(
@@ -88,6 +99,8 @@
             max_field_size=MAX_FIELD_BYTES,
             max_headers=MAX_FIELDS,
         )
+        if not self.may_send():
+            raise TimeoutError
         self.sent = True
         self.response = await self.request.send(connection)
         await self.response.start(connection)
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/attempts/transport.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/attempts/transport.py
@@ -50,7 +50,9 @@
         if deadline <= started:
             return results.Unreached("deadline passed")
         pool = self._pool((attempt.host, attempt.port), started)
-        exchange = exchanges.Exchange(pool, self._prepared(attempt), deadline)
+        exchange = exchanges.Exchange(
+            pool, self._prepared(attempt), deadline, self._before(deadline)
+        )
         result: results.AttemptResult | None = None
         try:
             async with asyncio.timeout_at(deadline):
@@ -78,6 +80,15 @@
         await self.fresh.close()
         await asyncio.gather(*(pool.close() for pool in self.pools.values()))
 
+    def _before(self, deadline: instants.Instant) -> typing.Callable[[], bool]:
+        # The monotonic clock stands still while an instance is suspended; the wall clock does not.
+        wall_deadline = self.clocks.to_wall(deadline)
+
+        def before() -> bool:
+            return self.clocks.monotonic() < deadline and self.clocks.wall() < wall_deadline
+
+        return before
+
     def _failed(
         self, exchange: exchanges.Exchange, error: Exception, started: instants.Instant
     ) -> results.AttemptResult:
--- a/packages/goldcrestgrade-node/tests/attempts/test_transport.py
+++ b/packages/goldcrestgrade-node/tests/attempts/test_transport.py
@@ -364,3 +364,20 @@
         third = await sender.send()
     assert isinstance(second, results.Unreached)
     assert body_of(third) == b"/3"
+
+
+async def test_request_is_not_written_after_a_suspension_past_its_deadline(monkeypatch):
+    async with sending(always(raw_endpoint.answer())) as (sender, endpoint):
+        suspended = []
+        connect = exchanges.Exchange.connect
+
+        async def connect_then_suspend(self, fresh):
+            await connect(self, fresh)
+            suspended.append(60.0)
+
+        monkeypatch.setattr(exchanges.Exchange, "connect", connect_then_suspend)
+        wall = sender.path.clocks.wall
+        sender.path.clocks = sender.path.clocks._replace(wall=lambda: wall() + sum(suspended))
+        result = await sender.send(method="POST", kind=RUN_ONCE)
+        assert isinstance(result, results.Unreached)
+        assert endpoint.requests == []
