Export the metrics of each registry apart and without the library's labels

Measured: `pytest packages/goldcrestgrade/tests/test_telemetry.py`: 6 failed with the former module, 6 passed now.

--- a/packages/goldcrestgrade/goldcrestgrade/logs.py
+++ b/packages/goldcrestgrade/goldcrestgrade/logs.py
@@ -23,3 +23,4 @@
     )
     logging.basicConfig(level=level, handlers=[handler], force=True)
     logging.getLogger("uvicorn.access").disabled = True
+    logging.getLogger("uvicorn.error").setLevel(max(level, logging.WARNING))
--- a/packages/goldcrestgrade/goldcrestgrade/telemetry.py
+++ b/packages/goldcrestgrade/goldcrestgrade/telemetry.py
@@ -33,40 +33,85 @@
 
 
 class Registry(typing.NamedTuple):
-    """The meter provider of a process and the scrape that reads it."""
+    """The meter provider of a process and the registry that a scrape reads."""
 
     provider: sdk_metrics.MeterProvider
     latency: metrics.Histogram
+    collectors: prometheus_client.CollectorRegistry
 
     def scrape(self) -> bytes:
         """Return all metrics in the Prometheus text format."""
-        return prometheus_client.generate_latest()
+        return prometheus_client.generate_latest(self.collectors)
+
+
+class _Family(typing.NamedTuple):
+    name: str
+    counter: collections.Counter[str]
+    label: str
+    known: tuple[str, ...]
+    """Values of the label that are shown from the start."""
+    description: str
 
 
 def register(counts: Counts) -> Registry:
-    """Return a registry that observes `counts`."""
-    provider = sdk_metrics.MeterProvider(metric_readers=[prometheus.PrometheusMetricReader()])
-    meter = provider.get_meter("goldcrestgrade")
-    families = (
-        ("calls", counts.calls, "outcome", ("ran", "not_run", "unknown")),
-        ("refusals", counts.refusals, "reason", tuple(reasons.Refusal)),
-        ("unknowns", counts.unknowns, "reason", tuple(reasons.Uncertainty)),
-        ("retries", counts.retries, "reason", tuple(reasons.Retry)),
-        ("events", counts.events, "event", tuple(reasons.Event)),
+    """Return a registry of its own that observes `counts` and the process."""
+    collectors = prometheus_client.CollectorRegistry()
+    prometheus_client.ProcessCollector(registry=collectors)
+    prometheus_client.GCCollector(registry=collectors)
+    reader = prometheus.PrometheusMetricReader(
+        disable_target_info=True, scope_info_enabled=False, registry=collectors
     )
-    for name, counter, label, known in families:
+    provider = sdk_metrics.MeterProvider(metric_readers=[reader])
+    meter = provider.get_meter("goldcrestgrade")
+    for family in _families(counts):
         meter.create_observable_counter(
-            f"goldcrestgrade.{name}", callbacks=[_observer(counter, label, known)]
+            f"goldcrestgrade.{family.name}",
+            callbacks=[_observer(family.counter, family.label, family.known)],
+            description=family.description,
         )
     meter.create_observable_gauge(
-        "goldcrestgrade.in_flight", callbacks=[lambda _: [metrics.Observation(counts.in_flight)]]
+        "goldcrestgrade.in_flight",
+        callbacks=[lambda _: [metrics.Observation(counts.in_flight)]],
+        description="Calls of callers that have not ended.",
     )
     latency = meter.create_histogram(
         "goldcrestgrade.call_duration",
         unit="s",
+        description="Time from a call read whole to its outcome.",
         explicit_bucket_boundaries_advisory=LATENCY_BOUNDS_S,
     )
-    return Registry(provider, latency)
+    return Registry(provider, latency, collectors)
+
+
+def _families(counts: Counts) -> tuple[_Family, ...]:
+    outcomes = ("ran", "not_run", "unknown")
+    return (
+        _Family("calls", counts.calls, "outcome", outcomes, "Calls of callers that ended."),
+        _Family(
+            "refusals",
+            counts.refusals,
+            "reason",
+            tuple(reasons.Refusal),
+            "Calls that were refused and did not run.",
+        ),
+        _Family(
+            "unknowns",
+            counts.unknowns,
+            "reason",
+            tuple(reasons.Uncertainty),
+            "Calls that may have run and whose answer is lost.",
+        ),
+        _Family(
+            "retries",
+            counts.retries,
+            "reason",
+            tuple(reasons.Retry),
+            "Attempts that followed an attempt of the same call.",
+        ),
+        _Family(
+            "events", counts.events, "event", tuple(reasons.Event), "Other events worth a look."
+        ),
+    )
 
 
 def _observer(
--- /dev/null
+++ b/packages/goldcrestgrade/tests/test_telemetry.py
@@ -0,0 +1,48 @@
+from __future__ import annotations
+
+import prometheus_client.parser
+import pytest
+
+from goldcrestgrade import reasons, telemetry
+
+REASONS = [
+    ("refusals", "reason", reasons.Refusal),
+    ("unknowns", "reason", reasons.Uncertainty),
+    ("retries", "reason", reasons.Retry),
+    ("events", "event", reasons.Event),
+]
+
+
+def samples(registry: telemetry.Registry) -> dict[tuple[str, str], float]:
+    families = prometheus_client.parser.text_string_to_metric_families(registry.scrape().decode())
+    return {
+        (sample.name, ",".join(sample.labels.values())): sample.value
+        for family in families
+        for sample in family.samples
+    }
+
+
+@pytest.mark.parametrize(("name", "label", "members"), REASONS)
+def test_every_reason_is_exported_before_it_was_counted(name, label, members):
+    found = samples(telemetry.register(telemetry.Counts()))
+    exported = {value for metric, value in found if metric == f"goldcrestgrade_{name}_total"}
+    assert exported == set(members)
+
+
+def test_counts_are_exported_as_they_stand():
+    counts = telemetry.Counts()
+    registry = telemetry.register(counts)
+    counts.refusals[reasons.Refusal.NO_SHEET] += 2
+    counts.in_flight = 3
+    registry.latency.record(0.004)
+    found = samples(registry)
+    assert found["goldcrestgrade_refusals_total", "no_sheet"] == 2
+    assert found["goldcrestgrade_in_flight", ""] == 3
+    assert found["goldcrestgrade_call_duration_seconds_count", ""] == 1
+
+
+def test_registries_of_one_process_do_not_mix():
+    first, second = telemetry.Counts(), telemetry.Counts()
+    registries = telemetry.register(first), telemetry.register(second)
+    first.in_flight = 1
+    assert [samples(r)["goldcrestgrade_in_flight", ""] for r in registries] == [1, 0]
