Document the product and compare the pages with the code

Cause: docs/index.md was linked and did not exist; nothing kept a list of settings, reasons or flags in step with the code.

--- a/Makefile
+++ b/Makefile
@@ -31,4 +31,7 @@
 demo: install ## Run the Letters Desk on loopback for half a minute
 	$(BIN)/python -m goldcrestgrade_testing.demo
 
-.PHONY: help install test lint format demo
+reference: install ## Write the generated tables of the documentation
+	$(BIN)/python -m goldcrestgrade_testing.reference
+
+.PHONY: reference help install test lint format demo
--- /dev/null
+++ b/packages/goldcrestgrade-testing/goldcrestgrade_testing/reference.py
@@ -0,0 +1,146 @@
+"""Reference tables of the documentation, made from the code that they describe.
+
+`make reference` writes them between the markers in the pages; a test compares them.
+"""
+
+from __future__ import annotations
+
+import pathlib
+import re
+import typing
+
+from goldcrestgrade import command_flags, settings, sheet
+from goldcrestgrade_operator import command_table, explanations, options
+from goldcrestgrade_operator.sheets import cells
+
+DOCS = pathlib.Path(__file__).parents[3] / "docs"
+"""Folder of the documentation in a checkout."""
+
+_BOUNDS = {
+    "minLength": "at least {} characters",
+    "maxLength": "at most {} characters",
+    "minimum": "at least {:g}",
+    "maximum": "at most {:g}",
+    "minItems": "at least {} entries",
+    "maxItems": "at most {} entries",
+    "pattern": "matches `{}`",
+}
+
+
+class Section(typing.NamedTuple):
+    """A generated part of a page."""
+
+    page: str
+    name: str
+    render: typing.Callable[[], str]
+
+
+def settings_table() -> str:
+    """Return the table of the settings of a node."""
+    schema = settings.SCHEMA.json_schema()
+    return _table(("setting", "type", "bounds", "meaning"), _settings_rows(schema, schema, ""))
+
+
+def reason_tables() -> str:
+    """Return a table for each enumeration of reasons."""
+    return "\n\n".join(
+        f"### {group.title}\n\nCounted in `{group.metric}` by the label `{group.label}`.\n\n"
+        + _table(
+            (group.label, "meaning", "what to do"),
+            [(f"`{name}`", text.meaning, text.action) for name, text in group.explanations.items()],
+        )
+        for group in explanations.GROUPS
+    )
+
+
+def word_table() -> str:
+    """Return the table of words for yes and no, and the bounds of a sheet."""
+    words = [
+        ("yes", ", ".join(f"`{word}`" for word in sorted(cells.TRUE_WORDS))),
+        ("no", ", ".join(f"`{word}`" for word in sorted(cells.FALSE_WORDS))),
+    ]
+    bounds = [
+        ("size of the file, in bytes", sheet.MAX_SHEET_BYTES),
+        ("services", sheet.MAX_SERVICES),
+        ("kinds of one service", sheet.MAX_KINDS),
+        ("regions of one service", sheet.MAX_REGIONS),
+        ("characters of a path pattern", sheet.MAX_PATH_LENGTH),
+        ("timeout, in seconds", f"{sheet.MAX_TIMEOUT_S:g}"),
+    ]
+    return _table(("meaning", "cell"), words) + "\n\n" + _table(("at most", "number"), bounds)
+
+
+def command_tables() -> str:
+    """Return the tables of commands, exit statuses and flags."""
+    commands = [
+        (f"`{name} {command.arguments}`".replace(" `", "`").replace("|", "or"), command.summary)
+        for name, command in command_table.COMMANDS.items()
+    ]
+    statuses = list(command_table.EXIT_STATUSES.items())
+    flag_help = command_flags.describe(options.define())
+    return "\n\n".join(
+        [
+            _table(("command", "what it does"), commands),
+            _table(("exit status", "meaning"), statuses),
+            f"```\n{flag_help}\n```",
+        ]
+    )
+
+
+SECTIONS = (
+    Section("user/settings.md", "settings", settings_table),
+    Section("user/operating.md", "reasons", reason_tables),
+    Section("user/sheet.md", "words", word_table),
+    Section("user/command-line.md", "commands", command_tables),
+)
+"""Every generated part."""
+
+
+def updated(text: str, section: Section) -> str:
+    """Return the page `text` with its part `section` made anew; raises `ValueError`."""
+    begin, end = (f"<!-- {word}: {section.name} -->" for word in ("begin", "end"))
+    pattern = re.compile(f"{re.escape(begin)}.*{re.escape(end)}", re.DOTALL)
+    if not pattern.search(text):
+        raise ValueError(f"{section.page}: no markers for {section.name}")
+    rendered = f"{begin}\n{section.render()}\n{end}"
+    return pattern.sub(lambda _: rendered, text)
+
+
+def main() -> None:
+    """Write every generated part into its page."""
+    for section in SECTIONS:
+        path = DOCS / section.page
+        path.write_text(updated(path.read_text("utf-8"), section), "utf-8")
+
+
+def _settings_rows(
+    schema: dict[str, typing.Any], root: dict[str, typing.Any], prefix: str
+) -> list[tuple[str, ...]]:
+    rows: list[tuple[str, ...]] = []
+    for name, given in schema["properties"].items():
+        field = _resolved(given, root)
+        item = _resolved(field.get("items", {}), root)
+        kind = f"array of {item['type']}" if item else field["type"]
+        bounds = ", ".join([_bounds(field), *(f"each {b}" for b in [_bounds(item)] if b)])
+        rows.append((f"`{prefix}{name}`", kind, bounds.removeprefix(", "), field["description"]))
+        if "properties" in field:
+            rows += _settings_rows(field, root, f"{prefix}{name}.")
+    return rows
+
+
+def _resolved(field: dict[str, typing.Any], root: dict[str, typing.Any]) -> dict[str, typing.Any]:
+    reference = field.get("$ref")
+    return {**root["$defs"][reference.rpartition("/")[2]], **field} if reference else field
+
+
+def _bounds(field: dict[str, typing.Any]) -> str:
+    return ", ".join(text.format(field[name]) for name, text in _BOUNDS.items() if name in field)
+
+
+def _table(columns: typing.Sequence[str], rows: typing.Iterable[typing.Sequence[object]]) -> str:
+    lines = [columns, ["---"] * len(columns), *rows]
+    return "\n".join("| " + " | ".join(str(cell) for cell in line) + " |" for line in lines)
+
+
+if __name__ == "__main__":
+    main()
