--- a/Makefile
+++ b/Makefile
@@ -34,4 +34,7 @@
 latency: install ## Measure the latency that a node adds to a call, on real sockets
 	$(BIN)/python -m goldcrestgrade_testing.latency --seed=$(SEED) --json=latency.json
 
-.PHONY: help install test lint format demo latency
+reference: install ## Write the generated tables of the documentation
+	$(BIN)/python -m goldcrestgrade_testing.reference
+
+.PHONY: help install test lint format demo latency reference
