--- a/packages/goldcrestgrade-node/goldcrestgrade_node/commands/run.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/commands/run.py
@@ -145,7 +145,7 @@
         """Run a request of a caller and record its latency."""
         started = self.clocks.monotonic()
         outcome = await self.calls.run(request)
-        self.registry.latency.record(self.clocks.monotonic() - started)
+        self.counts.record_latency(self.clocks.monotonic() - started)
         return outcome
 
     def routes(self) -> dict[str, control_app.Resource]:
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/servers.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/servers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import collections.abc
 import contextlib
 import typing
@@ -22,8 +23,41 @@
 """Largest size of a request's first line and headers."""
 
 
-class BoundedProtocol(httptools_impl.HttpToolsProtocol):
-    """HTTP connection that is closed when the head of a request is too large."""
+CONTINUE = b"HTTP/1.1 100 "
+"""Start of an interim answer, which must not wait."""
+
+
+class AnswerWriter:
+    """Writes the head of an answer together with the first part of its body, in one segment."""
+
+    def __init__(self, transport: asyncio.Transport) -> None:
+        self.transport = transport
+        self.head = b""
+        self.begun = False
+
+    def write(self, data: bytes) -> None:
+        """Keep the head, write all else."""
+        if self.begun or data.startswith(CONTINUE):
+            self.transport.write(data)
+        elif self.head:
+            self.begun = True
+            self.transport.write(self.head + data)
+        else:
+            self.head = data
+
+    def close(self) -> None:
+        """Close the connection, after a head that is still kept."""
+        if self.head and not self.begun:
+            self.transport.write(self.head)
+        self.transport.close()
+
+    def is_closing(self) -> bool:
+        """Tell whether the connection closes."""
+        return self.transport.is_closing()
+
+
+class NodeProtocol(httptools_impl.HttpToolsProtocol):
+    """HTTP connection that bounds the heads of requests and joins the writes of answers."""
 
     def __init__(self, *args: typing.Any, **kwargs: typing.Any) -> None:
         super().__init__(*args, **kwargs)
@@ -41,6 +75,8 @@
         """Take in a whole head."""
         self.head_bytes = 0
         super().on_headers_complete()
+        if self.cycle is not None and self.scope["method"] != "HEAD":
+            self.cycle.transport = typing.cast(asyncio.Transport, AnswerWriter(self.transport))
 
     def on_body(self, body: bytes) -> None:
         """Take in a part of a body."""
@@ -57,7 +93,11 @@
         yield
 
 
-def create(app: typing.Any, address: settings.Address) -> Server:
+def create(
+    app: typing.Any,
+    address: settings.Address,
+    protocol: type[asyncio.Protocol] = NodeProtocol,
+) -> Server:
     """Return a server of `app` at `address`."""
     return Server(
         uvicorn.Config(
@@ -65,7 +105,7 @@
             host=address["host"],
             port=address["port"],
             loop="asyncio",
-            http=BoundedProtocol,
+            http=protocol,
             ws="none",
             lifespan="off",
             log_config=None,
--- a/packages/goldcrestgrade-node/tests/entry/test_app.py
+++ b/packages/goldcrestgrade-node/tests/entry/test_app.py
@@ -186,6 +186,28 @@
     assert not entry.requests
 
 
+async def test_request_that_waits_for_leave_to_send_its_body_gets_it():
+    head = request("content-length: 1", "expect: 100-continue", "idempotency-key: a", method="POST")
+    async with serving_entry() as (_, port):
+        reader, writer = await asyncio.open_connection(serving.HOST, port)
+        writer.write(head)
+        leave = await asyncio.wait_for(reader.readuntil(b"\r\n\r\n"), 10.0)
+        writer.write(b"x")
+        received = await asyncio.wait_for(reader.read(), 10.0)
+        writer.close()
+    assert leave.startswith(b"HTTP/1.1 100 ")
+    assert received.endswith(b"\r\n\r\nwhole")
+
+
+async def test_answers_on_one_connection_come_in_order():
+    both = b"HEAD /x HTTP/1.1\r\nhost: archive\r\n\r\n" + request()
+    answer = outcomes.Answer(204, (), b"")
+    async with serving_entry(answer) as (_, port):
+        received = await serving.exchange(port, both)
+    assert received.count(b"HTTP/1.1 204 ") == 2
+    assert received.endswith(b"\r\n\r\n")
+
+
 async def test_large_body_after_a_small_head_is_read():
     body = b"x" * (asgi.MAX_BODY_BYTES // 2)
     lines = (f"content-length: {len(body)}", "idempotency-key: a")
--- a/packages/goldcrestgrade-testing/goldcrestgrade_testing/endpoint_server.py
+++ b/packages/goldcrestgrade-testing/goldcrestgrade_testing/endpoint_server.py
@@ -14,6 +14,7 @@
 import orjson
 import pydantic
 import typing_extensions
+from uvicorn.protocols.http import httptools_impl
 
 from goldcrestgrade import headers, http_client, outcomes, settings
 from goldcrestgrade_node import asgi, servers
@@ -245,8 +246,8 @@
 
 
 async def serve(endpoint: Endpoint, address: settings.Address) -> None:
-    """Serve `endpoint` at `address` until cancelled."""
-    await servers.create(endpoint, address).serve()
+    """Serve `endpoint` at `address` until cancelled, on a server without the node's additions."""
+    await servers.create(endpoint, address, httptools_impl.HttpToolsProtocol).serve()
 
 
 def main() -> None:
--- a/packages/goldcrestgrade/goldcrestgrade/telemetry.py
+++ b/packages/goldcrestgrade/goldcrestgrade/telemetry.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import bisect
 import collections
 import itertools
 import typing
@@ -30,13 +31,20 @@
         self.retries: collections.Counter[str] = collections.Counter()
         self.events: collections.Counter[str] = collections.Counter()
         self.in_flight = 0
+        self.latency_buckets = [0] * (len(LATENCY_BOUNDS_S) + 1)
+        """Calls by duration, one count for each bound and one for all above."""
+        self.latency_sum_s = 0.0
+
+    def record_latency(self, latency_s: float) -> None:
+        """Count a call that took `latency_s`."""
+        self.latency_buckets[bisect.bisect_left(LATENCY_BOUNDS_S, latency_s)] += 1
+        self.latency_sum_s += latency_s
 
 
 class Registry(typing.NamedTuple):
     """The meter provider of a process and the scrape that reads it."""
 
     provider: sdk_metrics.MeterProvider
-    latency: metrics.Histogram
 
     def scrape(self) -> bytes:
         """Return all metrics in the Prometheus text format."""
@@ -61,12 +69,25 @@
     meter.create_observable_gauge(
         "goldcrestgrade.in_flight", callbacks=[lambda _: [metrics.Observation(counts.in_flight)]]
     )
-    latency = meter.create_histogram(
+    meter.create_observable_counter(
+        "goldcrestgrade.calls_within", callbacks=[lambda _: _observe_latency(counts)]
+    )
+    meter.create_observable_counter(
         "goldcrestgrade.call_duration",
         unit="s",
-        explicit_bucket_boundaries_advisory=LATENCY_BOUNDS_S,
+        callbacks=[lambda _: [metrics.Observation(counts.latency_sum_s)]],
     )
-    return Registry(provider, latency)
+    return Registry(provider)
+
+
+def _observe_latency(counts: Counts) -> list[metrics.Observation]:
+    """Return, for each bound, the calls that took no longer."""
+    bounds = (*map(str, LATENCY_BOUNDS_S), "+Inf")
+    totals = itertools.accumulate(counts.latency_buckets)
+    return [
+        metrics.Observation(total, {"le": bound})
+        for bound, total in zip(bounds, totals, strict=True)
+    ]
 
 
 def _observer(
