--- a/packages/goldcrestgrade-operator/goldcrestgrade_operator/commands/check.py
+++ b/packages/goldcrestgrade-operator/goldcrestgrade_operator/commands/check.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 import pathlib
+import typing
 
-from goldcrestgrade import exceptions, sheet
+from goldcrestgrade import exceptions
+from goldcrestgrade_operator import options, output
 from goldcrestgrade_operator.sheets import csv_reader
 
 
-def load(path: pathlib.Path) -> sheet.SheetDocument:
+def load(path: pathlib.Path) -> csv_reader.CheckedSheet:
     """Return the sheet in the file at `path`; raises `UserError`."""
     try:
         body = path.read_bytes()
@@ -17,11 +19,21 @@
     return csv_reader.read(body, path.name)
 
 
-def run(path: pathlib.Path) -> int:
-    """Print what the sheet holds; raises `InvalidDocument` with every fault."""
-    document = load(path)
-    kinds = sum(len(service["kinds"]) for service in document["services"])
-    print(
-        f"{path.name}: day {document['day']}, {len(document['services'])} services, {kinds} kinds"
+def run(arguments: typing.Sequence[str], given: options.Options) -> int:
+    """Print what the sheet holds; raises `InvalidDocument` with every finding."""
+    document, warnings = load(pathlib.Path(arguments[0]))
+    output.show_warnings(warnings)
+    rows = [
+        (
+            service["name"],
+            " ".join(service["regions"]),
+            len(service["kinds"]),
+            sum(kind["run_once"] for kind in service["kinds"]),
+        )
+        for service in document["services"]
+    ]
+    columns = ("service", "regions", "kinds", "run once")
+    output.show(
+        document, output.Table(f"valid sheet for {document['day']}", columns, rows), given.as_json
     )
     return 0
