--- a/packages/goldcrestgrade-node/goldcrestgrade_node/attempts/transport.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/attempts/transport.py
@@ -104,7 +104,7 @@
         return self._broken(exchange, reasons.Uncertainty.ANSWER_LOST)
 
     def _broken(self, exchange: exchanges.Exchange, reason: reasons.Uncertainty) -> results.Broken:
-        self.counts.events[f"attempt_{reason}"] += 1
+        self.counts.broken_attempts[reason] += 1
         reused = exchange.opened is not None and exchange.opened.reused
         return results.Broken(reason, reused)
 
--- a/packages/goldcrestgrade-operator/goldcrestgrade_operator/explanations.py
+++ b/packages/goldcrestgrade-operator/goldcrestgrade_operator/explanations.py
@@ -113,6 +113,18 @@
         "The answer of the endpoint ended early.",
         "Look for endpoints that stop without a drain.",
     ),
+    reasons.Uncertainty.ANSWER_CROSSED: Explanation(
+        "The answer that came belongs to another request; it was dropped.",
+        "Look at the endpoint, and at what stands between node and endpoint.",
+    ),
+    reasons.Uncertainty.ANSWER_INVALID: Explanation(
+        "What came back is no answer of known length by HTTP; it was dropped.",
+        "Look at what the endpoint sends for the request id.",
+    ),
+    reasons.Uncertainty.ANSWER_TOO_LARGE: Explanation(
+        "The answer of a run-once request is larger than a node holds; it was dropped.",
+        "Have the endpoint answer run-once requests with less.",
+    ),
     reasons.Uncertainty.ENDPOINT_DIED: Explanation(
         "The endpoint ended while it ran the request.",
         "Look at the endpoint's log for the request id.",
@@ -170,6 +182,26 @@
         "An accepted sheet could not be read by this node.",
         "Update the node; compare its version with that of the command line.",
     ),
+    reasons.Event.CALLER_DISCONNECTED: Explanation(
+        "A caller went away before its answer.",
+        "Compare the callers' time-outs with the latency.",
+    ),
+    reasons.Event.ENDPOINT_DIED: Explanation(
+        "The endpoint ended while it ran a run-once request.",
+        "Look at the endpoint's log for the request id.",
+    ),
+    reasons.Event.SILENT_CONNECTION: Explanation(
+        "A reused connection gave no byte of an answer by the deadline of its attempt.",
+        "Look for stragglers, and for what forgets idle connections between node and endpoint.",
+    ),
+    reasons.Event.STREAMED_ANSWER_CUT: Explanation(
+        "A large answer ended early after its first part had gone to the caller.",
+        "Look for endpoints that stop without a drain.",
+    ),
+    reasons.Event.SUSPECT_CONNECTION_CLOSED: Explanation(
+        "An idle connection was closed, since another to the same endpoint was silent.",
+        "As for `silent_connection`.",
+    ),
 }
 """Explanation of each event that is neither refusal, unknown outcome nor retry."""
 
@@ -191,6 +223,12 @@
         "reason",
         UNCERTAINTIES,
     ),
+    Group(
+        "Attempts without a whole answer",
+        "goldcrestgrade_broken_attempts_total",
+        "reason",
+        UNCERTAINTIES,
+    ),
     Group("Retries", "goldcrestgrade_retries_total", "reason", RETRIES),
     Group("Events", "goldcrestgrade_events_total", "event", EVENTS),
 )
--- a/packages/goldcrestgrade/goldcrestgrade/reasons.py
+++ b/packages/goldcrestgrade/goldcrestgrade/reasons.py
@@ -63,3 +63,8 @@
 
     SHEET_STALE_IGNORED = "sheet_stale_ignored"
     SHEET_INVALID_IGNORED = "sheet_invalid_ignored"
+    CALLER_DISCONNECTED = "caller_disconnected"
+    ENDPOINT_DIED = "endpoint_died"
+    SILENT_CONNECTION = "silent_connection"
+    STREAMED_ANSWER_CUT = "streamed_answer_cut"
+    SUSPECT_CONNECTION_CLOSED = "suspect_connection_closed"
--- a/packages/goldcrestgrade/goldcrestgrade/telemetry.py
+++ b/packages/goldcrestgrade/goldcrestgrade/telemetry.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import bisect
 import collections
 import itertools
 import typing
@@ -13,6 +14,7 @@
 import prometheus_client
 from opentelemetry.exporter import prometheus
 from opentelemetry.sdk import metrics as sdk_metrics
+from prometheus_client import metrics_core, registry
 
 from goldcrestgrade import reasons
 
@@ -27,16 +29,24 @@
         self.calls: collections.Counter[str] = collections.Counter()
         self.refusals: collections.Counter[str] = collections.Counter()
         self.unknowns: collections.Counter[str] = collections.Counter()
+        self.broken_attempts: collections.Counter[str] = collections.Counter()
         self.retries: collections.Counter[str] = collections.Counter()
         self.events: collections.Counter[str] = collections.Counter()
         self.in_flight = 0
+        self.latency_buckets = [0] * (len(LATENCY_BOUNDS_S) + 1)
+        """Calls by duration, one count for each bound and one for all above."""
+        self.latency_sum_s = 0.0
+
+    def record_latency(self, latency_s: float) -> None:
+        """Count a call that took `latency_s`."""
+        self.latency_buckets[bisect.bisect_left(LATENCY_BOUNDS_S, latency_s)] += 1
+        self.latency_sum_s += latency_s
 
 
 class Registry(typing.NamedTuple):
     """The meter provider of a process and the registry that a scrape reads."""
 
     provider: sdk_metrics.MeterProvider
-    latency: metrics.Histogram
     collectors: prometheus_client.CollectorRegistry
 
     def scrape(self) -> bytes:
@@ -74,13 +84,8 @@
         callbacks=[lambda _: [metrics.Observation(counts.in_flight)]],
         description="Calls of callers that have not ended.",
     )
-    latency = meter.create_histogram(
-        "goldcrestgrade.call_duration",
-        unit="s",
-        description="Time from a call read whole to its outcome.",
-        explicit_bucket_boundaries_advisory=LATENCY_BOUNDS_S,
-    )
-    return Registry(provider, latency, collectors)
+    collectors.register(_LatencyCollector(counts))
+    return Registry(provider, collectors)
 
 
 def _families(counts: Counts) -> tuple[_Family, ...]:
@@ -101,6 +106,13 @@
             tuple(reasons.Uncertainty),
             "Calls that may have run and whose answer is lost.",
         ),
+        _Family(
+            "broken_attempts",
+            counts.broken_attempts,
+            "reason",
+            tuple(reasons.Uncertainty),
+            "Attempts that were sent and got no whole answer of their own.",
+        ),
         _Family(
             "retries",
             counts.retries,
@@ -114,6 +126,27 @@
     )
 
 
+class _LatencyCollector(registry.Collector):
+    """Exports the durations of calls as a histogram.
+
+    The SDK has no asynchronous histogram, and its synchronous one costs microseconds on each call.
+    """
+
+    def __init__(self, counts: Counts) -> None:
+        self.counts = counts
+
+    def collect(self) -> typing.Iterator[metrics_core.HistogramMetricFamily]:
+        """Return the histogram as it stands."""
+        bounds = (*map(str, LATENCY_BOUNDS_S), "+Inf")
+        totals = itertools.accumulate(self.counts.latency_buckets)
+        yield metrics_core.HistogramMetricFamily(
+            "goldcrestgrade_call_duration_seconds",
+            "Time from a call read whole to its outcome.",
+            buckets=list(zip(bounds, totals, strict=True)),
+            sum_value=self.counts.latency_sum_s,
+        )
+
+
 def _observer(
     counter: collections.Counter[str], label: str, known: typing.Sequence[str]
 ) -> typing.Callable[[metrics.CallbackOptions], list[metrics.Observation]]:
