--- a/packages/goldcrestgrade-node/goldcrestgrade_node/commands/run.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/commands/run.py
@@ -13,7 +13,7 @@
 import aiohttp
 
 from goldcrestgrade import http_client, instants, outcomes, records, settings, sheet, telemetry
-from goldcrestgrade.platform import http_objects, http_tables
+from goldcrestgrade.platform import http_objects, http_tables, resilient_tables
 from goldcrestgrade_node import requests, servers
 from goldcrestgrade_node.attempts import results, transport
 from goldcrestgrade_node.configuration import adoption
@@ -23,17 +23,11 @@
 from goldcrestgrade_node.entry import app as entry_app
 from goldcrestgrade_node.entry import calls
 from goldcrestgrade_node.membership import discovery, exchange, members, peers, selection
-from goldcrestgrade_node.once import claims, guard, relay
+from goldcrestgrade_node.once import claims, guard, relay, relay_client, sweeper, write_behind
 from goldcrestgrade_node.routing import choice, evidence
 
 log = logging.getLogger(__name__)
 
-ENDPOINT_CONNECTIONS = 200
-"""Connections to endpoints that a node holds at most."""
-
-ENDPOINT_KEEPALIVE_S = 15.0
-"""Time after which an unused connection to an endpoint is closed."""
-
 CONTROL_CONNECTIONS = 64
 """Connections to peers and to the platform that a node holds at most."""
 
@@ -43,6 +37,12 @@
 DRAIN_SPREAD_S = 2.0
 """Time in which all nodes hear that an endpoint drains."""
 
+FLUSH_TIMEOUT_S = 3.0
+"""Longest time that a planned stop waits for outcomes to be written."""
+
+SMALL_FLEET = 64
+"""Largest number of nodes that all tell each other of the version in force in their records."""
+
 TICK_S = 0.1
 """Time between looks at the lease and the drain of the endpoint."""
 
@@ -56,7 +56,6 @@
     def __init__(
         self,
         config: settings.NodeSettings,
-        call_session: aiohttp.ClientSession,
         control_session: aiohttp.ClientSession,
     ) -> None:
         self.config = config
@@ -116,21 +115,27 @@
             self.clocks,
             self.rng,
         )
-        self.committer = claims.Committer(store, self.clocks)
-        self.transport = transport.HttpTransport(call_session, self.clocks)
+        claim_store = resilient_tables.ResilientTables(store, self.clocks, self.rng)
+        self.committer = claims.Committer(claim_store, self.clocks)
+        self.writer = write_behind.WriteBehind(claim_store, self.clocks)
+        self.sweeper = sweeper.Sweeper(claim_store, self.clocks, self.rng)
+        port = relay.HttpPort(control_session, config["keys"][0], self.clocks)
+        self.transport = transport.HttpTransport(self.clocks, self.counts)
         self.guard = guard.Guard(
-            config["node_id"],
-            incarnation,
+            guard.Identity(config["node_id"], incarnation, records.control_url(self.own.record)),
             self.committer,
+            self.writer,
+            port,
             self.start,
             self.lifecycle.accepting,
+            self.endpoint_died,
             self.clocks,
         )
         self.calls = calls.Calls(
             choice.Caller(config["region"], config["failure_domain"]),
             self.evidences,
             self.transport.send,
-            relay.RelayClient(control_session, config["keys"][0], self.clocks).run,
+            relay_client.RelayClient(port, self.clocks).run,
             self.clocks,
             self.counts,
             self.rng,
@@ -150,6 +155,8 @@
     def sheet_adopted(self, _adopted: sheet.Sheet) -> None:
         """Tell peers of the version in force."""
         self.exchange.spread_sheet()
+        if len(self.members.entries) <= SMALL_FLEET:
+            self.revise()
 
     async def start(self, request: requests.Request, attempt_id: str) -> results.AttemptResult:
         """Send a claimed request to the own endpoint."""
@@ -162,11 +169,16 @@
             )
         )
 
+    def endpoint_died(self, request: requests.Request) -> None:
+        """Count a run-once request whose attempt ended with the endpoint's death."""
+        self.counts.events["endpoint_died"] += 1
+        log.warning("endpoint died", extra={"request_id": request.request_id})
+
     async def observed_run(self, request: requests.Request) -> outcomes.Outcome:
         """Run a request of a caller and record its latency."""
         started = self.clocks.monotonic()
         outcome = await self.calls.run(request)
-        self.registry.latency.record(self.clocks.monotonic() - started)
+        self.counts.record_latency(self.clocks.monotonic() - started)
         return outcome
 
     def routes(self) -> dict[str, control_app.Resource]:
@@ -200,6 +212,7 @@
             self.count_refusal,
             self.stopping.is_set,
             self.clocks,
+            self.counts.events,
         )
 
     def count_refusal(self, reason: str) -> None:
@@ -221,9 +234,11 @@
         self.lifecycle.stop()
         await self.exchange.farewell()
         await self._until(lambda: self._drained(spread_at), deadline)
-        if not self._drained(spread_at):
+        cut_off = not self._drained(spread_at)
+        if cut_off:
             self._log_cut()
-        self.lifecycle.finish(not self._drained(spread_at))
+        await self._until(self.writer.idle, self.clocks.monotonic() + FLUSH_TIMEOUT_S)
+        self.lifecycle.finish(cut_off)
         await self.exchange.farewell()
         await self.discovery.leave()
 
@@ -251,13 +266,11 @@
 
 async def _run(config: settings.NodeSettings) -> None:
     async with contextlib.AsyncExitStack() as stack:
-        call_session = await stack.enter_async_context(
-            http_client.open_session(ENDPOINT_CONNECTIONS, ENDPOINT_KEEPALIVE_S)
-        )
         control_session = await stack.enter_async_context(
             http_client.open_session(CONTROL_CONNECTIONS, CONTROL_KEEPALIVE_S)
         )
-        node = Node(config, call_session, control_session)
+        node = Node(config, control_session)
+        stack.push_async_callback(node.transport.close)
         _handle_signals(node)
         gc.collect()
         gc.freeze()
@@ -276,6 +289,9 @@
             group.create_task(task)
             for task in (
                 node.committer.run(),
+                node.writer.run(),
+                node.guard.evict_forever(),
+                node.sweeper.sweep_forever(),
                 node.exchange.rounds_forever(),
                 node.exchange.push_forever(),
                 node.exchange.tick_forever(),
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/membership/exchange.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/membership/exchange.py
@@ -138,7 +138,7 @@
         sender = self.known.record(message["node_id"])
         if sender is not None and message["sheet_version"] > self.hooks.sheet_version():
             self.hooks.sheet_heard(message["sheet_version"], records.control_url(sender))
-        alike = message["digest"] == self._root()
+        alike = not message["settle"] or message["digest"] == self._root()
         return messages.ExchangeReply(
             node_id=self.own.record["node_id"],
             region=self.own.record["region"],
@@ -261,7 +261,9 @@
         chosen = [selection.choose_peer(seen, self.rng) for _ in range(PUSH_FANOUT)]
         targets = {peer["node_id"]: peer for peer in chosen if peer is not None}
         self.budget.spend(ENTRY_BYTES * len(entries) * len(targets))
-        await asyncio.gather(*(self._exchange(peer, entries, found) for peer in targets.values()))
+        await asyncio.gather(
+            *(self._exchange(peer, entries, found, settle=False) for peer in targets.values())
+        )
 
     async def tick_forever(self) -> None:
         """Keep the deadlines of entries until cancelled."""
@@ -301,7 +303,7 @@
 
     async def join(self, url: str) -> None:
         """Exchange with the node at `url`, known or not."""
-        await self._exchange_at(url, None, [], [])
+        await self._exchange_at(url, None, [], [], settle=True)
 
     async def farewell(self) -> None:
         """Push the latest own entry without delay."""
@@ -315,11 +317,12 @@
         peer: records.NodeRecord,
         entries: typing.Sequence[records.Entry] = (),
         found: typing.Sequence[messages.Notice] = (),
+        settle: bool = True,
     ) -> bool:
         crossing = peer["region"] != self.own.record["region"]
         self.counts.events["exchange_crossing" if crossing else "exchange_local"] += 1
         return await self._exchange_at(
-            records.control_url(peer), peer["node_id"], list(entries), list(found)
+            records.control_url(peer), peer["node_id"], list(entries), list(found), settle
         )
 
     async def _exchange_at(
@@ -328,10 +331,11 @@
         expected_id: str | None,
         entries: list[records.Entry],
         found: list[messages.Notice],
+        settle: bool,
     ) -> bool:
         self.check_pause()
         try:
-            reply = await self._tell(url, entries, found)
+            reply = await self._tell(url, entries, found, settle)
             if expected_id not in (None, reply["node_id"]):
                 return False
             self._heard(reply["node_id"], reply["region"], reply["heard"])
@@ -367,10 +371,14 @@
         self.take_notices(reply["notices"])
         wanted = [self.known.entries[i] for i in reply["wanted"] if i in self.known.entries]
         if wanted:
-            await self._tell(url, wanted, [])
+            await self._tell(url, wanted, [], settle=False)
 
     async def _tell(
-        self, url: str, entries: list[records.Entry], found: list[messages.Notice]
+        self,
+        url: str,
+        entries: list[records.Entry],
+        found: list[messages.Notice],
+        settle: bool,
     ) -> messages.ExchangeReply:
         message = messages.Exchange(
             node_id=self.own.record["node_id"],
@@ -380,6 +388,7 @@
             heard=self.contacts.ages(),
             entries=entries,
             notices=found,
+            settle=settle,
         )
         return await self._ask(
             url, EXCHANGE_PATH, messages.EXCHANGE.dump_json(message), messages.EXCHANGE_REPLY
@@ -417,7 +426,6 @@
         return reply["reached"]
 
     async def _ask(self, url: str, path: str, body: bytes, adapter: pydantic.TypeAdapter[T]) -> T:
-        self.counts.events["peer_requests"] += 1
         reply = await self.remote.post(url, path, body)
         try:
             return adapter.validate_json(reply)
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/membership/messages.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/membership/messages.py
@@ -52,6 +52,8 @@
     entries: Entries
     """Entries that are new to the sender."""
     notices: Notices
+    settle: bool
+    """Whether the reply is to carry digests of buckets where the sender's digest differs."""
 
 
 class ExchangeReply(typing_extensions.TypedDict):
@@ -62,7 +64,7 @@
     sheet_version: records.Count
     heard: typing.Annotated[dict[records.Name, Seconds], pydantic.Field(max_length=MAX_REGIONS)]
     buckets: typing.Annotated[list[records.Count], pydantic.Field(max_length=digests.BUCKETS)]
-    """Digests of the replier's buckets; empty where both hold the same entries."""
+    """Digests of the replier's buckets; empty where not asked for or alike."""
 
 
 class Summary(typing.NamedTuple):
--- a/packages/goldcrestgrade-node/tests/configuration/test_adoption.py
+++ b/packages/goldcrestgrade-node/tests/configuration/test_adoption.py
@@ -61,6 +61,7 @@
         object_name=sheet.object_name(body),
         accepted_at=0.0,
         operator="o",
+        apply_id="a",
     )
     objects.objects[head["object_name"]] = body
     store.commit(
--- a/packages/goldcrestgrade-testing/goldcrestgrade_testing/capacity.py
+++ b/packages/goldcrestgrade-testing/goldcrestgrade_testing/capacity.py
@@ -13,10 +13,12 @@
 import time
 import tracemalloc
 import typing
+import zlib
 
 import orjson
 
-from goldcrestgrade import sheet
+from goldcrestgrade import records, sheet
+from goldcrestgrade_node.membership import members
 from goldcrestgrade_testing import fleet, virtual_time
 
 SETTLE_S = 60.0
@@ -127,7 +129,7 @@
         await running.accept(fleet.sheet_document(day, services))
         await asyncio.sleep(DAY_S / CHANGES_PER_DAY / 2)
         node = running.rng.choice(running.running())
-        for state in (fleet.records.EndpointState.DRAINING, fleet.records.EndpointState.READY):
+        for state in (records.EndpointState.DRAINING, records.EndpointState.READY):
             node.change(state)
             await asyncio.sleep(DAY_S / CHANGES_PER_DAY / 4)
         number += 1
@@ -159,7 +161,7 @@
     body = orjson.dumps(entries)
     gc.collect()
     tracemalloc.start()
-    copy = fleet.members.Members(node.clocks)
+    copy = members.Members(node.clocks)
     copy.merge(orjson.loads(body))
     size, _ = tracemalloc.get_traced_memory()
     tracemalloc.stop()
@@ -199,8 +201,6 @@
 
 def sheet_cost(services: int) -> tuple[int, int, float]:
     """Return bytes, compressed bytes and milliseconds to compile a sheet of `services`."""
-    import zlib
-
     body = sheet.encode(fleet.sheet_document("2026-01-01", services))
     started = time.process_time()
     sheet.compile_sheet(1, body)
@@ -213,10 +213,16 @@
     parser.add_argument("--sizes", type=int, nargs="+", default=[8, 32, 128, 256])
     parser.add_argument("--seed", type=int, default=1)
     options = parser.parse_args()
-    rows = [virtual_time.run(measure(nodes, options.seed)) for nodes in options.sizes]
-    for row in rows:
-        print(orjson.dumps(_flat(row)).decode())
+    rows = []
+    for nodes in options.sizes:
+        rows.append(virtual_time.run(measure(nodes, options.seed)))
+        print(orjson.dumps(_flat(rows[-1])).decode(), flush=True)
     print("sheet of the target: bytes, compressed, compile ms:", sheet_cost(TARGET_SERVICES))
+    if len(rows) > 1:
+        _print_fits(rows)
+
+
+def _print_fits(rows: list[Row]) -> None:
     for name in _flat(rows[0]):
         points = [(float(row.nodes), float(_flat(row)[name])) for row in rows]
         intercept, per_node = slope(points)
--- a/packages/goldcrestgrade-testing/goldcrestgrade_testing/fleet.py
+++ b/packages/goldcrestgrade-testing/goldcrestgrade_testing/fleet.py
@@ -64,9 +64,7 @@
     async def reach(self, source: Node, url: str) -> Node:
         """Return the node at `url` after the delay of the way; raises `PeerError`."""
         target = self.nodes.get(url)
-        if target is None:
-            raise peers.PeerError("connection refused")
-        if target.paused or source.paused or self.unreached(source, target):
+        if target is None or target.paused or source.paused or self.unreached(source, target):
             await asyncio.sleep(CONNECT_TIMEOUT_S)
             raise peers.PeerError("timeout")
         delay_s = LOCAL_DELAY_S if target.region == source.region else REGION_DELAY_S
