--- a/Makefile
+++ b/Makefile
@@ -34,7 +34,11 @@
 latency: install ## Measure the latency that a node adds to a call, on real sockets
 	$(BIN)/python -m goldcrestgrade_testing.latency --seed=$(SEED) --json=latency.json
 
+capacity: install ## Measure what membership and the sheet cost, and fit it over the size of the fleet
+	$(BIN)/python -m goldcrestgrade_testing.capacity --seed=$(SEED)
+	$(BIN)/python -m goldcrestgrade_testing.loopback --nodes=16
+
 reference: install ## Write the generated tables of the documentation
 	$(BIN)/python -m goldcrestgrade_testing.reference
 
-.PHONY: help install test lint format demo latency reference
+.PHONY: help install test lint format demo latency capacity reference
--- /dev/null
+++ b/packages/goldcrestgrade-testing/goldcrestgrade_testing/loopback.py
@@ -0,0 +1,154 @@
+"""Measures the control work of real node processes that exchange over loopback.
+
+Each node is a process with its own servers; the processor time and the memory come from the kernel.
+"""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import contextlib
+import os
+import pathlib
+import signal
+import subprocess
+import sys
+import tempfile
+import typing
+
+import aiohttp
+import orjson
+
+from goldcrestgrade import headers, http_client, settings
+from goldcrestgrade_operator.sheets import acceptance
+from goldcrestgrade_testing import fleet, letters_desk, memory_platform, platform_server
+
+FIRST_PORT = 23100
+PLATFORM_PORT = 23099
+START_TIMEOUT_S = 60.0
+SETTLE_S = 40.0
+"""Time after the start before the measurement, so that rounds are those of an idle fleet."""
+
+CLOCK_TICKS_PER_S = os.sysconf("SC_CLK_TCK")
+PAGE_BYTES = os.sysconf("SC_PAGE_SIZE")
+
+
+class Usage(typing.NamedTuple):
+    """What a process used so far."""
+
+    cpu_s: float
+    resident_bytes: int
+
+
+def usage(pid: int) -> Usage:
+    """Return the processor time and the memory of a process."""
+    fields = pathlib.Path(f"/proc/{pid}/stat").read_text("ascii").rpartition(")")[2].split()
+    ticks = int(fields[11]) + int(fields[12])
+    return Usage(ticks / CLOCK_TICKS_PER_S, int(fields[21]) * PAGE_BYTES)
+
+
+def node_settings(place: fleet.Place, number: int) -> settings.NodeSettings:
+    """Return the settings of a node on loopback."""
+    platform = f"http://{letters_desk.HOST}:{PLATFORM_PORT}"
+    return settings.NodeSettings(
+        node_id=place.node_id,
+        region=place.region,
+        failure_domain=place.failure_domain,
+        calls={"host": letters_desk.HOST, "port": FIRST_PORT + 2 * number},
+        control={"host": letters_desk.HOST, "port": FIRST_PORT + 2 * number + 1},
+        platform={"tables": platform, "objects": platform},
+        keys=[letters_desk.SHARED_KEY],
+        peers=[],
+        drain_timeout_s=5.0,
+    )
+
+
+async def wait_joined(configs: list[settings.NodeSettings], session: aiohttp.ClientSession) -> None:
+    """Wait until every node knows all and has a sheet in force."""
+    async with asyncio.timeout(START_TIMEOUT_S):
+        for config in configs:
+            while await members_of(config, session) != len(configs):
+                await asyncio.sleep(0.2)
+
+
+async def members_of(config: settings.NodeSettings, session: aiohttp.ClientSession) -> int:
+    """Return how many nodes a node knows, or 0 while it has no sheet."""
+    url = f"http://{config['control']['host']}:{config['control']['port']}/v1/status"
+    try:
+        async with session.get(
+            url, headers={headers.CONTROL_KEY: letters_desk.SHARED_KEY}
+        ) as response:
+            status = orjson.loads(await response.read())
+    except aiohttp.ClientError:
+        return 0
+    return len(status["members"]) if status["sheet_version"] else 0
+
+
+async def measure(nodes: int, window_s: float) -> None:
+    """Start `nodes` processes, measure them idle, stop them and print the figures."""
+    tables, objects = memory_platform.MemoryTables(), memory_platform.MemoryObjects()
+    platform: settings.Address = {"host": letters_desk.HOST, "port": PLATFORM_PORT}
+    places = fleet.places(fleet.shape_of(nodes))
+    configs = [node_settings(place, number) for number, place in enumerate(places)]
+    async with contextlib.AsyncExitStack() as stack:
+        session = await stack.enter_async_context(http_client.open_session(100, 10.0))
+        folder = pathlib.Path(stack.enter_context(tempfile.TemporaryDirectory()))
+        serving = asyncio.create_task(platform_server.serve(platform, tables, objects))
+        await acceptance.accept(
+            tables,
+            objects,
+            fleet.sheet_document("2026-01-01", 270),
+            await acceptance.read_head(tables),
+            "operator",
+        )
+        processes = [start(config, folder) for config in configs]
+        stack.callback(stop, processes)
+        await wait_joined(configs, session)
+        await asyncio.sleep(SETTLE_S)
+        before = [usage(process.pid) for process in processes]
+        writes, reads = tables.writes, tables.reads
+        await asyncio.sleep(window_s)
+        after = [usage(process.pid) for process in processes]
+        share = [(b.cpu_s - a.cpu_s) / window_s for a, b in zip(before, after, strict=True)]
+        report(share, [used.resident_bytes for used in after])
+        store = (tables.writes - writes) / window_s, (tables.reads - reads) / window_s
+        print(f"store writes and reads a second: {store[0]:.2f} {store[1]:.2f}")
+    serving.cancel()
+    await asyncio.gather(serving, return_exceptions=True)
+
+
+def report(share: list[float], resident: list[int]) -> None:
+    """Print the processor time and the memory of the nodes."""
+    print(f"nodes {len(share)}, idle")
+    print(f"core share, mean and largest: {sum(share) / len(share):.4f} {max(share):.4f}")
+    print(f"resident MB, mean and largest: {sum(resident) / len(share) / 1e6:.1f} ", end="")
+    print(f"{max(resident) / 1e6:.1f}")
+
+
+def start(config: settings.NodeSettings, folder: pathlib.Path) -> subprocess.Popen[bytes]:
+    """Start the process of a node."""
+    path = folder / f"{config['node_id']}.json"
+    path.write_bytes(orjson.dumps(config))
+    command = [sys.executable, "-m", "goldcrestgrade_node", f"--settings={path}"]
+    return subprocess.Popen([*command, "--log_level=warning"])
+
+
+def stop(processes: list[subprocess.Popen[bytes]]) -> None:
+    """Stop all processes and wait for their ends."""
+    for process in processes:
+        process.send_signal(signal.SIGTERM)
+    for process in processes:
+        process.wait()
+
+
+def main() -> None:
+    """Measure one fleet of processes."""
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--nodes", type=int, default=16)
+    parser.add_argument("--window", type=float, default=30.0)
+    options = parser.parse_args()
+    asyncio.run(measure(options.nodes, options.window))
+
+
+if __name__ == "__main__":
+    main()
