--- a/packages/goldcrestgrade-operator/goldcrestgrade_operator/explanations.py
+++ b/packages/goldcrestgrade-operator/goldcrestgrade_operator/explanations.py
@@ -113,6 +113,18 @@
         "The answer of the endpoint ended early.",
         "Look for endpoints that stop without a drain.",
     ),
+    reasons.Uncertainty.ANSWER_CROSSED: Explanation(
+        "The answer on a connection belonged to another attempt, and was dropped.",
+        "Look for an endpoint, or something before it, that mixes up answers.",
+    ),
+    reasons.Uncertainty.ANSWER_INVALID: Explanation(
+        "The endpoint sent what is not HTTP.",
+        "Check which process listens at the announced address.",
+    ),
+    reasons.Uncertainty.ANSWER_TOO_LARGE: Explanation(
+        "The answer of a run-once request is larger than a node holds whole.",
+        "Have the endpoint answer run-once requests briefly.",
+    ),
     reasons.Uncertainty.ENDPOINT_DIED: Explanation(
         "The endpoint ended while it ran the request.",
         "Look at the endpoint's log for the request id.",
@@ -170,6 +182,42 @@
         "An accepted sheet could not be read by this node.",
         "Update the node; compare its version with that of the command line.",
     ),
+    reasons.Event.ATTEMPT_ANSWER_LOST: Explanation(
+        "An attempt's connection ended before an answer.", "Look for endpoints that crash."
+    ),
+    reasons.Event.ATTEMPT_ANSWER_CUT: Explanation(
+        "An attempt's answer ended early.", "Look for endpoints that stop without a drain."
+    ),
+    reasons.Event.ATTEMPT_ANSWER_CROSSED: Explanation(
+        "An attempt got the answer to another one; it was dropped and the connection closed.",
+        "Look for an endpoint, or something before it, that mixes up answers.",
+    ),
+    reasons.Event.ATTEMPT_ANSWER_INVALID: Explanation(
+        "An attempt got what is not HTTP.", "Check which process listens at the address."
+    ),
+    reasons.Event.ATTEMPT_ANSWER_TOO_LARGE: Explanation(
+        "An attempt's answer was larger than a node holds whole.",
+        "Have the endpoint answer run-once requests briefly.",
+    ),
+    reasons.Event.ATTEMPT_TIMED_OUT: Explanation(
+        "An attempt had no answer at its deadline.", "Look for stragglers."
+    ),
+    reasons.Event.SILENT_CONNECTION: Explanation(
+        "A reused connection to an endpoint brought no bytes until the deadline.",
+        "None if it is rare; else something between forgets connections that are still open.",
+    ),
+    reasons.Event.SUSPECT_CONNECTION_CLOSED: Explanation(
+        "An idle connection was closed, since another to the same endpoint was silent.",
+        "As for `silent_connection`.",
+    ),
+    reasons.Event.CALLER_DISCONNECTED: Explanation(
+        "A caller went away before its answer; the call was cancelled.",
+        "Look at latency if it rises: callers may be giving up.",
+    ),
+    reasons.Event.STREAMED_ANSWER_CUT: Explanation(
+        "A large answer broke off on its way through the node; the caller sees the cut.",
+        "Look for endpoints that stop without a drain.",
+    ),
 }
 """Explanation of each event that is neither refusal, unknown outcome nor retry."""
 
--- a/packages/goldcrestgrade/goldcrestgrade/reasons.py
+++ b/packages/goldcrestgrade/goldcrestgrade/reasons.py
@@ -37,6 +37,9 @@
 
     ANSWER_LOST = "answer_lost"
     ANSWER_CUT = "answer_cut"
+    ANSWER_CROSSED = "answer_crossed"
+    ANSWER_INVALID = "answer_invalid"
+    ANSWER_TOO_LARGE = "answer_too_large"
     ENDPOINT_DIED = "endpoint_died"
     TIMED_OUT = "timed_out"
     GUARD_LOST = "guard_lost"
@@ -60,3 +63,13 @@
 
     SHEET_STALE_IGNORED = "sheet_stale_ignored"
     SHEET_INVALID_IGNORED = "sheet_invalid_ignored"
+    ATTEMPT_ANSWER_LOST = "attempt_answer_lost"
+    ATTEMPT_ANSWER_CUT = "attempt_answer_cut"
+    ATTEMPT_ANSWER_CROSSED = "attempt_answer_crossed"
+    ATTEMPT_ANSWER_INVALID = "attempt_answer_invalid"
+    ATTEMPT_ANSWER_TOO_LARGE = "attempt_answer_too_large"
+    ATTEMPT_TIMED_OUT = "attempt_timed_out"
+    SILENT_CONNECTION = "silent_connection"
+    SUSPECT_CONNECTION_CLOSED = "suspect_connection_closed"
+    CALLER_DISCONNECTED = "caller_disconnected"
+    STREAMED_ANSWER_CUT = "streamed_answer_cut"
