--- a/Makefile
+++ b/Makefile
@@ -29,7 +29,7 @@
 	$(BIN)/ruff check --fix packages
 
 demo: install ## Run the Letters Desk on loopback for half a minute
-	$(BIN)/python -m goldcrestgrade_testing.demo
+	$(BIN)/python -m goldcrestgrade_testing.demo --seed=$(SEED)
 
 reference: install ## Write the generated tables of the documentation
 	$(BIN)/python -m goldcrestgrade_testing.reference
--- /dev/null
+++ b/packages/goldcrestgrade-testing/goldcrestgrade_testing/demo/load.py
@@ -0,0 +1,132 @@
+"""Callers of a deployment, through its nodes and directly to its endpoints."""
+
+from __future__ import annotations
+
+import asyncio
+import collections
+import itertools
+import random
+import time
+import typing
+import uuid
+
+import aiohttp
+import orjson
+from hdrh import histogram
+
+from goldcrestgrade import headers
+from goldcrestgrade_testing import shapes
+
+RUN_ONCE_INTERVAL = 10
+"""Every call whose number is a multiple of this is a run-once call; the rest alternate."""
+
+SENDS_PER_KEY = 2
+"""Times that a caller sends each run-once request, with the same key."""
+
+MAX_LATENCY_US = 60_000_000
+"""Largest latency recorded, in microseconds."""
+
+CONNECTION_LOST = "connection lost"
+"""Counted for a call whose connection broke before its answer was whole."""
+
+
+class Report(typing.NamedTuple):
+    """What the callers saw."""
+
+    answered: int
+    refusals: typing.Mapping[str, int]
+    """Calls without an answer of an endpoint, by reason."""
+    wrong: int
+    """Answers that were not whole or not to their own request."""
+    keys: frozenset[str]
+    through: histogram.HdrHistogram
+    direct: histogram.HdrHistogram
+
+
+class Callers:
+    """The callers of a deployment; owned by one task."""
+
+    def __init__(
+        self,
+        session: aiohttp.ClientSession,
+        places: typing.Sequence[shapes.Place],
+        rate: float,
+        rng: random.Random,
+    ) -> None:
+        self.session = session
+        self.places = places
+        self.rate = rate
+        self.rng = rng
+        self.leaving: set[str] = set()
+        """Ids of the nodes that callers no longer connect to."""
+        self.answered = 0
+        self.wrong = 0
+        self.refusals: collections.Counter[str] = collections.Counter()
+        self.keys: set[str] = set()
+        self.through = histogram.HdrHistogram(1, MAX_LATENCY_US, 3)
+        self.direct = histogram.HdrHistogram(1, MAX_LATENCY_US, 3)
+
+    async def run(self, load_s: float) -> Report:
+        """Make calls for `load_s` seconds, each at its own time."""
+        loop = asyncio.get_running_loop()
+        until = loop.time() + load_s
+        async with asyncio.TaskGroup() as group:
+            for number in itertools.count():
+                if loop.time() >= until:
+                    break
+                group.create_task(self._call(number))
+                await asyncio.sleep(self.rng.expovariate(self.rate))
+        return Report(
+            self.answered,
+            dict(self.refusals),
+            self.wrong,
+            frozenset(self.keys),
+            self.through,
+            self.direct,
+        )
+
+    async def _call(self, number: int) -> None:
+        entries = [place for place in self.places if place.node_id not in self.leaving]
+        entry = self.rng.choice(entries)
+        target = self.rng.choice([place for place in entries if place.region == entry.region])
+        path = f"/letters/{number}"
+        if number % RUN_ONCE_INTERVAL == 0:
+            await self._post(entry, target.service, path)
+        elif number % 2:
+            await self._get(entry.calls_url, target.service, path, self.through)
+        else:
+            await self._get(target.endpoint_url, target.service, path, self.direct)
+
+    async def _get(
+        self, url: str, service: str, path: str, latencies: histogram.HdrHistogram
+    ) -> None:
+        started = time.perf_counter()
+        if await self._send("GET", url, {headers.SERVICE: service}, path, None):
+            latencies.record_value(int((time.perf_counter() - started) * 1e6))
+
+    async def _post(self, entry: shapes.Place, service: str, path: str) -> None:
+        key = uuid.UUID(int=self.rng.getrandbits(128)).hex
+        self.keys.add(key)
+        fields = {headers.SERVICE: service, headers.IDEMPOTENCY_KEY: key}
+        for _ in range(SENDS_PER_KEY):
+            await self._send("POST", entry.calls_url, fields, path, key)
+
+    async def _send(
+        self, method: str, url: str, fields: dict[str, str], path: str, key: str | None
+    ) -> bool:
+        """Send a request and judge its answer; return whether an endpoint answered."""
+        try:
+            async with self.session.request(
+                method, url + path, headers=fields, data=b"letter" if key else None
+            ) as response:
+                body = await response.read()
+        except (aiohttp.ClientError, OSError):
+            self.refusals[CONNECTION_LOST] += 1
+            return False
+        if response.status != 200:
+            self.refusals[response.headers.get(headers.REASON, str(response.status))] += 1
+            return False
+        document = orjson.loads(body)
+        self.answered += 1
+        self.wrong += document["path"] != path or document["key"] != key
+        return True
--- /dev/null
+++ b/packages/goldcrestgrade-testing/goldcrestgrade_testing/demo/scenario.py
@@ -0,0 +1,126 @@
+"""The course of the demo: load, a second sheet, the drain of a node."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import signal
+import time
+import typing
+
+from goldcrestgrade import http_client
+from goldcrestgrade_testing import processes, shapes
+from goldcrestgrade_testing.demo import deployment, load
+
+CALL_RATE = 120.0
+"""Calls a second."""
+
+CONNECTIONS = 2000
+"""Connections that the callers hold at most."""
+
+KEEPALIVE_S = 30.0
+"""Time after which an unused connection of a caller is closed."""
+
+FIRST_DAY = "2026-01-01"
+SECOND_DAY = "2026-01-02"
+
+DRAIN_NEWS_S = 3.0
+"""Time after which a leaving endpoint gets no new work."""
+
+
+class Course(typing.NamedTuple):
+    """Times of the demo, in seconds."""
+
+    load_s: float = 18.0
+    """Time for which calls are made."""
+    apply_at_s: float = 4.0
+    drain_at_s: float = 9.0
+
+
+class Adoption(typing.NamedTuple):
+    """How the second sheet came into force under load."""
+
+    apply_status: int
+    spread_s: float
+    """Time from the acceptance until every node has it in force."""
+
+
+class Drain(typing.NamedTuple):
+    """How a node ended under load."""
+
+    node_id: str
+    exit_status: int
+    drain_s: float
+    late_starts: int
+    """Requests that started at its endpoint later than `DRAIN_NEWS_S` after the signal."""
+
+
+class Result(typing.NamedTuple):
+    """All that the demo measured."""
+
+    report: load.Report
+    run_once_starts: tuple[str, ...]
+    """Key of each run-once request that started at an endpoint."""
+    start_s: float
+    """Time from the start of the nodes until all were ready."""
+    adoption: Adoption
+    drain: Drain
+
+
+async def run(shape: shapes.Shape, course: Course, seed: int) -> Result:
+    """Return what a run of the demo measured."""
+    async with (
+        http_client.open_session(CONNECTIONS, KEEPALIVE_S) as session,
+        deployment.running(shape, session) as running,
+    ):
+        started = time.monotonic()
+        first = await running.apply(FIRST_DAY)
+        if first.exit_status:
+            raise RuntimeError(f"the first sheet was not accepted: status {first.exit_status}")
+        await running.wait_ready()
+        start_s = time.monotonic() - started
+        callers = load.Callers(session, running.places, CALL_RATE, random.Random(seed))
+        async with asyncio.TaskGroup() as group:
+            calling = group.create_task(callers.run(course.load_s))
+            adopting = group.create_task(_adopt(running, course))
+            draining = group.create_task(_drain(running, callers, course))
+        starts = tuple(
+            execution.idempotency_key
+            for endpoint in running.endpoints.values()
+            for execution in endpoint.executions
+            if execution.idempotency_key
+        )
+        return Result(calling.result(), starts, start_s, adopting.result(), draining.result())
+
+
+async def _adopt(running: deployment.Deployment, course: Course) -> Adoption:
+    await asyncio.sleep(course.apply_at_s)
+    applying = asyncio.create_task(running.apply(SECOND_DAY, "--wait"))
+    await running.wait_in_force(2, leaving=())
+    in_force_at = time.time()
+    applied = await applying
+    head = running.head()
+    accepted_at = head["accepted_at"] if head else float("nan")
+    return Adoption(applied.exit_status, in_force_at - accepted_at)
+
+
+async def _drain(running: deployment.Deployment, callers: load.Callers, course: Course) -> Drain:
+    await asyncio.sleep(course.drain_at_s)
+    node_id = running.places[0].node_id
+    process = running.processes[node_id]
+    executions = running.endpoints[node_id].executions
+    callers.leaving.add(node_id)
+    started = time.monotonic()
+    process.send_signal(signal.SIGTERM)
+    ending = asyncio.create_task(asyncio.to_thread(_wait, process))
+    await asyncio.sleep(DRAIN_NEWS_S)
+    known = len(executions)
+    exit_status, ended = await ending
+    drain_s = ended - started
+    await asyncio.sleep(max(0.0, course.load_s - course.drain_at_s - drain_s))
+    return Drain(node_id, exit_status, drain_s, len(executions) - known)
+
+
+def _wait(process: processes.Process) -> tuple[int, float]:
+    """Return the exit status of a process and the time of its end."""
+    return process.wait(), time.monotonic()
