--- a/packages/goldcrestgrade-operator/goldcrestgrade_operator/explanations.py
+++ b/packages/goldcrestgrade-operator/goldcrestgrade_operator/explanations.py
@@ -114,16 +114,16 @@
         "Look for endpoints that stop without a drain.",
     ),
     reasons.Uncertainty.ANSWER_CROSSED: Explanation(
-        "The answer on a connection belonged to another attempt, and was dropped.",
-        "Look for an endpoint, or something before it, that mixes up answers.",
+        "The answer that came belongs to another request; it was dropped.",
+        "Look at the endpoint, and at what stands between node and endpoint.",
     ),
     reasons.Uncertainty.ANSWER_INVALID: Explanation(
-        "The endpoint sent what is not HTTP.",
-        "Check which process listens at the announced address.",
+        "What came back is no answer of known length by HTTP; it was dropped.",
+        "Look at what the endpoint sends for the request id.",
     ),
     reasons.Uncertainty.ANSWER_TOO_LARGE: Explanation(
-        "The answer of a run-once request is larger than a node holds whole.",
-        "Have the endpoint answer run-once requests briefly.",
+        "The answer of a run-once request is larger than a node holds; it was dropped.",
+        "Have the endpoint answer run-once requests with less.",
     ),
     reasons.Uncertainty.ENDPOINT_DIED: Explanation(
         "The endpoint ended while it ran the request.",
@@ -182,42 +182,26 @@
         "An accepted sheet could not be read by this node.",
         "Update the node; compare its version with that of the command line.",
     ),
-    reasons.Event.ATTEMPT_ANSWER_LOST: Explanation(
-        "An attempt's connection ended before an answer.", "Look for endpoints that crash."
-    ),
-    reasons.Event.ATTEMPT_ANSWER_CUT: Explanation(
-        "An attempt's answer ended early.", "Look for endpoints that stop without a drain."
-    ),
-    reasons.Event.ATTEMPT_ANSWER_CROSSED: Explanation(
-        "An attempt got the answer to another one; it was dropped and the connection closed.",
-        "Look for an endpoint, or something before it, that mixes up answers.",
-    ),
-    reasons.Event.ATTEMPT_ANSWER_INVALID: Explanation(
-        "An attempt got what is not HTTP.", "Check which process listens at the address."
-    ),
-    reasons.Event.ATTEMPT_ANSWER_TOO_LARGE: Explanation(
-        "An attempt's answer was larger than a node holds whole.",
-        "Have the endpoint answer run-once requests briefly.",
+    reasons.Event.CALLER_DISCONNECTED: Explanation(
+        "A caller went away before its answer.",
+        "Compare the callers' time-outs with the latency.",
     ),
-    reasons.Event.ATTEMPT_TIMED_OUT: Explanation(
-        "An attempt had no answer at its deadline.", "Look for stragglers."
+    reasons.Event.ENDPOINT_DIED: Explanation(
+        "The endpoint ended while it ran a run-once request.",
+        "Look at the endpoint's log for the request id.",
     ),
     reasons.Event.SILENT_CONNECTION: Explanation(
-        "A reused connection to an endpoint brought no bytes until the deadline.",
-        "None if it is rare; else something between forgets connections that are still open.",
+        "A reused connection gave no byte of an answer by the deadline of its attempt.",
+        "Look for stragglers, and for what forgets idle connections between node and endpoint.",
+    ),
+    reasons.Event.STREAMED_ANSWER_CUT: Explanation(
+        "A large answer ended early after its first part had gone to the caller.",
+        "Look for endpoints that stop without a drain.",
     ),
     reasons.Event.SUSPECT_CONNECTION_CLOSED: Explanation(
         "An idle connection was closed, since another to the same endpoint was silent.",
         "As for `silent_connection`.",
     ),
-    reasons.Event.CALLER_DISCONNECTED: Explanation(
-        "A caller went away before its answer; the call was cancelled.",
-        "Look at latency if it rises: callers may be giving up.",
-    ),
-    reasons.Event.STREAMED_ANSWER_CUT: Explanation(
-        "A large answer broke off on its way through the node; the caller sees the cut.",
-        "Look for endpoints that stop without a drain.",
-    ),
 }
 """Explanation of each event that is neither refusal, unknown outcome nor retry."""
 
@@ -239,6 +223,12 @@
         "reason",
         UNCERTAINTIES,
     ),
+    Group(
+        "Attempts without a whole answer",
+        "goldcrestgrade_broken_attempts_total",
+        "reason",
+        UNCERTAINTIES,
+    ),
     Group("Retries", "goldcrestgrade_retries_total", "reason", RETRIES),
     Group("Events", "goldcrestgrade_events_total", "event", EVENTS),
 )
--- a/packages/goldcrestgrade-operator/tests/test_commands.py
+++ b/packages/goldcrestgrade-operator/tests/test_commands.py
@@ -130,6 +130,7 @@
     metrics = [explanation["metric"] for explanation in orjson.loads(out)]
     assert metrics == [
         'goldcrestgrade_unknowns_total{reason="timed_out"}',
+        'goldcrestgrade_broken_attempts_total{reason="timed_out"}',
         'goldcrestgrade_retries_total{reason="timed_out"}',
     ]
     assert command("explain", "bogus")[0] == 1
