--- a/Makefile
+++ b/Makefile
@@ -38,4 +38,3 @@
 	$(BIN)/python -m goldcrestgrade_testing.latency --seed=$(SEED) --json=latency.json
 
 .PHONY: help install test lint format demo reference latency
-.PHONY: help install test lint format demo latency reference
