--- a/packages/goldcrestgrade-node/goldcrestgrade_node/control/routes.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/control/routes.py
@@ -38,6 +38,14 @@
     reason: str
 
 
+class DrainDocument(typing_extensions.TypedDict):
+    """How far the drain of the own endpoint is."""
+
+    state: records.EndpointState
+    in_flight: int
+    """Requests in flight that the endpoint announced last."""
+
+
 def endpoint_resource(own: lifecycle.Lifecycle) -> app.Resource:
     """Return the resource by which the own endpoint announces itself and leaves."""
 
@@ -53,13 +61,16 @@
 
 
 def drain_resource(own: lifecycle.Lifecycle) -> app.Resource:
-    """Return the resource by which operators drain the endpoint."""
+    """Return the resource by which operators drain the endpoint and follow its drain."""
 
     async def drain(_request: falcon.asgi.Request, response: falcon.asgi.Response) -> None:
         own.leave()
         response.status = falcon.HTTP_202
 
-    return app.Resource(post=drain)
+    async def get(_request: falcon.asgi.Request, response: falcon.asgi.Response) -> None:
+        response.data = app.json_body(DrainDocument(state=own.state, in_flight=own.in_flight))
+
+    return app.Resource(post=drain, get=get)
 
 
 def exchange_resource(peers: exchange.Exchange) -> app.Resource:
--- a/packages/goldcrestgrade-operator/goldcrestgrade_operator/commands/drain.py
+++ b/packages/goldcrestgrade-operator/goldcrestgrade_operator/commands/drain.py
@@ -11,6 +11,9 @@
 POLL_INTERVAL_S = 0.2
 """Time between looks at the node that drains."""
 
+SPREAD_S = 5.0
+"""Time after which no node sends new work and the endpoint has announced its load anew."""
+
 LEAVING = frozenset({records.EndpointState.DRAINING, records.EndpointState.LEFT})
 """States in which an endpoint takes no new work."""
 
@@ -20,19 +23,20 @@
 
     node_id: str
     state: str
+    idle: bool | None
+    """Whether the endpoint may be stopped; none without `--wait`."""
 
 
 def run(arguments: typing.Sequence[str], given: options.Options) -> int:
-    """Begin a drain and, with `--wait`, wait for its end; raises `UserError`."""
-    node_id = arguments[0]
-    state = asyncio.run(_drain(node_id, given))
-    row = (node_id, state)
-    document = DrainDocument(node_id=node_id, state=state)
-    output.show(document, output.Table("", ("node", "state"), [row]), given.as_json)
+    """Begin a drain and, with `--wait`, wait until the endpoint is idle; raises `UserError`."""
+    document = asyncio.run(_drain(arguments[0], given))
+    advice = "the endpoint may be stopped" if document["idle"] else "calls in flight go on"
+    row = (document["node_id"], document["state"], advice)
+    output.show(document, output.Table("", ("node", "state", "note"), [row]), given.as_json)
     return 0
 
 
-async def _drain(node_id: str, given: options.Options) -> str:
+async def _drain(node_id: str, given: options.Options) -> DrainDocument:
     async with nodes.connect(given) as client:
         record = _find(await client.status(given.node_url), node_id)
         if record is None:
@@ -40,21 +44,27 @@
         if record["state"] not in LEAVING:
             await client.drain(records.control_url(record))
         if not given.wait:
-            return records.EndpointState.DRAINING
-        return await _until_left(client, node_id, given)
+            return DrainDocument(node_id=node_id, state=records.EndpointState.DRAINING, idle=None)
+        state = await _until_idle(client, record, given)
+        return DrainDocument(node_id=node_id, state=state, idle=True)
 
 
-async def _until_left(client: nodes.NodeClient, node_id: str, given: options.Options) -> str:
+async def _until_idle(
+    client: nodes.NodeClient, record: records.NodeRecord, given: options.Options
+) -> records.EndpointState:
     loop = asyncio.get_running_loop()
+    spread_at = loop.time() + SPREAD_S
     deadline = loop.time() + given.wait_timeout_s
     while True:
-        record = _find(await client.status(given.node_url), node_id)
-        if record is None or record["state"] == records.EndpointState.LEFT:
-            return records.EndpointState.LEFT
+        progress = await client.drain_progress(records.control_url(record))
+        if progress["state"] == records.EndpointState.LEFT:
+            return progress["state"]
+        if progress["in_flight"] == 0 and loop.time() >= spread_at:
+            return progress["state"]
         if loop.time() >= deadline:
             raise exceptions.WaitTimeout(
-                f"{node_id} is {record['state']} after {given.wait_timeout_s:g} s; the endpoint "
-                "still announces itself, or the news has not spread"
+                f"{record['node_id']} is {progress['state']} with {progress['in_flight']} requests "
+                f"in flight after {given.wait_timeout_s:g} s"
             )
         await asyncio.sleep(POLL_INTERVAL_S)
 
--- a/packages/goldcrestgrade-operator/goldcrestgrade_operator/nodes.py
+++ b/packages/goldcrestgrade-operator/goldcrestgrade_operator/nodes.py
@@ -4,6 +4,7 @@
 
 import collections.abc
 import contextlib
+import typing
 
 import aiohttp
 import pydantic
@@ -16,6 +17,9 @@
 """Longest wait for the answer of a node."""
 
 
+T = typing.TypeVar("T")
+
+
 class StatusDocument(typing_extensions.TypedDict):
     """What a node tells of itself and of the nodes that it knows."""
 
@@ -27,6 +31,14 @@
     members: list[records.NodeRecord]
 
 
+class DrainDocument(typing_extensions.TypedDict):
+    """How far the drain of a node's endpoint is."""
+
+    state: records.EndpointState
+    in_flight: int
+
+
+_DRAIN: pydantic.TypeAdapter[DrainDocument] = pydantic.TypeAdapter(DrainDocument)
 _STATUS: pydantic.TypeAdapter[StatusDocument] = pydantic.TypeAdapter(StatusDocument)
 
 
@@ -39,16 +51,23 @@
 
     async def status(self, url: str) -> StatusDocument:
         """Return what the node at `url` knows; raises `UserError`."""
-        body = await self._exchange("GET", f"{url}/v1/status")
-        try:
-            return _STATUS.validate_json(body)
-        except pydantic.ValidationError as error:
-            raise exceptions.UserError(f"{url}: does not answer as a node does") from error
+        return await self._document(f"{url}/v1/status", _STATUS)
 
     async def drain(self, url: str) -> None:
         """Have the node at `url` drain its endpoint; raises `UserError`."""
         await self._exchange("POST", f"{url}/v1/drain")
 
+    async def drain_progress(self, url: str) -> DrainDocument:
+        """Return how far the drain at the node at `url` is; raises `UserError`."""
+        return await self._document(f"{url}/v1/drain", _DRAIN)
+
+    async def _document(self, url: str, adapter: pydantic.TypeAdapter[T]) -> T:
+        body = await self._exchange("GET", url)
+        try:
+            return adapter.validate_json(body)
+        except pydantic.ValidationError as error:
+            raise exceptions.UserError(f"{url}: does not answer as a node does") from error
+
     async def _exchange(self, method: str, url: str) -> bytes:
         try:
             async with self.session.request(
--- a/packages/goldcrestgrade-operator/goldcrestgrade_operator/options.py
+++ b/packages/goldcrestgrade-operator/goldcrestgrade_operator/options.py
@@ -81,7 +81,7 @@
         "wait",
         False,
         "With apply, wait until every node has the version in force; with drain, until the "
-        "endpoint has left.",
+        "endpoint may be stopped.",
         flag_values=values,
     )
     flags.DEFINE_float(
--- a/packages/goldcrestgrade-operator/tests/conftest.py
+++ b/packages/goldcrestgrade-operator/tests/conftest.py
@@ -24,15 +24,19 @@
         self.store = store
         self.behind: set[str] = set()
         self.state = records.EndpointState.READY
+        self.in_flight = 0
         self.url = ""
 
     async def __call__(self, scope, receive, send) -> None:
         received = dict(asgi.headers_of(scope))
         if received.get(headers.CONTROL_KEY) != KEY:
             answer = outcomes.Answer(401, (), b"{}")
-        elif scope["path"] == "/v1/drain":
+        elif (scope["method"], scope["path"]) == ("POST", "/v1/drain"):
             self.state = records.EndpointState.LEFT
             answer = outcomes.Answer(202, (), b"")
+        elif scope["path"] == "/v1/drain":
+            document = {"state": self.state, "in_flight": self.in_flight}
+            answer = outcomes.Answer(200, (), orjson.dumps(document))
         else:
             answer = outcomes.Answer(200, (), orjson.dumps(self.status()))
         await asgi.send_answer(send, answer, "")
--- a/packages/goldcrestgrade-operator/tests/test_commands.py
+++ b/packages/goldcrestgrade-operator/tests/test_commands.py
@@ -5,7 +5,7 @@
 import orjson
 import pytest
 
-from goldcrestgrade import exceptions
+from goldcrestgrade import exceptions, records
 from goldcrestgrade_operator import command_table, options
 from goldcrestgrade_operator.commands import apply
 from goldcrestgrade_operator.sheets import acceptance
@@ -110,11 +110,31 @@
 
 def test_drain_waits_until_the_endpoint_has_left(command):
     status, out, _ = command("drain", "archive-1", "--wait", "--json")
-    assert (status, orjson.loads(out)) == (0, {"node_id": "archive-1", "state": "left"})
+    assert status == 0
+    assert orjson.loads(out) == {"node_id": "archive-1", "state": "left", "idle": True}
     status, _, err = command("drain", "archive-9")
     assert (status, err.count("\n")) == (1, 1)
 
 
+def test_drain_that_does_not_end_in_time_exits_4(command, node):
+    node.state = records.EndpointState.DRAINING
+    node.in_flight = 3
+    status, _, err = command("drain", "archive-1", "--wait", "--wait_timeout_s=0")
+    assert (status, err.count("\n")) == (4, 1)
+    assert "3 requests in flight" in err
+
+
+def test_platform_that_is_down_exits_1_and_a_lost_answer_is_settled(command, sheet_of, store):
+    store.faults.down = True
+    status, _, err = command("apply", sheet_of("2026-01-02"))
+    assert (status, err.count("\n")) == (1, 1)
+    store.faults.down = False
+    store.faults.lose_answers = 1
+    assert command("apply", sheet_of("2026-01-02"))[0] == 0
+    _, out, _ = command("history", "--json")
+    assert [head["version"] for head in orjson.loads(out)] == [1]
+
+
 def test_explain_tells_the_kind_of_a_request_and_why(command, sheet_of):
     command("apply", sheet_of("2026-01-02"))
     _, out, _ = command("explain", "archive", "delete", "/letters/1", "--json")
