End a node that cannot listen with the documented exit status

Cause: an address in use ended the node with status 3, that of the server library; a failure of one task ended in a traceback outside of the JSON lines. Change: both end with status 1, the latter with a JSON line that has the traceback. Measured: `pytest packages/goldcrestgrade-node/tests/test_command_line.py`: before, 1 failed (status 3) and 7 passed; now 8 passed.

--- a/packages/goldcrestgrade-node/goldcrestgrade_node/__main__.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/__main__.py
@@ -11,6 +11,11 @@
 from goldcrestgrade import command_flags, exceptions, logs, settings
 from goldcrestgrade_node.commands import run
 
+log = logging.getLogger(__name__)
+
+FAILURE_STATUS = 1
+"""Exit status of a node that could not run."""
+
 USAGE = """goldcrestgrade-node: the process beside each endpoint instance
 
 usage: goldcrestgrade-node --settings=FILE.json [--check] [--log_level=info]
@@ -56,7 +61,18 @@
         print("settings are valid")
         return 0
     logs.configure(getattr(logging, LOG_LEVEL.value.upper()), config["node_id"])
-    run.run(config)
+    return _run(config)
+
+
+def _run(config: settings.NodeSettings) -> int:
+    try:
+        run.run(config)
+    except SystemExit:
+        # The server logs that it cannot listen, and exits with a status of its own.
+        return FAILURE_STATUS
+    except Exception:
+        log.exception("node failed")
+        return FAILURE_STATUS
     return 0
 
 
