Share out the connections of an endpoint and relay where a share is under one

Cause: each node could hold 200 connections to an endpoint that accepts about 220. Change: a pure decision gives each node its share of 90% of an endpoint's connections, a quarter of it kept for the node beside the endpoint; a node whose share is under one sends idempotent attempts through that node's control address, with the method of the original so that answers are framed alike and large ones stream. Control applications outside falcon are given by path. Open: records do not tell which nodes call a service, so every live node counts as a caller; at 1,700 nodes every call to 220 connections would be relayed.

--- a/packages/goldcrestgrade-node/goldcrestgrade_node/asgi.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/asgi.py
@@ -15,6 +15,9 @@
 Send = typing.Callable[[typing.MutableMapping[str, typing.Any]], typing.Awaitable[None]]
 """ASGI send channel."""
 
+App = typing.Callable[[Scope, Receive, Send], typing.Awaitable[None]]
+"""ASGI application."""
+
 MAX_BODY_BYTES = 1 << 20
 """Largest body of a request."""
 
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/attempts/exchanges.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/attempts/exchanges.py
@@ -44,6 +44,8 @@
     attempt_id: str
     streamed: bool
     """Whether a large answer may be passed on before it is whole."""
+    echo_required: bool = False
+    """Whether an answer must repeat the attempt's id, as nodes do."""
 
 
 class Exchange:
@@ -127,6 +129,8 @@
 
     def _check(self, response: aiohttp.ClientResponse, fields: dict[str, str]) -> None:
         echoed = fields.get(headers.ATTEMPT_ID, "")
+        if self.prepared.echo_required and not echoed:
+            raise Invalid(reasons.Uncertainty.ANSWER_INVALID)
         if echoed and echoed != self.prepared.attempt_id:
             raise Invalid(reasons.Uncertainty.ANSWER_CROSSED)
         if not 200 <= response.status < 600:
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/attempts/transport.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/attempts/transport.py
@@ -6,13 +6,21 @@
 import typing
 
 import aiohttp
+import orjson
+import yarl
 
 from goldcrestgrade import headers, http_client, instants, outcomes, reasons, telemetry
 from goldcrestgrade_node import requests
-from goldcrestgrade_node.attempts import exchanges, pools, results
+from goldcrestgrade_node.attempts import exchanges, pools, results, shares
 
 DEFAULT_LIMIT = 200
-"""Connections to an endpoint of which no share is known."""
+"""Connections to an endpoint of which no share is known, and to a node."""
+
+FORWARD_PATH = "/v1/forward"
+"""Path of the control address that takes relayed attempts."""
+
+META = "goldcrestgrade-forward"
+"""Header that carries what belongs to a relayed attempt, as JSON."""
 
 UNUSED_POOL_S = 60.0
 """Time after which the pool of an endpoint that is no longer called is dropped."""
@@ -31,15 +39,21 @@
     caller_region: str
     answer_by: instants.Instant = instants.NEVER
     """Deadline of this attempt, where it ends before the request's."""
+    control_url: str | None = None
+    """Base URL of the node beside the endpoint, where the attempt may be relayed."""
 
 
 class HttpTransport:
     """Sends attempts to endpoints; owns the connections to them."""
 
-    def __init__(self, clocks: instants.Clocks, counts: telemetry.Counts) -> None:
+    def __init__(
+        self, clocks: instants.Clocks, counts: telemetry.Counts, shared_key: str = ""
+    ) -> None:
         self.clocks = clocks
         self.counts = counts
-        self.limits: dict[Address, int] = {}
+        self.shared_key = shared_key
+        self.shares: dict[str, dict[Address, shares.Share]] = {}
+        """Shares of this node by service and address."""
         self.pools: dict[Address, pools.Pool] = {}
         self.fresh = http_client.open_connector(keepalive_s=0)
 
@@ -49,15 +63,15 @@
         deadline = min(attempt.request.deadline, attempt.answer_by)
         if deadline <= started:
             return results.Unreached("deadline passed")
-        pool = self._pool((attempt.host, attempt.port), started)
-        exchange = exchanges.Exchange(pool, self._prepared(attempt), deadline)
+        exchange = self._exchange(attempt, deadline, started)
         result: results.AttemptResult | None = None
         try:
             async with asyncio.timeout_at(deadline):
                 # A run-once request isn't risked on a connection that may have gone silent.
                 await exchange.connect(self.fresh if attempt.request.kind.run_once else None)
                 response = await exchange.send()
-                result = _result(response, await exchange.answer(response))
+                answer = await exchange.answer(response)
+                result = _result(response, answer, exchange.prepared.echo_required)
                 return result
         except exchanges.Invalid as invalid:
             return self._broken(exchange, invalid.reason)
@@ -67,11 +81,12 @@
             if not _has_rest(result):
                 exchange.close()
 
-    def set_limits(self, limits: dict[Address, int]) -> None:
-        """Set how many connections to each endpoint this node may hold."""
-        self.limits = limits
-        for address, pool in self.pools.items():
-            pool.slots.resize(limits.get(address, DEFAULT_LIMIT))
+    def set_shares(self, service: str, given: dict[Address, shares.Share]) -> None:
+        """Set the shares of this node at the endpoints of `service`."""
+        self.shares[service] = given
+        for address, share in given.items():
+            if address in self.pools and isinstance(share, shares.Direct):
+                self.pools[address].slots.resize(share.limit)
 
     async def close(self) -> None:
         """Close all connections."""
@@ -104,11 +119,25 @@
         self.counts.events["silent_connection"] += 1
         self.counts.events["suspect_connection_closed"] += exchange.pool.close_idle(started)
 
-    def _pool(self, address: Address, now: instants.Instant) -> pools.Pool:
+    def _exchange(
+        self, attempt: Attempt, deadline: instants.Instant, now: instants.Instant
+    ) -> exchanges.Exchange:
+        address = (attempt.host, attempt.port)
+        share = self.shares.get(attempt.request.service, {}).get(address)
+        if isinstance(share, shares.Relay) and attempt.control_url is not None:
+            self.counts.events["attempt_relayed"] += 1
+            pool = self._pool(_control_address(attempt.control_url), DEFAULT_LIMIT, now)
+            return exchanges.Exchange(pool, self._relayed(attempt), deadline)
+        limit = share.limit if isinstance(share, shares.Direct) else DEFAULT_LIMIT
+        return exchanges.Exchange(
+            self._pool(address, limit, now), self._prepared(attempt), deadline
+        )
+
+    def _pool(self, address: Address, limit: int, now: instants.Instant) -> pools.Pool:
         pool = self.pools.get(address)
         if pool is None:
             self._drop_unused(now)
-            pool = pools.Pool(*address, self.limits.get(address, DEFAULT_LIMIT))
+            pool = pools.Pool(*address, limit)
             self.pools[address] = pool
         pool.last_used = now
         return pool
@@ -138,11 +167,45 @@
             streamed=not request.kind.run_once,
         )
 
+    def _relayed(self, attempt: Attempt) -> exchanges.Prepared:
+        request = attempt.request
+        document = {
+            "attempt_id": attempt.attempt_id,
+            "request_id": request.request_id,
+            "service": request.service,
+            "target": request.target,
+            "headers": request.headers,
+            "deadline": self.clocks.to_wall(request.deadline),
+            "caller_region": attempt.caller_region,
+        }
+        fields = [
+            (headers.CONTROL_KEY, self.shared_key),
+            (META, orjson.dumps(document).decode("latin-1")),
+        ]
+        return exchanges.Prepared(
+            request.method,
+            FORWARD_PATH,
+            fields,
+            request.body,
+            attempt.attempt_id,
+            streamed=True,
+            echo_required=True,
+        )
+
+
+def _control_address(control_url: str) -> Address:
+    url = yarl.URL(control_url)
+    return url.host or "", url.port or 0
+
 
-def _result(response: aiohttp.ClientResponse, answer: outcomes.Answer) -> results.AttemptResult:
+def _result(
+    response: aiohttp.ClientResponse, answer: outcomes.Answer, relayed: bool
+) -> results.AttemptResult:
     load = parse_load(response.headers.get(headers.LOAD))
     if response.status == 503 and headers.NOT_RUN in response.headers:
         return results.Shed(load)
+    if response.headers.get(headers.OUTCOME) == "unknown" and relayed:
+        return results.Broken(reasons.Uncertainty(response.headers[headers.REASON]))
     return results.Answered(answer, load)
 
 
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/commands/run.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/commands/run.py
@@ -14,8 +14,8 @@
 
 from goldcrestgrade import http_client, instants, outcomes, records, settings, sheet, telemetry
 from goldcrestgrade.platform import http_objects, http_tables, resilient_tables
-from goldcrestgrade_node import requests, servers
-from goldcrestgrade_node.attempts import results, transport
+from goldcrestgrade_node import asgi, requests, servers
+from goldcrestgrade_node.attempts import forwarding, results, shares, transport
 from goldcrestgrade_node.configuration import adoption
 from goldcrestgrade_node.control import app as control_app
 from goldcrestgrade_node.control import routes
@@ -103,7 +103,7 @@
         self.writer = write_behind.WriteBehind(claim_store, self.clocks)
         self.sweeper = sweeper.Sweeper(claim_store, self.clocks, self.rng)
         port = relay.HttpPort(control_session, config["keys"][0], self.clocks)
-        self.transport = transport.HttpTransport(self.clocks, self.counts)
+        self.transport = transport.HttpTransport(self.clocks, self.counts, config["keys"][0])
         self.guard = guard.Guard(
             guard.Identity(config["node_id"], incarnation, records.control_url(self.own.record)),
             self.committer,
@@ -133,7 +133,11 @@
     def touched(self, services: set[str]) -> None:
         """Bring the evidence of `services` in line with the records."""
         for service in services:
-            self.evidences.update(service, self.members.ready(service))
+            ready = self.members.ready(service)
+            self.evidences.update(service, ready)
+            self.transport.set_shares(
+                service, shares.limits(self.config["node_id"], ready, len(self.members.by_id))
+            )
 
     def sheet_adopted(self, _adopted: sheet.Sheet) -> None:
         """Tell peers of the version in force."""
@@ -179,9 +183,17 @@
     def control(self) -> typing.Any:
         """Return the application of the control address."""
         keys = self.config["keys"]
-        return control_app.with_relay(
-            control_app.create(keys, self.routes()), relay.RelayApp(self.guard, self.clocks), keys
-        )
+        relays: dict[str, asgi.App] = {
+            relay.PATH: relay.RelayApp(self.guard, self.clocks),
+            transport.FORWARD_PATH: forwarding.ForwardApp(
+                self.transport.send,
+                lambda: self.lifecycle.endpoint,
+                self.count_in_flight,
+                self.clocks,
+                self.counts.events,
+            ),
+        }
+        return control_app.with_relays(control_app.create(keys, self.routes()), relays, keys)
 
     def entry(self) -> entry_app.EntryApp:
         """Return the application of the calls address."""
@@ -194,6 +206,10 @@
             self.counts.events,
         )
 
+    def count_in_flight(self, change: int) -> None:
+        """Count relayed attempts that begin or end."""
+        self.counts.in_flight += change
+
     def count_refusal(self, reason: str) -> None:
         """Count a request refused before it became a call."""
         self.counts.calls["not_run"] += 1
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/control/app.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/control/app.py
@@ -12,7 +12,6 @@
 
 from goldcrestgrade import findings, headers, outcomes, statecharts
 from goldcrestgrade_node import asgi
-from goldcrestgrade_node.once import relay
 
 PUBLIC_PATHS = frozenset({"/v1/ready", "/metrics"})
 """Paths that need no shared key."""
@@ -93,20 +92,19 @@
     return app
 
 
-def with_relay(
-    app: FalconApp,
-    relay_app: relay.RelayApp,
-    keys: typing.Sequence[str],
-) -> typing.Callable[[asgi.Scope, asgi.Receive, asgi.Send], typing.Awaitable[None]]:
-    """Return an application that sends relayed requests to `relay_app`, all others to `app`."""
+def with_relays(
+    app: FalconApp, relays: typing.Mapping[str, asgi.App], keys: typing.Sequence[str]
+) -> asgi.App:
+    """Return an application that serves the paths in `relays` by those, all others by `app`."""
 
     async def dispatch(scope: asgi.Scope, receive: asgi.Receive, send: asgi.Send) -> None:
-        if scope["type"] != "http" or scope["path"] != relay.PATH:
+        relay = relays.get(scope["path"]) if scope["type"] == "http" else None
+        if relay is None:
             await app(dict(scope), receive, send)
             return
         received = dict(asgi.headers_of(scope))
         if authorized(received.get(headers.CONTROL_KEY), keys):
-            await relay_app(scope, receive, send)
+            await relay(scope, receive, send)
         else:
             await asgi.send_answer(send, UNAUTHORIZED, "")
 
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/entry/app.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/entry/app.py
@@ -22,6 +22,9 @@
 MAX_TIMEOUT_S = 3600.0
 """Longest time that a caller may ask an answer to be waited for."""
 
+MAX_FIELDS_LENGTH = 16 * 1024
+"""Largest length of all headers of a request together, in characters."""
+
 FORBIDDEN_METHODS = frozenset({"CONNECT", "TRACE"})
 """Methods that would open a tunnel or send internal headers back."""
 
@@ -148,6 +151,8 @@
         received = asgi.headers_of(scope)
     except UnicodeDecodeError:
         return None
+    if sum(len(name) + len(value) for name, value in received) > MAX_FIELDS_LENGTH:
+        return None
     options = headers.connection_options(received)
     if headers.repeated(received) or not options.isdisjoint(headers.PROTECTED):
         return None
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/entry/calls.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/entry/calls.py
@@ -93,6 +93,7 @@
                     host=endpoint.host,
                     port=endpoint.port,
                     caller_region=self.caller.region,
+                    control_url=endpoint.control_url,
                 )
             )
         finally:
--- a/packages/goldcrestgrade-node/tests/attempts/test_transport.py
+++ b/packages/goldcrestgrade-node/tests/attempts/test_transport.py
@@ -7,7 +7,7 @@
 
 from goldcrestgrade import instants, outcomes, reasons, sheet, telemetry
 from goldcrestgrade_node import requests
-from goldcrestgrade_node.attempts import exchanges, results, transport
+from goldcrestgrade_node.attempts import exchanges, results, shares, transport
 from goldcrestgrade_testing import raw_endpoint
 
 IDEMPOTENT = sheet.Kind("any", run_once=False, timeout_s=5.0)
@@ -39,7 +39,7 @@
 async def sending(respond, limit=50):
     async with raw_endpoint.serving(respond) as endpoint:
         path = transport.HttpTransport(instants.system_clocks(), telemetry.Counts())
-        path.set_limits({("127.0.0.1", endpoint.port): limit})
+        path.set_shares("s", {("127.0.0.1", endpoint.port): shares.Direct(limit)})
         try:
             yield Sender(path, endpoint.port), endpoint
         finally:
