--- a/packages/goldcrestgrade-node/goldcrestgrade_node/attempts/forwarding.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/attempts/forwarding.py
@@ -12,7 +12,7 @@
 import pydantic
 import typing_extensions
 
-from goldcrestgrade import headers, instants, outcomes, records, sheet
+from goldcrestgrade import headers, instants, outcomes, reasons, records, sheet
 from goldcrestgrade_node import asgi, requests
 from goldcrestgrade_node.attempts import results, transport
 from goldcrestgrade_node.entry import disconnects
@@ -90,7 +90,7 @@
             answer = _wire(result, document["attempt_id"], document["request_id"])
             await asgi.send_answer(send, answer, document["request_id"])
         except outcomes.AnswerCut:
-            self.events["streamed_answer_cut"] += 1
+            self.events[reasons.Event.STREAMED_ANSWER_CUT] += 1
         except asyncio.CancelledError:
             if not watch.disconnected:
                 raise
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/attempts/transport.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/attempts/transport.py
@@ -25,6 +25,16 @@
 UNUSED_POOL_S = 60.0
 """Time after which the pool of an endpoint that is no longer called is dropped."""
 
+EVENTS = {
+    reasons.Uncertainty.ANSWER_LOST: reasons.Event.ANSWER_LOST,
+    reasons.Uncertainty.ANSWER_CUT: reasons.Event.ANSWER_CUT,
+    reasons.Uncertainty.ANSWER_CROSSED: reasons.Event.ANSWER_CROSSED,
+    reasons.Uncertainty.ANSWER_INVALID: reasons.Event.ANSWER_INVALID,
+    reasons.Uncertainty.ANSWER_TOO_LARGE: reasons.Event.ANSWER_TOO_LARGE,
+    reasons.Uncertainty.TIMED_OUT: reasons.Event.ATTEMPT_TIMED_OUT,
+}
+"""What is counted for an attempt that ended without its answer."""
+
 Address = tuple[str, int]
 """Host and port of an endpoint."""
 
@@ -93,6 +103,15 @@
         await self.fresh.close()
         await asyncio.gather(*(pool.close() for pool in self.pools.values()))
 
+    def _before(self, deadline: instants.Instant) -> typing.Callable[[], bool]:
+        # The monotonic clock stands still while an instance is suspended; the wall clock does not.
+        wall_deadline = self.clocks.to_wall(deadline)
+
+        def before() -> bool:
+            return self.clocks.monotonic() < deadline and self.clocks.wall() < wall_deadline
+
+        return before
+
     def _failed(
         self, exchange: exchanges.Exchange, error: Exception, started: instants.Instant
     ) -> results.AttemptResult:
@@ -108,7 +127,7 @@
         return self._broken(exchange, reasons.Uncertainty.ANSWER_LOST)
 
     def _broken(self, exchange: exchanges.Exchange, reason: reasons.Uncertainty) -> results.Broken:
-        self.counts.events[f"attempt_{reason}"] += 1
+        self.counts.events[EVENTS[reason]] += 1
         reused = exchange.opened is not None and exchange.opened.reused
         return results.Broken(reason, reused)
 
@@ -116,8 +135,10 @@
         """Close connections that may be as silent as the one of `exchange`."""
         if exchange.answering or exchange.opened is None or not exchange.opened.reused:
             return
-        self.counts.events["silent_connection"] += 1
-        self.counts.events["suspect_connection_closed"] += exchange.pool.close_idle(started)
+        self.counts.events[reasons.Event.SILENT_CONNECTION] += 1
+        self.counts.events[reasons.Event.SUSPECT_CONNECTION_CLOSED] += exchange.pool.close_idle(
+            started
+        )
 
     def _exchange(
         self, attempt: Attempt, deadline: instants.Instant, now: instants.Instant
@@ -125,12 +146,17 @@
         address = (attempt.host, attempt.port)
         share = self.shares.get(attempt.request.service, {}).get(address)
         if isinstance(share, shares.Relay) and attempt.control_url is not None:
-            self.counts.events["attempt_relayed"] += 1
+            self.counts.events[reasons.Event.ATTEMPT_RELAYED] += 1
             pool = self._pool(_control_address(attempt.control_url), DEFAULT_LIMIT, now)
-            return exchanges.Exchange(pool, self._relayed(attempt), deadline)
+            return exchanges.Exchange(
+                pool, self._relayed(attempt), deadline, self._before(deadline)
+            )
         limit = share.limit if isinstance(share, shares.Direct) else DEFAULT_LIMIT
         return exchanges.Exchange(
-            self._pool(address, limit, now), self._prepared(attempt), deadline
+            self._pool(address, limit, now),
+            self._prepared(attempt),
+            deadline,
+            self._before(deadline),
         )
 
     def _pool(self, address: Address, limit: int, now: instants.Instant) -> pools.Pool:
@@ -205,10 +231,16 @@
     if response.status == 503 and headers.NOT_RUN in response.headers:
         return results.Shed(load)
     if response.headers.get(headers.OUTCOME) == "unknown" and relayed:
-        return results.Broken(reasons.Uncertainty(response.headers[headers.REASON]))
+        return results.Broken(_uncertainty(response.headers.get(headers.REASON, "")))
     return results.Answered(answer, load)
 
 
+def _uncertainty(text: str) -> reasons.Uncertainty:
+    """Return the reason called `text`; a node of another version may know others."""
+    known = {str(reason): reason for reason in reasons.Uncertainty}
+    return known.get(text, reasons.Uncertainty.ANSWER_LOST)
+
+
 def _has_rest(result: results.AttemptResult | None) -> bool:
     return isinstance(result, results.Answered) and result.answer.rest is not None
 
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/entry/app.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/entry/app.py
@@ -83,7 +83,7 @@
             if not watch.disconnected:
                 raise
             worker.uncancel()
-            self.events["caller_disconnected"] += 1
+            self.events[reasons.Event.CALLER_DISCONNECTED] += 1
         finally:
             watch.stop()
 
@@ -93,7 +93,7 @@
             await asgi.send_answer(send, answer, request_id, close=self.closing())
         except outcomes.AnswerCut:
             # Returning early makes the server close the connection, so that the caller sees it.
-            self.events["streamed_answer_cut"] += 1
+            self.events[reasons.Event.STREAMED_ANSWER_CUT] += 1
 
     def _request(
         self, scope: asgi.Scope, body: bytes | None, request_id: str
--- a/packages/goldcrestgrade/goldcrestgrade/telemetry.py
+++ b/packages/goldcrestgrade/goldcrestgrade/telemetry.py
@@ -12,6 +12,8 @@
 
 import opentelemetry.metrics as metrics
 import prometheus_client
+import prometheus_client.metrics_core as prometheus_metrics
+import prometheus_client.registry as prometheus_collectors
 from opentelemetry.exporter import prometheus
 from opentelemetry.sdk import metrics as sdk_metrics
 
@@ -42,52 +44,101 @@
 
 
 class Registry(typing.NamedTuple):
-    """The meter provider of a process and the scrape that reads it."""
+    """The meter provider of a process and the registry that a scrape reads."""
 
     provider: sdk_metrics.MeterProvider
+    collectors: prometheus_client.CollectorRegistry
 
     def scrape(self) -> bytes:
         """Return all metrics in the Prometheus text format."""
-        return prometheus_client.generate_latest()
+        return prometheus_client.generate_latest(self.collectors)
+
+
+class _Family(typing.NamedTuple):
+    name: str
+    counter: collections.Counter[str]
+    label: str
+    known: tuple[str, ...]
+    """Values of the label that are shown from the start."""
+    description: str
 
 
 def register(counts: Counts) -> Registry:
-    """Return a registry that observes `counts`."""
-    provider = sdk_metrics.MeterProvider(metric_readers=[prometheus.PrometheusMetricReader()])
-    meter = provider.get_meter("goldcrestgrade")
-    families = (
-        ("calls", counts.calls, "outcome", ("ran", "not_run", "unknown")),
-        ("refusals", counts.refusals, "reason", tuple(reasons.Refusal)),
-        ("unknowns", counts.unknowns, "reason", tuple(reasons.Uncertainty)),
-        ("retries", counts.retries, "reason", tuple(reasons.Retry)),
-        ("events", counts.events, "event", tuple(reasons.Event)),
+    """Return a registry of its own that observes `counts` and the process."""
+    collectors = prometheus_client.CollectorRegistry()
+    prometheus_client.ProcessCollector(registry=collectors)
+    prometheus_client.GCCollector(registry=collectors)
+    reader = prometheus.PrometheusMetricReader(
+        disable_target_info=True, scope_info_enabled=False, registry=collectors
     )
-    for name, counter, label, known in families:
+    provider = sdk_metrics.MeterProvider(metric_readers=[reader])
+    meter = provider.get_meter("goldcrestgrade")
+    for family in _families(counts):
         meter.create_observable_counter(
-            f"goldcrestgrade.{name}", callbacks=[_observer(counter, label, known)]
+            f"goldcrestgrade.{family.name}",
+            callbacks=[_observer(family.counter, family.label, family.known)],
+            description=family.description,
         )
     meter.create_observable_gauge(
-        "goldcrestgrade.in_flight", callbacks=[lambda _: [metrics.Observation(counts.in_flight)]]
+        "goldcrestgrade.in_flight",
+        callbacks=[lambda _: [metrics.Observation(counts.in_flight)]],
+        description="Calls of callers that have not ended.",
     )
-    meter.create_observable_counter(
-        "goldcrestgrade.calls_within", callbacks=[lambda _: _observe_latency(counts)]
-    )
-    meter.create_observable_counter(
-        "goldcrestgrade.call_duration",
-        unit="s",
-        callbacks=[lambda _: [metrics.Observation(counts.latency_sum_s)]],
-    )
-    return Registry(provider)
+    collectors.register(LatencyCollector(counts))
+    return Registry(provider, collectors)
+
 
+class LatencyCollector(prometheus_collectors.Collector):
+    """Exports the durations of calls as a histogram.
 
-def _observe_latency(counts: Counts) -> list[metrics.Observation]:
-    """Return, for each bound, the calls that took no longer."""
-    bounds = (*map(str, LATENCY_BOUNDS_S), "+Inf")
-    totals = itertools.accumulate(counts.latency_buckets)
-    return [
-        metrics.Observation(total, {"le": bound})
-        for bound, total in zip(bounds, totals, strict=True)
-    ]
+    The SDK has no instrument that observes buckets counted elsewhere, and its own histogram does
+    its work on each call.
+    """
+
+    def __init__(self, counts: Counts) -> None:
+        self.counts = counts
+
+    def collect(self) -> typing.Iterator[prometheus_client.Metric]:
+        """Yield the histogram as it stands."""
+        bounds = (*map(str, LATENCY_BOUNDS_S), "+Inf")
+        totals = itertools.accumulate(self.counts.latency_buckets)
+        yield prometheus_metrics.HistogramMetricFamily(
+            "goldcrestgrade_call_duration_seconds",
+            "Time from a call read whole to its outcome.",
+            buckets=list(zip(bounds, totals, strict=True)),
+            sum_value=self.counts.latency_sum_s,
+        )
+
+
+def _families(counts: Counts) -> tuple[_Family, ...]:
+    outcomes = ("ran", "not_run", "unknown")
+    return (
+        _Family("calls", counts.calls, "outcome", outcomes, "Calls of callers that ended."),
+        _Family(
+            "refusals",
+            counts.refusals,
+            "reason",
+            tuple(reasons.Refusal),
+            "Calls that were refused and did not run.",
+        ),
+        _Family(
+            "unknowns",
+            counts.unknowns,
+            "reason",
+            tuple(reasons.Uncertainty),
+            "Calls that may have run and whose answer is lost.",
+        ),
+        _Family(
+            "retries",
+            counts.retries,
+            "reason",
+            tuple(reasons.Retry),
+            "Attempts that followed an attempt of the same call.",
+        ),
+        _Family(
+            "events", counts.events, "event", tuple(reasons.Event), "Other events worth a look."
+        ),
+    )
 
 
 def _observer(
