Run nodes as processes in tests: stop, death and pause under load

Change: `deployments` starts the platform stand-in and some nodes with their endpoints as processes; the latency measurement uses it as well. Four tests: calls and run-once calls served, SIGTERM under load, SIGKILL of an endpoint under load, SIGSTOP and SIGCONT of a node.

--- /dev/null
+++ b/packages/goldcrestgrade-testing/goldcrestgrade_testing/deployments.py
@@ -0,0 +1,118 @@
+"""A small deployment on loopback: the platform in this process, nodes and endpoints in others."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import pathlib
+import tempfile
+import typing
+
+import aiohttp
+
+from goldcrestgrade import http_client, settings
+from goldcrestgrade_operator.sheets import acceptance
+from goldcrestgrade_testing import (
+    endpoint_server,
+    letters_desk,
+    memory_platform,
+    platform_server,
+    processes,
+)
+
+SERVICE = "archive"
+"""Service of every endpoint."""
+
+CONNECTIONS = 200
+"""Connections of the session that callers use."""
+
+KEEPALIVE_S = 5.0
+"""Time after which an unused connection of a caller is closed."""
+
+
+class Instance(typing.NamedTuple):
+    """An endpoint with the node beside it."""
+
+    place: letters_desk.Place
+    node: processes.Process
+    endpoint: processes.Process
+
+    @property
+    def calls_url(self) -> str:
+        """Base URL of the node for callers."""
+        return f"http://{letters_desk.HOST}:{self.place.calls_port}"
+
+    @property
+    def control_url(self) -> str:
+        """Base URL of the node for peers and operators."""
+        return f"http://{letters_desk.HOST}:{self.place.control_port}"
+
+    @property
+    def endpoint_url(self) -> str:
+        """Base URL of the endpoint."""
+        return f"http://{letters_desk.HOST}:{self.place.endpoint_port}"
+
+
+class Deployment(typing.NamedTuple):
+    """What runs, and a session for callers."""
+
+    instances: list[Instance]
+    session: aiohttp.ClientSession
+
+
+@contextlib.asynccontextmanager
+async def running(
+    count: int, behaviour: endpoint_server.Behaviour
+) -> typing.AsyncIterator[Deployment]:
+    """Run `count` instances in one failure domain until the context ends."""
+    async with contextlib.AsyncExitStack() as stack:
+        platform_port, *ports = processes.free_ports(1 + 3 * count)
+        folder = pathlib.Path(stack.enter_context(tempfile.TemporaryDirectory()))
+        stack.callback((await _serve_platform(platform_port)).cancel)
+        started: list[processes.Process] = []
+        stack.callback(processes.stop_at_once, started)
+        instances = []
+        for index in range(count):
+            place = _place(index, ports[3 * index : 3 * index + 3])
+            config = letters_desk.node_settings(place, platform_port)
+            started.append(processes.start_node(config, folder))
+            started.append(processes.start_endpoint(_endpoint_settings(place, behaviour)))
+            instances.append(Instance(place, *started[-2:]))
+        session = await stack.enter_async_context(
+            http_client.open_session(CONNECTIONS, KEEPALIVE_S)
+        )
+        for instance in instances:
+            await processes.wait_ready(
+                instance.control_url, letters_desk.SHARED_KEY, count, session
+            )
+        yield Deployment(instances, session)
+
+
+async def _serve_platform(port: int) -> asyncio.Task[None]:
+    tables = memory_platform.MemoryTables()
+    objects = memory_platform.MemoryObjects()
+    document = letters_desk.sheet_document("2026-01-01")
+    await acceptance.accept(tables, objects, document, await acceptance.read_head(tables), "test")
+    return asyncio.create_task(platform_server.serve(_address(port), tables, objects))
+
+
+def _address(port: int) -> settings.Address:
+    return {"host": letters_desk.HOST, "port": port}
+
+
+def _place(index: int, ports: typing.Sequence[int]) -> letters_desk.Place:
+    return letters_desk.Place(SERVICE, "khomas-a", "khomas", f"{SERVICE}-{index}", *ports)
+
+
+def _endpoint_settings(
+    place: letters_desk.Place, behaviour: endpoint_server.Behaviour
+) -> endpoint_server.EndpointSettings:
+    return endpoint_server.EndpointSettings(
+        service=place.service,
+        name=place.node_id,
+        region=place.region,
+        address=_address(place.endpoint_port),
+        control_url=f"http://{letters_desk.HOST}:{place.control_port}",
+        shared_key=letters_desk.SHARED_KEY,
+        behaviour=behaviour,
+    )
--- a/packages/goldcrestgrade-testing/goldcrestgrade_testing/latency/__main__.py
+++ b/packages/goldcrestgrade-testing/goldcrestgrade_testing/latency/__main__.py
@@ -4,26 +4,16 @@
 
 import argparse
 import asyncio
-import contextlib
 import os
 import pathlib
 import statistics
 import sys
-import tempfile
 import typing
 
 import orjson
 from hdrh import histogram
 
-from goldcrestgrade import http_client, settings
-from goldcrestgrade_operator.sheets import acceptance
-from goldcrestgrade_testing import (
-    endpoint_server,
-    letters_desk,
-    memory_platform,
-    platform_server,
-    processes,
-)
+from goldcrestgrade_testing import deployments, endpoint_server, processes
 from goldcrestgrade_testing.latency import callers
 
 RATES = (50, 100, 200, 400, 800)
@@ -41,8 +31,6 @@
 TARGET_ADDED_P99_MS = 1.2
 """Latency that a node may add to a call for 99 in 100."""
 
-SERVICE = "archive"
-
 
 class Row(typing.NamedTuple):
     """What was measured at one rate."""
@@ -63,14 +51,6 @@
     """Mean number of runnable processes on the machine in the last minute."""
 
 
-class Bench(typing.NamedTuple):
-    """The processes that calls go to."""
-
-    node: processes.Process
-    node_url: str
-    direct_urls: list[str]
-
-
 def main() -> int:
     """Run the measurement and print its table."""
     parser = argparse.ArgumentParser(description=__doc__)
@@ -101,56 +81,32 @@
 
 async def measure(rates: typing.Iterable[int], load_s: float, repeats: int, seed: int) -> list[Row]:
     """Return a row for each rate and repeat."""
-    async with contextlib.AsyncExitStack() as stack:
-        bench = await _start(stack)
+    behaviour = endpoint_server.Behaviour(service_time_s=0.0, jitter_share=0.0, slots=1000)
+    async with deployments.running(ENDPOINTS, behaviour) as deployment:
         return [
-            await _measure_rate(bench, rate, load_s, seed + repeat)
+            await _measure_rate(deployment.instances, rate, load_s, seed + repeat)
             for repeat in range(repeats)
             for rate in rates
         ]
 
 
-async def _start(stack: contextlib.AsyncExitStack) -> Bench:
-    ports = processes.free_ports(1 + 3 * ENDPOINTS)
-    folder = pathlib.Path(stack.enter_context(tempfile.TemporaryDirectory()))
-    tables = memory_platform.MemoryTables()
-    objects = memory_platform.MemoryObjects()
-    serving = asyncio.create_task(platform_server.serve(_address(ports[0]), tables, objects))
-    stack.callback(serving.cancel)
-    document = letters_desk.sheet_document("2026-01-01")
-    await acceptance.accept(tables, objects, document, await acceptance.read_head(tables), "bench")
-    places = [_place(index, ports[1 + 3 * index :]) for index in range(ENDPOINTS)]
-    started: list[processes.Process] = []
-    stack.callback(processes.stop_at_once, started)
-    for place in places:
-        started.append(processes.start_node(letters_desk.node_settings(place, ports[0]), folder))
-        started.append(processes.start_endpoint(_endpoint_settings(place)))
-    session = await stack.enter_async_context(http_client.open_session(10, 5.0))
-    for place in places:
-        url = f"http://{letters_desk.HOST}:{place.control_port}"
-        await processes.wait_ready(url, letters_desk.SHARED_KEY, ENDPOINTS, session)
-    return Bench(
-        started[0],
-        f"http://{letters_desk.HOST}:{places[0].calls_port}/letters/1",
-        [f"http://{letters_desk.HOST}:{place.endpoint_port}/letters/1" for place in places],
-    )
-
-
-async def _measure_rate(bench: Bench, rate: int, load_s: float, seed: int) -> Row:
+async def _measure_rate(
+    instances: list[deployments.Instance], rate: int, load_s: float, seed: int
+) -> Row:
     plan = callers.Plan(
-        direct_urls=bench.direct_urls,
-        node_url=bench.node_url,
-        service=SERVICE,
+        direct_urls=[f"{instance.endpoint_url}/letters/1" for instance in instances],
+        node_url=f"{instances[0].calls_url}/letters/1",
+        service=deployments.SERVICE,
         rate=rate / CALLER_PROCESSES,
         warm_up_s=WARM_UP_S,
         load_s=load_s,
         seed=seed,
     )
-    cpu_before_s = processes.cpu_s(bench.node)
+    cpu_before_s = processes.cpu_s(instances[0].node)
     results = await asyncio.gather(
         *(_run_callers({**plan, "seed": seed * 100 + n}) for n in range(CALLER_PROCESSES))
     )
-    cpu_s = processes.cpu_s(bench.node) - cpu_before_s
+    cpu_s = processes.cpu_s(instances[0].node) - cpu_before_s
     direct = _merged(result["direct"] for result in results)
     through = _merged(result["through"] for result in results)
     lag = _merged(result["lag"] for result in results)
@@ -193,25 +149,5 @@
     return float(latencies.get_value_at_percentile(percentile)) / 1000
 
 
-def _address(port: int) -> settings.Address:
-    return {"host": letters_desk.HOST, "port": port}
-
-
-def _place(index: int, ports: typing.Sequence[int]) -> letters_desk.Place:
-    return letters_desk.Place(SERVICE, "khomas-a", "khomas", f"{SERVICE}-{index}", *ports[:3])
-
-
-def _endpoint_settings(place: letters_desk.Place) -> endpoint_server.EndpointSettings:
-    return endpoint_server.EndpointSettings(
-        service=place.service,
-        name=place.node_id,
-        region=place.region,
-        address=_address(place.endpoint_port),
-        control_url=f"http://{letters_desk.HOST}:{place.control_port}",
-        shared_key=letters_desk.SHARED_KEY,
-        behaviour=endpoint_server.Behaviour(service_time_s=0.0, jitter_share=0.0, slots=1000),
-    )
-
-
 if __name__ == "__main__":
     sys.exit(main())
--- /dev/null
+++ b/packages/goldcrestgrade-testing/tests/test_node_processes.py
@@ -0,0 +1,108 @@
+from __future__ import annotations
+
+import asyncio
+import signal
+import uuid
+
+import aiohttp
+import orjson
+
+from goldcrestgrade import headers
+from goldcrestgrade_testing import deployments, endpoint_server, processes
+
+QUICK = endpoint_server.Behaviour(service_time_s=0.002)
+SLOW = endpoint_server.Behaviour(service_time_s=0.4, jitter_share=0.5)
+SERVICE = {headers.SERVICE: deployments.SERVICE}
+
+
+async def get(session: aiohttp.ClientSession, instance: deployments.Instance, number: int) -> None:
+    """Read a page through the node and check that the answer is its own and whole."""
+    path = f"/letters/{number}"
+    async with session.get(instance.calls_url + path, headers=SERVICE) as response:
+        body = await response.read()
+    assert (response.status, body[:1]) == (200, b"{"), (response.status, body)
+    assert orjson.loads(body)["path"] == path
+
+
+async def post(session: aiohttp.ClientSession, instance: deployments.Instance, key: str) -> bytes:
+    fields = {**SERVICE, headers.IDEMPOTENCY_KEY: key}
+    url = f"{instance.calls_url}/letters"
+    async with session.post(url, headers=fields, data=b"letter") as response:
+        body = await response.read()
+    assert response.status == 200, body
+    return body
+
+
+async def get_until(stopped: asyncio.Event, deployment, instance) -> int:
+    """Read pages, a few at a time, until `stopped`; return their number."""
+    number = 0
+    while not stopped.is_set():
+        batch = range(number, number + 5)
+        await asyncio.gather(*(get(deployment.session, instance, n) for n in batch))
+        number += 5
+        await asyncio.sleep(0.02)
+    return number
+
+
+async def wait_ended(process: processes.Process) -> int:
+    return await asyncio.to_thread(process.wait, processes.STOP_TIMEOUT_S)
+
+
+async def test_calls_and_run_once_calls_are_served_by_every_node():
+    async with deployments.running(2, QUICK) as deployment:
+        for instance in deployment.instances:
+            await get(deployment.session, instance, 1)
+        key = uuid.UUID(int=1).hex
+        first = await post(deployment.session, deployment.instances[0], key)
+        second = await post(deployment.session, deployment.instances[0], key)
+        third = await post(deployment.session, deployment.instances[1], key)
+    assert orjson.loads(first)["key"] == key
+    assert first == second == third
+
+
+async def test_stop_of_a_node_under_load_cuts_no_call():
+    async with deployments.running(3, SLOW) as deployment:
+        leaving, staying, _ = deployment.instances
+        stopped = asyncio.Event()
+        load = asyncio.create_task(get_until(stopped, deployment, staying))
+        begun = [
+            asyncio.create_task(get(deployment.session, leaving, number)) for number in range(15)
+        ]
+        await asyncio.sleep(0.2)
+        leaving.node.terminate()
+        status = await wait_ended(leaving.node)
+        stopped.set()
+        await asyncio.gather(*begun)
+        served = await load
+    assert status == 0
+    assert served > 0
+
+
+async def test_death_of_an_endpoint_under_load_costs_no_idempotent_call():
+    async with deployments.running(3, SLOW) as deployment:
+        stopped = asyncio.Event()
+        load = [
+            asyncio.create_task(get_until(stopped, deployment, instance))
+            for instance in deployment.instances
+        ]
+        await asyncio.sleep(0.5)
+        deployment.instances[0].endpoint.kill()
+        await asyncio.sleep(2.0)
+        stopped.set()
+        served = await asyncio.gather(*load)
+    assert min(served) > 0
+
+
+async def test_paused_node_holds_up_no_call_through_another_and_serves_again():
+    async with deployments.running(2, QUICK) as deployment:
+        paused, other = deployment.instances
+        stopped = asyncio.Event()
+        load = asyncio.create_task(get_until(stopped, deployment, other))
+        paused.node.send_signal(signal.SIGSTOP)
+        try:
+            await asyncio.sleep(2.0)
+        finally:
+            paused.node.send_signal(signal.SIGCONT)
+        await get(deployment.session, paused, 1)
+        stopped.set()
+        assert await load > 0
