--- a/packages/goldcrestgrade-operator/goldcrestgrade_operator/explanations.py
+++ b/packages/goldcrestgrade-operator/goldcrestgrade_operator/explanations.py
@@ -182,6 +182,10 @@
         "An accepted sheet could not be read by this node.",
         "Update the node; compare its version with that of the command line.",
     ),
+    reasons.Event.ATTEMPT_RELAYED: Explanation(
+        "An attempt went through the node beside its endpoint.",
+        "None; the endpoint accepts fewer connections than there are nodes.",
+    ),
     reasons.Event.CALLER_DISCONNECTED: Explanation(
         "A caller went away before its answer.",
         "Compare the callers' time-outs with the latency.",
