Compare routing policies on the same seeded arrivals

Cause: there was no way to measure a change of the routing policy. Change: `make bench` runs the node's own call path against upstreams in memory, in virtual time, at the sizes of both deployments, beside four baselines and the first version's policy. `Calls` takes the policy as a function. Ruled out: looptime for these runs; its bookkeeping is made for tests.

--- a/Makefile
+++ b/Makefile
@@ -31,4 +31,7 @@
 demo: install ## Run the Letters Desk on loopback for half a minute
 	$(BIN)/python -m goldcrestgrade_testing.demo
 
-.PHONY: help install test lint format demo
+bench: install ## Compare routing policies in virtual time: SCENARIO=all SEED=1
+	$(BIN)/python -m goldcrestgrade_testing.bench --scenario=$(SCENARIO) --seed=$(SEED)
+
+.PHONY: help install test lint format demo bench
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/entry/calls.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/entry/calls.py
@@ -29,6 +29,7 @@
         clocks: instants.Clocks,
         counts: telemetry.Counts,
         rng: random.Random,
+        choose: choice.Choose = choice.choose,
     ) -> None:
         self.caller = caller
         self.evidences = evidences
@@ -37,6 +38,7 @@
         self.clocks = clocks
         self.counts = counts
         self.rng = rng
+        self.choose = choose
 
     async def run(self, request: requests.Request) -> outcomes.Outcome:
         """Return how `request` ended, at the latest at its deadline."""
@@ -77,7 +79,7 @@
 
     def _choose(self, request: requests.Request, tried: typing.Collection[str]) -> choice.Decision:
         endpoints = self.evidences.of(request.service)
-        return choice.choose(endpoints, self.caller, tried, self.clocks.monotonic(), self.rng)
+        return self.choose(endpoints, self.caller, tried, self.clocks.monotonic(), self.rng)
 
     async def _attempt(
         self, request: requests.Request, endpoint: evidence.Evidence, number: int
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/routing/choice.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/routing/choice.py
@@ -45,6 +45,18 @@
 
 Decision = Direct | Refuse
 
+Choose = typing.Callable[
+    [
+        typing.Mapping[str, evidence.Evidence],
+        Caller,
+        typing.Collection[str],
+        instants.Instant,
+        random.Random,
+    ],
+    Decision,
+]
+"""Returns where an attempt goes; takes endpoints, caller, nodes to avoid, now and a generator."""
+
 
 def choose(
     endpoints: typing.Mapping[str, evidence.Evidence],
--- /dev/null
+++ b/packages/goldcrestgrade-testing/goldcrestgrade_testing/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Seeded experiments that run routing policies side by side on the same arrivals."""
--- /dev/null
+++ b/packages/goldcrestgrade-testing/goldcrestgrade_testing/bench/__main__.py
@@ -0,0 +1,83 @@
+"""Runs the experiments; see `--help`."""
+
+from __future__ import annotations
+
+import concurrent.futures
+import itertools
+import pathlib
+import sys
+import typing
+
+import orjson
+from absl import flags
+
+from goldcrestgrade_testing.bench import arrivals, figures, policies, report, runs, scenarios
+
+FLAGS = flags.FLAGS
+
+flags.DEFINE_string("scenario", "all", "Scenario to run, or `all`.")
+flags.DEFINE_list("policies", list(policies.POLICIES), "Policies to compare.")
+flags.DEFINE_list("deployments", [d.name for d in scenarios.DEPLOYMENTS], "Deployments to run.")
+flags.DEFINE_integer("seed", 1, "Seed of arrivals, service times and choices.")
+flags.DEFINE_integer("jobs", 3, "Runs at once.", lower_bound=1)
+flags.DEFINE_string("output", "build/bench", "Folder for the JSON and Markdown reports.")
+
+
+class Job(typing.NamedTuple):
+    """One run of one policy."""
+
+    deployment: scenarios.Deployment
+    scenario: scenarios.Scenario
+    policy: str
+    seed: int
+
+
+def execute(job: Job) -> figures.Figures:
+    """Run one job and return its figures."""
+    planned = arrivals.generate(job.deployment, job.scenario, job.seed)
+    seen = runs.run(job.deployment, job.scenario, planned, job.policy, job.seed)
+    return figures.work_out(job.deployment, job.scenario, job.policy, job.seed, seen)
+
+
+def main(arguments: typing.Sequence[str]) -> int:
+    """Run the scenarios asked for, print the tables and write them to files."""
+    FLAGS(arguments)
+    chosen = [s for s in scenarios.SCENARIOS if FLAGS.scenario in ("all", s.name)]
+    if not chosen:
+        print(f"unknown scenario: {FLAGS.scenario}", file=sys.stderr)
+        return 2
+    with_twins = [*chosen, *(s.twin() for s in chosen if s.faulty)]
+    deployments = [d for d in scenarios.DEPLOYMENTS if d.name in FLAGS.deployments]
+    jobs = [
+        Job(deployment, scenario, policy, FLAGS.seed)
+        for deployment, scenario, policy in itertools.product(
+            deployments, with_twins, FLAGS.policies
+        )
+    ]
+    with concurrent.futures.ProcessPoolExecutor(FLAGS.jobs) as pool:
+        rows = list(pool.map(execute, jobs))
+    _write(pathlib.Path(FLAGS.output), deployments, rows)
+    return 0
+
+
+def _write(
+    folder: pathlib.Path,
+    deployments: typing.Sequence[scenarios.Deployment],
+    rows: list[figures.Figures],
+) -> None:
+    folder.mkdir(parents=True, exist_ok=True)
+    name = f"{FLAGS.scenario}-{FLAGS.seed}"
+    parts = [_section(d, [row for row in rows if row["deployment"] == d.name]) for d in deployments]
+    text = "\n\n".join(parts)
+    (folder / f"{name}.json").write_bytes(orjson.dumps(rows, option=orjson.OPT_INDENT_2))
+    (folder / f"{name}.md").write_text(text + "\n", "utf-8")
+    print(text)
+
+
+def _section(deployment: scenarios.Deployment, rows: list[figures.Figures]) -> str:
+    shown = [row for row in rows if not row["scenario"].startswith("twin-")]
+    return f"## {deployment.name}\n\n{report.markdown(shown)}\n\n{report.ratios(rows)}"
+
+
+if __name__ == "__main__":
+    sys.exit(main(sys.argv))
--- /dev/null
+++ b/packages/goldcrestgrade-testing/goldcrestgrade_testing/bench/arrivals.py
@@ -0,0 +1,55 @@
+"""Seeded arrivals of calls, the same for every policy."""
+
+from __future__ import annotations
+
+import random
+import typing
+
+from goldcrestgrade_testing.bench import endpoints, scenarios
+
+REQUEST_SIGMA = 0.3
+"""Spread of the service time that is the request's, on a log scale."""
+
+
+class Arrival(typing.NamedTuple):
+    """One call of a caller."""
+
+    at_s: float
+    request_id: str
+    node: int
+    """Index of the entry node."""
+    work: float
+    """Factor on the usual service time."""
+
+
+def generate(
+    deployment: scenarios.Deployment, scenario: scenarios.Scenario, seed: int
+) -> list[Arrival]:
+    """Return the arrivals of a run in order of time."""
+    rng = random.Random(f"{seed}-{deployment.name}-{scenario.load}")
+    rate = scenario.load * deployment.total_slots / endpoints.mean_service_time_s(REQUEST_SIGMA)
+    times = _poisson(rng, rate, scenario.duration_s)
+    burst_size = round(scenario.burst_calls_per_slot * deployment.total_slots)
+    bursts = [
+        second + rng.uniform(0.0, scenarios.BURST_S)
+        for second in range(int(scenarios.FAULT_AT_S), int(scenario.duration_s))
+        for _ in range(burst_size)
+    ]
+    return [
+        Arrival(
+            at,
+            str(index),
+            rng.randrange(len(deployment.nodes)),
+            rng.lognormvariate(0.0, REQUEST_SIGMA),
+        )
+        for index, at in enumerate(sorted(times + bursts))
+    ]
+
+
+def _poisson(rng: random.Random, rate: float, duration_s: float) -> list[float]:
+    times: list[float] = []
+    at = rng.expovariate(rate)
+    while at < duration_s:
+        times.append(at)
+        at += rng.expovariate(rate)
+    return times
--- /dev/null
+++ b/packages/goldcrestgrade-testing/goldcrestgrade_testing/bench/figures.py
@@ -0,0 +1,99 @@
+"""Figures worked out from a run."""
+
+from __future__ import annotations
+
+import collections
+import math
+import typing
+
+import typing_extensions
+
+from goldcrestgrade import outcomes
+from goldcrestgrade_testing.bench import arrivals, endpoints, runs, scenarios
+
+
+class Figures(typing_extensions.TypedDict):
+    """The figures of one policy in one scenario; latencies are of calls that ran."""
+
+    deployment: str
+    scenario: str
+    policy: str
+    seed: int
+    calls: int
+    p50_ms: float
+    p99_ms: float
+    p999_ms: float
+    worst_refusal_ms: float
+    """Longest time that a refusal took."""
+    goodput_share: float
+    """Calls answered well, as a share of what the slots can do."""
+    answered_share: float
+    """Calls answered well, as a share of all."""
+    refusals: dict[str, int]
+    unknowns: dict[str, int]
+    retries_per_call: float
+    hedges_per_call: float
+    probes_per_call: float
+    probes_per_endpoint_minute: float
+    cross_region_bytes_per_s: float
+    first_upstream_share: float
+    """Share of the attempts that went to the upstream with the fault."""
+
+
+def work_out(
+    deployment: scenarios.Deployment,
+    scenario: scenarios.Scenario,
+    policy: str,
+    seed: int,
+    run: runs.Run,
+) -> Figures:
+    """Return the figures of `run`; latencies and goodput count from `SETTLED_AT_S`."""
+    since_s = scenarios.SETTLED_AT_S if scenario.duration_s == scenarios.DURATION_S else 0.0
+    settled = [call for call in run.finished if call.at_s >= since_s]
+    ran = sorted(call.latency_s for call in settled if _well(call.outcome))
+    refused = [c for c in settled if isinstance(c.outcome, outcomes.NotRun)]
+    total = max(1, len(run.finished))
+    hedges = run.counts.retries["hedged"]
+    probes = run.counts.events["probe"]
+    per_s = deployment.total_slots / endpoints.mean_service_time_s(arrivals.REQUEST_SIGMA)
+    capacity = per_s * (scenario.duration_s - since_s)
+    return Figures(
+        deployment=deployment.name,
+        scenario=scenario.name,
+        policy=policy,
+        seed=seed,
+        calls=len(settled),
+        p50_ms=_percentile_ms(ran, 0.5),
+        p99_ms=_percentile_ms(ran, 0.99),
+        p999_ms=_percentile_ms(ran, 0.999),
+        worst_refusal_ms=round(max((c.latency_s for c in refused), default=0.0) * 1e3, 2),
+        goodput_share=round(len(ran) / capacity, 4),
+        answered_share=round(len(ran) / max(1, len(settled)), 4),
+        refusals=_refusals(settled),
+        unknowns={str(reason): count for reason, count in run.counts.unknowns.items()},
+        retries_per_call=round((run.counts.retries.total() - hedges) / total, 4),
+        hedges_per_call=round(hedges / total, 4),
+        probes_per_call=round(probes / total, 4),
+        probes_per_endpoint_minute=round(
+            probes / len(deployment.upstreams) / scenario.duration_s * 60, 3
+        ),
+        cross_region_bytes_per_s=round(run.cross_region_bytes / scenario.duration_s),
+        first_upstream_share=round(run.attempts[0] / max(1, sum(run.attempts)), 4),
+    )
+
+
+def _refusals(finished: typing.Iterable[runs.Finished]) -> dict[str, int]:
+    outcomes_seen = (call.outcome for call in finished)
+    return dict(
+        collections.Counter(str(o.reason) for o in outcomes_seen if isinstance(o, outcomes.NotRun))
+    )
+
+
+def _well(outcome: outcomes.Outcome) -> bool:
+    return isinstance(outcome, outcomes.Ran) and outcome.answer.status < 500
+
+
+def _percentile_ms(ordered: list[float], share: float) -> float:
+    if not ordered:
+        return math.nan
+    return round(ordered[min(len(ordered) - 1, int(share * len(ordered)))] * 1e3, 2)
--- /dev/null
+++ b/packages/goldcrestgrade-testing/goldcrestgrade_testing/bench/policies.py
@@ -0,0 +1,98 @@
+"""Policies that the experiments compare: baselines and earlier variants."""
+
+from __future__ import annotations
+
+import itertools
+import random
+import typing
+
+from goldcrestgrade import instants, reasons
+from goldcrestgrade_node.routing import choice, evidence
+
+EARLIER_SAMPLE_SIZE = 3
+"""Candidates that the earlier policy compares."""
+
+EARLIER_REPORT_AGE_LIMIT_S = 1.0
+"""Age at which the earlier policy ignores a report."""
+
+Pick = typing.Callable[[list[evidence.Evidence], random.Random], evidence.Evidence]
+"""Picks one of the endpoints."""
+
+
+def by_pick(pick: Pick) -> choice.Choose:
+    """Return a policy that picks among the endpoints of the own region, or else among all."""
+
+    def choose(
+        endpoints: typing.Mapping[str, evidence.Evidence],
+        caller: choice.Caller,
+        tried: typing.Collection[str],
+        now: instants.Instant,
+        rng: random.Random,
+    ) -> choice.Decision:
+        usable = [e for e in endpoints.values() if e.node_id not in tried]
+        local = [e for e in usable if e.region == caller.region] or usable
+        if not local:
+            return choice.Refuse(reasons.Refusal.NO_ENDPOINT, now + choice.RETRY_AFTER_S)
+        return choice.Direct(pick(local, rng))
+
+    return choose
+
+
+def random_pick(candidates: list[evidence.Evidence], rng: random.Random) -> evidence.Evidence:
+    """Pick any endpoint."""
+    return rng.choice(candidates)
+
+
+def least_in_flight(candidates: list[evidence.Evidence], rng: random.Random) -> evidence.Evidence:
+    """Pick an endpoint with the fewest own attempts in flight."""
+    return min(candidates, key=lambda e: (e.in_flight, rng.random()))
+
+
+def power_of_two(candidates: list[evidence.Evidence], rng: random.Random) -> evidence.Evidence:
+    """Pick the one of two random endpoints with fewer own attempts in flight."""
+    return least_in_flight(rng.sample(candidates, min(2, len(candidates))), rng)
+
+
+def round_robin() -> Pick:
+    """Return a function that picks the endpoints in turn."""
+    turns = itertools.count()
+
+    def pick(candidates: list[evidence.Evidence], _rng: random.Random) -> evidence.Evidence:
+        return candidates[next(turns) % len(candidates)]
+
+    return pick
+
+
+def earlier(
+    endpoints: typing.Mapping[str, evidence.Evidence],
+    caller: choice.Caller,
+    tried: typing.Collection[str],
+    now: instants.Instant,
+    rng: random.Random,
+) -> choice.Decision:
+    """Choose as the first version did."""
+    usable = [e for e in endpoints.values() if e.ejected_until <= now and e.node_id not in tried]
+    usable = usable or [e for e in endpoints.values() if e.node_id not in tried]
+    local = [e for e in usable if e.region == caller.region] or usable
+    if not local:
+        return choice.Refuse(reasons.Refusal.NO_ENDPOINT, now + choice.RETRY_AFTER_S)
+    sample = rng.sample(local, min(EARLIER_SAMPLE_SIZE, len(local)))
+
+    def score(endpoint: evidence.Evidence) -> float:
+        weight = max(0.0, 1.0 - (now - endpoint.reported_at) / EARLIER_REPORT_AGE_LIMIT_S)
+        load = max(endpoint.in_flight, weight * endpoint.reported_load)
+        wait_s = endpoint.latency_s * (1.0 + load / endpoint.slots)
+        return wait_s if endpoint.failure_domain == caller.failure_domain else wait_s * 1.05
+
+    return choice.Direct(min(sample, key=score))
+
+
+POLICIES: typing.Mapping[str, typing.Callable[[], choice.Choose]] = {
+    "ours": lambda: choice.choose,
+    "earlier": lambda: earlier,
+    "random": lambda: by_pick(random_pick),
+    "round-robin": lambda: by_pick(round_robin()),
+    "least-in-flight": lambda: by_pick(least_in_flight),
+    "power-of-two": lambda: by_pick(power_of_two),
+}
+"""Each policy with the function that makes it for one node."""
--- /dev/null
+++ b/packages/goldcrestgrade-testing/goldcrestgrade_testing/bench/runs.py
@@ -0,0 +1,206 @@
+"""Runs one policy through one scenario in virtual time, with the node's own call path."""
+
+from __future__ import annotations
+
+import asyncio
+import collections
+import random
+import typing
+
+from goldcrestgrade import instants, outcomes, records, sheet, telemetry
+from goldcrestgrade_node import requests
+from goldcrestgrade_node.entry import calls
+from goldcrestgrade_node.routing import choice, evidence
+from goldcrestgrade_testing import fast_time
+from goldcrestgrade_testing.bench import arrivals, endpoints, network, policies, scenarios
+
+TIMEOUT_S = 5.0
+"""Time after which a call is given up."""
+
+KIND = sheet.Kind("GET /*", run_once=False, timeout_s=TIMEOUT_S)
+
+REMOVED_AFTER_S = 5.0
+"""Time after which membership drops upstreams that are gone."""
+
+
+class Finished(typing.NamedTuple):
+    """How one call ended."""
+
+    at_s: float
+    """When it arrived."""
+    latency_s: float
+    outcome: outcomes.Outcome
+
+
+class Run(typing.NamedTuple):
+    """Everything seen in one run of one policy."""
+
+    finished: list[Finished]
+    counts: telemetry.Counts
+    attempts: list[int]
+    """Attempts at each upstream since `SETTLED_AT_S`."""
+    executions: int
+    cross_region_bytes: int
+
+
+class Experiment:
+    """The nodes and upstreams of one run; owned by its event loop."""
+
+    def __init__(
+        self,
+        deployment: scenarios.Deployment,
+        scenario: scenarios.Scenario,
+        planned: list[arrivals.Arrival],
+        policy: str,
+        seed: int,
+    ) -> None:
+        self.deployment = deployment
+        self.scenario = scenario
+        self.planned = planned
+        self.counts = telemetry.Counts()
+        self.upstreams = [
+            endpoints.Endpoint(place, deployment.slots, scenario, random.Random(f"{seed}-{index}"))
+            for index, place in enumerate(deployment.upstreams)
+        ]
+        works = {arrival.request_id: arrival.work for arrival in planned}
+        self.links = [
+            [
+                network.Link(
+                    upstream,
+                    network.delay_s(deployment, place, upstream.place),
+                    place.region != upstream.place.region,
+                    works,
+                )
+                for upstream in self.upstreams
+            ]
+            for place in deployment.nodes
+        ]
+        self.evidences = [evidence.Evidences() for _ in deployment.nodes]
+        self.nodes = [self._node(index, policy, seed) for index in range(len(deployment.nodes))]
+        self.finished: list[Finished] = []
+
+    async def run(self) -> Run:
+        """Let every planned call arrive and return what was seen."""
+        present = len(self.upstreams) - int(self.scenario.cold_start)
+        self._announce(range(present))
+        loop = asyncio.get_running_loop()
+        loop.call_at(scenarios.FAULT_AT_S, self._begin_fault)
+        before: list[int] = []
+        loop.call_at(scenarios.SETTLED_AT_S, lambda: before.extend(self._attempts()))
+        async with asyncio.TaskGroup() as group:
+            for arrival in self.planned:
+                await asyncio.sleep(arrival.at_s - loop.time())
+                group.create_task(self._call(arrival))
+        return Run(
+            self.finished,
+            self.counts,
+            [total - early for total, early in zip(self._attempts(), before, strict=True)],
+            sum(upstream.executions for upstream in self.upstreams),
+            sum(link.cross_region_bytes for links in self.links for link in links),
+        )
+
+    def _node(self, index: int, policy: str, seed: int) -> calls.Calls:
+        place = self.deployment.nodes[index]
+        links = self.links[index]
+        return calls.Calls(
+            choice.Caller(place.region, place.failure_domain),
+            self.evidences[index],
+            lambda attempt: links[attempt.port - 1].send(attempt),
+            _no_relay,
+            instants.loop_clocks(),
+            self.counts,
+            random.Random(f"{seed}-node-{index}"),
+            policies.POLICIES[policy](),
+        )
+
+    async def _call(self, arrival: arrivals.Arrival) -> None:
+        loop = asyncio.get_running_loop()
+        request = requests.Request(
+            request_id=arrival.request_id,
+            service=self.deployment.service,
+            kind=KIND,
+            method="GET",
+            target=f"/{arrival.request_id}",
+            headers=(),
+            body=b"",
+            idempotency_key=None,
+            deadline=arrival.at_s + TIMEOUT_S,
+            retries_allowed=True,
+        )
+        outcome = await self.nodes[arrival.node].run(request)
+        self.finished.append(Finished(arrival.at_s, loop.time() - arrival.at_s, outcome))
+
+    def _attempts(self) -> list[int]:
+        totals: collections.Counter[int] = collections.Counter()
+        for links in self.links:
+            totals.update({index: link.attempts for index, link in enumerate(links)})
+        return [totals[index] for index in range(len(self.upstreams))]
+
+    def _announce(self, present: typing.Iterable[int]) -> None:
+        live = [self._record(index) for index in present]
+        for known in self.evidences:
+            known.update(self.deployment.service, live)
+
+    def _begin_fault(self) -> None:
+        scenario = self.scenario
+        first = self.upstreams[0]
+        first.factor = scenario.straggler_factor
+        first.failing = scenario.failing
+        if scenario.silent:
+            for links in self.links:
+                links[0].silence()
+        if scenario.lying:
+            first.lying = True
+            first.lose_slots()
+        if scenario.cold_start:
+            self.upstreams[-1].cold_since = scenarios.FAULT_AT_S
+            self._announce(range(len(self.upstreams)))
+        if scenario.region_gone:
+            self._lose_region(first.place.region)
+
+    def _lose_region(self, region: str) -> None:
+        for upstream in self.upstreams:
+            upstream.unreachable = upstream.place.region == region
+        left = [i for i, upstream in enumerate(self.upstreams) if not upstream.unreachable]
+        asyncio.get_running_loop().call_later(REMOVED_AFTER_S, self._announce, left)
+
+    def _record(self, index: int) -> records.NodeRecord:
+        place = self.upstreams[index].place
+        return records.NodeRecord(
+            node_id=f"upstream-{index}",
+            incarnation=1,
+            revision=1,
+            region=place.region,
+            failure_domain=place.failure_domain,
+            control_host="127.0.0.1",
+            control_port=1,
+            state=records.EndpointState.READY,
+            endpoint=records.EndpointDocument(
+                service=self.deployment.service,
+                host="127.0.0.1",
+                port=index + 1,
+                slots=self.deployment.slots,
+                connections=220,
+            ),
+            sheet_version=1,
+            expires_at=instants.NEVER,
+        )
+
+
+async def _no_relay(_request: requests.Request, _endpoint: evidence.Evidence) -> outcomes.Outcome:
+    raise NotImplementedError
+
+
+def run(
+    deployment: scenarios.Deployment,
+    scenario: scenarios.Scenario,
+    planned: list[arrivals.Arrival],
+    policy: str,
+    seed: int,
+) -> Run:
+    """Return what was seen when `policy` served the planned calls."""
+
+    async def main() -> Run:
+        return await Experiment(deployment, scenario, planned, policy, seed).run()
+
+    return fast_time.run(main())
--- /dev/null
+++ b/packages/goldcrestgrade-testing/goldcrestgrade_testing/bench/scenarios.py
@@ -0,0 +1,116 @@
+"""Deployments and scenarios of the experiments."""
+
+from __future__ import annotations
+
+import typing
+
+FAULT_AT_S = 2.0
+"""When the fault of a scenario begins."""
+
+SETTLED_AT_S = 3.0
+"""When the measured part of a run begins."""
+
+DURATION_S = 8.0
+"""Time in which calls arrive."""
+
+
+class Placement(typing.NamedTuple):
+    """Where an instance stands."""
+
+    region: str
+    failure_domain: str
+
+
+class Deployment(typing.NamedTuple):
+    """The service measured and the nodes that call it."""
+
+    name: str
+    service: str
+    upstreams: tuple[Placement, ...]
+    nodes: tuple[Placement, ...]
+    slots: int
+    domain_delay_s: float
+    """One-way delay between failure domains of a region."""
+    region_delay_s: float
+    """One-way delay between regions."""
+
+    @property
+    def total_slots(self) -> int:
+        """Slots of all upstreams."""
+        return self.slots * len(self.upstreams)
+
+
+class Scenario(typing.NamedTuple):
+    """One experiment; the fault begins at `FAULT_AT_S` and stays."""
+
+    name: str
+    load: float
+    """Offered work as a share of all slots."""
+    straggler_factor: float = 1.0
+    """Factor on the service time of the first upstream."""
+    failing: bool = False
+    """The first upstream answers each request at once with an error."""
+    silent: bool = False
+    """The open connections to the first upstream stop carrying bytes."""
+    cold_start: bool = False
+    """The last upstream joins at `FAULT_AT_S`, cold."""
+    report_delay_s: float = 0.0
+    """Age of the load that upstreams report."""
+    lying: bool = False
+    """The first upstream, which has a third of its slots, reports no load."""
+    region_gone: bool = False
+    """The upstreams of the first region cannot be reached."""
+    burst_calls_per_slot: float = 0.0
+    """Calls added within `BURST_S` each second."""
+    duration_s: float = DURATION_S
+
+    @property
+    def faulty(self) -> bool:
+        """Tell whether the scenario is judged against its twin without the fault."""
+        return self._replace(name="", load=0.0, duration_s=0.0) != Scenario("", 0.0, duration_s=0.0)
+
+    def twin(self) -> Scenario:
+        """Return the same run without the fault."""
+        return Scenario(f"twin-{self.name}", self.load)
+
+
+BURST_S = 0.002
+"""Time in which the calls of a burst arrive."""
+
+SCENARIOS = (
+    Scenario("steady-50", 0.5),
+    Scenario("steady-80", 0.8),
+    Scenario("burst", 0.5, burst_calls_per_slot=0.75),
+    Scenario("straggler", 0.5, straggler_factor=10.0),
+    Scenario("fast-fail", 0.5, failing=True),
+    Scenario("silent", 0.5, silent=True),
+    Scenario("cold-start", 0.5, cold_start=True),
+    Scenario("stale-reports", 0.7, report_delay_s=1.0),
+    Scenario("lying", 0.5, lying=True),
+    Scenario("region-gone", 0.3, region_gone=True),
+    Scenario("overload", 1.3),
+    Scenario("idle-night", 0.00002, duration_s=600.0),
+)
+"""All scenarios, in the order of the report."""
+
+
+def _places(*names: str) -> tuple[Placement, ...]:
+    return tuple(Placement(name.rpartition("-")[0], name) for name in names)
+
+
+_KHOMAS = ("khomas-a", "khomas-b", "oshana-a", "oshana-b")
+_CZ = ("cz-east-a", "cz-east-b", "cz-west-a", "cz-west-b")
+
+DEPLOYMENTS = (
+    Deployment("letters-desk", "archive", _places(*_KHOMAS), _places(*_KHOMAS * 3), 10, 1e-3, 8e-3),
+    Deployment(
+        "krkonos",
+        "katalog",
+        _places(*_CZ, "cz-east-a"),
+        _places(*_CZ * 3, "cz-east-a"),
+        12,
+        1.5e-3,
+        8e-3,
+    ),
+)
+"""The deployments measured, at the sizes of today."""
