Eject, spill, refuse early, hedge and bound retries

Change: views of a service split into near and far candidates, so that a choice looks at a sample only; ejection with a capped share, one trial and slow start; spill to the far region within a byte budget; early refusal with Retry-After; budgets for retries and hedges; the loser of a hedge is cancelled and counts as neither success nor failure. A refusal after an attempt that may have run is no longer reported as NotRun.

--- a/packages/goldcrestgrade-node/goldcrestgrade_node/attempts/retries.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/attempts/retries.py
@@ -69,6 +69,32 @@
             return Again(reasons.Retry.BROKEN)
 
 
+def give_up(result: results.AttemptResult, now: instants.Instant) -> outcomes.Outcome:
+    """Return the outcome of a request that the retry budget allows no further attempt."""
+    match result:
+        case results.Answered(answer=answer):
+            return outcomes.Ran(answer)
+        case results.Shed() | results.Unreached():
+            return outcomes.NotRun(reasons.Refusal.RETRY_BUDGET_SPENT, now + RETRY_AFTER_S)
+        case results.Broken(reason=reason):
+            return outcomes.Unknown(reason)
+
+
+def settle(
+    outcome: outcomes.Outcome, ended: typing.Sequence[results.AttemptResult]
+) -> outcomes.Outcome:
+    """Return `outcome`, or what stands in its place where an attempt in `ended` may have run."""
+    if not isinstance(outcome, outcomes.NotRun):
+        return outcome
+    for result in reversed(ended):
+        match result:
+            case results.Answered(answer=answer):
+                return outcomes.Ran(answer)
+            case results.Broken(reason=reason):
+                return outcomes.Unknown(reason)
+    return outcome
+
+
 def judge_relayed(
     request: requests.Request, outcome: outcomes.Outcome, attempts: int, now: instants.Instant
 ) -> Verdict:
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/commands/run.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/commands/run.py
@@ -24,7 +24,7 @@
 from goldcrestgrade_node.entry import calls
 from goldcrestgrade_node.membership import exchange, members
 from goldcrestgrade_node.once import claims, guard, relay
-from goldcrestgrade_node.routing import choice, evidence
+from goldcrestgrade_node.routing import choice, views
 
 log = logging.getLogger(__name__)
 
@@ -66,7 +66,7 @@
         self.rng = random.Random()
         self.stopping = asyncio.Event()
         self.forced = asyncio.Event()
-        self.evidences = evidence.Evidences()
+        self.views = views.Views(self.clocks.monotonic)
         self.members = members.Members(self.clocks)
         incarnation = int(self.clocks.wall() * 1000)
         self.own = members.OwnRecord(
@@ -114,7 +114,7 @@
         )
         self.calls = calls.Calls(
             choice.Caller(config["region"], config["failure_domain"]),
-            self.evidences,
+            self.views,
             self.transport.send,
             relay.RelayClient(control_session, config["keys"][0], self.clocks).run,
             self.clocks,
@@ -131,7 +131,8 @@
     def touched(self, services: set[str]) -> None:
         """Bring the evidence of `services` in line with the records."""
         for service in services:
-            self.evidences.update(service, self.members.ready(service))
+            self.views.update(service, self.members.ready(service))
+        self.views.share_link(len(self.members.by_id))
 
     def sheet_adopted(self, _adopted: sheet.Sheet) -> None:
         """Tell peers of the version in force."""
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/entry/calls.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/entry/calls.py
@@ -2,13 +2,15 @@
 
 from __future__ import annotations
 
+import asyncio
+import itertools
 import random
 import typing
 
 from goldcrestgrade import instants, outcomes, reasons, telemetry
 from goldcrestgrade_node import requests
 from goldcrestgrade_node.attempts import results, retries, transport
-from goldcrestgrade_node.routing import choice, evidence
+from goldcrestgrade_node.routing import choice, ejection, evidence, feedback, hedging, views
 
 Send = typing.Callable[[transport.Attempt], typing.Awaitable[results.AttemptResult]]
 """Sends an attempt to an endpoint."""
@@ -17,76 +19,149 @@
 """Has the guard of an endpoint run a request at most once."""
 
 
+class Policy(typing.NamedTuple):
+    """What varies in how calls are routed."""
+
+    choose: choice.Choose = choice.choose
+    hedges: bool = True
+
+
 class Calls:
     """The calls in flight at an entry node; owned by the event loop of the node."""
 
     def __init__(
         self,
         caller: choice.Caller,
-        evidences: evidence.Evidences,
+        known: views.Views,
         send: Send,
         relay: Relay,
         clocks: instants.Clocks,
         counts: telemetry.Counts,
         rng: random.Random,
-        choose: choice.Choose = choice.choose,
+        policy: Policy | None = None,
     ) -> None:
         self.caller = caller
-        self.evidences = evidences
+        self.known = known
         self.send = send
         self.relay = relay
         self.clocks = clocks
         self.counts = counts
         self.rng = rng
-        self.choose = choose
+        self.policy = policy or Policy()
+        self.losers: set[asyncio.Task[results.AttemptResult]] = set()
+        """Attempts that were cancelled and have not ended."""
 
     async def run(self, request: requests.Request) -> outcomes.Outcome:
         """Return how `request` ended, at the latest at its deadline."""
         run = self._run_once if request.kind.run_once else self._run_idempotent
+        view = self.known.of(request.service)
+        view.retry_budget.deposit()
+        view.hedge_budget.deposit()
         self.counts.in_flight += 1
         try:
-            outcome = await run(request)
+            outcome = await run(request, view)
         finally:
             self.counts.in_flight -= 1
         self._count(outcome)
         return outcome
 
-    async def _run_idempotent(self, request: requests.Request) -> outcomes.Outcome:
+    async def _run_idempotent(
+        self, request: requests.Request, view: views.ServiceView
+    ) -> outcomes.Outcome:
+        started = self.clocks.monotonic()
         tried: list[str] = []
-        while True:
-            decision = self._choose(request, tried)
+        ended: list[results.AttemptResult] = []
+        for number in itertools.count(1):
+            decision = self._choose(view, tried)
             if isinstance(decision, choice.Refuse):
-                return outcomes.NotRun(decision.reason, decision.retry_at)
-            tried.append(decision.endpoint.node_id)
-            result = await self._attempt(request, decision.endpoint, len(tried))
-            verdict = retries.judge(request, result, len(tried), self.clocks.monotonic())
+                return retries.settle(outcomes.NotRun(decision.reason, decision.retry_at), ended)
+            result = await self._race(request, view, decision.endpoint, tried, ended)
+            now = self.clocks.monotonic()
+            verdict = retries.judge(request, result, number, now)
             if isinstance(verdict, retries.Finish):
-                return verdict.outcome
+                if not retries.failed(result):
+                    view.note_latency(now - started)
+                return retries.settle(verdict.outcome, ended)
+            if not view.retry_budget.take():
+                return retries.settle(retries.give_up(result, now), ended)
             self.counts.retries[verdict.reason] += 1
+        raise AssertionError
 
-    async def _run_once(self, request: requests.Request) -> outcomes.Outcome:
+    async def _run_once(
+        self, request: requests.Request, view: views.ServiceView
+    ) -> outcomes.Outcome:
         tried: list[str] = []
         while True:
-            decision = self._choose(request, tried)
+            decision = self._choose(view, tried)
             if isinstance(decision, choice.Refuse):
                 return outcomes.NotRun(decision.reason, decision.retry_at)
             tried.append(decision.endpoint.node_id)
-            outcome = await self._relay(request, decision.endpoint)
+            outcome = await self._relay(request, view, decision.endpoint)
             verdict = retries.judge_relayed(request, outcome, len(tried), self.clocks.monotonic())
             if isinstance(verdict, retries.Finish):
                 return verdict.outcome
+            if not view.retry_budget.take():
+                return outcome
             self.counts.retries[verdict.reason] += 1
 
-    def _choose(self, request: requests.Request, tried: typing.Collection[str]) -> choice.Decision:
-        endpoints = self.evidences.of(request.service)
-        return self.choose(endpoints, self.caller, tried, self.clocks.monotonic(), self.rng)
+    def _choose(self, view: views.ServiceView, tried: typing.Collection[str]) -> choice.Decision:
+        now = self.clocks.monotonic()
+        ejection.return_due(view, now)
+        return self.policy.choose(view, self.caller, tried, now, self.rng)
+
+    async def _race(
+        self,
+        request: requests.Request,
+        view: views.ServiceView,
+        endpoint: evidence.Evidence,
+        tried: list[str],
+        ended: list[results.AttemptResult],
+    ) -> results.AttemptResult:
+        """Return the first good result of an attempt and its hedge, or else the latest."""
+        now = self.clocks.monotonic()
+        due = hedging.hedge_at(request, view, now) if self.policy.hedges else instants.NEVER
+        tried.append(endpoint.node_id)
+        if due == instants.NEVER:
+            ended.append(await self._attempt(request, view, endpoint, len(tried)))
+            return ended[-1]
+        pending = {asyncio.create_task(self._attempt(request, view, endpoint, len(tried)))}
+        try:
+            done, pending = await asyncio.wait(pending, timeout=due - now)
+            if pending:
+                pending |= self._hedge(request, view, tried)
+            while pending and not _any_good(done):
+                ended.extend(task.result() for task in done)
+                done, pending = await asyncio.wait(pending, return_when=asyncio.FIRST_COMPLETED)
+        finally:
+            self._cancel(pending)
+        ended.extend(task.result() for task in done)
+        return min(reversed(ended), key=retries.failed)
+
+    def _hedge(
+        self, request: requests.Request, view: views.ServiceView, tried: list[str]
+    ) -> set[asyncio.Task[results.AttemptResult]]:
+        decision = self._choose(view, tried)
+        if isinstance(decision, choice.Refuse) or decision.hot or not view.hedge_budget.take():
+            return set()
+        self.counts.retries[reasons.Retry.HEDGED] += 1
+        tried.append(decision.endpoint.node_id)
+        attempt = self._attempt(request, view, decision.endpoint, len(tried))
+        return {asyncio.create_task(attempt)}
+
+    def _cancel(self, tasks: set[asyncio.Task[results.AttemptResult]]) -> None:
+        for task in tasks:
+            self.losers.add(task)
+            task.add_done_callback(self.losers.discard)
+            task.cancel()
 
     async def _attempt(
-        self, request: requests.Request, endpoint: evidence.Evidence, number: int
+        self,
+        request: requests.Request,
+        view: views.ServiceView,
+        endpoint: evidence.Evidence,
+        number: int,
     ) -> results.AttemptResult:
-        started = self.clocks.monotonic()
-        evidence.note_start(endpoint)
-        result: results.AttemptResult = results.Unreached("cancelled")
+        started = feedback.start(view, endpoint, self.caller, self.clocks.monotonic())
         try:
             result = await self.send(
                 transport.Attempt(
@@ -97,25 +172,22 @@
                     caller_region=self.caller.region,
                 )
             )
-        finally:
-            ended = self.clocks.monotonic()
-            evidence.note_end(
-                endpoint, ended - started, retries.failed(result), retries.load(result), ended
-            )
+        except BaseException:
+            feedback.cancel(view, endpoint, started, self.clocks.monotonic())
+            raise
+        feedback.finish(view, endpoint, started, result, self.clocks.monotonic())
         return result
 
     async def _relay(
-        self, request: requests.Request, endpoint: evidence.Evidence
+        self, request: requests.Request, view: views.ServiceView, endpoint: evidence.Evidence
     ) -> outcomes.Outcome:
-        started = self.clocks.monotonic()
-        evidence.note_start(endpoint)
-        outcome: outcomes.Outcome = outcomes.Unknown(reasons.Uncertainty.GUARD_LOST)
+        started = feedback.start(view, endpoint, self.caller, self.clocks.monotonic())
         try:
             outcome = await self.relay(request, endpoint)
-        finally:
-            ended = self.clocks.monotonic()
-            failed = not isinstance(outcome, outcomes.Ran)
-            evidence.note_end(endpoint, ended - started, failed, None, ended)
+        except BaseException:
+            feedback.cancel(view, endpoint, started, self.clocks.monotonic())
+            raise
+        feedback.finish_relayed(view, endpoint, started, outcome, self.clocks.monotonic())
         return outcome
 
     def _count(self, outcome: outcomes.Outcome) -> None:
@@ -125,3 +197,7 @@
                 self.counts.refusals[refusal] += 1
             case outcomes.Unknown(reason=uncertainty):
                 self.counts.unknowns[uncertainty] += 1
+
+
+def _any_good(done: set[asyncio.Task[results.AttemptResult]]) -> bool:
+    return any(not retries.failed(task.result()) for task in done)
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/routing/choice.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/routing/choice.py
@@ -1,4 +1,8 @@
-"""The choice of an endpoint for one attempt."""
+"""The choice of an endpoint for one attempt.
+
+Candidates are told hot from cold by their estimated queue against their slots, and the cold one
+with the lowest expected wait is taken, as in Prequal (Wydrowski et al., NSDI 2024).
+"""
 
 from __future__ import annotations
 
@@ -7,16 +11,19 @@
 import typing
 
 from goldcrestgrade import instants, reasons
-from goldcrestgrade_node.routing import evidence
+from goldcrestgrade_node.routing import evidence, views
 
-SAMPLE_SIZE = 3
+SAMPLE_SIZE = 4
 """Candidates compared for one attempt."""
 
 RETRY_AFTER_S = 1.0
 """When a caller that was refused may come back."""
 
-REPORT_AGE_LIMIT_S = 1.0
-"""Age at which a load report counts for nothing."""
+OTHER_DOMAIN_FACTOR = 1.05
+"""Factor on the expected wait of an endpoint outside the caller's failure domain."""
+
+MAX_QUEUE_PER_SLOT = 1.0
+"""Requests waiting for each slot above which another is refused."""
 
 
 class Caller(typing.NamedTuple):
@@ -31,6 +38,8 @@
     """Send the attempt to this endpoint."""
 
     endpoint: evidence.Evidence
+    hot: bool = False
+    """Whether the attempt is expected to wait for a slot."""
     tag: typing.Literal["direct"] = "direct"
 
 
@@ -46,38 +55,96 @@
 Decision = Direct | Refuse
 
 Choose = typing.Callable[
-    [
-        typing.Mapping[str, evidence.Evidence],
-        Caller,
-        typing.Collection[str],
-        instants.Instant,
-        random.Random,
-    ],
-    Decision,
+    [views.ServiceView, Caller, typing.Collection[str], instants.Instant, random.Random], Decision
 ]
-"""Returns where an attempt goes; takes endpoints, caller, nodes to avoid, now and a generator."""
+"""Returns where an attempt goes; takes the service, caller, nodes to avoid, now and a generator."""
+
+
+class _Scored(typing.NamedTuple):
+    queue_per_slot: float
+    """Requests expected to wait for each slot, this one included; below 0 there are free slots."""
+    wait_s: float
+    endpoint: evidence.Evidence
 
 
 def choose(
-    endpoints: typing.Mapping[str, evidence.Evidence],
+    view: views.ServiceView,
     caller: Caller,
     tried: typing.Collection[str],
     now: instants.Instant,
     rng: random.Random,
 ) -> Decision:
     """Return where an attempt goes that must avoid the nodes in `tried`."""
-    usable = [e for e in endpoints.values() if e.ejected_until <= now and e.node_id not in tried]
-    usable = usable or [e for e in endpoints.values() if e.node_id not in tried]
-    local = [e for e in usable if e.region == caller.region] or usable
-    if not local:
+    candidates = view.candidates(caller.region)
+    near = _best(view, candidates.near, caller, tried, now, rng)
+    if near is not None and near.queue_per_slot <= 0.0:
+        return Direct(near.endpoint)
+    far = None
+    if candidates.far and view.link.allows(view.call_bytes, now):
+        far = _best(view, candidates.far, caller, tried, now, rng)
+    if far is not None and (near is None or far.queue_per_slot <= 0.0):
+        return _unless_full(far, now)
+    if near is not None:
+        return _unless_full(near, now)
+    if candidates.far:
+        return Refuse(reasons.Refusal.SATURATED, now + RETRY_AFTER_S)
+    return _any_ejected(view, tried, now, rng)
+
+
+def _unless_full(scored: _Scored, now: instants.Instant) -> Decision:
+    if scored.queue_per_slot > MAX_QUEUE_PER_SLOT:
+        return Refuse(reasons.Refusal.SATURATED, now + RETRY_AFTER_S)
+    return Direct(scored.endpoint, hot=scored.queue_per_slot > 0.0)
+
+
+def _any_ejected(
+    view: views.ServiceView,
+    tried: typing.Collection[str],
+    now: instants.Instant,
+    rng: random.Random,
+) -> Decision:
+    left = [endpoint for endpoint in view.ejected if endpoint.node_id not in tried]
+    if not left:
         return Refuse(reasons.Refusal.NO_ENDPOINT, now + RETRY_AFTER_S)
-    sample = rng.sample(local, min(SAMPLE_SIZE, len(local)))
-    return Direct(min(sample, key=lambda e: _score(e, caller, now)))
+    return Direct(rng.choice(left), hot=True)
 
 
-def _score(endpoint: evidence.Evidence, caller: Caller, now: instants.Instant) -> float:
-    age_s = now - endpoint.reported_at
-    weight = max(0.0, 1.0 - age_s / REPORT_AGE_LIMIT_S)
-    load = max(endpoint.in_flight, weight * endpoint.reported_load)
-    wait_s = endpoint.latency_s * (1.0 + load / endpoint.slots)
-    return wait_s if endpoint.failure_domain == caller.failure_domain else wait_s * 1.05
+def _best(
+    view: views.ServiceView,
+    candidates: typing.Sequence[evidence.Evidence],
+    caller: Caller,
+    tried: typing.Collection[str],
+    now: instants.Instant,
+    rng: random.Random,
+) -> _Scored | None:
+    typical_s = view.typical_work_s(now)
+    scored = [
+        _score(endpoint, caller, typical_s, now)
+        for endpoint in _sample(candidates, rng)
+        if endpoint.node_id not in tried and not (endpoint.on_trial and endpoint.in_flight)
+    ]
+    return min(scored, key=_rank, default=None)
+
+
+def _rank(scored: _Scored) -> tuple[bool, float]:
+    return scored.queue_per_slot > 0.0, scored.wait_s
+
+
+def _sample(
+    candidates: typing.Sequence[evidence.Evidence], rng: random.Random
+) -> typing.Sequence[evidence.Evidence]:
+    size = len(candidates)
+    if size <= SAMPLE_SIZE:
+        return candidates if size < 2 else rng.sample(candidates, size)
+    return [candidates[int(rng.random() * size)] for _ in range(SAMPLE_SIZE)]
+
+
+def _score(
+    endpoint: evidence.Evidence, caller: Caller, typical_s: float, now: instants.Instant
+) -> _Scored:
+    load = evidence.load(endpoint, now)
+    wait_s = evidence.work_s(endpoint, typical_s, now) * (1.0 + load / endpoint.slots)
+    if endpoint.failure_domain != caller.failure_domain:
+        wait_s *= OTHER_DOMAIN_FACTOR
+    share = evidence.slow_start_share(endpoint, now)
+    return _Scored((load + 1.0) / endpoint.slots - 1.0, wait_s / share, endpoint)
--- /dev/null
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/routing/ejection.py
@@ -0,0 +1,86 @@
+"""Ejection of endpoints that fail or are much slower than the others, and their return."""
+
+from __future__ import annotations
+
+from goldcrestgrade import instants
+from goldcrestgrade_node.routing import evidence, views
+
+MAX_EJECTED_SHARE = 0.5
+"""Largest share of a service's endpoints ejected at once for failing or for being slow."""
+
+MAX_UNREACHED_SHARE = 0.75
+"""Largest share of a service's endpoints ejected at once when none of these can be reached."""
+
+EJECTION_FAILURES = 3
+"""Consecutive failures that eject an endpoint."""
+
+STRAGGLER_FACTOR = 2.5
+"""Factor on the typical service time above which an endpoint is a straggler."""
+
+EJECTION_S = 2.0
+"""Time of a first ejection; it doubles with each that follows."""
+
+MAX_EJECTION_S = 30.0
+"""Longest time of an ejection."""
+
+
+def note_unreached(
+    view: views.ServiceView, endpoint: evidence.Evidence, now: instants.Instant
+) -> None:
+    """Eject an endpoint that could not be connected to."""
+    _eject(view, endpoint, MAX_UNREACHED_SHARE, now)
+
+
+def note_failure(
+    view: views.ServiceView, endpoint: evidence.Evidence, now: instants.Instant
+) -> None:
+    """Eject an endpoint that failed too often, or whose trial failed."""
+    if endpoint.on_trial or endpoint.consecutive_failures >= EJECTION_FAILURES:
+        _eject(view, endpoint, MAX_EJECTED_SHARE, now)
+
+
+def note_work(
+    view: views.ServiceView, endpoint: evidence.Evidence, sample_s: float, now: instants.Instant
+) -> None:
+    """Eject a straggler, or end the trial of an endpoint that was fast enough."""
+    typical_s = view.typical_work_s(now)
+    judged_s = sample_s if endpoint.on_trial else endpoint.work_s
+    if typical_s and judged_s > STRAGGLER_FACTOR * typical_s:
+        _eject(view, endpoint, MAX_EJECTED_SHARE, now)
+
+
+def note_success(endpoint: evidence.Evidence, now: instants.Instant) -> None:
+    """End the trial of an endpoint that answered, and forgive one that did well for long."""
+    endpoint.consecutive_failures = 0
+    if endpoint.on_trial:
+        endpoint.on_trial = False
+        endpoint.started_at = now
+    elif now - endpoint.started_at >= evidence.SLOW_START_S:
+        endpoint.ejections = 0
+
+
+def return_due(view: views.ServiceView, now: instants.Instant) -> None:
+    """Put the endpoints whose ejection has ended on trial."""
+    if now < view.next_return:
+        return
+    for endpoint in view.ejected:
+        if endpoint.ejected_until <= now:
+            endpoint.ejected_until = 0.0
+            endpoint.on_trial = True
+            endpoint.work_s = 0.0
+            endpoint.consecutive_failures = 0
+    view.ejected = [endpoint for endpoint in view.ejected if endpoint.ejected_until]
+    view.reindex()
+
+
+def _eject(
+    view: views.ServiceView, endpoint: evidence.Evidence, limit_share: float, now: instants.Instant
+) -> None:
+    if endpoint.ejected_until or len(view.ejected) + 1 > limit_share * len(view.endpoints):
+        return
+    ejection_s = min(MAX_EJECTION_S, EJECTION_S * 2**endpoint.ejections)
+    endpoint.ejections += 1
+    endpoint.ejected_until = now + ejection_s
+    endpoint.on_trial = False
+    view.ejected.append(endpoint)
+    view.reindex()
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/routing/evidence.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/routing/evidence.py
@@ -3,21 +3,32 @@
 from __future__ import annotations
 
 import dataclasses
-import typing
 
 from goldcrestgrade import instants, records
 
-LATENCY_DECAY = 0.2
-"""Weight of a new latency in the moving mean."""
+WORK_DECAY = 0.1
+"""Weight of a new sample in the moving mean of the service time."""
+
+WORK_AGE_LIMIT_S = 5.0
+"""Age at which the service time seen of an endpoint counts for nothing."""
+
+LOAD_DECAY = 0.2
+"""Weight of a new report in the moving mean of the load by other nodes."""
+
+REPORT_AGE_LIMIT_S = 1.0
+"""Age at which a load report counts for nothing."""
+
+FAILURE_FACTOR = 10.0
+"""Factor on the typical service time that a failed attempt counts as, at least."""
 
 FAILURE_LATENCY_S = 1.0
-"""Latency that a failed attempt counts as."""
+"""Service time that a failed attempt counts as while no typical time is known."""
 
-EJECTION_FAILURES = 3
-"""Consecutive failures that eject an endpoint."""
+SLOW_START_S = 3.0
+"""Time in which an endpoint that is new or came back grows to its full share."""
 
-EJECTION_S = 2.0
-"""Time for which an endpoint is ejected."""
+SLOW_START_MIN_SHARE = 0.1
+"""Share that an endpoint starts with."""
 
 
 @dataclasses.dataclass(slots=True)
@@ -31,14 +42,24 @@
     port: int
     control_url: str
     slots: int
+    incarnation: int = 0
     in_flight: int = 0
     """Attempts of this node that have not ended."""
-    latency_s: float = 0.0
-    """Moving mean of the latencies of this node's attempts; 0 before the first."""
-    reported_load: int = 0
+    work_s: float = 0.0
+    """Moving mean of the time that a request takes when no other waits; 0 before the first."""
+    worked_at: instants.Instant = 0.0
+    """When the latest sample of `work_s` was taken."""
+    others_load: float = 0.0
+    """Moving mean of the requests that other nodes have in flight, by the endpoint's reports."""
     reported_at: instants.Instant = 0.0
     consecutive_failures: int = 0
+    ejections: int = 0
+    """Ejections since the endpoint last did well."""
     ejected_until: instants.Instant = 0.0
+    on_trial: bool = False
+    """Whether the endpoint takes one attempt only, after an ejection."""
+    started_at: instants.Instant = -SLOW_START_S
+    """When the slow start of the endpoint began."""
 
 
 def from_record(record: records.NodeRecord, endpoint: records.EndpointDocument) -> Evidence:
@@ -51,53 +72,49 @@
         port=endpoint["port"],
         control_url=records.control_url(record),
         slots=endpoint["slots"],
+        incarnation=record["incarnation"],
     )
 
 
-def note_start(evidence: Evidence) -> None:
-    """Count an attempt that begins."""
-    evidence.in_flight += 1
+def load(evidence: Evidence, now: instants.Instant) -> float:
+    """Return the estimated number of requests that the endpoint has in flight."""
+    weight = 1.0 - (now - evidence.reported_at) / REPORT_AGE_LIMIT_S
+    return evidence.in_flight + (weight * evidence.others_load if weight > 0.0 else 0.0)
+
+
+def work_s(evidence: Evidence, typical_s: float, now: instants.Instant) -> float:
+    """Return the estimated service time of a request; old evidence gives way to `typical_s`."""
+    weight = 1.0 - (now - evidence.worked_at) / WORK_AGE_LIMIT_S
+    if not evidence.work_s or weight <= 0.0:
+        return typical_s
+    return typical_s + weight * (evidence.work_s - typical_s)
+
+
+def slow_start_share(evidence: Evidence, now: instants.Instant) -> float:
+    """Return the share of its load that the endpoint may take now."""
+    share = (now - evidence.started_at) / SLOW_START_S
+    return min(1.0, max(SLOW_START_MIN_SHARE, share))
+
+
+def note_load(evidence: Evidence, reported: int, now: instants.Instant) -> None:
+    """Take in the load that the endpoint reported with an answer to this node."""
+    others = max(0, reported - evidence.in_flight)
+    evidence.others_load += LOAD_DECAY * (others - evidence.others_load)
+    evidence.reported_at = now
+
+
+def note_work(evidence: Evidence, sample_s: float, typical_s: float, now: instants.Instant) -> None:
+    """Take in the service time of one attempt."""
+    if not evidence.work_s or now - evidence.worked_at >= WORK_AGE_LIMIT_S:
+        evidence.work_s = typical_s or sample_s
+    evidence.work_s += WORK_DECAY * (sample_s - evidence.work_s)
+    evidence.worked_at = now
 
 
-def note_end(
-    evidence: Evidence, latency_s: float, failed: bool, load: int | None, now: instants.Instant
+def note_failure(
+    evidence: Evidence, latency_s: float, typical_s: float, now: instants.Instant
 ) -> None:
-    """Take in an attempt that ended, and the load that the endpoint reported with it."""
-    evidence.in_flight -= 1
-    counted_s = max(latency_s, FAILURE_LATENCY_S) if failed else latency_s
-    evidence.latency_s += LATENCY_DECAY * (counted_s - evidence.latency_s)
-    evidence.consecutive_failures = evidence.consecutive_failures + 1 if failed else 0
-    if evidence.consecutive_failures >= EJECTION_FAILURES:
-        evidence.ejected_until = now + EJECTION_S
-    if load is not None:
-        evidence.reported_load = load
-        evidence.reported_at = now
-
-
-class Evidences:
-    """The evidence of a node by service; owned by the event loop of the node."""
-
-    def __init__(self) -> None:
-        self.by_service: dict[str, dict[str, Evidence]] = {}
-
-    def update(self, service: str, live: typing.Sequence[records.NodeRecord]) -> None:
-        """Keep evidence of exactly the nodes in `live`, all of which have an endpoint."""
-        known = self.by_service.get(service, {})
-        self.by_service[service] = {
-            record["node_id"]: _refreshed(known.get(record["node_id"]), record, record["endpoint"])
-            for record in live
-            if record["endpoint"] is not None
-        }
-
-    def of(self, service: str) -> dict[str, Evidence]:
-        """Return the evidence of the service's endpoints by node id."""
-        return self.by_service.get(service, {})
-
-
-def _refreshed(
-    known: Evidence | None, record: records.NodeRecord, endpoint: records.EndpointDocument
-) -> Evidence:
-    if known is None or (known.host, known.port) != (endpoint["host"], endpoint["port"]):
-        return from_record(record, endpoint)
-    known.slots = endpoint["slots"]
-    return known
+    """Take in a failed attempt as a slow one, however fast it was."""
+    counted_s = FAILURE_FACTOR * typical_s or FAILURE_LATENCY_S
+    evidence.consecutive_failures += 1
+    note_work(evidence, max(latency_s, counted_s), typical_s, now)
--- /dev/null
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/routing/hedging.py
@@ -0,0 +1,23 @@
+"""Whether and when a second attempt is sent beside one that has not been answered."""
+
+from __future__ import annotations
+
+import math
+
+from goldcrestgrade import instants
+from goldcrestgrade_node import requests
+from goldcrestgrade_node.routing import views
+
+MIN_DELAY_S = 0.002
+"""Shortest time before a hedge."""
+
+
+def hedge_at(
+    request: requests.Request, view: views.ServiceView, now: instants.Instant
+) -> instants.Instant:
+    """Return when a hedge of an attempt that starts at `now` is due; `NEVER` for none."""
+    if request.kind.run_once or not request.retries_allowed or len(view.endpoints) < 2:
+        return instants.NEVER
+    delay_s = max(MIN_DELAY_S, view.hedge_delay_s)
+    at = now + delay_s if math.isfinite(delay_s) else instants.NEVER
+    return at if at < request.deadline else instants.NEVER
--- /dev/null
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/routing/views.py
@@ -0,0 +1,158 @@
+"""The view of a service that decisions read: evidence of its endpoints, statistics, budgets."""
+
+from __future__ import annotations
+
+import collections
+import math
+import typing
+
+from goldcrestgrade import instants, records
+from goldcrestgrade_node.routing import budgets, evidence
+
+TYPICAL_INTERVAL_S = 0.1
+"""Time for which the typical service time is kept."""
+
+LATENCY_WINDOW = 256
+"""Latest latencies of a service that the hedging delay is taken from."""
+
+HEDGE_DELAY_QUANTILE = 0.95
+"""Share of calls that end before a hedge is sent."""
+
+HEDGE_DELAY_SAMPLES = 32
+"""Latencies between two looks at the window, and before the first hedge."""
+
+RETRY_SHARE = 0.08
+"""Retries that each call earns."""
+
+HEDGE_SHARE = 0.045
+"""Hedges that each call earns."""
+
+BUDGET_BURST = 5.0
+"""Retries or hedges that may be saved up."""
+
+CALL_BYTES = 4096.0
+"""Bytes that a call is taken to cost before the first answer."""
+
+CALL_BYTES_DECAY = 0.05
+"""Weight of a new call in the moving mean of the bytes of a call."""
+
+LINK_BYTES_PER_S = 30e6 / 8
+"""Bytes a second that the link between two regions carries each way."""
+
+LINK_SHARE = 0.6
+"""Share of the link that calls may use."""
+
+LINK_BURST_S = 1.0
+"""Seconds of a node's share of the link that may be saved up."""
+
+
+class Candidates(typing.NamedTuple):
+    """The endpoints that are not ejected, as seen from one region."""
+
+    near: tuple[evidence.Evidence, ...]
+    far: tuple[evidence.Evidence, ...]
+
+
+class ServiceView:
+    """What a node knows of one service; owned by the event loop of the node."""
+
+    def __init__(self, link: budgets.RateBudget) -> None:
+        self.link = link
+        self.endpoints: dict[str, evidence.Evidence] = {}
+        self.ejected: list[evidence.Evidence] = []
+        self.next_return: instants.Instant = instants.NEVER
+        self.candidates_by_region: dict[str, Candidates] = {}
+        self.typical_s = 0.0
+        self.typical_until: instants.Instant = 0.0
+        self.latencies: collections.deque[float] = collections.deque(maxlen=LATENCY_WINDOW)
+        self.latencies_seen = 0
+        self.hedge_delay_s = math.inf
+        self.call_bytes = CALL_BYTES
+        self.retry_budget = budgets.ShareBudget(RETRY_SHARE, BUDGET_BURST)
+        self.hedge_budget = budgets.ShareBudget(HEDGE_SHARE, BUDGET_BURST)
+
+    def candidates(self, region: str) -> Candidates:
+        """Return the endpoints that are not ejected, split by `region`."""
+        found = self.candidates_by_region.get(region)
+        if found is None:
+            open_ = [e for e in self.endpoints.values() if not e.ejected_until]
+            found = Candidates(
+                tuple(e for e in open_ if e.region == region),
+                tuple(e for e in open_ if e.region != region),
+            )
+            self.candidates_by_region[region] = found
+        return found
+
+    def typical_work_s(self, now: instants.Instant) -> float:
+        """Return the median service time of the endpoints; 0 before the first answer."""
+        if now >= self.typical_until:
+            known = sorted(e.work_s for e in self.endpoints.values() if e.work_s)
+            self.typical_s = known[(len(known) - 1) // 2] if known else 0.0
+            self.typical_until = now + TYPICAL_INTERVAL_S
+        return self.typical_s
+
+    def note_latency(self, latency_s: float) -> None:
+        """Take in the latency of a call that was answered well."""
+        self.latencies.append(latency_s)
+        self.latencies_seen += 1
+        if self.latencies_seen % HEDGE_DELAY_SAMPLES == 0:
+            ordered = sorted(self.latencies)
+            self.hedge_delay_s = ordered[int(HEDGE_DELAY_QUANTILE * len(ordered))]
+
+    def note_bytes(self, size: int) -> None:
+        """Take in the bytes of a call and its answer."""
+        self.call_bytes += CALL_BYTES_DECAY * (size - self.call_bytes)
+
+    def update(self, live: typing.Sequence[records.NodeRecord], now: instants.Instant) -> None:
+        """Keep evidence of exactly the nodes in `live`, all of which have an endpoint."""
+        known = self.endpoints
+        self.endpoints = {
+            record["node_id"]: _refreshed(known.get(record["node_id"]), record, record["endpoint"])
+            for record in live
+            if record["endpoint"] is not None
+        }
+        if known:
+            for node_id in self.endpoints.keys() - known.keys():
+                self.endpoints[node_id].started_at = now
+        self.ejected = [e for e in self.endpoints.values() if e.ejected_until]
+        self.reindex()
+
+    def reindex(self) -> None:
+        """Forget what is derived from which endpoints are ejected."""
+        self.candidates_by_region.clear()
+        self.next_return = min((e.ejected_until for e in self.ejected), default=instants.NEVER)
+
+
+class Views:
+    """The views of a node by service; owned by the event loop of the node."""
+
+    def __init__(self, now: typing.Callable[[], instants.Instant]) -> None:
+        self.now = now
+        self.by_service: dict[str, ServiceView] = {}
+        self.link = budgets.RateBudget(LINK_SHARE * LINK_BYTES_PER_S, LINK_BURST_S)
+
+    def share_link(self, nodes: int) -> None:
+        """Take this node's share of the link between regions, among `nodes` that are live."""
+        self.link.set_rate(LINK_SHARE * LINK_BYTES_PER_S / max(1, nodes))
+
+    def update(self, service: str, live: typing.Sequence[records.NodeRecord]) -> None:
+        """Bring the view of `service` in line with the records of its live nodes."""
+        self.of(service).update(live, self.now())
+
+    def of(self, service: str) -> ServiceView:
+        """Return the view of `service`."""
+        view = self.by_service.get(service)
+        if view is None:
+            view = self.by_service[service] = ServiceView(self.link)
+        return view
+
+
+def _refreshed(
+    known: evidence.Evidence | None, record: records.NodeRecord, endpoint: records.EndpointDocument
+) -> evidence.Evidence:
+    if known is None or (known.host, known.port) != (endpoint["host"], endpoint["port"]):
+        return evidence.from_record(record, endpoint)
+    if known.incarnation != record["incarnation"]:
+        return evidence.from_record(record, endpoint)
+    known.slots = endpoint["slots"]
+    return known
--- a/packages/goldcrestgrade-node/tests/test_call_path.py
+++ b/packages/goldcrestgrade-node/tests/test_call_path.py
@@ -7,18 +7,18 @@
 from goldcrestgrade_node import requests
 from goldcrestgrade_node.attempts import results
 from goldcrestgrade_node.entry import calls
-from goldcrestgrade_node.routing import choice, evidence
+from goldcrestgrade_node.routing import choice, views
 from goldcrestgrade_testing import virtual_time
 
 ANSWER = outcomes.Answer(200, (), b"whole")
 
 
 def make_calls(send) -> calls.Calls:
-    evidences = evidence.Evidences()
-    evidences.update("archive", [make_record(name) for name in ("a", "b", "c")])
+    known = views.Views(asyncio.get_running_loop().time)
+    known.update("archive", [make_record(name) for name in ("a", "b", "c")])
     return calls.Calls(
         choice.Caller("khomas", "khomas-a"),
-        evidences,
+        known,
         send,
         None,
         instants.loop_clocks(),
--- a/packages/goldcrestgrade-testing/goldcrestgrade_testing/bench/policies.py
+++ b/packages/goldcrestgrade-testing/goldcrestgrade_testing/bench/policies.py
@@ -7,7 +7,8 @@
 import typing
 
 from goldcrestgrade import instants, reasons
-from goldcrestgrade_node.routing import choice, evidence
+from goldcrestgrade_node.entry import calls
+from goldcrestgrade_node.routing import choice, evidence, views
 
 EARLIER_SAMPLE_SIZE = 3
 """Candidates that the earlier policy compares."""
@@ -23,13 +24,13 @@
     """Return a policy that picks among the endpoints of the own region, or else among all."""
 
     def choose(
-        endpoints: typing.Mapping[str, evidence.Evidence],
+        view: views.ServiceView,
         caller: choice.Caller,
         tried: typing.Collection[str],
         now: instants.Instant,
         rng: random.Random,
     ) -> choice.Decision:
-        usable = [e for e in endpoints.values() if e.node_id not in tried]
+        usable = [e for e in view.endpoints.values() if e.node_id not in tried]
         local = [e for e in usable if e.region == caller.region] or usable
         if not local:
             return choice.Refuse(reasons.Refusal.NO_ENDPOINT, now + choice.RETRY_AFTER_S)
@@ -64,15 +65,15 @@
 
 
 def earlier(
-    endpoints: typing.Mapping[str, evidence.Evidence],
+    view: views.ServiceView,
     caller: choice.Caller,
     tried: typing.Collection[str],
     now: instants.Instant,
     rng: random.Random,
 ) -> choice.Decision:
     """Choose as the first version did."""
-    usable = [e for e in endpoints.values() if e.ejected_until <= now and e.node_id not in tried]
-    usable = usable or [e for e in endpoints.values() if e.node_id not in tried]
+    usable = [e for e in view.endpoints.values() if not e.ejected_until and e.node_id not in tried]
+    usable = usable or [e for e in view.endpoints.values() if e.node_id not in tried]
     local = [e for e in usable if e.region == caller.region] or usable
     if not local:
         return choice.Refuse(reasons.Refusal.NO_ENDPOINT, now + choice.RETRY_AFTER_S)
@@ -80,19 +81,20 @@
 
     def score(endpoint: evidence.Evidence) -> float:
         weight = max(0.0, 1.0 - (now - endpoint.reported_at) / EARLIER_REPORT_AGE_LIMIT_S)
-        load = max(endpoint.in_flight, weight * endpoint.reported_load)
-        wait_s = endpoint.latency_s * (1.0 + load / endpoint.slots)
+        load = max(endpoint.in_flight, weight * (endpoint.in_flight + endpoint.others_load))
+        wait_s = endpoint.work_s * (1.0 + load / endpoint.slots)
         return wait_s if endpoint.failure_domain == caller.failure_domain else wait_s * 1.05
 
     return choice.Direct(min(sample, key=score))
 
 
-POLICIES: typing.Mapping[str, typing.Callable[[], choice.Choose]] = {
-    "ours": lambda: choice.choose,
-    "earlier": lambda: earlier,
-    "random": lambda: by_pick(random_pick),
-    "round-robin": lambda: by_pick(round_robin()),
-    "least-in-flight": lambda: by_pick(least_in_flight),
-    "power-of-two": lambda: by_pick(power_of_two),
+POLICIES: typing.Mapping[str, typing.Callable[[], calls.Policy]] = {
+    "ours": calls.Policy,
+    "ours-unhedged": lambda: calls.Policy(hedges=False),
+    "earlier": lambda: calls.Policy(earlier, hedges=False),
+    "random": lambda: calls.Policy(by_pick(random_pick), hedges=False),
+    "round-robin": lambda: calls.Policy(by_pick(round_robin()), hedges=False),
+    "least-in-flight": lambda: calls.Policy(by_pick(least_in_flight), hedges=False),
+    "power-of-two": lambda: calls.Policy(by_pick(power_of_two), hedges=False),
 }
 """Each policy with the function that makes it for one node."""
--- a/packages/goldcrestgrade-testing/goldcrestgrade_testing/bench/runs.py
+++ b/packages/goldcrestgrade-testing/goldcrestgrade_testing/bench/runs.py
@@ -10,7 +10,7 @@
 from goldcrestgrade import instants, outcomes, records, sheet, telemetry
 from goldcrestgrade_node import requests
 from goldcrestgrade_node.entry import calls
-from goldcrestgrade_node.routing import choice, evidence
+from goldcrestgrade_node.routing import choice, evidence, views
 from goldcrestgrade_testing import fast_time
 from goldcrestgrade_testing.bench import arrivals, endpoints, network, policies, scenarios
 
@@ -75,7 +75,7 @@
             ]
             for place in deployment.nodes
         ]
-        self.evidences = [evidence.Evidences() for _ in deployment.nodes]
+        self.views = [views.Views(asyncio.get_running_loop().time) for _ in deployment.nodes]
         self.nodes = [self._node(index, policy, seed) for index in range(len(deployment.nodes))]
         self.finished: list[Finished] = []
 
@@ -104,7 +104,7 @@
         links = self.links[index]
         return calls.Calls(
             choice.Caller(place.region, place.failure_domain),
-            self.evidences[index],
+            self.views[index],
             lambda attempt: links[attempt.port - 1].send(attempt),
             _no_relay,
             instants.loop_clocks(),
@@ -138,7 +138,8 @@
 
     def _announce(self, present: typing.Iterable[int]) -> None:
         live = [self._record(index) for index in present]
-        for known in self.evidences:
+        for known in self.views:
+            known.share_link(len(self.views))
             known.update(self.deployment.service, live)
 
     def _begin_fault(self) -> None:
