Let calls cross regions only from a real queue

Change: a reported queue counts only where the latency seen has risen too; a call crosses only from a queue of half a request per slot; a trial of an ejected endpoint is hedged at once.

--- a/packages/goldcrestgrade-node/goldcrestgrade_node/entry/calls.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/entry/calls.py
@@ -119,7 +119,9 @@
     ) -> results.AttemptResult:
         """Return the first good result of an attempt and its hedge, or else the latest."""
         now = self.clocks.monotonic()
-        due = hedging.hedge_at(request, view, now) if self.policy.hedges else instants.NEVER
+        due = (
+            hedging.hedge_at(request, view, endpoint, now) if self.policy.hedges else instants.NEVER
+        )
         tried.append(endpoint.node_id)
         if due == instants.NEVER:
             ended.append(await self._attempt(request, view, endpoint, len(tried)))
@@ -128,7 +130,7 @@
         try:
             done, pending = await asyncio.wait(pending, timeout=due - now)
             if pending:
-                pending |= self._hedge(request, view, tried)
+                pending |= self._hedge(request, view, tried, endpoint.on_trial)
             while pending and not _any_good(done):
                 ended.extend(task.result() for task in done)
                 done, pending = await asyncio.wait(pending, return_when=asyncio.FIRST_COMPLETED)
@@ -138,10 +140,16 @@
         return min(reversed(ended), key=retries.failed)
 
     def _hedge(
-        self, request: requests.Request, view: views.ServiceView, tried: list[str]
+        self,
+        request: requests.Request,
+        view: views.ServiceView,
+        tried: list[str],
+        on_trial: bool,
     ) -> set[asyncio.Task[results.AttemptResult]]:
         decision = self._choose(view, tried)
-        if isinstance(decision, choice.Refuse) or decision.hot or not view.hedge_budget.take():
+        if isinstance(decision, choice.Refuse) or (decision.hot and not on_trial):
+            return set()
+        if not view.hedge_budget.take():
             return set()
         self.counts.retries[reasons.Retry.HEDGED] += 1
         tried.append(decision.endpoint.node_id)
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/routing/choice.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/routing/choice.py
@@ -26,6 +26,10 @@
 """Requests waiting for each slot above which another is refused."""
 
 
+SPILL_QUEUE_PER_SLOT = 0.5
+"""Requests waiting for each slot above which a call may go to another region."""
+
+
 class Caller(typing.NamedTuple):
     """Where an attempt starts from."""
 
@@ -77,8 +81,8 @@
     """Return where an attempt goes that must avoid the nodes in `tried`."""
     candidates = view.candidates(caller.region)
     near = _best(view, candidates.near, caller, tried, now, rng)
-    if near is not None and near.queue_per_slot <= 0.0:
-        return Direct(near.endpoint)
+    if near is not None and near.queue_per_slot <= SPILL_QUEUE_PER_SLOT:
+        return Direct(near.endpoint, hot=near.queue_per_slot > 0.0)
     far = None
     if candidates.far and view.link.allows(view.call_bytes, now):
         far = _best(view, candidates.far, caller, tried, now, rng)
@@ -117,9 +121,9 @@
     now: instants.Instant,
     rng: random.Random,
 ) -> _Scored | None:
-    typical_s = view.typical_work_s(now)
+    typical_s = view.typical_latency_s(now)
     scored = [
-        _score(endpoint, caller, typical_s, now)
+        _score(view, endpoint, caller, typical_s, now)
         for endpoint in _sample(candidates, rng)
         if endpoint.node_id not in tried and not (endpoint.on_trial and endpoint.in_flight)
     ]
@@ -140,11 +144,27 @@
 
 
 def _score(
-    endpoint: evidence.Evidence, caller: Caller, typical_s: float, now: instants.Instant
+    view: views.ServiceView,
+    endpoint: evidence.Evidence,
+    caller: Caller,
+    typical_s: float,
+    now: instants.Instant,
 ) -> _Scored:
-    load = evidence.load(endpoint, now)
-    wait_s = evidence.work_s(endpoint, typical_s, now) * (1.0 + load / endpoint.slots)
+    latency_s = evidence.expected_latency_s(endpoint, typical_s, now)
+    wait_s = latency_s * (1.0 + endpoint.in_flight / endpoint.slots)
     if endpoint.failure_domain != caller.failure_domain:
         wait_s *= OTHER_DOMAIN_FACTOR
     share = evidence.slow_start_share(endpoint, now)
-    return _Scored((load + 1.0) / endpoint.slots - 1.0, wait_s / share, endpoint)
+    return _Scored(_queue_per_slot(view, endpoint, now), wait_s / share, endpoint)
+
+
+def _queue_per_slot(
+    view: views.ServiceView, endpoint: evidence.Evidence, now: instants.Instant
+) -> float:
+    """Return the estimated queue; a report of one counts only where calls take longer too."""
+    if endpoint.shed_until > now:
+        return 2.0 * MAX_QUEUE_PER_SLOT
+    own = (endpoint.in_flight + 1.0) / endpoint.slots - 1.0
+    if own > 0.0 or not evidence.is_waiting(endpoint, view.unloaded_s, now):
+        return own
+    return (evidence.load(endpoint, now) + 1.0) / endpoint.slots - 1.0
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/routing/ejection.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/routing/ejection.py
@@ -15,7 +15,7 @@
 """Consecutive failures that eject an endpoint."""
 
 STRAGGLER_FACTOR = 2.5
-"""Factor on the typical service time above which an endpoint is a straggler."""
+"""Factor on the typical latency above which an endpoint is a straggler."""
 
 EJECTION_S = 2.0
 """Time of a first ejection; it doubles with each that follows."""
@@ -39,12 +39,12 @@
         _eject(view, endpoint, MAX_EJECTED_SHARE, now)
 
 
-def note_work(
+def note_latency(
     view: views.ServiceView, endpoint: evidence.Evidence, sample_s: float, now: instants.Instant
 ) -> None:
     """Eject a straggler, or end the trial of an endpoint that was fast enough."""
-    typical_s = view.typical_work_s(now)
-    judged_s = sample_s if endpoint.on_trial else endpoint.work_s
+    typical_s = view.typical_latency_s(now)
+    judged_s = sample_s if endpoint.on_trial else endpoint.latency_s
     if typical_s and judged_s > STRAGGLER_FACTOR * typical_s:
         _eject(view, endpoint, MAX_EJECTED_SHARE, now)
 
@@ -67,7 +67,7 @@
         if endpoint.ejected_until <= now:
             endpoint.ejected_until = 0.0
             endpoint.on_trial = True
-            endpoint.work_s = 0.0
+            endpoint.latency_s = 0.0
             endpoint.consecutive_failures = 0
     view.ejected = [endpoint for endpoint in view.ejected if endpoint.ejected_until]
     view.reindex()
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/routing/evidence.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/routing/evidence.py
@@ -6,11 +6,11 @@
 
 from goldcrestgrade import instants, records
 
-WORK_DECAY = 0.1
-"""Weight of a new sample in the moving mean of the service time."""
+LATENCY_DECAY = 0.1
+"""Weight of a new sample in the moving mean of the latency."""
 
-WORK_AGE_LIMIT_S = 5.0
-"""Age at which the service time seen of an endpoint counts for nothing."""
+LATENCY_AGE_LIMIT_S = 5.0
+"""Age at which the latency seen of an endpoint counts for nothing."""
 
 LOAD_DECAY = 0.2
 """Weight of a new report in the moving mean of the load by other nodes."""
@@ -18,11 +18,17 @@
 REPORT_AGE_LIMIT_S = 1.0
 """Age at which a load report counts for nothing."""
 
+SHED_HOLD_S = 0.1
+"""Time for which an endpoint that shed an attempt counts as full."""
+
+WAITING_FACTOR = 1.25
+"""Factor on the latency without load above which requests wait for a slot."""
+
 FAILURE_FACTOR = 10.0
-"""Factor on the typical service time that a failed attempt counts as, at least."""
+"""Factor on the typical latency that a failed attempt counts as, at least."""
 
 FAILURE_LATENCY_S = 1.0
-"""Service time that a failed attempt counts as while no typical time is known."""
+"""Latency that a failed attempt counts as while no typical latency is known."""
 
 SLOW_START_S = 3.0
 """Time in which an endpoint that is new or came back grows to its full share."""
@@ -45,13 +51,15 @@
     incarnation: int = 0
     in_flight: int = 0
     """Attempts of this node that have not ended."""
-    work_s: float = 0.0
-    """Moving mean of the time that a request takes when no other waits; 0 before the first."""
-    worked_at: instants.Instant = 0.0
-    """When the latest sample of `work_s` was taken."""
+    latency_s: float = 0.0
+    """Moving mean of the latencies of this node's attempts; 0 before the first."""
+    latency_at: instants.Instant = 0.0
+    """When the latest sample of `latency_s` was taken."""
     others_load: float = 0.0
     """Moving mean of the requests that other nodes have in flight, by the endpoint's reports."""
     reported_at: instants.Instant = 0.0
+    shed_until: instants.Instant = 0.0
+    """Until when the endpoint counts as full since it shed an attempt."""
     consecutive_failures: int = 0
     ejections: int = 0
     """Ejections since the endpoint last did well."""
@@ -82,12 +90,18 @@
     return evidence.in_flight + (weight * evidence.others_load if weight > 0.0 else 0.0)
 
 
-def work_s(evidence: Evidence, typical_s: float, now: instants.Instant) -> float:
-    """Return the estimated service time of a request; old evidence gives way to `typical_s`."""
-    weight = 1.0 - (now - evidence.worked_at) / WORK_AGE_LIMIT_S
-    if not evidence.work_s or weight <= 0.0:
+def expected_latency_s(evidence: Evidence, typical_s: float, now: instants.Instant) -> float:
+    """Return the expected latency of an attempt; old evidence gives way to `typical_s`."""
+    weight = 1.0 - (now - evidence.latency_at) / LATENCY_AGE_LIMIT_S
+    if not evidence.latency_s or weight <= 0.0:
         return typical_s
-    return typical_s + weight * (evidence.work_s - typical_s)
+    return typical_s + weight * (evidence.latency_s - typical_s)
+
+
+def is_waiting(evidence: Evidence, unloaded_s: float, now: instants.Instant) -> bool:
+    """Tell whether the latencies seen show that requests wait for a slot."""
+    fresh = now - evidence.latency_at < REPORT_AGE_LIMIT_S
+    return fresh and evidence.latency_s > WAITING_FACTOR * unloaded_s
 
 
 def slow_start_share(evidence: Evidence, now: instants.Instant) -> float:
@@ -103,12 +117,14 @@
     evidence.reported_at = now
 
 
-def note_work(evidence: Evidence, sample_s: float, typical_s: float, now: instants.Instant) -> None:
-    """Take in the service time of one attempt."""
-    if not evidence.work_s or now - evidence.worked_at >= WORK_AGE_LIMIT_S:
-        evidence.work_s = typical_s or sample_s
-    evidence.work_s += WORK_DECAY * (sample_s - evidence.work_s)
-    evidence.worked_at = now
+def note_latency(
+    evidence: Evidence, sample_s: float, typical_s: float, now: instants.Instant
+) -> None:
+    """Take in the latency of one attempt."""
+    if not evidence.latency_s or now - evidence.latency_at >= LATENCY_AGE_LIMIT_S:
+        evidence.latency_s = typical_s or sample_s
+    evidence.latency_s += LATENCY_DECAY * (sample_s - evidence.latency_s)
+    evidence.latency_at = now
 
 
 def note_failure(
@@ -117,4 +133,4 @@
     """Take in a failed attempt as a slow one, however fast it was."""
     counted_s = FAILURE_FACTOR * typical_s or FAILURE_LATENCY_S
     evidence.consecutive_failures += 1
-    note_work(evidence, max(latency_s, counted_s), typical_s, now)
+    note_latency(evidence, max(latency_s, counted_s), typical_s, now)
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/routing/feedback.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/routing/feedback.py
@@ -13,11 +13,9 @@
 
 
 class Started(typing.NamedTuple):
-    """An attempt in flight, as its endpoint was when it began."""
+    """When an attempt began and what was paid for it."""
 
     at: instants.Instant
-    load: float
-    """Requests in flight at the endpoint, by estimate, without this one."""
     link_bytes: float
     """Bytes paid in advance for crossing to another region."""
 
@@ -29,11 +27,10 @@
     now: instants.Instant,
 ) -> Started:
     """Count an attempt that begins."""
-    load = evidence.load(endpoint, now)
     endpoint.in_flight += 1
     link_bytes = view.call_bytes if endpoint.region != caller.region else 0.0
     view.link.spend(link_bytes)
-    return Started(now, load, link_bytes)
+    return Started(now, link_bytes)
 
 
 def finish(
@@ -54,12 +51,10 @@
             if retries.failed(result):
                 _note_failure(view, endpoint, started, now)
             else:
-                _note_work(view, endpoint, started, now)
+                _note_latency(view, endpoint, started, now)
                 ejection.note_success(endpoint, now)
         case results.Shed():
-            full = endpoint.slots * (1.0 + choice.MAX_QUEUE_PER_SLOT)
-            endpoint.others_load = max(endpoint.others_load, full)
-            endpoint.reported_at = now
+            endpoint.shed_until = now + evidence.SHED_HOLD_S
         case results.Unreached():
             _note_failure(view, endpoint, started, now)
             ejection.note_unreached(view, endpoint, now)
@@ -94,20 +89,20 @@
 ) -> None:
     """Take in an attempt that was given up; it only shows that its endpoint takes longer."""
     endpoint.in_flight -= 1
-    sample_s = _work_sample_s(endpoint, started, now)
-    if sample_s > evidence.work_s(endpoint, view.typical_work_s(now), now):
-        _note_work(view, endpoint, started, now)
+    sample_s = now - started.at
+    if sample_s > evidence.expected_latency_s(endpoint, view.typical_latency_s(now), now):
+        _note_latency(view, endpoint, started, now)
 
 
-def _note_work(
+def _note_latency(
     view: views.ServiceView,
     endpoint: evidence.Evidence,
     started: Started,
     now: instants.Instant,
 ) -> None:
-    sample_s = _work_sample_s(endpoint, started, now)
-    evidence.note_work(endpoint, sample_s, view.typical_work_s(now), now)
-    ejection.note_work(view, endpoint, sample_s, now)
+    sample_s = now - started.at
+    evidence.note_latency(endpoint, sample_s, view.typical_latency_s(now), now)
+    ejection.note_latency(view, endpoint, sample_s, now)
 
 
 def _note_failure(
@@ -116,14 +111,10 @@
     started: Started,
     now: instants.Instant,
 ) -> None:
-    evidence.note_failure(endpoint, now - started.at, view.typical_work_s(now), now)
+    evidence.note_failure(endpoint, now - started.at, view.typical_latency_s(now), now)
     ejection.note_failure(view, endpoint, now)
 
 
-def _work_sample_s(endpoint: evidence.Evidence, started: Started, now: instants.Instant) -> float:
-    return (now - started.at) / max(1.0, (started.load + 1.0) / endpoint.slots)
-
-
 def _note_bytes(view: views.ServiceView, started: Started, size: int) -> None:
     view.note_bytes(size)
     if started.link_bytes:
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/routing/hedging.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/routing/hedging.py
@@ -6,18 +6,21 @@
 
 from goldcrestgrade import instants
 from goldcrestgrade_node import requests
-from goldcrestgrade_node.routing import views
+from goldcrestgrade_node.routing import evidence, views
 
 MIN_DELAY_S = 0.002
 """Shortest time before a hedge."""
 
 
 def hedge_at(
-    request: requests.Request, view: views.ServiceView, now: instants.Instant
+    request: requests.Request,
+    view: views.ServiceView,
+    endpoint: evidence.Evidence,
+    now: instants.Instant,
 ) -> instants.Instant:
-    """Return when a hedge of an attempt that starts at `now` is due; `NEVER` for none."""
+    """Return when a hedge of an attempt at `endpoint` from `now` is due; `NEVER` for none."""
     if request.kind.run_once or not request.retries_allowed or len(view.endpoints) < 2:
         return instants.NEVER
-    delay_s = max(MIN_DELAY_S, view.hedge_delay_s)
+    delay_s = MIN_DELAY_S if endpoint.on_trial else max(MIN_DELAY_S, view.hedge_delay_s)
     at = now + delay_s if math.isfinite(delay_s) else instants.NEVER
     return at if at < request.deadline else instants.NEVER
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/routing/views.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/routing/views.py
@@ -10,7 +10,10 @@
 from goldcrestgrade_node.routing import budgets, evidence
 
 TYPICAL_INTERVAL_S = 0.1
-"""Time for which the typical service time is kept."""
+"""Time for which the typical latency is kept."""
+
+UNLOADED_RISE = 1.001
+"""Factor by which the latency without load rises each `TYPICAL_INTERVAL_S`, to follow changes."""
 
 LATENCY_WINDOW = 256
 """Latest latencies of a service that the hedging delay is taken from."""
@@ -63,6 +66,8 @@
         self.next_return: instants.Instant = instants.NEVER
         self.candidates_by_region: dict[str, Candidates] = {}
         self.typical_s = 0.0
+        self.unloaded_s = math.inf
+        """Lowest typical latency seen of late."""
         self.typical_until: instants.Instant = 0.0
         self.latencies: collections.deque[float] = collections.deque(maxlen=LATENCY_WINDOW)
         self.latencies_seen = 0
@@ -83,11 +88,12 @@
             self.candidates_by_region[region] = found
         return found
 
-    def typical_work_s(self, now: instants.Instant) -> float:
-        """Return the median service time of the endpoints; 0 before the first answer."""
+    def typical_latency_s(self, now: instants.Instant) -> float:
+        """Return the median latency of the endpoints; 0 before the first answer."""
         if now >= self.typical_until:
-            known = sorted(e.work_s for e in self.endpoints.values() if e.work_s)
+            known = sorted(e.latency_s for e in self.endpoints.values() if e.latency_s)
             self.typical_s = known[(len(known) - 1) // 2] if known else 0.0
+            self.unloaded_s = min(self.unloaded_s * UNLOADED_RISE, self.typical_s or math.inf)
             self.typical_until = now + TYPICAL_INTERVAL_S
         return self.typical_s
 
--- a/packages/goldcrestgrade-testing/goldcrestgrade_testing/bench/policies.py
+++ b/packages/goldcrestgrade-testing/goldcrestgrade_testing/bench/policies.py
@@ -82,7 +82,7 @@
     def score(endpoint: evidence.Evidence) -> float:
         weight = max(0.0, 1.0 - (now - endpoint.reported_at) / EARLIER_REPORT_AGE_LIMIT_S)
         load = max(endpoint.in_flight, weight * (endpoint.in_flight + endpoint.others_load))
-        wait_s = endpoint.work_s * (1.0 + load / endpoint.slots)
+        wait_s = endpoint.latency_s * (1.0 + load / endpoint.slots)
         return wait_s if endpoint.failure_domain == caller.failure_domain else wait_s * 1.05
 
     return choice.Direct(min(sample, key=score))
