Let a trial run to its end and send a late attempt again

Change: a trial is not cancelled when its hedge wins; an attempt that is late without a hedge gets another beside it from the retry budget, and is not given up, since some requests take long; an endpoint is hot from half a request waiting per slot; the link is shared by the nodes of a region.

--- a/packages/goldcrestgrade-node/goldcrestgrade_node/commands/run.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/commands/run.py
@@ -132,7 +132,10 @@
         """Bring the evidence of `services` in line with the records."""
         for service in services:
             self.views.update(service, self.members.ready(service))
-        self.views.share_link(len(self.members.by_id))
+        neighbours = (
+            r for r in self.members.by_id.values() if r["region"] == self.config["region"]
+        )
+        self.views.share_link(sum(1 for _ in neighbours))
 
     def sheet_adopted(self, _adopted: sheet.Sheet) -> None:
         """Tell peers of the version in force."""
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/entry/calls.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/entry/calls.py
@@ -49,7 +49,7 @@
         self.rng = rng
         self.policy = policy or Policy()
         self.losers: set[asyncio.Task[results.AttemptResult]] = set()
-        """Attempts that were cancelled and have not ended."""
+        """Attempts that no call waits for and that have not ended."""
 
     async def run(self, request: requests.Request) -> outcomes.Outcome:
         """Return how `request` ended, at the latest at its deadline."""
@@ -122,6 +122,7 @@
         due = (
             hedging.hedge_at(request, view, endpoint, now) if self.policy.hedges else instants.NEVER
         )
+        on_trial = endpoint.on_trial
         tried.append(endpoint.node_id)
         if due == instants.NEVER:
             ended.append(await self._attempt(request, view, endpoint, len(tried)))
@@ -130,12 +131,17 @@
         try:
             done, pending = await asyncio.wait(pending, timeout=due - now)
             if pending:
-                pending |= self._hedge(request, view, tried, endpoint.on_trial)
+                hedge = self._hedge(request, view, tried, on_trial)
+                if not hedge:
+                    wait_s = hedging.late_s(due - now)
+                    done, pending = await asyncio.wait(pending, timeout=wait_s)
+                    hedge = self._late_attempt(request, view, tried) if pending else hedge
+                pending |= hedge
             while pending and not _any_good(done):
                 ended.extend(task.result() for task in done)
                 done, pending = await asyncio.wait(pending, return_when=asyncio.FIRST_COMPLETED)
         finally:
-            self._cancel(pending)
+            self._leave(pending, cancel=not on_trial)
         ended.extend(task.result() for task in done)
         return min(reversed(ended), key=retries.failed)
 
@@ -151,16 +157,36 @@
             return set()
         if not view.hedge_budget.take():
             return set()
-        self.counts.retries[reasons.Retry.HEDGED] += 1
+        return self._second(request, view, decision, tried, reasons.Retry.HEDGED)
+
+    def _late_attempt(
+        self, request: requests.Request, view: views.ServiceView, tried: list[str]
+    ) -> set[asyncio.Task[results.AttemptResult]]:
+        decision = self._choose(view, tried)
+        if isinstance(decision, choice.Refuse) or not view.retry_budget.take():
+            return set()
+        return self._second(request, view, decision, tried, reasons.Retry.TIMED_OUT)
+
+    def _second(
+        self,
+        request: requests.Request,
+        view: views.ServiceView,
+        decision: choice.Direct,
+        tried: list[str],
+        reason: reasons.Retry,
+    ) -> set[asyncio.Task[results.AttemptResult]]:
+        self.counts.retries[reason] += 1
         tried.append(decision.endpoint.node_id)
         attempt = self._attempt(request, view, decision.endpoint, len(tried))
         return {asyncio.create_task(attempt)}
 
-    def _cancel(self, tasks: set[asyncio.Task[results.AttemptResult]]) -> None:
+    def _leave(self, tasks: set[asyncio.Task[results.AttemptResult]], cancel: bool) -> None:
+        """Stop waiting for `tasks`; a trial runs on, since its result is what it is for."""
         for task in tasks:
             self.losers.add(task)
             task.add_done_callback(self.losers.discard)
-            task.cancel()
+            if cancel:
+                task.cancel()
 
     async def _attempt(
         self,
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/routing/choice.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/routing/choice.py
@@ -26,8 +26,8 @@
 """Requests waiting for each slot above which another is refused."""
 
 
-SPILL_QUEUE_PER_SLOT = 0.5
-"""Requests waiting for each slot above which a call may go to another region."""
+HOT_QUEUE_PER_SLOT = 0.5
+"""Requests waiting for each slot above which an endpoint is hot."""
 
 
 class Caller(typing.NamedTuple):
@@ -43,7 +43,7 @@
 
     endpoint: evidence.Evidence
     hot: bool = False
-    """Whether the attempt is expected to wait for a slot."""
+    """Whether the endpoint is hot."""
     tag: typing.Literal["direct"] = "direct"
 
 
@@ -81,8 +81,8 @@
     """Return where an attempt goes that must avoid the nodes in `tried`."""
     candidates = view.candidates(caller.region)
     near = _best(view, candidates.near, caller, tried, now, rng)
-    if near is not None and near.queue_per_slot <= SPILL_QUEUE_PER_SLOT:
-        return Direct(near.endpoint, hot=near.queue_per_slot > 0.0)
+    if near is not None and near.queue_per_slot <= HOT_QUEUE_PER_SLOT:
+        return Direct(near.endpoint)
     far = None
     if candidates.far and view.link.allows(view.call_bytes, now):
         far = _best(view, candidates.far, caller, tried, now, rng)
@@ -98,7 +98,7 @@
 def _unless_full(scored: _Scored, now: instants.Instant) -> Decision:
     if scored.queue_per_slot > MAX_QUEUE_PER_SLOT:
         return Refuse(reasons.Refusal.SATURATED, now + RETRY_AFTER_S)
-    return Direct(scored.endpoint, hot=scored.queue_per_slot > 0.0)
+    return Direct(scored.endpoint, hot=scored.queue_per_slot > HOT_QUEUE_PER_SLOT)
 
 
 def _any_ejected(
@@ -131,7 +131,7 @@
 
 
 def _rank(scored: _Scored) -> tuple[bool, float]:
-    return scored.queue_per_slot > 0.0, scored.wait_s
+    return scored.queue_per_slot > HOT_QUEUE_PER_SLOT, scored.wait_s
 
 
 def _sample(
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/routing/hedging.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/routing/hedging.py
@@ -11,6 +11,21 @@
 MIN_DELAY_S = 0.002
 """Shortest time before a hedge."""
 
+LATE_FACTOR = 10.0
+"""Factor on the hedging delay after which an attempt without a hedge is late."""
+
+MIN_LATE_S = 0.5
+"""Shortest time after which an attempt is late."""
+
+
+def late_s(delay_s: float) -> float:
+    """Return the seconds after which an attempt is late that was not hedged after `delay_s`.
+
+    A late attempt is not given up, since some requests take long. The retry budget pays for
+    another one beside it, in case its connection went silent.
+    """
+    return max(MIN_LATE_S, LATE_FACTOR * delay_s)
+
 
 def hedge_at(
     request: requests.Request,
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/routing/views.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/routing/views.py
@@ -138,7 +138,7 @@
         self.link = budgets.RateBudget(LINK_SHARE * LINK_BYTES_PER_S, LINK_BURST_S)
 
     def share_link(self, nodes: int) -> None:
-        """Take this node's share of the link between regions, among `nodes` that are live."""
+        """Take this node's share of the link, among the live nodes of its region."""
         self.link.set_rate(LINK_SHARE * LINK_BYTES_PER_S / max(1, nodes))
 
     def update(self, service: str, live: typing.Sequence[records.NodeRecord]) -> None:
--- a/packages/goldcrestgrade-testing/goldcrestgrade_testing/bench/runs.py
+++ b/packages/goldcrestgrade-testing/goldcrestgrade_testing/bench/runs.py
@@ -138,8 +138,9 @@
 
     def _announce(self, present: typing.Iterable[int]) -> None:
         live = [self._record(index) for index in present]
-        for known in self.views:
-            known.share_link(len(self.views))
+        regions = collections.Counter(place.region for place in self.deployment.nodes)
+        for known, place in zip(self.views, self.deployment.nodes, strict=True):
+            known.share_link(regions[place.region])
             known.update(self.deployment.service, live)
 
     def _begin_fault(self) -> None:
