Quarantine requests that crash endpoints

Cause: a request that crashes each endpoint that runs it was retried elsewhere, and sent again by its caller, without end. Change: an attempt that ended with the death of its endpoint makes its request a suspect; two endpoint incarnations, and it is refused as QUARANTINED until a deadline. A request that has not been answered yet runs at no more endpoints at a time than it may still crash, so copies sent at once are bounded as well. Typed records can be exported and merged. An attempt counts as in flight before its task has run, so that calls of one tick see each other. Across nodes the bound holds only as fast as the records spread.

--- a/packages/goldcrestgrade-node/goldcrestgrade_node/entry/calls.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/entry/calls.py
@@ -3,16 +3,27 @@
 from __future__ import annotations
 
 import asyncio
-import itertools
+import dataclasses
+import functools
 import random
 import typing
 
 from goldcrestgrade import instants, outcomes, reasons, telemetry
 from goldcrestgrade_node import requests
 from goldcrestgrade_node.attempts import results, retries, transport
-from goldcrestgrade_node.routing import choice, ejection, evidence, feedback, hedging, views
+from goldcrestgrade_node.routing import (
+    choice,
+    ejection,
+    evidence,
+    feedback,
+    hedging,
+    quarantine,
+    views,
+)
 
-Send = typing.Callable[[transport.Attempt], typing.Awaitable[results.AttemptResult]]
+Send = typing.Callable[
+    [transport.Attempt], typing.Coroutine[typing.Any, typing.Any, results.AttemptResult]
+]
 """Sends an attempt to an endpoint."""
 
 Relay = typing.Callable[[requests.Request, evidence.Evidence], typing.Awaitable[outcomes.Outcome]]
@@ -26,6 +37,24 @@
     hedges: bool = True
 
 
+@dataclasses.dataclass(slots=True)
+class Call:
+    """A request on its way."""
+
+    request: requests.Request
+    view: views.ServiceView
+    name: str
+    """What the request is called in the quarantine."""
+    started_at: instants.Instant
+    tried: list[str] = dataclasses.field(default_factory=list)
+    """Nodes of the endpoints that it was sent to."""
+    ended: list[results.AttemptResult] = dataclasses.field(default_factory=list)
+    """Results of the attempts that were not cancelled."""
+
+
+AttemptTask = asyncio.Task[results.AttemptResult]
+
+
 class Calls:
     """The calls in flight at an entry node; owned by the event loop of the node."""
 
@@ -48,7 +77,8 @@
         self.counts = counts
         self.rng = rng
         self.policy = policy or Policy()
-        self.losers: set[asyncio.Task[results.AttemptResult]] = set()
+        self.quarantine = quarantine.Quarantine()
+        self.left: set[AttemptTask] = set()
         """Attempts that no call waits for and that have not ended."""
 
     async def run(self, request: requests.Request) -> outcomes.Outcome:
@@ -59,169 +89,153 @@
         view.hedge_budget.deposit()
         self.counts.in_flight += 1
         try:
-            outcome = await run(request, view)
+            outcome = await run(
+                Call(request, view, quarantine.name_of(request), self.clocks.monotonic())
+            )
         finally:
             self.counts.in_flight -= 1
         self._count(outcome)
         return outcome
 
-    async def _run_idempotent(
-        self, request: requests.Request, view: views.ServiceView
-    ) -> outcomes.Outcome:
-        started = self.clocks.monotonic()
-        tried: list[str] = []
-        ended: list[results.AttemptResult] = []
-        for number in itertools.count(1):
-            decision = self._choose(view, tried)
+    async def _run_idempotent(self, call: Call) -> outcomes.Outcome:
+        attempts = 0
+        while True:
+            decision = self._choose(call)
             if isinstance(decision, choice.Refuse):
-                return retries.settle(outcomes.NotRun(decision.reason, decision.retry_at), ended)
-            result = await self._race(request, view, decision.endpoint, tried, ended)
+                refusal = outcomes.NotRun(decision.reason, decision.retry_at)
+                return retries.settle(refusal, call.ended)
+            attempts += 1
+            result = await self._race(call, decision.endpoint)
             now = self.clocks.monotonic()
-            verdict = retries.judge(request, result, number, now)
+            verdict = retries.judge(call.request, result, attempts, now)
             if isinstance(verdict, retries.Finish):
                 if not retries.failed(result):
-                    view.note_latency(now - started)
-                return retries.settle(verdict.outcome, ended)
-            if not view.retry_budget.take():
-                return retries.settle(retries.give_up(result, now), ended)
+                    call.view.note_latency(now - call.started_at)
+                return retries.settle(verdict.outcome, call.ended)
+            if not call.view.retry_budget.take():
+                return retries.settle(retries.give_up(result, now), call.ended)
             self.counts.retries[verdict.reason] += 1
-        raise AssertionError
 
-    async def _run_once(
-        self, request: requests.Request, view: views.ServiceView
-    ) -> outcomes.Outcome:
-        tried: list[str] = []
+    async def _run_once(self, call: Call) -> outcomes.Outcome:
         while True:
-            decision = self._choose(view, tried)
+            decision = self._choose(call)
             if isinstance(decision, choice.Refuse):
                 return outcomes.NotRun(decision.reason, decision.retry_at)
-            tried.append(decision.endpoint.node_id)
-            outcome = await self._relay(request, view, decision.endpoint)
-            verdict = retries.judge_relayed(request, outcome, len(tried), self.clocks.monotonic())
+            outcome = await self._relay(call, decision.endpoint)
+            verdict = retries.judge_relayed(
+                call.request, outcome, len(call.tried), self.clocks.monotonic()
+            )
             if isinstance(verdict, retries.Finish):
                 return verdict.outcome
-            if not view.retry_budget.take():
+            if not call.view.retry_budget.take():
                 return outcome
             self.counts.retries[verdict.reason] += 1
 
-    def _choose(self, view: views.ServiceView, tried: typing.Collection[str]) -> choice.Decision:
+    def _choose(self, call: Call) -> choice.Decision:
         now = self.clocks.monotonic()
-        ejection.return_due(view, now)
-        return self.policy.choose(view, self.caller, tried, now, self.rng)
+        match self.quarantine.permission(call.name, now):
+            case quarantine.Quarantined(until=until):
+                return choice.Refuse(reasons.Refusal.QUARANTINED, until)
+            case quarantine.OnlyAt(node_ids=node_ids):
+                return choice.join(call.view, node_ids, call.tried, now)
+        ejection.return_due(call.view, now)
+        return self.policy.choose(call.view, self.caller, call.tried, now, self.rng)
 
-    async def _race(
-        self,
-        request: requests.Request,
-        view: views.ServiceView,
-        endpoint: evidence.Evidence,
-        tried: list[str],
-        ended: list[results.AttemptResult],
-    ) -> results.AttemptResult:
+    async def _race(self, call: Call, endpoint: evidence.Evidence) -> results.AttemptResult:
         """Return the first good result of an attempt and its hedge, or else the latest."""
         now = self.clocks.monotonic()
-        due = (
-            hedging.hedge_at(request, view, endpoint, now) if self.policy.hedges else instants.NEVER
-        )
         on_trial = endpoint.on_trial
-        tried.append(endpoint.node_id)
-        if due == instants.NEVER:
-            ended.append(await self._attempt(request, view, endpoint, len(tried)))
-            return ended[-1]
-        pending = {asyncio.create_task(self._attempt(request, view, endpoint, len(tried)))}
+        due = instants.NEVER
+        if self.policy.hedges:
+            due = hedging.hedge_at(call.request, call.view, endpoint, now)
+        pending = {self._attempt(call, endpoint)}
         try:
-            done, pending = await asyncio.wait(pending, timeout=due - now)
+            done, pending = await _wait(pending, due - now)
             if pending:
-                hedge = self._hedge(request, view, tried, on_trial)
+                hedge = self._hedge(call, on_trial)
                 if not hedge:
-                    wait_s = hedging.late_s(due - now)
-                    done, pending = await asyncio.wait(pending, timeout=wait_s)
-                    hedge = self._late_attempt(request, view, tried) if pending else hedge
+                    done, pending = await _wait(pending, hedging.late_s(due - now))
+                    hedge = self._late_attempt(call) if pending else hedge
                 pending |= hedge
             while pending and not _any_good(done):
-                ended.extend(task.result() for task in done)
-                done, pending = await asyncio.wait(pending, return_when=asyncio.FIRST_COMPLETED)
+                call.ended.extend(task.result() for task in done)
+                done, pending = await _wait(pending, instants.NEVER)
         finally:
             self._leave(pending, cancel=not on_trial)
-        ended.extend(task.result() for task in done)
-        return min(reversed(ended), key=retries.failed)
+        call.ended.extend(task.result() for task in done)
+        return min(reversed(call.ended), key=retries.failed)
 
-    def _hedge(
-        self,
-        request: requests.Request,
-        view: views.ServiceView,
-        tried: list[str],
-        on_trial: bool,
-    ) -> set[asyncio.Task[results.AttemptResult]]:
-        decision = self._choose(view, tried)
+    def _hedge(self, call: Call, on_trial: bool) -> set[AttemptTask]:
+        decision = self._choose(call)
         if isinstance(decision, choice.Refuse) or (decision.hot and not on_trial):
             return set()
-        if not view.hedge_budget.take():
+        if not call.view.hedge_budget.take():
             return set()
-        return self._second(request, view, decision, tried, reasons.Retry.HEDGED)
+        self.counts.retries[reasons.Retry.HEDGED] += 1
+        return {self._attempt(call, decision.endpoint)}
 
-    def _late_attempt(
-        self, request: requests.Request, view: views.ServiceView, tried: list[str]
-    ) -> set[asyncio.Task[results.AttemptResult]]:
-        decision = self._choose(view, tried)
-        if isinstance(decision, choice.Refuse) or not view.retry_budget.take():
+    def _late_attempt(self, call: Call) -> set[AttemptTask]:
+        decision = self._choose(call)
+        if isinstance(decision, choice.Refuse) or not call.view.retry_budget.take():
             return set()
-        return self._second(request, view, decision, tried, reasons.Retry.TIMED_OUT)
+        self.counts.retries[reasons.Retry.TIMED_OUT] += 1
+        return {self._attempt(call, decision.endpoint)}
 
-    def _second(
-        self,
-        request: requests.Request,
-        view: views.ServiceView,
-        decision: choice.Direct,
-        tried: list[str],
-        reason: reasons.Retry,
-    ) -> set[asyncio.Task[results.AttemptResult]]:
-        self.counts.retries[reason] += 1
-        tried.append(decision.endpoint.node_id)
-        attempt = self._attempt(request, view, decision.endpoint, len(tried))
-        return {asyncio.create_task(attempt)}
-
-    def _leave(self, tasks: set[asyncio.Task[results.AttemptResult]], cancel: bool) -> None:
+    def _leave(self, tasks: set[AttemptTask], cancel: bool) -> None:
         """Stop waiting for `tasks`; a trial runs on, since its result is what it is for."""
         for task in tasks:
-            self.losers.add(task)
-            task.add_done_callback(self.losers.discard)
+            self.left.add(task)
+            task.add_done_callback(self.left.discard)
             if cancel:
                 task.cancel()
 
-    async def _attempt(
+    def _attempt(self, call: Call, endpoint: evidence.Evidence) -> AttemptTask:
+        """Begin an attempt; it counts at once, before its task has run."""
+        started = self._start(call, endpoint)
+        attempt = transport.Attempt(
+            attempt_id=f"{call.request.request_id}-{len(call.tried)}",
+            request=call.request,
+            host=endpoint.host,
+            port=endpoint.port,
+            caller_region=self.caller.region,
+        )
+        task = asyncio.ensure_future(self.send(attempt))
+        task.add_done_callback(functools.partial(self._attempt_ended, call, endpoint, started))
+        return task
+
+    def _start(self, call: Call, endpoint: evidence.Evidence) -> feedback.Started:
+        call.tried.append(endpoint.node_id)
+        self.quarantine.start(call.name, endpoint)
+        return feedback.start(call.view, endpoint, self.caller, self.clocks.monotonic())
+
+    def _attempt_ended(
         self,
-        request: requests.Request,
-        view: views.ServiceView,
+        call: Call,
         endpoint: evidence.Evidence,
-        number: int,
-    ) -> results.AttemptResult:
-        started = feedback.start(view, endpoint, self.caller, self.clocks.monotonic())
-        try:
-            result = await self.send(
-                transport.Attempt(
-                    attempt_id=f"{request.request_id}-{number}",
-                    request=request,
-                    host=endpoint.host,
-                    port=endpoint.port,
-                    caller_region=self.caller.region,
-                )
-            )
-        except BaseException:
-            feedback.cancel(view, endpoint, started, self.clocks.monotonic())
-            raise
-        feedback.finish(view, endpoint, started, result, self.clocks.monotonic())
-        return result
+        started: feedback.Started,
+        task: AttemptTask,
+    ) -> None:
+        now = self.clocks.monotonic()
+        self.quarantine.leave(call.name, endpoint)
+        if task.cancelled() or task.exception() is not None:
+            feedback.cancel(call.view, endpoint, started, now)
+            return
+        result = task.result()
+        feedback.finish(call.view, endpoint, started, result, now)
+        quarantine.note_result(self.quarantine, call.name, endpoint, result, started.at, now)
 
-    async def _relay(
-        self, request: requests.Request, view: views.ServiceView, endpoint: evidence.Evidence
-    ) -> outcomes.Outcome:
-        started = feedback.start(view, endpoint, self.caller, self.clocks.monotonic())
+    async def _relay(self, call: Call, endpoint: evidence.Evidence) -> outcomes.Outcome:
+        started = self._start(call, endpoint)
         try:
-            outcome = await self.relay(request, endpoint)
+            outcome = await self.relay(call.request, endpoint)
         except BaseException:
-            feedback.cancel(view, endpoint, started, self.clocks.monotonic())
+            feedback.cancel(call.view, endpoint, started, self.clocks.monotonic())
             raise
-        feedback.finish_relayed(view, endpoint, started, outcome, self.clocks.monotonic())
+        finally:
+            self.quarantine.leave(call.name, endpoint)
+        now = self.clocks.monotonic()
+        feedback.finish_relayed(call.view, endpoint, started, outcome, now)
+        quarantine.note_result(self.quarantine, call.name, endpoint, outcome, started.at, now)
         return outcome
 
     def _count(self, outcome: outcomes.Outcome) -> None:
@@ -233,5 +247,13 @@
                 self.counts.unknowns[uncertainty] += 1
 
 
-def _any_good(done: set[asyncio.Task[results.AttemptResult]]) -> bool:
+async def _wait(
+    tasks: set[AttemptTask], timeout_s: float
+) -> tuple[set[AttemptTask], set[AttemptTask]]:
+    """Return which of `tasks` are done and which are not, when one is or at the timeout."""
+    limit_s = None if timeout_s == instants.NEVER else timeout_s
+    return await asyncio.wait(tasks, timeout=limit_s, return_when=asyncio.FIRST_COMPLETED)
+
+
+def _any_good(done: set[AttemptTask]) -> bool:
     return any(not retries.failed(task.result()) for task in done)
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/routing/choice.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/routing/choice.py
@@ -95,6 +95,23 @@
     return _any_ejected(view, tried, now, rng)
 
 
+def join(
+    view: views.ServiceView,
+    node_ids: typing.Collection[str],
+    tried: typing.Collection[str],
+    now: instants.Instant,
+) -> Decision:
+    """Return the least busy of the nodes that a suspect request is confined to."""
+    confined = [
+        endpoint
+        for node_id, endpoint in view.endpoints.items()
+        if node_id in node_ids and node_id not in tried
+    ]
+    if not confined:
+        return Refuse(reasons.Refusal.QUARANTINED, now + RETRY_AFTER_S)
+    return Direct(min(confined, key=lambda endpoint: endpoint.in_flight))
+
+
 def _unless_full(scored: _Scored, now: instants.Instant) -> Decision:
     if scored.queue_per_slot > MAX_QUEUE_PER_SLOT:
         return Refuse(reasons.Refusal.SATURATED, now + RETRY_AFTER_S)
--- /dev/null
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/routing/quarantine.py
@@ -0,0 +1,220 @@
+"""Quarantine of requests that crash the endpoints that run them.
+
+A request is told by its idempotency key, or else by its digest. Until it has been answered once it
+is kept at no more endpoints at a time than it may still crash.
+"""
+
+from __future__ import annotations
+
+import collections
+import dataclasses
+import typing
+
+import typing_extensions
+import xxhash
+
+from goldcrestgrade import instants, outcomes, reasons
+from goldcrestgrade_node import requests
+from goldcrestgrade_node.attempts import results
+from goldcrestgrade_node.routing import evidence
+
+MAX_CRASHES = 2
+"""Endpoints that one request may crash."""
+
+SUSPECT_S = 120.0
+"""Time for which a crash is held against a request."""
+
+QUARANTINE_S = 600.0
+"""Time for which a request is quarantined."""
+
+MAX_SUSPECTS = 1024
+"""Requests held as suspects or in quarantine at most."""
+
+MAX_ANSWERED = 4096
+"""Requests remembered as answered."""
+
+CRASH_REASONS = frozenset(
+    {
+        reasons.Uncertainty.ANSWER_LOST,
+        reasons.Uncertainty.ANSWER_CUT,
+        reasons.Uncertainty.ENDPOINT_DIED,
+    }
+)
+"""Ends of an attempt that the death of its endpoint can have caused."""
+
+
+class SuspectRecord(typing_extensions.TypedDict):
+    """What nodes tell each other of a request that may have crashed endpoints."""
+
+    request: str
+    crashed: list[str]
+    """Names of the endpoint incarnations that died while they ran it."""
+    expires_at: instants.WallInstant
+
+
+@dataclasses.dataclass(slots=True)
+class Suspect:
+    """A request that may have crashed endpoints."""
+
+    crashed: dict[str, instants.Instant]
+    """When each endpoint incarnation died."""
+    deadline: instants.Instant
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class AnyEndpoint:
+    """The request may go to any endpoint."""
+
+    tag: typing.Literal["any"] = "any"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class OnlyAt:
+    """The request may go only to endpoints that run it already."""
+
+    node_ids: frozenset[str]
+    tag: typing.Literal["only_at"] = "only_at"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Quarantined:
+    """The request may go nowhere."""
+
+    until: instants.Instant
+    tag: typing.Literal["quarantined"] = "quarantined"
+
+
+Permission = AnyEndpoint | OnlyAt | Quarantined
+
+ANY = AnyEndpoint()
+
+
+class Quarantine:
+    """The suspects that a node knows; owned by its event loop."""
+
+    def __init__(self) -> None:
+        self.suspects: dict[str, Suspect] = {}
+        self.answered: dict[str, None] = {}
+        """Requests answered of late, in the order of their answers."""
+        self.running: dict[str, collections.Counter[str]] = {}
+        """Attempts in flight by node, of requests that have not been answered."""
+
+    def permission(self, request: str, now: instants.Instant) -> Permission:
+        """Return where `request` may go."""
+        suspect = self._suspect(request, now)
+        crashes = 0 if suspect is None else len(suspect.crashed)
+        if suspect is not None and crashes >= MAX_CRASHES:
+            return Quarantined(suspect.deadline)
+        if request in self.answered:
+            return ANY
+        holders = self.running.get(request)
+        if holders is None or crashes + len(holders) < MAX_CRASHES:
+            return ANY
+        return OnlyAt(frozenset(holders))
+
+    def start(self, request: str, endpoint: evidence.Evidence) -> None:
+        """Count an attempt that begins."""
+        self.running.setdefault(request, collections.Counter())[endpoint.node_id] += 1
+
+    def leave(self, request: str, endpoint: evidence.Evidence) -> None:
+        """Count an attempt that ended."""
+        holders = self.running[request]
+        holders[endpoint.node_id] -= 1
+        if not holders[endpoint.node_id]:
+            del holders[endpoint.node_id]
+        if not holders:
+            del self.running[request]
+
+    def clear(self, request: str) -> None:
+        """Clear a request that an endpoint has answered."""
+        self.suspects.pop(request, None)
+        self.answered.pop(request, None)
+        self.answered[request] = None
+        if len(self.answered) > MAX_ANSWERED:
+            del self.answered[next(iter(self.answered))]
+
+    def accuse(
+        self,
+        request: str,
+        endpoint: evidence.Evidence,
+        started_at: instants.Instant,
+        now: instants.Instant,
+    ) -> None:
+        """Hold the death of `endpoint` against a request that it ran since `started_at`."""
+        self.answered.pop(request, None)
+        suspect = self._suspect(request, now)
+        crashed = {} if suspect is None else suspect.crashed
+        lives = [at for name, at in crashed.items() if name.startswith(f"{_name(endpoint)}#")]
+        if all(at < started_at for at in lives):
+            crashed[f"{_name(endpoint)}#{len(lives)}"] = now
+        self._keep(request, crashed, now)
+
+    def export(self, clocks: instants.Clocks) -> list[SuspectRecord]:
+        """Return what other nodes should know."""
+        now = clocks.monotonic()
+        return [
+            SuspectRecord(
+                request=request,
+                crashed=sorted(suspect.crashed),
+                expires_at=clocks.to_wall(suspect.deadline),
+            )
+            for request, suspect in self.suspects.items()
+            if suspect.deadline > now
+        ]
+
+    def merge(self, received: typing.Iterable[SuspectRecord], clocks: instants.Clocks) -> None:
+        """Take in what another node knows."""
+        now = clocks.monotonic()
+        for record in received:
+            deadline = min(clocks.from_wall(record["expires_at"]), now + QUARANTINE_S)
+            if deadline <= now:
+                continue
+            suspect = self._suspect(record["request"], now)
+            crashed = {} if suspect is None else suspect.crashed
+            if crashed.keys() >= set(record["crashed"]):
+                continue
+            self._keep(record["request"], dict.fromkeys(record["crashed"], now) | crashed, now)
+            self.suspects[record["request"]].deadline = deadline
+
+    def _suspect(self, request: str, now: instants.Instant) -> Suspect | None:
+        suspect = self.suspects.get(request)
+        if suspect is not None and suspect.deadline <= now:
+            del self.suspects[request]
+            return None
+        return suspect
+
+    def _keep(
+        self, request: str, crashed: dict[str, instants.Instant], now: instants.Instant
+    ) -> None:
+        hold_s = QUARANTINE_S if len(crashed) >= MAX_CRASHES else SUSPECT_S
+        self.suspects[request] = Suspect(crashed, now + hold_s)
+        if len(self.suspects) > MAX_SUSPECTS:
+            del self.suspects[next(iter(self.suspects))]
+
+
+def name_of(request: requests.Request) -> str:
+    """Return the name that a request has in each of its tries."""
+    if request.idempotency_key is None:
+        return requests.digest(request)
+    return xxhash.xxh3_128_hexdigest(f"{request.service}\0{request.idempotency_key}".encode())
+
+
+def note_result(
+    quarantine: Quarantine,
+    request: str,
+    endpoint: evidence.Evidence,
+    result: results.AttemptResult | outcomes.Outcome,
+    started_at: instants.Instant,
+    now: instants.Instant,
+) -> None:
+    """Take in how an attempt, or a relayed request, ended."""
+    match result:
+        case results.Answered() | outcomes.Ran():
+            quarantine.clear(request)
+        case results.Broken(reason=reason) | outcomes.Unknown(reason=reason):
+            if reason in CRASH_REASONS:
+                quarantine.accuse(request, endpoint, started_at, now)
+
+
+def _name(endpoint: evidence.Evidence) -> str:
+    return f"{endpoint.node_id}/{endpoint.incarnation}"
