--- a/Makefile
+++ b/Makefile
@@ -38,3 +38,7 @@
 	$(BIN)/python -m goldcrestgrade_testing.latency --seed=$(SEED) --json=latency.json
 
 .PHONY: help install test lint format demo reference latency
+bench: install ## Compare routing policies in virtual time: SCENARIO=all SEED=1
+	$(BIN)/python -m goldcrestgrade_testing.bench --scenario=$(SCENARIO) --seed=$(SEED)
+
+.PHONY: help install test lint format demo bench
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/commands/run.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/commands/run.py
@@ -24,7 +24,7 @@
 from goldcrestgrade_node.entry import calls
 from goldcrestgrade_node.membership import exchange, members
 from goldcrestgrade_node.once import claims, guard, relay, relay_client, sweeper, write_behind
-from goldcrestgrade_node.routing import choice, evidence
+from goldcrestgrade_node.routing import choice, views
 
 log = logging.getLogger(__name__)
 
@@ -62,7 +62,7 @@
         self.rng = random.Random()
         self.stopping = asyncio.Event()
         self.forced = asyncio.Event()
-        self.evidences = evidence.Evidences()
+        self.views = views.Views(self.clocks.monotonic)
         self.members = members.Members(self.clocks)
         incarnation = int(self.clocks.wall() * 1000)
         self.own = members.OwnRecord(
@@ -116,7 +116,7 @@
         )
         self.calls = calls.Calls(
             choice.Caller(config["region"], config["failure_domain"]),
-            self.evidences,
+            self.views,
             self.transport.send,
             relay_client.RelayClient(port, self.clocks).run,
             self.clocks,
@@ -134,10 +134,14 @@
         """Bring the evidence of `services` in line with the records."""
         for service in services:
             ready = self.members.ready(service)
-            self.evidences.update(service, ready)
+            self.views.update(service, ready)
             self.transport.set_shares(
                 service, shares.limits(self.config["node_id"], ready, len(self.members.by_id))
             )
+        neighbours = (
+            r for r in self.members.by_id.values() if r["region"] == self.config["region"]
+        )
+        self.views.share_link(sum(1 for _ in neighbours))
 
     def sheet_adopted(self, _adopted: sheet.Sheet) -> None:
         """Tell peers of the version in force."""
