--- a/packages/goldcrestgrade-testing/tests/test_reference.py
+++ b/packages/goldcrestgrade-testing/tests/test_reference.py
@@ -32,13 +32,23 @@
     assert set(explained) == set(members)
 
 
+def counted_events(source: str) -> set[str]:
+    """Return the names by which a module counts events; `{reason}` in one stands for several."""
+    reasons_used = re.findall(r"Uncertainty\.([A-Z_]+)", source)
+    return {
+        name.replace("{reason}", reason.lower())
+        for name in re.findall(r'\bevents\[f?"([a-z_{}]+)"\]', source)
+        for reason in (reasons_used if "{" in name else [""])
+    }
+
+
 def test_every_event_that_the_node_counts_is_listed():
     counted = {
         name
-        for source in importlib.resources.files("goldcrestgrade_node").rglob("*.py")
-        for name in re.findall(r'\bevents\["([a-z_]+)"\]', source.read_text("utf-8"))
+        for module in importlib.resources.files("goldcrestgrade_node").rglob("*.py")
+        for name in counted_events(module.read_text("utf-8"))
     }
-    assert counted <= set(reasons.Event)
+    assert sorted(counted - set(reasons.Event)) == []
 
 
 def test_operators_page_lists_exactly_the_exported_metrics():
--- a/packages/goldcrestgrade/goldcrestgrade/reasons.py
+++ b/packages/goldcrestgrade/goldcrestgrade/reasons.py
@@ -63,6 +63,7 @@
 
     SHEET_STALE_IGNORED = "sheet_stale_ignored"
     SHEET_INVALID_IGNORED = "sheet_invalid_ignored"
+    ATTEMPT_RELAYED = "attempt_relayed"
     CALLER_DISCONNECTED = "caller_disconnected"
     ENDPOINT_DIED = "endpoint_died"
     SILENT_CONNECTION = "silent_connection"
