--- a/packages/goldcrestgrade-node/goldcrestgrade_node/commands/run.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/commands/run.py
@@ -34,9 +34,6 @@
 CONTROL_KEEPALIVE_S = 20.0
 """Time after which an unused connection to a peer is closed."""
 
-DRAIN_SPREAD_S = 2.0
-"""Time in which all nodes hear that an endpoint drains."""
-
 FLUSH_TIMEOUT_S = 3.0
 """Longest time that a planned stop waits for outcomes to be written."""
 
@@ -149,16 +146,12 @@
 
     def touched(self, services: set[str]) -> None:
         """Bring the evidence of `services` in line with the records."""
+        nodes = len(self.members.entries)
         for service in services:
             ready = self.members.ready(service)
             self.views.update(service, ready)
-            self.transport.set_shares(
-                service, shares.limits(self.config["node_id"], ready, len(self.members.by_id))
-            )
-        neighbours = (
-            r for r in self.members.by_id.values() if r["region"] == self.config["region"]
-        )
-        self.views.share_link(sum(1 for _ in neighbours))
+            self.transport.set_shares(service, shares.limits(self.config["node_id"], ready, nodes))
+        self.views.share_link(self.exchange.view().region_size)
 
     def sheet_adopted(self, _adopted: sheet.Sheet) -> None:
         """Tell peers of the version in force."""
@@ -240,21 +233,19 @@
         self.counts.calls["not_run"] += 1
         self.counts.refusals[reason] += 1
 
-    async def expire_forever(self) -> None:
-        """Drop an endpoint whose lease passed."""
+    async def advance_forever(self) -> None:
+        """Drop an endpoint whose lease passed and end its drain, until cancelled."""
         while True:
-            self.lifecycle.expire()
+            self.lifecycle.advance(len(self.guard.tasks))
             await asyncio.sleep(TICK_S)
 
     async def drain(self) -> None:
         """Wait until no node sends new work and all work in flight has ended."""
-        started = self.clocks.monotonic()
-        deadline = started + self.config["drain_timeout_s"]
-        spread_at = started + DRAIN_SPREAD_S
+        deadline = self.clocks.monotonic() + self.config["drain_timeout_s"]
         self.lifecycle.stop()
         await self.exchange.farewell()
-        await self._until(lambda: self._drained(spread_at), deadline)
-        cut_off = not self._drained(spread_at)
+        await self._until(self._drained, deadline)
+        cut_off = not self._drained()
         if cut_off:
             self._log_cut()
         await self._until(self.writer.idle, self.clocks.monotonic() + FLUSH_TIMEOUT_S)
@@ -269,10 +260,8 @@
         fields = {"calls": calls, "claimed": claimed, **cut._asdict()}
         log.log(level, "drain ended early", extra=fields)
 
-    def _drained(self, spread_at: instants.Instant) -> bool:
-        own_work = self.counts.in_flight == 0 and not self.guard.tasks
-        spread = self.clocks.monotonic() >= spread_at
-        return spread and own_work and self.lifecycle.idle(spread_at)
+    def _drained(self) -> bool:
+        return self.counts.in_flight == 0 and self.lifecycle.state == records.EndpointState.LEFT
 
     async def _until(self, done: typing.Callable[[], bool], deadline: instants.Instant) -> None:
         while not done() and not self.forced.is_set() and self.clocks.monotonic() < deadline:
@@ -318,7 +307,7 @@
                 node.discovery.run(),
                 node.sheets.poll_forever(node.discovery.joined),
                 node.sheets.fetch_forever(),
-                node.expire_forever(),
+                node.advance_forever(),
             )
         ]
         log.info("node started")
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/endpoint/lifecycle.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/endpoint/lifecycle.py
@@ -14,6 +14,9 @@
 HEARTBEAT_LEASE_S = 3.0
 """Time that an announcement holds; the endpoint announces itself again before."""
 
+DRAIN_SPREAD_S = 2.0
+"""Time in which all nodes hear that an endpoint drains."""
+
 CHART = statecharts.load("goldcrestgrade_node.statecharts", "endpoint")
 
 
@@ -42,6 +45,8 @@
         self.endpoint: records.EndpointDocument | None = None
         self.in_flight = 0
         self.announced_at: instants.Instant = -HEARTBEAT_LEASE_S
+        self.spread_at: instants.Instant = instants.NEVER
+        """When all nodes have heard that the endpoint drains."""
 
     def announce(self, document: AnnounceDocument) -> None:
         """Take in an announcement of the endpoint; raises `UnexpectedEvent` once it left."""
@@ -72,10 +77,15 @@
         if self.state != records.EndpointState.LEFT:
             self._step("timed_out" if timed_out else "drained")
 
-    def expire(self) -> None:
-        """Drop the endpoint if its lease has passed."""
+    def advance(self, claimed: int) -> None:
+        """Drop the endpoint if its lease has passed, and end its drain once nothing is in flight.
+
+        `claimed` is the number of run-once requests that the guard has not ended.
+        """
         if self.silent() and CHART.allows(self.state, "expired"):
             self._step("expired")
+        elif self.state == records.EndpointState.DRAINING and not claimed and self.idle():
+            self.finish(timed_out=False)
 
     def accepting(self) -> bool:
         """Tell whether the endpoint takes new work."""
@@ -85,9 +95,9 @@
         """Tell whether the endpoint let its lease pass, so that it has nothing in flight."""
         return self.clocks.monotonic() >= self.announced_at + HEARTBEAT_LEASE_S
 
-    def idle(self, since: instants.Instant) -> bool:
-        """Tell whether the endpoint said after `since` that nothing is in flight, or is gone."""
-        return self.silent() or (self.announced_at >= since and self.in_flight == 0)
+    def idle(self) -> bool:
+        """Tell whether the endpoint said, after all nodes knew, that nothing is in flight."""
+        return self.announced_at >= self.spread_at and self.in_flight == 0
 
     def cut(self) -> Cut:
         """Return what ends with the endpoint now."""
@@ -99,4 +109,6 @@
         if state != self.state:
             log.info("endpoint state", extra={"from_state": self.state, "to_state": state})
             self.state = state
+            if state == records.EndpointState.DRAINING:
+                self.spread_at = self.clocks.monotonic() + DRAIN_SPREAD_S
             self.changed()
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/membership/selection.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/membership/selection.py
@@ -38,6 +38,11 @@
         """Regions other than the own."""
         return frozenset(self.other_regions)
 
+    @property
+    def region_size(self) -> int:
+        """Number of live nodes in the own region, this one included."""
+        return 1 + len(self.own_domain) + len(self.own_region)
+
 
 def view(own: records.NodeRecord, alive: typing.Iterable[records.NodeRecord]) -> View:
     """Return the view of `own` over the live nodes."""
@@ -56,8 +61,7 @@
 
 def crossing_share(seen: View) -> float:
     """Return the share of messages that cross to another region."""
-    region_size = 1 + len(seen.own_domain) + len(seen.own_region)
-    return min(MAX_CROSSING_SHARE, CROSSINGS_PER_ROUND / region_size)
+    return min(MAX_CROSSING_SHARE, CROSSINGS_PER_ROUND / seen.region_size)
 
 
 def choose_peer(seen: View, rng: random.Random) -> records.NodeRecord | None:
--- /dev/null
+++ b/packages/goldcrestgrade-node/tests/endpoint/test_drains_under_load.py
@@ -0,0 +1,110 @@
+"""Planned stops of the endpoints of a service, one by one, while all nodes call it."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+
+import pytest
+
+from goldcrestgrade import records
+from goldcrestgrade_node.endpoint import lifecycle
+from goldcrestgrade_testing import fleet, virtual_time
+
+TICK_S = 0.1
+ANNOUNCE_S = 0.5
+CALLS_PER_S = 20.0
+"""Calls of each node."""
+
+
+class Endpoint:
+    """An endpoint whose calls take up to four seconds, beside a node of the fleet."""
+
+    def __init__(self, node: fleet.Node) -> None:
+        self.node = node
+        self.calls: set[asyncio.Task[None]] = set()
+        self.up = True
+        self.own = lifecycle.Lifecycle(node.clocks, lambda: node.change(self.own.state))
+        self.tasks = [
+            asyncio.create_task(self._announce_forever()),
+            asyncio.create_task(self._advance_forever()),
+        ]
+
+    async def serve(self, duration_s: float) -> None:
+        task = asyncio.current_task()
+        self.calls.add(task)
+        try:
+            await asyncio.sleep(duration_s)
+        finally:
+            self.calls.discard(task)
+
+    async def stop(self) -> None:
+        """Stop as the node does at SIGTERM, without a limit."""
+        self.own.stop()
+        while self.own.state != records.EndpointState.LEFT:
+            await asyncio.sleep(TICK_S)
+        await self.node.exchange.farewell()
+        self.up = False
+        for task in [*self.calls, *self.tasks]:
+            task.cancel()
+        self.node.kill()
+
+    async def _announce_forever(self) -> None:
+        while True:
+            endpoint = fleet.endpoint_of(self.node.place)
+            self.own.announce({**endpoint, "in_flight": len(self.calls)})
+            await asyncio.sleep(ANNOUNCE_S)
+
+    async def _advance_forever(self) -> None:
+        while True:
+            self.own.advance(claimed=0)
+            await asyncio.sleep(TICK_S)
+
+
+class Callers:
+    """Calls of every node to endpoints that its records call ready."""
+
+    def __init__(self, endpoints: dict[str, Endpoint], seed: int) -> None:
+        self.endpoints = endpoints
+        self.rng = random.Random(seed)
+        self.answered = 0
+        self.cut = 0
+
+    async def call(self, caller: fleet.Node, service: str) -> None:
+        ready = caller.known.ready(service)
+        target = self.endpoints[self.rng.choice(ready)["node_id"]]
+        await asyncio.sleep(0.001)
+        task = asyncio.create_task(target.serve(self.rng.expovariate(1.0) % 4.0))
+        await asyncio.wait([task])
+        whole = target.up and not task.cancelled()
+        self.answered += whole
+        self.cut += not whole
+
+    async def run(self, callers: list[fleet.Node], service: str) -> None:
+        async with asyncio.TaskGroup() as group:
+            while True:
+                group.create_task(self.call(self.rng.choice(callers), service))
+                await asyncio.sleep(self.rng.expovariate(CALLS_PER_S * len(callers)))
+
+
+@pytest.mark.parametrize("seed", (1, 2))
+def test_drain_of_all_but_one_endpoint_cuts_no_call(seed: int):
+    async def scenario() -> None:
+        running = fleet.Fleet(fleet.Shape(nodes=16, services=2), seed)
+        await running.start()
+        serving = [n for n in running.nodes if n.place.service == "service-000"]
+        calling = [n for n in running.nodes if n not in serving]
+        endpoints = {n.place.node_id: Endpoint(n) for n in serving}
+        callers = Callers(endpoints, seed)
+        load = asyncio.create_task(callers.run(calling, "service-000"))
+        await asyncio.sleep(5.0)
+        for endpoint in list(endpoints.values())[:-1]:
+            await endpoint.stop()
+            await asyncio.sleep(1.0)
+        load.cancel()
+        await asyncio.wait([load])
+        assert callers.cut == 0
+        assert callers.answered > 1000
+        running.stop()
+
+    virtual_time.run(scenario())
--- a/packages/goldcrestgrade-node/tests/endpoint/test_lifecycle.py
+++ b/packages/goldcrestgrade-node/tests/endpoint/test_lifecycle.py
@@ -24,17 +24,24 @@
     return lifecycle.Lifecycle(instants.loop_clocks(), lambda: None)
 
 
-def test_drain_waits_for_an_announcement_made_after_the_spread():
+def test_drain_waits_for_an_announcement_made_after_all_nodes_know():
     async def scenario() -> None:
         own = make_lifecycle()
         own.announce(announcement(0))
         own.leave()
-        await asyncio.sleep(1.0)
-        assert not own.idle(since=0.5)
+        await asyncio.sleep(1.9)
+        own.announce(announcement(0))
+        await asyncio.sleep(0.2)
+        own.advance(claimed=0)
+        assert own.state == records.EndpointState.DRAINING
         own.announce(announcement(1))
-        assert not own.idle(since=0.5)
+        own.advance(claimed=0)
+        assert own.state == records.EndpointState.DRAINING
         own.announce(announcement(0))
-        assert own.idle(since=0.5)
+        own.advance(claimed=1)
+        assert own.state == records.EndpointState.DRAINING
+        own.advance(claimed=0)
+        assert own.state == records.EndpointState.LEFT
 
     virtual_time.run(scenario())
 
@@ -46,8 +53,9 @@
         own.leave()
         assert own.cut().endpoint_calls == 1
         await asyncio.sleep(lifecycle.HEARTBEAT_LEASE_S)
-        assert own.idle(since=0.5)
         assert own.cut().endpoint_calls == 0
+        own.advance(claimed=0)
+        assert own.state == records.EndpointState.LEFT
 
     virtual_time.run(scenario())
 
--- a/packages/goldcrestgrade-testing/goldcrestgrade_testing/fleet.py
+++ b/packages/goldcrestgrade-testing/goldcrestgrade_testing/fleet.py
@@ -13,7 +13,7 @@
 
 import pydantic
 
-from goldcrestgrade import instants, records, settings, sheet, telemetry
+from goldcrestgrade import instants, records, sheet, telemetry
 from goldcrestgrade_node.configuration import adoption
 from goldcrestgrade_node.membership import (
     discovery,
@@ -238,9 +238,7 @@
     def change(self, state: records.EndpointState) -> None:
         """Announce a new state of the endpoint."""
         self.state = state
-        endpoint = records.EndpointDocument(
-            service=self.place.service, host=self.place.host, port=81, slots=10, connections=220
-        )
+        endpoint = endpoint_of(self.place)
         self.exchange.announce(self.own.revise(state, endpoint, self.sheets.version))
 
     async def serve(self, path: str, body: bytes) -> bytes:
@@ -273,6 +271,13 @@
     services: int = 3
 
 
+def endpoint_of(place: Place) -> records.EndpointDocument:
+    """Return what the endpoint at `place` announces."""
+    return records.EndpointDocument(
+        service=place.service, host=place.host, port=81, slots=10, connections=220
+    )
+
+
 def shape_of(nodes: int) -> Shape:
     """Return a shape that nears 6 regions, 22 failure domains and 270 services at 1,700 nodes."""
     regions = 2 if nodes < 128 else 6
@@ -401,8 +406,3 @@
             for number in range(services)
         ],
     )
-
-
-def seed_address(place: Place) -> settings.Address:
-    """Return the control address of a place."""
-    return {"host": place.host, "port": 80}
