Check generated histories of run-once requests

Cause: the races between claims, lost replies, restarts and late messages were argued, not tried. Change: an append-only history with a checker, a generator of schedules of calls and faults, and a world in virtual time that runs the real guards, committers, write-behind queues and entries over in-memory endpoints, network and store. 16 seeded faults of the protocol, each made by replacing a function, are to be found by the checker.

--- a/Makefile
+++ b/Makefile
@@ -31,4 +31,7 @@
 demo: install ## Run the Letters Desk on loopback for half a minute
 	$(BIN)/python -m goldcrestgrade_testing.demo
 
-.PHONY: help install test lint format demo
+soak: install ## Play generated run-once schedules from SEED
+	$(BIN)/python -m goldcrestgrade_testing.soak --seed=$(SEED)
+
+.PHONY: help install test lint format demo soak
--- /dev/null
+++ b/packages/goldcrestgrade-testing/goldcrestgrade_testing/history.py
@@ -0,0 +1,168 @@
+"""Append-only history of a run, and the checker that judges the promises from it alone."""
+
+from __future__ import annotations
+
+import collections
+import itertools
+import typing
+
+from goldcrestgrade import findings, instants
+
+
+class Called(typing.NamedTuple):
+    """A caller made a call."""
+
+    at: instants.Instant
+    call_id: str
+    key: str
+    body: bytes
+    deadline: instants.Instant
+
+
+class Answered(typing.NamedTuple):
+    """A caller got the answer of an endpoint."""
+
+    at: instants.Instant
+    call_id: str
+    body: bytes
+
+
+class Refused(typing.NamedTuple):
+    """A caller was told that its call did not run."""
+
+    at: instants.Instant
+    call_id: str
+    reason: str
+
+
+class Undecided(typing.NamedTuple):
+    """A caller was told that its call may have run."""
+
+    at: instants.Instant
+    call_id: str
+    reason: str
+
+
+class Started(typing.NamedTuple):
+    """An endpoint started the request of a call."""
+
+    at: instants.Instant
+    call_id: str
+    key: str
+    body: bytes
+    endpoint: str
+
+
+class Ended(typing.NamedTuple):
+    """An endpoint ended the request of a call with an answer."""
+
+    at: instants.Instant
+    call_id: str
+    key: str
+    answer: bytes
+
+
+Event = Called | Answered | Refused | Undecided | Started | Ended
+
+
+class History:
+    """The events of one run in the order in which they happened."""
+
+    def __init__(self) -> None:
+        self.events: list[Event] = []
+
+    def add(self, event: Event) -> None:
+        """Append `event`."""
+        self.events.append(event)
+
+
+class Index(typing.NamedTuple):
+    """The events of a history by what they concern."""
+
+    calls: dict[str, Called]
+    starts_by_key: dict[str, list[tuple[int, Started]]]
+    starts_by_call: dict[str, list[tuple[int, Started]]]
+    answers_by_key: dict[str, list[tuple[int, Ended]]]
+
+
+Rule = typing.Callable[[Index, int, Event], str | None]
+"""Returns what is wrong with the event at a place, or none."""
+
+
+def check(events: typing.Sequence[Event], skew_s: float = 0.0) -> list[findings.Finding]:
+    """Return every broken promise in `events`, where wall clocks differ by up to `skew_s`."""
+    index = _index(events)
+    rules: tuple[Rule, ...] = (
+        _started_once,
+        _not_run_is_true,
+        _answer_is_whole_and_own,
+        _answer_is_explained,
+        _started_by_deadline(skew_s),
+    )
+    return [
+        findings.Finding(f"history:{number}", text)
+        for (number, event), rule in itertools.product(enumerate(events), rules)
+        if (text := rule(index, number, event)) is not None
+    ]
+
+
+def _index(events: typing.Sequence[Event]) -> Index:
+    index = Index(
+        calls={},
+        starts_by_key=collections.defaultdict(list),
+        starts_by_call=collections.defaultdict(list),
+        answers_by_key=collections.defaultdict(list),
+    )
+    for number, event in enumerate(events):
+        match event:
+            case Called():
+                index.calls[event.call_id] = event
+            case Started():
+                index.starts_by_key[event.key].append((number, event))
+                index.starts_by_call[event.call_id].append((number, event))
+            case Ended():
+                index.answers_by_key[event.key].append((number, event))
+    return index
+
+
+def _started_once(index: Index, number: int, event: Event) -> str | None:
+    if not isinstance(event, Started) or index.starts_by_key[event.key][0][0] == number:
+        return None
+    return f"key {event.key} started more than once"
+
+
+def _not_run_is_true(index: Index, _number: int, event: Event) -> str | None:
+    if not isinstance(event, Refused) or not index.starts_by_call.get(event.call_id):
+        return None
+    return f"call {event.call_id} was refused as not run ({event.reason}) and started"
+
+
+def _answer_is_whole_and_own(index: Index, _number: int, event: Event) -> str | None:
+    if not isinstance(event, Answered):
+        return None
+    key = index.calls[event.call_id].key
+    if any(event.body == ended.answer for _, ended in index.answers_by_key.get(key, ())):
+        return None
+    return f"call {event.call_id} got an answer that no endpoint gave for its key"
+
+
+def _answer_is_explained(index: Index, number: int, event: Event) -> str | None:
+    if not isinstance(event, Answered):
+        return None
+    call = index.calls[event.call_id]
+    explained = any(
+        place < number and started.body == call.body
+        for place, started in index.starts_by_key.get(call.key, ())
+    )
+    return None if explained else f"call {event.call_id} was answered without a start of its key"
+
+
+def _started_by_deadline(skew_s: float) -> Rule:
+    def rule(index: Index, _number: int, event: Event) -> str | None:
+        if not isinstance(event, Started):
+            return None
+        if event.at <= index.calls[event.call_id].deadline + skew_s:
+            return None
+        return f"call {event.call_id} started past its deadline"
+
+    return rule
--- a/packages/goldcrestgrade-testing/goldcrestgrade_testing/memory_platform.py
+++ b/packages/goldcrestgrade-testing/goldcrestgrade_testing/memory_platform.py
@@ -5,6 +5,7 @@
 import asyncio
 import dataclasses
 import itertools
+import random
 
 from goldcrestgrade.platform import tables
 
@@ -19,6 +20,13 @@
     """Delay of each request, half before its effect and half after."""
     lose_answers: int = 0
     """Number of transactions to come whose effect stands but whose answer is lost."""
+    lost_share: float = 0.0
+    """Share of transactions whose effect stands but whose answer is lost."""
+    silent: bool = False
+    """Requests get no answer and have no effect."""
+    late_effect_s: float = 0.0
+    """Time after which transactions take effect, where their answers are lost at once."""
+    rng: random.Random = dataclasses.field(default_factory=lambda: random.Random(0))
 
 
 class MemoryTables:
@@ -37,13 +45,22 @@
         await self._delay()
         if self.faults.down:
             return tables.Rejected("down")
+        if self.faults.late_effect_s:
+            loop = asyncio.get_running_loop()
+            loop.call_later(self.faults.late_effect_s, self.commit, transaction)
+            return tables.Unanswered("answer lost, effect to come")
         result = self.commit(transaction)
         await self._delay()
-        if self.faults.lose_answers > 0:
-            self.faults.lose_answers -= 1
+        if self._loses_answer():
             return tables.Unanswered("answer lost")
         return result
 
+    def _loses_answer(self) -> bool:
+        if self.faults.lose_answers > 0:
+            self.faults.lose_answers -= 1
+            return True
+        return self.faults.lost_share > 0 and self.faults.rng.random() < self.faults.lost_share
+
     def commit(self, transaction: tables.Transaction) -> tables.Committed | tables.Conflicted:
         """Check the conditions and apply the writes, in one step."""
         failures = tuple(
@@ -80,6 +97,8 @@
             raise tables.ReadError("down")
 
     async def _delay(self) -> None:
+        if self.faults.silent:
+            await asyncio.Event().wait()
         if self.faults.delay_s:
             await asyncio.sleep(self.faults.delay_s / 2)
 
--- /dev/null
+++ b/packages/goldcrestgrade-testing/goldcrestgrade_testing/schedules.py
@@ -0,0 +1,150 @@
+"""Generated schedules of calls and faults for run-once requests."""
+
+from __future__ import annotations
+
+import enum
+import typing
+
+from hypothesis import strategies
+
+from goldcrestgrade import instants
+
+GUARDS = ("g1", "g2", "g3")
+"""Guards; the last one stands in the other region."""
+
+ALL_GUARDS = len(GUARDS)
+"""In place of the index of a guard: all of them."""
+
+ENTRIES = ("e1", "e2")
+"""Entry nodes; the last one stands in the other region."""
+
+HORIZON_S = 8.0
+"""Time within which calls and faults begin."""
+
+
+class FaultKind(enum.StrEnum):
+    """What goes wrong during a fault."""
+
+    STORE_DOWN = "store_down"
+    STORE_SILENT = "store_silent"
+    STORE_SLOW = "store_slow"
+    STORE_ANSWERS_LOST = "store_answers_lost"
+    STORE_EFFECTS_LATE = "store_effects_late"
+    MESSAGES_LOST = "messages_lost"
+    REPLIES_LOST = "replies_lost"
+    MESSAGES_LATE = "messages_late"
+    MESSAGES_DOUBLED = "messages_doubled"
+    REPLIES_CROSSED = "replies_crossed"
+    GUARD_PAUSED = "guard_paused"
+    GUARD_CRASHED = "guard_crashed"
+    GUARD_STOPPED = "guard_stopped"
+    ENDPOINT_CRASHED = "endpoint_crashed"
+    ENDPOINT_SHEDS = "endpoint_sheds"
+    REGIONS_CUT = "regions_cut"
+
+
+class Fault(typing.NamedTuple):
+    """A fault and the time for which it holds."""
+
+    kind: FaultKind
+    begins_at: instants.Instant
+    ends_at: instants.Instant
+    guard: int
+    """Index of the guard concerned, or `ALL_GUARDS`, where the kind concerns guards."""
+
+
+class Try(typing.NamedTuple):
+    """One call of an intention."""
+
+    begins_at: instants.Instant
+    entry: int
+    timeout_s: float
+    changed: bool
+    """Whether the caller wrongly sends another body with the same key."""
+
+
+class Intention(typing.NamedTuple):
+    """What a caller wants done once, and its tries."""
+
+    dated: bool
+    """Whether the key names its own time."""
+    tries: tuple[Try, ...]
+
+
+class Schedule(typing.NamedTuple):
+    """All that happens to a run from outside."""
+
+    seed: int
+    skews_s: tuple[float, ...]
+    """How far the wall clocks of the guards are ahead."""
+    intentions: tuple[Intention, ...]
+    faults: tuple[Fault, ...]
+
+
+def _fault(kind: FaultKind, begins_at: float, lasts_s: float, guard: int) -> Fault:
+    return Fault(kind, begins_at, begins_at + lasts_s, guard)
+
+
+def _hundredths(*ranges: tuple[int, int]) -> strategies.SearchStrategy[float]:
+    drawn = strategies.one_of(*(strategies.integers(low, high) for low, high in ranges))
+    return drawn.map(lambda hundredths: hundredths / 100)
+
+
+def _faults(kinds: list[FaultKind]) -> strategies.SearchStrategy[tuple[Fault, ...]]:
+    fault = strategies.builds(
+        _fault,
+        kind=strategies.sampled_from(kinds),
+        begins_at=_hundredths((0, 60), (0, 60), (0, 600)),
+        lasts_s=strategies.sampled_from((0.1, 0.2, 0.6, 1.0, 2.0, 4.0)),
+        guard=strategies.integers(0, ALL_GUARDS),
+    )
+    return strategies.lists(fault, min_size=3, max_size=8).map(tuple)
+
+
+TRIES = strategies.builds(
+    Try,
+    begins_at=_hundredths((0, 60), (0, 60), (0, 800)),
+    entry=strategies.integers(0, len(ENTRIES) - 1),
+    timeout_s=strategies.sampled_from((0.3, 0.6, 1.5, 3.0, 5.0)),
+    changed=strategies.integers(0, 15).map(lambda draw: draw == 15),
+)
+
+SKEWS_S = strategies.sampled_from((0.0, 0.0, 0.5, -0.5))
+
+INTENTIONS = strategies.builds(
+    Intention,
+    dated=strategies.integers(0, 3).map(lambda draw: draw == 3),
+    tries=strategies.lists(TRIES, min_size=2, max_size=5).map(tuple),
+)
+
+
+def of_kinds(
+    kinds: typing.Sequence[FaultKind] = tuple(FaultKind),
+) -> strategies.SearchStrategy[Schedule]:
+    """Return schedules with faults of up to four of `kinds`, many at about the same time."""
+    drawn = strategies.lists(strategies.sampled_from(kinds), min_size=1, max_size=4, unique=True)
+    return strategies.builds(
+        Schedule,
+        seed=strategies.integers(0, 2**16),
+        skews_s=strategies.tuples(*(SKEWS_S for _ in GUARDS)),
+        intentions=strategies.lists(INTENTIONS, min_size=1, max_size=3).map(tuple),
+        faults=drawn.flatmap(_faults),
+    )
+
+
+def late_start_s(schedule: Schedule) -> float:
+    """Return how long past a deadline a guard with a slow clock may start a request."""
+    return max(0.0, -min(schedule.skews_s))
+
+
+def quiet(seed: int, calls: int) -> Schedule:
+    """Return a schedule of `calls` single calls without faults."""
+    return Schedule(
+        seed=seed,
+        skews_s=(0.0,) * len(GUARDS),
+        intentions=tuple(
+            Intention(False, (Try(HORIZON_S * n / calls, n % len(ENTRIES), 5.0, False),))
+            for n in range(calls)
+        ),
+        faults=(),
+    )
--- /dev/null
+++ b/packages/goldcrestgrade-testing/goldcrestgrade_testing/soak.py
@@ -0,0 +1,75 @@
+"""Plays generated schedules and checks their histories; fails with the smallest broken one."""
+
+from __future__ import annotations
+
+import argparse
+import contextlib
+import typing
+from unittest import mock
+
+import hypothesis
+from hypothesis import strategies
+
+from goldcrestgrade import findings
+from goldcrestgrade_node.once import keys
+from goldcrestgrade_testing import history, once_world, schedules
+
+KEY_LIFETIME_S = 2.5
+"""Lifetime of dated keys in a run, so that some expire within it."""
+
+EVICTION_MARGIN_S = 1.2
+"""Time past its deadline for which the row of a key is kept in a run."""
+
+EXAMPLES = 10_000
+"""Schedules that the command plays."""
+
+
+@contextlib.contextmanager
+def short_lived_keys() -> typing.Iterator[None]:
+    """Let dated keys expire within a run."""
+    with (
+        mock.patch.object(keys, "KEY_LIFETIME_S", KEY_LIFETIME_S),
+        mock.patch.object(keys, "EVICTION_MARGIN_S", EVICTION_MARGIN_S),
+    ):
+        yield
+
+
+def violations(schedule: schedules.Schedule) -> list[findings.Finding]:
+    """Return the promises that a run of `schedule` breaks."""
+    with short_lived_keys():
+        world = once_world.play(schedule)
+    return history.check(world.log.events, schedules.late_start_s(schedule))
+
+
+def explore(
+    generated: strategies.SearchStrategy[schedules.Schedule], seed: int, examples: int
+) -> None:
+    """Play `examples` schedules, the same for the same seed; raises `AssertionError`."""
+
+    @hypothesis.seed(seed)
+    @hypothesis.settings(
+        max_examples=examples,
+        database=None,
+        deadline=None,
+        suppress_health_check=list(hypothesis.HealthCheck),
+    )
+    @hypothesis.given(generated)
+    def keeps_promises(schedule: schedules.Schedule) -> None:
+        broken = violations(schedule)
+        assert not broken, "\n".join(str(finding) for finding in broken)
+
+    keeps_promises()
+
+
+def main() -> None:
+    """Play schedules from the seed on the command line."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--examples", type=int, default=EXAMPLES)
+    arguments = parser.parse_args()
+    explore(schedules.of_kinds(), arguments.seed, arguments.examples)
+    print(f"seed {arguments.seed}: {arguments.examples} schedules, no promise broken")
+
+
+if __name__ == "__main__":
+    main()
--- a/packages/goldcrestgrade-testing/goldcrestgrade_testing/virtual_time.py
+++ b/packages/goldcrestgrade-testing/goldcrestgrade_testing/virtual_time.py
@@ -9,6 +9,9 @@
 
 T = typing.TypeVar("T")
 
+IDLE_CYCLES = 1
+"""Cycles of the event loop without work before its time goes on."""
+
 
 def run(main: typing.Coroutine[typing.Any, typing.Any, T]) -> T:
     """Return the result of `main`, run on a new event loop whose time starts at 0."""
@@ -18,4 +21,6 @@
 
 def new_loop() -> asyncio.AbstractEventLoop:
     """Return an event loop in virtual time."""
-    return typing.cast(asyncio.AbstractEventLoop, looptime.new_event_loop(start=0.0))
+    return typing.cast(
+        asyncio.AbstractEventLoop, looptime.new_event_loop(start=0.0, noop_cycles=IDLE_CYCLES)
+    )
--- /dev/null
+++ b/packages/goldcrestgrade-testing/tests/test_once_mutations.py
@@ -0,0 +1,179 @@
+"""The checker finds each seeded fault of the run-once protocol."""
+
+from __future__ import annotations
+
+import contextlib
+import typing
+from unittest import mock
+
+import hypothesis
+import pytest
+
+from goldcrestgrade import reasons
+from goldcrestgrade.platform import tables
+from goldcrestgrade_node import requests
+from goldcrestgrade_node.once import asking, bars, claims, guard, keys, messages, sweeper
+from goldcrestgrade_testing import schedules, soak
+
+KIND = schedules.FaultKind
+MAX_SCHEDULES = 1000
+
+FAULTS = {
+    "no_bar_for_unseen_attempt": (KIND.MESSAGES_DOUBLED, KIND.STORE_DOWN, KIND.ENDPOINT_SHEDS),
+    "no_bar_on_release": (KIND.STORE_SLOW, KIND.STORE_ANSWERS_LOST),
+    "attempt_of_dead_incarnation_barred": (
+        KIND.GUARD_CRASHED,
+        KIND.STORE_DOWN,
+        KIND.GUARD_STOPPED,
+    ),
+    "deadline_not_checked": (KIND.GUARD_PAUSED, KIND.STORE_SLOW),
+}
+
+Mutation = typing.Callable[[], typing.ContextManager[typing.Any]]
+
+RUN_CLAIMED = guard.Guard._run_claimed
+
+
+def replace(target: typing.Any, name: str, value: typing.Any) -> Mutation:
+    return lambda: mock.patch.object(target, name, value)
+
+
+async def _claim_after_start(self, execution, attempt_id):
+    outcome = await RUN_CLAIMED(self, execution, attempt_id)
+    claimed = await self.committer.claim(self._claim(execution, tables.ABSENT))
+    if isinstance(claimed, claims.Held):
+        execution.version = claimed.version
+    return outcome
+
+
+async def _assume_held(_self, group):
+    claims._reply(group, claims.Held(version=1))
+
+
+async def _hold_whatever_stands(self, group):
+    for waiting in group:
+        try:
+            row = await self.store.read(claims.TABLE, waiting.claim.row_key)
+        except tables.ReadError:
+            row = None
+        held = claims.Held(row.version) if row else claims.Unclaimed(store_down=False)
+        claims._reply([waiting], held)
+
+
+async def _release_without_bar(self, message):
+    execution = self.executions.get(message.row_key)
+    ours = execution is not None and execution.token == message.token
+    if ours and guard.CHART.allows(execution.state, "barred"):
+        return messages.Released()
+    return await RELEASE(self, message)
+
+
+async def _release_running(self, message):
+    if message.guard_incarnation != self.identity.incarnation:
+        return messages.Gone()
+    return messages.Released()
+
+
+async def _release_of_any_incarnation(self, message):
+    return await RELEASE(self, message._replace(guard_incarnation=self.identity.incarnation))
+
+
+async def _settle_for_any_incarnation(self, message):
+    return await SETTLE(self, message._replace(guard_incarnation=self.identity.incarnation))
+
+
+async def _take_over_unasked(_self, _execution, _document, _attempt_id):
+    return messages.Released()
+
+
+def _evict_all_dated(row, _wall):
+    return row.value["expires_at"] is not None
+
+
+def _transaction_without_versions(group):
+    return claims_transaction(group)._replace(conditions=())
+
+
+async def _crossed_reply_taken(port, control_url, message, deadline):
+    return (await port.exchange(control_url, message, deadline)).verdict
+
+
+RELEASE = guard.Guard.release
+SETTLE = guard.Guard.settle
+claims_transaction = claims.transaction
+
+
+@contextlib.contextmanager
+def _one_row_for_all_keys():
+    with (
+        mock.patch.object(keys, "row_key", lambda service, _key: service),
+        mock.patch.object(requests, "digest", lambda request: request.service),
+    ):
+        yield
+
+
+REFUSE = guard.Guard._refuse
+
+
+def _refuse_but_for_age(self, message, execution):
+    refusal = REFUSE(self, message, execution)
+    expired = refusal is not None and refusal.reason == reasons.Refusal.KEY_EXPIRED
+    return None if expired else refusal
+
+
+def _starts_expired_key(self, execution):
+    return self.clocks.monotonic() < execution.request.deadline
+
+
+@contextlib.contextmanager
+def _expired_keys_accepted():
+    with (
+        mock.patch.object(guard.Guard, "_refuse", _refuse_but_for_age),
+        mock.patch.object(guard.Guard, "_may_start", _starts_expired_key),
+    ):
+        yield
+
+
+MUTATIONS: dict[str, Mutation] = {
+    "claim_after_start": replace(guard.Guard, "_claim_and_run", _claim_after_start),
+    "lost_answer_taken_as_held": replace(claims.Committer, "_read_back", _assume_held),
+    "token_not_compared_on_read_back": replace(
+        claims.Committer, "_read_back", _hold_whatever_stands
+    ),
+    "version_not_compared_on_claim": replace(claims, "transaction", _transaction_without_versions),
+    "no_bar_for_unseen_attempt": replace(
+        bars.Bars, "add", lambda _self, _attempt_id, _deadline, refusal: refusal
+    ),
+    "no_bar_on_release": replace(guard.Guard, "release", _release_without_bar),
+    "running_claim_released": replace(guard.Guard, "release", _release_running),
+    "claim_of_dead_incarnation_released": replace(
+        guard.Guard, "release", _release_of_any_incarnation
+    ),
+    "attempt_of_dead_incarnation_barred": replace(
+        guard.Guard, "settle", _settle_for_any_incarnation
+    ),
+    "take_over_without_asking": replace(guard.Guard, "_ask_holder", _take_over_unasked),
+    "replay_to_wrong_key": _one_row_for_all_keys,
+    "execution_evicted_before_written": replace(
+        guard.Guard, "_evictable", lambda _self, execution, _now: execution.outcome.done()
+    ),
+    "row_evicted_before_key_deadline": replace(sweeper, "evictable", _evict_all_dated),
+    "expired_key_accepted": _expired_keys_accepted,
+    "deadline_not_checked": replace(guard.Guard, "_may_start", lambda _self, _execution: True),
+    "crossed_reply_taken": replace(asking, "ask", _crossed_reply_taken),
+}
+
+
+@pytest.mark.parametrize("name", MUTATIONS)
+def test_checker_finds_seeded_fault(name):
+    generated = schedules.of_kinds(FAULTS.get(name, tuple(KIND)))
+    settings = hypothesis.settings(
+        max_examples=MAX_SCHEDULES,
+        derandomize=True,
+        database=None,
+        deadline=None,
+        phases=[hypothesis.Phase.generate],
+        suppress_health_check=list(hypothesis.HealthCheck),
+    )
+    with MUTATIONS[name]():
+        assert hypothesis.find(generated, lambda s: bool(soak.violations(s)), settings=settings)
--- /dev/null
+++ b/packages/goldcrestgrade-testing/tests/test_once_schedules.py
@@ -0,0 +1,40 @@
+"""Histories of generated schedules keep every promise of run-once requests."""
+
+from __future__ import annotations
+
+import pytest
+
+from goldcrestgrade_testing import history, once_world, schedules, soak
+
+KIND = schedules.FaultKind
+PART = 200
+
+FAMILIES = {
+    "store_and_resends": (KIND.STORE_SLOW, KIND.STORE_ANSWERS_LOST, KIND.STORE_EFFECTS_LATE),
+    "pauses": (KIND.GUARD_PAUSED, KIND.STORE_SLOW),
+    "restarts": (KIND.GUARD_CRASHED, KIND.GUARD_STOPPED, KIND.STORE_DOWN),
+    "late_messages": (KIND.MESSAGES_DOUBLED, KIND.MESSAGES_LATE, KIND.ENDPOINT_SHEDS),
+}
+
+
+@pytest.mark.parametrize("seed", range(9))
+def test_schedules_of_all_faults_keep_the_promises(seed):
+    soak.explore(schedules.of_kinds(), seed, PART)
+
+
+@pytest.mark.parametrize("family", FAMILIES)
+def test_schedules_of_related_faults_keep_the_promises(family):
+    soak.explore(schedules.of_kinds(FAMILIES[family]), 1, PART)
+
+
+def test_every_call_runs_where_nothing_fails():
+    world = once_world.play(schedules.quiet(seed=1, calls=1000))
+    answered = sum(isinstance(event, history.Answered) for event in world.log.events)
+    assert history.check(world.log.events) == []
+    assert answered >= 999
+
+
+def test_same_schedule_gives_the_same_history():
+    schedule = schedules.quiet(seed=3, calls=20)
+    histories = [once_world.play(schedule).log.events for _ in range(2)]
+    assert histories[0] == histories[1]
