--- a/Makefile
+++ b/Makefile
@@ -29,9 +29,16 @@
 	$(BIN)/ruff check --fix packages
 
 demo: install ## Run the Letters Desk on loopback for half a minute
-	$(BIN)/python -m goldcrestgrade_testing.demo
+	$(BIN)/python -m goldcrestgrade_testing.demo --seed=$(SEED)
 
 soak: install ## Play generated run-once schedules from SEED
 	$(BIN)/python -m goldcrestgrade_testing.soak --seed=$(SEED)
 
 .PHONY: help install test lint format demo soak
+reference: install ## Write the generated tables of the documentation
+	$(BIN)/python -m goldcrestgrade_testing.reference
+
+latency: install ## Measure the latency that a node adds to a call, on real sockets
+	$(BIN)/python -m goldcrestgrade_testing.latency --seed=$(SEED) --json=latency.json
+
+.PHONY: help install test lint format demo reference latency
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/__main__.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/__main__.py
@@ -8,9 +8,14 @@
 
 from absl import flags
 
-from goldcrestgrade import exceptions, logs, settings
+from goldcrestgrade import command_flags, exceptions, logs, settings
 from goldcrestgrade_node.commands import run
 
+log = logging.getLogger(__name__)
+
+FAILURE_STATUS = 1
+"""Exit status of a node that could not run."""
+
 USAGE = """goldcrestgrade-node: the process beside each endpoint instance
 
 usage: goldcrestgrade-node --settings=FILE.json [--check] [--log_level=info]
@@ -19,7 +24,7 @@
 Exit status 1: the node could not run. 2: the settings or the command line are wrong.
 """
 
-FLAGS = flags.FlagValues()  # type: ignore[no-untyped-call]
+FLAGS = command_flags.new_values()
 SETTINGS = flags.DEFINE_string(
     "settings", None, "Path of the settings file, in JSON.", flag_values=FLAGS
 )
@@ -31,7 +36,6 @@
     "Lowest level logged.",
     flag_values=FLAGS,
 )
-HELP = flags.DEFINE_bool("help", False, "Print this help.", short_name="h", flag_values=FLAGS)
 
 
 def main() -> None:
@@ -44,20 +48,31 @@
 
 
 def _main(arguments: list[str]) -> int:
-    try:
-        FLAGS(arguments)
-    except flags.Error as error:
-        print(f"{error}\n\n{USAGE}", file=sys.stderr)
-        return 2
-    if HELP.value or SETTINGS.value is None:
-        print(f"{USAGE}\nflags:\n{FLAGS.main_module_help() or FLAGS.get_help()}")
-        return 0 if HELP.value else 2
+    positional = command_flags.parse(FLAGS, arguments, USAGE)
+    if command_flags.help_wanted(FLAGS):
+        print(f"{USAGE}\nflags:\n{command_flags.describe(FLAGS)}")
+        return 0
+    if positional:
+        raise exceptions.InvalidCommand(f"unexpected argument {positional[0]!r}\n\n{USAGE}")
+    if SETTINGS.value is None:
+        raise exceptions.InvalidCommand(f"--settings is missing\n\n{USAGE}")
     config = settings.load(pathlib.Path(SETTINGS.value))
     if CHECK.value:
         print("settings are valid")
         return 0
     logs.configure(getattr(logging, LOG_LEVEL.value.upper()), config["node_id"])
-    run.run(config)
+    return _run(config)
+
+
+def _run(config: settings.NodeSettings) -> int:
+    try:
+        run.run(config)
+    except SystemExit:
+        # The server logs that it cannot listen, and exits with a status of its own.
+        return FAILURE_STATUS
+    except Exception:
+        log.exception("node failed")
+        return FAILURE_STATUS
     return 0
 
 
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/commands/run.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/commands/run.py
@@ -28,12 +28,6 @@
 
 log = logging.getLogger(__name__)
 
-ENDPOINT_CONNECTIONS = 200
-"""Connections to endpoints that a node holds at most."""
-
-ENDPOINT_KEEPALIVE_S = 15.0
-"""Time after which an unused connection to an endpoint is closed."""
-
 CONTROL_CONNECTIONS = 64
 """Connections to peers and to the platform that a node holds at most."""
 
@@ -59,7 +53,6 @@
     def __init__(
         self,
         config: settings.NodeSettings,
-        call_session: aiohttp.ClientSession,
         control_session: aiohttp.ClientSession,
     ) -> None:
         self.config = config
@@ -110,7 +103,7 @@
         self.writer = write_behind.WriteBehind(claim_store, self.clocks)
         self.sweeper = sweeper.Sweeper(claim_store, self.clocks, self.rng)
         port = relay.HttpPort(control_session, config["keys"][0], self.clocks)
-        self.transport = transport.HttpTransport(call_session, self.clocks)
+        self.transport = transport.HttpTransport(self.clocks, self.counts)
         self.guard = guard.Guard(
             guard.Identity(config["node_id"], incarnation, records.control_url(self.own.record)),
             self.committer,
@@ -166,7 +159,7 @@
         """Run a request of a caller and record its latency."""
         started = self.clocks.monotonic()
         outcome = await self.calls.run(request)
-        self.registry.latency.record(self.clocks.monotonic() - started)
+        self.counts.record_latency(self.clocks.monotonic() - started)
         return outcome
 
     def routes(self) -> dict[str, control_app.Resource]:
@@ -198,6 +191,7 @@
             self.count_refusal,
             self.stopping.is_set,
             self.clocks,
+            self.counts.events,
         )
 
     def count_refusal(self, reason: str) -> None:
@@ -248,13 +242,11 @@
 
 async def _run(config: settings.NodeSettings) -> None:
     async with contextlib.AsyncExitStack() as stack:
-        call_session = await stack.enter_async_context(
-            http_client.open_session(ENDPOINT_CONNECTIONS, ENDPOINT_KEEPALIVE_S)
-        )
         control_session = await stack.enter_async_context(
             http_client.open_session(CONTROL_CONNECTIONS, CONTROL_KEEPALIVE_S)
         )
-        node = Node(config, call_session, control_session)
+        node = Node(config, control_session)
+        stack.push_async_callback(node.transport.close)
         _handle_signals(node)
         gc.collect()
         gc.freeze()
--- a/packages/goldcrestgrade/goldcrestgrade/reasons.py
+++ b/packages/goldcrestgrade/goldcrestgrade/reasons.py
@@ -1,4 +1,4 @@
-"""Every reason for a refusal, an unknown outcome or a retry; each has its counter."""
+"""Every reason for a refusal, an unknown outcome or a retry, and every event, each counted."""
 
 from __future__ import annotations
 
@@ -37,6 +37,9 @@
 
     ANSWER_LOST = "answer_lost"
     ANSWER_CUT = "answer_cut"
+    ANSWER_CROSSED = "answer_crossed"
+    ANSWER_INVALID = "answer_invalid"
+    ANSWER_TOO_LARGE = "answer_too_large"
     ENDPOINT_DIED = "endpoint_died"
     TIMED_OUT = "timed_out"
     GUARD_LOST = "guard_lost"
@@ -53,3 +56,15 @@
     BROKEN = "broken"
     TIMED_OUT = "timed_out"
     HEDGED = "hedged"
+
+
+class Event(enum.StrEnum):
+    """What else a node counts."""
+
+    SHEET_STALE_IGNORED = "sheet_stale_ignored"
+    SHEET_INVALID_IGNORED = "sheet_invalid_ignored"
+    CALLER_DISCONNECTED = "caller_disconnected"
+    ENDPOINT_DIED = "endpoint_died"
+    SILENT_CONNECTION = "silent_connection"
+    STREAMED_ANSWER_CUT = "streamed_answer_cut"
+    SUSPECT_CONNECTION_CLOSED = "suspect_connection_closed"
--- a/packages/goldcrestgrade/goldcrestgrade/telemetry.py
+++ b/packages/goldcrestgrade/goldcrestgrade/telemetry.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import bisect
 import collections
 import itertools
 import typing
@@ -13,6 +14,7 @@
 import prometheus_client
 from opentelemetry.exporter import prometheus
 from opentelemetry.sdk import metrics as sdk_metrics
+from prometheus_client import metrics_core, registry
 
 from goldcrestgrade import reasons
 
@@ -27,46 +29,122 @@
         self.calls: collections.Counter[str] = collections.Counter()
         self.refusals: collections.Counter[str] = collections.Counter()
         self.unknowns: collections.Counter[str] = collections.Counter()
+        self.broken_attempts: collections.Counter[str] = collections.Counter()
         self.retries: collections.Counter[str] = collections.Counter()
         self.events: collections.Counter[str] = collections.Counter()
         self.in_flight = 0
+        self.latency_buckets = [0] * (len(LATENCY_BOUNDS_S) + 1)
+        """Calls by duration, one count for each bound and one for all above."""
+        self.latency_sum_s = 0.0
+
+    def record_latency(self, latency_s: float) -> None:
+        """Count a call that took `latency_s`."""
+        self.latency_buckets[bisect.bisect_left(LATENCY_BOUNDS_S, latency_s)] += 1
+        self.latency_sum_s += latency_s
 
 
 class Registry(typing.NamedTuple):
-    """The meter provider of a process and the scrape that reads it."""
+    """The meter provider of a process and the registry that a scrape reads."""
 
     provider: sdk_metrics.MeterProvider
-    latency: metrics.Histogram
+    collectors: prometheus_client.CollectorRegistry
 
     def scrape(self) -> bytes:
         """Return all metrics in the Prometheus text format."""
-        return prometheus_client.generate_latest()
+        return prometheus_client.generate_latest(self.collectors)
+
+
+class _Family(typing.NamedTuple):
+    name: str
+    counter: collections.Counter[str]
+    label: str
+    known: tuple[str, ...]
+    """Values of the label that are shown from the start."""
+    description: str
 
 
 def register(counts: Counts) -> Registry:
-    """Return a registry that observes `counts`."""
-    provider = sdk_metrics.MeterProvider(metric_readers=[prometheus.PrometheusMetricReader()])
-    meter = provider.get_meter("goldcrestgrade")
-    families = (
-        ("calls", counts.calls, "outcome", ("ran", "not_run", "unknown")),
-        ("refusals", counts.refusals, "reason", tuple(reasons.Refusal)),
-        ("unknowns", counts.unknowns, "reason", tuple(reasons.Uncertainty)),
-        ("retries", counts.retries, "reason", tuple(reasons.Retry)),
-        ("events", counts.events, "event", ()),
+    """Return a registry of its own that observes `counts` and the process."""
+    collectors = prometheus_client.CollectorRegistry()
+    prometheus_client.ProcessCollector(registry=collectors)
+    prometheus_client.GCCollector(registry=collectors)
+    reader = prometheus.PrometheusMetricReader(
+        disable_target_info=True, scope_info_enabled=False, registry=collectors
     )
-    for name, counter, label, known in families:
+    provider = sdk_metrics.MeterProvider(metric_readers=[reader])
+    meter = provider.get_meter("goldcrestgrade")
+    for family in _families(counts):
         meter.create_observable_counter(
-            f"goldcrestgrade.{name}", callbacks=[_observer(counter, label, known)]
+            f"goldcrestgrade.{family.name}",
+            callbacks=[_observer(family.counter, family.label, family.known)],
+            description=family.description,
         )
     meter.create_observable_gauge(
-        "goldcrestgrade.in_flight", callbacks=[lambda _: [metrics.Observation(counts.in_flight)]]
+        "goldcrestgrade.in_flight",
+        callbacks=[lambda _: [metrics.Observation(counts.in_flight)]],
+        description="Calls of callers that have not ended.",
     )
-    latency = meter.create_histogram(
-        "goldcrestgrade.call_duration",
-        unit="s",
-        explicit_bucket_boundaries_advisory=LATENCY_BOUNDS_S,
+    collectors.register(_LatencyCollector(counts))
+    return Registry(provider, collectors)
+
+
+def _families(counts: Counts) -> tuple[_Family, ...]:
+    outcomes = ("ran", "not_run", "unknown")
+    return (
+        _Family("calls", counts.calls, "outcome", outcomes, "Calls of callers that ended."),
+        _Family(
+            "refusals",
+            counts.refusals,
+            "reason",
+            tuple(reasons.Refusal),
+            "Calls that were refused and did not run.",
+        ),
+        _Family(
+            "unknowns",
+            counts.unknowns,
+            "reason",
+            tuple(reasons.Uncertainty),
+            "Calls that may have run and whose answer is lost.",
+        ),
+        _Family(
+            "broken_attempts",
+            counts.broken_attempts,
+            "reason",
+            tuple(reasons.Uncertainty),
+            "Attempts that were sent and got no whole answer of their own.",
+        ),
+        _Family(
+            "retries",
+            counts.retries,
+            "reason",
+            tuple(reasons.Retry),
+            "Attempts that followed an attempt of the same call.",
+        ),
+        _Family(
+            "events", counts.events, "event", tuple(reasons.Event), "Other events worth a look."
+        ),
     )
-    return Registry(provider, latency)
+
+
+class _LatencyCollector(registry.Collector):
+    """Exports the durations of calls as a histogram.
+
+    The SDK has no asynchronous histogram, and its synchronous one costs microseconds on each call.
+    """
+
+    def __init__(self, counts: Counts) -> None:
+        self.counts = counts
+
+    def collect(self) -> typing.Iterator[metrics_core.HistogramMetricFamily]:
+        """Return the histogram as it stands."""
+        bounds = (*map(str, LATENCY_BOUNDS_S), "+Inf")
+        totals = itertools.accumulate(self.counts.latency_buckets)
+        yield metrics_core.HistogramMetricFamily(
+            "goldcrestgrade_call_duration_seconds",
+            "Time from a call read whole to its outcome.",
+            buckets=list(zip(bounds, totals, strict=True)),
+            sum_value=self.counts.latency_sum_s,
+        )
 
 
 def _observer(
