--- a/Makefile
+++ b/Makefile
@@ -34,11 +34,10 @@
 soak: install ## Play generated run-once schedules from SEED
 	$(BIN)/python -m goldcrestgrade_testing.soak --seed=$(SEED)
 
-.PHONY: help install test lint format demo soak
 reference: install ## Write the generated tables of the documentation
 	$(BIN)/python -m goldcrestgrade_testing.reference
 
 latency: install ## Measure the latency that a node adds to a call, on real sockets
 	$(BIN)/python -m goldcrestgrade_testing.latency --seed=$(SEED) --json=latency.json
 
-.PHONY: help install test lint format demo reference latency
+.PHONY: help install test lint format demo soak reference latency
