--- a/packages/goldcrestgrade-node/goldcrestgrade_node/attempts/pools.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/attempts/pools.py
@@ -12,8 +12,11 @@
 
 from goldcrestgrade import http_client, instants
 
-CONNECT_TIMEOUT = aiohttp.ClientTimeout(total=None, sock_connect=0.25)
-"""Longest wait for a new connection to an endpoint, in seconds."""
+CONNECT_TIMEOUT_S = 0.25
+"""Longest wait for a new connection to an endpoint."""
+
+CONNECT_TIMEOUT = aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_TIMEOUT_S)
+"""Bounds the opening of a connection alone; the exchange has a deadline."""
 
 KEEPALIVE_S = 4.0
 """Time after which an unused connection is closed; servers forget idle connections after 5 s."""
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/commands/run.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/commands/run.py
@@ -14,17 +14,17 @@
 
 from goldcrestgrade import http_client, instants, outcomes, records, settings, sheet, telemetry
 from goldcrestgrade.platform import http_objects, http_tables, resilient_tables
-from goldcrestgrade_node import requests, servers
-from goldcrestgrade_node.attempts import results, transport
+from goldcrestgrade_node import asgi, requests, servers
+from goldcrestgrade_node.attempts import forwarding, results, shares, transport
 from goldcrestgrade_node.configuration import adoption
 from goldcrestgrade_node.control import app as control_app
 from goldcrestgrade_node.control import routes
 from goldcrestgrade_node.endpoint import lifecycle
 from goldcrestgrade_node.entry import app as entry_app
 from goldcrestgrade_node.entry import calls
-from goldcrestgrade_node.membership import exchange, members
+from goldcrestgrade_node.membership import discovery, exchange, members, peers, selection
 from goldcrestgrade_node.once import claims, guard, relay, relay_client, sweeper, write_behind
-from goldcrestgrade_node.routing import choice, evidence
+from goldcrestgrade_node.routing import choice, views
 
 log = logging.getLogger(__name__)
 
@@ -40,6 +40,9 @@
 FLUSH_TIMEOUT_S = 3.0
 """Longest time that a planned stop waits for outcomes to be written."""
 
+SMALL_FLEET = 64
+"""Largest number of nodes that all tell each other of the version in force in their records."""
+
 TICK_S = 0.1
 """Time between looks at the lease and the drain of the endpoint."""
 
@@ -62,7 +65,7 @@
         self.rng = random.Random()
         self.stopping = asyncio.Event()
         self.forced = asyncio.Event()
-        self.evidences = evidence.Evidences()
+        self.views = views.Views(self.clocks.monotonic)
         self.members = members.Members(self.clocks)
         incarnation = int(self.clocks.wall() * 1000)
         self.own = members.OwnRecord(
@@ -79,23 +82,37 @@
         store = http_tables.HttpTables(control_session, config["platform"]["tables"])
         objects = http_objects.HttpObjects(control_session, config["platform"]["objects"])
         self.lifecycle = lifecycle.Lifecycle(self.clocks, self.revise)
+        remote = peers.HttpPeers(control_session, config["keys"][0])
         self.sheets = adoption.Adoption(
             store,
             objects,
-            control_session,
-            config["keys"][0],
+            remote,
             self.sheet_adopted,
+            lambda: selection.polls_quickly(self.exchange.view()),
+            self.clocks,
             self.counts,
             self.rng,
         )
         self.exchange = exchange.Exchange(
             self.own,
             self.members,
-            config["peers"],
-            control_session,
-            config["keys"][0],
+            remote,
+            exchange.Hooks(
+                touched=self.touched,
+                sheet_version=lambda: self.sheets.version,
+                sheet_heard=self.sheets.hear,
+                busy=lambda: self.counts.in_flight > 0,
+            ),
+            self.clocks,
+            self.counts,
+            self.rng,
+        )
+        self.discovery = discovery.Discovery(
+            lambda: self.own.record,
+            [f"http://{seed['host']}:{seed['port']}" for seed in config["peers"]],
             store,
-            self.touched,
+            self.exchange.join,
+            self.clocks,
             self.rng,
         )
         claim_store = resilient_tables.ResilientTables(store, self.clocks, self.rng)
@@ -103,7 +120,7 @@
         self.writer = write_behind.WriteBehind(claim_store, self.clocks)
         self.sweeper = sweeper.Sweeper(claim_store, self.clocks, self.rng)
         port = relay.HttpPort(control_session, config["keys"][0], self.clocks)
-        self.transport = transport.HttpTransport(self.clocks, self.counts)
+        self.transport = transport.HttpTransport(self.clocks, self.counts, config["keys"][0])
         self.guard = guard.Guard(
             guard.Identity(config["node_id"], incarnation, records.control_url(self.own.record)),
             self.committer,
@@ -116,7 +133,7 @@
         )
         self.calls = calls.Calls(
             choice.Caller(config["region"], config["failure_domain"]),
-            self.evidences,
+            self.views,
             self.transport.send,
             relay_client.RelayClient(port, self.clocks).run,
             self.clocks,
@@ -126,18 +143,28 @@
         self.revise()
 
     def revise(self) -> None:
-        """Make a new revision of the own record and take it in."""
-        record = self.own.revise(self.lifecycle.state, self.lifecycle.endpoint, self.sheets.version)
-        self.touched(self.members.merge([record]))
+        """Make a new revision of the own record and tell peers of it."""
+        state, endpoint = self.lifecycle.state, self.lifecycle.endpoint
+        self.exchange.announce(self.own.revise(state, endpoint, self.sheets.version))
 
     def touched(self, services: set[str]) -> None:
         """Bring the evidence of `services` in line with the records."""
         for service in services:
-            self.evidences.update(service, self.members.ready(service))
+            ready = self.members.ready(service)
+            self.views.update(service, ready)
+            self.transport.set_shares(
+                service, shares.limits(self.config["node_id"], ready, len(self.members.by_id))
+            )
+        neighbours = (
+            r for r in self.members.by_id.values() if r["region"] == self.config["region"]
+        )
+        self.views.share_link(sum(1 for _ in neighbours))
 
     def sheet_adopted(self, _adopted: sheet.Sheet) -> None:
         """Tell peers of the version in force."""
-        self.revise()
+        self.exchange.spread_sheet()
+        if len(self.members.entries) <= SMALL_FLEET:
+            self.revise()
 
     async def start(self, request: requests.Request, attempt_id: str) -> results.AttemptResult:
         """Send a claimed request to the own endpoint."""
@@ -168,6 +195,8 @@
             "/v1/endpoint": routes.endpoint_resource(self.lifecycle),
             "/v1/drain": routes.drain_resource(self.lifecycle),
             "/v1/exchange": routes.exchange_resource(self.exchange),
+            "/v1/reconcile": routes.reconcile_resource(self.exchange),
+            "/v1/probe": routes.probe_resource(self.exchange),
             "/v1/sheet": routes.sheet_resource(self.sheets),
             "/v1/ready": routes.ready_resource(self.sheets, self.stopping.is_set),
             "/v1/status": routes.status_resource(
@@ -179,9 +208,17 @@
     def control(self) -> typing.Any:
         """Return the application of the control address."""
         keys = self.config["keys"]
-        return control_app.with_relay(
-            control_app.create(keys, self.routes()), relay.RelayApp(self.guard, self.clocks), keys
-        )
+        relays: dict[str, asgi.App] = {
+            relay.PATH: relay.RelayApp(self.guard, self.clocks),
+            transport.FORWARD_PATH: forwarding.ForwardApp(
+                self.transport.send,
+                lambda: self.lifecycle.endpoint,
+                self.count_in_flight,
+                self.clocks,
+                self.counts.events,
+            ),
+        }
+        return control_app.with_relays(control_app.create(keys, self.routes()), relays, keys)
 
     def entry(self) -> entry_app.EntryApp:
         """Return the application of the calls address."""
@@ -194,41 +231,48 @@
             self.counts.events,
         )
 
+    def count_in_flight(self, change: int) -> None:
+        """Count relayed attempts that begin or end."""
+        self.counts.in_flight += change
+
     def count_refusal(self, reason: str) -> None:
         """Count a request refused before it became a call."""
         self.counts.calls["not_run"] += 1
         self.counts.refusals[reason] += 1
 
-    async def refresh_forever(self) -> None:
-        """Keep the own record alive and drop an endpoint whose lease passed."""
+    async def expire_forever(self) -> None:
+        """Drop an endpoint whose lease passed."""
         while True:
             self.lifecycle.expire()
-            lease_left_s = self.own.record["expires_at"] - self.clocks.wall()
-            if lease_left_s < members.RECORD_LEASE_S / 2:
-                self.revise()
             await asyncio.sleep(TICK_S)
 
     async def drain(self) -> None:
         """Wait until no node sends new work and all work in flight has ended."""
         started = self.clocks.monotonic()
         deadline = started + self.config["drain_timeout_s"]
+        spread_at = started + DRAIN_SPREAD_S
         self.lifecycle.stop()
         await self.exchange.farewell()
-        await self._until(lambda: self.clocks.monotonic() >= started + DRAIN_SPREAD_S, deadline)
-        await self._until(self._idle, deadline)
-        timed_out = not self._idle()
-        if timed_out:
-            log.warning(
-                "drain cut calls",
-                extra={"calls": self.counts.in_flight, "endpoint": self.lifecycle.in_flight},
-            )
+        await self._until(lambda: self._drained(spread_at), deadline)
+        cut_off = not self._drained(spread_at)
+        if cut_off:
+            self._log_cut()
         await self._until(self.writer.idle, self.clocks.monotonic() + FLUSH_TIMEOUT_S)
-        self.lifecycle.finish(timed_out)
+        self.lifecycle.finish(cut_off)
         await self.exchange.farewell()
+        await self.discovery.leave()
+
+    def _log_cut(self) -> None:
+        cut = self.lifecycle.cut()
+        calls, claimed = self.counts.in_flight, len(self.guard.tasks)
+        level = logging.WARNING if calls or claimed or cut.endpoint_calls else logging.INFO
+        fields = {"calls": calls, "claimed": claimed, **cut._asdict()}
+        log.log(level, "drain ended early", extra=fields)
 
-    def _idle(self) -> bool:
+    def _drained(self, spread_at: instants.Instant) -> bool:
         own_work = self.counts.in_flight == 0 and not self.guard.tasks
-        return own_work and self.lifecycle.in_flight == 0
+        spread = self.clocks.monotonic() >= spread_at
+        return spread and own_work and self.lifecycle.idle(spread_at)
 
     async def _until(self, done: typing.Callable[[], bool], deadline: instants.Instant) -> None:
         while not done() and not self.forced.is_set() and self.clocks.monotonic() < deadline:
@@ -268,10 +312,13 @@
                 node.writer.run(),
                 node.guard.evict_forever(),
                 node.sweeper.sweep_forever(),
-                node.exchange.exchange_forever(),
-                node.exchange.lease_forever(),
-                node.sheets.poll_forever(),
-                node.refresh_forever(),
+                node.exchange.rounds_forever(),
+                node.exchange.push_forever(),
+                node.exchange.tick_forever(),
+                node.discovery.run(),
+                node.sheets.poll_forever(node.discovery.joined),
+                node.sheets.fetch_forever(),
+                node.expire_forever(),
             )
         ]
         log.info("node started")
--- /dev/null
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/routing/hedging.py
@@ -0,0 +1,41 @@
+"""Whether and when a second attempt is sent beside one that has not been answered."""
+
+from __future__ import annotations
+
+import math
+
+from goldcrestgrade import instants
+from goldcrestgrade_node import requests
+from goldcrestgrade_node.routing import evidence, views
+
+MIN_DELAY_S = 0.002
+"""Shortest time before a hedge."""
+
+LATE_FACTOR = 10.0
+"""Factor on the hedging delay after which an attempt without a hedge is late."""
+
+MIN_LATE_S = 0.5
+"""Shortest time after which an attempt is late."""
+
+
+def late_s(delay_s: float) -> float:
+    """Return the seconds after which an attempt is late that was not hedged after `delay_s`.
+
+    A late attempt is not given up, since some requests take long. The retry budget pays for
+    another one beside it, in case its connection went silent.
+    """
+    return max(MIN_LATE_S, LATE_FACTOR * delay_s)
+
+
+def hedge_at(
+    request: requests.Request,
+    view: views.ServiceView,
+    endpoint: evidence.Evidence,
+    now: instants.Instant,
+) -> instants.Instant:
+    """Return when a hedge of an attempt at `endpoint` from `now` is due; `NEVER` for none."""
+    if request.kind.run_once or not request.retries_allowed or len(view.endpoints) < 2:
+        return instants.NEVER
+    delay_s = MIN_DELAY_S if endpoint.on_trial else max(MIN_DELAY_S, view.hedge_delay_s)
+    at = now + delay_s if math.isfinite(delay_s) else instants.NEVER
+    return at if at < request.deadline else instants.NEVER
