Try a store that failed by a read of its own

Cause: while the breaker was half open a caller's claim was the trial request, so in a silent outage of 600 s 144 of 2,962 run-once calls waited up to 0.4 s for their refusal. Also: the wiring reads the live members through alive(), since the map by id is gone.

--- a/Makefile
+++ b/Makefile
@@ -40,9 +40,7 @@
 latency: install ## Measure the latency that a node adds to a call, on real sockets
 	$(BIN)/python -m goldcrestgrade_testing.latency --seed=$(SEED) --json=latency.json
 
-.PHONY: help install test lint format demo soak reference latency
-.PHONY: help install test lint format demo reference latency
 bench: install ## Compare routing policies in virtual time: SCENARIO=all SEED=1
 	$(BIN)/python -m goldcrestgrade_testing.bench --scenario=$(SCENARIO) --seed=$(SEED)
 
-.PHONY: help install test lint format demo bench
+.PHONY: help install test lint format demo soak reference latency bench
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/commands/run.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/commands/run.py
@@ -153,11 +153,9 @@
             ready = self.members.ready(service)
             self.views.update(service, ready)
             self.transport.set_shares(
-                service, shares.limits(self.config["node_id"], ready, len(self.members.by_id))
+                service, shares.limits(self.config["node_id"], ready, len(self.members.alive()))
             )
-        neighbours = (
-            r for r in self.members.by_id.values() if r["region"] == self.config["region"]
-        )
+        neighbours = (r for r in self.members.alive() if r["region"] == self.config["region"])
         self.views.share_link(sum(1 for _ in neighbours))
 
     def sheet_adopted(self, _adopted: sheet.Sheet) -> None:
--- /dev/null
+++ b/packages/goldcrestgrade-node/tests/once/test_guard.py
@@ -0,0 +1,248 @@
+from __future__ import annotations
+
+import asyncio
+import uuid
+
+from goldcrestgrade import instants, outcomes, reasons, sheet
+from goldcrestgrade_node import requests
+from goldcrestgrade_node.attempts import results
+from goldcrestgrade_node.once import bars, claims, guard, keys, messages, write_behind
+from goldcrestgrade_testing import memory_platform, virtual_time
+
+KIND = sheet.Kind("POST /*", run_once=True, timeout_s=5.0)
+ANSWER = outcomes.Answer(200, (("x", "y"),), b"whole")
+INCARNATION = 7
+
+
+class Ports:
+    """Connects guards by control URL."""
+
+    def __init__(self) -> None:
+        self.guards: dict[str, guard.Guard] = {}
+
+    async def exchange(self, control_url, message, deadline):
+        if control_url not in self.guards:
+            raise messages.Unreached("no process")
+        async with asyncio.timeout_at(deadline):
+            return await self.guards[control_url].receive(message)
+
+
+class Setup:
+    """Guards that share one store and count the starts at their endpoints."""
+
+    def __init__(self, result=None, work_s: float = 0.0) -> None:
+        self.clocks = instants.loop_clocks()
+        self.store = memory_platform.MemoryTables(memory_platform.Faults(delay_s=0.01))
+        self.ports = Ports()
+        self.result = result or results.Answered(ANSWER, load=None)
+        self.work_s = work_s
+        self.started: list[str] = []
+        self.died: list[requests.Request] = []
+        self.tasks: list[asyncio.Task[None]] = []
+
+    def guard(self, name: str, incarnation: int = INCARNATION) -> guard.Guard:
+        committer = claims.Committer(self.store, self.clocks)
+        writer = write_behind.WriteBehind(self.store, self.clocks)
+        made = guard.Guard(
+            guard.Identity(name, incarnation, name),
+            committer,
+            writer,
+            self.ports,
+            self.start,
+            lambda: True,
+            self.died.append,
+            self.clocks,
+        )
+        self.tasks += [asyncio.create_task(t) for t in (committer.run(), writer.run())]
+        self.ports.guards[name] = made
+        return made
+
+    async def start(self, _request, attempt_id):
+        self.started.append(attempt_id)
+        await asyncio.sleep(self.work_s)
+        return self.result
+
+
+def request(key: str = "k", body: bytes = b"b", deadline: float = 5.0) -> requests.Request:
+    return requests.Request(
+        "r", "intake", KIND, "POST", "/x", (), body, key, deadline, retries_allowed=True
+    )
+
+
+def run(attempt_id: str, asked: requests.Request) -> messages.Run:
+    return messages.Run(attempt_id, asked, INCARNATION)
+
+
+def settle(attempt_id: str, incarnation: int = INCARNATION) -> messages.Settle:
+    return messages.Settle(attempt_id, incarnation, deadline=5.0, reply_by=4.0)
+
+
+def test_resend_to_another_guard_gets_the_first_answer():
+    async def scenario():
+        setup = Setup(work_s=0.5)
+        first, second = setup.guard("a"), setup.guard("b")
+        running = asyncio.create_task(first.run(run("1", request())))
+        await asyncio.sleep(0.1)
+        return await second.run(run("2", request())), await running, setup.started
+
+    resent, first, started = virtual_time.run(scenario())
+    assert resent == first == outcomes.Ran(ANSWER)
+    assert started == ["1"]
+
+
+def test_answer_is_replayed_from_the_store_when_its_guard_is_gone():
+    async def scenario():
+        setup = Setup()
+        await setup.guard("a").run(run("1", request()))
+        await asyncio.sleep(1.0)
+        del setup.ports.guards["a"]
+        return await setup.guard("b").run(run("2", request())), setup.started
+
+    replayed, started = virtual_time.run(scenario())
+    assert replayed == outcomes.Ran(ANSWER)
+    assert started == ["1"]
+
+
+def test_claim_of_a_guard_that_is_gone_without_an_answer_is_unknown():
+    async def scenario():
+        setup = Setup(work_s=60.0)
+        asyncio.create_task(setup.guard("a").run(run("1", request())))  # noqa: RUF006
+        await asyncio.sleep(0.1)
+        setup.guard("a", incarnation=INCARNATION + 1)
+        return await setup.guard("b").run(run("2", request())), setup.started
+
+    outcome, started = virtual_time.run(scenario())
+    assert outcome == outcomes.Unknown(reasons.Uncertainty.CLAIM_ORPHANED)
+    assert started == ["1"]
+
+
+def test_claim_whose_answer_was_lost_late_is_taken_over_by_a_later_try():
+    async def scenario():
+        setup = Setup()
+        setup.store.faults.late_effect_s = 0.2
+        refused = await setup.guard("a").run(run("1", request()))
+        setup.store.faults.late_effect_s = 0.0
+        await asyncio.sleep(0.5)
+        return refused, await setup.guard("b").run(run("2", request())), setup.started
+
+    refused, later, started = virtual_time.run(scenario())
+    assert isinstance(refused, outcomes.NotRun)
+    assert later == outcomes.Ran(ANSWER)
+    assert started == ["2"]
+
+
+def test_attempt_that_was_never_seen_is_barred_by_the_question():
+    async def scenario():
+        setup = Setup()
+        own = setup.guard("a")
+        verdict = await own.settle(settle("1"))
+        return verdict, await own.run(run("1", request())), setup.started
+
+    verdict, late, started = virtual_time.run(scenario())
+    assert isinstance(verdict, messages.Settled)
+    assert isinstance(verdict.outcome, outcomes.NotRun)
+    assert late == verdict.outcome
+    assert started == []
+
+
+def test_new_incarnation_does_not_judge_attempts_of_the_old_one():
+    async def scenario():
+        own = Setup().guard("a", incarnation=INCARNATION + 1)
+        return await own.settle(settle("1"))
+
+    assert virtual_time.run(scenario()) == messages.Gone()
+
+
+def test_key_with_another_body_is_refused_here_and_at_another_guard():
+    async def scenario():
+        setup = Setup()
+        own, other = setup.guard("a"), setup.guard("b")
+        await own.run(run("1", request()))
+        changed = request(body=b"other")
+        return [await g.run(run(f"{n}", changed)) for n, g in enumerate((own, other), start=2)]
+
+    refusal = outcomes.NotRun(reasons.Refusal.KEY_REUSED)
+    assert virtual_time.run(scenario()) == [refusal, refusal]
+    assert outcomes.to_answer(refusal, "r", now=0.0).status == 422
+
+
+def test_dated_key_is_refused_past_its_deadline():
+    dated = str(uuid.UUID(int=(1 << 80) | (7 << 76) | (2 << 62)))
+
+    async def scenario():
+        await asyncio.sleep(keys.KEY_LIFETIME_S + 1)
+        asked = request(key=dated, deadline=keys.KEY_LIFETIME_S + 6)
+        return await Setup().guard("a").run(run("1", asked))
+
+    assert virtual_time.run(scenario()) == outcomes.NotRun(reasons.Refusal.KEY_EXPIRED)
+    assert keys.deadline(str(uuid.UUID(int=4 << 76 | 2 << 62))) is None
+
+
+def test_death_of_the_endpoint_is_reported():
+    async def scenario():
+        setup = Setup(result=results.Broken(reasons.Uncertainty.ENDPOINT_DIED))
+        return await setup.guard("a").run(run("1", request())), setup.died
+
+    outcome, died = virtual_time.run(scenario())
+    assert outcome == outcomes.Unknown(reasons.Uncertainty.ENDPOINT_DIED)
+    assert died == [request()]
+
+
+def test_outcome_is_written_after_an_outage_of_the_store():
+    async def scenario():
+        setup = Setup(work_s=0.1)
+        own = setup.guard("a")
+        running = asyncio.create_task(own.run(run("1", request())))
+        await asyncio.sleep(0.05)
+        setup.store.faults.down = True
+        await running
+        await asyncio.sleep(600)
+        setup.store.faults.down = False
+        await asyncio.sleep(5)
+        return own, await setup.store.read(claims.TABLE, keys.row_key("intake", "k"))
+
+    own, row = virtual_time.run(scenario())
+    assert row.value["state"] == claims.ClaimState.DONE
+    assert own.writer.idle()
+
+
+def test_execution_is_kept_until_its_row_says_the_outcome():
+    async def scenario():
+        setup = Setup(work_s=0.1)
+        own = setup.guard("a")
+        running = asyncio.create_task(own.run(run("1", request())))
+        await asyncio.sleep(0.05)
+        setup.store.faults.down = True
+        await running
+        await asyncio.sleep(60)
+        own.evict()
+        kept = len(own.executions)
+        setup.store.faults.down = False
+        await asyncio.sleep(5)
+        own.evict()
+        return kept, len(own.executions)
+
+    assert virtual_time.run(scenario()) == (1, 0)
+
+
+def test_bars_without_space_refuse_every_unknown_attempt_with_an_early_deadline():
+    kept = bars.Bars(limit=2)
+    refusal = outcomes.NotRun(reasons.Refusal.CLAIM_BARRED)
+    for n in range(3):
+        kept.add(f"a{n}", deadline=float(n), refusal=refusal)
+    assert kept.find("a0") is None
+    assert kept.covers(0.0)
+    assert not kept.covers(10.0)
+
+
+def test_claims_that_wait_together_share_a_transaction():
+    async def scenario():
+        setup = Setup()
+        own = setup.guard("a")
+        asked = [own.run(run(f"{n}", request(key=f"k{n}"))) for n in range(50)]
+        ended = await asyncio.gather(*asked)
+        return ended, setup.store.writes
+
+    ended, writes = virtual_time.run(scenario())
+    assert set(ended) == {outcomes.Ran(ANSWER)}
+    assert writes <= 2
--- a/packages/goldcrestgrade-testing/goldcrestgrade_testing/history.py
+++ b/packages/goldcrestgrade-testing/goldcrestgrade_testing/history.py
@@ -33,6 +33,8 @@
     at: instants.Instant
     call_id: str
     reason: str
+    retry_at: instants.Instant | None = None
+    """When the caller was told to come back."""
 
 
 class Undecided(typing.NamedTuple):
--- /dev/null
+++ b/packages/goldcrestgrade-testing/goldcrestgrade_testing/once_load.py
@@ -0,0 +1,164 @@
+"""Measures store writes of run-once calls, and how they end in an outage, in virtual time."""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import collections
+import typing
+
+from goldcrestgrade import instants, outcomes, sheet
+from goldcrestgrade_node import requests
+from goldcrestgrade_node.once import sweeper
+from goldcrestgrade_testing import fast_time, history, once_world, schedules
+
+OUTAGE_S = 600.0
+"""Length of an outage of the table service."""
+
+OUTAGE_BEGINS_AT: instants.Instant = 5.0
+"""When the outage begins."""
+
+FIRST_SECOND_S = 1.0
+"""Time from the begin of an outage within which a refusal may wait for the claim's deadline."""
+
+AT_ONCE_S = 0.02
+"""Latency up to which a refusal counts as given at once."""
+
+OUTAGE_RATE = 5.0
+"""Run-once calls a second in an outage."""
+
+IDEMPOTENT_INTERVAL_S = 0.5
+"""Time between two idempotent calls in an outage."""
+
+SETUP = once_world.Setup(service_times_s=(0.005, 0.02), sweep_interval_s=sweeper.SWEEP_INTERVAL_S)
+
+IDEMPOTENT_KIND = sheet.Kind("GET /*", run_once=False, timeout_s=5.0)
+
+
+class Load(typing.NamedTuple):
+    """Calls without faults at one rate, on one guard."""
+
+    calls: int
+    answered: int
+    writes: int
+    """Transactions sent to the table service."""
+
+    def writes_per_call(self) -> float:
+        """Return the transactions for each call."""
+        return self.writes / self.calls
+
+
+class Outage(typing.NamedTuple):
+    """How calls ended that began in an outage of the table service."""
+
+    ends: dict[str, int]
+    """Number of calls by outcome."""
+    longest_first_s: float
+    """Longest wait for a refusal of a call that began within `FIRST_SECOND_S`."""
+    later: int
+    """Refusals of calls that began later."""
+    later_at_once: int
+    longest_later_s: float
+    without_retry_at: int
+    """Refusals that do not say when to come back."""
+    idempotent: int
+    idempotent_answered: int
+    longest_idempotent_s: float
+
+
+def load(seed: int, rate: float, calls: int) -> Load:
+    """Return what `calls` calls at `rate` a second cost on one guard."""
+
+    async def run() -> once_world.World:
+        world = once_world.World(
+            schedules.single_calls(seed, calls, rate), SETUP._replace(published=1)
+        )
+        await world.run()
+        return world
+
+    world = fast_time.run(run())
+    answered = sum(isinstance(event, history.Answered) for event in world.log.events)
+    return Load(calls, answered, world.store.writes)
+
+
+def outage(seed: int, kind: schedules.FaultKind) -> Outage:
+    """Return how calls end in an outage of the given kind."""
+    fault = schedules.Fault(kind, OUTAGE_BEGINS_AT, OUTAGE_BEGINS_AT + OUTAGE_S, 0)
+    count = int(OUTAGE_RATE * OUTAGE_S)
+    schedule = schedules.single_calls(seed, count, OUTAGE_RATE, (fault,))
+
+    async def run() -> tuple[once_world.World, list[float]]:
+        world = once_world.World(schedule, SETUP)
+        idempotent = asyncio.create_task(_call_idempotent(world))
+        await world.run()
+        return world, await idempotent
+
+    world, idempotent_s = fast_time.run(run())
+    return _outage(world.log.events, idempotent_s)
+
+
+async def _call_idempotent(world: once_world.World) -> list[float]:
+    """Return the latencies of the idempotent calls in an outage that were answered."""
+    loop = asyncio.get_running_loop()
+    await asyncio.sleep(OUTAGE_BEGINS_AT)
+    latencies: list[float] = []
+    for number in range(int(OUTAGE_S / IDEMPOTENT_INTERVAL_S)):
+        started = loop.time()
+        request = requests.Request(
+            f"r{number}",
+            once_world.SERVICE,
+            IDEMPOTENT_KIND,
+            "GET",
+            "/x",
+            (),
+            b"",
+            None,
+            started + IDEMPOTENT_KIND.timeout_s,
+            True,
+        )
+        outcome = await world.entries[0].run(request)
+        if isinstance(outcome, outcomes.Ran):
+            latencies.append(loop.time() - started)
+        await asyncio.sleep(IDEMPOTENT_INTERVAL_S)
+    return latencies
+
+
+def _outage(events: list[history.Event], idempotent_s: list[float]) -> Outage:
+    calls = {e.call_id: e for e in events if isinstance(e, history.Called)}
+    ends = [
+        (calls[e.call_id].at, e)
+        for e in events
+        if isinstance(e, history.Answered | history.Refused | history.Undecided)
+        and OUTAGE_BEGINS_AT <= calls[e.call_id].at < OUTAGE_BEGINS_AT + OUTAGE_S
+    ]
+    refused = [(began_at, e) for began_at, e in ends if isinstance(e, history.Refused)]
+    until = OUTAGE_BEGINS_AT + FIRST_SECOND_S
+    first_s = [e.at - began_at for began_at, e in refused if began_at < until]
+    later_s = [e.at - began_at for began_at, e in refused if began_at >= until]
+    return Outage(
+        ends=dict(collections.Counter(type(e).__name__ for _, e in ends)),
+        longest_first_s=max(first_s, default=0.0),
+        later=len(later_s),
+        later_at_once=sum(latency_s <= AT_ONCE_S for latency_s in later_s),
+        longest_later_s=max(later_s, default=0.0),
+        without_retry_at=sum(e.retry_at is None for _, e in refused),
+        idempotent=int(OUTAGE_S / IDEMPOTENT_INTERVAL_S),
+        idempotent_answered=len(idempotent_s),
+        longest_idempotent_s=max(idempotent_s, default=0.0),
+    )
+
+
+def main() -> None:
+    """Print the figures for the seed on the command line."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--seed", type=int, default=1)
+    seed = parser.parse_args().seed
+    for rate, calls in ((2.0, 200), (20.0, 1000), (200.0, 4000)):
+        figures = load(seed, rate, calls)
+        print(f"{rate:g} calls/s: {figures.writes_per_call():.3f} writes a call, {figures}")
+    for kind in (schedules.FaultKind.STORE_DOWN, schedules.FaultKind.STORE_SILENT):
+        print(f"outage {kind}: {outage(seed, kind)}")
+
+
+if __name__ == "__main__":
+    main()
--- a/packages/goldcrestgrade-testing/goldcrestgrade_testing/once_world.py
+++ b/packages/goldcrestgrade-testing/goldcrestgrade_testing/once_world.py
@@ -13,10 +13,10 @@
 from goldcrestgrade import instants, outcomes, reasons, records, sheet, telemetry
 from goldcrestgrade.platform import resilient_tables, tables
 from goldcrestgrade_node import requests
-from goldcrestgrade_node.attempts import results
+from goldcrestgrade_node.attempts import results, transport
 from goldcrestgrade_node.entry import calls
 from goldcrestgrade_node.once import claims, guard, messages, relay_client, sweeper, write_behind
-from goldcrestgrade_node.routing import choice, evidence
+from goldcrestgrade_node.routing import choice, views
 from goldcrestgrade_testing import (
     history,
     memory_network,
@@ -43,6 +43,9 @@
 SERVICE_TIMES_S = (0.005, 0.02, 0.1, 0.4, 2.0)
 """Times that an endpoint works on a request."""
 
+IDEMPOTENT_TIME_S = 0.005
+"""Time that an endpoint works on an idempotent request."""
+
 NEWS_DELAY_S = 0.5
 """Time after which entries know of a guard's new incarnation."""
 
@@ -57,13 +60,23 @@
 KIND = sheet.Kind("POST /*", run_once=True, timeout_s=5.0)
 
 
+class Setup(typing.NamedTuple):
+    """What is the same in all schedules of one kind."""
+
+    published: int = len(schedules.GUARDS)
+    """Number of guards that the entries know of."""
+    service_times_s: tuple[float, ...] = SERVICE_TIMES_S
+    sweep_interval_s: float = SWEEP_INTERVAL_S
+
+
 class Endpoint:
     """An endpoint in memory; records its starts and answers."""
 
-    def __init__(self, name: str, log: history.History, rng: random.Random) -> None:
+    def __init__(self, name: str, world: World) -> None:
         self.name = name
-        self.log = log
-        self.rng = rng
+        self.log = world.log
+        self.rng = world.rng
+        self.service_times_s = world.setup.service_times_s
         self.sheds = 0
         self.up = True
         self.crashed = asyncio.Event()
@@ -78,7 +91,7 @@
         key = request.idempotency_key or ""
         now = asyncio.get_running_loop().time()
         self.log.add(history.Started(now, request.request_id, key, request.body, self.name))
-        work_s = self.rng.choice(SERVICE_TIMES_S)
+        work_s = self.rng.choice(self.service_times_s)
         left_s = max(0.0, request.deadline - now)
         try:
             async with asyncio.timeout(min(work_s, left_s)):
@@ -156,7 +169,7 @@
         self.region = region
         self.skew_s = skew_s
         self.world = world
-        self.endpoint = Endpoint(name, world.log, world.rng)
+        self.endpoint = Endpoint(name, world)
         self.control_url = f"http://{name}:80"
         self.incarnation = 0
         self.up = False
@@ -194,7 +207,7 @@
                 committer.run(),
                 writer.run(),
                 self.guard.evict_forever(),
-                _sweep_forever(sweeping),
+                _sweep_forever(sweeping, self.world.setup.sweep_interval_s),
             )
         ]
         self.up = True
@@ -245,8 +258,9 @@
 class World:
     """One run of a schedule."""
 
-    def __init__(self, schedule: schedules.Schedule) -> None:
+    def __init__(self, schedule: schedules.Schedule, setup: Setup | None = None) -> None:
         self.schedule = schedule
+        self.setup = setup or Setup()
         self.rng = random.Random(schedule.seed)
         self.log = history.History()
         self.quarantined: list[requests.Request] = []
@@ -262,7 +276,7 @@
             for n, name in enumerate(schedules.GUARDS)
         ]
         self.network.receivers.update({g.control_url: g for g in self.guards})
-        self.evidences = [evidence.Evidences() for _ in schedules.ENTRIES]
+        self.views = [views.Views(asyncio.get_running_loop().time) for _ in schedules.ENTRIES]
         self.entries = [self._entry(n) for n in range(len(schedules.ENTRIES))]
 
     async def run(self) -> None:
@@ -286,8 +300,10 @@
         asyncio.get_running_loop().call_later(NEWS_DELAY_S, self._publish)
 
     def _publish(self) -> None:
-        for evidences in self.evidences:
-            evidences.update(SERVICE, [_record(process) for process in self.guards])
+        for known in self.views:
+            known.update(
+                SERVICE, [_record(process) for process in self.guards[: self.setup.published]]
+            )
 
     def _entry(self, number: int) -> calls.Calls:
         clocks = instants.loop_clocks(EPOCH)
@@ -295,8 +311,8 @@
         port = memory_network.MemoryPort(self.network, region, 0.0)
         return calls.Calls(
             choice.Caller(f"r{region}", f"r{region}-a"),
-            self.evidences[number],
-            _send_nothing,
+            self.views[number],
+            _send_idempotent,
             relay_client.RelayClient(port, clocks).run,
             clocks,
             telemetry.Counts(),
@@ -387,13 +403,14 @@
     endpoint.sheds -= 1
 
 
-async def _send_nothing(_attempt: typing.Any) -> results.AttemptResult:
-    raise NotImplementedError
+async def _send_idempotent(_attempt: transport.Attempt) -> results.AttemptResult:
+    await asyncio.sleep(IDEMPOTENT_TIME_S)
+    return results.Answered(outcomes.Answer(200, (), b""), load=None)
 
 
-async def _sweep_forever(sweeping: sweeper.Sweeper) -> None:
+async def _sweep_forever(sweeping: sweeper.Sweeper, interval_s: float) -> None:
     while True:
-        await asyncio.sleep(SWEEP_INTERVAL_S)
+        await asyncio.sleep(interval_s)
         with contextlib.suppress(tables.ReadError):
             await sweeping.sweep("")
 
@@ -402,8 +419,8 @@
     match outcome:
         case outcomes.Ran(answer=answer):
             return history.Answered(at, call_id, answer.body)
-        case outcomes.NotRun(reason=refusal):
-            return history.Refused(at, call_id, refusal)
+        case outcomes.NotRun(reason=refusal, retry_at=retry_at):
+            return history.Refused(at, call_id, refusal, retry_at)
         case outcomes.Unknown(reason=uncertainty):
             return history.Undecided(at, call_id, uncertainty)
 
--- a/packages/goldcrestgrade-testing/goldcrestgrade_testing/schedules.py
+++ b/packages/goldcrestgrade-testing/goldcrestgrade_testing/schedules.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import enum
+import itertools
+import random
 import typing
 
 from hypothesis import strategies
@@ -137,14 +139,16 @@
     return max(0.0, -min(schedule.skews_s))
 
 
-def quiet(seed: int, calls: int) -> Schedule:
-    """Return a schedule of `calls` single calls without faults."""
+def single_calls(seed: int, count: int, rate: float, faults: tuple[Fault, ...] = ()) -> Schedule:
+    """Return a schedule of `count` calls at random instants, `rate` a second, each made once."""
+    rng = random.Random(seed)
+    instants_s = itertools.accumulate(rng.expovariate(rate) for _ in range(count))
     return Schedule(
         seed=seed,
         skews_s=(0.0,) * len(GUARDS),
         intentions=tuple(
-            Intention(False, (Try(HORIZON_S * n / calls, n % len(ENTRIES), 5.0, False),))
-            for n in range(calls)
+            Intention(False, (Try(begins_at, n % len(ENTRIES), 5.0, False),))
+            for n, begins_at in enumerate(instants_s)
         ),
-        faults=(),
+        faults=faults,
     )
--- a/packages/goldcrestgrade-testing/tests/test_once_schedules.py
+++ b/packages/goldcrestgrade-testing/tests/test_once_schedules.py
@@ -28,13 +28,13 @@
 
 
 def test_every_call_runs_where_nothing_fails():
-    world = once_world.play(schedules.quiet(seed=1, calls=1000))
+    world = once_world.play(schedules.single_calls(seed=1, count=1000, rate=20.0))
     answered = sum(isinstance(event, history.Answered) for event in world.log.events)
     assert history.check(world.log.events) == []
     assert answered >= 999
 
 
 def test_same_schedule_gives_the_same_history():
-    schedule = schedules.quiet(seed=3, calls=20)
+    schedule = schedules.single_calls(seed=3, count=20, rate=5.0)
     histories = [once_world.play(schedule).log.events for _ in range(2)]
     assert histories[0] == histories[1]
--- a/packages/goldcrestgrade/goldcrestgrade/platform/breaker.py
+++ b/packages/goldcrestgrade/goldcrestgrade/platform/breaker.py
@@ -38,13 +38,15 @@
         self.trial_until: instants.Instant = 0.0
         """Deadline of the trial request in flight."""
 
-    def admit(self, now: instants.Instant, deadline: instants.Instant) -> bool:
-        """Tell whether a request that ends by `deadline` may be sent at `now`."""
-        if self.state == "closed":
-            return True
+    def admits(self) -> bool:
+        """Tell whether requests may be sent."""
+        return self.state == "closed"
+
+    def begin_trial(self, now: instants.Instant, deadline: instants.Instant) -> bool:
+        """Tell whether a trial request, which ends by `deadline`, is to be sent at `now`."""
         if self.state == "open" and now >= self.open_until:
             self.state = CHART.next_state(self.state, "backoff_passed")
-        if self.state == "open" or now < self.trial_until:
+        if self.state != "half_open" or now < self.trial_until:
             return False
         self.trial_until = deadline
         return True
@@ -56,10 +58,12 @@
     def note_success(self, now: instants.Instant) -> None:
         """Take in a request that the service answered."""
         self.failures = 0
-        if self.state == "half_open":
-            self.state = CHART.next_state(self.state, "succeeded")
-            self.openings = 0
-            self.closed_at = now
+        match self.state:
+            case "closed":
+                self.openings = 0
+            case "half_open":
+                self.state = CHART.next_state(self.state, "succeeded")
+                self.closed_at = now
 
     def note_failure(self, now: instants.Instant) -> None:
         """Take in a request that the service rejected or did not answer."""
--- a/packages/goldcrestgrade/goldcrestgrade/platform/resilient_tables.py
+++ b/packages/goldcrestgrade/goldcrestgrade/platform/resilient_tables.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import logging
 import random
 import typing
 
@@ -12,8 +13,16 @@
 REQUEST_TIMEOUT_S = 0.4
 """Longest wait for an answer of the table service."""
 
+TRIAL_TABLE = "claims"
+"""Table that a trial request reads."""
+
+TRIAL_KEY = "trial"
+"""Key that a trial request reads; there is no such row."""
+
 T = typing.TypeVar("T")
 
+log = logging.getLogger(__name__)
+
 
 class Unavailable(tables.ReadError):
     """A request that was not sent, since the breaker is open or the budget is spent."""
@@ -33,6 +42,7 @@
         self.clocks = clocks
         self.breaker = breaker.Breaker(rng)
         self.budget = budget.Budget()
+        self.trials: set[asyncio.Task[None]] = set()
 
     async def transact(self, transaction: tables.Transaction) -> tables.Result:
         """Commit `transaction`, or reject it at once while the service is down."""
@@ -73,7 +83,9 @@
 
     async def _admitted(self) -> instants.Instant:
         now = self.clocks.monotonic()
-        if not self.breaker.admit(now, now + REQUEST_TIMEOUT_S):
+        if not self.breaker.admits():
+            if self.breaker.begin_trial(now, now + REQUEST_TIMEOUT_S):
+                self._begin_trial()
             raise Unavailable("breaker is open", self.breaker.retry_at(now))
         usable_at = self.budget.take(now, self.breaker.closed_at)
         if usable_at > now + REQUEST_TIMEOUT_S:
@@ -83,6 +95,23 @@
             await asyncio.sleep(usable_at - now)
         return self.clocks.monotonic() + REQUEST_TIMEOUT_S
 
+    def _begin_trial(self) -> None:
+        # A read of its own tries the service, so that no caller waits for the result.
+        trial = asyncio.create_task(self._try_service())
+        self.trials.add(trial)
+        trial.add_done_callback(self.trials.discard)
+
+    async def _try_service(self) -> None:
+        answered = False
+        try:
+            async with asyncio.timeout(REQUEST_TIMEOUT_S):
+                await self.inner.read(TRIAL_TABLE, TRIAL_KEY)
+            answered = True
+        except (TimeoutError, tables.ReadError) as error:
+            log.info("table service still fails", extra={"error": repr(error)})
+        finally:
+            self._note(answered)
+
     def _note(self, answered: bool) -> None:
         now = self.clocks.monotonic()
         if answered:
