--- a/packages/goldcrestgrade-node/goldcrestgrade_node/commands/run.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/commands/run.py
@@ -149,16 +149,15 @@
 
     def touched(self, services: set[str]) -> None:
         """Bring the evidence of `services` in line with the records."""
+        alive = self.members.alive()
         for service in services:
             ready = self.members.ready(service)
             self.views.update(service, ready)
             self.transport.set_shares(
-                service, shares.limits(self.config["node_id"], ready, len(self.members.by_id))
+                service, shares.limits(self.config["node_id"], ready, len(alive))
             )
-        neighbours = (
-            r for r in self.members.by_id.values() if r["region"] == self.config["region"]
-        )
-        self.views.share_link(sum(1 for _ in neighbours))
+        neighbours = [r for r in alive if r["region"] == self.config["region"]]
+        self.views.share_link(len(neighbours))
 
     def sheet_adopted(self, _adopted: sheet.Sheet) -> None:
         """Tell peers of the version in force."""
