Give up a silent reused connection early and close crossed ones

Cause: an attempt on a connection that had gone silent waited for the request's whole deadline, so that nothing was left for the next attempt; the connection of a crossed answer went back to the pool when the answer had arrived complete, and the test passed since the pool closed it 4 s later. Change: on a reused connection a request that may be retried waits for its first byte at most eight times the slowest recent answer, and at least 1 s; each later attempt of a call uses a new connection. An exchange that did not end with a whole answer closes its connection in each case. The test of crossed answers now asks that the second request comes on a second connection. Measured: `pytest packages/goldcrestgrade-node/tests/attempts`: the stricter crossed test failed before (one connection) and passes after.

--- a/packages/goldcrestgrade-node/goldcrestgrade_node/attempts/exchanges.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/attempts/exchanges.py
@@ -7,7 +7,6 @@
 
 import aiohttp
 import yarl
-from aiohttp import connector
 
 from goldcrestgrade import headers, http_client, instants, outcomes, reasons
 from goldcrestgrade_node import asgi
@@ -77,6 +76,11 @@
         self.answering = False
         """Whether the head of an answer came back."""
 
+    @property
+    def reused(self) -> bool:
+        """Whether the connection served a request before."""
+        return self.opened is not None and self.opened.reused
+
     async def connect(self, fresh: aiohttp.BaseConnector | None) -> None:
         """Take a slot and a connection, a new one of `fresh` where that is given."""
         await self.pool.slots.take()
@@ -91,9 +95,8 @@
         The deadline is checked in the step that writes, since the process may have been suspended
         while the connection was opened.
         """
-        connection = self._connection()
-        assert connection.protocol is not None
-        connection.protocol.set_response_params(
+        assert self.opened is not None
+        self.opened.protocol.set_response_params(
             skip_payload=self.prepared.method == "HEAD",
             read_until_eof=True,
             auto_decompress=False,
@@ -104,8 +107,8 @@
         if not self.may_send():
             raise TimeoutError
         self.sent = True
-        self.response = await self.request.send(connection)
-        await self.response.start(connection)
+        self.response = await self.request.send(self.opened.connection)
+        await self.response.start(self.opened.connection)
         self.answering = True
         return self.response
 
@@ -115,9 +118,10 @@
             (name.decode("latin-1").lower(), value.decode("latin-1"))
             for name, value in response.raw_headers
         )
-        self._check(response, dict(fields))
+        by_name = dict(fields)
+        self._check(response, by_name)
         kept = headers.end_to_end(fields)
-        length = _length(dict(fields))
+        length = _length(by_name)
         if self.prepared.method == "HEAD":
             told = () if length is None else (("content-length", str(length)),)
             return outcomes.Answer(response.status, kept + told, b"")
@@ -125,20 +129,21 @@
             return outcomes.Answer(response.status, kept, await response.read())
         return await self._large_answer(response, kept, length)
 
-    def close(self) -> None:
-        """Give the slot back, and close the connection unless the answer was received whole."""
-        if self.response is not None and not self.response.closed:
-            self.response.close()
-        if self.opened is not None:
-            self.opened.connection.close()
-            self.opened = None
+    def close(self, whole: bool = False) -> None:
+        """Give the slot back, and close the connection unless its answer was received `whole`."""
+        if not whole:
+            self._close_connection()
         if self.has_slot:
             self.has_slot = False
             self.pool.slots.free()
 
-    def _connection(self) -> connector.Connection:
-        assert self.opened is not None
-        return self.opened.connection
+    def _close_connection(self) -> None:
+        if self.response is not None:
+            self.response.close()
+        if self.opened is not None:
+            self.opened.connection.close()
+            # The pool has it back already if the answer was complete, but it isn't to be trusted.
+            self.opened.protocol.close()
 
     def _check(self, response: aiohttp.ClientResponse, fields: dict[str, str]) -> None:
         echoed = fields.get(headers.ATTEMPT_ID, "")
@@ -193,7 +198,7 @@
     def close(self) -> None:
         """Give up what was not read."""
         self.timer.cancel()
-        self.exchange.close()
+        self.exchange.close(whole=self.response.content.at_eof())
 
 
 def _length(fields: dict[str, str]) -> int | None:
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/attempts/pools.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/attempts/pools.py
@@ -11,6 +11,7 @@
 from aiohttp import client_proto, connector
 
 from goldcrestgrade import http_client, instants
+from goldcrestgrade_node.attempts import silence
 
 CONNECT_TIMEOUT = aiohttp.ClientTimeout(total=None, sock_connect=0.25)
 """Longest wait for a new connection to an endpoint, in seconds."""
@@ -23,6 +24,7 @@
     """A connection that is ready for one request."""
 
     connection: connector.Connection
+    protocol: client_proto.ResponseHandler
     reused: bool
     """Whether it served a request before."""
 
@@ -78,6 +80,8 @@
         self.connector = http_client.open_connector(KEEPALIVE_S)
         self.served: weakref.WeakSet[client_proto.ResponseHandler] = weakref.WeakSet()
         self.last_used: instants.Instant = 0.0
+        self.slowest_s = 0.0
+        """Slowest recent answer."""
 
     async def open(self, request: aiohttp.ClientRequest) -> Opened:
         """Return a connection for `request`, a pooled one where there is one fit for use."""
@@ -90,7 +94,11 @@
                 continue
             reused = protocol in self.served
             self.served.add(protocol)
-            return Opened(connection, reused)
+            return Opened(connection, protocol, reused)
+
+    def note_answer(self, latency_s: float) -> None:
+        """Take in the time that an answer took to begin."""
+        self.slowest_s = silence.slowest(self.slowest_s, latency_s)
 
     def close_idle(self, before: instants.Instant) -> int:
         """Close the pooled connections not used since `before`; return their number."""
@@ -112,4 +120,6 @@
 
 async def open_once(connections: aiohttp.BaseConnector, request: aiohttp.ClientRequest) -> Opened:
     """Return a new connection of `connections`, which reuse none."""
-    return Opened(await connections.connect(request, [], CONNECT_TIMEOUT), reused=False)
+    connection = await connections.connect(request, [], CONNECT_TIMEOUT)
+    assert connection.protocol is not None
+    return Opened(connection, connection.protocol, reused=False)
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/attempts/transport.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/attempts/transport.py
@@ -11,7 +11,7 @@
 
 from goldcrestgrade import headers, http_client, instants, outcomes, reasons, telemetry
 from goldcrestgrade_node import requests
-from goldcrestgrade_node.attempts import exchanges, pools, results, shares
+from goldcrestgrade_node.attempts import exchanges, pools, results, shares, silence
 
 DEFAULT_LIMIT = 200
 """Connections to an endpoint of which no share is known, and to a node."""
@@ -51,6 +51,8 @@
     """Deadline of this attempt, where it ends before the request's."""
     control_url: str | None = None
     """Base URL of the node beside the endpoint, where the attempt may be relayed."""
+    on_new_connection: bool = False
+    """Whether no connection that served before may be used."""
 
 
 class HttpTransport:
@@ -76,10 +78,15 @@
         exchange = self._exchange(attempt, deadline, started)
         result: results.AttemptResult | None = None
         try:
-            async with asyncio.timeout_at(deadline):
+            async with asyncio.timeout_at(deadline) as timeout:
                 # A run-once request isn't risked on a connection that may have gone silent.
-                await exchange.connect(self.fresh if attempt.request.kind.run_once else None)
+                on_new = attempt.on_new_connection or attempt.request.kind.run_once
+                await exchange.connect(self.fresh if on_new else None)
+                if exchange.reused and attempt.request.retries_allowed:
+                    timeout.reschedule(self._silent_from(exchange, deadline))
                 response = await exchange.send()
+                timeout.reschedule(deadline)
+                exchange.pool.note_answer(self.clocks.monotonic() - started)
                 answer = await exchange.answer(response)
                 result = _result(response, answer, exchange.prepared.echo_required)
                 return result
@@ -89,7 +96,7 @@
             return self._failed(exchange, error, started)
         finally:
             if not _has_rest(result):
-                exchange.close()
+                exchange.close(whole=isinstance(result, results.Answered | results.Shed))
 
     def set_shares(self, service: str, given: dict[Address, shares.Share]) -> None:
         """Set the shares of this node at the endpoints of `service`."""
@@ -128,18 +135,23 @@
 
     def _broken(self, exchange: exchanges.Exchange, reason: reasons.Uncertainty) -> results.Broken:
         self.counts.events[EVENTS[reason]] += 1
-        reused = exchange.opened is not None and exchange.opened.reused
-        return results.Broken(reason, reused)
+        return results.Broken(reason, exchange.reused)
 
     def _suspect(self, exchange: exchanges.Exchange, started: instants.Instant) -> None:
         """Close connections that may be as silent as the one of `exchange`."""
-        if exchange.answering or exchange.opened is None or not exchange.opened.reused:
+        if exchange.answering or not exchange.reused:
             return
         self.counts.events[reasons.Event.SILENT_CONNECTION] += 1
         self.counts.events[reasons.Event.SUSPECT_CONNECTION_CLOSED] += exchange.pool.close_idle(
             started
         )
 
+    def _silent_from(
+        self, exchange: exchanges.Exchange, deadline: instants.Instant
+    ) -> instants.Instant:
+        now = self.clocks.monotonic()
+        return silence.silent_from(now, deadline, exchange.pool.slowest_s)
+
     def _exchange(
         self, attempt: Attempt, deadline: instants.Instant, now: instants.Instant
     ) -> exchanges.Exchange:
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/entry/calls.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/entry/calls.py
@@ -94,6 +94,7 @@
                     port=endpoint.port,
                     caller_region=self.caller.region,
                     control_url=endpoint.control_url,
+                    on_new_connection=number > 1,
                 )
             )
         finally:
--- a/packages/goldcrestgrade-node/tests/attempts/test_forwarding.py
+++ b/packages/goldcrestgrade-node/tests/attempts/test_forwarding.py
@@ -1,5 +1,6 @@
 from __future__ import annotations
 
+import asyncio
 import collections
 import contextlib
 
@@ -123,6 +124,20 @@
     assert whole == (sent == size)
 
 
+async def test_end_of_the_callers_wish_ends_a_relayed_attempt():
+    async def respond(_, __):
+        pass
+
+    async with forwarding_to(respond) as (send, endpoint):
+        attempt = asyncio.create_task(send())
+        async with asyncio.timeout(10.0):
+            while not endpoint.requests:
+                await asyncio.sleep(0.01)
+            attempt.cancel()
+            while endpoint.open:
+                await asyncio.sleep(0.01)
+
+
 async def received_whole(answer: outcomes.Answer) -> bool:
     try:
         while await answer.rest.read():
--- a/packages/goldcrestgrade-node/tests/attempts/test_transport.py
+++ b/packages/goldcrestgrade-node/tests/attempts/test_transport.py
@@ -7,7 +7,7 @@
 
 from goldcrestgrade import instants, outcomes, reasons, sheet, telemetry
 from goldcrestgrade_node import requests
-from goldcrestgrade_node.attempts import exchanges, results, shares, transport
+from goldcrestgrade_node.attempts import exchanges, pools, results, shares, silence, transport
 from goldcrestgrade_testing import raw_endpoint
 
 IDEMPOTENT = sheet.Kind("any", run_once=False, timeout_s=5.0)
@@ -141,9 +141,9 @@
 async def test_crossed_answer_is_dropped_and_its_connection_closed():
     reply = raw_endpoint.answer(b"other", fields="goldcrestgrade-attempt-id: r9-1\r\n")
     async with sending(always(reply)) as (sender, endpoint):
-        result = await sender.send()
-        await until(lambda: not endpoint.open)
-    assert result == results.Broken(reasons.Uncertainty.ANSWER_CROSSED)
+        first, second = await sender.send(), await sender.send()
+    assert first == second == results.Broken(reasons.Uncertainty.ANSWER_CROSSED)
+    assert endpoint.connections == 2
 
 
 async def test_late_answer_does_not_reach_the_next_request():
@@ -196,6 +196,42 @@
     assert closed == 4
 
 
+async def test_silent_connection_is_given_up_long_before_the_deadline_of_the_request():
+    async def respond(request, writer):
+        if request.connection > 1 or request.target == "/1":
+            await own_target(request, writer)
+
+    async with sending(respond) as (sender, _):
+        await sender.send()
+        begun = sender.path.clocks.monotonic()
+        second = await sender.send(timeout_s=60.0)
+        ended = sender.path.clocks.monotonic()
+        third = await sender.send()
+    assert second == results.Broken(reasons.Uncertainty.TIMED_OUT, reused=True)
+    assert ended - begun < 30.0
+    assert body_of(third) == b"/3"
+
+
+async def test_slow_answer_on_a_new_connection_is_waited_for():
+    async def respond(request, writer):
+        await asyncio.sleep(silence.SILENCE_FLOOR_S + 0.5)
+        await own_target(request, writer)
+
+    async with sending(respond) as (sender, _):
+        first = await sender.send()
+        second = await sender.send()
+    assert [body_of(first), body_of(second)] == [b"/1", b"/2"]
+
+
+async def test_unused_connection_is_closed_before_others_forget_it(monkeypatch):
+    assert pools.KEEPALIVE_S < 5.0
+    monkeypatch.setattr(pools, "KEEPALIVE_S", 0.2)
+    async with sending(own_target) as (sender, endpoint):
+        await sender.send()
+        assert endpoint.open
+        await until(lambda: not endpoint.open)
+
+
 @pytest.mark.parametrize(
     "fields", ["x: " + "y" * 20_000 + "\r\n", "".join(f"x{n}: y\r\n" for n in range(200))]
 )
--- a/packages/goldcrestgrade-testing/goldcrestgrade_testing/endpoint_server.py
+++ b/packages/goldcrestgrade-testing/goldcrestgrade_testing/endpoint_server.py
@@ -54,6 +54,8 @@
     """Holds the requests that it has started until this is false."""
     draining: bool = False
     """Sheds new requests and tells its node that it leaves."""
+    one_segment: bool = False
+    """Writes the head of an answer together with its body, as many servers do; uvicorn does not."""
     crash_marker: str | None = None
     """Text in a request's target at which the endpoint crashes."""
 
@@ -246,8 +248,10 @@
 
 
 async def serve(endpoint: Endpoint, address: settings.Address) -> None:
-    """Serve `endpoint` at `address` until cancelled, on a server without the node's additions."""
-    await servers.create(endpoint, address, httptools_impl.HttpToolsProtocol).serve()
+    """Serve `endpoint` at `address` until cancelled."""
+    joined = endpoint.behaviour.one_segment
+    protocol = servers.NodeProtocol if joined else httptools_impl.HttpToolsProtocol
+    await servers.create(endpoint, address, protocol).serve()
 
 
 def main() -> None:
--- a/packages/goldcrestgrade-testing/goldcrestgrade_testing/latency/__main__.py
+++ b/packages/goldcrestgrade-testing/goldcrestgrade_testing/latency/__main__.py
@@ -58,10 +58,16 @@
     parser.add_argument("--seconds", type=float, default=6.0, help="load time at each rate")
     parser.add_argument("--repeats", type=int, default=1)
     parser.add_argument("--rates", type=int, nargs="+", default=RATES)
+    parser.add_argument(
+        "--one-segment", action="store_true", help="endpoints write head and body together"
+    )
     parser.add_argument("--json", type=pathlib.Path, help="file that takes the figures")
     arguments = parser.parse_args()
+    behaviour = endpoint_server.Behaviour(
+        service_time_s=0.0, jitter_share=0.0, slots=1000, one_segment=arguments.one_segment
+    )
     rows = asyncio.run(
-        measure(arguments.rates, arguments.seconds, arguments.repeats, arguments.seed)
+        measure(behaviour, arguments.rates, arguments.seconds, arguments.repeats, arguments.seed)
     )
     if arguments.json:
         arguments.json.write_bytes(orjson.dumps([row._asdict() for row in rows]))
@@ -79,9 +85,14 @@
     return "\n".join(f"| {line} |" for line in lines) + f"\n\n{summary}"
 
 
-async def measure(rates: typing.Iterable[int], load_s: float, repeats: int, seed: int) -> list[Row]:
+async def measure(
+    behaviour: endpoint_server.Behaviour,
+    rates: typing.Iterable[int],
+    load_s: float,
+    repeats: int,
+    seed: int,
+) -> list[Row]:
     """Return a row for each rate and repeat."""
-    behaviour = endpoint_server.Behaviour(service_time_s=0.0, jitter_share=0.0, slots=1000)
     async with deployments.running(ENDPOINTS, behaviour) as deployment:
         return [
             await _measure_rate(deployment.instances, rate, load_s, seed + repeat)
