--- a/packages/goldcrestgrade-node/goldcrestgrade_node/attempts/transport.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/attempts/transport.py
@@ -25,16 +25,6 @@
 UNUSED_POOL_S = 60.0
 """Time after which the pool of an endpoint that is no longer called is dropped."""
 
-EVENTS = {
-    reasons.Uncertainty.ANSWER_LOST: reasons.Event.ANSWER_LOST,
-    reasons.Uncertainty.ANSWER_CUT: reasons.Event.ANSWER_CUT,
-    reasons.Uncertainty.ANSWER_CROSSED: reasons.Event.ANSWER_CROSSED,
-    reasons.Uncertainty.ANSWER_INVALID: reasons.Event.ANSWER_INVALID,
-    reasons.Uncertainty.ANSWER_TOO_LARGE: reasons.Event.ANSWER_TOO_LARGE,
-    reasons.Uncertainty.TIMED_OUT: reasons.Event.ATTEMPT_TIMED_OUT,
-}
-"""What is counted for an attempt that ended without its answer."""
-
 Address = tuple[str, int]
 """Host and port of an endpoint."""
 
@@ -134,7 +124,7 @@
         return self._broken(exchange, reasons.Uncertainty.ANSWER_LOST)
 
     def _broken(self, exchange: exchanges.Exchange, reason: reasons.Uncertainty) -> results.Broken:
-        self.counts.events[EVENTS[reason]] += 1
+        self.counts.broken_attempts[reason] += 1
         return results.Broken(reason, exchange.reused)
 
     def _suspect(self, exchange: exchanges.Exchange, started: instants.Instant) -> None:
--- a/packages/goldcrestgrade-operator/goldcrestgrade_operator/explanations.py
+++ b/packages/goldcrestgrade-operator/goldcrestgrade_operator/explanations.py
@@ -114,16 +114,16 @@
         "Look for endpoints that stop without a drain.",
     ),
     reasons.Uncertainty.ANSWER_CROSSED: Explanation(
-        "The answer of the endpoint belonged to another request.",
-        "Look for a fault in the endpoint's server; its connection was closed.",
+        "The answer that came belongs to another request; it was dropped.",
+        "Look at the endpoint, and at what stands between node and endpoint.",
     ),
     reasons.Uncertainty.ANSWER_INVALID: Explanation(
-        "What the endpoint sent was no HTTP answer whose end can be told.",
-        "Have the endpoint send a Content-Length or chunks, and smaller headers.",
+        "What came back is no answer of known length by HTTP; it was dropped.",
+        "Look at what the endpoint sends for the request id.",
     ),
     reasons.Uncertainty.ANSWER_TOO_LARGE: Explanation(
-        "The answer was larger than a node holds for a request that it cannot stream.",
-        "Have the endpoint answer such requests with less.",
+        "The answer of a run-once request is larger than a node holds; it was dropped.",
+        "Have the endpoint answer run-once requests with less.",
     ),
     reasons.Uncertainty.ENDPOINT_DIED: Explanation(
         "The endpoint ended while it ran the request.",
@@ -182,53 +182,29 @@
         "An accepted sheet could not be read by this node.",
         "Update the node; compare its version with that of the command line.",
     ),
-    reasons.Event.ENDPOINT_DIED: Explanation(
-        "A run-once request ended with the death of its endpoint.",
-        "Look at the endpoint's log for the request id.",
-    ),
-    reasons.Event.ANSWER_LOST: Explanation(
-        "A connection dropped before the answer to its request.",
-        "Look for endpoints that stop without a drain or crash.",
-    ),
-    reasons.Event.ANSWER_CUT: Explanation(
-        "The answer to an attempt ended early.",
-        "Look for endpoints that stop without a drain.",
-    ),
-    reasons.Event.ANSWER_CROSSED: Explanation(
-        "The answer to an attempt named another attempt and was dropped.",
-        "Look for a fault in the endpoint's server.",
-    ),
-    reasons.Event.ANSWER_INVALID: Explanation(
-        "What came back for an attempt was no HTTP answer whose end can be told.",
-        "Have the endpoint send a Content-Length or chunks, and smaller headers.",
-    ),
-    reasons.Event.ANSWER_TOO_LARGE: Explanation(
-        "An answer that may not be streamed was larger than a node holds.",
-        "Have the endpoint answer such requests with less.",
-    ),
-    reasons.Event.ATTEMPT_TIMED_OUT: Explanation(
-        "An attempt had no whole answer at its deadline.",
-        "None if it is rare; else look at the endpoint's load.",
-    ),
     reasons.Event.ATTEMPT_RELAYED: Explanation(
         "An attempt went through the node beside its endpoint.",
         "None; the endpoint accepts fewer connections than there are nodes.",
     ),
-    reasons.Event.SILENT_CONNECTION: Explanation(
-        "A connection that had served before gave no byte by the deadline.",
-        "If it is frequent, look at what stands between the nodes and the endpoints.",
+    reasons.Event.CALLER_DISCONNECTED: Explanation(
+        "A caller went away before its answer.",
+        "Compare the callers' time-outs with the latency.",
     ),
-    reasons.Event.SUSPECT_CONNECTION_CLOSED: Explanation(
-        "An idle connection was closed since another to its endpoint was silent.",
-        "As for `silent_connection`.",
+    reasons.Event.ENDPOINT_DIED: Explanation(
+        "The endpoint ended while it ran a run-once request.",
+        "Look at the endpoint's log for the request id.",
+    ),
+    reasons.Event.SILENT_CONNECTION: Explanation(
+        "A reused connection gave no byte of an answer by the deadline of its attempt.",
+        "Look for stragglers, and for what forgets idle connections between node and endpoint.",
     ),
     reasons.Event.STREAMED_ANSWER_CUT: Explanation(
-        "An answer ended early after its first part had gone to the caller.",
+        "A large answer ended early after its first part had gone to the caller.",
         "Look for endpoints that stop without a drain.",
     ),
-    reasons.Event.CALLER_DISCONNECTED: Explanation(
-        "A caller went away and its idempotent request was cancelled.",
-        "None if it is rare; else look at the callers' timeouts.",
+    reasons.Event.SUSPECT_CONNECTION_CLOSED: Explanation(
+        "An idle connection was closed, since another to the same endpoint was silent.",
+        "As for `silent_connection`.",
     ),
 }
 """Explanation of each event that is neither refusal, unknown outcome nor retry."""
@@ -251,6 +227,12 @@
         "reason",
         UNCERTAINTIES,
     ),
+    Group(
+        "Attempts without a whole answer",
+        "goldcrestgrade_broken_attempts_total",
+        "reason",
+        UNCERTAINTIES,
+    ),
     Group("Retries", "goldcrestgrade_retries_total", "reason", RETRIES),
     Group("Events", "goldcrestgrade_events_total", "event", EVENTS),
 )
--- a/packages/goldcrestgrade/goldcrestgrade/telemetry.py
+++ b/packages/goldcrestgrade/goldcrestgrade/telemetry.py
@@ -12,10 +12,9 @@
 
 import opentelemetry.metrics as metrics
 import prometheus_client
-import prometheus_client.metrics_core as prometheus_metrics
-import prometheus_client.registry as prometheus_collectors
 from opentelemetry.exporter import prometheus
 from opentelemetry.sdk import metrics as sdk_metrics
+from prometheus_client import metrics_core, registry
 
 from goldcrestgrade import reasons
 
@@ -30,6 +29,7 @@
         self.calls: collections.Counter[str] = collections.Counter()
         self.refusals: collections.Counter[str] = collections.Counter()
         self.unknowns: collections.Counter[str] = collections.Counter()
+        self.broken_attempts: collections.Counter[str] = collections.Counter()
         self.retries: collections.Counter[str] = collections.Counter()
         self.events: collections.Counter[str] = collections.Counter()
         self.in_flight = 0
@@ -84,32 +84,10 @@
         callbacks=[lambda _: [metrics.Observation(counts.in_flight)]],
         description="Calls of callers that have not ended.",
     )
-    collectors.register(LatencyCollector(counts))
+    collectors.register(_LatencyCollector(counts))
     return Registry(provider, collectors)
 
 
-class LatencyCollector(prometheus_collectors.Collector):
-    """Exports the durations of calls as a histogram.
-
-    The SDK has no instrument that observes buckets counted elsewhere, and its own histogram does
-    its work on each call.
-    """
-
-    def __init__(self, counts: Counts) -> None:
-        self.counts = counts
-
-    def collect(self) -> typing.Iterator[prometheus_client.Metric]:
-        """Yield the histogram as it stands."""
-        bounds = (*map(str, LATENCY_BOUNDS_S), "+Inf")
-        totals = itertools.accumulate(self.counts.latency_buckets)
-        yield prometheus_metrics.HistogramMetricFamily(
-            "goldcrestgrade_call_duration_seconds",
-            "Time from a call read whole to its outcome.",
-            buckets=list(zip(bounds, totals, strict=True)),
-            sum_value=self.counts.latency_sum_s,
-        )
-
-
 def _families(counts: Counts) -> tuple[_Family, ...]:
     outcomes = ("ran", "not_run", "unknown")
     return (
@@ -128,6 +106,13 @@
             tuple(reasons.Uncertainty),
             "Calls that may have run and whose answer is lost.",
         ),
+        _Family(
+            "broken_attempts",
+            counts.broken_attempts,
+            "reason",
+            tuple(reasons.Uncertainty),
+            "Attempts that were sent and got no whole answer of their own.",
+        ),
         _Family(
             "retries",
             counts.retries,
@@ -141,6 +126,27 @@
     )
 
 
+class _LatencyCollector(registry.Collector):
+    """Exports the durations of calls as a histogram.
+
+    The SDK has no asynchronous histogram, and its synchronous one costs microseconds on each call.
+    """
+
+    def __init__(self, counts: Counts) -> None:
+        self.counts = counts
+
+    def collect(self) -> typing.Iterator[metrics_core.HistogramMetricFamily]:
+        """Return the histogram as it stands."""
+        bounds = (*map(str, LATENCY_BOUNDS_S), "+Inf")
+        totals = itertools.accumulate(self.counts.latency_buckets)
+        yield metrics_core.HistogramMetricFamily(
+            "goldcrestgrade_call_duration_seconds",
+            "Time from a call read whole to its outcome.",
+            buckets=list(zip(bounds, totals, strict=True)),
+            sum_value=self.counts.latency_sum_s,
+        )
+
+
 def _observer(
     counter: collections.Counter[str], label: str, known: typing.Sequence[str]
 ) -> typing.Callable[[metrics.CallbackOptions], list[metrics.Observation]]:
