Keep the bytes of headers in relayed answers

Cause: headers of a run-once answer were decoded as UTF-8 and encoded as Latin-1 on the way out, so that a name with a Czech letter in a header ended a call that had run with status 500; and Connection: close of a guard reached the caller. Change: relayed answers read their headers as the direct ones do. The stand-in endpoint's faults (cold start, shed, stall, crash, lying report, drain, cancellation) have a test each.

--- a/packages/goldcrestgrade-node/goldcrestgrade_node/attempts/exchanges.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/attempts/exchanges.py
@@ -114,10 +114,7 @@
 
     async def answer(self, response: aiohttp.ClientResponse) -> outcomes.Answer:
         """Return the answer, whole or with a rest; raises `Invalid`."""
-        fields = tuple(
-            (name.decode("latin-1").lower(), value.decode("latin-1"))
-            for name, value in response.raw_headers
-        )
+        fields = headers.from_bytes(response.raw_headers)
         by_name = dict(fields)
         self._check(response, by_name)
         kept = headers.end_to_end(fields)
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/once/relay.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/once/relay.py
@@ -238,12 +238,8 @@
     reason = response.headers.get(headers.REASON, "")
     match tag:
         case "ran":
-            kept = tuple(
-                (name.lower(), value)
-                for name, value in response.headers.items()
-                if name.lower() not in headers.INTERNAL
-                and name.lower() not in (headers.REQUEST_ID, "date", "server")
-            )
+            received = headers.from_bytes(response.raw_headers)
+            kept = headers.end_to_end(received)
             return outcomes.Ran(outcomes.Answer(response.status, kept, body))
         case "not_run":
             retry_after_s = response.headers.get("retry-after")
--- /dev/null
+++ b/packages/goldcrestgrade-node/tests/once/test_relay_headers.py
@@ -0,0 +1,33 @@
+from __future__ import annotations
+
+from goldcrestgrade import http_client, instants, outcomes, sheet
+from goldcrestgrade_node import requests
+from goldcrestgrade_node.once import messages, relay
+from goldcrestgrade_testing import raw_endpoint
+
+
+async def test_headers_of_a_relayed_answer_keep_their_bytes():
+    fields = (
+        "goldcrestgrade-attempt-id: a1\r\ngoldcrestgrade-outcome: ran\r\n"
+        "connection: close\r\nx-shop: Půjčovna\r\n"
+    )
+
+    async def respond(_, writer):
+        writer.write(raw_endpoint.answer(b"whole", fields=fields))
+
+    clocks = instants.system_clocks()
+    kind = sheet.Kind("POST /*", run_once=True, timeout_s=5.0)
+    request = requests.Request(
+        "r1", "s", kind, "POST", "/x", (), b"", "key", clocks.monotonic() + 10.0, True
+    )
+    async with (
+        raw_endpoint.serving(respond) as guard,
+        http_client.open_session(4, 5.0) as session,
+    ):
+        port = relay.HttpPort(session, "key", clocks)
+        url = f"http://127.0.0.1:{guard.port}"
+        reply = await port.exchange(url, messages.Run("a1", request, 1), request.deadline)
+    assert isinstance(reply.verdict, messages.Settled)
+    assert isinstance(reply.verdict.outcome, outcomes.Ran)
+    ((name, value),) = reply.verdict.outcome.answer.headers
+    assert (name, value.encode("latin-1")) == ("x-shop", "Půjčovna".encode())
--- a/packages/goldcrestgrade-testing/goldcrestgrade_testing/endpoint_server.py
+++ b/packages/goldcrestgrade-testing/goldcrestgrade_testing/endpoint_server.py
@@ -155,7 +155,7 @@
         """Work on a request; return false where its caller went away meanwhile."""
         self.in_flight += 1
         working = asyncio.create_task(self._work_in_slot(scope, received))
-        leaving = asyncio.create_task(_disconnected(receive))
+        leaving = asyncio.create_task(asgi.wait_disconnected(receive))
         try:
             await asyncio.wait((working, leaving), return_when=asyncio.FIRST_COMPLETED)
             if working.done():
@@ -204,11 +204,6 @@
         return [key for key, group in itertools.groupby(keys) if len(list(group)) > 1]
 
 
-async def _disconnected(receive: asgi.Receive) -> None:
-    while (await receive())["type"] != "http.disconnect":
-        pass
-
-
 async def announce_forever(
     endpoint: Endpoint,
     address: settings.Address,
--- /dev/null
+++ b/packages/goldcrestgrade-testing/tests/test_endpoint_server.py
@@ -0,0 +1,103 @@
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import random
+
+from goldcrestgrade import headers, http_client
+from goldcrestgrade_testing import endpoint_server, raw_endpoint, serving
+
+
+@contextlib.asynccontextmanager
+async def serving_endpoint(**behaviour):
+    crashes = []
+    endpoint = endpoint_server.Endpoint(
+        "archive",
+        "a",
+        "khomas",
+        endpoint_server.Behaviour(service_time_s=0.0, **behaviour),
+        random.Random(1),
+        crash=lambda: crashes.append(1),
+    )
+    async with serving.serving(endpoint) as port, http_client.open_session(50, 5.0) as session:
+
+        async def get(path="/x"):
+            async with session.get(f"http://127.0.0.1:{port}{path}") as response:
+                await response.read()
+                return response
+
+        yield endpoint, get, crashes
+
+
+async def until(condition) -> None:
+    async with asyncio.timeout(10.0):
+        while not condition():
+            await asyncio.sleep(0.01)
+
+
+async def test_first_requests_of_a_cold_endpoint_are_slow():
+    async with serving_endpoint(cold_requests=1, cold_time_s=0.5) as (_, get, __):
+        loop = asyncio.get_running_loop()
+        begun = loop.time()
+        await get()
+        assert loop.time() - begun >= 0.5
+
+
+async def test_shedding_endpoint_starts_nothing():
+    async with serving_endpoint(shedding=True) as (endpoint, get, _):
+        response = await get()
+    assert (response.status, headers.NOT_RUN in response.headers) == (503, True)
+    assert not endpoint.executions
+
+
+async def test_stalled_endpoint_answers_once_the_stall_ends():
+    async with serving_endpoint(stalled=True) as (endpoint, get, _):
+        request = asyncio.create_task(get())
+        await until(lambda: endpoint.executions)
+        assert not request.done()
+        endpoint.behaviour.stalled = False
+        assert (await request).status == 200
+
+
+async def test_marked_request_crashes_the_endpoint_and_no_other_does():
+    async with serving_endpoint(crash_marker="poison") as (_, get, crashes):
+        await get("/x")
+        assert not crashes
+        await get("/x?poison")
+        assert crashes
+
+
+async def test_lying_endpoint_reports_the_load_it_is_told():
+    async with serving_endpoint(lying_load=0, slots=1) as (_, get, __):
+        responses = await asyncio.gather(*(get() for _ in range(5)))
+    assert {response.headers[headers.LOAD] for response in responses} == {"0"}
+
+
+async def test_disconnect_of_the_caller_cancels_its_work():
+    async with serving_endpoint(stalled=True) as (endpoint, get, _):
+        request = asyncio.create_task(get())
+        await until(lambda: endpoint.executions)
+        request.cancel()
+        await until(lambda: endpoint.cancelled)
+    assert endpoint.in_flight == 0
+
+
+async def test_draining_endpoint_tells_its_node_and_sheds():
+    async def respond(_, writer):
+        writer.write(raw_endpoint.answer())
+
+    async with (
+        serving_endpoint() as (endpoint, get, _),
+        raw_endpoint.serving(respond) as node,
+        http_client.open_session(4, 5.0) as session,
+    ):
+        url = f"http://127.0.0.1:{node.port}"
+        address = {"host": "127.0.0.1", "port": 1}
+        announcing = asyncio.create_task(
+            endpoint_server.announce_forever(endpoint, address, url, "key", session)
+        )
+        await until(lambda: node.requests)
+        endpoint.behaviour.draining = True
+        await asyncio.wait_for(announcing, 10.0)
+        assert (await get()).status == 503
+    assert [request.method for request in node.requests][-1] == "DELETE"
--- a/packages/goldcrestgrade/goldcrestgrade/headers.py
+++ b/packages/goldcrestgrade/goldcrestgrade/headers.py
@@ -92,6 +92,11 @@
 """Values of `Connection` that name no other header."""
 
 
+def from_bytes(raw: typing.Iterable[tuple[bytes, bytes]]) -> Fields:
+    """Return the headers of an answer; each character of a value stands for one byte."""
+    return tuple((name.decode("latin-1").lower(), value.decode("latin-1")) for name, value in raw)
+
+
 def repeated(fields: Fields) -> bool:
     """Tell whether a header that may stand once only stands more often."""
     names = [name for name, _ in fields if name in SINGLE]
