--- a/packages/goldcrestgrade-node/goldcrestgrade_node/attempts/shares.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/attempts/shares.py
@@ -51,7 +51,7 @@
             return Direct(max(1, usable))
 
 
-def limits(
+def at_endpoints(
     own_id: str, live: typing.Iterable[records.NodeRecord], nodes: int
 ) -> dict[tuple[str, int], Share]:
     """Return the share at each endpoint in `live` of one of `nodes` nodes, by its address."""
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/commands/run.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/commands/run.py
@@ -136,7 +136,7 @@
             ready = self.members.ready(service)
             self.evidences.update(service, ready)
             self.transport.set_shares(
-                service, shares.limits(self.config["node_id"], ready, len(self.members.by_id))
+                service, shares.at_endpoints(self.config["node_id"], ready, len(self.members.by_id))
             )
 
     def sheet_adopted(self, _adopted: sheet.Sheet) -> None:
