--- a/packages/goldcrestgrade-node/goldcrestgrade_node/commands/run.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/commands/run.py
@@ -150,7 +150,9 @@
         for service in services:
             ready = self.members.ready(service)
             self.views.update(service, ready)
-            self.transport.set_shares(service, shares.limits(self.config["node_id"], ready, nodes))
+            self.transport.set_shares(
+                service, shares.at_endpoints(self.config["node_id"], ready, nodes)
+            )
         self.views.share_link(self.exchange.view().region_size)
 
     def sheet_adopted(self, _adopted: sheet.Sheet) -> None:
