--- a/packages/goldcrestgrade-testing/goldcrestgrade_testing/loopback.py
+++ b/packages/goldcrestgrade-testing/goldcrestgrade_testing/loopback.py
@@ -21,6 +21,7 @@
 import orjson
 
 from goldcrestgrade import headers, http_client, settings
+from goldcrestgrade_node.membership import exchange, messages, peers
 from goldcrestgrade_operator.sheets import acceptance
 from goldcrestgrade_testing import fleet, letters_desk, memory_platform, platform_server
 
@@ -97,6 +98,39 @@
             await acceptance.accept(tables, objects, document, head, "operator")
 
 
+class CountingProxy:
+    """Passes bytes on to another address and counts them."""
+
+    def __init__(self, target: settings.Address) -> None:
+        self.target = target
+        self.passed = 0
+
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        """Serve one connection until either side closes it."""
+        up_reader, up_writer = await asyncio.open_connection(
+            self.target["host"], self.target["port"]
+        )
+        await asyncio.gather(self._pass(reader, up_writer), self._pass(up_reader, writer))
+
+    async def _pass(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        while data := await reader.read(65536):
+            self.passed += len(data)
+            writer.write(data)
+        writer.close()
+
+
+async def header_bytes(target: settings.Address) -> int:
+    """Return the header bytes of one request between nodes and of its reply."""
+    proxy = CountingProxy(target)
+    server = await asyncio.start_server(proxy.serve, letters_desk.HOST, PLATFORM_PORT - 1)
+    url = f"http://{letters_desk.HOST}:{PLATFORM_PORT - 1}"
+    body = messages.PROBE.dump_json({"node_id": "none"})
+    async with server, http_client.open_session(1, 1.0) as session:
+        remote = peers.HttpPeers(session, letters_desk.SHARED_KEY)
+        reply = await remote.post(url, exchange.PROBE_PATH, body)
+    return proxy.passed - len(body) - len(reply)
+
+
 async def measure(nodes: int, window_s: float, sheet_every_s: float) -> None:
     """Start `nodes` processes, measure them, stop them and print the figures."""
     tables, objects = memory_platform.MemoryTables(), memory_platform.MemoryObjects()
@@ -117,6 +151,7 @@
         processes = [start(config, folder) for config in configs]
         stack.callback(stop, processes)
         await wait_joined(configs, session)
+        print("header bytes of a request and its reply:", await header_bytes(configs[0]["control"]))
         await asyncio.sleep(SETTLE_S)
         changing = asyncio.create_task(change_sheets(tables, objects, sheet_every_s))
         before = [usage(process.pid) for process in processes]
