Count wire bytes with TCP headers and measure replacements

Change: a request and its reply count 430 header bytes (220 measured by `loopback` for HTTP, the rest TCP and IP of four packets); `capacity` also measures a tenth of the nodes replaced in a minute. Conclusion: figures before this commit counted 330.

--- a/packages/goldcrestgrade-node/tests/membership/test_fleet_failures.py
+++ b/packages/goldcrestgrade-node/tests/membership/test_fleet_failures.py
@@ -109,9 +109,7 @@
 def test_tenth_of_the_nodes_replaced_in_a_minute(seed: int):
     async def scenario(running: fleet.Fleet) -> None:
         for node in running.running()[:4]:
-            await node.leave()
-            replaced = node.place._replace(node_id=f"{node.place.node_id}-new")
-            running.add(replaced._replace(host=node.place.host.replace("10.0", "10.1")))
+            await running.replace(node)
             await asyncio.sleep(12.0)
         await running.until(running.converged, 10.0)
 
--- a/packages/goldcrestgrade-testing/goldcrestgrade_testing/capacity.py
+++ b/packages/goldcrestgrade-testing/goldcrestgrade_testing/capacity.py
@@ -64,6 +64,7 @@
     sheet_bytes: int
     idle: Rates
     busy: Rates
+    replacing: Rates
     domain_lost_s: float
     """Time until all nodes of a lost failure domain are dropped everywhere."""
     member_bytes: float
@@ -75,7 +76,7 @@
 
     at: float
     cpu_s: float
-    node_bytes: list[int]
+    node_bytes: dict[str, int]
     requests: int
     crossing: int
     writes: int
@@ -88,7 +89,10 @@
     return Point(
         asyncio.get_running_loop().time(),
         time.process_time(),
-        [t.sent_bytes + t.received_bytes for t in traffic],
+        {
+            node.place.node_id: node.traffic.sent_bytes + node.traffic.received_bytes
+            for node in running.running()
+        },
         sum(t.requests for t in traffic),
         sum(t.crossing_bytes for t in traffic),
         running.tables.writes,
@@ -97,9 +101,13 @@
 
 
 def rates(before: Point, after: Point) -> Rates:
-    """Return the rates between two points."""
+    """Return the rates between two points, of the nodes that ran at both."""
     window_s = after.at - before.at
-    grown = [b - a for a, b in zip(before.node_bytes, after.node_bytes, strict=False)]
+    grown = [
+        size - before.node_bytes[node_id]
+        for node_id, size in after.node_bytes.items()
+        if node_id in before.node_bytes
+    ]
     nodes = len(grown)
     return Rates(
         sum(grown) / window_s / nodes,
@@ -136,6 +144,17 @@
     return rates(before, point(running))
 
 
+async def tenth_replaced(running: fleet.Fleet) -> Rates:
+    """Return the rates while a tenth of the nodes is replaced in a minute."""
+    before = point(running)
+    leaving = running.rng.sample(running.running(), max(1, len(running.places) // 10))
+    async with asyncio.TaskGroup() as group:
+        for node in leaving:
+            group.create_task(running.replace(node))
+            await asyncio.sleep(60.0 / len(leaving))
+    return rates(before, point(running))
+
+
 async def propagation(running: fleet.Fleet, services: int) -> tuple[float, float]:
     """Return the median and the largest time until a sheet is in force at a node."""
     started = asyncio.get_running_loop().time()
@@ -186,6 +205,7 @@
         0 if in_force is None else len(in_force.body),
         resting,
         await busy(running, shape.services),
+        await tenth_replaced(running),
         await domain_lost(running),
         member_bytes(running),
     )
@@ -234,7 +254,7 @@
 
 
 def _flat(row: Row) -> dict[str, float]:
-    nested = {"idle": row.idle, "busy": row.busy}
+    nested = {"idle": row.idle, "busy": row.busy, "replacing": row.replacing}
     flat = {
         f"{name}_{key}": value
         for name, measured in nested.items()
--- a/packages/goldcrestgrade-testing/goldcrestgrade_testing/fleet.py
+++ b/packages/goldcrestgrade-testing/goldcrestgrade_testing/fleet.py
@@ -36,8 +36,8 @@
 CONNECT_TIMEOUT_S = 0.5
 """Time after which a node that is not there counts as not reached."""
 
-MESSAGE_OVERHEAD_BYTES = 330
-"""Header bytes of a request and its reply, by `make capacity`."""
+MESSAGE_OVERHEAD_BYTES = 430
+"""Header bytes of a request and its reply: HTTP, and TCP and IP of four packets."""
 
 T = typing.TypeVar("T")
 
@@ -334,6 +334,12 @@
             await asyncio.sleep(spread_s / len(self.places))
         await self.until(self.converged, 120.0)
 
+    async def replace(self, node: Node) -> None:
+        """Have `node` leave and start another in its place."""
+        await node.leave()
+        name, host = f"{node.place.node_id}-new", node.place.host.replace("10.0", "10.1")
+        self.add(node.place._replace(node_id=name, host=host))
+
     def running(self) -> list[Node]:
         """Return the nodes that run."""
         return [node for node in self.nodes if self.network.nodes.get(node.url) is node]
