--- /dev/null
+++ b/packages/goldcrestgrade-node/tests/commands/test_planned_stops.py
@@ -0,0 +1,103 @@
+"""Planned stops of a real node process."""
+
+from __future__ import annotations
+
+import contextlib
+import pathlib
+import signal
+import subprocess
+import sys
+import time
+import typing
+import urllib.request
+
+import orjson
+
+from goldcrestgrade import headers, settings
+from goldcrestgrade_testing import letters_desk, processes
+
+LIMIT_S = 30.0
+"""Longest wait for anything in these tests."""
+
+
+@contextlib.contextmanager
+def running_node(folder: pathlib.Path) -> typing.Iterator[tuple[subprocess.Popen[bytes], str]]:
+    calls, control, platform = processes.free_ports(3)
+    place = letters_desk.places(1)[0]._replace(calls_port=calls, control_port=control)
+    config: settings.NodeSettings = letters_desk.node_settings(place, platform)
+    path = folder / "node.json"
+    path.write_bytes(orjson.dumps(config))
+    command = [sys.executable, "-m", "goldcrestgrade_node", f"--settings={path}"]
+    process = subprocess.Popen([*command, "--log_level=warning"], stderr=subprocess.PIPE)
+    try:
+        yield process, f"http://{letters_desk.HOST}:{control}"
+    finally:
+        process.kill()
+        process.wait()
+
+
+def announce(url: str, in_flight: int) -> str | None:
+    """Announce an endpoint and return its state at the node, or none where it is not taken."""
+    document = {"service": "archive", "host": "127.0.0.1", "port": 1, "slots": 1}
+    body = orjson.dumps({**document, "connections": 1, "in_flight": in_flight})
+    request = urllib.request.Request(
+        f"{url}/v1/endpoint", body, {headers.CONTROL_KEY: letters_desk.SHARED_KEY}
+    )
+    try:
+        with urllib.request.urlopen(request, timeout=5.0) as response:
+            return response.headers[headers.ENDPOINT_STATE]
+    except OSError:
+        return None
+
+
+def announce_until(url: str, in_flight: int, state: str) -> None:
+    """Announce again and again until the endpoint is in `state`."""
+    limit = time.monotonic() + LIMIT_S
+    while announce(url, in_flight) != state:
+        assert time.monotonic() < limit
+        time.sleep(0.1)
+
+
+def messages(process: subprocess.Popen[bytes]) -> list[dict[str, typing.Any]]:
+    _, errors = process.communicate(timeout=LIMIT_S)
+    return [orjson.loads(line) for line in errors.splitlines()]
+
+
+def test_stop_waits_for_the_endpoint_and_cuts_nothing(tmp_path: pathlib.Path):
+    with running_node(tmp_path) as (process, url):
+        announce_until(url, 1, "ready")
+        process.send_signal(signal.SIGTERM)
+        announce_until(url, 1, "draining")
+        limit = time.monotonic() + LIMIT_S
+        while process.poll() is None and time.monotonic() < limit:
+            announce(url, 0)
+            time.sleep(0.1)
+        assert process.returncode == 0
+        assert not [m for m in messages(process) if m["message"] == "drain ended early"]
+
+
+def test_second_signal_forces_the_stop_and_logs_what_it_cut(tmp_path: pathlib.Path):
+    with running_node(tmp_path) as (process, url):
+        announce_until(url, 1, "ready")
+        process.send_signal(signal.SIGTERM)
+        announce_until(url, 1, "draining")
+        process.send_signal(signal.SIGTERM)
+        cut = [m for m in messages(process) if m["message"] == "drain ended early"]
+        assert [m["endpoint_calls"] for m in cut] == [1]
+        assert process.returncode == 0
+
+
+def test_operator_drain_ends_once_nothing_is_in_flight(tmp_path: pathlib.Path):
+    with running_node(tmp_path) as (process, url):
+        announce_until(url, 1, "ready")
+        request = urllib.request.Request(
+            f"{url}/v1/drain", b"", {headers.CONTROL_KEY: letters_desk.SHARED_KEY}
+        )
+        with urllib.request.urlopen(request, timeout=5.0) as response:
+            assert response.status == 202
+        assert announce(url, 1) == "draining"
+        limit = time.monotonic() + LIMIT_S
+        while announce(url, 0) == "draining":
+            assert time.monotonic() < limit
+            time.sleep(0.1)
+        assert process.poll() is None
--- a/packages/goldcrestgrade-testing/goldcrestgrade_testing/loopback.py
+++ b/packages/goldcrestgrade-testing/goldcrestgrade_testing/loopback.py
@@ -11,11 +11,7 @@
 import itertools
 import os
 import pathlib
-import signal
-import subprocess
-import sys
 import tempfile
-import typing
 
 import aiohttp
 import orjson
@@ -23,7 +19,13 @@
 from goldcrestgrade import headers, http_client, settings
 from goldcrestgrade_node.membership import exchange, messages, peers
 from goldcrestgrade_operator.sheets import acceptance
-from goldcrestgrade_testing import fleet, letters_desk, memory_platform, platform_server
+from goldcrestgrade_testing import (
+    fleet,
+    letters_desk,
+    memory_platform,
+    platform_server,
+    processes,
+)
 
 FIRST_PORT = 23100
 PLATFORM_PORT = 23099
@@ -31,22 +33,12 @@
 SETTLE_S = 40.0
 """Time after the start before the measurement, so that rounds are those of an idle fleet."""
 
-CLOCK_TICKS_PER_S = os.sysconf("SC_CLK_TCK")
 PAGE_BYTES = os.sysconf("SC_PAGE_SIZE")
 
 
-class Usage(typing.NamedTuple):
-    """What a process used so far."""
-
-    cpu_s: float
-    resident_bytes: int
-
-
-def usage(pid: int) -> Usage:
-    """Return the processor time and the memory of a process."""
-    fields = pathlib.Path(f"/proc/{pid}/stat").read_text("ascii").rpartition(")")[2].split()
-    ticks = int(fields[11]) + int(fields[12])
-    return Usage(ticks / CLOCK_TICKS_PER_S, int(fields[21]) * PAGE_BYTES)
+def resident_bytes(pid: int) -> int:
+    """Return the memory of a process."""
+    return int(pathlib.Path(f"/proc/{pid}/statm").read_text("ascii").split()[1]) * PAGE_BYTES
 
 
 def node_settings(place: fleet.Place, number: int) -> settings.NodeSettings:
@@ -148,19 +140,19 @@
             await acceptance.read_head(tables),
             "operator",
         )
-        processes = [start(config, folder) for config in configs]
-        stack.callback(stop, processes)
+        children = [processes.start_node(config, folder) for config in configs]
+        stack.callback(stop, children)
         await wait_joined(configs, session)
         print("header bytes of a request and its reply:", await header_bytes(configs[0]["control"]))
         await asyncio.sleep(SETTLE_S)
         changing = asyncio.create_task(change_sheets(tables, objects, sheet_every_s))
-        before = [usage(process.pid) for process in processes]
+        before = [processes.cpu_s(child) for child in children]
         writes, reads = tables.writes, tables.reads
         await asyncio.sleep(window_s)
         changing.cancel()
-        after = [usage(process.pid) for process in processes]
-        share = [(b.cpu_s - a.cpu_s) / window_s for a, b in zip(before, after, strict=True)]
-        report(share, [used.resident_bytes for used in after])
+        after = [processes.cpu_s(child) for child in children]
+        share = [(b - a) / window_s for a, b in zip(before, after, strict=True)]
+        report(share, [resident_bytes(child.pid) for child in children])
         store = (tables.writes - writes) / window_s, (tables.reads - reads) / window_s
         print(f"store writes and reads a second: {store[0]:.2f} {store[1]:.2f}")
     serving.cancel()
@@ -175,20 +167,12 @@
     print(f"{max(resident) / 1e6:.1f}")
 
 
-def start(config: settings.NodeSettings, folder: pathlib.Path) -> subprocess.Popen[bytes]:
-    """Start the process of a node."""
-    path = folder / f"{config['node_id']}.json"
-    path.write_bytes(orjson.dumps(config))
-    command = [sys.executable, "-m", "goldcrestgrade_node", f"--settings={path}"]
-    return subprocess.Popen([*command, "--log_level=warning"])
-
-
-def stop(processes: list[subprocess.Popen[bytes]]) -> None:
+def stop(children: list[processes.Process]) -> None:
     """Stop all processes and wait for their ends."""
-    for process in processes:
-        process.send_signal(signal.SIGTERM)
-    for process in processes:
-        process.wait()
+    for child in children:
+        child.terminate()
+    for child in children:
+        processes.stop(child)
 
 
 def main() -> None:
