Let operators hand a sheet to a node, and tell a pause by the monotonic clock

Cause: a table service that dies before any node polled the new head row holds the sheet back; and a step of the wall clock on all nodes at once would have looked like a pause of each. Change: PUT /v1/sheet adopts a higher version; pauses are measured on the monotonic clock.

--- a/packages/goldcrestgrade-node/goldcrestgrade_node/control/app.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/control/app.py
@@ -58,11 +58,17 @@
     return sum(hmac.compare_digest(candidate, key.encode()) for key in keys) > 0
 
 
-async def read_document(request: falcon.asgi.Request, adapter: pydantic.TypeAdapter[T]) -> T:
-    """Return the document in the body of `request`; raises `HTTPBadRequest` with all findings."""
-    body = await request.stream.read(asgi.MAX_BODY_BYTES + 1)
+async def read_body(request: falcon.asgi.Request) -> bytes:
+    """Return the body of `request`; raises `HTTPContentTooLarge`."""
+    body = bytes(await request.stream.read(asgi.MAX_BODY_BYTES + 1))
     if len(body) > asgi.MAX_BODY_BYTES:
         raise falcon.HTTPContentTooLarge(title="body too large")
+    return body
+
+
+async def read_document(request: falcon.asgi.Request, adapter: pydantic.TypeAdapter[T]) -> T:
+    """Return the document in the body of `request`; raises `HTTPBadRequest` with all findings."""
+    body = await read_body(request)
     try:
         return adapter.validate_json(body)
     except pydantic.ValidationError as error:
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/control/routes.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/control/routes.py
@@ -20,6 +20,10 @@
 )
 
 
+MAX_VERSION_DIGITS = 15
+"""Largest length of the number of a version."""
+
+
 class StatusDocument(typing_extensions.TypedDict):
     """What a node tells operators of itself and of the nodes that it knows."""
 
@@ -105,7 +109,7 @@
 
 
 def sheet_resource(sheets: adoption.Adoption) -> app.Resource:
-    """Return the resource by which peers fetch the sheet in force."""
+    """Return the resource by which peers fetch the sheet in force and operators hand one over."""
 
     async def get(request: falcon.asgi.Request, response: falcon.asgi.Response) -> None:
         if sheets.in_force is None:
@@ -117,7 +121,15 @@
         else:
             response.data = sheets.in_force.body
 
-    return app.Resource(get=get)
+    async def put(request: falcon.asgi.Request, response: falcon.asgi.Response) -> None:
+        version = request.get_header(headers.SHEET_VERSION) or ""
+        if not version.isdecimal() or len(version) > MAX_VERSION_DIGITS:
+            raise falcon.HTTPBadRequest(title="version missing or not a number")
+        if not sheets.offer(int(version), await app.read_body(request)):
+            raise falcon.HTTPConflict(title="not newer than the sheet in force, or invalid")
+        response.status = falcon.HTTP_204
+
+    return app.Resource(get=get, put=put)
 
 
 def ready_resource(sheets: adoption.Adoption, closing: typing.Callable[[], bool]) -> app.Resource:
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/membership/exchange.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/membership/exchange.py
@@ -121,7 +121,7 @@
         """Pushes left that tell of the version in force."""
         self.push_wanted = asyncio.Event()
         self.busy_until: instants.Instant = 0.0
-        self.last_tick = clocks.wall()
+        self.last_tick = clocks.monotonic()
         self.viewed = selection.view(own.record, [])
         self.viewed_generation = known.generation
         self.former: list[str] = []
@@ -276,8 +276,8 @@
 
     def check_pause(self) -> None:
         """Drop the entries of others if this process was paused, since they may be old."""
-        paused_s = self.clocks.wall() - self.last_tick
-        self.last_tick = self.clocks.wall()
+        paused_s = self.clocks.monotonic() - self.last_tick
+        self.last_tick = self.clocks.monotonic()
         if paused_s <= PAUSE_LIMIT_S:
             return
         log.warning("process was paused, entries are dropped", extra={"paused_s": paused_s})
