--- a/packages/goldcrestgrade-node/goldcrestgrade_node/routing/budgets.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/routing/budgets.py
@@ -8,10 +8,10 @@
 class ShareBudget:
     """Tokens that each call earns a share of; owned by the event loop of the node."""
 
-    def __init__(self, share: float, burst: float) -> None:
+    def __init__(self, share: float, burst: float, tokens: float) -> None:
         self.share = share
         self.burst = burst
-        self.tokens = burst
+        self.tokens = tokens
 
     def deposit(self) -> None:
         """Earn the share of one call."""
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/routing/views.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/routing/views.py
@@ -73,8 +73,8 @@
         self.latencies_seen = 0
         self.hedge_delay_s = math.inf
         self.call_bytes = CALL_BYTES
-        self.retry_budget = budgets.ShareBudget(RETRY_SHARE, BUDGET_BURST)
-        self.hedge_budget = budgets.ShareBudget(HEDGE_SHARE, BUDGET_BURST)
+        self.retry_budget = budgets.ShareBudget(RETRY_SHARE, BUDGET_BURST, BUDGET_BURST)
+        self.hedge_budget = budgets.ShareBudget(HEDGE_SHARE, BUDGET_BURST, 0.0)
 
     def candidates(self, region: str) -> Candidates:
         """Return the endpoints that are not ejected, split by `region`."""
--- /dev/null
+++ b/packages/goldcrestgrade-node/tests/entry/test_calls.py
@@ -0,0 +1,270 @@
+from __future__ import annotations
+
+import asyncio
+import collections
+import random
+
+from goldcrestgrade import instants, outcomes, reasons, records, sheet, telemetry
+from goldcrestgrade_node import requests
+from goldcrestgrade_node.attempts import results
+from goldcrestgrade_node.entry import calls
+from goldcrestgrade_node.routing import choice, quarantine, views
+from goldcrestgrade_testing import virtual_time
+
+OK = results.Answered(outcomes.Answer(200, (), b"whole"), None)
+FAILED = results.Answered(outcomes.Answer(500, (), b"failed"), None)
+DIED = results.Broken(reasons.Uncertainty.ANSWER_LOST)
+
+
+def make_calls(send, endpoints: int = 4, relay=None, seed: int = 1) -> calls.Calls:
+    known = views.Views(asyncio.get_running_loop().time)
+    known.update("archive", [make_record(index) for index in range(endpoints)])
+    return calls.Calls(
+        choice.Caller("khomas", "khomas-a"),
+        known,
+        send,
+        relay,
+        instants.loop_clocks(),
+        telemetry.Counts(),
+        random.Random(seed),
+    )
+
+
+def make_record(index: int) -> records.NodeRecord:
+    return records.NodeRecord(
+        node_id=f"node-{index}",
+        incarnation=1,
+        revision=1,
+        region="khomas",
+        failure_domain="khomas-a",
+        control_host="127.0.0.1",
+        control_port=1,
+        state=records.EndpointState.READY,
+        endpoint=records.EndpointDocument(
+            service="archive", host="127.0.0.1", port=index, slots=10, connections=220
+        ),
+        sheet_version=1,
+        expires_at=1000.0,
+    )
+
+
+def make_request(
+    target: str = "/x", run_once: bool = False, retries_allowed: bool = True
+) -> requests.Request:
+    kind = sheet.Kind("any", run_once=run_once, timeout_s=5.0)
+    deadline = asyncio.get_running_loop().time() + 5.0
+    return requests.Request(
+        "r1", "archive", kind, "GET", target, (), b"", None, deadline, retries_allowed
+    )
+
+
+def ready_to_hedge(path: calls.Calls) -> None:
+    view = path.known.of("archive")
+    view.hedge_delay_s = 0.02
+    view.hedge_budget.tokens = 1.0
+
+
+async def fast(_attempt) -> results.AttemptResult:
+    await asyncio.sleep(0.01)
+    return OK
+
+
+def test_slow_attempt_is_hedged_and_its_loser_counts_neither_way():
+    async def scenario():
+        cancelled = []
+
+        async def slow(attempt):
+            try:
+                await asyncio.sleep(1.0 if attempt.attempt_id == "r1-1" else 0.01)
+            except asyncio.CancelledError:
+                cancelled.append(attempt.port)
+                raise
+            return OK
+
+        path = make_calls(slow)
+        ready_to_hedge(path)
+        before = asyncio.get_running_loop().time()
+        assert await path.run(make_request()) == outcomes.Ran(OK.answer)
+        took_s = asyncio.get_running_loop().time() - before
+        await asyncio.sleep(0.1)
+        loser = path.known.of("archive").endpoints[f"node-{cancelled[0]}"]
+        return took_s, len(cancelled), loser, path
+
+    took_s, cancelled, loser, path = virtual_time.run(scenario())
+    assert took_s < 0.1
+    assert cancelled == 1
+    assert (loser.in_flight, loser.consecutive_failures) == (0, 0)
+    assert path.counts.retries == {reasons.Retry.HEDGED: 1}
+    assert not path.left
+
+
+def test_hedges_stay_within_their_share_of_calls():
+    async def scenario():
+        rng = random.Random(3)
+
+        async def slow(_attempt):
+            await asyncio.sleep(rng.uniform(0.01, 0.2))
+            return OK
+
+        path = make_calls(slow)
+        for index in range(200):
+            await path.run(make_request(f"/{index}"))
+        return path.counts.retries[reasons.Retry.HEDGED]
+
+    assert 1 <= virtual_time.run(scenario()) <= 0.05 * 200
+
+
+def test_run_once_request_is_never_hedged():
+    async def scenario():
+        started = []
+
+        async def relay(_request, endpoint):
+            started.append(endpoint.node_id)
+            await asyncio.sleep(1.0)
+            return outcomes.Ran(OK.answer)
+
+        path = make_calls(fast, relay=relay)
+        ready_to_hedge(path)
+        await path.run(make_request(run_once=True))
+        return len(started)
+
+    assert virtual_time.run(scenario()) == 1
+
+
+def test_retries_stay_within_their_share_of_calls():
+    async def scenario():
+        attempts = []
+
+        async def failing(attempt):
+            attempts.append(attempt.attempt_id)
+            return FAILED
+
+        path = make_calls(failing)
+        for index in range(300):
+            outcome = await path.run(make_request(f"/{index}"))
+            assert outcome == outcomes.Ran(FAILED.answer)
+        return len(attempts)
+
+    assert 300 < virtual_time.run(scenario()) <= 1.1 * 300
+
+
+def test_request_that_may_have_run_is_not_reported_as_not_run():
+    async def scenario():
+        ends = iter([DIED, results.Shed(None), results.Shed(None)])
+
+        async def send(_attempt):
+            return next(ends)
+
+        return await make_calls(send).run(make_request())
+
+    assert virtual_time.run(scenario()) == outcomes.Unknown(reasons.Uncertainty.ANSWER_LOST)
+
+
+def test_refusal_of_a_full_service_is_immediate():
+    async def scenario():
+        path = make_calls(fast)
+        for endpoint in path.known.of("archive").endpoints.values():
+            endpoint.in_flight = 1000
+        before = asyncio.get_running_loop().time()
+        outcome = await path.run(make_request())
+        return outcome, asyncio.get_running_loop().time() - before
+
+    outcome, took_s = virtual_time.run(scenario())
+    assert outcome.reason == reasons.Refusal.SATURATED
+    assert outcome.retry_at is not None
+    assert took_s < 0.05
+
+
+def crashes_of(send_copies, run_once: bool = False) -> tuple[set[str], list[outcomes.Outcome]]:
+    async def scenario():
+        crashed: set[str] = set()
+
+        async def send(attempt):
+            await asyncio.sleep(0.01)
+            crashed.add(str(attempt.port))
+            return DIED
+
+        async def relay(_request, endpoint):
+            await asyncio.sleep(0.01)
+            crashed.add(endpoint.node_id)
+            return outcomes.Unknown(reasons.Uncertainty.ENDPOINT_DIED)
+
+        path = make_calls(send, endpoints=6, relay=relay)
+        ended = await send_copies(path, lambda: make_request("/poison", run_once=run_once))
+        return crashed, ended
+
+    return virtual_time.run(scenario())
+
+
+async def one_after_another(path, request):
+    return [await path.run(request()) for _ in range(8)]
+
+
+async def at_once(path, request):
+    return await asyncio.gather(*(path.run(request()) for _ in range(50)))
+
+
+def test_request_sent_again_and_again_crashes_two_endpoints_at_most():
+    crashed, ended = crashes_of(one_after_another)
+    assert len(crashed) == quarantine.MAX_CRASHES
+    assert ended[-1].reason == reasons.Refusal.QUARANTINED
+    assert ended[-1].retry_at is not None
+
+
+def test_request_sent_many_times_at_once_crashes_two_endpoints_at_most():
+    crashed, _ = crashes_of(at_once)
+    assert len(crashed) == quarantine.MAX_CRASHES
+
+
+def test_run_once_request_crashes_two_endpoints_at_most():
+    for send_copies in (one_after_another, at_once):
+        crashed, _ = crashes_of(send_copies, run_once=True)
+        assert len(crashed) <= quarantine.MAX_CRASHES
+
+
+def test_popular_request_spreads_once_it_was_answered():
+    async def scenario():
+        used: collections.Counter[int] = collections.Counter()
+
+        async def send(attempt):
+            used[attempt.port] += 1
+            await asyncio.sleep(0.01)
+            return OK
+
+        path = make_calls(send, endpoints=6)
+        await path.run(make_request())
+        await asyncio.gather(*(path.run(make_request()) for _ in range(40)))
+        return used
+
+    assert len(virtual_time.run(scenario())) == 6
+
+
+def test_chain_of_seven_layers_multiplies_the_load_of_its_last_by_less_than_a_fifth():
+    """Each layer calls the next through its node; the last layer fails a tenth of its calls."""
+    layers, total = 7, 1000
+
+    async def scenario():
+        rng = random.Random(5)
+        executions: collections.Counter[int] = collections.Counter()
+        paths: list[calls.Calls] = []
+
+        def layer(depth: int):
+            async def send(_attempt):
+                executions[depth] += 1
+                if depth < layers - 1:
+                    target = f"/{executions[depth]}"
+                    inner = await paths[depth + 1].run(make_request(target, retries_allowed=False))
+                    return OK if inner == outcomes.Ran(OK.answer) else FAILED
+                await asyncio.sleep(rng.lognormvariate(-4.0, 0.5))
+                return FAILED if rng.random() < 0.1 else OK
+
+            return send
+
+        paths.extend(make_calls(layer(depth), seed=depth) for depth in range(layers))
+        for index in range(total):
+            await paths[0].run(make_request(f"/{index}"))
+        return executions
+
+    executions = virtual_time.run(scenario())
+    assert executions[layers - 1] > total
+    assert max(executions.values()) <= 1.2 * total
--- /dev/null
+++ b/packages/goldcrestgrade-testing/tests/test_targets.py
@@ -0,0 +1,48 @@
+from __future__ import annotations
+
+import functools
+
+import pytest
+
+from goldcrestgrade_testing.bench import __main__ as bench
+from goldcrestgrade_testing.bench import figures, scenarios
+
+BY_NAME = {scenario.name: scenario for scenario in scenarios.SCENARIOS}
+
+FAULTS = [scenario.name for scenario in scenarios.SCENARIOS if scenario.faulty]
+
+
+@functools.cache
+def measure(scenario: scenarios.Scenario) -> figures.Figures:
+    return bench.execute(bench.Job(scenarios.DEPLOYMENTS[0], scenario, "ours", 1))
+
+
+@pytest.mark.parametrize("name", FAULTS)
+def test_tail_latency_under_a_fault_is_at_most_one_and_a_half_times_that_without(name):
+    faulty, twin = measure(BY_NAME[name]), measure(BY_NAME[name].twin())
+    assert faulty["p99_ms"] <= 1.5 * twin["p99_ms"]
+    assert faulty["answered_share"] >= 0.99
+
+
+@pytest.mark.parametrize("name", ["straggler", "fast-fail", "overload", "silent"])
+def test_retries_and_hedges_stay_within_their_shares(name):
+    seen = measure(BY_NAME[name])
+    assert seen["retries_per_call"] <= 0.10
+    assert seen["hedges_per_call"] <= 0.05
+
+
+def test_endpoint_that_fails_fast_gets_little_of_the_load():
+    assert measure(BY_NAME["fast-fail"])["first_upstream_share"] <= 0.02
+
+
+def test_overload_keeps_goodput_and_refuses_at_once():
+    seen = measure(BY_NAME["overload"])
+    assert seen["goodput_share"] >= 0.9
+    assert seen["refusals"]
+    assert seen["worst_refusal_ms"] <= 50.0
+
+
+def test_nothing_is_measured_while_nobody_asks():
+    seen = bench.execute(bench.Job(scenarios.DEPLOYMENTS[1], BY_NAME["idle-night"], "ours", 1))
+    assert seen["probes_per_endpoint_minute"] <= 1.0
+    assert seen["cross_region_bytes_per_s"] <= 300
