--- a/Makefile
+++ b/Makefile
@@ -29,9 +29,16 @@
 	$(BIN)/ruff check --fix packages
 
 demo: install ## Run the Letters Desk on loopback for half a minute
-	$(BIN)/python -m goldcrestgrade_testing.demo
+	$(BIN)/python -m goldcrestgrade_testing.demo --seed=$(SEED)
 
 bench: install ## Compare routing policies in virtual time: SCENARIO=all SEED=1
 	$(BIN)/python -m goldcrestgrade_testing.bench --scenario=$(SCENARIO) --seed=$(SEED)
 
 .PHONY: help install test lint format demo bench
+reference: install ## Write the generated tables of the documentation
+	$(BIN)/python -m goldcrestgrade_testing.reference
+
+latency: install ## Measure the latency that a node adds to a call, on real sockets
+	$(BIN)/python -m goldcrestgrade_testing.latency --seed=$(SEED) --json=latency.json
+
+.PHONY: help install test lint format demo reference latency
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/commands/run.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/commands/run.py
@@ -13,9 +13,9 @@
 import aiohttp
 
 from goldcrestgrade import http_client, instants, outcomes, records, settings, sheet, telemetry
-from goldcrestgrade.platform import http_objects, http_tables
-from goldcrestgrade_node import requests, servers
-from goldcrestgrade_node.attempts import results, transport
+from goldcrestgrade.platform import http_objects, http_tables, resilient_tables
+from goldcrestgrade_node import asgi, requests, servers
+from goldcrestgrade_node.attempts import forwarding, results, shares, transport
 from goldcrestgrade_node.configuration import adoption
 from goldcrestgrade_node.control import app as control_app
 from goldcrestgrade_node.control import routes
@@ -23,17 +23,11 @@
 from goldcrestgrade_node.entry import app as entry_app
 from goldcrestgrade_node.entry import calls
 from goldcrestgrade_node.membership import exchange, members
-from goldcrestgrade_node.once import claims, guard, relay
+from goldcrestgrade_node.once import claims, guard, relay, relay_client, sweeper, write_behind
 from goldcrestgrade_node.routing import choice, views
 
 log = logging.getLogger(__name__)
 
-ENDPOINT_CONNECTIONS = 200
-"""Connections to endpoints that a node holds at most."""
-
-ENDPOINT_KEEPALIVE_S = 15.0
-"""Time after which an unused connection to an endpoint is closed."""
-
 CONTROL_CONNECTIONS = 64
 """Connections to peers and to the platform that a node holds at most."""
 
@@ -43,6 +37,9 @@
 DRAIN_SPREAD_S = 2.0
 """Time in which all nodes hear that an endpoint drains."""
 
+FLUSH_TIMEOUT_S = 3.0
+"""Longest time that a planned stop waits for outcomes to be written."""
+
 TICK_S = 0.1
 """Time between looks at the lease and the drain of the endpoint."""
 
@@ -56,7 +53,6 @@
     def __init__(
         self,
         config: settings.NodeSettings,
-        call_session: aiohttp.ClientSession,
         control_session: aiohttp.ClientSession,
     ) -> None:
         self.config = config
@@ -102,21 +98,27 @@
             self.touched,
             self.rng,
         )
-        self.committer = claims.Committer(store, self.clocks)
-        self.transport = transport.HttpTransport(call_session, self.clocks)
+        claim_store = resilient_tables.ResilientTables(store, self.clocks, self.rng)
+        self.committer = claims.Committer(claim_store, self.clocks)
+        self.writer = write_behind.WriteBehind(claim_store, self.clocks)
+        self.sweeper = sweeper.Sweeper(claim_store, self.clocks, self.rng)
+        port = relay.HttpPort(control_session, config["keys"][0], self.clocks)
+        self.transport = transport.HttpTransport(self.clocks, self.counts, config["keys"][0])
         self.guard = guard.Guard(
-            config["node_id"],
-            incarnation,
+            guard.Identity(config["node_id"], incarnation, records.control_url(self.own.record)),
             self.committer,
+            self.writer,
+            port,
             self.start,
             self.lifecycle.accepting,
+            self.endpoint_died,
             self.clocks,
         )
         self.calls = calls.Calls(
             choice.Caller(config["region"], config["failure_domain"]),
             self.views,
             self.transport.send,
-            relay.RelayClient(control_session, config["keys"][0], self.clocks).run,
+            relay_client.RelayClient(port, self.clocks).run,
             self.clocks,
             self.counts,
             self.rng,
@@ -131,11 +133,14 @@
     def touched(self, services: set[str]) -> None:
         """Bring the evidence of `services` in line with the records."""
         for service in services:
-            self.views.update(service, self.members.ready(service))
-        neighbours = (
-            r for r in self.members.by_id.values() if r["region"] == self.config["region"]
-        )
-        self.views.share_link(sum(1 for _ in neighbours))
+            ready = self.members.ready(service)
+            self.views.update(service, ready)
+            self.transport.set_shares(
+                service, shares.limits(self.config["node_id"], ready, len(self.members.by_id))
+            )
+        if services:
+            own = self.config["region"]
+            self.views.share_link(sum(r["region"] == own for r in self.members.by_id.values()))
 
     def sheet_adopted(self, _adopted: sheet.Sheet) -> None:
         """Tell peers of the version in force."""
@@ -152,11 +157,16 @@
             )
         )
 
+    def endpoint_died(self, request: requests.Request) -> None:
+        """Count a run-once request whose attempt ended with the endpoint's death."""
+        self.counts.events["endpoint_died"] += 1
+        log.warning("endpoint died", extra={"request_id": request.request_id})
+
     async def observed_run(self, request: requests.Request) -> outcomes.Outcome:
         """Run a request of a caller and record its latency."""
         started = self.clocks.monotonic()
         outcome = await self.calls.run(request)
-        self.registry.latency.record(self.clocks.monotonic() - started)
+        self.counts.record_latency(self.clocks.monotonic() - started)
         return outcome
 
     def routes(self) -> dict[str, control_app.Resource]:
@@ -176,9 +186,17 @@
     def control(self) -> typing.Any:
         """Return the application of the control address."""
         keys = self.config["keys"]
-        return control_app.with_relay(
-            control_app.create(keys, self.routes()), relay.RelayApp(self.guard, self.clocks), keys
-        )
+        relays: dict[str, asgi.App] = {
+            relay.PATH: relay.RelayApp(self.guard, self.clocks),
+            transport.FORWARD_PATH: forwarding.ForwardApp(
+                self.transport.send,
+                lambda: self.lifecycle.endpoint,
+                self.count_in_flight,
+                self.clocks,
+                self.counts.events,
+            ),
+        }
+        return control_app.with_relays(control_app.create(keys, self.routes()), relays, keys)
 
     def entry(self) -> entry_app.EntryApp:
         """Return the application of the calls address."""
@@ -188,8 +206,13 @@
             self.count_refusal,
             self.stopping.is_set,
             self.clocks,
+            self.counts.events,
         )
 
+    def count_in_flight(self, change: int) -> None:
+        """Count relayed attempts that begin or end."""
+        self.counts.in_flight += change
+
     def count_refusal(self, reason: str) -> None:
         """Count a request refused before it became a call."""
         self.counts.calls["not_run"] += 1
@@ -218,6 +241,7 @@
                 "drain cut calls",
                 extra={"calls": self.counts.in_flight, "endpoint": self.lifecycle.in_flight},
             )
+        await self._until(self.writer.idle, self.clocks.monotonic() + FLUSH_TIMEOUT_S)
         self.lifecycle.finish(timed_out)
         await self.exchange.farewell()
 
@@ -237,13 +261,11 @@
 
 async def _run(config: settings.NodeSettings) -> None:
     async with contextlib.AsyncExitStack() as stack:
-        call_session = await stack.enter_async_context(
-            http_client.open_session(ENDPOINT_CONNECTIONS, ENDPOINT_KEEPALIVE_S)
-        )
         control_session = await stack.enter_async_context(
             http_client.open_session(CONTROL_CONNECTIONS, CONTROL_KEEPALIVE_S)
         )
-        node = Node(config, call_session, control_session)
+        node = Node(config, control_session)
+        stack.push_async_callback(node.transport.close)
         _handle_signals(node)
         gc.collect()
         gc.freeze()
@@ -262,6 +284,9 @@
             group.create_task(task)
             for task in (
                 node.committer.run(),
+                node.writer.run(),
+                node.guard.evict_forever(),
+                node.sweeper.sweep_forever(),
                 node.exchange.exchange_forever(),
                 node.exchange.lease_forever(),
                 node.sheets.poll_forever(),
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/entry/calls.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/entry/calls.py
@@ -198,6 +198,7 @@
             host=endpoint.host,
             port=endpoint.port,
             caller_region=self.caller.region,
+            control_url=endpoint.control_url,
         )
         task = asyncio.ensure_future(self.send(attempt))
         task.add_done_callback(functools.partial(self._attempt_ended, call, endpoint, started))
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/routing/evidence.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/routing/evidence.py
@@ -49,6 +49,7 @@
     control_url: str
     slots: int
     incarnation: int = 0
+    """Incarnation of the endpoint's node."""
     in_flight: int = 0
     """Attempts of this node that have not ended."""
     latency_s: float = 0.0
--- /dev/null
+++ b/packages/goldcrestgrade-operator/goldcrestgrade_operator/commands/drain.py
@@ -0,0 +1,73 @@
+"""Drains the endpoint beside one node."""
+
+from __future__ import annotations
+
+import asyncio
+import typing
+
+from goldcrestgrade import exceptions, records
+from goldcrestgrade_operator import nodes, options, output
+
+POLL_INTERVAL_S = 0.2
+"""Time between looks at the node that drains."""
+
+SPREAD_S = 5.0
+"""Time after which no node sends new work and the endpoint has announced its load anew."""
+
+LEAVING = frozenset({records.EndpointState.DRAINING, records.EndpointState.LEFT})
+"""States in which an endpoint takes no new work."""
+
+
+class DrainDocument(typing.TypedDict):
+    """Output of the command as JSON."""
+
+    node_id: str
+    state: str
+    idle: bool | None
+    """Whether the endpoint may be stopped; none without `--wait`."""
+
+
+def run(arguments: typing.Sequence[str], given: options.Options) -> int:
+    """Begin a drain and, with `--wait`, wait until the endpoint is idle; raises `UserError`."""
+    document = asyncio.run(_drain(arguments[0], given))
+    advice = "the endpoint may be stopped" if document["idle"] else "calls in flight go on"
+    row = (document["node_id"], document["state"], advice)
+    output.show(document, output.Table("", ("node", "state", "note"), [row]), given.as_json)
+    return 0
+
+
+async def _drain(node_id: str, given: options.Options) -> DrainDocument:
+    async with nodes.connect(given) as client:
+        record = _find(await client.status(given.node_url), node_id)
+        if record is None:
+            raise exceptions.UserError(f"{given.node_url}: knows no node {node_id!r}")
+        if record["state"] not in LEAVING:
+            await client.drain(records.control_url(record))
+        if not given.wait:
+            return DrainDocument(node_id=node_id, state=records.EndpointState.DRAINING, idle=None)
+        state = await _until_idle(client, record, given)
+        return DrainDocument(node_id=node_id, state=state, idle=True)
+
+
+async def _until_idle(
+    client: nodes.NodeClient, record: records.NodeRecord, given: options.Options
+) -> records.EndpointState:
+    loop = asyncio.get_running_loop()
+    spread_at = loop.time() + SPREAD_S
+    deadline = loop.time() + given.wait_timeout_s
+    while True:
+        progress = await client.drain_progress(records.control_url(record))
+        if progress["state"] == records.EndpointState.LEFT:
+            return progress["state"]
+        if progress["in_flight"] == 0 and loop.time() >= spread_at:
+            return progress["state"]
+        if loop.time() >= deadline:
+            raise exceptions.WaitTimeout(
+                f"{record['node_id']} is {progress['state']} with {progress['in_flight']} requests "
+                f"in flight after {given.wait_timeout_s:g} s"
+            )
+        await asyncio.sleep(POLL_INTERVAL_S)
+
+
+def _find(status: nodes.StatusDocument, node_id: str) -> records.NodeRecord | None:
+    return next((r for r in status["members"] if r["node_id"] == node_id), None)
--- a/packages/goldcrestgrade-testing/goldcrestgrade_testing/bench/network.py
+++ b/packages/goldcrestgrade-testing/goldcrestgrade_testing/bench/network.py
@@ -15,6 +15,9 @@
 CONNECT_S = 0.001
 """Time to open a connection."""
 
+CONNECT_TIMEOUT_S = 0.25
+"""Time after which a connection that nobody accepts is given up."""
+
 REQUEST_BYTES = 600
 """Bytes of a request with its headers."""
 
@@ -57,7 +60,7 @@
         """Carry one attempt there and its answer back."""
         self.attempts += 1
         if self.endpoint.unreachable:
-            await asyncio.sleep(transport.CONNECT_TIMEOUT_S)
+            await asyncio.sleep(CONNECT_TIMEOUT_S)
             return results.Unreached("connection timed out")
         connection = self.idle.pop() if self.idle else await self._connect()
         self.busy.add(connection)
