Hand a run-once call for the own guard over in the process

Cause: an entry sent messages for the guard in its own process over a socket. Change: LocalPort calls the guard; once_latency measures run-once calls on loopback sockets.

--- a/packages/goldcrestgrade-node/goldcrestgrade_node/commands/run.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/commands/run.py
@@ -135,7 +135,7 @@
             choice.Caller(config["region"], config["failure_domain"]),
             self.views,
             self.transport.send,
-            relay_client.RelayClient(port, self.clocks).run,
+            relay_client.RelayClient(relay.LocalPort(self.guard, port), self.clocks).run,
             self.clocks,
             self.counts,
             self.rng,
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/once/relay.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/once/relay.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import typing
 
 import aiohttp
@@ -110,6 +111,26 @@
             raise messages.Lost(repr(error)) from error
 
 
+class LocalPort:
+    """Hands messages for the own guard over in this process, and sends all others."""
+
+    def __init__(self, own: guard.Guard, remote: messages.Port) -> None:
+        self.own = own
+        self.remote = remote
+
+    async def exchange(
+        self, control_url: str, message: messages.Message, deadline: instants.Instant
+    ) -> messages.Reply:
+        """Return the reply by `deadline`; raises `Unreached` or `Lost`."""
+        if control_url != self.own.identity.control_url:
+            return await self.remote.exchange(control_url, message, deadline)
+        try:
+            async with asyncio.timeout_at(deadline):
+                return await self.own.receive(message)
+        except TimeoutError as error:
+            raise messages.Lost("timeout") from error
+
+
 class RelayApp:
     """ASGI application of a guard that takes messages."""
 
--- a/packages/goldcrestgrade-testing/goldcrestgrade_testing/deployments.py
+++ b/packages/goldcrestgrade-testing/goldcrestgrade_testing/deployments.py
@@ -58,6 +58,8 @@
 
     instances: list[Instance]
     session: aiohttp.ClientSession
+    platform_url: str = ""
+    """Base URL of the platform."""
 
 
 @contextlib.asynccontextmanager
@@ -85,7 +87,8 @@
             await processes.wait_ready(
                 instance.control_url, letters_desk.SHARED_KEY, count, session
             )
-        yield Deployment(instances, session)
+        platform_url = f"http://{letters_desk.HOST}:{platform_port}"
+        yield Deployment(instances, session, platform_url)
 
 
 async def _serve_platform(port: int) -> asyncio.Task[None]:
--- a/packages/goldcrestgrade-testing/goldcrestgrade_testing/latency/__main__.py
+++ b/packages/goldcrestgrade-testing/goldcrestgrade_testing/latency/__main__.py
@@ -11,7 +11,6 @@
 import typing
 
 import orjson
-from hdrh import histogram
 
 from goldcrestgrade_testing import deployments, endpoint_server, processes
 from goldcrestgrade_testing.latency import callers
@@ -141,7 +140,7 @@
 def _merged(encoded: typing.Iterable[str]) -> typing.Any:
     merged = callers.new_histogram()
     for one in encoded:
-        merged.add(histogram.HdrHistogram.decode(one))
+        merged.add(callers.decode(one))
     return merged
 
 
--- a/packages/goldcrestgrade-testing/goldcrestgrade_testing/latency/callers.py
+++ b/packages/goldcrestgrade-testing/goldcrestgrade_testing/latency/callers.py
@@ -9,6 +9,7 @@
 import sys
 import time
 import typing
+import uuid
 
 import aiohttp
 import orjson
@@ -33,6 +34,8 @@
     warm_up_s: float
     load_s: float
     seed: int
+    run_once: typing_extensions.NotRequired[bool]
+    """Whether each call is a POST with an idempotency key of its own."""
 
 
 class Result(typing_extensions.TypedDict):
@@ -56,6 +59,11 @@
     return histogram.HdrHistogram(1, LONGEST_US, 3)
 
 
+def decode(encoded: str) -> typing.Any:
+    """Return the histogram in `encoded`."""
+    return histogram.HdrHistogram.decode(encoded)
+
+
 class Callers:
     """The calls of one process; owned by one task."""
 
@@ -107,7 +115,11 @@
 
     async def _answered(self, url: str) -> bool:
         fields = {headers.SERVICE: self.plan["service"]}
-        async with self.session.get(url, headers=fields) as response:
+        method = "GET"
+        if self.plan.get("run_once"):
+            method = "POST"
+            fields[headers.IDEMPOTENCY_KEY] = uuid.UUID(int=self.rng.getrandbits(128)).hex
+        async with self.session.request(method, url, headers=fields) as response:
             return response.status == 200 and bool(await response.read())
 
 
--- /dev/null
+++ b/packages/goldcrestgrade-testing/goldcrestgrade_testing/once_latency.py
@@ -0,0 +1,137 @@
+"""Measures the latency that a run-once call adds to a direct one, on loopback sockets."""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import itertools
+import os
+import sys
+import time
+import typing
+
+import orjson
+
+from goldcrestgrade.platform import http_tables, tables
+from goldcrestgrade_testing import deployments, endpoint_server, processes
+from goldcrestgrade_testing.latency import callers
+
+RATES = (20.0, 50.0, 200.0)
+"""Calls a second through the node."""
+
+ENDPOINTS = 2
+"""Endpoints that share the calls."""
+
+LOAD_S = 15.0
+"""Time for which calls are recorded at each rate."""
+
+WARM_UP_S = 2.0
+"""Time at each rate before anything is recorded."""
+
+STORE_INTERVAL_S = 0.02
+"""Time between two transactions that measure the round trip to the store."""
+
+TARGET_ADDED_MS = 5.0
+"""Latency that a run-once call may add beside one store round trip, for 99 in 100."""
+
+
+class Row(typing.NamedTuple):
+    """What was measured at one rate, in milliseconds."""
+
+    rate: float
+    direct_p50: float
+    direct_p99: float
+    through_p50: float
+    through_p99: float
+    store_p50: float
+    store_p99: float
+    beyond_store_p99: float
+    """Added latency at p99 less the store's round trip at p99."""
+    entry_cpu: float
+    """Processor time of the entry node, which is a guard too, for each call."""
+    failures: int
+    machine_load: float
+
+
+async def measure(rates: typing.Iterable[float], seed: int) -> list[Row]:
+    """Return a row for each rate."""
+    behaviour = endpoint_server.Behaviour(service_time_s=0.0, jitter_share=0.0, slots=1000)
+    async with deployments.running(ENDPOINTS, behaviour) as deployment:
+        return [await _measure_rate(deployment, rate, seed) for rate in rates]
+
+
+async def _measure_rate(deployment: deployments.Deployment, rate: float, seed: int) -> Row:
+    plan = callers.Plan(
+        direct_urls=[f"{i.endpoint_url}/letters/1" for i in deployment.instances],
+        node_url=f"{deployment.instances[0].calls_url}/letters/1",
+        service=deployments.SERVICE,
+        rate=rate,
+        warm_up_s=WARM_UP_S,
+        load_s=LOAD_S,
+        seed=seed * 1000 + int(rate),
+        run_once=True,
+    )
+    store_us = callers.new_histogram()
+    entry = deployment.instances[0].node
+    cpu_before_s = processes.cpu_s(entry)
+    measuring = asyncio.create_task(_measure_store(deployment, store_us))
+    result = await _run_callers(plan)
+    measuring.cancel()
+    direct = callers.decode(result["direct"])
+    through = callers.decode(result["through"])
+    added_p99 = _ms(through, 99) - _ms(direct, 99)
+    return Row(
+        rate=rate,
+        direct_p50=_ms(direct, 50),
+        direct_p99=_ms(direct, 99),
+        through_p50=_ms(through, 50),
+        through_p99=_ms(through, 99),
+        store_p50=_ms(store_us, 50),
+        store_p99=_ms(store_us, 99),
+        beyond_store_p99=added_p99 - _ms(store_us, 99),
+        entry_cpu=(processes.cpu_s(entry) - cpu_before_s) * 1000 / result["calls"],
+        failures=result["failures"],
+        machine_load=os.getloadavg()[0],
+    )
+
+
+async def _measure_store(deployment: deployments.Deployment, store_us: typing.Any) -> None:
+    store = http_tables.HttpTables(deployment.session, deployment.platform_url)
+    for number in itertools.count():
+        write = tables.Write("measurements", f"row-{number % 100}", {"number": number})
+        started = time.perf_counter()
+        await store.transact(tables.Transaction((), (write,)))
+        store_us.record_value(int((time.perf_counter() - started) * 1e6))
+        await asyncio.sleep(STORE_INTERVAL_S)
+
+
+async def _run_callers(plan: callers.Plan) -> callers.Result:
+    process = await asyncio.create_subprocess_exec(
+        sys.executable,
+        "-m",
+        "goldcrestgrade_testing.latency.callers",
+        orjson.dumps(plan).decode(),
+        stdout=asyncio.subprocess.PIPE,
+    )
+    output, _ = await process.communicate()
+    return callers.RESULT.validate_json(output)
+
+
+def _ms(latencies: typing.Any, percentile: float) -> float:
+    return float(latencies.get_value_at_percentile(percentile)) / 1000
+
+
+def main() -> None:
+    """Print a Markdown table for the seed on the command line."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--seed", type=int, default=1)
+    rows = asyncio.run(measure(RATES, parser.parse_args().seed))
+    lines = [" | ".join(Row._fields), " | ".join("---" for _ in Row._fields)]
+    lines += [" | ".join(f"{value:.4g}" for value in row) for row in rows]
+    print("\n".join(f"| {line} |" for line in lines))
+    reached = all(row.beyond_store_p99 <= TARGET_ADDED_MS for row in rows)
+    print(f"\n{'within' if reached else 'over'} one store round trip + {TARGET_ADDED_MS} ms")
+
+
+if __name__ == "__main__":
+    main()
