Wait for other claims only from 130 claims a second

Cause: at 100 calls/s on one guard most claims waited for others, though their number of transactions is no matter there. Change: claims wait for others from 13 within 0.1 s on, then for 6.5 ms.

--- a/packages/goldcrestgrade-node/goldcrestgrade_node/once/claims.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/once/claims.py
@@ -28,10 +28,10 @@
 MAX_IN_FLIGHT = 8
 """Largest number of transactions of claims in flight at once."""
 
-GROUP_DELAY_S = 0.006
+GROUP_DELAY_S = 0.0065
 """Time that a claim waits for others under load."""
 
-LOAD_CLAIMS = 10
+LOAD_CLAIMS = 13
 """Number of claims within `LOAD_WINDOW_S` from which claims wait for others."""
 
 LOAD_WINDOW_S = 0.1
