--- a/Makefile
+++ b/Makefile
@@ -31,12 +31,16 @@
 demo: install ## Run the Letters Desk on loopback for half a minute
 	$(BIN)/python -m goldcrestgrade_testing.demo --seed=$(SEED)
 
+capacity: install ## Measure what membership and the sheet cost, and fit it over the size of the fleet
+	$(BIN)/python -m goldcrestgrade_testing.capacity --seed=$(SEED)
+	$(BIN)/python -m goldcrestgrade_testing.loopback --nodes=16
 soak: install ## Play generated run-once schedules from SEED
 	$(BIN)/python -m goldcrestgrade_testing.soak --seed=$(SEED)
 
 reference: install ## Write the generated tables of the documentation
 	$(BIN)/python -m goldcrestgrade_testing.reference
 
+.PHONY: help install test lint format demo latency capacity reference
 latency: install ## Measure the latency that a node adds to a call, on real sockets
 	$(BIN)/python -m goldcrestgrade_testing.latency --seed=$(SEED) --json=latency.json
 
--- a/packages/goldcrestgrade-testing/goldcrestgrade_testing/virtual_time.py
+++ b/packages/goldcrestgrade-testing/goldcrestgrade_testing/virtual_time.py
@@ -9,8 +9,8 @@
 
 T = typing.TypeVar("T")
 
-IDLE_CYCLES = 1
-"""Cycles of the event loop without work before its time goes on."""
+NOOP_CYCLES = 1
+"""Empty turns of the event loop before its time moves on."""
 
 
 def run(main: typing.Coroutine[typing.Any, typing.Any, T]) -> T:
@@ -22,5 +22,5 @@
 def new_loop() -> asyncio.AbstractEventLoop:
     """Return an event loop in virtual time."""
     return typing.cast(
-        asyncio.AbstractEventLoop, looptime.new_event_loop(start=0.0, noop_cycles=IDLE_CYCLES)
+        asyncio.AbstractEventLoop, looptime.new_event_loop(start=0.0, noop_cycles=NOOP_CYCLES)
     )
