--- /dev/null
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/routing/feedback.py
@@ -0,0 +1,121 @@
+"""What the end of an attempt says of its endpoint."""
+
+from __future__ import annotations
+
+import typing
+
+from goldcrestgrade import instants, outcomes, reasons
+from goldcrestgrade_node.attempts import results, retries
+from goldcrestgrade_node.routing import choice, ejection, evidence, views
+
+OVERHEAD_BYTES = 600
+"""Bytes that the headers of a call and its answer are taken to have."""
+
+
+class Started(typing.NamedTuple):
+    """When an attempt began and what was paid for it."""
+
+    at: instants.Instant
+    link_bytes: float
+    """Bytes paid in advance for crossing to another region."""
+
+
+def start(
+    view: views.ServiceView,
+    endpoint: evidence.Evidence,
+    caller: choice.Caller,
+    now: instants.Instant,
+) -> Started:
+    """Count an attempt that begins."""
+    endpoint.in_flight += 1
+    link_bytes = view.call_bytes if endpoint.region != caller.region else 0.0
+    view.link.spend(link_bytes)
+    return Started(now, link_bytes)
+
+
+def finish(
+    view: views.ServiceView,
+    endpoint: evidence.Evidence,
+    started: Started,
+    result: results.AttemptResult,
+    now: instants.Instant,
+) -> None:
+    """Take in how an attempt ended."""
+    endpoint.in_flight -= 1
+    reported = retries.load(result)
+    if reported is not None:
+        evidence.note_load(endpoint, reported, now)
+    match result:
+        case results.Answered(answer=answer):
+            _note_bytes(view, started, len(answer.body) + OVERHEAD_BYTES)
+            if retries.failed(result):
+                _note_failure(view, endpoint, started, now)
+            else:
+                _note_latency(view, endpoint, started, now)
+                ejection.note_success(endpoint, now)
+        case results.Shed():
+            endpoint.shed_until = now + evidence.SHED_HOLD_S
+        case results.Unreached():
+            _note_failure(view, endpoint, started, now)
+            ejection.note_unreached(view, endpoint, now)
+        case results.Broken():
+            _note_failure(view, endpoint, started, now)
+
+
+def finish_relayed(
+    view: views.ServiceView,
+    endpoint: evidence.Evidence,
+    started: Started,
+    outcome: outcomes.Outcome,
+    now: instants.Instant,
+) -> None:
+    """Take in how the guard of an endpoint ended a request; its refusals say nothing of it."""
+    endpoint.in_flight -= 1
+    match outcome:
+        case outcomes.Ran():
+            ejection.note_success(endpoint, now)
+        case outcomes.NotRun(reason=reasons.Refusal.GUARD_UNREACHED):
+            _note_failure(view, endpoint, started, now)
+            ejection.note_unreached(view, endpoint, now)
+        case outcomes.Unknown():
+            _note_failure(view, endpoint, started, now)
+
+
+def cancel(
+    view: views.ServiceView,
+    endpoint: evidence.Evidence,
+    started: Started,
+    now: instants.Instant,
+) -> None:
+    """Take in an attempt that was given up; it only shows that its endpoint takes longer."""
+    endpoint.in_flight -= 1
+    sample_s = now - started.at
+    if sample_s > evidence.expected_latency_s(endpoint, view.typical_latency_s(now), now):
+        _note_latency(view, endpoint, started, now)
+
+
+def _note_latency(
+    view: views.ServiceView,
+    endpoint: evidence.Evidence,
+    started: Started,
+    now: instants.Instant,
+) -> None:
+    sample_s = now - started.at
+    evidence.note_latency(endpoint, sample_s, view.typical_latency_s(now), now)
+    ejection.note_latency(view, endpoint, sample_s, now)
+
+
+def _note_failure(
+    view: views.ServiceView,
+    endpoint: evidence.Evidence,
+    started: Started,
+    now: instants.Instant,
+) -> None:
+    evidence.note_failure(endpoint, now - started.at, view.typical_latency_s(now), now)
+    ejection.note_failure(view, endpoint, now)
+
+
+def _note_bytes(view: views.ServiceView, started: Started, size: int) -> None:
+    view.note_bytes(size)
+    if started.link_bytes:
+        view.link.spend(size - started.link_bytes)
--- a/packages/goldcrestgrade-operator/goldcrestgrade_operator/explanations.py
+++ b/packages/goldcrestgrade-operator/goldcrestgrade_operator/explanations.py
@@ -206,6 +206,42 @@
         "An idle connection was closed, since another to the same endpoint was silent.",
         "As for `silent_connection`.",
     ),
+    reasons.Event.EXCHANGE_LOCAL: Explanation(
+        "A message of membership went to a peer of the own region.",
+        "None; about one a second while something changes, fewer when idle.",
+    ),
+    reasons.Event.EXCHANGE_CROSSING: Explanation(
+        "A message of membership went to another region.",
+        "None; all nodes of a region together send a few a second.",
+    ),
+    reasons.Event.EXCHANGE_FAILED: Explanation(
+        "A peer did not answer a message of membership.",
+        "Look at the peers that the log names, and at the network between.",
+    ),
+    reasons.Event.RECONCILED: Explanation(
+        "Two nodes held different records and settled them.",
+        "None if it is rare; else look for nodes that come and go.",
+    ),
+    reasons.Event.NODE_SUSPECTED: Explanation(
+        "A node was not reached from here, and no observer reached it either.",
+        "Look at that node; its endpoint is dropped in three seconds unless it answers.",
+    ),
+    reasons.Event.SUSPICION_NOT_CONFIRMED: Explanation(
+        "A node was not reached from here, but an observer reached it or could not tell.",
+        "Look at the network between this node and that one.",
+    ),
+    reasons.Event.SUSPICION_REFUTED: Explanation(
+        "Other nodes suspected this node, and it told them that it is alive.",
+        "Look for pauses of this process and for a loaded processor.",
+    ),
+    reasons.Event.NODE_ID_REPLACED: Explanation(
+        "Another process with the same node id started later.",
+        "Give each node an id of its own, or stop the older process.",
+    ),
+    reasons.Event.PAUSED: Explanation(
+        "This process stood still so long that it dropped what it knew of other nodes.",
+        "Look for a stopped or overloaded instance.",
+    ),
 }
 """Explanation of each event that is neither refusal, unknown outcome nor retry."""
 
