Tell all nodes of crashes that are held against a request

Cause: each node counted the deaths of endpoints by itself, so that a caller who tried again through other nodes could crash two endpoints for each. And the loss of several endpoints at once quarantined whatever every caller sends, such as a front page, for ten minutes. Change: each crash is a notice of its own in the exchange of membership, so that counts of several nodes add up; a death within a second of an answer to the same request is not held against it. Ruled out: exchanging whole suspects, since of two records with one crash each the newer one would have hidden the other. Within the time that a notice takes, other nodes may add crashes.

--- a/packages/goldcrestgrade-node/goldcrestgrade_node/commands/run.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/commands/run.py
@@ -14,7 +14,7 @@
 
 from goldcrestgrade import http_client, instants, outcomes, records, settings, sheet, telemetry
 from goldcrestgrade.platform import http_objects, http_tables, resilient_tables
-from goldcrestgrade_node import asgi, requests, servers
+from goldcrestgrade_node import asgi, crash_notices, requests, servers
 from goldcrestgrade_node.attempts import forwarding, results, shares, transport
 from goldcrestgrade_node.configuration import adoption
 from goldcrestgrade_node.control import app as control_app
@@ -137,6 +137,7 @@
             self.counts,
             self.rng,
         )
+        crash_notices.connect(self.calls.quarantine, self.exchange, self.clocks)
         self.revise()
 
     def revise(self) -> None:
--- /dev/null
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/crash_notices.py
@@ -0,0 +1,61 @@
+"""Crashes held against requests, spread to all nodes as notices."""
+
+from __future__ import annotations
+
+import logging
+
+import pydantic
+import typing_extensions
+
+from goldcrestgrade import instants
+from goldcrestgrade_node.membership import exchange, messages
+from goldcrestgrade_node.routing import quarantine
+
+log = logging.getLogger(__name__)
+
+KIND = "crash"
+"""Kind of the notices that tell of crashes."""
+
+
+class CrashDocument(typing_extensions.TypedDict):
+    """Text of a notice, as JSON."""
+
+    request: str
+    endpoint: str
+
+
+CRASH: pydantic.TypeAdapter[CrashDocument] = pydantic.TypeAdapter(CrashDocument)
+
+
+def connect(
+    known: quarantine.Quarantine, spread: exchange.Exchange, clocks: instants.Clocks
+) -> None:
+    """Have crashes that `known` takes in told to other nodes, and theirs taken in."""
+
+    def received(notice: messages.Notice) -> None:
+        try:
+            document = CRASH.validate_json(notice["text"])
+        except pydantic.ValidationError as error:
+            log.warning("notice ignored", extra={"kind": KIND, "error": str(error)})
+            return
+        deadline = clocks.from_wall(notice["until"])
+        crash = quarantine.Crash(document["request"], document["endpoint"], deadline)
+        known.take(crash, clocks.monotonic())
+
+    def crashed(crash: quarantine.Crash) -> None:
+        spread.take_notices([to_notice(crash, clocks)])
+
+    spread.notices.on(KIND, received)
+    known.crashed = crashed
+
+
+def to_notice(crash: quarantine.Crash, clocks: instants.Clocks) -> messages.Notice:
+    """Return the notice that tells of `crash`; each crash has a key of its own."""
+    document = CrashDocument(request=crash.request, endpoint=crash.endpoint)
+    return messages.Notice(
+        kind=KIND,
+        key=f"{crash.request}/{crash.endpoint}",
+        order=0,
+        text=CRASH.dump_json(document).decode(),
+        until=clocks.to_wall(crash.deadline),
+    )
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/routing/quarantine.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/routing/quarantine.py
@@ -10,7 +10,6 @@
 import dataclasses
 import typing
 
-import typing_extensions
 import xxhash
 
 from goldcrestgrade import instants, outcomes, reasons
@@ -33,6 +32,12 @@
 MAX_ANSWERED = 4096
 """Requests remembered as answered."""
 
+ANSWERED_S = 1.0
+"""Time after its answer for which the death of another endpoint isn't held against a request.
+
+Without it, the loss of a rack would quarantine the requests that every caller sends.
+"""
+
 CRASH_REASONS = frozenset(
     {
         reasons.Uncertainty.ANSWER_LOST,
@@ -43,13 +48,18 @@
 """Ends of an attempt that the death of its endpoint can have caused."""
 
 
-class SuspectRecord(typing_extensions.TypedDict):
-    """What nodes tell each other of a request that may have crashed endpoints."""
+class Crash(typing.NamedTuple):
+    """The death of an endpoint while it ran a request."""
 
     request: str
-    crashed: list[str]
-    """Names of the endpoint incarnations that died while they ran it."""
-    expires_at: instants.WallInstant
+    endpoint: str
+    """Name of the endpoint's incarnation, with the number of its death."""
+    deadline: instants.Instant
+    """Until when it is held against the request."""
+
+
+Crashed = typing.Callable[[Crash], None]
+"""Tells other nodes of a crash that this node saw."""
 
 
 @dataclasses.dataclass(slots=True)
@@ -92,10 +102,11 @@
 class Quarantine:
     """The suspects that a node knows; owned by its event loop."""
 
-    def __init__(self) -> None:
+    def __init__(self, crashed: Crashed | None = None) -> None:
+        self.crashed = crashed
         self.suspects: dict[str, Suspect] = {}
-        self.answered: dict[str, None] = {}
-        """Requests answered of late, in the order of their answers."""
+        self.answered: dict[str, instants.Instant] = {}
+        """When each request was answered of late, in that order."""
         self.running: dict[str, collections.Counter[str]] = {}
         """Attempts in flight by node, of requests that have not been answered."""
 
@@ -125,11 +136,11 @@
         if not holders:
             del self.running[request]
 
-    def clear(self, request: str) -> None:
+    def clear(self, request: str, now: instants.Instant) -> None:
         """Clear a request that an endpoint has answered."""
         self.suspects.pop(request, None)
         self.answered.pop(request, None)
-        self.answered[request] = None
+        self.answered[request] = now
         if len(self.answered) > MAX_ANSWERED:
             del self.answered[next(iter(self.answered))]
 
@@ -141,40 +152,30 @@
         now: instants.Instant,
     ) -> None:
         """Hold the death of `endpoint` against a request that it ran since `started_at`."""
+        if now - self.answered.get(request, -instants.NEVER) < ANSWERED_S:
+            return
         self.answered.pop(request, None)
         suspect = self._suspect(request, now)
         crashed = {} if suspect is None else suspect.crashed
         lives = [at for name, at in crashed.items() if name.startswith(f"{_name(endpoint)}#")]
-        if all(at < started_at for at in lives):
-            crashed[f"{_name(endpoint)}#{len(lives)}"] = now
-        self._keep(request, crashed, now)
-
-    def export(self, clocks: instants.Clocks) -> list[SuspectRecord]:
-        """Return what other nodes should know."""
-        now = clocks.monotonic()
-        return [
-            SuspectRecord(
-                request=request,
-                crashed=sorted(suspect.crashed),
-                expires_at=clocks.to_wall(suspect.deadline),
-            )
-            for request, suspect in self.suspects.items()
-            if suspect.deadline > now
-        ]
-
-    def merge(self, received: typing.Iterable[SuspectRecord], clocks: instants.Clocks) -> None:
-        """Take in what another node knows."""
-        now = clocks.monotonic()
-        for record in received:
-            deadline = min(clocks.from_wall(record["expires_at"]), now + QUARANTINE_S)
-            if deadline <= now:
-                continue
-            suspect = self._suspect(record["request"], now)
-            crashed = {} if suspect is None else suspect.crashed
-            if crashed.keys() >= set(record["crashed"]):
-                continue
-            self._keep(record["request"], dict.fromkeys(record["crashed"], now) | crashed, now)
-            self.suspects[record["request"]].deadline = deadline
+        if any(at >= started_at for at in lives):
+            return
+        crash = Crash(request, f"{_name(endpoint)}#{len(lives)}", now + SUSPECT_S)
+        self.take(crash, now)
+        if self.crashed is not None:
+            self.crashed(crash)
+
+    def take(self, crash: Crash, now: instants.Instant) -> None:
+        """Hold a crash, seen here or by another node, against its request."""
+        suspect = self._suspect(crash.request, now)
+        crashed = {} if suspect is None else suspect.crashed
+        if crash.endpoint in crashed:
+            return
+        crashed[crash.endpoint] = now
+        hold_s = QUARANTINE_S if len(crashed) >= MAX_CRASHES else SUSPECT_S
+        self.suspects[crash.request] = Suspect(crashed, now + hold_s)
+        if len(self.suspects) > MAX_SUSPECTS:
+            del self.suspects[next(iter(self.suspects))]
 
     def _suspect(self, request: str, now: instants.Instant) -> Suspect | None:
         suspect = self.suspects.get(request)
@@ -183,14 +184,6 @@
             return None
         return suspect
 
-    def _keep(
-        self, request: str, crashed: dict[str, instants.Instant], now: instants.Instant
-    ) -> None:
-        hold_s = QUARANTINE_S if len(crashed) >= MAX_CRASHES else SUSPECT_S
-        self.suspects[request] = Suspect(crashed, now + hold_s)
-        if len(self.suspects) > MAX_SUSPECTS:
-            del self.suspects[next(iter(self.suspects))]
-
 
 def name_of(request: requests.Request) -> str:
     """Return the name that a request has in each of its tries."""
@@ -210,7 +203,7 @@
     """Take in how an attempt, or a relayed request, ended."""
     match result:
         case results.Answered() | outcomes.Ran():
-            quarantine.clear(request)
+            quarantine.clear(request, now)
         case results.Broken(reason=reason) | outcomes.Unknown(reason=reason):
             if reason in CRASH_REASONS:
                 quarantine.accuse(request, endpoint, started_at, now)
