--- a/packages/goldcrestgrade-testing/goldcrestgrade_testing/latency/__main__.py
+++ b/packages/goldcrestgrade-testing/goldcrestgrade_testing/latency/__main__.py
@@ -103,7 +103,7 @@
     )
     cpu_before_s = processes.cpu_s(instances[0].node)
     results = await asyncio.gather(
-        *(_run_callers({**plan, "seed": seed * 100 + n}) for n in range(CALLER_PROCESSES))
+        *(callers.run_in_process({**plan, "seed": seed * 100 + n}) for n in range(CALLER_PROCESSES))
     )
     cpu_s = processes.cpu_s(instances[0].node) - cpu_before_s
     direct = _merged(result["direct"] for result in results)
@@ -125,18 +125,6 @@
     )
 
 
-async def _run_callers(plan: callers.Plan) -> callers.Result:
-    process = await asyncio.create_subprocess_exec(
-        sys.executable,
-        "-m",
-        "goldcrestgrade_testing.latency.callers",
-        orjson.dumps(plan).decode(),
-        stdout=asyncio.subprocess.PIPE,
-    )
-    output, _ = await process.communicate()
-    return callers.RESULT.validate_json(output)
-
-
 def _merged(encoded: typing.Iterable[str]) -> typing.Any:
     merged = callers.new_histogram()
     for one in encoded:
--- a/packages/goldcrestgrade-testing/goldcrestgrade_testing/latency/callers.py
+++ b/packages/goldcrestgrade-testing/goldcrestgrade_testing/latency/callers.py
@@ -6,6 +6,7 @@
 import gc
 import itertools
 import random
+import subprocess
 import sys
 import time
 import typing
@@ -123,6 +124,15 @@
             return response.status == 200 and bool(await response.read())
 
 
+async def run_in_process(plan: Plan) -> Result:
+    """Carry out `plan` in a process of its own and return what it saw."""
+    process = await asyncio.create_subprocess_exec(
+        sys.executable, "-m", __spec__.name, orjson.dumps(plan).decode(), stdout=subprocess.PIPE
+    )
+    output, _ = await process.communicate()
+    return RESULT.validate_json(output)
+
+
 async def _main(plan: Plan) -> None:
     async with http_client.open_session(1000, 30.0) as session:
         gc.freeze()
--- a/packages/goldcrestgrade-testing/goldcrestgrade_testing/once_latency.py
+++ b/packages/goldcrestgrade-testing/goldcrestgrade_testing/once_latency.py
@@ -6,12 +6,9 @@
 import asyncio
 import itertools
 import os
-import sys
 import time
 import typing
 
-import orjson
-
 from goldcrestgrade.platform import http_tables, tables
 from goldcrestgrade_testing import deployments, endpoint_server, processes
 from goldcrestgrade_testing.latency import callers
@@ -75,7 +72,7 @@
     entry = deployment.instances[0].node
     cpu_before_s = processes.cpu_s(entry)
     measuring = asyncio.create_task(_measure_store(deployment, store_us))
-    result = await _run_callers(plan)
+    result = await callers.run_in_process(plan)
     measuring.cancel()
     direct = callers.decode(result["direct"])
     through = callers.decode(result["through"])
@@ -105,18 +102,6 @@
         await asyncio.sleep(STORE_INTERVAL_S)
 
 
-async def _run_callers(plan: callers.Plan) -> callers.Result:
-    process = await asyncio.create_subprocess_exec(
-        sys.executable,
-        "-m",
-        "goldcrestgrade_testing.latency.callers",
-        orjson.dumps(plan).decode(),
-        stdout=asyncio.subprocess.PIPE,
-    )
-    output, _ = await process.communicate()
-    return callers.RESULT.validate_json(output)
-
-
 def _ms(latencies: typing.Any, percentile: float) -> float:
     return float(latencies.get_value_at_percentile(percentile)) / 1000
 
