Receive a large answer of a run-once request whole before it is given out

Cause: a large answer came with a rest that can be read once; the guard gave the same rest to each resend and wrote the first part to the row, so a resend could get part of an answer. Change: the guard receives the rest, up to 4 MiB, before the outcome is known; a cut or larger answer is unknown. Messages over the wire are tested on a loopback socket. Measured: pytest packages/goldcrestgrade-node/tests/once: test_large_answer_is_whole_for_each_resend and test_answer_above_the_limit_is_unknown failed before, since the outcome held the rest itself; test_message_and_verdict_survive_the_wire failed on an added content-length; 24 passed after.

--- a/packages/goldcrestgrade-node/goldcrestgrade_node/once/guard.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/once/guard.py
@@ -12,7 +12,15 @@
 from goldcrestgrade.platform import tables
 from goldcrestgrade_node import requests
 from goldcrestgrade_node.attempts import results
-from goldcrestgrade_node.once import asking, bars, claims, keys, messages, write_behind
+from goldcrestgrade_node.once import (
+    asking,
+    bars,
+    claims,
+    keys,
+    messages,
+    whole_answers,
+    write_behind,
+)
 
 log = logging.getLogger(__name__)
 
@@ -299,8 +307,7 @@
         result = await self.start(execution.request, attempt_id)
         match result:
             case results.Answered(answer=answer):
-                execution.step("answered")
-                return outcomes.Ran(answer)
+                return await self._received(execution, answer)
             case results.Shed() | results.Unreached():
                 execution.step("refused")
                 return self._refusal(reasons.Refusal.ENDPOINT_REFUSED)
@@ -310,6 +317,19 @@
                     self.endpoint_died(execution.request)
                 return outcomes.Unknown(reason)
 
+    async def _received(
+        self, execution: Execution, answer: outcomes.Answer
+    ) -> outcomes.Ran | outcomes.Unknown:
+        try:
+            whole = await whole_answers.receive(answer)
+        except (outcomes.AnswerCut, whole_answers.TooLarge) as error:
+            execution.step("lost")
+            cut = isinstance(error, outcomes.AnswerCut)
+            reason = reasons.Uncertainty
+            return outcomes.Unknown(reason.ANSWER_CUT if cut else reason.ANSWER_TOO_LARGE)
+        execution.step("answered")
+        return outcomes.Ran(whole)
+
     def _may_start(self, execution: Execution) -> bool:
         wall = self.clocks.wall()
         return (
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/once/relay.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/once/relay.py
@@ -31,6 +31,9 @@
 }
 
 
+_ADDED_ON_THE_WAY = headers.INTERNAL | headers.HOP_BY_HOP | {headers.REQUEST_ID, "content-length"}
+
+
 class RunDocument(typing_extensions.TypedDict):
     """A `Run` on the wire; the body of the request is that of the HTTP request."""
 
@@ -262,8 +265,7 @@
             kept = tuple(
                 (name.lower(), value)
                 for name, value in response.headers.items()
-                if name.lower() not in headers.INTERNAL
-                and name.lower() not in (headers.REQUEST_ID, "date", "server")
+                if name.lower() not in _ADDED_ON_THE_WAY
             )
             return outcomes.Ran(outcomes.Answer(response.status, kept, body))
         case "not_run":
--- /dev/null
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/once/whole_answers.py
@@ -0,0 +1,29 @@
+"""Receipt of large answers in full, since several callers may be given them."""
+
+from __future__ import annotations
+
+from goldcrestgrade import outcomes
+
+MAX_ANSWER_BYTES = 4 << 20
+"""Largest body of an answer to a run-once request."""
+
+
+class TooLarge(Exception):
+    """An answer above `MAX_ANSWER_BYTES`."""
+
+
+async def receive(answer: outcomes.Answer) -> outcomes.Answer:
+    """Return `answer` without a rest; raises `AnswerCut` or `TooLarge`."""
+    if answer.rest is None:
+        return answer
+    parts = [answer.body]
+    size = len(answer.body)
+    try:
+        while part := await answer.rest.read():
+            size += len(part)
+            if size > MAX_ANSWER_BYTES:
+                raise TooLarge
+            parts.append(part)
+    finally:
+        answer.rest.close()
+    return answer._replace(body=b"".join(parts), rest=None)
--- a/packages/goldcrestgrade-node/tests/once/test_guard.py
+++ b/packages/goldcrestgrade-node/tests/once/test_guard.py
@@ -246,3 +246,38 @@
     ended, writes = virtual_time.run(scenario())
     assert set(ended) == {outcomes.Ran(ANSWER)}
     assert writes <= 2
+
+
+class Rest:
+    """The rest of an answer; each part can be read once."""
+
+    length = None
+
+    def __init__(self, parts: list[bytes]) -> None:
+        self.parts = parts
+
+    async def read(self) -> bytes:
+        return self.parts.pop(0) if self.parts else b""
+
+    def close(self) -> None:
+        self.parts.clear()
+
+
+def test_large_answer_is_whole_for_each_resend():
+    async def scenario():
+        answer = outcomes.Answer(200, (), b"first ", Rest([b"second ", b"third"]))
+        own = Setup(result=results.Answered(answer, load=None)).guard("a")
+        return await asyncio.gather(*(own.run(run(f"{n}", request())) for n in range(2)))
+
+    whole = outcomes.Ran(outcomes.Answer(200, (), b"first second third"))
+    assert virtual_time.run(scenario()) == [whole, whole]
+
+
+def test_answer_above_the_limit_is_unknown():
+    async def scenario():
+        parts = [b"x" * (1 << 20)] * 5
+        answer = outcomes.Answer(200, (), b"first", Rest(parts))
+        own = Setup(result=results.Answered(answer, load=None)).guard("a")
+        return await own.run(run("1", request()))
+
+    assert isinstance(virtual_time.run(scenario()), outcomes.Unknown)
