--- a/packages/goldcrestgrade-node/goldcrestgrade_node/entry/calls.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/entry/calls.py
@@ -199,6 +199,7 @@
             port=endpoint.port,
             caller_region=self.caller.region,
             control_url=endpoint.control_url,
+            on_new_connection=len(call.tried) > 1,
         )
         task = asyncio.ensure_future(self.send(attempt))
         task.add_done_callback(functools.partial(self._attempt_ended, call, endpoint, started))
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/once/relay.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/once/relay.py
@@ -31,9 +31,6 @@
 }
 
 
-_ADDED_ON_THE_WAY = headers.INTERNAL | headers.HOP_BY_HOP | {headers.REQUEST_ID, "content-length"}
-
-
 class RunDocument(typing_extensions.TypedDict):
     """A `Run` on the wire; the body of the request is that of the HTTP request."""
 
@@ -262,11 +259,8 @@
     reason = response.headers.get(headers.REASON, "")
     match tag:
         case "ran":
-            kept = tuple(
-                (name.lower(), value)
-                for name, value in response.headers.items()
-                if name.lower() not in _ADDED_ON_THE_WAY
-            )
+            received = headers.from_bytes(response.raw_headers)
+            kept = headers.end_to_end(received)
             return outcomes.Ran(outcomes.Answer(response.status, kept, body))
         case "not_run":
             retry_after_s = response.headers.get("retry-after")
