Split the rows and executions of claims from guard and committer

Change: rows.py holds the documents of the table, executions.py the life of a key and what its row says; no behaviour changes. Measured: pytest packages/goldcrestgrade-node/tests/once: all passed; make lint clean.

--- a/packages/goldcrestgrade-node/goldcrestgrade_node/commands/run.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/commands/run.py
@@ -23,7 +23,15 @@
 from goldcrestgrade_node.entry import app as entry_app
 from goldcrestgrade_node.entry import calls
 from goldcrestgrade_node.membership import discovery, exchange, members, peers, selection
-from goldcrestgrade_node.once import claims, guard, relay, relay_client, sweeper, write_behind
+from goldcrestgrade_node.once import (
+    claims,
+    executions,
+    guard,
+    relay,
+    relay_client,
+    sweeper,
+    write_behind,
+)
 from goldcrestgrade_node.routing import choice, views
 
 log = logging.getLogger(__name__)
@@ -119,7 +127,9 @@
         port = relay.HttpPort(control_session, config["keys"][0], self.clocks)
         self.transport = transport.HttpTransport(self.clocks, self.counts, config["keys"][0])
         self.guard = guard.Guard(
-            guard.Identity(config["node_id"], incarnation, records.control_url(self.own.record)),
+            executions.Identity(
+                config["node_id"], incarnation, records.control_url(self.own.record)
+            ),
             self.committer,
             self.writer,
             port,
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/once/claims.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/once/claims.py
@@ -7,20 +7,14 @@
 from __future__ import annotations
 
 import asyncio
-import base64
 import collections
 import dataclasses
-import enum
 import itertools
 import typing
 
-import typing_extensions
-
-from goldcrestgrade import instants, outcomes
+from goldcrestgrade import instants
 from goldcrestgrade.platform import tables
-
-TABLE = "claims"
-"""Table that holds one row for each key that is claimed or done."""
+from goldcrestgrade_node.once import rows
 
 MAX_GROUP = tables.MAX_TRANSACTION_WRITES
 """Largest number of claims in one transaction."""
@@ -38,47 +32,11 @@
 """Time over which claims are counted to tell load."""
 
 
-class AnswerDocument(typing_extensions.TypedDict):
-    """An answer kept for replay; `body` is Base64."""
-
-    status: int
-    headers: list[list[str]]
-    body: str
-
-
-class ClaimState(enum.StrEnum):
-    """What a claim row says of its request."""
-
-    CLAIMED = "claimed"
-    """The guard may start it, or has started it."""
-    RELEASED = "released"
-    """It did not start and will not."""
-    DONE = "done"
-    """It ran; the answer is kept, unless it was too large."""
-    UNKNOWN = "unknown"
-    """It may have run; its answer is lost."""
-
-
-class ClaimDocument(typing_extensions.TypedDict):
-    """Value of a claim row."""
-
-    token: str
-    guard_id: str
-    guard_incarnation: int
-    control_url: str
-    """Control address of the guard."""
-    digest: str
-    expires_at: instants.WallInstant | None
-    """Deadline after which the key is refused; none for a key that is kept for good."""
-    state: ClaimState
-    answer: AnswerDocument | None
-
-
 class Claim(typing.NamedTuple):
     """A claim that a guard asks for."""
 
     row_key: str
-    document: ClaimDocument
+    document: rows.ClaimDocument
     expected_version: int
     """Version of the row that the claim takes over; `ABSENT` for a new row."""
     deadline: instants.Instant
@@ -180,7 +138,7 @@
                     _reply(pending, Held(version))
                     pending = []
                 case tables.Conflicted(failures=failures):
-                    pending = await self._without_failed(pending, failures)
+                    pending = self._without_failed(pending, failures)
                 case tables.Rejected(retry_at=retry_at):
                     _reply(pending, Unclaimed(store_down=True, retry_at=retry_at))
                     pending = []
@@ -190,19 +148,19 @@
         if later:
             await self._commit(later)
 
-    async def _without_failed(
+    def _without_failed(
         self, group: list[Waiting], failures: typing.Sequence[tables.Failure]
     ) -> list[Waiting]:
-        rows = {failure.condition.key: failure.row for failure in failures}
+        found = {failure.condition.key: failure.row for failure in failures}
         for waiting in group:
-            if waiting.claim.row_key in rows:
-                _reply([waiting], _result_of(waiting.claim, rows[waiting.claim.row_key]))
-        return [waiting for waiting in group if waiting.claim.row_key not in rows]
+            if waiting.claim.row_key in found:
+                _reply([waiting], _result_of(waiting.claim, found[waiting.claim.row_key]))
+        return [waiting for waiting in group if waiting.claim.row_key not in found]
 
     async def _read_back(self, group: list[Waiting]) -> None:
         for waiting in itertools.filterfalse(lambda w: w.reply.done(), group):
             try:
-                row = await self.store.read(TABLE, waiting.claim.row_key)
+                row = await self.store.read(rows.TABLE, waiting.claim.row_key)
             except tables.ReadError:
                 _reply([waiting], Unclaimed(store_down=True))
                 continue
@@ -223,10 +181,10 @@
     """Return the transaction that commits `group`."""
     return tables.Transaction(
         conditions=tuple(
-            tables.Condition(TABLE, claim.row_key, claim.expected_version) for claim in group
+            tables.Condition(rows.TABLE, claim.row_key, claim.expected_version) for claim in group
         ),
         writes=tuple(
-            tables.Write(TABLE, claim.row_key, typing.cast(tables.Value, claim.document))
+            tables.Write(rows.TABLE, claim.row_key, typing.cast(tables.Value, claim.document))
             for claim in group
         ),
     )
@@ -235,21 +193,3 @@
 def _reply(group: typing.Iterable[Waiting], result: ClaimResult) -> None:
     for waiting in itertools.filterfalse(lambda w: w.reply.done(), group):
         waiting.reply.set_result(result)
-
-
-def keep_answer(answer: outcomes.Answer) -> AnswerDocument:
-    """Return the document that keeps `answer`."""
-    return AnswerDocument(
-        status=answer.status,
-        headers=[list(pair) for pair in answer.headers],
-        body=base64.b64encode(answer.body).decode(),
-    )
-
-
-def kept_answer(document: AnswerDocument) -> outcomes.Answer:
-    """Return the answer that `document` keeps."""
-    return outcomes.Answer(
-        document["status"],
-        tuple((name, value) for name, value in document["headers"]),
-        base64.b64decode(document["body"]),
-    )
--- /dev/null
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/once/executions.py
@@ -0,0 +1,89 @@
+"""Executions: the life of each key at its guard, and what the claim row says of it."""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+import typing
+
+from goldcrestgrade import instants, outcomes, statecharts
+from goldcrestgrade.platform import tables
+from goldcrestgrade_node import requests
+from goldcrestgrade_node.once import rows
+
+MAX_STORED_ANSWER_BYTES = 64 << 10
+"""Largest body of an answer that is written to the table service."""
+
+CHART = statecharts.load("goldcrestgrade_node.statecharts", "claim")
+
+
+class Identity(typing.NamedTuple):
+    """How a guard names itself in its claims."""
+
+    node_id: str
+    incarnation: int
+    control_url: str
+
+
+@dataclasses.dataclass(slots=True)
+class Execution:
+    """The life of one key at its guard."""
+
+    row_key: str
+    token: str
+    digest: str
+    request: requests.Request
+    starts_before: instants.WallInstant
+    """Deadline for the start on the wall clock, which runs on while an instance is suspended."""
+    key_deadline: instants.WallInstant | None
+    outcome: asyncio.Future[outcomes.Outcome]
+    attempts: dict[str, instants.Instant] = dataclasses.field(default_factory=dict)
+    """Deadlines of the attempts that wait for the outcome, by attempt id."""
+    state: str = CHART.initial
+    version: int = tables.ABSENT
+    """Commit version of the claim row, once the claim is held."""
+    written: bool = False
+    """Whether the row says the outcome."""
+
+    def step(self, event: str) -> None:
+        """Move to the state after `event`."""
+        self.state = CHART.next_state(self.state, event)
+
+    def size(self) -> int:
+        """Return the bytes of the answer that is kept."""
+        outcome = self.outcome.result() if self.outcome.done() else None
+        return len(outcome.answer.body) if isinstance(outcome, outcomes.Ran) else 0
+
+
+def document(
+    identity: Identity,
+    execution: Execution,
+    state: rows.ClaimState,
+    answer: rows.AnswerDocument | None = None,
+) -> rows.ClaimDocument:
+    """Return what the claim row says of `execution`."""
+    return rows.ClaimDocument(
+        token=execution.token,
+        guard_id=identity.node_id,
+        guard_incarnation=identity.incarnation,
+        control_url=identity.control_url,
+        digest=execution.digest,
+        expires_at=execution.key_deadline,
+        state=state,
+        answer=answer,
+    )
+
+
+def outcome_document(
+    identity: Identity, execution: Execution, outcome: outcomes.Outcome
+) -> rows.ClaimDocument:
+    """Return what the claim row says once `execution` has ended."""
+    match outcome:
+        case outcomes.Ran(answer=answer):
+            small = len(answer.body) <= MAX_STORED_ANSWER_BYTES
+            kept = rows.keep_answer(answer) if small else None
+            return document(identity, execution, rows.ClaimState.DONE, kept)
+        case outcomes.NotRun():
+            return document(identity, execution, rows.ClaimState.RELEASED)
+        case outcomes.Unknown():
+            return document(identity, execution, rows.ClaimState.UNKNOWN)
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/once/guard.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/once/guard.py
@@ -3,12 +3,11 @@
 from __future__ import annotations
 
 import asyncio
-import dataclasses
 import logging
 import typing
 import uuid
 
-from goldcrestgrade import instants, outcomes, reasons, statecharts
+from goldcrestgrade import instants, outcomes, reasons
 from goldcrestgrade.platform import tables
 from goldcrestgrade_node import requests
 from goldcrestgrade_node.attempts import results
@@ -16,8 +15,10 @@
     asking,
     bars,
     claims,
+    executions,
     keys,
     messages,
+    rows,
     whole_answers,
     write_behind,
 )
@@ -36,62 +37,19 @@
 MAX_KEPT_BYTES = 16 << 20
 """Bytes of answers that a guard keeps; beyond, new requests are refused."""
 
-MAX_STORED_ANSWER_BYTES = 64 << 10
-"""Largest body of an answer that is written to the table service."""
-
 EVICT_INTERVAL_S = 1.0
 """Time between looks for executions and bars past their deadlines."""
 
-CHART = statecharts.load("goldcrestgrade_node.statecharts", "claim")
-
 Start = typing.Callable[[requests.Request, str], typing.Awaitable[results.AttemptResult]]
 """Sends a request to the own endpoint; takes the attempt id."""
 
 
-class Identity(typing.NamedTuple):
-    """How a guard names itself in its claims."""
-
-    node_id: str
-    incarnation: int
-    control_url: str
-
-
-@dataclasses.dataclass(slots=True)
-class Execution:
-    """The life of one key at its guard."""
-
-    row_key: str
-    token: str
-    digest: str
-    request: requests.Request
-    starts_before: instants.WallInstant
-    """Deadline for the start on the wall clock, which runs on while an instance is suspended."""
-    key_deadline: instants.WallInstant | None
-    outcome: asyncio.Future[outcomes.Outcome]
-    attempts: dict[str, instants.Instant] = dataclasses.field(default_factory=dict)
-    """Deadlines of the attempts that wait for the outcome, by attempt id."""
-    state: str = CHART.initial
-    version: int = tables.ABSENT
-    """Commit version of the claim row, once the claim is held."""
-    written: bool = False
-    """Whether the row says the outcome."""
-
-    def step(self, event: str) -> None:
-        """Move to the state after `event`."""
-        self.state = CHART.next_state(self.state, event)
-
-    def size(self) -> int:
-        """Return the bytes of the answer that is kept."""
-        outcome = self.outcome.result() if self.outcome.done() else None
-        return len(outcome.answer.body) if isinstance(outcome, outcomes.Ran) else 0
-
-
 class Guard:
     """The executions of one guard; owned by the event loop of the node."""
 
     def __init__(
         self,
-        identity: Identity,
+        identity: executions.Identity,
         committer: claims.Committer,
         writer: write_behind.WriteBehind,
         port: messages.Port,
@@ -108,8 +66,8 @@
         self.accepting = accepting
         self.endpoint_died = endpoint_died
         self.clocks = clocks
-        self.executions: dict[str, Execution] = {}
-        self.attempts: dict[str, Execution] = {}
+        self.executions: dict[str, executions.Execution] = {}
+        self.attempts: dict[str, executions.Execution] = {}
         self.bars = bars.Bars()
         self.kept_bytes = 0
         self.tasks: set[asyncio.Task[None]] = set()
@@ -159,7 +117,7 @@
         # not here was dropped before its start, or its row has another version by now.
         if execution is None or execution.token != message.token:
             return messages.Released()
-        if CHART.allows(execution.state, "barred"):
+        if executions.CHART.allows(execution.state, "barred"):
             execution.step("barred")
             return messages.Released()
         outcome = await self._outcome_until(execution, message.reply_by)
@@ -185,11 +143,11 @@
             self.kept_bytes -= execution.size()
             self._forget(execution)
 
-    def _evictable(self, execution: Execution, now: instants.Instant) -> bool:
+    def _evictable(self, execution: executions.Execution, now: instants.Instant) -> bool:
         past = all(until + bars.BAR_MARGIN_S <= now for until in execution.attempts.values())
         return execution.written and past
 
-    def _admit(self, message: messages.Run) -> Execution | outcomes.NotRun:
+    def _admit(self, message: messages.Run) -> executions.Execution | outcomes.NotRun:
         known = self.attempts.get(message.attempt_id)
         if known is not None:
             return known
@@ -205,7 +163,9 @@
         self.attempts[message.attempt_id] = execution
         return execution
 
-    def _refuse(self, message: messages.Run, execution: Execution | None) -> outcomes.NotRun | None:
+    def _refuse(
+        self, message: messages.Run, execution: executions.Execution | None
+    ) -> outcomes.NotRun | None:
         request = message.request
         if message.guard_incarnation != self.identity.incarnation:
             return self._refusal(reasons.Refusal.GUARD_UNREACHED)
@@ -230,8 +190,10 @@
     ) -> outcomes.NotRun:
         return outcomes.NotRun(reason, retry_at or self.clocks.monotonic() + RETRY_AFTER_S)
 
-    def _begin(self, request: requests.Request, row_key: str, attempt_id: str) -> Execution:
-        execution = Execution(
+    def _begin(
+        self, request: requests.Request, row_key: str, attempt_id: str
+    ) -> executions.Execution:
+        execution = executions.Execution(
             row_key=row_key,
             token=uuid.uuid4().hex,
             digest=requests.digest(request),
@@ -246,7 +208,7 @@
         task.add_done_callback(self.tasks.discard)
         return execution
 
-    async def _execute(self, execution: Execution, attempt_id: str) -> None:
+    async def _execute(self, execution: executions.Execution, attempt_id: str) -> None:
         try:
             outcome = await self._claim_and_run(execution, attempt_id)
         except Exception:
@@ -254,7 +216,7 @@
             outcome = outcomes.Unknown(reasons.Uncertainty.ANSWER_LOST)
         self._finish(execution, outcome)
 
-    def _finish(self, execution: Execution, outcome: outcomes.Outcome) -> None:
+    def _finish(self, execution: executions.Execution, outcome: outcomes.Outcome) -> None:
         held = execution.version != tables.ABSENT
         if held:
             self._write_behind(execution, outcome)
@@ -270,7 +232,9 @@
         execution.outcome.set_result(outcome)
         self.kept_bytes += execution.size()
 
-    async def _claim_and_run(self, execution: Execution, attempt_id: str) -> outcomes.Outcome:
+    async def _claim_and_run(
+        self, execution: executions.Execution, attempt_id: str
+    ) -> outcomes.Outcome:
         expected_version = tables.ABSENT
         while True:
             claimed = await self.committer.claim(self._claim(execution, expected_version))
@@ -299,7 +263,9 @@
             return self._refusal(reasons.Refusal.STORE_UNAVAILABLE, result.retry_at)
         return self._refusal(reasons.Refusal.STORE_SLOW)
 
-    async def _run_claimed(self, execution: Execution, attempt_id: str) -> outcomes.Outcome:
+    async def _run_claimed(
+        self, execution: executions.Execution, attempt_id: str
+    ) -> outcomes.Outcome:
         if not self._may_start(execution):
             execution.step("expired")
             return outcomes.NotRun(reasons.Refusal.DEADLINE_PASSED)
@@ -318,7 +284,7 @@
                 return outcomes.Unknown(reason)
 
     async def _received(
-        self, execution: Execution, answer: outcomes.Answer
+        self, execution: executions.Execution, answer: outcomes.Answer
     ) -> outcomes.Ran | outcomes.Unknown:
         try:
             whole = await whole_answers.receive(answer)
@@ -330,7 +296,7 @@
         execution.step("answered")
         return outcomes.Ran(whole)
 
-    def _may_start(self, execution: Execution) -> bool:
+    def _may_start(self, execution: executions.Execution) -> bool:
         wall = self.clocks.wall()
         return (
             self.clocks.monotonic() < execution.request.deadline
@@ -339,23 +305,23 @@
         )
 
     async def _resolve(
-        self, execution: Execution, row: tables.Row, attempt_id: str
+        self, execution: executions.Execution, row: tables.Row, attempt_id: str
     ) -> outcomes.Outcome | None:
         """Return how the request of the claim in `row` ended, or none where it will not start."""
-        document = typing.cast(claims.ClaimDocument, row.value)
+        document = typing.cast(rows.ClaimDocument, row.value)
         if document["digest"] != execution.digest:
             return outcomes.NotRun(reasons.Refusal.KEY_REUSED)
         match document["state"]:
-            case claims.ClaimState.RELEASED:
+            case rows.ClaimState.RELEASED:
                 return None
-            case claims.ClaimState.DONE if document["answer"] is not None:
-                return outcomes.Ran(claims.kept_answer(document["answer"]))
-            case claims.ClaimState.UNKNOWN:
+            case rows.ClaimState.DONE if document["answer"] is not None:
+                return outcomes.Ran(rows.kept_answer(document["answer"]))
+            case rows.ClaimState.UNKNOWN:
                 return outcomes.Unknown(reasons.Uncertainty.ANSWER_LOST)
         verdict = await self._ask_holder(execution, document, attempt_id)
         match verdict:
             case messages.Released():
-                return None if document["state"] == claims.ClaimState.CLAIMED else _ORPHANED
+                return None if document["state"] == rows.ClaimState.CLAIMED else _ORPHANED
             case messages.Settled(outcome=outcome):
                 return outcome
             case messages.Running():
@@ -364,7 +330,7 @@
                 return _ORPHANED
 
     async def _ask_holder(
-        self, execution: Execution, document: claims.ClaimDocument, attempt_id: str
+        self, execution: executions.Execution, document: rows.ClaimDocument, attempt_id: str
     ) -> messages.Verdict | None:
         def question(reply_by: instants.Instant) -> messages.Release:
             return messages.Release(
@@ -385,58 +351,33 @@
             self.clocks,
         )
 
-    def _claim(self, execution: Execution, expected_version: int) -> claims.Claim:
+    def _claim(self, execution: executions.Execution, expected_version: int) -> claims.Claim:
         return claims.Claim(
             row_key=execution.row_key,
-            document=self._document(execution, claims.ClaimState.CLAIMED, None),
+            document=executions.document(self.identity, execution, rows.ClaimState.CLAIMED),
             expected_version=expected_version,
             deadline=min(execution.request.deadline, self.clocks.monotonic() + CLAIM_TIMEOUT_S),
         )
 
-    def _document(
-        self,
-        execution: Execution,
-        state: claims.ClaimState,
-        answer: claims.AnswerDocument | None,
-    ) -> claims.ClaimDocument:
-        return claims.ClaimDocument(
-            token=execution.token,
-            guard_id=self.identity.node_id,
-            guard_incarnation=self.identity.incarnation,
-            control_url=self.identity.control_url,
-            digest=execution.digest,
-            expires_at=execution.key_deadline,
-            state=state,
-            answer=answer,
-        )
-
-    def _write_behind(self, execution: Execution, outcome: outcomes.Outcome) -> None:
-        match outcome:
-            case outcomes.Ran(answer=answer):
-                small = len(answer.body) <= MAX_STORED_ANSWER_BYTES
-                kept = claims.keep_answer(answer) if small else None
-                document = self._document(execution, claims.ClaimState.DONE, kept)
-            case outcomes.NotRun():
-                document = self._document(execution, claims.ClaimState.RELEASED, None)
-            case outcomes.Unknown():
-                document = self._document(execution, claims.ClaimState.UNKNOWN, None)
+    def _write_behind(self, execution: executions.Execution, outcome: outcomes.Outcome) -> None:
+        document = executions.outcome_document(self.identity, execution, outcome)
 
         def written() -> None:
             execution.written = True
 
         self.writer.add(write_behind.Entry(execution.row_key, execution.version, document, written))
 
-    def _bar_attempts(self, execution: Execution, refusal: outcomes.NotRun) -> None:
+    def _bar_attempts(self, execution: executions.Execution, refusal: outcomes.NotRun) -> None:
         for attempt_id, deadline in execution.attempts.items():
             self.bars.add(attempt_id, deadline, refusal)
 
-    def _forget(self, execution: Execution) -> None:
+    def _forget(self, execution: executions.Execution) -> None:
         for attempt_id in execution.attempts:
             self.attempts.pop(attempt_id, None)
         self.executions.pop(execution.row_key, None)
 
     async def _outcome_until(
-        self, execution: Execution, deadline: instants.Instant
+        self, execution: executions.Execution, deadline: instants.Instant
     ) -> outcomes.Outcome | None:
         try:
             async with asyncio.timeout_at(deadline):
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/once/sweeper.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/once/sweeper.py
@@ -9,7 +9,7 @@
 
 from goldcrestgrade import instants
 from goldcrestgrade.platform import tables
-from goldcrestgrade_node.once import claims, keys
+from goldcrestgrade_node.once import keys, rows
 
 log = logging.getLogger(__name__)
 
@@ -27,7 +27,7 @@
 
 def evictable(row: tables.Row, wall: instants.WallInstant) -> bool:
     """Tell whether the key of `row` is refused by every node at `wall`."""
-    expires_at = typing.cast(claims.ClaimDocument, row.value)["expires_at"]
+    expires_at = typing.cast(rows.ClaimDocument, row.value)["expires_at"]
     return expires_at is not None and wall >= expires_at + keys.EVICTION_MARGIN_S
 
 
@@ -52,10 +52,10 @@
 
     async def sweep(self, prefix: str) -> None:
         """Remove the expired rows of one page under `prefix`; raises `ReadError`."""
-        rows = await self.store.scan(claims.TABLE, prefix, PAGE_ROWS)
-        if len(rows) == PAGE_ROWS and len(prefix) < keys.HASH_LENGTH:
+        page = await self.store.scan(rows.TABLE, prefix, PAGE_ROWS)
+        if len(page) == PAGE_ROWS and len(prefix) < keys.HASH_LENGTH:
             await self.sweep(prefix + self.rng.choice(HEX_DIGITS))
-        expired = [row for row in rows if evictable(row, self.clocks.wall())]
+        expired = [row for row in page if evictable(row, self.clocks.wall())]
         if expired:
             await self.store.transact(_removal(expired))
 
@@ -63,8 +63,8 @@
         return "".join(self.rng.choices(HEX_DIGITS, k=length))
 
 
-def _removal(rows: list[tables.Row]) -> tables.Transaction:
+def _removal(expired: list[tables.Row]) -> tables.Transaction:
     return tables.Transaction(
-        conditions=tuple(tables.Condition(claims.TABLE, row.key, row.version) for row in rows),
-        writes=tuple(tables.Write(claims.TABLE, row.key, None) for row in rows),
+        conditions=tuple(tables.Condition(rows.TABLE, row.key, row.version) for row in expired),
+        writes=tuple(tables.Write(rows.TABLE, row.key, None) for row in expired),
     )
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/once/write_behind.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/once/write_behind.py
@@ -13,7 +13,7 @@
 
 from goldcrestgrade import instants
 from goldcrestgrade.platform import tables
-from goldcrestgrade_node.once import claims
+from goldcrestgrade_node.once import rows
 
 log = logging.getLogger(__name__)
 
@@ -33,7 +33,7 @@
     row_key: str
     version: int
     """Version of the claim row that the outcome belongs to."""
-    document: claims.ClaimDocument
+    document: rows.ClaimDocument
     written: typing.Callable[[], None]
     """Called once the row says the outcome, or has passed to another claim."""
 
@@ -88,10 +88,10 @@
 def _transaction(group: list[Entry]) -> tables.Transaction:
     return tables.Transaction(
         conditions=tuple(
-            tables.Condition(claims.TABLE, entry.row_key, entry.version) for entry in group
+            tables.Condition(rows.TABLE, entry.row_key, entry.version) for entry in group
         ),
         writes=tuple(
-            tables.Write(claims.TABLE, entry.row_key, typing.cast(tables.Value, entry.document))
+            tables.Write(rows.TABLE, entry.row_key, typing.cast(tables.Value, entry.document))
             for entry in group
         ),
     )
--- a/packages/goldcrestgrade-node/tests/once/test_guard.py
+++ b/packages/goldcrestgrade-node/tests/once/test_guard.py
@@ -6,7 +6,16 @@
 from goldcrestgrade import instants, outcomes, reasons, sheet
 from goldcrestgrade_node import requests
 from goldcrestgrade_node.attempts import results
-from goldcrestgrade_node.once import bars, claims, guard, keys, messages, write_behind
+from goldcrestgrade_node.once import (
+    bars,
+    claims,
+    executions,
+    guard,
+    keys,
+    messages,
+    rows,
+    write_behind,
+)
 from goldcrestgrade_testing import memory_platform, virtual_time
 
 KIND = sheet.Kind("POST /*", run_once=True, timeout_s=5.0)
@@ -44,7 +53,7 @@
         committer = claims.Committer(self.store, self.clocks)
         writer = write_behind.WriteBehind(self.store, self.clocks)
         made = guard.Guard(
-            guard.Identity(name, incarnation, name),
+            executions.Identity(name, incarnation, name),
             committer,
             writer,
             self.ports,
@@ -199,10 +208,10 @@
         await asyncio.sleep(600)
         setup.store.faults.down = False
         await asyncio.sleep(5)
-        return own, await setup.store.read(claims.TABLE, keys.row_key("intake", "k"))
+        return own, await setup.store.read(rows.TABLE, keys.row_key("intake", "k"))
 
     own, row = virtual_time.run(scenario())
-    assert row.value["state"] == claims.ClaimState.DONE
+    assert row.value["state"] == rows.ClaimState.DONE
     assert own.writer.idle()
 
 
--- a/packages/goldcrestgrade-testing/goldcrestgrade_testing/once_world.py
+++ b/packages/goldcrestgrade-testing/goldcrestgrade_testing/once_world.py
@@ -15,7 +15,15 @@
 from goldcrestgrade_node import requests
 from goldcrestgrade_node.attempts import results, transport
 from goldcrestgrade_node.entry import calls
-from goldcrestgrade_node.once import claims, guard, messages, relay_client, sweeper, write_behind
+from goldcrestgrade_node.once import (
+    claims,
+    executions,
+    guard,
+    messages,
+    relay_client,
+    sweeper,
+    write_behind,
+)
 from goldcrestgrade_node.routing import choice, views
 from goldcrestgrade_testing import (
     history,
@@ -191,7 +199,7 @@
         writer = write_behind.WriteBehind(store, clocks)
         self.incarnation += 1
         self.guard = guard.Guard(
-            guard.Identity(self.name, self.incarnation, self.control_url),
+            executions.Identity(self.name, self.incarnation, self.control_url),
             committer,
             writer,
             memory_network.MemoryPort(self.world.network, self.region, self.skew_s),
--- a/packages/goldcrestgrade-testing/tests/test_once_mutations.py
+++ b/packages/goldcrestgrade-testing/tests/test_once_mutations.py
@@ -12,7 +12,17 @@
 from goldcrestgrade import reasons
 from goldcrestgrade.platform import tables
 from goldcrestgrade_node import requests
-from goldcrestgrade_node.once import asking, bars, claims, guard, keys, messages, sweeper
+from goldcrestgrade_node.once import (
+    asking,
+    bars,
+    claims,
+    executions,
+    guard,
+    keys,
+    messages,
+    rows,
+    sweeper,
+)
 from goldcrestgrade_testing import schedules, soak
 
 KIND = schedules.FaultKind
@@ -53,7 +63,7 @@
 async def _hold_whatever_stands(self, group):
     for waiting in group:
         try:
-            row = await self.store.read(claims.TABLE, waiting.claim.row_key)
+            row = await self.store.read(rows.TABLE, waiting.claim.row_key)
         except tables.ReadError:
             row = None
         held = claims.Held(row.version) if row else claims.Unclaimed(store_down=False)
@@ -63,7 +73,7 @@
 async def _release_without_bar(self, message):
     execution = self.executions.get(message.row_key)
     ours = execution is not None and execution.token == message.token
-    if ours and guard.CHART.allows(execution.state, "barred"):
+    if ours and executions.CHART.allows(execution.state, "barred"):
         return messages.Released()
     return await RELEASE(self, message)
 
