Ask a guard on new connections

Cause: questions on what became of an attempt went over pooled control connections; when those had gone silent together, three questions of 1 s each found no reply and the outcome stayed unknown. Change: Settle and Release go on a session whose connections serve one request each.

--- a/packages/goldcrestgrade-node/goldcrestgrade_node/commands/run.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/commands/run.py
@@ -54,6 +54,7 @@
         self,
         config: settings.NodeSettings,
         control_session: aiohttp.ClientSession,
+        fresh_session: aiohttp.ClientSession,
     ) -> None:
         self.config = config
         self.clocks = instants.system_clocks()
@@ -116,7 +117,7 @@
         self.committer = claims.Committer(claim_store, self.clocks)
         self.writer = write_behind.WriteBehind(claim_store, self.clocks)
         self.sweeper = sweeper.Sweeper(claim_store, self.clocks, self.rng)
-        port = relay.HttpPort(control_session, config["keys"][0], self.clocks)
+        port = relay.HttpPort(control_session, config["keys"][0], self.clocks, fresh_session)
         self.transport = transport.HttpTransport(self.clocks, self.counts, config["keys"][0])
         self.guard = guard.Guard(
             guard.Identity(config["node_id"], incarnation, records.control_url(self.own.record)),
@@ -280,7 +281,10 @@
         control_session = await stack.enter_async_context(
             http_client.open_session(CONTROL_CONNECTIONS, CONTROL_KEEPALIVE_S)
         )
-        node = Node(config, control_session)
+        fresh_session = await stack.enter_async_context(
+            http_client.open_session(CONTROL_CONNECTIONS, keepalive_s=0.0)
+        )
+        node = Node(config, control_session, fresh_session)
         stack.push_async_callback(node.transport.close)
         _handle_signals(node)
         gc.collect()
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/once/relay.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/once/relay.py
@@ -76,12 +76,17 @@
 
 
 class HttpPort:
-    """Sends messages to guards; owns the connections of its session."""
+    """Sends messages to guards; questions go on new connections, as a pooled one may be silent."""
 
     def __init__(
-        self, session: aiohttp.ClientSession, shared_key: str, clocks: instants.Clocks
+        self,
+        session: aiohttp.ClientSession,
+        shared_key: str,
+        clocks: instants.Clocks,
+        fresh: aiohttp.ClientSession | None = None,
     ) -> None:
         self.session = session
+        self.fresh = fresh or session
         self.shared_key = shared_key
         self.clocks = clocks
 
@@ -90,8 +95,9 @@
     ) -> messages.Reply:
         """Return the reply by `deadline`; raises `Unreached` or `Lost`."""
         now = self.clocks.monotonic()
+        session = self.session if isinstance(message, messages.Run) else self.fresh
         try:
-            async with self.session.post(
+            async with session.post(
                 control_url + PATH,
                 data=message.request.body if isinstance(message, messages.Run) else None,
                 headers={
--- a/packages/goldcrestgrade-node/tests/once/test_relay_headers.py
+++ b/packages/goldcrestgrade-node/tests/once/test_relay_sockets.py
@@ -31,3 +31,33 @@
     assert isinstance(reply.verdict.outcome, outcomes.Ran)
     ((name, value),) = reply.verdict.outcome.answer.headers
     assert (name, value.encode("latin-1")) == ("x-shop", "Půjčovna".encode())
+
+
+async def test_question_to_a_guard_is_not_risked_on_a_connection_that_went_silent():
+    silent: set[int] = set()
+
+    async def respond(request, writer):
+        if request.connection not in silent:
+            writer.write(
+                raw_endpoint.answer(
+                    fields="goldcrestgrade-attempt-id: a1\r\ngoldcrestgrade-outcome: running\r\n"
+                )
+            )
+
+    clocks = instants.system_clocks()
+    deadline = clocks.monotonic() + 10.0
+    kind = sheet.Kind("POST /*", run_once=True, timeout_s=5.0)
+    request = requests.Request("r1", "s", kind, "POST", "/x", (), b"", "key", deadline, True)
+    async with (
+        raw_endpoint.serving(respond) as guard,
+        http_client.open_session(4, 5.0) as session,
+        http_client.open_session(4, 0.0) as fresh,
+    ):
+        port = relay.HttpPort(session, "key", clocks, fresh)
+        url = f"http://127.0.0.1:{guard.port}"
+        await port.exchange(url, messages.Run("a1", request, 1), deadline)
+        silent.update(guard.open)
+        question = messages.Settle("a1", 1, deadline, clocks.monotonic() + 2.0)
+        replies = [await port.exchange(url, question, deadline) for _ in range(2)]
+    assert [reply.verdict for reply in replies] == [messages.Running()] * 2
+    assert guard.connections == 3
--- a/packages/goldcrestgrade/goldcrestgrade/http_client.py
+++ b/packages/goldcrestgrade/goldcrestgrade/http_client.py
@@ -56,10 +56,15 @@
     """Return a session that sends each request once, as it is.
 
     It keeps no cookies, decodes no bodies, adds no headers of its own and holds at most
-    `connections` open at once; one unused for `keepalive_s` seconds is closed.
+    `connections` open at once; one unused for `keepalive_s` seconds is closed. With a `keepalive_s`
+    of 0 each connection serves one request.
     """
-    connector = aiohttp.TCPConnector(
-        limit=connections, keepalive_timeout=keepalive_s, use_dns_cache=False
+    connector = (
+        aiohttp.TCPConnector(limit=connections, force_close=True, use_dns_cache=False)
+        if keepalive_s == 0
+        else aiohttp.TCPConnector(
+            limit=connections, keepalive_timeout=keepalive_s, use_dns_cache=False
+        )
     )
     session = aiohttp.ClientSession(
         connector=connector,
