--- a/packages/goldcrestgrade-testing/goldcrestgrade_testing/bench/network.py
+++ b/packages/goldcrestgrade-testing/goldcrestgrade_testing/bench/network.py
@@ -15,6 +15,7 @@
 CONNECT_S = 0.001
 """Time to open a connection."""
 
+
 REQUEST_BYTES = 600
 """Bytes of a request with its headers."""
 
