Treat nearly equal latencies as equal

Change: a latency below 1.35 times the typical one counts as typical; `make bench-costs` measures the processor time of the decisions.

--- a/Makefile
+++ b/Makefile
@@ -34,7 +34,10 @@
 bench: install ## Compare routing policies in virtual time: SCENARIO=all SEED=1
 	$(BIN)/python -m goldcrestgrade_testing.bench --scenario=$(SCENARIO) --seed=$(SEED)
 
-.PHONY: help install test lint format demo bench
+bench-costs: install ## Measure the processor time of the routing decisions
+	$(BIN)/python -m goldcrestgrade_testing.bench.costs
+
+.PHONY: help install test lint format demo bench bench-costs
 reference: install ## Write the generated tables of the documentation
 	$(BIN)/python -m goldcrestgrade_testing.reference
 
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/routing/choice.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/routing/choice.py
@@ -26,6 +26,9 @@
 """Requests waiting for each slot above which another is refused."""
 
 
+TIE_FACTOR = 1.35
+"""Factor on the typical latency up to which endpoints count as equally fast."""
+
 HOT_QUEUE_PER_SLOT = 0.5
 """Requests waiting for each slot above which an endpoint is hot."""
 
@@ -168,6 +171,8 @@
     now: instants.Instant,
 ) -> _Scored:
     latency_s = evidence.expected_latency_s(endpoint, typical_s, now)
+    if latency_s < TIE_FACTOR * typical_s:
+        latency_s = typical_s
     wait_s = latency_s * (1.0 + endpoint.in_flight / endpoint.slots)
     if endpoint.failure_domain != caller.failure_domain:
         wait_s *= OTHER_DOMAIN_FACTOR
--- /dev/null
+++ b/packages/goldcrestgrade-testing/goldcrestgrade_testing/bench/costs.py
@@ -0,0 +1,147 @@
+"""Measures the processor time of the decisions on the way of a call."""
+
+from __future__ import annotations
+
+import functools
+import random
+import sys
+import timeit
+import typing
+
+from goldcrestgrade import instants, outcomes, records, sheet
+from goldcrestgrade_node import requests
+from goldcrestgrade_node.attempts import results
+from goldcrestgrade_node.routing import (
+    choice,
+    ejection,
+    evidence,
+    feedback,
+    hedging,
+    quarantine,
+    views,
+)
+
+ENDPOINT_COUNTS = (4, 40, 400)
+"""Endpoints of the service measured."""
+
+REPEATS = 5
+"""Measurements, of which the least is reported."""
+
+CALLS = 5000
+"""Decisions in one measurement."""
+
+CALLER = choice.Caller("khomas", "khomas-a")
+
+NOW = 1.0
+
+ANSWERED = results.Answered(outcomes.Answer(200, (), bytes(2500)), 3)
+
+REQUEST = requests.Request(
+    "r1",
+    "archive",
+    sheet.Kind("GET /*", run_once=False, timeout_s=5.0),
+    "GET",
+    "/letters/2026/12/03",
+    (),
+    bytes(500),
+    None,
+    NOW + 5.0,
+    True,
+)
+
+
+class Cost(typing.NamedTuple):
+    """Processor time of one decision."""
+
+    decision: str
+    endpoints: int
+    microseconds: float
+
+
+def measure(endpoints: int) -> list[Cost]:
+    """Return the cost of each decision for a service of `endpoints`."""
+    view = _view(endpoints)
+    some = next(iter(view.endpoints.values()))
+    rng = random.Random(1)
+    known = quarantine.Quarantine()
+    name = quarantine.name_of(REQUEST)
+    decisions: dict[str, typing.Callable[[], object]] = {
+        "choose": lambda: choice.choose(view, CALLER, (), NOW, rng),
+        "choose, all near ones hot": functools.partial(_choose_hot, _hot(endpoints), rng),
+        "return of ejected": lambda: ejection.return_due(view, NOW),
+        "start and finish": lambda: _attempt(view, some),
+        "hedge time": lambda: hedging.hedge_at(REQUEST, view, some, NOW),
+        "latency window": lambda: view.note_latency(0.02),
+        "name of the request": lambda: quarantine.name_of(REQUEST),
+        "quarantine": lambda: _quarantine(known, name, some),
+    }
+    return [
+        Cost(
+            decision, endpoints, min(timeit.repeat(run, number=CALLS, repeat=REPEATS)) / CALLS * 1e6
+        )
+        for decision, run in decisions.items()
+    ]
+
+
+def _attempt(view: views.ServiceView, endpoint: evidence.Evidence) -> None:
+    started = feedback.start(view, endpoint, CALLER, NOW - 0.02)
+    feedback.finish(view, endpoint, started, ANSWERED, NOW)
+
+
+def _quarantine(known: quarantine.Quarantine, name: str, endpoint: evidence.Evidence) -> None:
+    known.permission(name, NOW)
+    known.start(name, endpoint)
+    known.leave(name, endpoint)
+    quarantine.note_result(known, name, endpoint, ANSWERED, NOW - 0.02, NOW)
+
+
+def _choose_hot(view: views.ServiceView, rng: random.Random) -> choice.Decision:
+    return choice.choose(view, CALLER, (), NOW, rng)
+
+
+def _hot(endpoints: int) -> views.ServiceView:
+    view = _view(endpoints)
+    for endpoint in view.endpoints.values():
+        endpoint.in_flight = 18 if endpoint.region == CALLER.region else 0
+    return view
+
+
+def _view(endpoints: int) -> views.ServiceView:
+    view = views.Views(lambda: NOW).of("archive")
+    view.update([_record(index) for index in range(endpoints)], NOW)
+    for endpoint in view.endpoints.values():
+        evidence.note_latency(endpoint, 0.02, 0.0, NOW)
+    return view
+
+
+def _record(index: int) -> records.NodeRecord:
+    region = ("khomas", "oshana")[index % 2]
+    return records.NodeRecord(
+        node_id=f"upstream-{index}",
+        incarnation=1,
+        revision=1,
+        region=region,
+        failure_domain=f"{region}-{'ab'[index // 2 % 2]}",
+        control_host="127.0.0.1",
+        control_port=1,
+        state=records.EndpointState.READY,
+        endpoint=records.EndpointDocument(
+            service="archive", host="127.0.0.1", port=1, slots=10, connections=220
+        ),
+        sheet_version=1,
+        expires_at=instants.NEVER,
+    )
+
+
+def main() -> int:
+    """Print a Markdown table of the costs."""
+    by_count = [measure(count) for count in ENDPOINT_COUNTS]
+    print(f"| decision, µs | {' | '.join(f'{count} endpoints' for count in ENDPOINT_COUNTS)} |")
+    print("|---" * (1 + len(ENDPOINT_COUNTS)) + "|")
+    for costs in zip(*by_count, strict=True):
+        print(f"| {costs[0].decision} | {' | '.join(f'{c.microseconds:.1f}' for c in costs)} |")
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
