Close the streamed answers of attempts that lost to another

Cause: where an attempt and its hedge ended in the same turn of the event loop, or a trial ended after its call, the rest of a streamed answer kept its connection and its slot until the deadline. Change: every answer that is not given to the caller is discarded, with its rest. Measured: test_streamed_answer_of_the_loser_gives_its_connection_back failed before (the loser's rest stayed open) and passes after.

--- a/packages/goldcrestgrade-node/goldcrestgrade_node/attempts/results.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/attempts/results.py
@@ -45,3 +45,9 @@
 
 
 AttemptResult = Answered | Shed | Unreached | Broken
+
+
+def discard(result: AttemptResult) -> None:
+    """Give up an answer that nobody reads, and the connection that its rest holds."""
+    if isinstance(result, Answered) and result.answer.rest is not None:
+        result.answer.rest.close()
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/entry/calls.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/entry/calls.py
@@ -163,7 +163,11 @@
         finally:
             self._leave(pending, cancel=not on_trial)
         call.ended.extend(task.result() for task in done)
-        return min(reversed(call.ended), key=retries.failed)
+        best = min(reversed(call.ended), key=retries.failed)
+        for result in call.ended:
+            if result is not best:
+                results.discard(result)
+        return best
 
     def _hedge(self, call: Call, on_trial: bool) -> set[AttemptTask]:
         decision = self._choose(call)
@@ -186,6 +190,7 @@
         for task in tasks:
             self.left.add(task)
             task.add_done_callback(self.left.discard)
+            task.add_done_callback(_discard_result)
             if cancel:
                 task.cancel()
 
@@ -257,5 +262,10 @@
     return await asyncio.wait(tasks, timeout=limit_s, return_when=asyncio.FIRST_COMPLETED)
 
 
+def _discard_result(task: AttemptTask) -> None:
+    if not task.cancelled() and task.exception() is None:
+        results.discard(task.result())
+
+
 def _any_good(done: set[AttemptTask]) -> bool:
     return any(not retries.failed(task.result()) for task in done)
--- a/packages/goldcrestgrade-node/tests/entry/test_calls.py
+++ b/packages/goldcrestgrade-node/tests/entry/test_calls.py
@@ -98,6 +98,36 @@
     assert not path.left
 
 
+class Rest:
+    """Rest of a streamed answer that notes its end."""
+
+    closed = False
+
+    def close(self) -> None:
+        self.closed = True
+
+
+def test_streamed_answer_of_the_loser_gives_its_connection_back():
+    rests = []
+
+    async def send(_attempt):
+        rest = Rest()
+        rests.append(rest)
+        await asyncio.sleep(1.0 - asyncio.get_running_loop().time())
+        return results.Answered(OK.answer._replace(rest=rest), load=1)
+
+    async def scenario():
+        path = make_calls(send)
+        ready_to_hedge(path)
+        outcome = await path.run(make_request())
+        await asyncio.sleep(1.0)
+        return outcome
+
+    outcome = virtual_time.run(scenario())
+    assert len(rests) == 2
+    assert [rest.closed for rest in rests] == [rest is not outcome.answer.rest for rest in rests]
+
+
 def test_hedges_stay_within_their_share_of_calls():
     async def scenario():
         rng = random.Random(3)
