Let the retry budget cover the calls in flight at an endpoint that dies

Cause: a node with few calls had 5 retries saved up; an endpoint that died with more calls in flight left the rest unanswered with retry_budget_spent, and retries after refused connections, which give no endpoint any work, were paid from the same budget.

--- a/packages/goldcrestgrade-node/goldcrestgrade_node/attempts/retries.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/attempts/retries.py
@@ -127,3 +127,8 @@
             return reported
         case _:
             return None
+
+
+def is_free(result: results.AttemptResult) -> bool:
+    """Tell whether a retry after `result` needs no budget, since no endpoint had work from it."""
+    return isinstance(result, results.Unreached)
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/routing/views.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/routing/views.py
@@ -24,14 +24,17 @@
 HEDGE_DELAY_SAMPLES = 32
 """Latencies between two looks at the window, and before the first hedge."""
 
-RETRY_SHARE = 0.08
+RETRY_SHARE = 0.06
 """Retries that each call earns."""
 
 HEDGE_SHARE = 0.045
 """Hedges that each call earns."""
 
-BUDGET_BURST = 5.0
-"""Retries or hedges that may be saved up."""
+RETRY_BURST = 12.0
+"""Retries that may be saved up, enough for what a node has in flight at an endpoint that dies."""
+
+HEDGE_BURST = 5.0
+"""Hedges that may be saved up."""
 
 CALL_BYTES = 4096.0
 """Bytes that a call is taken to cost before the first answer."""
@@ -73,8 +76,8 @@
         self.latencies_seen = 0
         self.hedge_delay_s = math.inf
         self.call_bytes = CALL_BYTES
-        self.retry_budget = budgets.ShareBudget(RETRY_SHARE, BUDGET_BURST, BUDGET_BURST)
-        self.hedge_budget = budgets.ShareBudget(HEDGE_SHARE, BUDGET_BURST, 0.0)
+        self.retry_budget = budgets.ShareBudget(RETRY_SHARE, RETRY_BURST, RETRY_BURST)
+        self.hedge_budget = budgets.ShareBudget(HEDGE_SHARE, HEDGE_BURST, 0.0)
 
     def candidates(self, region: str) -> Candidates:
         """Return the endpoints that are not ejected, split by `region`."""
--- a/packages/goldcrestgrade-node/tests/entry/test_calls.py
+++ b/packages/goldcrestgrade-node/tests/entry/test_calls.py
@@ -178,6 +178,28 @@
     assert 300 < virtual_time.run(scenario()) <= 1.1 * 300
 
 
+def test_death_of_an_endpoint_with_many_calls_in_flight_costs_none():
+    async def scenario():
+        dead = asyncio.Event()
+
+        async def send(attempt):
+            if attempt.port != 0:
+                return await fast(attempt)
+            if dead.is_set():
+                return results.Unreached("refused")
+            await dead.wait()
+            return DIED
+
+        path = make_calls(send)
+        running = [asyncio.create_task(path.run(make_request(f"/{n}"))) for n in range(28)]
+        await asyncio.sleep(1.0)
+        dead.set()
+        running += [asyncio.create_task(path.run(make_request(f"/{n}"))) for n in range(28, 40)]
+        return await asyncio.gather(*running)
+
+    assert virtual_time.run(scenario()) == [outcomes.Ran(OK.answer)] * 40
+
+
 def test_request_that_may_have_run_is_not_reported_as_not_run():
     async def scenario():
         ends = iter([DIED, results.Shed(None), results.Shed(None)])
