--- a/Makefile
+++ b/Makefile
@@ -31,8 +31,11 @@
 demo: install ## Run the Letters Desk on loopback for half a minute
 	$(BIN)/python -m goldcrestgrade_testing.demo --seed=$(SEED)
 
-bench: install ## Compare routing policies in virtual time: SCENARIO=all SEED=1
-	$(BIN)/python -m goldcrestgrade_testing.bench --scenario=$(SCENARIO) --seed=$(SEED)
+capacity: install ## Measure what membership and the sheet cost, and fit it over the size of the fleet
+	$(BIN)/python -m goldcrestgrade_testing.capacity --seed=$(SEED)
+	$(BIN)/python -m goldcrestgrade_testing.loopback --nodes=16
+soak: install ## Play generated run-once schedules from SEED
+	$(BIN)/python -m goldcrestgrade_testing.soak --seed=$(SEED)
 
 bench-costs: install ## Measure the processor time of the routing decisions
 	$(BIN)/python -m goldcrestgrade_testing.bench.costs
@@ -41,7 +44,11 @@
 reference: install ## Write the generated tables of the documentation
 	$(BIN)/python -m goldcrestgrade_testing.reference
 
+.PHONY: help install test lint format demo latency capacity reference
 latency: install ## Measure the latency that a node adds to a call, on real sockets
 	$(BIN)/python -m goldcrestgrade_testing.latency --seed=$(SEED) --json=latency.json
 
-.PHONY: help install test lint format demo reference latency
+bench: install ## Compare routing policies in virtual time: SCENARIO=all SEED=1
+	$(BIN)/python -m goldcrestgrade_testing.bench --scenario=$(SCENARIO) --seed=$(SEED)
+
+.PHONY: help install test lint format demo soak reference latency bench
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/commands/run.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/commands/run.py
@@ -14,7 +14,7 @@
 
 from goldcrestgrade import http_client, instants, outcomes, records, settings, sheet, telemetry
 from goldcrestgrade.platform import http_objects, http_tables, resilient_tables
-from goldcrestgrade_node import asgi, requests, servers
+from goldcrestgrade_node import asgi, crash_notices, requests, servers
 from goldcrestgrade_node.attempts import forwarding, results, shares, transport
 from goldcrestgrade_node.configuration import adoption
 from goldcrestgrade_node.control import app as control_app
@@ -22,8 +22,16 @@
 from goldcrestgrade_node.endpoint import lifecycle
 from goldcrestgrade_node.entry import app as entry_app
 from goldcrestgrade_node.entry import calls
-from goldcrestgrade_node.membership import exchange, members
-from goldcrestgrade_node.once import claims, guard, relay, relay_client, sweeper, write_behind
+from goldcrestgrade_node.membership import discovery, exchange, members, peers, selection
+from goldcrestgrade_node.once import (
+    claims,
+    executions,
+    guard,
+    relay,
+    relay_client,
+    sweeper,
+    write_behind,
+)
 from goldcrestgrade_node.routing import choice, views
 
 log = logging.getLogger(__name__)
@@ -34,12 +42,12 @@
 CONTROL_KEEPALIVE_S = 20.0
 """Time after which an unused connection to a peer is closed."""
 
-DRAIN_SPREAD_S = 2.0
-"""Time in which all nodes hear that an endpoint drains."""
-
 FLUSH_TIMEOUT_S = 3.0
 """Longest time that a planned stop waits for outcomes to be written."""
 
+SMALL_FLEET = 64
+"""Largest number of nodes that all tell each other of the version in force in their records."""
+
 TICK_S = 0.1
 """Time between looks at the lease and the drain of the endpoint."""
 
@@ -54,6 +62,7 @@
         self,
         config: settings.NodeSettings,
         control_session: aiohttp.ClientSession,
+        fresh_session: aiohttp.ClientSession,
     ) -> None:
         self.config = config
         self.clocks = instants.system_clocks()
@@ -79,33 +88,49 @@
         store = http_tables.HttpTables(control_session, config["platform"]["tables"])
         objects = http_objects.HttpObjects(control_session, config["platform"]["objects"])
         self.lifecycle = lifecycle.Lifecycle(self.clocks, self.revise)
+        remote = peers.HttpPeers(control_session, config["keys"][0])
         self.sheets = adoption.Adoption(
             store,
             objects,
-            control_session,
-            config["keys"][0],
+            remote,
             self.sheet_adopted,
+            lambda: selection.polls_quickly(self.exchange.view()),
+            self.clocks,
             self.counts,
             self.rng,
         )
         self.exchange = exchange.Exchange(
             self.own,
             self.members,
-            config["peers"],
-            control_session,
-            config["keys"][0],
+            remote,
+            exchange.Hooks(
+                touched=self.touched,
+                sheet_version=lambda: self.sheets.version,
+                sheet_heard=self.sheets.hear,
+                busy=lambda: self.counts.in_flight > 0,
+            ),
+            self.clocks,
+            self.counts,
+            self.rng,
+        )
+        self.discovery = discovery.Discovery(
+            lambda: self.own.record,
+            [f"http://{seed['host']}:{seed['port']}" for seed in config["peers"]],
             store,
-            self.touched,
+            self.exchange.join,
+            self.clocks,
             self.rng,
         )
         claim_store = resilient_tables.ResilientTables(store, self.clocks, self.rng)
         self.committer = claims.Committer(claim_store, self.clocks)
         self.writer = write_behind.WriteBehind(claim_store, self.clocks)
         self.sweeper = sweeper.Sweeper(claim_store, self.clocks, self.rng)
-        port = relay.HttpPort(control_session, config["keys"][0], self.clocks)
+        port = relay.HttpPort(control_session, config["keys"][0], self.clocks, fresh_session)
         self.transport = transport.HttpTransport(self.clocks, self.counts, config["keys"][0])
         self.guard = guard.Guard(
-            guard.Identity(config["node_id"], incarnation, records.control_url(self.own.record)),
+            executions.Identity(
+                config["node_id"], incarnation, records.control_url(self.own.record)
+            ),
             self.committer,
             self.writer,
             port,
@@ -118,33 +143,35 @@
             choice.Caller(config["region"], config["failure_domain"]),
             self.views,
             self.transport.send,
-            relay_client.RelayClient(port, self.clocks).run,
+            relay_client.RelayClient(relay.LocalPort(self.guard, port), self.clocks).run,
             self.clocks,
             self.counts,
             self.rng,
         )
+        crash_notices.connect(self.calls.quarantine, self.exchange, self.clocks)
         self.revise()
 
     def revise(self) -> None:
-        """Make a new revision of the own record and take it in."""
-        record = self.own.revise(self.lifecycle.state, self.lifecycle.endpoint, self.sheets.version)
-        self.touched(self.members.merge([record]))
+        """Make a new revision of the own record and tell peers of it."""
+        state, endpoint = self.lifecycle.state, self.lifecycle.endpoint
+        self.exchange.announce(self.own.revise(state, endpoint, self.sheets.version))
 
     def touched(self, services: set[str]) -> None:
         """Bring the evidence of `services` in line with the records."""
+        nodes = len(self.members.entries)
         for service in services:
             ready = self.members.ready(service)
             self.views.update(service, ready)
             self.transport.set_shares(
-                service, shares.limits(self.config["node_id"], ready, len(self.members.by_id))
+                service, shares.at_endpoints(self.config["node_id"], ready, nodes)
             )
-        if services:
-            own = self.config["region"]
-            self.views.share_link(sum(r["region"] == own for r in self.members.by_id.values()))
+        self.views.share_link(self.exchange.view().region_size)
 
     def sheet_adopted(self, _adopted: sheet.Sheet) -> None:
         """Tell peers of the version in force."""
-        self.revise()
+        self.exchange.spread_sheet()
+        if len(self.members.entries) <= SMALL_FLEET:
+            self.revise()
 
     async def start(self, request: requests.Request, attempt_id: str) -> results.AttemptResult:
         """Send a claimed request to the own endpoint."""
@@ -175,6 +202,8 @@
             "/v1/endpoint": routes.endpoint_resource(self.lifecycle),
             "/v1/drain": routes.drain_resource(self.lifecycle),
             "/v1/exchange": routes.exchange_resource(self.exchange),
+            "/v1/reconcile": routes.reconcile_resource(self.exchange),
+            "/v1/probe": routes.probe_resource(self.exchange),
             "/v1/sheet": routes.sheet_resource(self.sheets),
             "/v1/ready": routes.ready_resource(self.sheets, self.stopping.is_set),
             "/v1/status": routes.status_resource(
@@ -218,36 +247,35 @@
         self.counts.calls["not_run"] += 1
         self.counts.refusals[reason] += 1
 
-    async def refresh_forever(self) -> None:
-        """Keep the own record alive and drop an endpoint whose lease passed."""
+    async def advance_forever(self) -> None:
+        """Drop an endpoint whose lease passed and end its drain, until cancelled."""
         while True:
-            self.lifecycle.expire()
-            lease_left_s = self.own.record["expires_at"] - self.clocks.wall()
-            if lease_left_s < members.RECORD_LEASE_S / 2:
-                self.revise()
+            self.lifecycle.advance(len(self.guard.tasks))
             await asyncio.sleep(TICK_S)
 
     async def drain(self) -> None:
         """Wait until no node sends new work and all work in flight has ended."""
-        started = self.clocks.monotonic()
-        deadline = started + self.config["drain_timeout_s"]
+        deadline = self.clocks.monotonic() + self.config["drain_timeout_s"]
         self.lifecycle.stop()
         await self.exchange.farewell()
-        await self._until(lambda: self.clocks.monotonic() >= started + DRAIN_SPREAD_S, deadline)
-        await self._until(self._idle, deadline)
-        timed_out = not self._idle()
-        if timed_out:
-            log.warning(
-                "drain cut calls",
-                extra={"calls": self.counts.in_flight, "endpoint": self.lifecycle.in_flight},
-            )
+        await self._until(self._drained, deadline)
+        cut_off = not self._drained()
+        if cut_off:
+            self._log_cut()
         await self._until(self.writer.idle, self.clocks.monotonic() + FLUSH_TIMEOUT_S)
-        self.lifecycle.finish(timed_out)
+        self.lifecycle.finish(cut_off)
         await self.exchange.farewell()
+        await self.discovery.leave()
+
+    def _log_cut(self) -> None:
+        cut = self.lifecycle.cut()
+        calls, claimed = self.counts.in_flight, len(self.guard.tasks)
+        level = logging.WARNING if calls or claimed or cut.endpoint_calls else logging.INFO
+        fields = {"calls": calls, "claimed": claimed, **cut._asdict()}
+        log.log(level, "drain ended early", extra=fields)
 
-    def _idle(self) -> bool:
-        own_work = self.counts.in_flight == 0 and not self.guard.tasks
-        return own_work and self.lifecycle.in_flight == 0
+    def _drained(self) -> bool:
+        return self.counts.in_flight == 0 and self.lifecycle.state == records.EndpointState.LEFT
 
     async def _until(self, done: typing.Callable[[], bool], deadline: instants.Instant) -> None:
         while not done() and not self.forced.is_set() and self.clocks.monotonic() < deadline:
@@ -264,7 +292,10 @@
         control_session = await stack.enter_async_context(
             http_client.open_session(CONTROL_CONNECTIONS, CONTROL_KEEPALIVE_S)
         )
-        node = Node(config, control_session)
+        fresh_session = await stack.enter_async_context(
+            http_client.open_session(CONTROL_CONNECTIONS, keepalive_s=0.0)
+        )
+        node = Node(config, control_session, fresh_session)
         stack.push_async_callback(node.transport.close)
         _handle_signals(node)
         gc.collect()
@@ -287,10 +318,13 @@
                 node.writer.run(),
                 node.guard.evict_forever(),
                 node.sweeper.sweep_forever(),
-                node.exchange.exchange_forever(),
-                node.exchange.lease_forever(),
-                node.sheets.poll_forever(),
-                node.refresh_forever(),
+                node.exchange.rounds_forever(),
+                node.exchange.push_forever(),
+                node.exchange.tick_forever(),
+                node.discovery.run(),
+                node.sheets.poll_forever(node.discovery.joined),
+                node.sheets.fetch_forever(),
+                node.advance_forever(),
             )
         ]
         log.info("node started")
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/once/relay.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/once/relay.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import typing
 
 import aiohttp
@@ -76,12 +77,17 @@
 
 
 class HttpPort:
-    """Sends messages to guards; owns the connections of its session."""
+    """Sends messages to guards; questions go on new connections, as a pooled one may be silent."""
 
     def __init__(
-        self, session: aiohttp.ClientSession, shared_key: str, clocks: instants.Clocks
+        self,
+        session: aiohttp.ClientSession,
+        shared_key: str,
+        clocks: instants.Clocks,
+        fresh: aiohttp.ClientSession | None = None,
     ) -> None:
         self.session = session
+        self.fresh = fresh or session
         self.shared_key = shared_key
         self.clocks = clocks
 
@@ -90,8 +96,9 @@
     ) -> messages.Reply:
         """Return the reply by `deadline`; raises `Unreached` or `Lost`."""
         now = self.clocks.monotonic()
+        session = self.session if isinstance(message, messages.Run) else self.fresh
         try:
-            async with self.session.post(
+            async with session.post(
                 control_url + PATH,
                 data=message.request.body if isinstance(message, messages.Run) else None,
                 headers={
@@ -110,6 +117,26 @@
             raise messages.Lost(repr(error)) from error
 
 
+class LocalPort:
+    """Hands messages for the own guard over in this process, and sends all others."""
+
+    def __init__(self, own: guard.Guard, remote: messages.Port) -> None:
+        self.own = own
+        self.remote = remote
+
+    async def exchange(
+        self, control_url: str, message: messages.Message, deadline: instants.Instant
+    ) -> messages.Reply:
+        """Return the reply by `deadline`; raises `Unreached` or `Lost`."""
+        if control_url != self.own.identity.control_url:
+            return await self.remote.exchange(control_url, message, deadline)
+        try:
+            async with asyncio.timeout_at(deadline):
+                return await self.own.receive(message)
+        except TimeoutError as error:
+            raise messages.Lost("timeout") from error
+
+
 class RelayApp:
     """ASGI application of a guard that takes messages."""
 
@@ -238,12 +265,8 @@
     reason = response.headers.get(headers.REASON, "")
     match tag:
         case "ran":
-            kept = tuple(
-                (name.lower(), value)
-                for name, value in response.headers.items()
-                if name.lower() not in headers.INTERNAL
-                and name.lower() not in (headers.REQUEST_ID, "date", "server")
-            )
+            received = headers.from_bytes(response.raw_headers)
+            kept = headers.end_to_end(received)
             return outcomes.Ran(outcomes.Answer(response.status, kept, body))
         case "not_run":
             retry_after_s = response.headers.get("retry-after")
--- a/packages/goldcrestgrade/goldcrestgrade/headers.py
+++ b/packages/goldcrestgrade/goldcrestgrade/headers.py
@@ -44,6 +44,12 @@
 CONTROL_KEY = "goldcrestgrade-control-key"
 """Shared key of control and operator requests."""
 
+SHEET_VERSION = "goldcrestgrade-sheet-version"
+"""Version of a sheet that one node sends to another."""
+
+ENDPOINT_STATE = "goldcrestgrade-endpoint-state"
+"""State of the endpoint, in the answer to its announcement."""
+
 INTERNAL = frozenset(
     {
         ATTEMPT_ID,
@@ -92,6 +98,11 @@
 """Values of `Connection` that name no other header."""
 
 
+def from_bytes(raw: typing.Iterable[tuple[bytes, bytes]]) -> Fields:
+    """Return the headers of an answer; each character of a value stands for one byte."""
+    return tuple((name.decode("latin-1").lower(), value.decode("latin-1")) for name, value in raw)
+
+
 def repeated(fields: Fields) -> bool:
     """Tell whether a header that may stand once only stands more often."""
     names = [name for name, _ in fields if name in SINGLE]
