--- a/packages/goldcrestgrade-testing/goldcrestgrade_testing/once_load.py
+++ b/packages/goldcrestgrade-testing/goldcrestgrade_testing/once_load.py
@@ -10,7 +10,7 @@
 from goldcrestgrade import instants, outcomes, sheet
 from goldcrestgrade_node import requests
 from goldcrestgrade_node.once import sweeper
-from goldcrestgrade_testing import fast_time, history, once_world, schedules
+from goldcrestgrade_testing import fast_time, guard_process, history, once_world, schedules
 
 OUTAGE_S = 600.0
 """Length of an outage of the table service."""
@@ -30,7 +30,9 @@
 IDEMPOTENT_INTERVAL_S = 0.5
 """Time between two idempotent calls in an outage."""
 
-SETUP = once_world.Setup(service_times_s=(0.005, 0.02), sweep_interval_s=sweeper.SWEEP_INTERVAL_S)
+SETUP = guard_process.Setup(
+    service_times_s=(0.005, 0.02), sweep_interval_s=sweeper.SWEEP_INTERVAL_S
+)
 
 IDEMPOTENT_KIND = sheet.Kind("GET /*", run_once=False, timeout_s=5.0)
 
