Limit the bytes of a transaction of outcomes

Cause: 100 large answers went into one transaction; one that the store cannot take in time would be sent again for ever and hold up all others. Change: a transaction holds at most 512 KiB of answers, or one outcome.

--- a/packages/goldcrestgrade-node/goldcrestgrade_node/once/write_behind.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/once/write_behind.py
@@ -27,6 +27,10 @@
 """Largest number of outcomes in one transaction."""
 
 
+MAX_GROUP_BYTES = 512 << 10
+"""Bytes of answers in one transaction, as far as it holds more than one outcome."""
+
+
 class Entry(typing.NamedTuple):
     """An outcome to be written."""
 
@@ -37,6 +41,11 @@
     written: typing.Callable[[], None]
     """Called once the row says the outcome, or has passed to another claim."""
 
+    def size(self) -> int:
+        """Return the bytes of the answer as it is written."""
+        answer = self.document["answer"]
+        return 0 if answer is None else len(answer["body"])
+
 
 class WriteBehind:
     """The queue of outcomes; `run` is the task that owns it."""
@@ -62,7 +71,7 @@
             await self.added.wait()
             await asyncio.sleep(FLUSH_DELAY_S)
             while self.entries:
-                await self._write(list(itertools.islice(self.entries.values(), MAX_GROUP)))
+                await self._write(_next_group(self.entries.values()))
             self.added.clear()
 
     async def _write(self, group: list[Entry]) -> None:
@@ -85,6 +94,14 @@
             entry.written()
 
 
+def _next_group(entries: typing.Iterable[Entry]) -> list[Entry]:
+    """Return the first of `entries` that one transaction carries."""
+    waiting = list(itertools.islice(entries, MAX_GROUP))
+    sizes = itertools.accumulate(entry.size() for entry in waiting)
+    fitting = sum(size <= MAX_GROUP_BYTES for size in sizes)
+    return waiting[: max(1, fitting)]
+
+
 def _transaction(group: list[Entry]) -> tables.Transaction:
     return tables.Transaction(
         conditions=tuple(
--- a/packages/goldcrestgrade-node/tests/once/test_guard.py
+++ b/packages/goldcrestgrade-node/tests/once/test_guard.py
@@ -3,6 +3,8 @@
 import asyncio
 import uuid
 
+import orjson
+
 from goldcrestgrade import instants, outcomes, reasons, sheet
 from goldcrestgrade_node import requests
 from goldcrestgrade_node.attempts import results
@@ -290,3 +292,25 @@
         return await own.run(run("1", request()))
 
     assert isinstance(virtual_time.run(scenario()), outcomes.Unknown)
+
+
+def test_large_outcomes_are_written_in_several_transactions():
+    async def scenario():
+        answer = outcomes.Answer(200, (), b"x" * executions.MAX_STORED_ANSWER_BYTES)
+        setup = Setup(result=results.Answered(answer, load=None))
+        own = setup.guard("a")
+        sizes: list[int] = []
+        transact = setup.store.transact
+
+        async def recorded(transaction):
+            sizes.append(len(orjson.dumps([write.value for write in transaction.writes])))
+            return await transact(transaction)
+
+        setup.store.transact = recorded
+        await asyncio.gather(*(own.run(run(f"{n}", request(key=f"k{n}"))) for n in range(20)))
+        await asyncio.sleep(5.0)
+        return max(sizes), own.writer.idle()
+
+    largest, idle = virtual_time.run(scenario())
+    assert largest <= 1 << 20
+    assert idle
