Bound the resends that a guard keeps, and read dates from hyphenated UUIDs only

Cause: resends of one key were bounded by nothing; 32 random hexadecimal digits could be taken for a version 7 UUID and refused as expired. Change: the bound counts attempts; a dated key is a UUID in its canonical form. Measured: test_random_digits_are_not_taken_for_a_dated_key and test_resends_beyond_the_bound_are_refused failed before (a deadline of 86400.001; no bound) and pass after; pytest packages/goldcrestgrade-node/tests/once: 29 passed.

--- a/packages/goldcrestgrade-node/goldcrestgrade_node/once/guard.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/once/guard.py
@@ -31,8 +31,8 @@
 RETRY_AFTER_S = 2.0
 """When a caller that was refused may come back, where nothing better is known."""
 
-MAX_EXECUTIONS = 20_000
-"""Largest number of executions that a guard keeps; beyond, new requests are refused."""
+MAX_ATTEMPTS = 20_000
+"""Largest number of attempts whose executions a guard keeps; beyond, new ones are refused."""
 
 MAX_KEPT_BYTES = 16 << 20
 """Bytes of answers that a guard keeps; beyond, new requests are refused."""
@@ -176,12 +176,14 @@
         key_deadline = keys.deadline(request.idempotency_key or "")
         if key_deadline is not None and self.clocks.wall() >= key_deadline:
             return outcomes.NotRun(reasons.Refusal.KEY_EXPIRED)
+        if len(self.attempts) >= MAX_ATTEMPTS:
+            return self._refusal(reasons.Refusal.SATURATED)
         if execution is not None:
             reused = execution.digest != requests.digest(request)
             return outcomes.NotRun(reasons.Refusal.KEY_REUSED) if reused else None
         if not self.accepting():
             return self._refusal(reasons.Refusal.GUARD_DRAINING)
-        if len(self.executions) >= MAX_EXECUTIONS or self.kept_bytes >= MAX_KEPT_BYTES:
+        if self.kept_bytes >= MAX_KEPT_BYTES:
             return self._refusal(reasons.Refusal.SATURATED)
         return None
 
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/once/keys.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/once/keys.py
@@ -36,7 +36,8 @@
         parsed = uuid.UUID(key)
     except ValueError:
         return None
-    if parsed.version != DATED_VERSION:
+    # Other spellings may be random digits that look like a version 7 UUID by chance.
+    if parsed.version != DATED_VERSION or str(parsed) != key.lower():
         return None
     created_at = (parsed.int >> 80) / 1000
     return created_at + KEY_LIFETIME_S
--- a/packages/goldcrestgrade-node/tests/once/test_guard.py
+++ b/packages/goldcrestgrade-node/tests/once/test_guard.py
@@ -314,3 +314,20 @@
     largest, idle = virtual_time.run(scenario())
     assert largest <= 1 << 20
     assert idle
+
+
+def test_random_digits_are_not_taken_for_a_dated_key():
+    random_digits = uuid.UUID(int=(1 << 80) | (7 << 76) | (2 << 62)).hex
+    assert keys.deadline(random_digits) is None
+
+
+def test_resends_beyond_the_bound_are_refused(monkeypatch):
+    monkeypatch.setattr(guard, "MAX_ATTEMPTS", 2)
+
+    async def scenario():
+        own = Setup().guard("a")
+        return [await own.run(run(f"{n}", request())) for n in range(3)]
+
+    ended = virtual_time.run(scenario())
+    assert ended[:2] == [outcomes.Ran(ANSWER)] * 2
+    assert ended[2].reason == reasons.Refusal.SATURATED
