--- a/Makefile
+++ b/Makefile
@@ -37,6 +37,10 @@
 soak: install ## Play generated run-once schedules from SEED
 	$(BIN)/python -m goldcrestgrade_testing.soak --seed=$(SEED)
 
+bench-costs: install ## Measure the processor time of the routing decisions
+	$(BIN)/python -m goldcrestgrade_testing.bench.costs
+
+.PHONY: help install test lint format demo bench bench-costs
 reference: install ## Write the generated tables of the documentation
 	$(BIN)/python -m goldcrestgrade_testing.reference
 
--- a/packages/goldcrestgrade-testing/goldcrestgrade_testing/endpoint_server.py
+++ b/packages/goldcrestgrade-testing/goldcrestgrade_testing/endpoint_server.py
@@ -54,6 +54,8 @@
     """Holds the requests that it has started until this is false."""
     draining: bool = False
     """Sheds new requests and tells its node that it leaves."""
+    one_segment: bool = False
+    """Writes the head of an answer together with its body, as many servers do; uvicorn does not."""
     crash_marker: str | None = None
     """Text in a request's target at which the endpoint crashes."""
 
@@ -153,7 +155,7 @@
         """Work on a request; return false where its caller went away meanwhile."""
         self.in_flight += 1
         working = asyncio.create_task(self._work_in_slot(scope, received))
-        leaving = asyncio.create_task(_disconnected(receive))
+        leaving = asyncio.create_task(asgi.wait_disconnected(receive))
         try:
             await asyncio.wait((working, leaving), return_when=asyncio.FIRST_COMPLETED)
             if working.done():
@@ -202,11 +204,6 @@
         return [key for key, group in itertools.groupby(keys) if len(list(group)) > 1]
 
 
-async def _disconnected(receive: asgi.Receive) -> None:
-    while (await receive())["type"] != "http.disconnect":
-        pass
-
-
 async def announce_forever(
     endpoint: Endpoint,
     address: settings.Address,
@@ -246,8 +243,10 @@
 
 
 async def serve(endpoint: Endpoint, address: settings.Address) -> None:
-    """Serve `endpoint` at `address` until cancelled, on a server without the node's additions."""
-    await servers.create(endpoint, address, httptools_impl.HttpToolsProtocol).serve()
+    """Serve `endpoint` at `address` until cancelled."""
+    joined = endpoint.behaviour.one_segment
+    protocol = servers.NodeProtocol if joined else httptools_impl.HttpToolsProtocol
+    await servers.create(endpoint, address, protocol).serve()
 
 
 def main() -> None:
--- a/packages/goldcrestgrade-testing/goldcrestgrade_testing/latency/__main__.py
+++ b/packages/goldcrestgrade-testing/goldcrestgrade_testing/latency/__main__.py
@@ -11,7 +11,6 @@
 import typing
 
 import orjson
-from hdrh import histogram
 
 from goldcrestgrade_testing import deployments, endpoint_server, processes
 from goldcrestgrade_testing.latency import callers
@@ -58,10 +57,16 @@
     parser.add_argument("--seconds", type=float, default=6.0, help="load time at each rate")
     parser.add_argument("--repeats", type=int, default=1)
     parser.add_argument("--rates", type=int, nargs="+", default=RATES)
+    parser.add_argument(
+        "--one-segment", action="store_true", help="endpoints write head and body together"
+    )
     parser.add_argument("--json", type=pathlib.Path, help="file that takes the figures")
     arguments = parser.parse_args()
+    behaviour = endpoint_server.Behaviour(
+        service_time_s=0.0, jitter_share=0.0, slots=1000, one_segment=arguments.one_segment
+    )
     rows = asyncio.run(
-        measure(arguments.rates, arguments.seconds, arguments.repeats, arguments.seed)
+        measure(behaviour, arguments.rates, arguments.seconds, arguments.repeats, arguments.seed)
     )
     if arguments.json:
         arguments.json.write_bytes(orjson.dumps([row._asdict() for row in rows]))
@@ -79,9 +84,14 @@
     return "\n".join(f"| {line} |" for line in lines) + f"\n\n{summary}"
 
 
-async def measure(rates: typing.Iterable[int], load_s: float, repeats: int, seed: int) -> list[Row]:
+async def measure(
+    behaviour: endpoint_server.Behaviour,
+    rates: typing.Iterable[int],
+    load_s: float,
+    repeats: int,
+    seed: int,
+) -> list[Row]:
     """Return a row for each rate and repeat."""
-    behaviour = endpoint_server.Behaviour(service_time_s=0.0, jitter_share=0.0, slots=1000)
     async with deployments.running(ENDPOINTS, behaviour) as deployment:
         return [
             await _measure_rate(deployment.instances, rate, load_s, seed + repeat)
@@ -104,7 +114,7 @@
     )
     cpu_before_s = processes.cpu_s(instances[0].node)
     results = await asyncio.gather(
-        *(_run_callers({**plan, "seed": seed * 100 + n}) for n in range(CALLER_PROCESSES))
+        *(callers.run_in_process({**plan, "seed": seed * 100 + n}) for n in range(CALLER_PROCESSES))
     )
     cpu_s = processes.cpu_s(instances[0].node) - cpu_before_s
     direct = _merged(result["direct"] for result in results)
@@ -126,22 +136,10 @@
     )
 
 
-async def _run_callers(plan: callers.Plan) -> callers.Result:
-    process = await asyncio.create_subprocess_exec(
-        sys.executable,
-        "-m",
-        "goldcrestgrade_testing.latency.callers",
-        orjson.dumps(plan).decode(),
-        stdout=asyncio.subprocess.PIPE,
-    )
-    output, _ = await process.communicate()
-    return callers.RESULT.validate_json(output)
-
-
 def _merged(encoded: typing.Iterable[str]) -> typing.Any:
     merged = callers.new_histogram()
     for one in encoded:
-        merged.add(histogram.HdrHistogram.decode(one))
+        merged.add(callers.decode(one))
     return merged
 
 
