--- a/packages/goldcrestgrade-node/goldcrestgrade_node/commands/run.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/commands/run.py
@@ -132,7 +132,7 @@
             choice.Caller(config["region"], config["failure_domain"]),
             self.views,
             self.transport.send,
-            relay_client.RelayClient(port, self.clocks).run,
+            relay_client.RelayClient(relay.LocalPort(self.guard, port), self.clocks).run,
             self.clocks,
             self.counts,
             self.rng,
@@ -150,7 +150,9 @@
         for service in services:
             ready = self.members.ready(service)
             self.views.update(service, ready)
-            self.transport.set_shares(service, shares.limits(self.config["node_id"], ready, nodes))
+            self.transport.set_shares(
+                service, shares.at_endpoints(self.config["node_id"], ready, nodes)
+            )
         self.views.share_link(self.exchange.view().region_size)
 
     def sheet_adopted(self, _adopted: sheet.Sheet) -> None:
--- a/packages/goldcrestgrade-testing/goldcrestgrade_testing/processes.py
+++ b/packages/goldcrestgrade-testing/goldcrestgrade_testing/processes.py
@@ -3,8 +3,9 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
+import itertools
 import pathlib
+import random
 import signal
 import socket
 import subprocess
@@ -18,6 +19,9 @@
 from goldcrestgrade import headers, settings
 from goldcrestgrade_testing import endpoint_server, letters_desk
 
+PORTS = range(21_000, 32_000)
+"""Ports below those that Linux gives to outgoing connections."""
+
 START_TIMEOUT_S = 30.0
 """Longest wait for a process to be ready."""
 
@@ -32,12 +36,14 @@
 
 
 def free_ports(count: int) -> list[int]:
-    """Return ports of the loopback interface that are free now."""
-    with contextlib.ExitStack() as stack:
-        sockets = [stack.enter_context(socket.socket()) for _ in range(count)]
-        for one in sockets:
-            one.bind((letters_desk.HOST, 0))
-        return [one.getsockname()[1] for one in sockets]
+    """Return ports that are free now and that the system gives to no outgoing connection."""
+    candidates = random.SystemRandom().sample(PORTS, len(PORTS))
+    return list(itertools.islice(filter(_is_free, candidates), count))
+
+
+def _is_free(port: int) -> bool:
+    with socket.socket() as probe:
+        return probe.connect_ex((letters_desk.HOST, port)) != 0
 
 
 def start_node(config: settings.NodeSettings, folder: pathlib.Path) -> Process:
