--- a/packages/goldcrestgrade-node/goldcrestgrade_node/commands/run.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/commands/run.py
@@ -14,7 +14,7 @@
 
 from goldcrestgrade import http_client, instants, outcomes, records, settings, sheet, telemetry
 from goldcrestgrade.platform import http_objects, http_tables, resilient_tables
-from goldcrestgrade_node import asgi, requests, servers
+from goldcrestgrade_node import asgi, crash_notices, requests, servers
 from goldcrestgrade_node.attempts import forwarding, results, shares, transport
 from goldcrestgrade_node.configuration import adoption
 from goldcrestgrade_node.control import app as control_app
@@ -23,7 +23,15 @@
 from goldcrestgrade_node.entry import app as entry_app
 from goldcrestgrade_node.entry import calls
 from goldcrestgrade_node.membership import discovery, exchange, members, peers, selection
-from goldcrestgrade_node.once import claims, guard, relay, relay_client, sweeper, write_behind
+from goldcrestgrade_node.once import (
+    claims,
+    executions,
+    guard,
+    relay,
+    relay_client,
+    sweeper,
+    write_behind,
+)
 from goldcrestgrade_node.routing import choice, views
 
 log = logging.getLogger(__name__)
@@ -54,6 +62,7 @@
         self,
         config: settings.NodeSettings,
         control_session: aiohttp.ClientSession,
+        fresh_session: aiohttp.ClientSession,
     ) -> None:
         self.config = config
         self.clocks = instants.system_clocks()
@@ -116,10 +125,12 @@
         self.committer = claims.Committer(claim_store, self.clocks)
         self.writer = write_behind.WriteBehind(claim_store, self.clocks)
         self.sweeper = sweeper.Sweeper(claim_store, self.clocks, self.rng)
-        port = relay.HttpPort(control_session, config["keys"][0], self.clocks)
+        port = relay.HttpPort(control_session, config["keys"][0], self.clocks, fresh_session)
         self.transport = transport.HttpTransport(self.clocks, self.counts, config["keys"][0])
         self.guard = guard.Guard(
-            guard.Identity(config["node_id"], incarnation, records.control_url(self.own.record)),
+            executions.Identity(
+                config["node_id"], incarnation, records.control_url(self.own.record)
+            ),
             self.committer,
             self.writer,
             port,
@@ -137,6 +148,7 @@
             self.counts,
             self.rng,
         )
+        crash_notices.connect(self.calls.quarantine, self.exchange, self.clocks)
         self.revise()
 
     def revise(self) -> None:
@@ -280,7 +292,10 @@
         control_session = await stack.enter_async_context(
             http_client.open_session(CONTROL_CONNECTIONS, CONTROL_KEEPALIVE_S)
         )
-        node = Node(config, control_session)
+        fresh_session = await stack.enter_async_context(
+            http_client.open_session(CONTROL_CONNECTIONS, keepalive_s=0.0)
+        )
+        node = Node(config, control_session, fresh_session)
         stack.push_async_callback(node.transport.close)
         _handle_signals(node)
         gc.collect()
