Spend no retry budget on an attempt that reached no endpoint

Cause: after the death of an endpoint the calls under way to it spent the budget of 5 retries at once, and idempotent calls were refused as retry_budget_spent while other endpoints were idle. Change: an attempt of which no byte left costs nothing, since no endpoint did work for it; a call still has three attempts. Measured: `pytest packages/goldcrestgrade-testing/tests/test_node_processes.py -k death`: 4 of 4 passed. `pytest packages/goldcrestgrade-node/tests/test_call_path.py`: the new test failed before (refusals among 60 calls at once) and passes after; the tests of entry and routing pass (69). Ruled out: a larger burst, which only moves the number of calls at which it fails.

--- a/packages/goldcrestgrade-node/goldcrestgrade_node/entry/calls.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/entry/calls.py
@@ -112,7 +112,7 @@
                 if not retries.failed(result):
                     call.view.note_latency(now - call.started_at)
                 return retries.settle(verdict.outcome, call.ended)
-            if not call.view.retry_budget.take():
+            if not isinstance(result, results.Unreached) and not call.view.retry_budget.take():
                 return retries.settle(retries.give_up(result, now), call.ended)
             self.counts.retries[verdict.reason] += 1
 
--- a/packages/goldcrestgrade-node/tests/test_call_path.py
+++ b/packages/goldcrestgrade-node/tests/test_call_path.py
@@ -70,3 +70,19 @@
     assert outcome == outcomes.Ran(ANSWER)
     assert counts.retries == {reasons.Retry.REFUSED: 1}
     assert tried == ["r1-1", "r1-2"]
+
+
+def test_endpoint_that_is_gone_costs_no_call_however_many_come_at_once():
+    async def send(attempt):
+        await asyncio.sleep(0.001)
+        if attempt.control_url == "http://gone:1":
+            return results.Unreached("refused")
+        return results.Answered(ANSWER, load=None)
+
+    async def scenario():
+        path = make_calls(send)
+        path.known.of("archive").endpoints["a"].control_url = "http://gone:1"
+        return await asyncio.gather(*(path.run(make_request()) for _ in range(60)))
+
+    ended = virtual_time.run(scenario())
+    assert ended == [outcomes.Ran(ANSWER)] * 60
