--- a/packages/goldcrestgrade-node/goldcrestgrade_node/commands/run.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/commands/run.py
@@ -14,7 +14,7 @@
 
 from goldcrestgrade import http_client, instants, outcomes, records, settings, sheet, telemetry
 from goldcrestgrade.platform import http_objects, http_tables, resilient_tables
-from goldcrestgrade_node import asgi, requests, servers
+from goldcrestgrade_node import asgi, crash_notices, requests, servers
 from goldcrestgrade_node.attempts import forwarding, results, shares, transport
 from goldcrestgrade_node.configuration import adoption
 from goldcrestgrade_node.control import app as control_app
@@ -23,7 +23,15 @@
 from goldcrestgrade_node.entry import app as entry_app
 from goldcrestgrade_node.entry import calls
 from goldcrestgrade_node.membership import discovery, exchange, members, peers, selection
-from goldcrestgrade_node.once import claims, guard, relay, relay_client, sweeper, write_behind
+from goldcrestgrade_node.once import (
+    claims,
+    executions,
+    guard,
+    relay,
+    relay_client,
+    sweeper,
+    write_behind,
+)
 from goldcrestgrade_node.routing import choice, views
 
 log = logging.getLogger(__name__)
@@ -120,7 +128,9 @@
         port = relay.HttpPort(control_session, config["keys"][0], self.clocks, fresh_session)
         self.transport = transport.HttpTransport(self.clocks, self.counts, config["keys"][0])
         self.guard = guard.Guard(
-            guard.Identity(config["node_id"], incarnation, records.control_url(self.own.record)),
+            executions.Identity(
+                config["node_id"], incarnation, records.control_url(self.own.record)
+            ),
             self.committer,
             self.writer,
             port,
@@ -138,6 +148,7 @@
             self.counts,
             self.rng,
         )
+        crash_notices.connect(self.calls.quarantine, self.exchange, self.clocks)
         self.revise()
 
     def revise(self) -> None:
--- a/packages/goldcrestgrade-node/tests/once/test_guard.py
+++ b/packages/goldcrestgrade-node/tests/once/test_guard.py
@@ -6,7 +6,16 @@
 from goldcrestgrade import instants, outcomes, reasons, sheet
 from goldcrestgrade_node import requests
 from goldcrestgrade_node.attempts import results
-from goldcrestgrade_node.once import bars, claims, guard, keys, messages, write_behind
+from goldcrestgrade_node.once import (
+    bars,
+    claims,
+    executions,
+    guard,
+    keys,
+    messages,
+    rows,
+    write_behind,
+)
 from goldcrestgrade_testing import memory_platform, virtual_time
 
 KIND = sheet.Kind("POST /*", run_once=True, timeout_s=5.0)
@@ -44,7 +53,7 @@
         committer = claims.Committer(self.store, self.clocks)
         writer = write_behind.WriteBehind(self.store, self.clocks)
         made = guard.Guard(
-            guard.Identity(name, incarnation, name),
+            executions.Identity(name, incarnation, name),
             committer,
             writer,
             self.ports,
@@ -199,10 +208,10 @@
         await asyncio.sleep(600)
         setup.store.faults.down = False
         await asyncio.sleep(5)
-        return own, await setup.store.read(claims.TABLE, keys.row_key("intake", "k"))
+        return own, await setup.store.read(rows.TABLE, keys.row_key("intake", "k"))
 
     own, row = virtual_time.run(scenario())
-    assert row.value["state"] == claims.ClaimState.DONE
+    assert row.value["state"] == rows.ClaimState.DONE
     assert own.writer.idle()
 
 
@@ -246,3 +255,38 @@
     ended, writes = virtual_time.run(scenario())
     assert set(ended) == {outcomes.Ran(ANSWER)}
     assert writes <= 2
+
+
+class Rest:
+    """The rest of an answer; each part can be read once."""
+
+    length = None
+
+    def __init__(self, parts: list[bytes]) -> None:
+        self.parts = parts
+
+    async def read(self) -> bytes:
+        return self.parts.pop(0) if self.parts else b""
+
+    def close(self) -> None:
+        self.parts.clear()
+
+
+def test_large_answer_is_whole_for_each_resend():
+    async def scenario():
+        answer = outcomes.Answer(200, (), b"first ", Rest([b"second ", b"third"]))
+        own = Setup(result=results.Answered(answer, load=None)).guard("a")
+        return await asyncio.gather(*(own.run(run(f"{n}", request())) for n in range(2)))
+
+    whole = outcomes.Ran(outcomes.Answer(200, (), b"first second third"))
+    assert virtual_time.run(scenario()) == [whole, whole]
+
+
+def test_answer_above_the_limit_is_unknown():
+    async def scenario():
+        parts = [b"x" * (1 << 20)] * 5
+        answer = outcomes.Answer(200, (), b"first", Rest(parts))
+        own = Setup(result=results.Answered(answer, load=None)).guard("a")
+        return await own.run(run("1", request()))
+
+    assert isinstance(virtual_time.run(scenario()), outcomes.Unknown)
