Send the first attempt of a call in the call's own task

Cause: since hedging came, each call made a task for its attempt and waited for it with a timer, though only one call in twenty is hedged. Change: the attempt runs in the call's task inside a scope that a hedge which ends well ends; a task is made for a hedge alone. An attempt at an endpoint on trial keeps its own task, as it may outlive the call.

--- a/packages/goldcrestgrade-node/goldcrestgrade_node/entry/calls.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/entry/calls.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import dataclasses
 import functools
 import random
@@ -54,6 +55,42 @@
 
 AttemptTask = asyncio.Task[results.AttemptResult]
 
+BeginHedge = typing.Callable[[bool], "AttemptTask | None"]
+"""Begins a hedge, or a late attempt where the argument is true; none where there is no budget."""
+
+
+class Hedge:
+    """The attempt beside another that takes long; it ends the other's scope if it ends well."""
+
+    def __init__(self, begin: BeginHedge, scope: asyncio.Timeout, due: instants.Instant) -> None:
+        self.begin = begin
+        self.scope = scope
+        self.task: AttemptTask | None = None
+        self.loop = asyncio.get_running_loop()
+        self.closed = False
+        self.timer: asyncio.TimerHandle | None = None
+        if due != instants.NEVER:
+            delay_s = due - self.loop.time()
+            self.timer = self.loop.call_later(delay_s, self._due, False, delay_s)
+
+    def close(self) -> None:
+        """Begin nothing any more, and leave the scope alone."""
+        self.closed = True
+        if self.timer is not None:
+            self.timer.cancel()
+
+    def _due(self, late: bool, delay_s: float) -> None:
+        self.task = self.begin(late)
+        if self.task is not None:
+            self.task.add_done_callback(self._ended)
+        elif not late:
+            late_s = hedging.late_s(delay_s)
+            self.timer = self.loop.call_later(late_s, self._due, True, delay_s)
+
+    def _ended(self, task: AttemptTask) -> None:
+        if not self.closed and not task.cancelled() and _good(task.result()):
+            self.scope.reschedule(self.loop.time())
+
 
 class Calls:
     """The calls in flight at an entry node; owned by the event loop of the node."""
@@ -144,31 +181,61 @@
     async def _race(self, call: Call, endpoint: evidence.Evidence) -> results.AttemptResult:
         """Return the first good result of an attempt and its hedge, or else the latest."""
         now = self.clocks.monotonic()
-        on_trial = endpoint.on_trial
         due = instants.NEVER
         if self.policy.hedges:
             due = hedging.hedge_at(call.request, call.view, endpoint, now)
-        pending = {self._attempt(call, endpoint)}
-        try:
-            done, pending = await _wait(pending, due - now)
-            if pending:
-                hedge = self._hedge(call, on_trial)
-                if not hedge:
-                    done, pending = await _wait(pending, hedging.late_s(due - now))
-                    hedge = self._late_attempt(call) if pending else hedge
-                pending |= hedge
-            while pending and not _any_good(done):
-                call.ended.extend(task.result() for task in done)
-                done, pending = await _wait(pending, instants.NEVER)
-        finally:
-            self._leave(pending, cancel=not on_trial)
-        call.ended.extend(task.result() for task in done)
+        race = self._try_out if endpoint.on_trial else self._attempt_with_hedge
+        call.ended.extend(await race(call, endpoint, due))
         best = min(reversed(call.ended), key=retries.failed)
         for result in call.ended:
             if result is not best:
                 results.discard(result)
         return best
 
+    async def _attempt_with_hedge(
+        self, call: Call, endpoint: evidence.Evidence, due: instants.Instant
+    ) -> list[results.AttemptResult]:
+        """Attempt in the task of the call, so that a task is made for a hedge alone."""
+        ended: list[results.AttemptResult] = []
+        scope = asyncio.timeout(None)
+        hedge = Hedge(functools.partial(self._begin_hedge, call), scope, due)
+        beside: AttemptTask | None = None
+        try:
+            with contextlib.suppress(TimeoutError):  # Raised where the hedge ended well.
+                async with scope:
+                    ended.append(await self._attempt_here(call, endpoint))
+            hedge.close()
+            if hedge.task is not None and not any(map(_good, ended)):
+                await asyncio.wait({hedge.task})
+                beside = hedge.task
+                ended.append(beside.result())
+            return ended
+        finally:
+            hedge.close()
+            if hedge.task is not beside and hedge.task is not None:
+                self._leave({hedge.task})
+
+    async def _try_out(
+        self, call: Call, endpoint: evidence.Evidence, due: instants.Instant
+    ) -> list[results.AttemptResult]:
+        """Attempt at an endpoint on trial in a task that may outlive the call."""
+        done: set[AttemptTask] = set()
+        pending = {self._attempt(call, endpoint)}
+        try:
+            done, pending = await _wait(pending, due - self.clocks.monotonic())
+            if pending:
+                pending |= self._hedge(call, on_trial=True)
+            while pending and not any(_good(task.result()) for task in done):
+                ended, pending = await _wait(pending, instants.NEVER)
+                done |= ended
+        finally:
+            self._leave(pending, cancel=False)
+        return [task.result() for task in done]
+
+    def _begin_hedge(self, call: Call, late: bool) -> AttemptTask | None:
+        begun = self._late_attempt(call) if late else self._hedge(call, on_trial=False)
+        return next(iter(begun), None)
+
     def _hedge(self, call: Call, on_trial: bool) -> set[AttemptTask]:
         decision = self._choose(call)
         if isinstance(decision, choice.Refuse) or (decision.hot and not on_trial):
@@ -185,7 +252,7 @@
         self.counts.retries[reasons.Retry.TIMED_OUT] += 1
         return {self._attempt(call, decision.endpoint)}
 
-    def _leave(self, tasks: set[AttemptTask], cancel: bool) -> None:
+    def _leave(self, tasks: set[AttemptTask], cancel: bool = True) -> None:
         """Stop waiting for `tasks`; a trial runs on, since its result is what it is for."""
         for task in tasks:
             self.left.add(task)
@@ -197,7 +264,22 @@
     def _attempt(self, call: Call, endpoint: evidence.Evidence) -> AttemptTask:
         """Begin an attempt; it counts at once, before its task has run."""
         started = self._start(call, endpoint)
-        attempt = transport.Attempt(
+        task = asyncio.ensure_future(self.send(self._message(call, endpoint)))
+        task.add_done_callback(functools.partial(self._attempt_ended, call, endpoint, started))
+        return task
+
+    async def _attempt_here(self, call: Call, endpoint: evidence.Evidence) -> results.AttemptResult:
+        """Attempt in the running task."""
+        started = self._start(call, endpoint)
+        result: results.AttemptResult | None = None
+        try:
+            result = await self.send(self._message(call, endpoint))
+        finally:
+            self._account(call, endpoint, started, result)
+        return result
+
+    def _message(self, call: Call, endpoint: evidence.Evidence) -> transport.Attempt:
+        return transport.Attempt(
             attempt_id=f"{call.request.request_id}-{len(call.tried)}",
             request=call.request,
             host=endpoint.host,
@@ -206,9 +288,6 @@
             control_url=endpoint.control_url,
             on_new_connection=len(call.tried) > 1,
         )
-        task = asyncio.ensure_future(self.send(attempt))
-        task.add_done_callback(functools.partial(self._attempt_ended, call, endpoint, started))
-        return task
 
     def _start(self, call: Call, endpoint: evidence.Evidence) -> feedback.Started:
         call.tried.append(endpoint.node_id)
@@ -222,12 +301,22 @@
         started: feedback.Started,
         task: AttemptTask,
     ) -> None:
+        ended = not task.cancelled() and task.exception() is None
+        self._account(call, endpoint, started, task.result() if ended else None)
+
+    def _account(
+        self,
+        call: Call,
+        endpoint: evidence.Evidence,
+        started: feedback.Started,
+        result: results.AttemptResult | None,
+    ) -> None:
+        """Take in how an attempt ended; without a result it was given up."""
         now = self.clocks.monotonic()
         self.quarantine.leave(call.name, endpoint)
-        if task.cancelled() or task.exception() is not None:
+        if result is None:
             feedback.cancel(call.view, endpoint, started, now)
             return
-        result = task.result()
         feedback.finish(call.view, endpoint, started, result, now)
         quarantine.note_result(self.quarantine, call.name, endpoint, result, started.at, now)
 
@@ -267,5 +356,5 @@
         results.discard(task.result())
 
 
-def _any_good(done: set[AttemptTask]) -> bool:
-    return any(not retries.failed(task.result()) for task in done)
+def _good(result: results.AttemptResult) -> bool:
+    return not retries.failed(result)
