--- a/packages/goldcrestgrade-node/goldcrestgrade_node/routing/feedback.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/routing/feedback.py
@@ -11,6 +11,9 @@
 OVERHEAD_BYTES = 600
 """Bytes that the headers of a call and its answer are taken to have."""
 
+CANCELLED_LIMIT_FACTOR = 3.0
+"""Factor on the typical latency that a cancelled attempt counts as, at most."""
+
 
 class Started(typing.NamedTuple):
     """When an attempt began and what was paid for it."""
@@ -89,9 +92,11 @@
 ) -> None:
     """Take in an attempt that was given up; it only shows that its endpoint takes longer."""
     endpoint.in_flight -= 1
-    sample_s = now - started.at
-    if sample_s > evidence.expected_latency_s(endpoint, view.typical_latency_s(now), now):
-        _note_latency(view, endpoint, started, now)
+    typical_s = view.typical_latency_s(now)
+    sample_s = min(now - started.at, CANCELLED_LIMIT_FACTOR * typical_s)
+    if sample_s > evidence.expected_latency_s(endpoint, typical_s, now):
+        evidence.note_latency(endpoint, sample_s, typical_s, now)
+        ejection.note_latency(view, endpoint, sample_s, now)
 
 
 def _note_latency(
