Share an endpoint's connections out over the nodes that call its service

Cause: records did not tell who calls a service, so every live node counted as a caller; from 150 nodes on every call to an endpoint of 220 connections would have gone through a second process. A service that more than 148 nodes call is still relayed.

--- a/packages/goldcrestgrade-node/goldcrestgrade_node/attempts/shares.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/attempts/shares.py
@@ -52,14 +52,18 @@
 
 
 def at_endpoints(
-    own_id: str, live: typing.Iterable[records.NodeRecord], nodes: int
+    own_id: str, live: typing.Iterable[records.NodeRecord], callers: typing.Collection[str]
 ) -> dict[tuple[str, int], Share]:
-    """Return the share at each endpoint in `live` of one of `nodes` nodes, by its address."""
+    """Return the share of this node at each endpoint in `live`, by its address.
+
+    `callers` are the ids of the nodes that call the service; this node counts as one of them.
+    """
+    sharing = {own_id, *callers}
     return {
         (endpoint["host"], endpoint["port"]): (
-            decide_beside(endpoint["connections"], nodes - 1)
+            decide_beside(endpoint["connections"], len(sharing) - 1)
             if record["node_id"] == own_id
-            else decide(endpoint["connections"], nodes - 1)
+            else decide(endpoint["connections"], len(sharing - {record["node_id"]}))
         )
         for record in live
         if (endpoint := record["endpoint"]) is not None
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/commands/run.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/commands/run.py
@@ -22,6 +22,7 @@
 from goldcrestgrade_node.endpoint import lifecycle
 from goldcrestgrade_node.entry import app as entry_app
 from goldcrestgrade_node.entry import calls
+from goldcrestgrade_node.membership import called as called_services
 from goldcrestgrade_node.membership import discovery, exchange, members, peers, selection
 from goldcrestgrade_node.once import (
     claims,
@@ -73,6 +74,7 @@
         self.forced = asyncio.Event()
         self.views = views.Views(self.clocks.monotonic)
         self.members = members.Members(self.clocks)
+        self.called = called_services.CalledServices()
         incarnation = int(self.clocks.wall() * 1000)
         self.own = members.OwnRecord(
             members.first_record(
@@ -154,17 +156,17 @@
     def revise(self) -> None:
         """Make a new revision of the own record and tell peers of it."""
         state, endpoint = self.lifecycle.state, self.lifecycle.endpoint
-        self.exchange.announce(self.own.revise(state, endpoint, self.sheets.version))
+        called = self.called.tell(self.clocks.monotonic())
+        self.exchange.announce(self.own.revise(state, endpoint, self.sheets.version, called))
 
     def touched(self, services: set[str]) -> None:
         """Bring the evidence of `services` in line with the records."""
-        nodes = len(self.members.entries)
+        own_id = self.config["node_id"]
         for service in services:
             ready = self.members.ready(service)
+            callers = self.members.callers.get(service, set())
             self.views.update(service, ready)
-            self.transport.set_shares(
-                service, shares.at_endpoints(self.config["node_id"], ready, nodes)
-            )
+            self.transport.set_shares(service, shares.at_endpoints(own_id, ready, callers))
         self.views.share_link(self.exchange.view().region_size)
 
     def sheet_adopted(self, _adopted: sheet.Sheet) -> None:
@@ -192,6 +194,7 @@
     async def observed_run(self, request: requests.Request) -> outcomes.Outcome:
         """Run a request of a caller and record its latency."""
         started = self.clocks.monotonic()
+        self.called.note(request.service, started)
         outcome = await self.calls.run(request)
         self.counts.record_latency(self.clocks.monotonic() - started)
         return outcome
@@ -248,9 +251,11 @@
         self.counts.refusals[reason] += 1
 
     async def advance_forever(self) -> None:
-        """Drop an endpoint whose lease passed and end its drain, until cancelled."""
+        """Keep the own record and the endpoint's state up to date, until cancelled."""
         while True:
             self.lifecycle.advance(len(self.guard.tasks))
+            if self.called.is_due(self.clocks.monotonic()):
+                self.revise()
             await asyncio.sleep(TICK_S)
 
     async def drain(self) -> None:
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/membership/members.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/membership/members.py
@@ -40,6 +40,8 @@
         # Dictionaries in place of sets keep the order of arrival, so that runs can be repeated.
         self.by_bucket: list[dict[str, None]] = [{} for _ in range(digests.BUCKETS)]
         self.by_service: collections.defaultdict[str, set[str]] = collections.defaultdict(set)
+        self.callers: collections.defaultdict[str, set[str]] = collections.defaultdict(set)
+        """Nodes that call each service."""
         self.deadlines: dict[str, None] = {}
         """Nodes whose entry has a deadline."""
         self.generation = 0
@@ -64,12 +66,14 @@
         now = self.clocks.wall()
         pending = [self.entries[node_id] for node_id in self.deadlines]
         due = [entry for entry in pending if entry["until"] <= now]
+        touched = {e["record"]["endpoint"]["service"] for e in due if e["record"]["endpoint"]}
+        touched.update(itertools.chain.from_iterable(map(_called, due)))
         for entry in due:
             if entry["standing"] == records.Standing.SUSPECT:
                 self._put(_aged(entry, now))
             else:
                 self._remove(entry["record"]["node_id"])
-        return {e["record"]["endpoint"]["service"] for e in due if e["record"]["endpoint"]}
+        return touched
 
     def alive(self) -> list[records.NodeRecord]:
         """Return the records of all nodes that are neither gone nor lost."""
@@ -131,8 +135,12 @@
 
     def _put(self, entry: records.Entry) -> set[str]:
         node_id = entry["record"]["node_id"]
+        called = _called(self.entries.get(node_id))
         touched = self._remove(node_id)
         self.entries[node_id] = entry
+        for service in _called(entry):
+            self.callers[service].add(node_id)
+        touched |= called ^ _called(entry)
         self.generation += 1
         if entry["until"] > 0:
             self.deadlines[node_id] = None
@@ -152,6 +160,8 @@
         self.deadlines.pop(node_id, None)
         self.digests.toggle(entry)
         self.by_bucket[digests.bucket_of(node_id)].pop(node_id, None)
+        for service in _called(entry):
+            self.callers[service].discard(node_id)
         endpoint = entry["record"]["endpoint"]
         if endpoint is None:
             return set()
@@ -172,6 +182,10 @@
     return ready and entry["standing"] == records.Standing.ALIVE
 
 
+def _called(entry: records.Entry | None) -> set[str]:
+    return set(entry["record"].get("calls", ())) if entry is not None and present(entry) else set()
+
+
 def summary(entry: records.Entry) -> messages.Summary:
     """Return the summary of `entry`."""
     incarnation, revision = records.order(entry["record"])
@@ -213,13 +227,15 @@
         state: records.EndpointState,
         endpoint: records.EndpointDocument | None,
         sheet_version: int,
+        called: typing.Collection[str] = (),
     ) -> records.Entry:
-        """Return the entry with these values and a new revision."""
+        """Return the entry with these values and a new revision; `called` names services."""
         self.record = {
             **self.record,
             "state": state,
             "endpoint": endpoint,
             "sheet_version": sheet_version,
+            "calls": sorted(called),
             "revision": self.record["revision"] + 1,
         }
         return self.entry()
--- a/packages/goldcrestgrade-node/tests/membership/test_members.py
+++ b/packages/goldcrestgrade-node/tests/membership/test_members.py
@@ -32,7 +32,9 @@
     return records.Entry(record=record, standing=standing, until=until)
 
 
-LOST = make_entry(5, records.Standing.LOST, NOW + 100)
+LOST_STANDING = (records.Standing.LOST, NOW + 100)
+
+LOST = make_entry(5, *LOST_STANDING)
 
 
 def ready_after(*entries: records.Entry) -> bool:
@@ -76,6 +78,20 @@
     assert not make_members().merge([entry]).fresh
 
 
+def test_callers_of_a_service_follow_the_records():
+    known = make_members()
+    first, second, lost = make_entry(1), make_entry(2), make_entry(3, *LOST_STANDING)
+    first["record"]["calls"] = ["intake", "archive"]
+    second["record"]["calls"] = ["intake", "corrections"]
+    lost["record"]["calls"] = ["intake", "corrections"]
+    known.merge([first])
+    assert known.callers["archive"] == {"a"}
+    assert known.merge([second]).touched >= {"archive", "corrections"}
+    assert (known.callers["archive"], known.callers["corrections"]) == (set(), {"a"})
+    assert known.merge([lost]).touched >= {"intake", "corrections"}
+    assert not any(known.callers.values())
+
+
 def test_number_of_members_is_bounded(monkeypatch: pytest.MonkeyPatch):
     monkeypatch.setattr(members, "MAX_MEMBERS", 2)
     known = make_members()
--- a/packages/goldcrestgrade/goldcrestgrade/records.py
+++ b/packages/goldcrestgrade/goldcrestgrade/records.py
@@ -54,6 +54,10 @@
     """Connections that it accepts."""
 
 
+Called = typing.Annotated[list[Name], pydantic.Field(max_length=512)]
+"""Names of services that a node calls."""
+
+
 class NodeRecord(typing_extensions.TypedDict):
     """A node and its endpoint; of two records of a node the one of the higher order counts."""
 
@@ -72,6 +76,8 @@
     """Version in force when the record was revised."""
     expires_at: Deadline
     """Deadline of a lease row; 0 in records between nodes."""
+    calls: typing_extensions.NotRequired[Called]
+    """Services that the node called of late; their endpoints' connections are shared out by it."""
 
 
 class Entry(typing_extensions.TypedDict):
