--- a/packages/goldcrestgrade-node/goldcrestgrade_node/commands/run.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/commands/run.py
@@ -208,6 +208,7 @@
             "/v1/reconcile": routes.reconcile_resource(self.exchange),
             "/v1/probe": routes.probe_resource(self.exchange),
             "/v1/sheet": routes.sheet_resource(self.sheets),
+            "/v1/adoption": routes.adoption_resource(self.sheets),
             "/v1/ready": routes.ready_resource(self.sheets, self.stopping.is_set),
             "/v1/status": routes.status_resource(
                 self.own, self.members, self.sheets, lambda: self.counts.in_flight
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/control/routes.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/control/routes.py
@@ -35,6 +35,12 @@
     members: list[records.NodeRecord]
 
 
+class AdoptionDocument(typing_extensions.TypedDict):
+    """Version that a node has in force, 0 before the first."""
+
+    sheet_version: int
+
+
 class ReadyDocument(typing_extensions.TypedDict):
     """Readiness of a node."""
 
@@ -132,6 +138,15 @@
     return app.Resource(get=get, put=put)
 
 
+def adoption_resource(sheets: adoption.Adoption) -> app.Resource:
+    """Return the resource that tells operators which version this node has in force."""
+
+    async def get(_request: falcon.asgi.Request, response: falcon.asgi.Response) -> None:
+        response.data = app.json_body(AdoptionDocument(sheet_version=sheets.version))
+
+    return app.Resource(get=get)
+
+
 def ready_resource(sheets: adoption.Adoption, closing: typing.Callable[[], bool]) -> app.Resource:
     """Return the resource that tells whether callers may use this node."""
 
--- a/packages/goldcrestgrade-operator/goldcrestgrade_operator/adoption_progress.py
+++ b/packages/goldcrestgrade-operator/goldcrestgrade_operator/adoption_progress.py
@@ -9,7 +9,7 @@
 import rich.progress
 
 from goldcrestgrade import exceptions, records
-from goldcrestgrade_operator import nodes, options, output
+from goldcrestgrade_operator import nodes, options, output, platforms
 
 POLL_INTERVAL_S = 0.2
 """Time between looks at the nodes."""
@@ -28,11 +28,39 @@
         return self.adopted + len(self.behind)
 
 
-def count(status: nodes.StatusDocument, version: int) -> Adoption:
-    """Return how many of the live nodes in `status` have `version` or a later one in force."""
-    live = [r for r in status["members"] if r["state"] != records.EndpointState.LEFT]
-    behind = sorted(r["node_id"] for r in live if r["sheet_version"] < version)
-    return Adoption(len(live) - len(behind), tuple(behind))
+class Follower:
+    """Which nodes have a version in force; owned by the task that waits for it.
+
+    The records in a large fleet do not tell the versions of other nodes, so those that seem behind
+    are asked one by one.
+    """
+
+    def __init__(self, client: nodes.NodeClient, node_url: str, version: int) -> None:
+        self.client = client
+        self.node_url = node_url
+        self.version = version
+        self.adopted: set[str] = set()
+        self.asking = asyncio.Semaphore(platforms.CONNECTIONS)
+
+    async def look(self) -> Adoption:
+        """Return how many of the live nodes have the version; raises `UserError`."""
+        status = await self.client.status(self.node_url)
+        live = [r for r in status["members"] if r["state"] != records.EndpointState.LEFT]
+        waiting = [r for r in live if r["node_id"] not in self.adopted]
+        await asyncio.gather(*map(self._check, waiting))
+        behind = sorted(r["node_id"] for r in live if r["node_id"] not in self.adopted)
+        return Adoption(len(live) - len(behind), tuple(behind))
+
+    async def _check(self, record: records.NodeRecord) -> None:
+        if record["sheet_version"] >= self.version or await self._asked(record):
+            self.adopted.add(record["node_id"])
+
+    async def _asked(self, record: records.NodeRecord) -> bool:
+        async with self.asking:
+            try:
+                return await self.client.version(records.control_url(record)) >= self.version
+            except exceptions.UserError:
+                return False
 
 
 async def wait(version: int, given: options.Options) -> int:
@@ -50,8 +78,9 @@
     ) as progress:
         task = progress.add_task(f"version {version} in force on nodes", total=None)
         async with nodes.connect(given) as client:
+            follower = Follower(client, given.node_url, version)
             while True:
-                found = await _look(client, version, given)
+                found = await _look(follower)
                 if isinstance(found, Adoption):
                     progress.update(task, completed=found.adopted, total=found.total)
                     if found.total and not found.behind:
@@ -61,11 +90,9 @@
                 await asyncio.sleep(POLL_INTERVAL_S)
 
 
-async def _look(
-    client: nodes.NodeClient, version: int, given: options.Options
-) -> Adoption | exceptions.UserError:
+async def _look(follower: Follower) -> Adoption | exceptions.UserError:
     try:
-        return count(await client.status(given.node_url), version)
+        return await follower.look()
     except exceptions.UserError as error:
         return error
 
--- a/packages/goldcrestgrade-operator/goldcrestgrade_operator/nodes.py
+++ b/packages/goldcrestgrade-operator/goldcrestgrade_operator/nodes.py
@@ -31,6 +31,12 @@
     members: list[records.NodeRecord]
 
 
+class AdoptionDocument(typing_extensions.TypedDict):
+    """Version that a node has in force."""
+
+    sheet_version: int
+
+
 class DrainDocument(typing_extensions.TypedDict):
     """How far the drain of a node's endpoint is."""
 
@@ -38,6 +44,7 @@
     in_flight: int
 
 
+_ADOPTION: pydantic.TypeAdapter[AdoptionDocument] = pydantic.TypeAdapter(AdoptionDocument)
 _DRAIN: pydantic.TypeAdapter[DrainDocument] = pydantic.TypeAdapter(DrainDocument)
 _STATUS: pydantic.TypeAdapter[StatusDocument] = pydantic.TypeAdapter(StatusDocument)
 
@@ -53,6 +60,10 @@
         """Return what the node at `url` knows; raises `UserError`."""
         return await self._document(f"{url}/v1/status", _STATUS)
 
+    async def version(self, url: str) -> int:
+        """Return the version that the node at `url` has in force; raises `UserError`."""
+        return (await self._document(f"{url}/v1/adoption", _ADOPTION))["sheet_version"]
+
     async def drain(self, url: str) -> None:
         """Have the node at `url` drain its endpoint; raises `UserError`."""
         await self._exchange("POST", f"{url}/v1/drain")
--- a/packages/goldcrestgrade-operator/tests/conftest.py
+++ b/packages/goldcrestgrade-operator/tests/conftest.py
@@ -23,6 +23,8 @@
     def __init__(self, store: memory_platform.MemoryTables) -> None:
         self.store = store
         self.behind: set[str] = set()
+        self.old_records: set[str] = set()
+        """Nodes whose record tells an older version than they have in force."""
         self.state = records.EndpointState.READY
         self.in_flight = 0
         self.url = ""
@@ -37,6 +39,9 @@
         elif scope["path"] == "/v1/drain":
             document = {"state": self.state, "in_flight": self.in_flight}
             answer = outcomes.Answer(200, (), orjson.dumps(document))
+        elif scope["path"] == "/v1/adoption":
+            document = {"sheet_version": 0 if self.behind else self.status()["sheet_version"]}
+            answer = outcomes.Answer(200, (), orjson.dumps(document))
         else:
             answer = outcomes.Answer(200, (), orjson.dumps(self.status()))
         await asgi.send_answer(send, answer, "")
@@ -71,7 +76,7 @@
                 "slots": 10,
                 "connections": 220,
             },
-            sheet_version=0 if node_id in self.behind else version,
+            sheet_version=0 if node_id in self.behind | self.old_records else version,
             expires_at=0.0,
         )
 
--- a/packages/goldcrestgrade-operator/tests/test_commands.py
+++ b/packages/goldcrestgrade-operator/tests/test_commands.py
@@ -98,6 +98,13 @@
     assert "behind: archive-2" in err
 
 
+def test_wait_asks_nodes_whose_records_do_not_tell_their_version(command, node, sheet_of):
+    node.old_records = {"archive-1", "archive-2"}
+    path = sheet_of("2026-01-02")
+    status, out, _ = command("apply", path, "--wait", "--json", "--wait_timeout_s=0")
+    assert (status, orjson.loads(out)["nodes"]) == (0, 2)
+
+
 def test_sheet_accepted_without_a_node_to_ask_exits_4_and_says_so(command, sheet_of):
     path = sheet_of("2026-01-02")
     unreached = "--node=http://127.0.0.1:9"
