Split the wiring of a node from its running and move shared documents to one place

Change: node.py wires the parts, commands/run.py runs them; entry/hedges.py holds the second attempt; control_messages.py holds what nodes tell operators; sample_records.py makes records for tests and measurements.

--- a/packages/goldcrestgrade-node/goldcrestgrade_node/control/routes.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/control/routes.py
@@ -9,7 +9,7 @@
 import pydantic
 import typing_extensions
 
-from goldcrestgrade import headers, records
+from goldcrestgrade import control_messages, headers
 from goldcrestgrade_node.configuration import adoption
 from goldcrestgrade_node.control import app
 from goldcrestgrade_node.endpoint import lifecycle
@@ -24,23 +24,6 @@
 """Largest length of the number of a version."""
 
 
-class StatusDocument(typing_extensions.TypedDict):
-    """What a node tells operators of itself and of the nodes that it knows."""
-
-    node_id: str
-    state: records.EndpointState
-    sheet_version: int
-    sheet_day: str
-    in_flight: int
-    members: list[records.NodeRecord]
-
-
-class AdoptionDocument(typing_extensions.TypedDict):
-    """Version that a node has in force, 0 before the first."""
-
-    sheet_version: int
-
-
 class ReadyDocument(typing_extensions.TypedDict):
     """Readiness of a node."""
 
@@ -48,14 +31,6 @@
     reason: str
 
 
-class DrainDocument(typing_extensions.TypedDict):
-    """How far the drain of the own endpoint is."""
-
-    state: records.EndpointState
-    in_flight: int
-    """Requests in flight that the endpoint announced last."""
-
-
 def endpoint_resource(own: lifecycle.Lifecycle) -> app.Resource:
     """Return the resource by which the own endpoint announces itself and leaves."""
 
@@ -79,7 +54,9 @@
         response.status = falcon.HTTP_202
 
     async def get(_request: falcon.asgi.Request, response: falcon.asgi.Response) -> None:
-        response.data = app.json_body(DrainDocument(state=own.state, in_flight=own.in_flight))
+        response.data = app.json_body(
+            control_messages.DrainDocument(state=own.state, in_flight=own.in_flight)
+        )
 
     return app.Resource(post=drain, get=get)
 
@@ -142,7 +119,9 @@
     """Return the resource that tells operators which version this node has in force."""
 
     async def get(_request: falcon.asgi.Request, response: falcon.asgi.Response) -> None:
-        response.data = app.json_body(AdoptionDocument(sheet_version=sheets.version))
+        response.data = app.json_body(
+            control_messages.AdoptionDocument(sheet_version=sheets.version)
+        )
 
     return app.Resource(get=get)
 
@@ -168,7 +147,7 @@
 
     async def get(_request: falcon.asgi.Request, response: falcon.asgi.Response) -> None:
         response.data = app.json_body(
-            StatusDocument(
+            control_messages.StatusDocument(
                 node_id=own.record["node_id"],
                 state=own.record["state"],
                 sheet_version=sheets.version,
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/entry/calls.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/entry/calls.py
@@ -12,6 +12,7 @@
 from goldcrestgrade import instants, outcomes, reasons, telemetry
 from goldcrestgrade_node import requests
 from goldcrestgrade_node.attempts import results, retries, transport
+from goldcrestgrade_node.entry import hedges
 from goldcrestgrade_node.routing import (
     choice,
     ejection,
@@ -53,45 +54,6 @@
     """Results of the attempts that were not cancelled."""
 
 
-AttemptTask = asyncio.Task[results.AttemptResult]
-
-BeginHedge = typing.Callable[[bool], "AttemptTask | None"]
-"""Begins a hedge, or a late attempt where the argument is true; none where there is no budget."""
-
-
-class Hedge:
-    """The attempt beside another that takes long; it ends the other's scope if it ends well."""
-
-    def __init__(self, begin: BeginHedge, scope: asyncio.Timeout, due: instants.Instant) -> None:
-        self.begin = begin
-        self.scope = scope
-        self.task: AttemptTask | None = None
-        self.loop = asyncio.get_running_loop()
-        self.closed = False
-        self.timer: asyncio.TimerHandle | None = None
-        if due != instants.NEVER:
-            delay_s = due - self.loop.time()
-            self.timer = self.loop.call_later(delay_s, self._due, False, delay_s)
-
-    def close(self) -> None:
-        """Begin nothing any more, and leave the scope alone."""
-        self.closed = True
-        if self.timer is not None:
-            self.timer.cancel()
-
-    def _due(self, late: bool, delay_s: float) -> None:
-        self.task = self.begin(late)
-        if self.task is not None:
-            self.task.add_done_callback(self._ended)
-        elif not late:
-            late_s = hedging.late_s(delay_s)
-            self.timer = self.loop.call_later(late_s, self._due, True, delay_s)
-
-    def _ended(self, task: AttemptTask) -> None:
-        if not self.closed and not task.cancelled() and _good(task.result()):
-            self.scope.reschedule(self.loop.time())
-
-
 class Calls:
     """The calls in flight at an entry node; owned by the event loop of the node."""
 
@@ -115,7 +77,7 @@
         self.rng = rng
         self.policy = policy or Policy()
         self.quarantine = quarantine.Quarantine()
-        self.left: set[AttemptTask] = set()
+        self.left: set[hedges.AttemptTask] = set()
         """Attempts that no call waits for and that have not ended."""
 
     async def run(self, request: requests.Request) -> outcomes.Outcome:
@@ -198,14 +160,14 @@
         """Attempt in the task of the call, so that a task is made for a hedge alone."""
         ended: list[results.AttemptResult] = []
         scope = asyncio.timeout(None)
-        hedge = Hedge(functools.partial(self._begin_hedge, call), scope, due)
-        beside: AttemptTask | None = None
+        hedge = hedges.Hedge(functools.partial(self._begin_hedge, call), scope, due)
+        beside: hedges.AttemptTask | None = None
         try:
             with contextlib.suppress(TimeoutError):  # Raised where the hedge ended well.
                 async with scope:
                     ended.append(await self._attempt_here(call, endpoint))
             hedge.close()
-            if hedge.task is not None and not any(map(_good, ended)):
+            if hedge.task is not None and not any(map(hedges.good, ended)):
                 await asyncio.wait({hedge.task})
                 beside = hedge.task
                 ended.append(beside.result())
@@ -219,24 +181,24 @@
         self, call: Call, endpoint: evidence.Evidence, due: instants.Instant
     ) -> list[results.AttemptResult]:
         """Attempt at an endpoint on trial in a task that may outlive the call."""
-        done: set[AttemptTask] = set()
+        done: set[hedges.AttemptTask] = set()
         pending = {self._attempt(call, endpoint)}
         try:
             done, pending = await _wait(pending, due - self.clocks.monotonic())
             if pending:
                 pending |= self._hedge(call, on_trial=True)
-            while pending and not any(_good(task.result()) for task in done):
+            while pending and not any(hedges.good(task.result()) for task in done):
                 ended, pending = await _wait(pending, instants.NEVER)
                 done |= ended
         finally:
             self._leave(pending, cancel=False)
         return [task.result() for task in done]
 
-    def _begin_hedge(self, call: Call, late: bool) -> AttemptTask | None:
+    def _begin_hedge(self, call: Call, late: bool) -> hedges.AttemptTask | None:
         begun = self._late_attempt(call) if late else self._hedge(call, on_trial=False)
         return next(iter(begun), None)
 
-    def _hedge(self, call: Call, on_trial: bool) -> set[AttemptTask]:
+    def _hedge(self, call: Call, on_trial: bool) -> set[hedges.AttemptTask]:
         decision = self._choose(call)
         if isinstance(decision, choice.Refuse) or (decision.hot and not on_trial):
             return set()
@@ -245,14 +207,14 @@
         self.counts.retries[reasons.Retry.HEDGED] += 1
         return {self._attempt(call, decision.endpoint)}
 
-    def _late_attempt(self, call: Call) -> set[AttemptTask]:
+    def _late_attempt(self, call: Call) -> set[hedges.AttemptTask]:
         decision = self._choose(call)
         if isinstance(decision, choice.Refuse) or not call.view.retry_budget.take():
             return set()
         self.counts.retries[reasons.Retry.TIMED_OUT] += 1
         return {self._attempt(call, decision.endpoint)}
 
-    def _leave(self, tasks: set[AttemptTask], cancel: bool = True) -> None:
+    def _leave(self, tasks: set[hedges.AttemptTask], cancel: bool = True) -> None:
         """Stop waiting for `tasks`; a trial runs on, since its result is what it is for."""
         for task in tasks:
             self.left.add(task)
@@ -261,7 +223,7 @@
             if cancel:
                 task.cancel()
 
-    def _attempt(self, call: Call, endpoint: evidence.Evidence) -> AttemptTask:
+    def _attempt(self, call: Call, endpoint: evidence.Evidence) -> hedges.AttemptTask:
         """Begin an attempt; it counts at once, before its task has run."""
         started = self._start(call, endpoint)
         task = asyncio.ensure_future(self.send(self._message(call, endpoint)))
@@ -299,7 +261,7 @@
         call: Call,
         endpoint: evidence.Evidence,
         started: feedback.Started,
-        task: AttemptTask,
+        task: hedges.AttemptTask,
     ) -> None:
         ended = not task.cancelled() and task.exception() is None
         self._account(call, endpoint, started, task.result() if ended else None)
@@ -344,17 +306,13 @@
 
 
 async def _wait(
-    tasks: set[AttemptTask], timeout_s: float
-) -> tuple[set[AttemptTask], set[AttemptTask]]:
+    tasks: set[hedges.AttemptTask], timeout_s: float
+) -> tuple[set[hedges.AttemptTask], set[hedges.AttemptTask]]:
     """Return which of `tasks` are done and which are not, when one is or at the timeout."""
     limit_s = None if timeout_s == instants.NEVER else timeout_s
     return await asyncio.wait(tasks, timeout=limit_s, return_when=asyncio.FIRST_COMPLETED)
 
 
-def _discard_result(task: AttemptTask) -> None:
+def _discard_result(task: hedges.AttemptTask) -> None:
     if not task.cancelled() and task.exception() is None:
         results.discard(task.result())
-
-
-def _good(result: results.AttemptResult) -> bool:
-    return not retries.failed(result)
--- /dev/null
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/node.py
@@ -0,0 +1,276 @@
+"""The parts of a node, wired together."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import random
+import typing
+
+import aiohttp
+
+from goldcrestgrade import instants, outcomes, records, settings, sheet, telemetry
+from goldcrestgrade.platform import http_objects, http_tables, resilient_tables
+from goldcrestgrade_node import asgi, crash_notices, requests
+from goldcrestgrade_node.attempts import forwarding, results, shares, transport
+from goldcrestgrade_node.configuration import adoption
+from goldcrestgrade_node.control import app as control_app
+from goldcrestgrade_node.control import routes
+from goldcrestgrade_node.endpoint import lifecycle
+from goldcrestgrade_node.entry import app as entry_app
+from goldcrestgrade_node.entry import calls
+from goldcrestgrade_node.membership import called as called_services
+from goldcrestgrade_node.membership import discovery, exchange, members, peers, selection
+from goldcrestgrade_node.once import (
+    claims,
+    executions,
+    guard,
+    relay,
+    relay_client,
+    sweeper,
+    write_behind,
+)
+from goldcrestgrade_node.routing import choice, views
+
+log = logging.getLogger(__name__)
+
+FLUSH_TIMEOUT_S = 3.0
+"""Longest time that a planned stop waits for outcomes to be written."""
+
+SMALL_FLEET = 64
+"""Largest number of nodes that all tell each other of the version in force in their records."""
+
+TICK_S = 0.1
+"""Time between looks at the lease and the drain of the endpoint."""
+
+
+class Node:
+    """All parts of a node, wired together; owned by its event loop."""
+
+    def __init__(
+        self,
+        config: settings.NodeSettings,
+        control_session: aiohttp.ClientSession,
+        fresh_session: aiohttp.ClientSession,
+    ) -> None:
+        self.config = config
+        self.clocks = instants.system_clocks()
+        self.counts = telemetry.Counts()
+        self.registry = telemetry.register(self.counts)
+        self.rng = random.Random()
+        self.stopping = asyncio.Event()
+        self.forced = asyncio.Event()
+        self.views = views.Views(self.clocks.monotonic)
+        self.members = members.Members(self.clocks)
+        self.called = called_services.CalledServices()
+        incarnation = int(self.clocks.wall() * 1000)
+        self.own = members.OwnRecord(
+            members.first_record(
+                config["node_id"],
+                config["region"],
+                config["failure_domain"],
+                config["control"]["host"],
+                config["control"]["port"],
+                incarnation,
+            ),
+            self.clocks,
+        )
+        store = http_tables.HttpTables(control_session, config["platform"]["tables"])
+        objects = http_objects.HttpObjects(control_session, config["platform"]["objects"])
+        self.lifecycle = lifecycle.Lifecycle(self.clocks, self.revise)
+        remote = peers.HttpPeers(control_session, config["keys"][0])
+        self.sheets = adoption.Adoption(
+            store,
+            objects,
+            remote,
+            self.sheet_adopted,
+            lambda: selection.polls_quickly(self.exchange.view()),
+            self.clocks,
+            self.counts,
+            self.rng,
+        )
+        self.exchange = exchange.Exchange(
+            self.own,
+            self.members,
+            remote,
+            exchange.Hooks(
+                touched=self.touched,
+                sheet_version=lambda: self.sheets.version,
+                sheet_heard=self.sheets.hear,
+                busy=lambda: self.counts.in_flight > 0,
+            ),
+            self.clocks,
+            self.counts,
+            self.rng,
+        )
+        self.discovery = discovery.Discovery(
+            lambda: self.own.record,
+            [f"http://{seed['host']}:{seed['port']}" for seed in config["peers"]],
+            store,
+            self.exchange.join,
+            self.clocks,
+            self.rng,
+        )
+        claim_store = resilient_tables.ResilientTables(store, self.clocks, self.rng)
+        self.committer = claims.Committer(claim_store, self.clocks)
+        self.writer = write_behind.WriteBehind(claim_store, self.clocks)
+        self.sweeper = sweeper.Sweeper(claim_store, self.clocks, self.rng)
+        port = relay.HttpPort(control_session, config["keys"][0], self.clocks, fresh_session)
+        self.transport = transport.HttpTransport(self.clocks, self.counts, config["keys"][0])
+        self.guard = guard.Guard(
+            executions.Identity(
+                config["node_id"], incarnation, records.control_url(self.own.record)
+            ),
+            self.committer,
+            self.writer,
+            port,
+            self.start,
+            self.lifecycle.accepting,
+            self.endpoint_died,
+            self.clocks,
+        )
+        self.calls = calls.Calls(
+            choice.Caller(config["region"], config["failure_domain"]),
+            self.views,
+            self.transport.send,
+            relay_client.RelayClient(relay.LocalPort(self.guard, port), self.clocks).run,
+            self.clocks,
+            self.counts,
+            self.rng,
+        )
+        crash_notices.connect(self.calls.quarantine, self.exchange, self.clocks)
+        self.revise()
+
+    def revise(self) -> None:
+        """Make a new revision of the own record and tell peers of it."""
+        state, endpoint = self.lifecycle.state, self.lifecycle.endpoint
+        called = self.called.tell(self.clocks.monotonic())
+        self.exchange.announce(self.own.revise(state, endpoint, self.sheets.version, called))
+
+    def touched(self, services: set[str]) -> None:
+        """Bring the evidence of `services` in line with the records."""
+        own_id = self.config["node_id"]
+        for service in services:
+            ready = self.members.ready(service)
+            callers = self.members.callers.get(service, set())
+            self.views.update(service, ready)
+            self.transport.set_shares(service, shares.at_endpoints(own_id, ready, callers))
+        self.views.share_link(self.exchange.view().region_size)
+
+    def sheet_adopted(self, _adopted: sheet.Sheet) -> None:
+        """Tell peers of the version in force."""
+        self.exchange.spread_sheet()
+        if len(self.members.entries) <= SMALL_FLEET:
+            self.revise()
+
+    async def start(self, request: requests.Request, attempt_id: str) -> results.AttemptResult:
+        """Send a claimed request to the own endpoint."""
+        endpoint = self.lifecycle.endpoint
+        if endpoint is None:
+            return results.Unreached("no endpoint")
+        return await self.transport.send(
+            transport.Attempt(
+                attempt_id, request, endpoint["host"], endpoint["port"], self.config["region"]
+            )
+        )
+
+    def endpoint_died(self, request: requests.Request) -> None:
+        """Count a run-once request whose attempt ended with the endpoint's death."""
+        self.counts.events["endpoint_died"] += 1
+        log.warning("endpoint died", extra={"request_id": request.request_id})
+
+    async def observed_run(self, request: requests.Request) -> outcomes.Outcome:
+        """Run a request of a caller and record its latency."""
+        started = self.clocks.monotonic()
+        self.called.note(request.service, started)
+        outcome = await self.calls.run(request)
+        self.counts.record_latency(self.clocks.monotonic() - started)
+        return outcome
+
+    def routes(self) -> dict[str, control_app.Resource]:
+        """Return the resources of the control address by path."""
+        return {
+            "/v1/endpoint": routes.endpoint_resource(self.lifecycle),
+            "/v1/drain": routes.drain_resource(self.lifecycle),
+            "/v1/exchange": routes.exchange_resource(self.exchange),
+            "/v1/reconcile": routes.reconcile_resource(self.exchange),
+            "/v1/probe": routes.probe_resource(self.exchange),
+            "/v1/sheet": routes.sheet_resource(self.sheets),
+            "/v1/adoption": routes.adoption_resource(self.sheets),
+            "/v1/ready": routes.ready_resource(self.sheets, self.stopping.is_set),
+            "/v1/status": routes.status_resource(
+                self.own, self.members, self.sheets, lambda: self.counts.in_flight
+            ),
+            "/metrics": routes.metrics_resource(self.registry.scrape),
+        }
+
+    def control(self) -> typing.Any:
+        """Return the application of the control address."""
+        keys = self.config["keys"]
+        relays: dict[str, asgi.App] = {
+            relay.PATH: relay.RelayApp(self.guard, self.clocks),
+            transport.FORWARD_PATH: forwarding.ForwardApp(
+                self.transport.send,
+                lambda: self.lifecycle.endpoint,
+                self.count_in_flight,
+                self.clocks,
+                self.counts.events,
+            ),
+        }
+        return control_app.with_relays(control_app.create(keys, self.routes()), relays, keys)
+
+    def entry(self) -> entry_app.EntryApp:
+        """Return the application of the calls address."""
+        return entry_app.EntryApp(
+            self.observed_run,
+            lambda: self.sheets.in_force,
+            self.count_refusal,
+            self.stopping.is_set,
+            self.clocks,
+            self.counts.events,
+        )
+
+    def count_in_flight(self, change: int) -> None:
+        """Count relayed attempts that begin or end."""
+        self.counts.in_flight += change
+
+    def count_refusal(self, reason: str) -> None:
+        """Count a request refused before it became a call."""
+        self.counts.calls["not_run"] += 1
+        self.counts.refusals[reason] += 1
+
+    async def advance_forever(self) -> None:
+        """Keep the own record and the endpoint's state up to date, until cancelled."""
+        while True:
+            self.lifecycle.advance(len(self.guard.tasks))
+            if self.called.is_due(self.clocks.monotonic()):
+                self.revise()
+            await asyncio.sleep(TICK_S)
+
+    async def drain(self) -> None:
+        """Wait until no node sends new work and all work in flight has ended."""
+        deadline = self.clocks.monotonic() + self.config["drain_timeout_s"]
+        self.lifecycle.stop()
+        await self.exchange.farewell()
+        await self._until(self._drained, deadline)
+        cut_off = not self._drained()
+        if cut_off:
+            self._log_cut()
+        await self._until(self.writer.idle, self.clocks.monotonic() + FLUSH_TIMEOUT_S)
+        self.lifecycle.finish(cut_off)
+        await self.exchange.farewell()
+        await self.discovery.leave()
+
+    def _log_cut(self) -> None:
+        cut = self.lifecycle.cut()
+        calls, claimed = self.counts.in_flight, len(self.guard.tasks)
+        level = logging.WARNING if calls or claimed or cut.endpoint_calls else logging.INFO
+        fields = {"calls": calls, "claimed": claimed, **cut._asdict()}
+        log.log(level, "drain ended early", extra=fields)
+
+    def _drained(self) -> bool:
+        return self.counts.in_flight == 0 and self.lifecycle.state == records.EndpointState.LEFT
+
+    async def _until(self, done: typing.Callable[[], bool], deadline: instants.Instant) -> None:
+        while not done() and not self.forced.is_set() and self.clocks.monotonic() < deadline:
+            await asyncio.sleep(TICK_S)
--- a/packages/goldcrestgrade-node/tests/entry/test_calls.py
+++ b/packages/goldcrestgrade-node/tests/entry/test_calls.py
@@ -4,12 +4,12 @@
 import collections
 import random
 
-from goldcrestgrade import instants, outcomes, reasons, records, sheet, telemetry
+from goldcrestgrade import instants, outcomes, reasons, sheet, telemetry
 from goldcrestgrade_node import requests
 from goldcrestgrade_node.attempts import results
 from goldcrestgrade_node.entry import calls
 from goldcrestgrade_node.routing import choice, quarantine, views
-from goldcrestgrade_testing import virtual_time
+from goldcrestgrade_testing import sample_records, virtual_time
 
 OK = results.Answered(outcomes.Answer(200, (), b"whole"), None)
 FAILED = results.Answered(outcomes.Answer(500, (), b"failed"), None)
@@ -18,7 +18,7 @@
 
 def make_calls(send, endpoints: int = 4, relay=None, seed: int = 1) -> calls.Calls:
     known = views.Views(asyncio.get_running_loop().time)
-    known.update("archive", [make_record(index) for index in range(endpoints)])
+    known.update("archive", [sample_records.ready(f"node-{i}", port=i) for i in range(endpoints)])
     return calls.Calls(
         choice.Caller("khomas", "khomas-a"),
         known,
@@ -30,24 +30,6 @@
     )
 
 
-def make_record(index: int) -> records.NodeRecord:
-    return records.NodeRecord(
-        node_id=f"node-{index}",
-        incarnation=1,
-        revision=1,
-        region="khomas",
-        failure_domain="khomas-a",
-        control_host="127.0.0.1",
-        control_port=1,
-        state=records.EndpointState.READY,
-        endpoint=records.EndpointDocument(
-            service="archive", host="127.0.0.1", port=index, slots=10, connections=220
-        ),
-        sheet_version=1,
-        expires_at=1000.0,
-    )
-
-
 def make_request(
     target: str = "/x", run_once: bool = False, retries_allowed: bool = True
 ) -> requests.Request:
--- a/packages/goldcrestgrade-node/tests/routing/test_choice.py
+++ b/packages/goldcrestgrade-node/tests/routing/test_choice.py
@@ -6,27 +6,14 @@
 
 from goldcrestgrade import reasons, records
 from goldcrestgrade_node.routing import choice, ejection, evidence, views
+from goldcrestgrade_testing import sample_records
 
 CALLER = choice.Caller("khomas", "khomas-a")
 NOW = 10.0
 
 
 def make_record(node_id: str, region: str, domain: str) -> records.NodeRecord:
-    return records.NodeRecord(
-        node_id=node_id,
-        incarnation=1,
-        revision=1,
-        region=region,
-        failure_domain=f"{region}-{domain}",
-        control_host="127.0.0.1",
-        control_port=1,
-        state=records.EndpointState.READY,
-        endpoint=records.EndpointDocument(
-            service="archive", host="127.0.0.1", port=2, slots=10, connections=220
-        ),
-        sheet_version=1,
-        expires_at=100.0,
-    )
+    return sample_records.ready(node_id, region=region, failure_domain=f"{region}-{domain}")
 
 
 def make_view(near: int = 2, far: int = 2) -> views.ServiceView:
--- a/packages/goldcrestgrade-node/tests/test_call_path.py
+++ b/packages/goldcrestgrade-node/tests/test_call_path.py
@@ -3,19 +3,19 @@
 import asyncio
 import random
 
-from goldcrestgrade import instants, outcomes, reasons, records, sheet, telemetry
+from goldcrestgrade import instants, outcomes, reasons, sheet, telemetry
 from goldcrestgrade_node import requests
 from goldcrestgrade_node.attempts import results
 from goldcrestgrade_node.entry import calls
 from goldcrestgrade_node.routing import choice, views
-from goldcrestgrade_testing import virtual_time
+from goldcrestgrade_testing import sample_records, virtual_time
 
 ANSWER = outcomes.Answer(200, (), b"whole")
 
 
 def make_calls(send) -> calls.Calls:
     known = views.Views(asyncio.get_running_loop().time)
-    known.update("archive", [make_record(name) for name in ("a", "b", "c")])
+    known.update("archive", [sample_records.ready(name) for name in "abc"])
     return calls.Calls(
         choice.Caller("khomas", "khomas-a"),
         known,
@@ -27,28 +27,6 @@
     )
 
 
-def make_record(node_id: str) -> records.NodeRecord:
-    return records.NodeRecord(
-        node_id=node_id,
-        incarnation=1,
-        revision=1,
-        region="khomas",
-        failure_domain="khomas-a",
-        control_host="127.0.0.1",
-        control_port=1,
-        state=records.EndpointState.READY,
-        endpoint={
-            "service": "archive",
-            "host": "127.0.0.1",
-            "port": 2,
-            "slots": 10,
-            "connections": 220,
-        },
-        sheet_version=1,
-        expires_at=100.0,
-    )
-
-
 def make_request() -> requests.Request:
     kind = sheet.Kind("GET /*", run_once=False, timeout_s=5.0)
     return requests.Request("r1", "archive", kind, "GET", "/x", (), b"", None, 5.0, True)
--- a/packages/goldcrestgrade-operator/goldcrestgrade_operator/commands/drain.py
+++ b/packages/goldcrestgrade-operator/goldcrestgrade_operator/commands/drain.py
@@ -5,7 +5,7 @@
 import asyncio
 import typing
 
-from goldcrestgrade import exceptions, records
+from goldcrestgrade import control_messages, exceptions, records
 from goldcrestgrade_operator import nodes, options, output
 
 POLL_INTERVAL_S = 0.2
@@ -74,5 +74,5 @@
         await asyncio.sleep(POLL_INTERVAL_S)
 
 
-def _find(status: nodes.StatusDocument, node_id: str) -> records.NodeRecord | None:
+def _find(status: control_messages.StatusDocument, node_id: str) -> records.NodeRecord | None:
     return next((r for r in status["members"] if r["node_id"] == node_id), None)
--- a/packages/goldcrestgrade-operator/goldcrestgrade_operator/commands/endpoints.py
+++ b/packages/goldcrestgrade-operator/goldcrestgrade_operator/commands/endpoints.py
@@ -5,8 +5,8 @@
 import asyncio
 import typing
 
-from goldcrestgrade import records
-from goldcrestgrade_operator import nodes, options, output
+from goldcrestgrade import control_messages, records
+from goldcrestgrade_operator import options, output
 from goldcrestgrade_operator.commands import status
 
 COLUMNS = ("service", "node", "failure domain", "address", "slots", "connections", "state")
@@ -36,7 +36,7 @@
 
 
 def endpoints(
-    known: nodes.StatusDocument,
+    known: control_messages.StatusDocument,
 ) -> list[tuple[records.NodeRecord, records.EndpointDocument]]:
     """Return the endpoints with the records of their nodes, by service and node."""
     found = [(r, r["endpoint"]) for r in known["members"] if r["endpoint"] is not None]
--- a/packages/goldcrestgrade-operator/goldcrestgrade_operator/commands/status.py
+++ b/packages/goldcrestgrade-operator/goldcrestgrade_operator/commands/status.py
@@ -5,6 +5,7 @@
 import asyncio
 import typing
 
+from goldcrestgrade import control_messages
 from goldcrestgrade_operator import nodes, options, output
 
 COLUMNS = ("node", "region", "failure domain", "service", "state", "sheet version")
@@ -32,7 +33,7 @@
     return 0
 
 
-async def fetch(given: options.Options) -> nodes.StatusDocument:
+async def fetch(given: options.Options) -> control_messages.StatusDocument:
     """Return what the node of the options knows; raises `UserError`."""
     async with nodes.connect(given) as client:
         return await client.status(given.node_url)
--- a/packages/goldcrestgrade-operator/goldcrestgrade_operator/nodes.py
+++ b/packages/goldcrestgrade-operator/goldcrestgrade_operator/nodes.py
@@ -8,9 +8,8 @@
 
 import aiohttp
 import pydantic
-import typing_extensions
 
-from goldcrestgrade import exceptions, headers, http_client, records
+from goldcrestgrade import control_messages, exceptions, headers, http_client
 from goldcrestgrade_operator import options, platforms
 
 REQUEST_TIMEOUT_S = 5.0
@@ -20,33 +19,15 @@
 T = typing.TypeVar("T")
 
 
-class StatusDocument(typing_extensions.TypedDict):
-    """What a node tells of itself and of the nodes that it knows."""
-
-    node_id: str
-    state: records.EndpointState
-    sheet_version: int
-    sheet_day: str
-    in_flight: int
-    members: list[records.NodeRecord]
-
-
-class AdoptionDocument(typing_extensions.TypedDict):
-    """Version that a node has in force."""
-
-    sheet_version: int
-
-
-class DrainDocument(typing_extensions.TypedDict):
-    """How far the drain of a node's endpoint is."""
-
-    state: records.EndpointState
-    in_flight: int
-
-
-_ADOPTION: pydantic.TypeAdapter[AdoptionDocument] = pydantic.TypeAdapter(AdoptionDocument)
-_DRAIN: pydantic.TypeAdapter[DrainDocument] = pydantic.TypeAdapter(DrainDocument)
-_STATUS: pydantic.TypeAdapter[StatusDocument] = pydantic.TypeAdapter(StatusDocument)
+_ADOPTION: pydantic.TypeAdapter[control_messages.AdoptionDocument] = pydantic.TypeAdapter(
+    control_messages.AdoptionDocument
+)
+_DRAIN: pydantic.TypeAdapter[control_messages.DrainDocument] = pydantic.TypeAdapter(
+    control_messages.DrainDocument
+)
+_STATUS: pydantic.TypeAdapter[control_messages.StatusDocument] = pydantic.TypeAdapter(
+    control_messages.StatusDocument
+)
 
 
 class NodeClient:
@@ -56,7 +37,7 @@
         self.session = session
         self.shared_key = shared_key
 
-    async def status(self, url: str) -> StatusDocument:
+    async def status(self, url: str) -> control_messages.StatusDocument:
         """Return what the node at `url` knows; raises `UserError`."""
         return await self._document(f"{url}/v1/status", _STATUS)
 
@@ -68,7 +49,7 @@
         """Have the node at `url` drain its endpoint; raises `UserError`."""
         await self._exchange("POST", f"{url}/v1/drain")
 
-    async def drain_progress(self, url: str) -> DrainDocument:
+    async def drain_progress(self, url: str) -> control_messages.DrainDocument:
         """Return how far the drain at the node at `url` is; raises `UserError`."""
         return await self._document(f"{url}/v1/drain", _DRAIN)
 
--- a/packages/goldcrestgrade-testing/goldcrestgrade_testing/bench/costs.py
+++ b/packages/goldcrestgrade-testing/goldcrestgrade_testing/bench/costs.py
@@ -8,7 +8,7 @@
 import timeit
 import typing
 
-from goldcrestgrade import instants, outcomes, records, sheet
+from goldcrestgrade import outcomes, records, sheet
 from goldcrestgrade_node import requests
 from goldcrestgrade_node.attempts import results
 from goldcrestgrade_node.routing import (
@@ -20,6 +20,7 @@
     quarantine,
     views,
 )
+from goldcrestgrade_testing import sample_records
 
 ENDPOINT_COUNTS = (4, 40, 400)
 """Endpoints of the service measured."""
@@ -116,21 +117,8 @@
 
 def _record(index: int) -> records.NodeRecord:
     region = ("khomas", "oshana")[index % 2]
-    return records.NodeRecord(
-        node_id=f"upstream-{index}",
-        incarnation=1,
-        revision=1,
-        region=region,
-        failure_domain=f"{region}-{'ab'[index // 2 % 2]}",
-        control_host="127.0.0.1",
-        control_port=1,
-        state=records.EndpointState.READY,
-        endpoint=records.EndpointDocument(
-            service="archive", host="127.0.0.1", port=1, slots=10, connections=220
-        ),
-        sheet_version=1,
-        expires_at=instants.NEVER,
-    )
+    domain = f"{region}-{'ab'[index // 2 % 2]}"
+    return sample_records.ready(f"upstream-{index}", region=region, failure_domain=domain)
 
 
 def main() -> int:
--- a/packages/goldcrestgrade-testing/goldcrestgrade_testing/bench/runs.py
+++ b/packages/goldcrestgrade-testing/goldcrestgrade_testing/bench/runs.py
@@ -11,7 +11,7 @@
 from goldcrestgrade_node import requests
 from goldcrestgrade_node.entry import calls
 from goldcrestgrade_node.routing import choice, evidence, views
-from goldcrestgrade_testing import fast_time
+from goldcrestgrade_testing import fast_time, sample_records
 from goldcrestgrade_testing.bench import arrivals, endpoints, network, policies, scenarios
 
 TIMEOUT_S = 5.0
@@ -188,24 +188,13 @@
 
     def _record(self, index: int) -> records.NodeRecord:
         place = self.upstreams[index].place
-        return records.NodeRecord(
-            node_id=f"upstream-{index}",
-            incarnation=1,
-            revision=1,
-            region=place.region,
-            failure_domain=place.failure_domain,
-            control_host="127.0.0.1",
-            control_port=1,
-            state=records.EndpointState.READY,
-            endpoint=records.EndpointDocument(
-                service=self.deployment.service,
-                host="127.0.0.1",
-                port=index + 1,
-                slots=self.deployment.slots,
-                connections=220,
-            ),
-            sheet_version=1,
-            expires_at=instants.NEVER,
+        return sample_records.ready(
+            f"upstream-{index}",
+            self.deployment.service,
+            place.region,
+            place.failure_domain,
+            port=index + 1,
+            slots=self.deployment.slots,
         )
 
 
--- a/packages/goldcrestgrade-testing/goldcrestgrade_testing/demo/deployment.py
+++ b/packages/goldcrestgrade-testing/goldcrestgrade_testing/demo/deployment.py
@@ -19,7 +19,7 @@
 
 import aiohttp
 
-from goldcrestgrade import exceptions, records, settings, sheet
+from goldcrestgrade import control_messages, exceptions, records, settings, sheet
 from goldcrestgrade_operator import nodes
 from goldcrestgrade_testing import (
     endpoint_server,
@@ -133,7 +133,7 @@
     async def wait_ready(self) -> None:
         """Wait until every node has a sheet and knows every endpoint; raises `TimeoutError`."""
 
-        def ready(status: nodes.StatusDocument) -> bool:
+        def ready(status: control_messages.StatusDocument) -> bool:
             states = [member["state"] for member in status["members"]]
             all_known = states.count(records.EndpointState.READY) == len(self.places)
             return status["sheet_version"] > 0 and all_known
@@ -148,7 +148,7 @@
     async def _wait_for(
         self,
         places: typing.Iterable[shapes.Place],
-        holds: typing.Callable[[nodes.StatusDocument], bool],
+        holds: typing.Callable[[control_messages.StatusDocument], bool],
     ) -> None:
         async with asyncio.timeout(START_TIMEOUT_S):
             for place in places:
@@ -156,7 +156,7 @@
                     await asyncio.sleep(POLL_INTERVAL_S)
 
     async def _status_holds(
-        self, place: shapes.Place, holds: typing.Callable[[nodes.StatusDocument], bool]
+        self, place: shapes.Place, holds: typing.Callable[[control_messages.StatusDocument], bool]
     ) -> bool:
         try:
             return holds(await self.client.status(place.control_url))
