Have the library parse the requests of the raw stand-in endpoint

Cause: the stand-in parsed HTTP by hand; the project writes no parser. Change: httptools parses, as in the servers.

--- a/packages/goldcrestgrade-testing/goldcrestgrade_testing/raw_endpoint.py
+++ b/packages/goldcrestgrade-testing/goldcrestgrade_testing/raw_endpoint.py
@@ -6,8 +6,13 @@
 import contextlib
 import typing
 
+import httptools
+
 HOST = "127.0.0.1"
 
+READ_BYTES = 65536
+"""Largest part of a request that is read at once."""
+
 
 class RawRequest(typing.NamedTuple):
     """A request as it was received."""
@@ -48,12 +53,13 @@
         number = self.connections
         self.open.add(number)
         self.most_open = max(self.most_open, len(self.open))
+        requests = _Requests(number)
         try:
-            while not writer.is_closing():
-                request = await _read_request(number, reader)
-                self.requests.append(request)
-                await self.respond(request, writer)
-        except (asyncio.IncompleteReadError, ConnectionError):
+            while not writer.is_closing() and (data := await reader.read(READ_BYTES)):
+                for request in requests.feed(data):
+                    self.requests.append(request)
+                    await self.respond(request, writer)
+        except ConnectionError:
             pass
         finally:
             self.open.discard(number)
@@ -78,10 +84,41 @@
     return head.encode() + body
 
 
-async def _read_request(number: int, reader: asyncio.StreamReader) -> RawRequest:
-    head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
-    first, *lines = head.rstrip().split("\r\n")
-    method, target, _ = first.split(" ")
-    fields = [(name.lower(), value.strip()) for name, _, value in (x.partition(":") for x in lines)]
-    length = int(dict(fields).get("content-length", "0"))
-    return RawRequest(number, method, target, fields, await reader.readexactly(length))
+class _Requests:
+    """Collects the requests of one connection from the callbacks of the parser."""
+
+    def __init__(self, connection: int) -> None:
+        self.connection = connection
+        self.parser = httptools.HttpRequestParser(self)
+        self.whole: list[RawRequest] = []
+        self.on_message_begin()
+
+    def feed(self, data: bytes) -> list[RawRequest]:
+        """Return the requests that `data` completes."""
+        self.parser.feed_data(data)
+        whole, self.whole = self.whole, []
+        return whole
+
+    def on_message_begin(self) -> None:
+        """Begin a request."""
+        self.target = ""
+        self.fields: list[tuple[str, str]] = []
+        self.body = b""
+
+    def on_url(self, url: bytes) -> None:
+        """Take in a part of the target."""
+        self.target += url.decode("latin-1")
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Take in a header."""
+        self.fields.append((name.decode("latin-1").lower(), value.decode("latin-1")))
+
+    def on_body(self, body: bytes) -> None:
+        """Take in a part of the body."""
+        self.body += body
+
+    def on_message_complete(self) -> None:
+        """End a request."""
+        method = self.parser.get_method().decode()
+        request = RawRequest(self.connection, method, self.target, self.fields, self.body)
+        self.whole.append(request)
