--- a/packages/goldcrestgrade-node/goldcrestgrade_node/routing/choice.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/routing/choice.py
@@ -25,7 +25,6 @@
 MAX_QUEUE_PER_SLOT = 1.0
 """Requests waiting for each slot above which another is refused."""
 
-
 TIE_FACTOR = 1.35
 """Factor on the typical latency up to which endpoints count as equally fast."""
 
@@ -142,12 +141,19 @@
     rng: random.Random,
 ) -> _Scored | None:
     typical_s = view.typical_latency_s(now)
-    scored = [
-        _score(view, endpoint, caller, typical_s, now)
-        for endpoint in _sample(candidates, rng)
+    usable = _usable(_sample(candidates, rng), tried) or _usable(candidates, tried)
+    scored = (_score(view, endpoint, caller, typical_s, now) for endpoint in usable)
+    return min(scored, key=_rank, default=None)
+
+
+def _usable(
+    candidates: typing.Iterable[evidence.Evidence], tried: typing.Collection[str]
+) -> list[evidence.Evidence]:
+    return [
+        endpoint
+        for endpoint in candidates
         if endpoint.node_id not in tried and not (endpoint.on_trial and endpoint.in_flight)
     ]
-    return min(scored, key=_rank, default=None)
 
 
 def _rank(scored: _Scored) -> tuple[bool, float]:
--- a/packages/goldcrestgrade-node/tests/routing/test_choice.py
+++ b/packages/goldcrestgrade-node/tests/routing/test_choice.py
@@ -154,3 +154,13 @@
         evidence.note_latency(slow, 0.2, 0.02, NOW)
         ejection.note_latency(view, slow, 0.2, NOW)
     assert view.ejected == [slow]
+
+
+def test_last_endpoint_that_was_not_tried_is_found_whatever_the_sample():
+    view = make_view(near=12, far=0)
+    tried = [f"khomas-{index}" for index in range(11)]
+    found = {
+        choice.choose(view, CALLER, tried, NOW, random.Random(seed)).endpoint.node_id
+        for seed in range(50)
+    }
+    assert found == {"khomas-11"}
