Tell an endpoint that ended from a dropped connection

Cause: no attempt ever ended as endpoint_died, so the guard's report and its counter were dead; and three refusal reasons were never given. Change: after a lost connection the guard tries to connect to its endpoint; refused means that it ended. The reasons unknown_kind, claim_held and node_draining are gone. An endpoint that is back within milliseconds still counts as a dropped connection.

--- a/packages/goldcrestgrade-node/goldcrestgrade_node/attempts/transport.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/attempts/transport.py
@@ -88,6 +88,18 @@
             if not _has_rest(result):
                 exchange.close(whole=isinstance(result, results.Answered | results.Shed))
 
+    async def listens(self, host: str, port: int) -> bool:
+        """Tell whether an endpoint still accepts connections; one that ended refuses them."""
+        try:
+            async with asyncio.timeout(pools.CONNECT_TIMEOUT_S):
+                _, writer = await asyncio.open_connection(host, port)
+        except ConnectionRefusedError:
+            return False
+        except (OSError, TimeoutError):
+            return True
+        writer.close()
+        return True
+
     def set_shares(self, service: str, given: dict[Address, shares.Share]) -> None:
         """Set the shares of this node at the endpoints of `service`."""
         self.shares[service] = given
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/node.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/node.py
@@ -9,7 +9,7 @@
 
 import aiohttp
 
-from goldcrestgrade import instants, outcomes, records, settings, sheet, telemetry
+from goldcrestgrade import instants, outcomes, reasons, records, settings, sheet, telemetry
 from goldcrestgrade.platform import http_objects, http_tables, resilient_tables
 from goldcrestgrade_node import asgi, crash_notices, requests
 from goldcrestgrade_node.attempts import forwarding, results, shares, transport
@@ -37,6 +37,9 @@
 FLUSH_TIMEOUT_S = 3.0
 """Longest time that a planned stop waits for outcomes to be written."""
 
+LOST_CONNECTION = frozenset({reasons.Uncertainty.ANSWER_LOST, reasons.Uncertainty.ANSWER_CUT})
+"""Ends of an attempt after which the endpoint is looked at."""
+
 SMALL_FLEET = 64
 """Largest number of nodes that all tell each other of the version in force in their records."""
 
@@ -168,11 +171,13 @@
         endpoint = self.lifecycle.endpoint
         if endpoint is None:
             return results.Unreached("no endpoint")
-        return await self.transport.send(
-            transport.Attempt(
-                attempt_id, request, endpoint["host"], endpoint["port"], self.config["region"]
-            )
-        )
+        host, port = endpoint["host"], endpoint["port"]
+        attempt = transport.Attempt(attempt_id, request, host, port, self.config["region"])
+        result = await self.transport.send(attempt)
+        if isinstance(result, results.Broken) and result.reason in LOST_CONNECTION:
+            listens = await self.transport.listens(host, port)
+            return result if listens else results.Broken(reasons.Uncertainty.ENDPOINT_DIED)
+        return result
 
     def endpoint_died(self, request: requests.Request) -> None:
         """Count a run-once request whose attempt ended with the endpoint's death."""
--- a/packages/goldcrestgrade-node/tests/attempts/test_transport.py
+++ b/packages/goldcrestgrade-node/tests/attempts/test_transport.py
@@ -417,3 +417,10 @@
         result = await sender.send(method="POST", kind=RUN_ONCE)
         assert isinstance(result, results.Unreached)
         assert endpoint.requests == []
+
+
+async def test_endpoint_that_ended_is_told_from_one_that_dropped_a_connection():
+    async with sending(always(b"", close=True)) as (sender, endpoint):
+        assert isinstance(await sender.send(), results.Broken)
+        assert await sender.path.listens("127.0.0.1", endpoint.port)
+    assert not await sender.path.listens("127.0.0.1", endpoint.port)
--- a/packages/goldcrestgrade-operator/goldcrestgrade_operator/explanations.py
+++ b/packages/goldcrestgrade-operator/goldcrestgrade_operator/explanations.py
@@ -24,10 +24,6 @@
         "The sheet in force names no such service.",
         "Correct the caller's service header or host, or add the service to the sheet.",
     ),
-    reasons.Refusal.UNKNOWN_KIND: Explanation(
-        "The sheet in force does not allow this kind of request.",
-        "Add a row for the method and path to the sheet.",
-    ),
     reasons.Refusal.INVALID_REQUEST: Explanation(
         "A header that goldcrestgrade reads is malformed.",
         "Correct the caller's deadline or idempotency key.",
@@ -86,10 +82,6 @@
         "The request was given up before it started and is barred from starting.",
         "None; the caller may try again.",
     ),
-    reasons.Refusal.CLAIM_HELD: Explanation(
-        "Another node holds the claim on the idempotency key.",
-        "None if it is short; else look for a node that is gone or paused.",
-    ),
     reasons.Refusal.STORE_UNAVAILABLE: Explanation(
         "The table service does not take claims.",
         "Look at the platform; run-once requests are refused until it is back.",
@@ -98,9 +90,6 @@
         "The table service did not answer a claim in time.",
         "Look at the platform's latency and write rate.",
     ),
-    reasons.Refusal.NODE_DRAINING: Explanation(
-        "The caller's entry node is stopping.", "Have the caller connect to another node."
-    ),
 }
 """Explanation of each refusal; a refused request did not run and will not."""
 
--- a/packages/goldcrestgrade-testing/tests/test_node_processes.py
+++ b/packages/goldcrestgrade-testing/tests/test_node_processes.py
@@ -106,3 +106,16 @@
         await get(deployment.session, paused, 1)
         stopped.set()
         assert await load > 0
+
+
+async def test_run_once_request_at_an_endpoint_that_dies_is_unknown_for_that_reason():
+    async with deployments.running(1, SLOW) as deployment:
+        (instance,) = deployment.instances
+        fields = {**SERVICE, headers.IDEMPOTENCY_KEY: uuid.UUID(int=2).hex}
+        url = f"{instance.calls_url}/letters"
+        sending = asyncio.create_task(deployment.session.post(url, headers=fields, data=b"x"))
+        await asyncio.sleep(0.15)
+        instance.endpoint.kill()
+        async with await sending as response:
+            document = orjson.loads(await response.read())
+    assert (document["outcome"], document["reason"]) == ("unknown", "endpoint_died")
--- a/packages/goldcrestgrade/goldcrestgrade/outcomes.py
+++ b/packages/goldcrestgrade/goldcrestgrade/outcomes.py
@@ -78,7 +78,6 @@
 
 REFUSAL_STATUS: dict[reasons.Refusal, int] = {
     reasons.Refusal.UNKNOWN_SERVICE: 404,
-    reasons.Refusal.UNKNOWN_KIND: 404,
     reasons.Refusal.INVALID_REQUEST: 400,
     reasons.Refusal.BODY_TOO_LARGE: 413,
     reasons.Refusal.KEY_MISSING: 400,
--- a/packages/goldcrestgrade/goldcrestgrade/reasons.py
+++ b/packages/goldcrestgrade/goldcrestgrade/reasons.py
@@ -10,7 +10,6 @@
 
     NO_SHEET = "no_sheet"
     UNKNOWN_SERVICE = "unknown_service"
-    UNKNOWN_KIND = "unknown_kind"
     INVALID_REQUEST = "invalid_request"
     BODY_TOO_LARGE = "body_too_large"
     KEY_MISSING = "key_missing"
@@ -26,10 +25,8 @@
     GUARD_UNREACHED = "guard_unreached"
     GUARD_DRAINING = "guard_draining"
     CLAIM_BARRED = "claim_barred"
-    CLAIM_HELD = "claim_held"
     STORE_UNAVAILABLE = "store_unavailable"
     STORE_SLOW = "store_slow"
-    NODE_DRAINING = "node_draining"
 
 
 class Uncertainty(enum.StrEnum):
