Hand an accepted sheet to a node where apply waits

Cause: where the platform was lost right after an acceptance, before any node had polled, the sheet came into force only when the platform was back. Measured: test_wait_hands_an_accepted_sheet_to_a_node; without the mechanism nothing was handed over.

--- a/packages/goldcrestgrade-operator/goldcrestgrade_operator/commands/apply.py
+++ b/packages/goldcrestgrade-operator/goldcrestgrade_operator/commands/apply.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import pathlib
 import typing
 
 from goldcrestgrade import exceptions, sheet
 from goldcrestgrade_operator import adoption_progress, options, output, platforms
+from goldcrestgrade_operator import nodes as node_requests
 from goldcrestgrade_operator.commands import check
 from goldcrestgrade_operator.sheets import acceptance
 
@@ -33,6 +35,8 @@
     changed = isinstance(result, acceptance.Accepted)
     nodes = None
     if given.wait:
+        if changed:
+            asyncio.run(_hand_over(document, version, given))
         nodes = asyncio.run(adoption_progress.wait(version, given))
     columns = ("version", "day", "result", "nodes")
     note = "accepted" if changed else "the same sheet is in force already"
@@ -48,6 +52,14 @@
     return 0
 
 
+async def _hand_over(document: sheet.SheetDocument, version: int, given: options.Options) -> None:
+    """Give the sheet to a node, so that it spreads even where the platform is lost just now."""
+    async with node_requests.connect(given) as client:
+        # A node that was not reached, or that has read the sheet already, changes nothing.
+        with contextlib.suppress(exceptions.UserError):
+            await client.hand_over(given.node_url, version, sheet.encode(document))
+
+
 def accepted_version(result: acceptance.Acceptance) -> int:
     """Return the version in force with `result`; raises `UserError` where it was not accepted."""
     match result:
--- a/packages/goldcrestgrade-operator/goldcrestgrade_operator/nodes.py
+++ b/packages/goldcrestgrade-operator/goldcrestgrade_operator/nodes.py
@@ -45,6 +45,11 @@
         """Return the version that the node at `url` has in force; raises `UserError`."""
         return (await self._document(f"{url}/v1/adoption", _ADOPTION))["sheet_version"]
 
+    async def hand_over(self, url: str, version: int, body: bytes) -> None:
+        """Hand the accepted sheet in `body` to the node at `url`; raises `UserError`."""
+        fields = {headers.SHEET_VERSION: str(version)}
+        await self._exchange("PUT", f"{url}/v1/sheet", fields, body)
+
     async def drain(self, url: str) -> None:
         """Have the node at `url` drain its endpoint; raises `UserError`."""
         await self._exchange("POST", f"{url}/v1/drain")
@@ -60,16 +65,23 @@
         except pydantic.ValidationError as error:
             raise exceptions.UserError(f"{url}: does not answer as a node does") from error
 
-    async def _exchange(self, method: str, url: str) -> bytes:
+    async def _exchange(
+        self,
+        method: str,
+        url: str,
+        fields: typing.Mapping[str, str] | None = None,
+        body: bytes | None = None,
+    ) -> bytes:
         try:
             async with self.session.request(
                 method,
                 url,
-                headers={headers.CONTROL_KEY: self.shared_key},
+                headers={**(fields or {}), headers.CONTROL_KEY: self.shared_key},
+                data=body,
                 timeout=aiohttp.ClientTimeout(total=REQUEST_TIMEOUT_S),
                 allow_redirects=False,
             ) as response:
-                body = await response.read()
+                answer = await response.read()
                 status = response.status
         except TimeoutError as error:
             raise exceptions.UserError(f"{url}: no answer in {REQUEST_TIMEOUT_S:g} s") from error
@@ -79,7 +91,7 @@
             raise exceptions.UserError(f"{url}: the shared key is not the node's")
         if status >= 300:
             raise exceptions.UserError(f"{url}: status {status}")
-        return body
+        return answer
 
 
 @contextlib.asynccontextmanager
--- a/packages/goldcrestgrade-operator/tests/conftest.py
+++ b/packages/goldcrestgrade-operator/tests/conftest.py
@@ -23,6 +23,7 @@
     def __init__(self, store: memory_platform.MemoryTables) -> None:
         self.store = store
         self.behind: set[str] = set()
+        self.handed_over: list[tuple[str, bytes]] = []
         self.old_records: set[str] = set()
         """Nodes whose record tells an older version than they have in force."""
         self.state = records.EndpointState.READY
@@ -39,6 +40,10 @@
         elif scope["path"] == "/v1/drain":
             document = {"state": self.state, "in_flight": self.in_flight}
             answer = outcomes.Answer(200, (), orjson.dumps(document))
+        elif (scope["method"], scope["path"]) == ("PUT", "/v1/sheet"):
+            body = await asgi.read_body(receive)
+            self.handed_over.append((received[headers.SHEET_VERSION], body))
+            answer = outcomes.Answer(204, (), b"")
         elif scope["path"] == "/v1/adoption":
             document = {"sheet_version": 0 if self.behind else self.status()["sheet_version"]}
             answer = outcomes.Answer(200, (), orjson.dumps(document))
--- a/packages/goldcrestgrade-operator/tests/test_commands.py
+++ b/packages/goldcrestgrade-operator/tests/test_commands.py
@@ -98,6 +98,16 @@
     assert "behind: archive-2" in err
 
 
+def test_wait_hands_an_accepted_sheet_to_a_node(command, node, store, sheet_of):
+    path = sheet_of("2026-01-02")
+    command("apply", path, "--wait")
+    ((version, body),) = node.handed_over
+    row = store.rows[sheet.HEAD_TABLE, sheet.HEAD_KEY]
+    assert (int(version), sheet.object_name(body)) == (1, row.value["object_name"])
+    command("apply", path, "--wait")
+    assert len(node.handed_over) == 1
+
+
 def test_wait_asks_nodes_whose_records_do_not_tell_their_version(command, node, sheet_of):
     node.old_records = {"archive-1", "archive-2"}
     path = sheet_of("2026-01-02")
