--- a/packages/goldcrestgrade-node/goldcrestgrade_node/node.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/node.py
@@ -174,9 +174,9 @@
         host, port = endpoint["host"], endpoint["port"]
         attempt = transport.Attempt(attempt_id, request, host, port, self.config["region"])
         result = await self.transport.send(attempt)
-        if isinstance(result, results.Broken) and result.reason in LOST_CONNECTION:
-            listens = await self.transport.listens(host, port)
-            return result if listens else results.Broken(reasons.Uncertainty.ENDPOINT_DIED)
+        lost = isinstance(result, results.Broken) and result.reason in LOST_CONNECTION
+        if lost and await self.transport.has_ended(host, port):
+            return results.Broken(reasons.Uncertainty.ENDPOINT_DIED)
         return result
 
     def endpoint_died(self, request: requests.Request) -> None:
--- a/packages/goldcrestgrade-testing/tests/test_node_processes.py
+++ b/packages/goldcrestgrade-testing/tests/test_node_processes.py
@@ -12,6 +12,7 @@
 
 QUICK = endpoint_server.Behaviour(service_time_s=0.002)
 SLOW = endpoint_server.Behaviour(service_time_s=0.4, jitter_share=0.5)
+STALLED = endpoint_server.Behaviour(service_time_s=9.0, jitter_share=0.0)
 SERVICE = {headers.SERVICE: deployments.SERVICE}
 
 
@@ -109,12 +110,12 @@
 
 
 async def test_run_once_request_at_an_endpoint_that_dies_is_unknown_for_that_reason():
-    async with deployments.running(1, SLOW) as deployment:
+    async with deployments.running(1, STALLED) as deployment:
         (instance,) = deployment.instances
         fields = {**SERVICE, headers.IDEMPOTENCY_KEY: uuid.UUID(int=2).hex}
         url = f"{instance.calls_url}/letters"
         sending = asyncio.create_task(deployment.session.post(url, headers=fields, data=b"x"))
-        await asyncio.sleep(0.15)
+        await asyncio.sleep(2.0)
         instance.endpoint.kill()
         async with await sending as response:
             document = orjson.loads(await response.read())
