Give the stand-in of the table service a rate limit

Cause: the stand-in had every fault of the platform but its limit on writes. Change: transactions above a rate are rejected without effect until the next second. Measured: test_transactions_above_the_rate_are_rejected_until_the_next_second passes.

--- a/packages/goldcrestgrade-testing/goldcrestgrade_testing/memory_platform.py
+++ b/packages/goldcrestgrade-testing/goldcrestgrade_testing/memory_platform.py
@@ -5,6 +5,7 @@
 import asyncio
 import dataclasses
 import itertools
+import math
 import random
 
 from goldcrestgrade.platform import tables
@@ -26,6 +27,8 @@
     """Requests get no answer and have no effect."""
     late_effect_s: float = 0.0
     """Time after which transactions take effect, where their answers are lost at once."""
+    writes_per_s: float = math.inf
+    """Transactions taken in a second; others are rejected without effect."""
     rng: random.Random = dataclasses.field(default_factory=lambda: random.Random(0))
 
 
@@ -36,6 +39,8 @@
         self.faults = faults or Faults()
         self.rows: dict[tuple[str, str], tables.Row] = {}
         self.version = 0
+        self.second = 0
+        self.writes_in_second = 0
         self.writes = 0
         self.reads = 0
 
@@ -45,6 +50,8 @@
         await self._delay()
         if self.faults.down:
             return tables.Rejected("down")
+        if self._over_rate():
+            return tables.Rejected("rate limit")
         if self.faults.late_effect_s:
             loop = asyncio.get_running_loop()
             loop.call_later(self.faults.late_effect_s, self.commit, transaction)
@@ -55,6 +62,13 @@
             return tables.Unanswered("answer lost")
         return result
 
+    def _over_rate(self) -> bool:
+        second = int(asyncio.get_running_loop().time())
+        if second != self.second:
+            self.second, self.writes_in_second = second, 0
+        self.writes_in_second += 1
+        return self.writes_in_second > self.faults.writes_per_s
+
     def _loses_answer(self) -> bool:
         if self.faults.lose_answers > 0:
             self.faults.lose_answers -= 1
