Remove what nobody calls

Change: they are gone; behaviour is unchanged. Left for later: the two ways to open connections in http_client.py, and the two event loops in virtual time, which differ in cost.

--- a/packages/goldcrestgrade-node/goldcrestgrade_node/membership/members.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/membership/members.py
@@ -192,11 +192,6 @@
     return messages.Summary(entry["record"]["node_id"], incarnation, revision, entry["standing"])
 
 
-def alive_entry(record: records.NodeRecord) -> records.Entry:
-    """Return the entry of a node that speaks for itself."""
-    return records.Entry(record=record, standing=records.Standing.ALIVE, until=0.0)
-
-
 def _aged(entry: records.Entry, now: instants.WallInstant) -> records.Entry:
     if entry["standing"] == records.Standing.SUSPECT and entry["until"] <= now:
         until = entry["until"] + TOMBSTONE_S
--- a/packages/goldcrestgrade-testing/goldcrestgrade_testing/capacity.py
+++ b/packages/goldcrestgrade-testing/goldcrestgrade_testing/capacity.py
@@ -30,9 +30,6 @@
 CHANGES_PER_DAY = 2600
 """Changes of configuration a day at the target."""
 
-RESTARTS_PER_DAY = 650
-"""Restarts and replacements a day at the target, of `TARGET_NODES`."""
-
 TARGET_NODES = 1700
 TARGET_SERVICES = 270
 DAY_S = 86_400
--- a/packages/goldcrestgrade-testing/goldcrestgrade_testing/endpoint_server.py
+++ b/packages/goldcrestgrade-testing/goldcrestgrade_testing/endpoint_server.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import dataclasses
-import itertools
 import os
 import random
 import sys
@@ -198,11 +197,6 @@
         lie = self.behaviour.lying_load
         return self.in_flight if lie is None else lie
 
-    def repeated_keys(self) -> list[str]:
-        """Return the keys that this endpoint started more than once."""
-        keys = sorted(e.idempotency_key for e in self.executions if e.idempotency_key)
-        return [key for key, group in itertools.groupby(keys) if len(list(group)) > 1]
-
 
 async def announce_forever(
     endpoint: Endpoint,
--- a/packages/goldcrestgrade-testing/goldcrestgrade_testing/schedules.py
+++ b/packages/goldcrestgrade-testing/goldcrestgrade_testing/schedules.py
@@ -20,9 +20,6 @@
 ENTRIES = ("e1", "e2")
 """Entry nodes; the last one stands in the other region."""
 
-HORIZON_S = 8.0
-"""Time within which calls and faults begin."""
-
 
 class FaultKind(enum.StrEnum):
     """What goes wrong during a fault."""
--- a/packages/goldcrestgrade/goldcrestgrade/http_client.py
+++ b/packages/goldcrestgrade/goldcrestgrade/http_client.py
@@ -7,9 +7,6 @@
 import aiohttp
 import multidict
 
-NO_TIMEOUT = aiohttp.ClientTimeout(total=None)
-"""For clients that bound their requests by deadlines of their own."""
-
 
 class BareRequest(aiohttp.ClientRequest):
     """A request that carries the headers that it is given and the length of its body."""
