Move the store's interface to storage/ and the plain counters to their own module

Change: goldcrestgrade.platform is goldcrestgrade.storage; Counts lives in goldcrestgrade.counters. Measured: the tests of the packages goldcrestgrade and goldcrestgrade-node pass.

--- a/packages/goldcrestgrade-node/goldcrestgrade_node/attempts/transport.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/attempts/transport.py
@@ -9,7 +9,7 @@
 import orjson
 import yarl
 
-from goldcrestgrade import headers, http_client, instants, outcomes, reasons, telemetry
+from goldcrestgrade import counters, headers, http_client, instants, outcomes, reasons
 from goldcrestgrade_node import requests
 from goldcrestgrade_node.attempts import exchanges, pools, results, shares, silence
 
@@ -52,7 +52,7 @@
     """Sends attempts to endpoints; owns the connections to them."""
 
     def __init__(
-        self, clocks: instants.Clocks, counts: telemetry.Counts, shared_key: str = ""
+        self, clocks: instants.Clocks, counts: counters.Counts, shared_key: str = ""
     ) -> None:
         self.clocks = clocks
         self.counts = counts
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/configuration/adoption.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/configuration/adoption.py
@@ -10,8 +10,8 @@
 
 import pydantic
 
-from goldcrestgrade import exceptions, instants, sheet, telemetry
-from goldcrestgrade.platform import tables
+from goldcrestgrade import counters, exceptions, instants, sheet
+from goldcrestgrade.storage import tables
 from goldcrestgrade_node.membership import peers
 
 log = logging.getLogger(__name__)
@@ -52,7 +52,7 @@
         adopted: typing.Callable[[sheet.Sheet], None],
         polls_quickly: typing.Callable[[], bool],
         clocks: instants.Clocks,
-        counts: telemetry.Counts,
+        counts: counters.Counts,
         rng: random.Random,
     ) -> None:
         self.store = store
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/entry/calls.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/entry/calls.py
@@ -9,7 +9,7 @@
 import random
 import typing
 
-from goldcrestgrade import instants, outcomes, reasons, telemetry
+from goldcrestgrade import counters, instants, outcomes, reasons
 from goldcrestgrade_node import requests
 from goldcrestgrade_node.attempts import results, retries, transport
 from goldcrestgrade_node.entry import hedges
@@ -64,7 +64,7 @@
         send: Send,
         relay: Relay,
         clocks: instants.Clocks,
-        counts: telemetry.Counts,
+        counts: counters.Counts,
         rng: random.Random,
         policy: Policy | None = None,
     ) -> None:
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/membership/discovery.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/membership/discovery.py
@@ -11,7 +11,7 @@
 import xxhash
 
 from goldcrestgrade import instants, records
-from goldcrestgrade.platform import tables
+from goldcrestgrade.storage import tables
 
 log = logging.getLogger(__name__)
 
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/membership/exchange.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/membership/exchange.py
@@ -10,7 +10,7 @@
 
 import pydantic
 
-from goldcrestgrade import instants, records, telemetry
+from goldcrestgrade import counters, instants, records
 from goldcrestgrade_node.membership import (
     budgets,
     contacts,
@@ -105,7 +105,7 @@
         remote: peers.Peers,
         hooks: Hooks,
         clocks: instants.Clocks,
-        counts: telemetry.Counts,
+        counts: counters.Counts,
         rng: random.Random,
     ) -> None:
         self.own = own
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/node.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/node.py
@@ -9,8 +9,17 @@
 
 import aiohttp
 
-from goldcrestgrade import instants, outcomes, reasons, records, settings, sheet, telemetry
-from goldcrestgrade.platform import http_objects, http_tables, resilient_tables
+from goldcrestgrade import (
+    counters,
+    instants,
+    outcomes,
+    reasons,
+    records,
+    settings,
+    sheet,
+    telemetry,
+)
+from goldcrestgrade.storage import http_objects, http_tables, resilient_tables
 from goldcrestgrade_node import asgi, crash_notices, requests
 from goldcrestgrade_node.attempts import forwarding, results, shares, transport
 from goldcrestgrade_node.configuration import adoption
@@ -58,7 +67,7 @@
     ) -> None:
         self.config = config
         self.clocks = instants.system_clocks()
-        self.counts = telemetry.Counts()
+        self.counts = counters.Counts()
         self.registry = telemetry.register(self.counts)
         self.rng = random.Random()
         self.stopping = asyncio.Event()
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/once/claims.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/once/claims.py
@@ -13,7 +13,7 @@
 import typing
 
 from goldcrestgrade import instants
-from goldcrestgrade.platform import tables
+from goldcrestgrade.storage import tables
 from goldcrestgrade_node.once import rows
 
 MAX_GROUP = tables.MAX_TRANSACTION_WRITES
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/once/executions.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/once/executions.py
@@ -7,7 +7,7 @@
 import typing
 
 from goldcrestgrade import instants, outcomes, statecharts
-from goldcrestgrade.platform import tables
+from goldcrestgrade.storage import tables
 from goldcrestgrade_node import requests
 from goldcrestgrade_node.once import rows
 
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/once/guard.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/once/guard.py
@@ -8,7 +8,7 @@
 import uuid
 
 from goldcrestgrade import instants, outcomes, reasons
-from goldcrestgrade.platform import tables
+from goldcrestgrade.storage import tables
 from goldcrestgrade_node import requests
 from goldcrestgrade_node.attempts import results
 from goldcrestgrade_node.once import (
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/once/sweeper.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/once/sweeper.py
@@ -8,7 +8,7 @@
 import typing
 
 from goldcrestgrade import instants
-from goldcrestgrade.platform import tables
+from goldcrestgrade.storage import tables
 from goldcrestgrade_node.once import keys, rows
 
 log = logging.getLogger(__name__)
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/once/write_behind.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/once/write_behind.py
@@ -12,7 +12,7 @@
 import typing
 
 from goldcrestgrade import instants
-from goldcrestgrade.platform import tables
+from goldcrestgrade.storage import tables
 from goldcrestgrade_node.once import rows
 
 log = logging.getLogger(__name__)
--- a/packages/goldcrestgrade-node/tests/attempts/test_forwarding.py
+++ b/packages/goldcrestgrade-node/tests/attempts/test_forwarding.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from goldcrestgrade import instants, outcomes, reasons, records, sheet, telemetry
+from goldcrestgrade import counters, instants, outcomes, reasons, records, sheet
 from goldcrestgrade_node import requests
 from goldcrestgrade_node.attempts import exchanges, forwarding, results, shares, transport
 from goldcrestgrade_node.control import app as control_app
@@ -18,7 +18,7 @@
 @contextlib.asynccontextmanager
 async def forwarding_to(respond, key=KEY):
     """Yield a function that sends by way of the node beside an endpoint, and the endpoint."""
-    counts = telemetry.Counts()
+    counts = counters.Counts()
     clocks = instants.system_clocks()
     beside = transport.HttpTransport(clocks, counts)
     caller = transport.HttpTransport(clocks, counts, key)
--- a/packages/goldcrestgrade-node/tests/attempts/test_transport.py
+++ b/packages/goldcrestgrade-node/tests/attempts/test_transport.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from goldcrestgrade import instants, outcomes, reasons, sheet, telemetry
+from goldcrestgrade import counters, instants, outcomes, reasons, sheet
 from goldcrestgrade_node import requests
 from goldcrestgrade_node.attempts import exchanges, pools, results, shares, silence, transport
 from goldcrestgrade_testing import raw_endpoint
@@ -38,7 +38,7 @@
 @contextlib.asynccontextmanager
 async def sending(respond, limit=50):
     async with raw_endpoint.serving(respond) as endpoint:
-        path = transport.HttpTransport(instants.system_clocks(), telemetry.Counts())
+        path = transport.HttpTransport(instants.system_clocks(), counters.Counts())
         path.set_shares("s", {("127.0.0.1", endpoint.port): shares.Direct(limit)})
         try:
             yield Sender(path, endpoint.port), endpoint
@@ -433,6 +433,6 @@
         return next(looks)
 
     monkeypatch.setattr(transport, "_refuses", refuses)
-    path = transport.HttpTransport(instants.system_clocks(), telemetry.Counts())
+    path = transport.HttpTransport(instants.system_clocks(), counters.Counts())
     assert await path.has_ended("127.0.0.1", 9)
     await path.close()
--- a/packages/goldcrestgrade-node/tests/configuration/test_adoption.py
+++ b/packages/goldcrestgrade-node/tests/configuration/test_adoption.py
@@ -5,8 +5,8 @@
 
 import pytest
 
-from goldcrestgrade import instants, sheet, telemetry
-from goldcrestgrade.platform import tables
+from goldcrestgrade import counters, instants, sheet
+from goldcrestgrade.storage import tables
 from goldcrestgrade_node.configuration import adoption
 from goldcrestgrade_node.membership import peers
 from goldcrestgrade_testing import fleet, memory_platform, virtual_time
@@ -45,7 +45,7 @@
         lambda _adopted: None,
         lambda: True,
         instants.loop_clocks(),
-        telemetry.Counts(),
+        counters.Counts(),
         random.Random(1),
     )
 
--- a/packages/goldcrestgrade-node/tests/control/test_messages_from_outside.py
+++ b/packages/goldcrestgrade-node/tests/control/test_messages_from_outside.py
@@ -11,7 +11,7 @@
 import pytest
 from hypothesis import strategies
 
-from goldcrestgrade import headers, instants, telemetry
+from goldcrestgrade import counters, headers, instants
 from goldcrestgrade_node.control import app, routes
 from goldcrestgrade_node.endpoint import lifecycle
 from goldcrestgrade_node.membership import exchange, members, peers
@@ -95,7 +95,7 @@
             NoPeers(),
             exchange.Hooks(lambda _: None, lambda: 0, lambda _version, _url: None, lambda: False),
             clocks,
-            telemetry.Counts(),
+            counters.Counts(),
             random.Random(1),
         )
         self.client = falcon.testing.TestClient(
--- a/packages/goldcrestgrade-node/tests/control/test_sheet_resource.py
+++ b/packages/goldcrestgrade-node/tests/control/test_sheet_resource.py
@@ -5,7 +5,7 @@
 import falcon.testing
 import pytest
 
-from goldcrestgrade import headers, instants, sheet, telemetry
+from goldcrestgrade import counters, headers, instants, sheet
 from goldcrestgrade_node.configuration import adoption
 from goldcrestgrade_node.control import app, routes
 from goldcrestgrade_testing import fleet, memory_platform
@@ -26,7 +26,7 @@
             lambda _adopted: None,
             lambda: True,
             clocks,
-            telemetry.Counts(),
+            counters.Counts(),
             random.Random(1),
         )
         self.sheets.offer(4, BODY)
--- a/packages/goldcrestgrade-node/tests/entry/test_calls.py
+++ b/packages/goldcrestgrade-node/tests/entry/test_calls.py
@@ -4,7 +4,7 @@
 import collections
 import random
 
-from goldcrestgrade import instants, outcomes, reasons, sheet, telemetry
+from goldcrestgrade import counters, instants, outcomes, reasons, sheet
 from goldcrestgrade_node import requests
 from goldcrestgrade_node.attempts import results
 from goldcrestgrade_node.entry import calls
@@ -25,7 +25,7 @@
         send,
         relay,
         instants.loop_clocks(),
-        telemetry.Counts(),
+        counters.Counts(),
         random.Random(seed),
     )
 
--- a/packages/goldcrestgrade-node/tests/test_call_path.py
+++ b/packages/goldcrestgrade-node/tests/test_call_path.py
@@ -3,7 +3,7 @@
 import asyncio
 import random
 
-from goldcrestgrade import instants, outcomes, reasons, sheet, telemetry
+from goldcrestgrade import counters, instants, outcomes, reasons, sheet
 from goldcrestgrade_node import requests
 from goldcrestgrade_node.attempts import results
 from goldcrestgrade_node.entry import calls
@@ -22,7 +22,7 @@
         send,
         None,
         instants.loop_clocks(),
-        telemetry.Counts(),
+        counters.Counts(),
         random.Random(1),
     )
 
--- a/packages/goldcrestgrade-operator/goldcrestgrade_operator/platforms.py
+++ b/packages/goldcrestgrade-operator/goldcrestgrade_operator/platforms.py
@@ -10,7 +10,7 @@
 import pydantic
 
 from goldcrestgrade import exceptions, http_client, sheet
-from goldcrestgrade.platform import http_objects, http_tables, tables
+from goldcrestgrade.storage import http_objects, http_tables, tables
 
 CONNECTIONS = 8
 """Connections that a command holds at most."""
--- a/packages/goldcrestgrade-operator/goldcrestgrade_operator/sheets/acceptance.py
+++ b/packages/goldcrestgrade-operator/goldcrestgrade_operator/sheets/acceptance.py
@@ -12,7 +12,7 @@
 import uuid
 
 from goldcrestgrade import instants, sheet
-from goldcrestgrade.platform import tables
+from goldcrestgrade.storage import tables
 
 ACCEPT_TIMEOUT_S = 15.0
 """Longest time that an acceptance takes."""
--- a/packages/goldcrestgrade-operator/tests/test_acceptance.py
+++ b/packages/goldcrestgrade-operator/tests/test_acceptance.py
@@ -7,7 +7,7 @@
 import pytest
 
 from goldcrestgrade import instants, sheet
-from goldcrestgrade.platform import tables
+from goldcrestgrade.storage import tables
 from goldcrestgrade_operator.sheets import acceptance
 from goldcrestgrade_testing import letters_desk, memory_platform, virtual_time
 
--- a/packages/goldcrestgrade-operator/tests/test_commands.py
+++ b/packages/goldcrestgrade-operator/tests/test_commands.py
@@ -8,7 +8,7 @@
 import pytest
 
 from goldcrestgrade import exceptions, records, sheet
-from goldcrestgrade.platform import tables
+from goldcrestgrade.storage import tables
 from goldcrestgrade_operator import command_table, options
 from goldcrestgrade_operator.commands import apply
 from goldcrestgrade_operator.sheets import acceptance
--- a/packages/goldcrestgrade-testing/goldcrestgrade_testing/bench/runs.py
+++ b/packages/goldcrestgrade-testing/goldcrestgrade_testing/bench/runs.py
@@ -7,7 +7,7 @@
 import random
 import typing
 
-from goldcrestgrade import instants, outcomes, records, sheet, telemetry
+from goldcrestgrade import counters, instants, outcomes, records, sheet
 from goldcrestgrade_node import requests
 from goldcrestgrade_node.entry import calls
 from goldcrestgrade_node.routing import choice, evidence, views
@@ -36,7 +36,7 @@
     """Everything seen in one run of one policy."""
 
     finished: list[Finished]
-    counts: telemetry.Counts
+    counts: counters.Counts
     attempts: list[int]
     """Attempts at each upstream since `SETTLED_AT_S`."""
     executions: int
@@ -57,7 +57,7 @@
         self.deployment = deployment
         self.scenario = scenario
         self.planned = planned
-        self.counts = telemetry.Counts()
+        self.counts = counters.Counts()
         self.upstreams = [
             endpoints.Endpoint(place, deployment.slots, scenario, random.Random(f"{seed}-{index}"))
             for index, place in enumerate(deployment.upstreams)
--- a/packages/goldcrestgrade-testing/goldcrestgrade_testing/fleet.py
+++ b/packages/goldcrestgrade-testing/goldcrestgrade_testing/fleet.py
@@ -13,7 +13,7 @@
 
 import pydantic
 
-from goldcrestgrade import instants, records, sheet, telemetry
+from goldcrestgrade import counters, instants, records, sheet
 from goldcrestgrade_node.configuration import adoption
 from goldcrestgrade_node.membership import (
     discovery,
@@ -140,7 +140,7 @@
         self.place = place
         self.region = place.region
         self.clocks = instants.loop_clocks(EPOCH)
-        self.counts = telemetry.Counts()
+        self.counts = counters.Counts()
         self.traffic = Traffic()
         self.network = network
         self.paused = False
--- a/packages/goldcrestgrade-testing/goldcrestgrade_testing/guard_process.py
+++ b/packages/goldcrestgrade-testing/goldcrestgrade_testing/guard_process.py
@@ -8,7 +8,7 @@
 import typing
 
 from goldcrestgrade import instants
-from goldcrestgrade.platform import resilient_tables, tables
+from goldcrestgrade.storage import resilient_tables, tables
 from goldcrestgrade_node import requests
 from goldcrestgrade_node.once import claims, executions, guard, messages, sweeper, write_behind
 from goldcrestgrade_testing import (
--- a/packages/goldcrestgrade-testing/goldcrestgrade_testing/memory_platform.py
+++ b/packages/goldcrestgrade-testing/goldcrestgrade_testing/memory_platform.py
@@ -8,7 +8,7 @@
 import math
 import random
 
-from goldcrestgrade.platform import tables
+from goldcrestgrade.storage import tables
 
 
 @dataclasses.dataclass
--- a/packages/goldcrestgrade-testing/goldcrestgrade_testing/once_latency.py
+++ b/packages/goldcrestgrade-testing/goldcrestgrade_testing/once_latency.py
@@ -9,7 +9,7 @@
 import time
 import typing
 
-from goldcrestgrade.platform import http_tables, tables
+from goldcrestgrade.storage import http_tables, tables
 from goldcrestgrade_testing import deployments, endpoint_server, processes
 from goldcrestgrade_testing.latency import callers
 
--- a/packages/goldcrestgrade-testing/goldcrestgrade_testing/once_world.py
+++ b/packages/goldcrestgrade-testing/goldcrestgrade_testing/once_world.py
@@ -8,7 +8,7 @@
 import random
 import uuid
 
-from goldcrestgrade import instants, outcomes, records, sheet, telemetry
+from goldcrestgrade import counters, instants, outcomes, records, sheet
 from goldcrestgrade_node import requests
 from goldcrestgrade_node.attempts import results, transport
 from goldcrestgrade_node.entry import calls
@@ -124,7 +124,7 @@
             _send_idempotent,
             relay_client.RelayClient(port, clocks).run,
             clocks,
-            telemetry.Counts(),
+            counters.Counts(),
             self.rng,
         )
 
--- a/packages/goldcrestgrade-testing/goldcrestgrade_testing/platform_server.py
+++ b/packages/goldcrestgrade-testing/goldcrestgrade_testing/platform_server.py
@@ -12,7 +12,7 @@
 import typing_extensions
 
 from goldcrestgrade import settings
-from goldcrestgrade.platform import tables
+from goldcrestgrade.storage import tables
 from goldcrestgrade_node import servers
 from goldcrestgrade_testing import memory_platform
 
--- a/packages/goldcrestgrade-testing/tests/test_memory_platform.py
+++ b/packages/goldcrestgrade-testing/tests/test_memory_platform.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from goldcrestgrade.platform import tables
+from goldcrestgrade.storage import tables
 from goldcrestgrade_testing import memory_platform, virtual_time
 
 
--- a/packages/goldcrestgrade-testing/tests/test_once_mutations.py
+++ b/packages/goldcrestgrade-testing/tests/test_once_mutations.py
@@ -10,7 +10,7 @@
 import pytest
 
 from goldcrestgrade import reasons
-from goldcrestgrade.platform import tables
+from goldcrestgrade.storage import tables
 from goldcrestgrade_node import requests
 from goldcrestgrade_node.once import (
     asking,
--- a/packages/goldcrestgrade-testing/tests/test_reference.py
+++ b/packages/goldcrestgrade-testing/tests/test_reference.py
@@ -6,7 +6,7 @@
 import prometheus_client.parser
 import pytest
 
-from goldcrestgrade import reasons, telemetry
+from goldcrestgrade import counters, reasons, telemetry
 from goldcrestgrade_operator import explanations
 from goldcrestgrade_testing import reference
 
@@ -52,7 +52,7 @@
 
 
 def test_operators_page_lists_exactly_the_exported_metrics():
-    registry = telemetry.register(telemetry.Counts())
+    registry = telemetry.register(counters.Counts())
     families = prometheus_client.parser.text_string_to_metric_families(registry.scrape().decode())
     exported = {f.name for f in families if f.name.startswith("goldcrestgrade_")}
     listed = set(re.findall(r"^\| `(goldcrestgrade_[a-z_]+)` ", OPERATING.read_text("utf-8"), re.M))
--- a/packages/goldcrestgrade/goldcrestgrade/platform/breaker.py
+++ b/packages/goldcrestgrade/goldcrestgrade/storage/breaker.py
@@ -15,7 +15,7 @@
 BACKOFF_LIMIT_S = 10.0
 """Longest time for which the breaker stays open between two trial requests."""
 
-CHART = statecharts.load("goldcrestgrade.platform", "breaker")
+CHART = statecharts.load("goldcrestgrade.storage", "breaker")
 
 
 def backoff_s(openings: int, rng: random.Random) -> float:
--- a/packages/goldcrestgrade/goldcrestgrade/platform/http_objects.py
+++ b/packages/goldcrestgrade/goldcrestgrade/storage/http_objects.py
@@ -4,7 +4,7 @@
 
 import aiohttp
 
-from goldcrestgrade.platform import tables
+from goldcrestgrade.storage import tables
 
 REQUEST_TIMEOUT_S = 5.0
 """Longest wait for an answer of the object store."""
--- a/packages/goldcrestgrade/goldcrestgrade/platform/http_tables.py
+++ b/packages/goldcrestgrade/goldcrestgrade/storage/http_tables.py
@@ -10,7 +10,7 @@
 import pydantic
 import typing_extensions
 
-from goldcrestgrade.platform import tables
+from goldcrestgrade.storage import tables
 
 REQUEST_TIMEOUT_S = 2.0
 """Longest wait for an answer of the table service."""
--- a/packages/goldcrestgrade/goldcrestgrade/platform/resilient_tables.py
+++ b/packages/goldcrestgrade/goldcrestgrade/storage/resilient_tables.py
@@ -8,7 +8,7 @@
 import typing
 
 from goldcrestgrade import instants
-from goldcrestgrade.platform import breaker, budget, tables
+from goldcrestgrade.storage import breaker, budget, tables
 
 REQUEST_TIMEOUT_S = 0.4
 """Longest wait for an answer of the table service."""
--- a/packages/goldcrestgrade/goldcrestgrade/telemetry.py
+++ b/packages/goldcrestgrade/goldcrestgrade/telemetry.py
@@ -5,7 +5,6 @@
 
 from __future__ import annotations
 
-import bisect
 import collections
 import itertools
 import typing
@@ -16,31 +15,7 @@
 from opentelemetry.sdk import metrics as sdk_metrics
 from prometheus_client import metrics_core, registry
 
-from goldcrestgrade import reasons
-
-LATENCY_BOUNDS_S = (0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0, 10.0)
-"""Upper bounds of the buckets of the latency histogram."""
-
-
-class Counts:
-    """The counts of one process, by name and reason."""
-
-    def __init__(self) -> None:
-        self.calls: collections.Counter[str] = collections.Counter()
-        self.refusals: collections.Counter[str] = collections.Counter()
-        self.unknowns: collections.Counter[str] = collections.Counter()
-        self.broken_attempts: collections.Counter[str] = collections.Counter()
-        self.retries: collections.Counter[str] = collections.Counter()
-        self.events: collections.Counter[str] = collections.Counter()
-        self.in_flight = 0
-        self.latency_buckets = [0] * (len(LATENCY_BOUNDS_S) + 1)
-        """Calls by duration, one count for each bound and one for all above."""
-        self.latency_sum_s = 0.0
-
-    def record_latency(self, latency_s: float) -> None:
-        """Count a call that took `latency_s`."""
-        self.latency_buckets[bisect.bisect_left(LATENCY_BOUNDS_S, latency_s)] += 1
-        self.latency_sum_s += latency_s
+from goldcrestgrade import counters, reasons
 
 
 class Registry(typing.NamedTuple):
@@ -63,7 +38,7 @@
     description: str
 
 
-def register(counts: Counts) -> Registry:
+def register(counts: counters.Counts) -> Registry:
     """Return a registry of its own that observes `counts` and the process."""
     collectors = prometheus_client.CollectorRegistry()
     prometheus_client.ProcessCollector(registry=collectors)
@@ -88,7 +63,7 @@
     return Registry(provider, collectors)
 
 
-def _families(counts: Counts) -> tuple[_Family, ...]:
+def _families(counts: counters.Counts) -> tuple[_Family, ...]:
     outcomes = ("ran", "not_run", "unknown")
     return (
         _Family("calls", counts.calls, "outcome", outcomes, "Calls of callers that ended."),
@@ -132,12 +107,12 @@
     The SDK has no asynchronous histogram, and its synchronous one costs microseconds on each call.
     """
 
-    def __init__(self, counts: Counts) -> None:
+    def __init__(self, counts: counters.Counts) -> None:
         self.counts = counts
 
     def collect(self) -> typing.Iterator[metrics_core.HistogramMetricFamily]:
         """Return the histogram as it stands."""
-        bounds = (*map(str, LATENCY_BOUNDS_S), "+Inf")
+        bounds = (*map(str, counters.LATENCY_BOUNDS_S), "+Inf")
         totals = itertools.accumulate(self.counts.latency_buckets)
         yield metrics_core.HistogramMetricFamily(
             "goldcrestgrade_call_duration_seconds",
--- a/packages/goldcrestgrade/tests/platform/test_resilient_tables.py
+++ b/packages/goldcrestgrade/tests/storage/test_resilient_tables.py
@@ -4,7 +4,7 @@
 import random
 
 from goldcrestgrade import instants
-from goldcrestgrade.platform import breaker, budget, resilient_tables, tables
+from goldcrestgrade.storage import breaker, budget, resilient_tables, tables
 from goldcrestgrade_testing import memory_platform, virtual_time
 
 WRITE = tables.Transaction((), (tables.Write("t", "k", {"n": 1}),))
--- a/packages/goldcrestgrade/tests/test_telemetry.py
+++ b/packages/goldcrestgrade/tests/test_telemetry.py
@@ -3,7 +3,7 @@
 import prometheus_client.parser
 import pytest
 
-from goldcrestgrade import reasons, telemetry
+from goldcrestgrade import counters, reasons, telemetry
 
 REASONS = [
     ("refusals", "reason", reasons.Refusal),
@@ -25,13 +25,13 @@
 
 @pytest.mark.parametrize(("name", "label", "members"), REASONS)
 def test_every_reason_is_exported_before_it_was_counted(name, label, members):
-    found = samples(telemetry.register(telemetry.Counts()))
+    found = samples(telemetry.register(counters.Counts()))
     exported = {value for metric, value in found if metric == f"goldcrestgrade_{name}_total"}
     assert exported == set(members)
 
 
 def test_counts_are_exported_as_they_stand():
-    counts = telemetry.Counts()
+    counts = counters.Counts()
     registry = telemetry.register(counts)
     counts.refusals[reasons.Refusal.NO_SHEET] += 2
     counts.in_flight = 3
@@ -41,14 +41,14 @@
 
 
 def test_registries_of_one_process_do_not_mix():
-    first, second = telemetry.Counts(), telemetry.Counts()
+    first, second = counters.Counts(), counters.Counts()
     registries = telemetry.register(first), telemetry.register(second)
     first.in_flight = 1
     assert [samples(r)["goldcrestgrade_in_flight", ""] for r in registries] == [1, 0]
 
 
 def test_call_durations_are_exported_as_a_histogram():
-    counts = telemetry.Counts()
+    counts = counters.Counts()
     registry = telemetry.register(counts)
     for latency_s in (0.001, 0.0015, 0.3, 60.0):
         counts.record_latency(latency_s)
