--- a/packages/goldcrestgrade-node/goldcrestgrade_node/asgi.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/asgi.py
@@ -32,19 +32,19 @@
     """The sender went away before its request was whole."""
 
 
-async def read_body(receive: Receive) -> bytes | None:
+async def read_body(receive: Receive, limit: int = MAX_BODY_BYTES) -> bytes | None:
     """Return the body of a request, or none where it is too large; raises `Disconnected`."""
     message = await receive()
     if message["type"] == "http.request" and not message.get("more_body"):
         body: bytes = message.get("body", b"")
-        return body if len(body) <= MAX_BODY_BYTES else None
+        return body if len(body) <= limit else None
     parts: list[bytes] = []
     size = 0
     while True:
         if message["type"] == "http.disconnect":
             raise Disconnected
         size += len(message.get("body", b""))
-        if size > MAX_BODY_BYTES:
+        if size > limit:
             return None
         parts.append(message.get("body", b""))
         if not message.get("more_body"):
@@ -90,6 +90,16 @@
         await _send_streamed(send, answer.body, answer.rest)
 
 
+async def send_plain(send: Send, answer: outcomes.Answer, close: bool) -> None:
+    """Send a whole answer with its own headers only; with `close`, ask to connect anew."""
+    fields = [(name.encode("latin-1"), value.encode("latin-1")) for name, value in answer.headers]
+    fields += _framing(answer)
+    if close:
+        fields.append((b"connection", b"close"))
+    await send({"type": "http.response.start", "status": answer.status, "headers": fields})
+    await send({"type": "http.response.body", "body": answer.body})
+
+
 def _framing(answer: outcomes.Answer) -> list[tuple[bytes, bytes]]:
     """Return the length header of `answer`, where it has a length of its own to tell."""
     told = any(name == "content-length" for name, _ in answer.headers)
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/attempts/exchanges.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/attempts/exchanges.py
@@ -45,6 +45,12 @@
     """Whether a large answer may be passed on before it is whole."""
     echo_required: bool = False
     """Whether an answer must repeat the attempt's id, as nodes do."""
+    echo_header: str = headers.ATTEMPT_ID
+    """Header by which an answer repeats the attempt's id."""
+    host: str | None = None
+    """Host header, where it isn't the address that the request goes to."""
+    unframed_allowed: bool = False
+    """Whether an answer may end with its connection."""
 
 
 class Exchange:
@@ -64,7 +70,7 @@
         self.request = http_client.BareRequest(
             prepared.method,
             yarl.URL(pool.origin + prepared.target, encoded=True),
-            headers=[("Host", pool.authority), *prepared.fields],
+            headers=[("Host", prepared.host or pool.authority), *prepared.fields],
             data=prepared.body or None,
             loop=asyncio.get_running_loop(),
         )
@@ -143,7 +149,7 @@
             self.opened.protocol.close()
 
     def _check(self, response: aiohttp.ClientResponse, fields: dict[str, str]) -> None:
-        echoed = fields.get(headers.ATTEMPT_ID, "")
+        echoed = fields.get(self.prepared.echo_header, "")
         if self.prepared.echo_required and not echoed:
             raise Invalid(reasons.Uncertainty.ANSWER_INVALID)
         if echoed and echoed != self.prepared.attempt_id:
@@ -152,7 +158,7 @@
             raise Invalid(reasons.Uncertainty.ANSWER_INVALID)
         bodyless = self.prepared.method == "HEAD" or response.status in asgi.BODYLESS_STATUSES
         framed = "content-length" in fields or "transfer-encoding" in fields
-        if not bodyless and not framed:
+        if not (bodyless or framed or self.prepared.unframed_allowed):
             # Its end would look the same as a cut.
             raise Invalid(reasons.Uncertainty.ANSWER_INVALID)
 
--- /dev/null
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/admission.py
@@ -0,0 +1,183 @@
+"""Admission of requests to the endpoint beside this node.
+
+Load pattern: the endpoint turns slow or full within milliseconds. This node sees all of its work,
+so a request that would come too late is sent back before the endpoint has seen it; it may then go
+elsewhere at once. Waiting requests start by rank, and among equals the one that came first.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import heapq
+import itertools
+import typing
+
+from goldcrestgrade import instants
+from goldcrestgrade_node.mesh import loads
+
+TYPICAL_START_S = 0.1
+"""Time that a request is taken to need before the first one has ended."""
+
+TYPICAL_WEIGHT = 0.1
+"""Weight of a new sample in the moving mean of the time that requests need."""
+
+PACE_HALF_LIFE_S = 0.5
+"""Age at which a report of the endpoint's pace counts half."""
+
+LATE_QUEUE_FACTOR = 0.0
+"""Waiting requests, in multiples of the slots, beside which a late request is still taken."""
+
+RETRY_FLOOR_S = 0.02
+"""Shortest time after which a request that was sent back may be tried here again."""
+
+
+class Ticket(typing.NamedTuple):
+    """A request that asks for admission."""
+
+    name: str
+    """Route, by which the time that it needs is remembered."""
+    priority: int
+    target_at: instants.Instant
+    deadline: instants.Instant
+    late_allowed: bool
+    """Whether it may be taken although it is expected to miss its target."""
+
+
+class Rejected(typing.NamedTuple):
+    """The request was sent back before it started."""
+
+    reason: str
+    retry_at: instants.Instant
+
+
+class Waiter(typing.NamedTuple):
+    """A request that waits; ordered by rank and arrival."""
+
+    priority: int
+    number: int
+    ticket: Ticket
+    admitted: asyncio.Future[Rejected | None]
+
+
+class Estimate(typing.NamedTuple):
+    """When a request is expected to start and to end."""
+
+    start_s: float
+    end_s: float
+
+
+def estimate(
+    running: int, ahead: int, slots: int, typical_s: float, needs_s: float, pace: float
+) -> Estimate:
+    """Return the expected wait and end of a request behind `ahead` others."""
+    excess = max(0, running + ahead + 1 - slots)
+    start_s = excess * typical_s * pace / max(1, slots)
+    return Estimate(start_s, start_s + needs_s * pace)
+
+
+class Gate:
+    """The requests at the own endpoint; owned by the event loop of the node."""
+
+    def __init__(self, clocks: instants.Clocks) -> None:
+        self.clocks = clocks
+        self.slots = 1
+        self.running = 0
+        self.waiting: list[Waiter] = []
+        self.numbers = itertools.count()
+        self.typical_s: dict[str, float] = {}
+        self.mean_s = TYPICAL_START_S
+        self.pace = loads.USUAL_PACE
+        self.pace_at: instants.Instant = 0.0
+
+    def load(self) -> loads.Load:
+        """Return the load as other nodes are told."""
+        return loads.Load(self.running, len(self.waiting), self.slots, self.current_pace())
+
+    def current_pace(self) -> float:
+        """Return the pace, which tends to the usual one as its report ages."""
+        age_s = self.clocks.monotonic() - self.pace_at
+        return 1 + (self.pace - 1) * 0.5 ** (age_s / PACE_HALF_LIFE_S)
+
+    async def enter(self, ticket: Ticket) -> Rejected | None:
+        """Wait until the request may start; return a rejection where it may not."""
+        rejected = self._judge(ticket)
+        if rejected is not None:
+            return rejected
+        if self.running < self.slots and not self.waiting:
+            self.running += 1
+            return None
+        admitted: asyncio.Future[Rejected | None] = asyncio.get_running_loop().create_future()
+        heapq.heappush(self.waiting, Waiter(ticket.priority, next(self.numbers), ticket, admitted))
+        try:
+            return await admitted
+        except asyncio.CancelledError:
+            if admitted.done() and not admitted.cancelled() and admitted.result() is None:
+                self.leave()
+            raise
+
+    def leave(self) -> None:
+        """Give back the place of a request that ended."""
+        self.running -= 1
+        self.serve()
+
+    def note_time(self, name: str, took_s: float) -> None:
+        """Take in the time that the endpoint took for a request."""
+        usual_s = took_s / max(0.1, self.current_pace())
+        known_s = self.typical_s.get(name, usual_s)
+        self.typical_s[name] = known_s + TYPICAL_WEIGHT * (usual_s - known_s)
+        self.mean_s += TYPICAL_WEIGHT * (usual_s - self.mean_s)
+
+    def note_load(self, load: loads.Load) -> None:
+        """Take in what the endpoint reported."""
+        self.pace, self.pace_at = load.pace, self.clocks.monotonic()
+        if load.slots != self.slots:
+            self.resize(load.slots)
+
+    def resize(self, slots: int) -> None:
+        """Set the number of requests that may run at once."""
+        self.slots = max(1, slots)
+        self.serve()
+
+    def reject_waiting(self, reason: str) -> None:
+        """Send back all requests that wait."""
+        waiting, self.waiting = self.waiting, []
+        for waiter in waiting:
+            self._answer(waiter, Rejected(reason, self.clocks.monotonic()))
+
+    def serve(self) -> None:
+        """Start waiting requests while there is room, and send back those that are too late."""
+        while self.waiting and self.running < self.slots:
+            waiter = heapq.heappop(self.waiting)
+            if waiter.admitted.done():
+                continue
+            rejected = self._too_late(waiter.ticket, 0)
+            if rejected is None:
+                self.running += 1
+            self._answer(waiter, rejected)
+
+    def _judge(self, ticket: Ticket) -> Rejected | None:
+        self.waiting = [waiter for waiter in self.waiting if not waiter.admitted.done()]
+        heapq.heapify(self.waiting)
+        ahead = sum(waiter.priority <= ticket.priority for waiter in self.waiting)
+        return self._too_late(ticket, ahead)
+
+    def _too_late(self, ticket: Ticket, ahead: int) -> Rejected | None:
+        now = self.clocks.monotonic()
+        pace = self.current_pace()
+        needs_s = self.typical_s.get(ticket.name, self.mean_s)
+        expected = estimate(self.running, ahead, self.slots, self.mean_s, needs_s, pace)
+        in_time = now + expected.end_s <= ticket.target_at
+        if in_time or (
+            ticket.late_allowed
+            and now + expected.end_s <= ticket.deadline
+            and ahead <= LATE_QUEUE_FACTOR * self.slots
+            and self.running < self.slots
+        ):
+            return None
+        return Rejected("saturated", now + max(RETRY_FLOOR_S, expected.start_s))
+
+    def _answer(self, waiter: Waiter, result: Rejected | None) -> None:
+        if not waiter.admitted.done():
+            waiter.admitted.set_result(result)
+        elif result is None:
+            self.running -= 1
--- /dev/null
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/connections.py
@@ -0,0 +1,190 @@
+"""Connections to one address, kept for reuse, the latest used first."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+import typing
+
+import aiohttp
+from aiohttp import client_proto, connector
+
+from goldcrestgrade import http_client, instants
+from goldcrestgrade_node.attempts import pools
+
+CONNECT_TIMEOUT_S = 0.4
+"""Longest wait for a new connection; several round trips between regions."""
+
+USER_TIMEOUT_MS = 1200
+"""Time after which sent bytes without acknowledgement break a connection; under `contact`."""
+
+KEEPALIVE_IDLE_S = 1
+"""Silence after which the other side is asked for a sign of life."""
+
+KEEPALIVE_PROBES = 2
+"""Signs of life that may be missing before the connection breaks."""
+
+DEFAULT_KEEP_S = 8.0
+"""Time for which an idle connection is kept where the server does not tell its own limit."""
+
+KEEP_MARGIN_S = 1.0
+"""Time before the server's own limit at which an idle connection is no longer used."""
+
+
+class Protocol(client_proto.ResponseHandler):
+    """Client side of a connection that drops answers to other requests and notices resets."""
+
+    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
+        super().__init__(loop)
+        self.echo_header = ""
+        self.attempt_id: str | None = None
+        """Id that the next answer must repeat, if it repeats any."""
+        self.skipped = 0
+        """Answers to other requests that were dropped."""
+        self.idle_since: instants.Instant = 0.0
+        self.keep_s = DEFAULT_KEEP_S
+        self.used = False
+        """Whether it served a request before."""
+
+    async def read(self) -> typing.Any:
+        """Return the head and the body of the next answer that is for the present request."""
+        while True:
+            message, payload = await super().read()
+            echoed = message.headers.get(self.echo_header)
+            if self.attempt_id is None or echoed in (None, self.attempt_id):
+                return message, payload
+            self.skipped += 1
+            self.force_close()
+            await payload.read()
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """Fail an answer that a reset cut, also where it has no length."""
+        payload = self._payload
+        if exc is not None and payload is not None and not payload.is_eof():
+            payload.set_exception(aiohttp.ClientPayloadError("connection reset"))
+        super().connection_lost(exc)
+
+
+class Unlimited:
+    """Stands for a limit on requests where another part of the node sets it."""
+
+    async def take(self) -> None:
+        """Take a place."""
+
+    def free(self) -> None:
+        """Give a place back."""
+
+
+class Kept:
+    """Connections to one address; owned by the event loop of the node."""
+
+    def __init__(self, address: str) -> None:
+        host, _, port = address.rpartition(":")
+        self.host, self.port = host, int(port)
+        self.authority = http_client.authority(host, self.port)
+        self.idle: list[Protocol] = []
+        self.opened = 0
+        """New connections so far."""
+        self.loop = asyncio.get_running_loop()
+        self.force_close = False
+
+    def within(self, max_idle_s: float) -> View:
+        """Return these connections without those that were idle for longer than `max_idle_s`."""
+        return View(self, max_idle_s)
+
+    async def open(self, max_idle_s: float) -> pools.Opened:
+        """Return a connection that is ready for one request; raises `OSError`."""
+        protocol = self._idle(max_idle_s) or await self._connect()
+        reused, protocol.used = protocol.used, True
+        held = connector.Connection(
+            typing.cast(connector.BaseConnector, self),
+            typing.cast(typing.Any, None),
+            protocol,
+            self.loop,
+        )
+        return pools.Opened(held, protocol, reused)
+
+    def close_idle(self) -> int:
+        """Close all idle connections and return their number."""
+        idle, self.idle = self.idle, []
+        for protocol in idle:
+            protocol.close()
+        return len(idle)
+
+    def _idle(self, max_idle_s: float) -> Protocol | None:
+        now = self.loop.time()
+        while self.idle:
+            protocol = self.idle.pop()
+            unfit = protocol.should_close or not protocol.is_connected()
+            if unfit or now - protocol.idle_since > protocol.keep_s:
+                protocol.close()
+            elif now - protocol.idle_since <= max_idle_s:
+                return protocol
+            else:
+                # The others have been idle for longer.
+                self.idle.append(protocol)
+                return None
+        return None
+
+    async def _connect(self) -> Protocol:
+        async with asyncio.timeout(CONNECT_TIMEOUT_S):
+            transport, protocol = await self.loop.create_connection(
+                lambda: Protocol(self.loop), self.host, self.port
+            )
+        self.opened += 1
+        set_silence_bounds(transport.get_extra_info("socket"))
+        return protocol
+
+    def _release(
+        self,
+        _key: typing.Any,
+        protocol: Protocol,
+        *,
+        should_close: bool = False,
+    ) -> None:
+        # aiohttp gives a connection back through this method of a connector.
+        if should_close or protocol.should_close or not protocol.is_connected():
+            protocol.close()
+            return
+        now = self.loop.time()
+        protocol.idle_since = now
+        while self.idle and now - self.idle[0].idle_since > self.idle[0].keep_s:
+            self.idle.pop(0).close()
+        self.idle.append(protocol)
+
+
+class View(typing.NamedTuple):
+    """Connections of one address for a request that demands a bound on their idle time."""
+
+    kept: Kept
+    max_idle_s: float
+    slots: typing.Any = Unlimited()
+
+    @property
+    def authority(self) -> str:
+        """Host and port as in a URL."""
+        return self.kept.authority
+
+    @property
+    def origin(self) -> str:
+        """URL without a path."""
+        return f"http://{self.kept.authority}"
+
+    async def open(self, _request: aiohttp.ClientRequest) -> pools.Opened:
+        """Return a connection that is ready for one request; raises `OSError`."""
+        return await self.kept.open(self.max_idle_s)
+
+
+def set_silence_bounds(sock: socket.socket | None) -> None:
+    """Have the kernel break a connection whose other side no longer answers."""
+    if sock is None:
+        return
+    options = (
+        (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
+        (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S),
+        (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_IDLE_S),
+        (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES),
+        (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS),
+    )
+    for level, option, value in options:
+        sock.setsockopt(level, option, value)
--- /dev/null
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/endpoints.py
@@ -0,0 +1,157 @@
+"""The endpoint beside this node: which one it is and whether it takes new work."""
+
+from __future__ import annotations
+
+import collections
+import logging
+import typing
+
+from goldcrestgrade import instants
+
+log = logging.getLogger(__name__)
+
+MAX_DEPARTED = 256
+"""Endpoint incarnations remembered as gone."""
+
+
+class Heartbeat(typing.NamedTuple):
+    """What an endpoint says of itself."""
+
+    endpoint_id: str
+    born_ms: int
+    """Wall milliseconds of its start; tells two incarnations under one id apart."""
+    sequence: int
+    address: str
+    service: str
+    failure_domain: str
+    slots: int
+    draining: bool
+    warm_in_s: float
+    """Seconds for which it is still slow after its start."""
+
+
+class Own(typing.NamedTuple):
+    """What the settings say of the endpoint beside this node."""
+
+    address: str
+    service: str
+    failure_domain: str
+
+
+class Endpoint(typing.NamedTuple):
+    """The incarnation at the address of the own endpoint."""
+
+    endpoint_id: str
+    born_ms: int
+    """0 where only a health check told of it."""
+    sequence: int
+    slots: int
+    draining: bool
+
+
+class OwnEndpoint:
+    """State of the own endpoint; owned by the event loop of the node."""
+
+    def __init__(
+        self, own: Own, clocks: instants.Clocks, changed: typing.Callable[[], None]
+    ) -> None:
+        self.own = own
+        self.clocks = clocks
+        self.changed = changed
+        self.current: Endpoint | None = None
+        self.down = False
+        """Whether its address refused a connection since it was last heard of."""
+        self.departed: collections.OrderedDict[str, int] = collections.OrderedDict()
+        """Highest `born_ms` that left, by id; a health check can't bring these back."""
+        self.slots = 0
+
+    def usable(self) -> Endpoint | None:
+        """Return the endpoint that takes new work, or none."""
+        current = self.current
+        return None if current is None or current.draining or self.down else current
+
+    def heartbeat(self, heartbeat: Heartbeat) -> str:
+        """Take in a heartbeat and return what was made of it."""
+        own = Own(heartbeat.address, heartbeat.service, heartbeat.failure_domain)
+        if own != self.own:
+            return "foreign"
+        if self.departed.get(heartbeat.endpoint_id, -1) >= heartbeat.born_ms:
+            return "departed"
+        if not self._newer(heartbeat):
+            return "stale"
+        known = self.current
+        self.down = False
+        self.slots = heartbeat.slots
+        self._set(
+            Endpoint(
+                heartbeat.endpoint_id,
+                heartbeat.born_ms,
+                heartbeat.sequence,
+                heartbeat.slots,
+                heartbeat.draining,
+            )
+        )
+        return "taken" if known is not None else "first"
+
+    def leave(self, endpoint_id: str, born_ms: int | None) -> str:
+        """Take in that an endpoint left and return what was made of it."""
+        current = self.current
+        matches = current is not None and current.endpoint_id == endpoint_id
+        if matches and current is not None and born_ms is not None and current.born_ms > born_ms:
+            return "stale"
+        known_born = current.born_ms if matches and current is not None else 0
+        self.departed[endpoint_id] = max(
+            born_ms or 0, known_born, self.departed.get(endpoint_id, 0)
+        )
+        self.departed.move_to_end(endpoint_id)
+        while len(self.departed) > MAX_DEPARTED:
+            self.departed.popitem(last=False)
+        if matches:
+            self._set(None)
+        return "left" if matches else "unknown"
+
+    def found(self, endpoint_id: str, slots: int | None, healthy: bool) -> None:
+        """Take in what a health check told."""
+        current = self.current
+        self.down = False
+        if current is not None and current.endpoint_id == endpoint_id:
+            return
+        if not healthy or endpoint_id in self.departed:
+            return
+        self.slots = slots or self.slots or 1
+        self._set(Endpoint(endpoint_id, 0, -1, self.slots, draining=False))
+
+    def refused(self) -> None:
+        """Take in that the endpoint's address refused a connection."""
+        if not self.down:
+            self.down = True
+            self.changed()
+
+    def replaced(self) -> None:
+        """Take in that another incarnation answers at the address."""
+        self._set(None)
+
+    def _newer(self, heartbeat: Heartbeat) -> bool:
+        current = self.current
+        if current is None:
+            return True
+        if current.born_ms != heartbeat.born_ms and current.born_ms:
+            return heartbeat.born_ms > current.born_ms
+        if current.endpoint_id != heartbeat.endpoint_id:
+            # A health check told of the current one; the heartbeat may be an older one's.
+            return current.born_ms != 0
+        return heartbeat.sequence > current.sequence
+
+    def _set(self, endpoint: Endpoint | None) -> None:
+        before = self.current
+        self.current = endpoint
+        if _visible(before) != _visible(endpoint):
+            log.info(
+                "own endpoint changed",
+                extra={"before": _visible(before), "after": _visible(endpoint)},
+            )
+            self.changed()
+
+
+def _visible(endpoint: Endpoint | None) -> tuple[str, bool] | None:
+    return None if endpoint is None else (endpoint.endpoint_id, endpoint.draining)
--- /dev/null
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/entry.py
@@ -0,0 +1,180 @@
+"""ASGI application that clients and the own endpoint call."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import math
+import random
+import typing
+
+from goldcrestgrade import counters, headers, instants, outcomes, reasons, routes
+from goldcrestgrade_node import asgi
+from goldcrestgrade_node.entry import disconnects
+from goldcrestgrade_node.mesh import dialect, dispatch, requests, transfer
+
+log = logging.getLogger(__name__)
+
+NOT_READY_RETRY_S = 0.3
+"""Time after which a client may come again to a node that knows no configuration yet."""
+
+MAX_WAIT_MS = 3_600_000
+"""Longest wait that a client may ask for."""
+
+Run = typing.Callable[[requests.Call, int], typing.Awaitable[outcomes.Outcome]]
+"""Runs a call at the given number of endpoints at most."""
+
+
+class EntryApp:
+    """Reads requests of clients, has them run and sends the answers."""
+
+    def __init__(
+        self,
+        run: Run,
+        table: typing.Callable[[], routes.RouteTable | None],
+        caller: str,
+        names: dialect.Dialect,
+        closing: typing.Callable[[], bool],
+        clocks: instants.Clocks,
+        counts: counters.Counts,
+        rng: random.Random,
+    ) -> None:
+        self.run = run
+        self.table = table
+        self.caller = caller
+        self.names = names
+        self.closing = closing
+        self.clocks = clocks
+        self.counts = counts
+        self.rng = rng
+
+    async def __call__(self, scope: asgi.Scope, receive: asgi.Receive, send: asgi.Send) -> None:
+        """Serve one request."""
+        started = self.clocks.monotonic()
+        table = self.table()
+        limit = routes.DEFAULT_MAX_BODY_BYTES if table is None else table.limits.max_body_bytes
+        try:
+            body = await asgi.read_body(receive, limit)
+        except asgi.Disconnected:
+            log.info("client left before its request was whole")
+            return
+        by_name = {name: value.decode("latin-1") for name, value in scope["headers"]}
+        attempt_id = by_name.get(self.names.attempt_id.encode(), "")
+        found = self._route(scope, by_name, body)
+        if isinstance(found, outcomes.NotRun):
+            await self._answer(send, found, attempt_id, started, None)
+            return
+        message = requests.Message(
+            scope["method"],
+            asgi.target_of(scope),
+            by_name.get(b"host", ""),
+            headers.end_to_end(headers.from_bytes(scope["headers"])),
+            body or b"",
+        )
+        call = requests.call(
+            found,
+            dispatch.divide(found, self.rng),
+            self.caller,
+            attempt_id,
+            message,
+            started,
+            _wait_s(by_name.get(self.names.remaining_ms.encode())),
+        )
+        await self._run_watched(call, found, receive, send, started)
+
+    def _route(
+        self, scope: asgi.Scope, by_name: dict[bytes, str], body: bytes | None
+    ) -> routes.Route | outcomes.NotRun:
+        table = self.table()
+        if table is None:
+            return outcomes.NotRun(
+                reasons.Refusal.NO_SHEET, self.clocks.monotonic() + NOT_READY_RETRY_S
+            )
+        path = scope["raw_path"].decode("latin-1")
+        route = routes.find(table, by_name.get(b"host", ""), path)
+        if route is None:
+            return outcomes.NotRun(reasons.Refusal.NO_ROUTE)
+        if body is None:
+            return outcomes.NotRun(reasons.Refusal.BODY_TOO_LARGE)
+        return route
+
+    async def _run_watched(
+        self,
+        call: requests.Call,
+        route: routes.Route,
+        receive: asgi.Receive,
+        send: asgi.Send,
+        started: instants.Instant,
+    ) -> None:
+        worker = asyncio.current_task()
+        assert worker is not None
+        watch = disconnects.Watch(receive, worker)
+        self.counts.in_flight += 1
+        try:
+            outcome = await self.run(call, route.attempts)
+            watch.stop()
+            await self._answer(send, outcome, call.attempt_id, started, call)
+        except asyncio.CancelledError:
+            if not watch.disconnected:
+                raise
+            worker.uncancel()
+            self.counts.events[reasons.Event.CALLER_DISCONNECTED] += 1
+            log.info(
+                "client left",
+                extra={
+                    "request_id": call.attempt_id,
+                    "after_s": round(self.clocks.monotonic() - started, 3),
+                },
+            )
+        finally:
+            self.counts.in_flight -= 1
+            watch.stop()
+
+    async def _answer(
+        self,
+        send: asgi.Send,
+        outcome: outcomes.Outcome,
+        attempt_id: str,
+        started: instants.Instant,
+        call: requests.Call | None,
+    ) -> None:
+        now = self.clocks.monotonic()
+        self._note(outcome, attempt_id, now - started, call)
+        answer = transfer.own_answer(outcome, attempt_id, now)
+        if not isinstance(outcome, outcomes.Ran) and attempt_id:
+            answer = answer._replace(headers=(*answer.headers, (self.names.attempt_id, attempt_id)))
+        await asgi.send_plain(send, answer, self.closing())
+
+    def _note(
+        self,
+        outcome: outcomes.Outcome,
+        attempt_id: str,
+        took_s: float,
+        call: requests.Call | None,
+    ) -> None:
+        self.counts.calls[outcome.tag] += 1
+        self.counts.record_latency(took_s)
+        table = self.table()
+        fields: dict[str, typing.Any] = {
+            "request_id": attempt_id,
+            "took_s": round(took_s, 4),
+            "configuration": 0 if table is None else table.version,
+        }
+        if call is not None:
+            fields |= {"route": call.route, "service": call.service, "once": call.run_once}
+        match outcome:
+            case outcomes.Ran(answer=answer):
+                log.info("call answered", extra={**fields, "status": answer.status})
+            case outcomes.NotRun(reason=refusal):
+                self.counts.refusals[refusal] += 1
+                log.info("call refused", extra={**fields, "reason": refusal})
+            case outcomes.Unknown(reason=uncertainty):
+                self.counts.unknowns[uncertainty] += 1
+                log.warning("call unknown", extra={**fields, "reason": uncertainty})
+
+
+def _wait_s(text: str | None) -> float:
+    """Return the seconds that a client waits, without a bound where it does not tell."""
+    if text is None or not (text.isascii() and text.isdecimal()) or len(text) > 9:
+        return math.inf
+    return min(int(text), MAX_WAIT_MS) / 1000
--- /dev/null
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/health.py
@@ -0,0 +1,88 @@
+"""Health checks of the own endpoint, made only while it is not known."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import random
+import typing
+
+import aiohttp
+
+from goldcrestgrade import instants, routes
+from goldcrestgrade_node.mesh import dialect, endpoints, loads
+
+log = logging.getLogger(__name__)
+
+TIMEOUT_S = 1.0
+"""Longest wait for the answer to a health check."""
+
+INTERVAL_BASE_S = 0.1
+"""Time before the second check; doubles up to `INTERVAL_LIMIT_S`."""
+
+INTERVAL_LIMIT_S = 1.0
+"""Longest time between checks of an endpoint that is not known."""
+
+
+class HealthChecks:
+    """The task that looks for the own endpoint; owned by the event loop of the node."""
+
+    def __init__(
+        self,
+        own: endpoints.OwnEndpoint,
+        table: typing.Callable[[], routes.RouteTable | None],
+        session: aiohttp.ClientSession,
+        names: dialect.Dialect,
+        clocks: instants.Clocks,
+        rng: random.Random,
+    ) -> None:
+        self.own = own
+        self.table = table
+        self.session = session
+        self.names = names
+        self.clocks = clocks
+        self.rng = rng
+        self.wanted = asyncio.Event()
+
+    def want(self) -> None:
+        """Have the endpoint checked, unless it is known by then."""
+        self.wanted.set()
+
+    async def run(self) -> None:
+        """Check whenever that is wanted, until the endpoint is known; until cancelled."""
+        self.wanted.set()
+        while True:
+            await self.wanted.wait()
+            self.wanted.clear()
+            interval_s = INTERVAL_BASE_S
+            while self.own.current is None or self.own.down:
+                await self.check()
+                if self.own.usable() is not None:
+                    break
+                await asyncio.sleep(interval_s * self.rng.uniform(0.8, 1.2))
+                interval_s = min(INTERVAL_LIMIT_S, 2 * interval_s)
+
+    async def check(self) -> None:
+        """Ask the endpoint once who it is and whether it is well."""
+        table = self.table()
+        service = None if table is None else table.services.get(self.own.own.service)
+        if service is None:
+            return
+        try:
+            async with self.session.get(
+                f"http://{self.own.own.address}{service.health_path}",
+                timeout=aiohttp.ClientTimeout(total=TIMEOUT_S),
+                allow_redirects=False,
+            ) as response:
+                endpoint_id = response.headers.get(self.names.endpoint_id)
+                load = loads.parse(response.headers.get(self.names.load))
+                healthy = response.status == 200
+        except (TimeoutError, aiohttp.ClientError, OSError) as error:
+            log.info("endpoint not found by a health check", extra={"error": repr(error)})
+            return
+        log.info(
+            "endpoint checked",
+            extra={"endpoint": endpoint_id, "healthy": healthy, "load": load},
+        )
+        if endpoint_id is not None:
+            self.own.found(endpoint_id, None if load is None else load.slots, healthy)
--- /dev/null
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/loads.py
@@ -0,0 +1,38 @@
+"""Load of an endpoint as its node last saw it."""
+
+from __future__ import annotations
+
+import typing
+
+USUAL_PACE = 1.0
+"""Pace of an endpoint whose machine is not disturbed."""
+
+MAX_FIGURE = 1_000_000
+"""Largest plausible figure in a load header."""
+
+
+class Load(typing.NamedTuple):
+    """Work at an endpoint at one moment."""
+
+    running: int
+    waiting: int
+    slots: int
+    pace: float
+    """Time that work takes relative to usual; 2 is twice as long."""
+
+
+def parse(text: str | None) -> Load | None:
+    """Return the load in a header with three or four figures, or none where it is unreadable."""
+    figures = [part.strip() for part in (text or "").split(",")]
+    if len(figures) not in (3, 4) or not all(f.isascii() and f.isdecimal() for f in figures):
+        return None
+    numbers = [min(MAX_FIGURE, int(figure)) for figure in figures]
+    if numbers[2] == 0:
+        return None
+    pace = numbers[3] / 100.0 if len(numbers) == 4 and numbers[3] else USUAL_PACE
+    return Load(numbers[0], numbers[1], numbers[2], pace)
+
+
+def encode(load: Load) -> str:
+    """Return the form that `parse` reads."""
+    return f"{load.running},{load.waiting},{load.slots},{round(load.pace * 100)}"
--- /dev/null
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/local.py
@@ -0,0 +1,265 @@
+"""Calls at the endpoint beside this node."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import typing
+
+from goldcrestgrade import instants, outcomes, reasons
+from goldcrestgrade_node.attempts import exchanges, results
+from goldcrestgrade_node.mesh import (
+    admission,
+    connections,
+    dialect,
+    endpoints,
+    loads,
+    requests,
+    transfer,
+)
+
+log = logging.getLogger(__name__)
+
+NO_ENDPOINT_RETRY_S = 0.5
+"""Time after which a node without an endpoint may be asked again; an endpoint starts in seconds."""
+
+RUN_ONCE_IDLE_S = 0.7
+"""Longest idle time of a connection that carries a run-once request.
+
+Endpoints may forget idle connections.
+"""
+
+IDEMPOTENT_IDLE_S = 8.0
+"""The same for requests that may be sent again."""
+
+SHED_RETRY_S = 0.1
+"""Time after which an endpoint that shed a request may be asked again."""
+
+NOT_RUN_STATUSES = frozenset({400, 421, 429, 503})
+"""Statuses with which an endpoint may say that it did not run a request."""
+
+REFUSING_STATUSES = frozenset({408, 421, 429, 503})
+"""Statuses that promise a client that its request did not run."""
+
+MISDIRECTED = 421
+"""Status by which an endpoint says that another one was expected."""
+
+
+class Refused(typing.NamedTuple):
+    """A hook's word that a call must not reach the endpoint."""
+
+    reason: reasons.Refusal
+    retry_at: instants.Instant
+
+
+class Hooks(typing.NamedTuple):
+    """What the work at the endpoint tells the rest of the node."""
+
+    forbids: typing.Callable[[requests.Call], Refused | None]
+    """Whether a call must not reach the endpoint."""
+    look: typing.Callable[[], None]
+    """Asks for a health check of the endpoint."""
+    broke: typing.Callable[[requests.Call, reasons.Uncertainty], None]
+    """A call was sent and no whole answer came back."""
+    ran: typing.Callable[[requests.Call], None]
+    """A call was answered."""
+
+
+class LocalWork:
+    """The calls at the own endpoint; owned by the event loop of the node."""
+
+    def __init__(
+        self,
+        own: endpoints.OwnEndpoint,
+        gate: admission.Gate,
+        kept: connections.Kept,
+        names: dialect.Dialect,
+        hooks: Hooks,
+        clocks: instants.Clocks,
+    ) -> None:
+        self.own = own
+        self.gate = gate
+        self.kept = kept
+        self.names = names
+        self.hooks = hooks
+        self.clocks = clocks
+        self.running: set[asyncio.Task[requests.Served]] = set()
+
+    async def serve(self, call: requests.Call) -> requests.Served:
+        """Admit a call, send it to the endpoint and return how it ended.
+
+        A run-once call that was sent goes on where the caller of this method is cancelled.
+        """
+        refused = self._refused(call)
+        if refused is not None:
+            return self._sent_back(call, refused.reason, refused.retry_at)
+        rejected = await self.gate.enter(call.ticket())
+        if rejected is not None:
+            reason = reasons.Refusal(rejected.reason)
+            return self._sent_back(call, reason, rejected.retry_at)
+        task = asyncio.create_task(self._run(call))
+        self.running.add(task)
+        task.add_done_callback(self.running.discard)
+        if call.run_once:
+            return await asyncio.shield(task)
+        try:
+            return await task
+        except asyncio.CancelledError:
+            task.cancel()
+            raise
+
+    def stop_waiting(self) -> None:
+        """Send back the calls that wait, since the endpoint takes no new work."""
+        self.gate.reject_waiting(reasons.Refusal.NO_ENDPOINT)
+
+    async def _run(self, call: requests.Call) -> requests.Served:
+        try:
+            refused = self._refused(call)
+            if refused is not None:
+                return self._sent_back(call, refused.reason, refused.retry_at)
+            if call.deadline <= self.clocks.monotonic():
+                return self._sent_back(
+                    call, reasons.Refusal.EXPIRED_WAITING, self.clocks.monotonic()
+                )
+            return await self._exchange(call)
+        finally:
+            self.gate.leave()
+
+    async def _exchange(self, call: requests.Call) -> requests.Served:
+        endpoint = self.own.usable()
+        assert endpoint is not None
+        started = self.clocks.monotonic()
+        transferred = await transfer.send(
+            self.kept,
+            self._prepared(call, endpoint.endpoint_id, started),
+            call.deadline,
+            RUN_ONCE_IDLE_S if call.run_once else IDEMPOTENT_IDLE_S,
+            lambda: self.own.usable() == endpoint and self.clocks.monotonic() < call.deadline,
+        )
+        load = loads.parse(transferred.fields.get(self.names.load))
+        if load is not None:
+            self.gate.note_load(load)
+        match transferred.result:
+            case results.Unreached(text=text):
+                return self._unreached(call, text)
+            case results.Broken(reason=reason):
+                return self._broken(call, reason, started)
+            case results.Answered(answer=answer):
+                return self._answered(call, answer, transferred.fields, started)
+
+    def _answered(
+        self,
+        call: requests.Call,
+        answer: outcomes.Answer,
+        fields: typing.Mapping[str, str],
+        started: instants.Instant,
+    ) -> requests.Served:
+        now = self.clocks.monotonic()
+        if answer.status == MISDIRECTED:
+            log.warning(
+                "another endpoint answers at the address",
+                extra={"endpoint": fields.get(self.names.endpoint_id)},
+            )
+            self.own.replaced()
+            self.hooks.look()
+            return self._sent_back(call, reasons.Refusal.NO_ENDPOINT, now, arrived=False)
+        echoed = fields.get(self.names.attempt_id)
+        if self.names.not_run in fields and answer.status in NOT_RUN_STATUSES:
+            if echoed is not None or not call.run_once:
+                return self._sent_back(
+                    call, reasons.Refusal.ENDPOINT_REFUSED, now + SHED_RETRY_S, arrived=True
+                )
+            return self._broken(call, reasons.Uncertainty.ANSWER_INVALID, started)
+        if not self._sound(answer, fields, call):
+            return self._broken(call, reasons.Uncertainty.ANSWER_INVALID, started)
+        self.hooks.ran(call)
+        if answer.status < 500:
+            self.gate.note_time(call.ticket().name, now - started)
+        dropped = {self.names.load, self.names.endpoint_id}
+        kept = tuple(pair for pair in answer.headers if pair[0] not in dropped)
+        return self._served(outcomes.Ran(answer._replace(headers=kept)), arrived=True)
+
+    def _sound(
+        self, answer: outcomes.Answer, fields: typing.Mapping[str, str], call: requests.Call
+    ) -> bool:
+        echoed = fields.get(self.names.attempt_id)
+        return (
+            self.names.signature in fields
+            and "content-encoding" not in fields
+            and answer.status not in REFUSING_STATUSES
+            and (echoed == call.attempt_id or not call.attempt_id)
+        )
+
+    def _unreached(self, call: requests.Call, text: str) -> requests.Served:
+        log.warning("endpoint not reached", extra={"request_id": call.attempt_id, "error": text})
+        if text == "refused":
+            self.own.refused()
+            self.kept.close_idle()
+        self.hooks.look()
+        now = self.clocks.monotonic()
+        return self._sent_back(call, reasons.Refusal.ENDPOINT_UNREACHED, now + SHED_RETRY_S)
+
+    def _broken(
+        self, call: requests.Call, reason: reasons.Uncertainty, started: instants.Instant
+    ) -> requests.Served:
+        took_s = self.clocks.monotonic() - started
+        log.warning(
+            "no whole answer from the endpoint",
+            extra={"request_id": call.attempt_id, "reason": reason, "took_s": round(took_s, 3)},
+        )
+        if reason != reasons.Uncertainty.TIMED_OUT:
+            self.hooks.broke(call, reason)
+        return self._served(outcomes.Unknown(reason), arrived=True)
+
+    def _refused(self, call: requests.Call) -> Refused | None:
+        now = self.clocks.monotonic()
+        if call.service != self.own.own.service:
+            return Refused(reasons.Refusal.UNKNOWN_SERVICE, now)
+        if self.own.usable() is None:
+            return Refused(reasons.Refusal.NO_ENDPOINT, now + NO_ENDPOINT_RETRY_S)
+        return self.hooks.forbids(call)
+
+    def _sent_back(
+        self,
+        call: requests.Call,
+        reason: reasons.Refusal,
+        retry_at: instants.Instant,
+        arrived: bool = False,
+    ) -> requests.Served:
+        load = self.gate.load()
+        log.info(
+            "call sent back",
+            extra={
+                "request_id": call.attempt_id,
+                "reason": reason,
+                "load": loads.encode(load),
+                "target_in_s": round(call.target_at - self.clocks.monotonic(), 3),
+            },
+        )
+        return self._served(outcomes.NotRun(reason, retry_at), arrived)
+
+    def _served(self, outcome: outcomes.Outcome, arrived: bool) -> requests.Served:
+        return requests.Served(outcome, self.gate.load(), arrived)
+
+    def _prepared(
+        self, call: requests.Call, endpoint_id: str, now: instants.Instant
+    ) -> exchanges.Prepared:
+        left_ms = max(1, int(1000 * (call.deadline - now)))
+        own_fields = self.names.own
+        fields = [
+            *(pair for pair in call.headers if pair[0] not in own_fields),
+            (self.names.remaining_ms, str(left_ms)),
+            (self.names.expected_endpoint, endpoint_id),
+            (self.names.caller, call.caller),
+        ]
+        return exchanges.Prepared(
+            call.method,
+            call.target,
+            fields,
+            call.body,
+            call.attempt_id,
+            streamed=False,
+            echo_header=self.names.attempt_id,
+            host=call.host,
+            unframed_allowed=True,
+        )
--- /dev/null
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/node.py
@@ -0,0 +1,266 @@
+"""The parts of a node of the mesh, wired together."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import random
+import time
+import typing
+
+import aiohttp
+
+from goldcrestgrade import counters, instants, reasons, routes
+from goldcrestgrade.storage import tables
+from goldcrestgrade_node import asgi
+from goldcrestgrade_node.mesh import (
+    admission,
+    connections,
+    dialect,
+    directory,
+    dispatch,
+    endpoints,
+    entry,
+    health,
+    local,
+    peers,
+    registration,
+    relay,
+    replica,
+    requests,
+    resends,
+    settings,
+    watch,
+)
+
+log = logging.getLogger(__name__)
+
+STOPPING_RETRY_S = 0.05
+"""Time after which a call that a stopping node sent back may go to another one."""
+
+READINESS_LAG_S = 2.3
+"""Time in which clients notice that a node is no longer ready: two looks a second apart."""
+
+GRACE_MARGIN_S = 0.7
+"""Time before SIGKILL at which the node ends whatever is in flight."""
+
+TICK_S = 0.05
+"""Time between looks at what is in flight while the node stops."""
+
+DecodeTable = typing.Callable[[tables.Value], routes.RouteTable]
+"""Returns the route table in a configuration; raises `InvalidDocument`."""
+
+
+class Platform(typing.NamedTuple):
+    """What the adapter of a deployment gives to a node."""
+
+    store: tables.WatchedTables
+    decode_table: DecodeTable
+    names: dialect.Dialect
+
+
+class MeshNode:
+    """All parts of a node, wired together; owned by its event loop."""
+
+    def __init__(
+        self, config: settings.Settings, platform: Platform, session: aiohttp.ClientSession
+    ) -> None:
+        self.config = config
+        self.platform = platform
+        self.clocks = instants.system_clocks()
+        self.counts = counters.Counts()
+        self.rng = random.Random()
+        self.stopping = asyncio.Event()
+        self.table: routes.RouteTable | None = None
+        self.place = directory.Place(config.failure_domain, config.region)
+        self.known = directory.Directory()
+        self.copy = replica.Replica(self.row_changed)
+        self.sync = watch.Sync(
+            config.node_id,
+            self.place,
+            self.copy,
+            self.known,
+            platform.store,
+            session,
+            self.clocks,
+            self.rng,
+        )
+        self.first_row = self._first_row(time.time())
+        self.registration = registration.Registration(
+            self.first_row, self.copy, platform.store, self.clocks, self.rng
+        )
+        self.own = endpoints.OwnEndpoint(
+            endpoints.Own(config.endpoint, config.service, config.failure_domain),
+            self.clocks,
+            self.endpoint_changed,
+        )
+        self.gate = admission.Gate(self.clocks)
+        self.health = health.HealthChecks(
+            self.own, lambda: self.table, session, platform.names, self.clocks, self.rng
+        )
+        self.local = local.LocalWork(
+            self.own,
+            self.gate,
+            connections.Kept(config.endpoint),
+            platform.names,
+            local.Hooks(self.forbids, self.health.want, self.call_broke, self.call_ran),
+            self.clocks,
+        )
+        self.relay = relay.RelayClient(platform.names, self.clocks)
+        self.pinger = peers.Pinger(config.node_id, self.known, session, platform.store, self.clocks)
+        self.dispatcher = dispatch.Dispatcher(
+            self.place,
+            self.known,
+            self.serve_at,
+            resends.Terms(config.resend_ratio, config.resend_slack, config.resend_window_s),
+            self.clocks,
+            self.counts,
+            self.rng,
+        )
+
+    def _first_row(self, now: instants.WallInstant) -> directory.InstanceRow:
+        host, _, port = self.config.relay.rpartition(":")
+        return directory.InstanceRow(
+            self.config.node_id,
+            host,
+            int(port),
+            self.place,
+            self.config.service,
+            serving=True,
+            started_ms=int(now * 1000),
+        )
+
+    # Beliefs
+
+    def row_changed(self, change: tables.Change) -> None:
+        """Take in a change of a shared row."""
+        if change.table == replica.CONFIGURATION:
+            if change.key == replica.CURRENT and change.value is not None:
+                self._adopt(change.value, change.version)
+        elif change.key.startswith(directory.INSTANCE_PREFIX):
+            self.known.take(change)
+            if change.key == self.registration.key:
+                self.registration.seen(change)
+
+    def _adopt(self, value: tables.Value, row_version: int) -> None:
+        try:
+            table = self.platform.decode_table(value)
+        except Exception as error:
+            log.error(
+                "configuration not valid; the one in force stays",
+                extra={"row_version": row_version, "error": str(error)},
+            )
+            return
+        if self.table is not None and table.version <= self.table.version:
+            log.warning(
+                "older configuration ignored",
+                extra={"version": table.version, "in_force": self.table.version},
+            )
+            return
+        first = self.table is None
+        self.table = table
+        log.info(
+            "configuration in force", extra={"version": table.version, "row_version": row_version}
+        )
+        if first:
+            self.health.want()
+
+    def endpoint_changed(self) -> None:
+        """Take in that the own endpoint came, went or drains."""
+        current = self.own.current
+        if self.own.slots:
+            self.gate.resize(self.own.slots)
+        gone = current is None and bool(self.own.departed)
+        draining = current is not None and current.draining
+        if self.own.usable() is None:
+            self.local.stop_waiting()
+        if not self.stopping.is_set():
+            self.registration.want(self.first_row._replace(serving=not (gone or draining)))
+
+    def ready(self) -> bool:
+        """Tell whether clients may send requests to this node."""
+        return self.table is not None and self.sync.complete.is_set() and not self.stopping.is_set()
+
+    # Calls
+
+    async def serve_at(
+        self, instance: directory.Instance, call: requests.Call
+    ) -> requests.Served | None:
+        """Have the node of `instance` serve a call."""
+        if instance.row.node_id == self.config.node_id:
+            return await self.local.serve(call)
+        return await self.relay.serve(instance.address, call)
+
+    def forbids(self, _call: requests.Call) -> local.Refused | None:
+        """Tell whether a call must not reach the own endpoint."""
+        if self.stopping.is_set():
+            retry_at = self.clocks.monotonic() + STOPPING_RETRY_S
+            return local.Refused(reasons.Refusal.NODE_STOPPING, retry_at)
+        return None
+
+    def call_broke(self, _call: requests.Call, _reason: reasons.Uncertainty) -> None:
+        """Take in that a call was sent to the endpoint and no whole answer came back."""
+
+    def call_ran(self, _call: requests.Call) -> None:
+        """Take in that the endpoint answered a call."""
+
+    # Applications
+
+    def entry(self) -> asgi.App:
+        """Return the application that clients call."""
+        return entry.EntryApp(
+            self.dispatcher.run,
+            lambda: self.table,
+            self.config.service,
+            self.platform.names,
+            self.stopping.is_set,
+            self.clocks,
+            self.counts,
+            self.rng,
+        )
+
+    def peers(self) -> asgi.App:
+        """Return the application that other nodes call."""
+        relayed = relay.RelayApp(
+            self.local.serve,
+            self.platform.names,
+            lambda: routes.DEFAULT_MAX_BODY_BYTES,
+            self.stopping.is_set,
+            self.clocks,
+        )
+        return peers.app(relayed, self.sync)
+
+    # Life
+
+    def tasks(self) -> list[typing.Coroutine[typing.Any, typing.Any, None]]:
+        """Return what runs beside the servers until the node stops."""
+        return [
+            self.sync.run(),
+            self._register(),
+            self.health.run(),
+            self.pinger.run(),
+        ]
+
+    async def _register(self) -> None:
+        await self.sync.complete.wait()
+        await self.registration.run()
+
+    async def drain(self) -> None:
+        """Stop taking work and return once nothing is in flight, or shortly before SIGKILL."""
+        started = self.clocks.monotonic()
+        self.local.stop_waiting()
+        self.registration.want(None)
+        limit = started + self.config.grace_s - GRACE_MARGIN_S
+        while self.clocks.monotonic() < limit:
+            quiet = not self.counts.in_flight and not self.local.running
+            if quiet and self.clocks.monotonic() >= started + READINESS_LAG_S:
+                break
+            await asyncio.sleep(TICK_S)
+        log.info(
+            "drain ended",
+            extra={
+                "in_flight": self.counts.in_flight,
+                "at_endpoint": len(self.local.running),
+                "took_s": round(self.clocks.monotonic() - started, 3),
+            },
+        )
--- /dev/null
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/peers.py
@@ -0,0 +1,124 @@
+"""What nodes ask each other beside calls: changes of shared rows, and signs of life."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import urllib.parse
+
+import aiohttp
+
+from goldcrestgrade import headers, instants, outcomes
+from goldcrestgrade.storage import tables
+from goldcrestgrade_node import asgi
+from goldcrestgrade_node.mesh import directory, relay, replica, watch
+
+log = logging.getLogger(__name__)
+
+PING_PATH = "/mesh/ping"
+"""Path of the relay address that tells that a node lives."""
+
+PING_TIMEOUT_S = 0.6
+"""Longest wait for a sign of life; several round trips between regions."""
+
+TICK_S = 0.2
+"""Time between looks for instances that are due to be asked."""
+
+REMOVE_AFTER = 10
+"""Failed signs of life after which the row of an instance is removed, about half a minute."""
+
+
+def app(relayed: relay.RelayApp, sync: watch.Sync) -> asgi.App:
+    """Return the application of the relay address."""
+    relay_header = headers.RELAY.encode()
+
+    async def serve(scope: asgi.Scope, receive: asgi.Receive, send: asgi.Send) -> None:
+        if any(name == relay_header for name, _ in scope["headers"]):
+            await relayed(scope, receive, send)
+            return
+        answer = outcomes.Answer(404, (), b"")
+        if scope["path"] == PING_PATH:
+            answer = outcomes.Answer(200, (), b"")
+        elif scope["path"] == watch.PATH:
+            answer = await _changes(scope, sync)
+        await asgi.send_plain(send, answer, close=False)
+
+    return serve
+
+
+async def _changes(scope: asgi.Scope, sync: watch.Sync) -> outcomes.Answer:
+    query = dict(urllib.parse.parse_qsl(scope["query_string"].decode("latin-1")))
+    try:
+        versions = {table: int(query[f"after-{table}"]) for table in replica.TABLES}
+        wait_s = float(query["wait_s"])
+    except (KeyError, ValueError) as error:
+        log.warning("question for changes not readable", extra={"error": repr(error)})
+        return outcomes.Answer(400, (), b"")
+    body = await sync.answer(versions, wait_s)
+    return outcomes.Answer(200, (("content-type", "application/json"),), body)
+
+
+class Pinger:
+    """Asks instances that were not reached for a sign of life, off the path of calls."""
+
+    def __init__(
+        self,
+        own_id: str,
+        known: directory.Directory,
+        session: aiohttp.ClientSession,
+        store: tables.TableService,
+        clocks: instants.Clocks,
+    ) -> None:
+        self.own_id = own_id
+        self.known = known
+        self.session = session
+        self.store = store
+        self.clocks = clocks
+
+    async def run(self) -> None:
+        """Ask until cancelled."""
+        while True:
+            await asyncio.sleep(TICK_S)
+            now = self.clocks.monotonic()
+            due = [
+                instance
+                for instance in self.known.by_id.values()
+                if instance.failures and instance.unreached_until <= now
+            ]
+            await asyncio.gather(*(self.ping(instance) for instance in due))
+
+    async def ping(self, instance: directory.Instance) -> None:
+        """Ask one instance and take in whether it lives."""
+        try:
+            async with self.session.get(
+                f"http://{instance.address}{PING_PATH}",
+                timeout=aiohttp.ClientTimeout(total=PING_TIMEOUT_S),
+            ) as response:
+                alive = response.status == 200
+        except (TimeoutError, aiohttp.ClientError, OSError) as error:
+            log.debug("no sign of life", extra={"error": repr(error)})
+            alive = False
+        if alive:
+            self.known.reached(instance)
+            return
+        self.known.unreached(instance, self.clocks.monotonic())
+        if instance.failures >= REMOVE_AFTER and self._leads():
+            await self._remove(instance)
+
+    def _leads(self) -> bool:
+        """Tell whether this node is the first of those that it reaches."""
+        reached = (i.row.node_id for i in self.known.by_id.values() if not i.failures)
+        return min(reached, default=self.own_id) == self.own_id
+
+    async def _remove(self, instance: directory.Instance) -> None:
+        key = directory.INSTANCE_PREFIX + instance.row.node_id
+        result = await self.store.transact(
+            tables.Transaction(
+                (tables.Condition(replica.MESH, key, instance.version),),
+                (tables.Write(replica.MESH, key, None),),
+            )
+        )
+        log.info(
+            "row of a lost instance removed",
+            extra={"instance": instance.row.node_id, "result": result.tag},
+        )
--- /dev/null
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/placement.py
@@ -0,0 +1,96 @@
+"""Choice of the instance that a request is sent to: a pure decision.
+
+Load pattern: machines turn several times slower for half a second at a time, so the nearest
+instance is used while an answer from it is expected in time, and a farther one pays for its bytes
+only where the nearer ones would be late.
+"""
+
+from __future__ import annotations
+
+import math
+import random
+import typing
+
+from goldcrestgrade import instants
+from goldcrestgrade_node.mesh import directory
+
+LOAD_HALF_LIFE_S = 0.5
+"""Age at which a load report counts half; the length of a usual disturbance."""
+
+NEAR_S = 0.002
+"""Expected network time of a request and its answer within a region."""
+
+FAR_S = 0.018
+"""Expected network time of a request and its answer between regions."""
+
+IN_TIME_SHARE = 0.8
+"""Share of the time to the target latency that the expected answer may take."""
+
+MAX_QUEUE_FACTOR = 2.0
+"""Requests at an endpoint, in multiples of its slots, above which it is not chosen."""
+
+
+class Aim(typing.NamedTuple):
+    """What a request needs."""
+
+    target_at: instants.Instant
+    """When an answer loses most of its use."""
+    deadline: instants.Instant
+    typical_s: float
+    """Time that an undisturbed endpoint takes for such a request."""
+
+
+class Choice(typing.NamedTuple):
+    """An instance and what is expected of it."""
+
+    instance: directory.Instance
+    expected_s: float
+    in_time: bool
+
+
+def distance(own: directory.Place, other: directory.Place) -> int:
+    """Return 0 in the same failure domain, 1 in the same region and 2 between regions."""
+    if own.region != other.region:
+        return 2
+    return 0 if own.failure_domain == other.failure_domain else 1
+
+
+def expected_s(instance: directory.Instance, aim: Aim, far: bool, now: instants.Instant) -> float:
+    """Return the expected time until an answer of `instance`."""
+    load = instance.load
+    travel_s = FAR_S if far else NEAR_S
+    if load is None:
+        return travel_s + aim.typical_s * (1 + instance.in_flight / 8)
+    weight = 0.5 ** ((now - instance.load_at) / LOAD_HALF_LIFE_S)
+    others = max(0, load.running + load.waiting - instance.in_flight_at_load)
+    work = instance.in_flight + others * weight
+    pace = 1 + (load.pace - 1) * weight
+    queued = max(0.0, work + 1 - load.slots) / load.slots
+    return travel_s + aim.typical_s * pace * (1 + queued)
+
+
+def usable(instance: directory.Instance, now: instants.Instant) -> bool:
+    """Tell whether a request may be sent to `instance`."""
+    return instance.avoid_until <= now and instance.failures == 0
+
+
+def choose(
+    own: directory.Place,
+    candidates: typing.Iterable[directory.Instance],
+    aim: Aim,
+    now: instants.Instant,
+    rng: random.Random,
+) -> Choice | None:
+    """Return the nearest candidate expected in time, or else the one expected first, or none."""
+    best: tuple[tuple[float, float], Choice] | None = None
+    spare_s = (aim.target_at - now) * IN_TIME_SHARE
+    for instance in candidates:
+        if not usable(instance, now):
+            continue
+        steps = distance(own, instance.row.place)
+        wait_s = expected_s(instance, aim, steps == 2, now)
+        in_time = wait_s <= spare_s
+        rank = (float(steps) if in_time else math.inf, wait_s * rng.uniform(0.95, 1.05))
+        if best is None or rank < best[0]:
+            best = rank, Choice(instance, wait_s, in_time)
+    return None if best is None else best[1]
--- /dev/null
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/relay.py
@@ -0,0 +1,180 @@
+"""Calls that one node passes to the node beside an endpoint, over HTTP."""
+
+from __future__ import annotations
+
+import asyncio
+import typing
+
+from goldcrestgrade import headers, instants, outcomes, reasons
+from goldcrestgrade_node import asgi
+from goldcrestgrade_node.attempts import exchanges, results
+from goldcrestgrade_node.entry import disconnects
+from goldcrestgrade_node.mesh import connections, dialect, loads, requests, transfer
+
+RUN_ONCE_IDLE_S = 10.0
+"""Longest idle time of a connection to a node that carries a run-once call."""
+
+KEEP_S = 20.0
+"""Time for which idle connections between nodes are kept; under the server's own limit."""
+
+UNKNOWN_STATUS = 502
+"""Status of a relay answer in place of the endpoint's."""
+
+NOT_RUN_STATUS = 503
+"""Status of a relay answer that says that the call did not run."""
+
+Serve = typing.Callable[[requests.Call], typing.Awaitable[requests.Served]]
+"""Serves a call at the own endpoint."""
+
+
+class RelayApp:
+    """ASGI application that serves the calls of other nodes at the own endpoint."""
+
+    def __init__(
+        self,
+        serve: Serve,
+        names: dialect.Dialect,
+        max_body_bytes: typing.Callable[[], int],
+        closing: typing.Callable[[], bool],
+        clocks: instants.Clocks,
+    ) -> None:
+        self.serve = serve
+        self.names = names
+        self.max_body_bytes = max_body_bytes
+        self.closing = closing
+        self.clocks = clocks
+
+    async def __call__(self, scope: asgi.Scope, receive: asgi.Receive, send: asgi.Send) -> None:
+        """Serve one call."""
+        try:
+            body = await asgi.read_body(receive, self.max_body_bytes())
+        except asgi.Disconnected:
+            return
+        by_name = {name: value.decode("latin-1") for name, value in scope["headers"]}
+        message = requests.Message(
+            method=scope["method"],
+            target=asgi.target_of(scope),
+            host=by_name.get(b"host", ""),
+            headers=headers.end_to_end(headers.from_bytes(scope["headers"])),
+            body=body or b"",
+        )
+        attempt_id = by_name.get(self.names.attempt_id.encode(), "")
+        text = by_name.get(headers.RELAY.encode(), "")
+        call = requests.decode(text, attempt_id, message, self.clocks.monotonic())
+        if call is None or body is None:
+            served = requests.Served(
+                outcomes.NotRun(reasons.Refusal.INVALID_REQUEST), None, arrived=False
+            )
+        else:
+            served = await self._serve_watched(call, receive)
+        if served is not None:
+            await self._answer(send, served, attempt_id)
+
+    async def _serve_watched(
+        self, call: requests.Call, receive: asgi.Receive
+    ) -> requests.Served | None:
+        worker = asyncio.current_task()
+        assert worker is not None
+        watch = disconnects.Watch(receive, worker)
+        try:
+            return await self.serve(call)
+        except asyncio.CancelledError:
+            if not watch.disconnected:
+                raise
+            worker.uncancel()
+            return None
+        finally:
+            watch.stop()
+
+    async def _answer(self, send: asgi.Send, served: requests.Served, attempt_id: str) -> None:
+        now = self.clocks.monotonic()
+        extra = [(headers.ATTEMPT_ID, attempt_id)]
+        if served.load is not None:
+            extra.append((headers.NODE_LOAD, loads.encode(served.load)))
+        if served.arrived:
+            extra.append((headers.ARRIVED, "1"))
+        match served.outcome:
+            case outcomes.Ran(answer=answer):
+                extra.append((headers.OUTCOME, "ran"))
+            case outcomes.NotRun(reason=refusal, retry_at=retry_at):
+                extra += [(headers.OUTCOME, "not_run"), (headers.REASON, refusal)]
+                extra.append((headers.RETRY_IN, f"{max(0.0, (retry_at or now) - now):.3f}"))
+                answer = outcomes.Answer(NOT_RUN_STATUS, (), b"")
+            case outcomes.Unknown(reason=uncertainty):
+                extra += [(headers.OUTCOME, "unknown"), (headers.REASON, uncertainty)]
+                answer = outcomes.Answer(UNKNOWN_STATUS, (), b"")
+        fields = (*answer.headers, *extra)
+        await asgi.send_plain(send, answer._replace(headers=fields), self.closing())
+
+
+class RelayClient:
+    """Passes calls to other nodes; owns the connections to them."""
+
+    def __init__(self, names: dialect.Dialect, clocks: instants.Clocks) -> None:
+        self.names = names
+        self.clocks = clocks
+        self.kept: dict[str, connections.Kept] = {}
+
+    async def serve(self, address: str, call: requests.Call) -> requests.Served | None:
+        """Have the node at `address` serve a call; none where it was not reached."""
+        kept = self.kept.get(address)
+        if kept is None:
+            kept = self.kept[address] = connections.Kept(address)
+        transferred = await transfer.send(
+            kept,
+            self._prepared(call),
+            call.deadline,
+            RUN_ONCE_IDLE_S if call.run_once else KEEP_S,
+            lambda: self.clocks.monotonic() < call.deadline,
+        )
+        match transferred.result:
+            case results.Unreached():
+                return None
+            case results.Broken(reason=reason):
+                kept.close_idle()
+                return requests.Served(outcomes.Unknown(reason), None, arrived=True)
+            case results.Answered(answer=answer):
+                return self._served(answer, transferred.fields)
+
+    def _prepared(self, call: requests.Call) -> exchanges.Prepared:
+        fields = [*call.headers, (headers.RELAY, requests.encode(call, self.clocks.monotonic()))]
+        return exchanges.Prepared(
+            call.method,
+            call.target,
+            fields,
+            call.body,
+            call.attempt_id,
+            streamed=False,
+            echo_required=True,
+            host=call.host,
+        )
+
+    def _served(self, answer: outcomes.Answer, fields: typing.Mapping[str, str]) -> requests.Served:
+        now = self.clocks.monotonic()
+        load = loads.parse(fields.get(headers.NODE_LOAD))
+        arrived = headers.ARRIVED in fields
+        match fields.get(headers.OUTCOME):
+            case "ran":
+                return requests.Served(outcomes.Ran(answer), load, arrived)
+            case "not_run":
+                refusal = _known(reasons.Refusal, fields.get(headers.REASON, ""))
+                retry_at = now + float(fields.get(headers.RETRY_IN, "0"))
+                return requests.Served(
+                    outcomes.NotRun(refusal or reasons.Refusal.SATURATED, retry_at), load, arrived
+                )
+            case _:
+                uncertainty = _known(reasons.Uncertainty, fields.get(headers.REASON, ""))
+                return requests.Served(
+                    outcomes.Unknown(uncertainty or reasons.Uncertainty.ANSWER_LOST), load, True
+                )
+
+
+T = typing.TypeVar("T", reasons.Refusal, reasons.Uncertainty)
+
+
+def _known(kind: type[T], text: str) -> T | None:
+    """Return the reason called `text`; a node of another version may know others."""
+    try:
+        return kind(text)
+    except ValueError:
+        return None
--- /dev/null
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/replica.py
@@ -0,0 +1,94 @@
+"""The node's copy of the tables that all nodes share.
+
+A copy only moves forward: of two states of a row, the one with the higher commit version counts.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import typing
+
+from goldcrestgrade.storage import tables
+
+CONFIGURATION = "configuration"
+"""Table that holds the configuration in force."""
+
+CURRENT = "current"
+"""Key of the configuration in force."""
+
+MESH = "mesh"
+"""Table that the nodes write: instances and suspects."""
+
+TABLES = (CONFIGURATION, MESH)
+"""The tables that each node watches."""
+
+MAX_REMOVED = 4096
+"""Removed rows that are remembered, so that peers hear of them."""
+
+Listener = typing.Callable[[tables.Change], None]
+"""Takes in a change that is new to this node."""
+
+
+class Replica:
+    """Rows by table and key; owned by the event loop of the node."""
+
+    def __init__(self, listener: Listener) -> None:
+        self.listener = listener
+        self.rows: dict[tuple[str, str], tables.Change] = {}
+        self.versions = dict.fromkeys(TABLES, 0)
+        """Commit version up to which each table is complete."""
+        self.changed = asyncio.Event()
+        """Set, and replaced by a new event, whenever something changed."""
+
+    def take(self, table: str, told: tables.Changes) -> int:
+        """Take in changes and return how many were new."""
+        fresh = [change for change in told.changes if self._newer(change)]
+        for change in fresh:
+            self.rows[table, change.key] = change
+        self.versions[table] = max(self.versions[table], told.version)
+        self._forget_removed()
+        for change in fresh:
+            self.listener(change)
+        if fresh:
+            self.changed.set()
+            self.changed = asyncio.Event()
+        return len(fresh)
+
+    def take_snapshot(self, table: str, told: tables.Changes) -> int:
+        """Take in all rows of a table; rows that it lacks were removed."""
+        keys = {change.key for change in told.changes}
+        gone = tuple(
+            row._replace(version=told.version, value=None)
+            for (of_table, key), row in self.rows.items()
+            if of_table == table
+            and key not in keys
+            and row.value is not None
+            and row.version <= told.version
+        )
+        return self.take(table, tables.Changes(told.changes + gone, told.version))
+
+    def since(self, table: str, after: int) -> tables.Changes:
+        """Return what changed in a table later than `after`."""
+        return tables.Changes(
+            tuple(
+                row
+                for (of_table, _), row in self.rows.items()
+                if of_table == table and row.version > after
+            ),
+            self.versions[table],
+        )
+
+    def has_news(self, versions: typing.Mapping[str, int]) -> bool:
+        """Tell whether a row changed later than `versions`."""
+        return any(row.version > versions.get(table, 0) for (table, _), row in self.rows.items())
+
+    def _newer(self, change: tables.Change) -> bool:
+        known = self.rows.get((change.table, change.key))
+        return known is None or change.version > known.version
+
+    def _forget_removed(self) -> None:
+        removed = sorted(
+            (row.version, place) for place, row in self.rows.items() if row.value is None
+        )
+        for _, place in removed[: max(0, len(removed) - MAX_REMOVED)]:
+            del self.rows[place]
--- /dev/null
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/requests.py
@@ -0,0 +1,158 @@
+"""A client's request on its way through the nodes."""
+
+from __future__ import annotations
+
+import typing
+
+import orjson
+import xxhash
+
+from goldcrestgrade import instants, outcomes, routes
+from goldcrestgrade_node.mesh import admission, loads
+
+
+class Call(typing.NamedTuple):
+    """A request that was read whole and whose route is known."""
+
+    attempt_id: str
+    """Id that the client gave its try; empty where it gave none."""
+    route: str
+    service: str
+    run_once: bool
+    priority: int
+    caller: str
+    """Service of the instance on which the request began."""
+    method: str
+    target: str
+    """Path and query, as the client sent them."""
+    host: str
+    """Host header, as the client sent it."""
+    headers: outcomes.Headers
+    body: bytes
+    target_at: instants.Instant
+    """When an answer loses most of its use."""
+    deadline: instants.Instant
+    late_allowed: bool = False
+    """Whether it may be started although it is expected to miss its target."""
+
+    def ticket(self) -> admission.Ticket:
+        """Return what the gate of an endpoint judges it by."""
+        return admission.Ticket(
+            f"{self.service} {self.route}",
+            self.priority,
+            self.target_at,
+            self.deadline,
+            self.late_allowed,
+        )
+
+
+class Served(typing.NamedTuple):
+    """How the node beside an endpoint ended a call."""
+
+    outcome: outcomes.Outcome
+    load: loads.Load | None
+    """Load of the endpoint after the call."""
+    arrived: bool
+    """Whether the endpoint has seen the call."""
+
+
+def call(
+    route: routes.Route,
+    service: str,
+    caller: str,
+    attempt_id: str,
+    message: Message,
+    now: instants.Instant,
+    left_s: float,
+) -> Call:
+    """Return the call for a request that matched `route`; `left_s` is the client's own wait."""
+    return Call(
+        attempt_id=attempt_id,
+        route=route.name,
+        service=service,
+        run_once=route.run_once,
+        priority=route.priority,
+        caller=caller,
+        method=message.method,
+        target=message.target,
+        host=message.host,
+        headers=message.headers,
+        body=message.body,
+        target_at=now + route.target_s,
+        deadline=now + min(route.timeout_s, left_s),
+    )
+
+
+class Message(typing.NamedTuple):
+    """A request as it was read."""
+
+    method: str
+    target: str
+    host: str
+    headers: outcomes.Headers
+    """Headers that go on to the endpoint."""
+    body: bytes
+
+
+class RelayDocument(typing.TypedDict):
+    """What a node tells the node beside an endpoint of a call, as JSON."""
+
+    route: str
+    service: str
+    once: bool
+    rank: int
+    caller: str
+    target_ms: int
+    """Milliseconds until the target latency is missed; negative when it is."""
+    left_ms: int
+    """Milliseconds until the deadline."""
+    late: bool
+
+
+def encode(call_: Call, now: instants.Instant) -> str:
+    """Return the relay header of a call."""
+    document = RelayDocument(
+        route=call_.route,
+        service=call_.service,
+        once=call_.run_once,
+        rank=call_.priority,
+        caller=call_.caller,
+        target_ms=round(1000 * (call_.target_at - now)),
+        left_ms=round(1000 * (call_.deadline - now)),
+        late=call_.late_allowed,
+    )
+    return orjson.dumps(document).decode()
+
+
+def decode(text: str, attempt_id: str, message: Message, now: instants.Instant) -> Call | None:
+    """Return the call that another node relays, or none where the header is not readable."""
+    try:
+        document = orjson.loads(text)
+        return Call(
+            attempt_id=attempt_id,
+            route=document["route"],
+            service=document["service"],
+            run_once=document["once"],
+            priority=document["rank"],
+            caller=document["caller"],
+            method=message.method,
+            target=message.target,
+            host=message.host,
+            headers=message.headers,
+            body=message.body,
+            target_at=now + document["target_ms"] / 1000,
+            deadline=now + document["left_ms"] / 1000,
+            late_allowed=document["late"],
+        )
+    except (orjson.JSONDecodeError, KeyError, TypeError):
+        return None
+
+
+def digest(call_: Call) -> str:
+    """Return a digest of service, caller, method, target and body."""
+    hasher = xxhash.xxh3_128()
+    for part in (call_.service, call_.caller, call_.method, call_.target):
+        hasher.update(part.encode("utf-8", "surrogateescape"))
+        hasher.update(b"\0")
+    hasher.update(call_.body)
+    return hasher.hexdigest()
--- /dev/null
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/run.py
@@ -0,0 +1,101 @@
+"""Runs a node of the mesh until SIGTERM."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import gc
+import itertools
+import logging
+import signal
+import time
+import typing
+
+import aiohttp
+
+from goldcrestgrade import http_client
+from goldcrestgrade_node import asgi, servers
+from goldcrestgrade_node.mesh import node, settings
+
+log = logging.getLogger(__name__)
+
+CONTROL_CONNECTIONS = 256
+"""Connections to the store and for questions to peers that a node holds at most."""
+
+CONTROL_KEEPALIVE_S = 15.0
+"""Time after which an unused one of them is closed."""
+
+CLIENT_KEEPALIVE_S = 300
+"""Time after which an idle connection of a client is closed, above any configured idle time."""
+
+RELAY_KEEPALIVE_S = 30
+"""Time after which an idle connection of another node is closed; nodes stop using it before."""
+
+CLOSE_S = 0.3
+"""Longest wait for the servers to close their connections."""
+
+GC_THRESHOLD = 50_000
+"""Allocations between collections of the youngest generation."""
+
+Apps = typing.Callable[["node.MeshNode"], typing.Mapping[str, asgi.App]]
+"""Returns further applications by the address that each listens at."""
+
+MakePlatform = typing.Callable[[aiohttp.ClientSession], "node.Platform"]
+"""Returns the adapter of the deployment."""
+
+
+class BootClockLoop(asyncio.SelectorEventLoop):
+    """Event loop whose clock also counts the time for which the machine was suspended."""
+
+    def time(self) -> float:
+        """Return seconds since the machine started."""
+        return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
+def run(config: settings.Settings, make_platform: MakePlatform, apps: Apps) -> None:
+    """Run a node with `config`; returns after its drain."""
+    with asyncio.Runner(loop_factory=BootClockLoop) as runner:
+        runner.run(_run(config, make_platform, apps))
+
+
+async def _run(config: settings.Settings, make_platform: MakePlatform, apps: Apps) -> None:
+    async with contextlib.AsyncExitStack() as stack:
+        session = await stack.enter_async_context(
+            http_client.open_session(CONTROL_CONNECTIONS, CONTROL_KEEPALIVE_S)
+        )
+        parts = node.MeshNode(config, make_platform(session), session)
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, parts.stopping.set)
+        gc.collect()
+        gc.freeze()
+        gc.set_threshold(GC_THRESHOLD)
+        await _serve(config, parts, apps(parts))
+
+
+async def _serve(
+    config: settings.Settings, parts: node.MeshNode, further: typing.Mapping[str, asgi.App]
+) -> None:
+    running = [
+        _server(parts.entry(), config.calls, CLIENT_KEEPALIVE_S),
+        _server(parts.peers(), config.relay, RELAY_KEEPALIVE_S),
+        *(_server(app, address, RELAY_KEEPALIVE_S) for address, app in further.items()),
+    ]
+    async with asyncio.TaskGroup() as group:
+        serving = [group.create_task(server.serve()) for server in running]
+        background = [group.create_task(task) for task in parts.tasks()]
+        log.info("node started", extra={"settings": config._asdict()})
+        await parts.stopping.wait()
+        log.info("node stopping")
+        await parts.drain()
+        for server in running:
+            server.should_exit = True
+        _, slow = await asyncio.wait(serving, timeout=CLOSE_S)
+        for task in itertools.chain(slow, background):
+            task.cancel()
+    log.info("node stopped")
+
+
+def _server(app: asgi.App, address: str, keepalive_s: int) -> servers.Server:
+    host, _, port = address.rpartition(":")
+    return servers.create(app, {"host": host, "port": int(port)}, keepalive_s=keepalive_s)
--- /dev/null
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/settings.py
@@ -0,0 +1,154 @@
+"""Settings of a node of the mesh: a JSON file, checked whole."""
+
+from __future__ import annotations
+
+import collections.abc
+import ipaddress
+import pathlib
+import re
+import typing
+
+import orjson
+
+from goldcrestgrade import exceptions, findings
+
+DURATION = re.compile(r"(\d+(?:\.\d+)?)(ms|s)")
+"""A time with its unit."""
+
+
+class Settings(typing.NamedTuple):
+    """What a node learns from its settings file; times in seconds."""
+
+    node_id: str
+    host: str
+    region: str
+    failure_domain: str
+    service: str
+    """Service of the endpoint beside the node."""
+    endpoint: str
+    """Address of that endpoint."""
+    calls: str
+    """Address at which clients on the instance connect."""
+    relay: str
+    """Address at which other nodes connect."""
+    readiness: str
+    heartbeats: str
+    """Address at which the own endpoint tells of itself."""
+    store: str
+    """Address of the platform's store."""
+    heartbeat_s: float
+    drain_s: float
+    grace_s: float
+    """Time between SIGTERM and SIGKILL."""
+    resend_ratio: float
+    resend_slack: float
+    resend_window_s: float
+    contact_s: float
+    """Time after a disturbance by which a node is expected to have recovered."""
+
+
+class Field(typing.NamedTuple):
+    """How one setting is read; `read` raises `ValueError`."""
+
+    read: typing.Callable[[typing.Any], typing.Any]
+    default: typing.Any = None
+    """Value where the file gives none; a field without a default is required."""
+
+
+def _text(value: typing.Any) -> str:
+    if not isinstance(value, str) or not value:
+        raise ValueError("must be a text that is not empty")
+    return value
+
+
+def _host(value: typing.Any) -> str:
+    try:
+        return str(ipaddress.IPv4Address(_text(value)))
+    except ipaddress.AddressValueError:
+        raise ValueError("must be an IPv4 number") from None
+
+
+def _address(value: typing.Any) -> str:
+    host, _, port = _text(value).rpartition(":")
+    if not (port.isascii() and port.isdecimal() and 0 < int(port) < 65536):
+        raise ValueError("must end with a port from 1 to 65535")
+    return f"{_host(host)}:{port}"
+
+
+def duration_s(value: typing.Any) -> float:
+    """Return the seconds in a time such as `1500ms` or `2.5s`; raises `ValueError`."""
+    match = DURATION.fullmatch(value) if isinstance(value, str) else None
+    if match is None:
+        raise ValueError("must be a time such as 1500ms or 2.5s")
+    return float(match[1]) / (1000 if match[2] == "ms" else 1)
+
+
+def _number(value: typing.Any) -> float:
+    if isinstance(value, bool) or not isinstance(value, int | float) or value < 0:
+        raise ValueError("must be a number of at least 0")
+    return float(value)
+
+
+FIELDS: typing.Mapping[str, Field] = {
+    "node_id": Field(_text),
+    "host": Field(_host),
+    "region": Field(_text),
+    "failure_domain": Field(_text),
+    "service": Field(_text),
+    "endpoint": Field(_address),
+    "calls": Field(_address),
+    "relay": Field(_address),
+    "readiness": Field(_address),
+    "heartbeats": Field(_address),
+    "store": Field(_address),
+    "heartbeat_s": Field(duration_s, 1.5),
+    "drain_s": Field(duration_s, 2.0),
+    "grace_s": Field(duration_s, 6.0),
+    "resend_ratio": Field(_number, 0.2),
+    "resend_slack": Field(_number, 10.0),
+    "resend_window_s": Field(duration_s, 10.0),
+    "contact_s": Field(duration_s, 3.0),
+}
+"""How each setting is read; the defaults are those of a small deployment."""
+
+
+def load(path: pathlib.Path) -> Settings:
+    """Return the settings in the file at `path`; raises `InvalidDocument` with every fault."""
+    try:
+        body = path.read_bytes()
+    except OSError as error:
+        raise exceptions.UserError(f"{path}: {error.strerror}") from error
+    return validate(body, path.name)
+
+
+def validate(body: bytes, name: str) -> Settings:
+    """Return the settings in `body`; raises `InvalidDocument` with every fault.
+
+    Settings that this version does not know are ignored.
+    """
+    try:
+        document = orjson.loads(body)
+    except orjson.JSONDecodeError as error:
+        fault = findings.Finding(name, f"is not JSON: {error}")
+        raise exceptions.InvalidDocument([fault]) from error
+    if not isinstance(document, dict):
+        raise exceptions.InvalidDocument([findings.Finding(name, "is not a JSON object")])
+    values: dict[str, typing.Any] = {}
+    faults = list(_read_fields(document, name, values))
+    if faults:
+        raise exceptions.InvalidDocument(faults)
+    return Settings(**values)
+
+
+def _read_fields(
+    document: dict[str, typing.Any], name: str, values: dict[str, typing.Any]
+) -> collections.abc.Iterator[findings.Finding]:
+    for key, field in FIELDS.items():
+        value = document.get(key)
+        if value is None and field.default is not None:
+            values[key] = field.default
+            continue
+        try:
+            values[key] = field.read(value)
+        except ValueError as error:
+            yield findings.Finding(f"{name}:{key}", str(error))
--- /dev/null
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/transfer.py
@@ -0,0 +1,93 @@
+"""One request and its whole answer on one connection."""
+
+from __future__ import annotations
+
+import asyncio
+import typing
+
+import aiohttp
+
+from goldcrestgrade import headers, instants, outcomes, reasons
+from goldcrestgrade_node.attempts import exchanges, results
+from goldcrestgrade_node.mesh import connections
+
+
+class Transferred(typing.NamedTuple):
+    """How a transfer ended, with all headers of the answer."""
+
+    result: results.Answered | results.Unreached | results.Broken
+    fields: typing.Mapping[str, str]
+    """Headers by name in lower case, those included that mean something to nodes only."""
+    skipped: int
+    """Answers to other requests that came first."""
+
+
+async def send(
+    kept: connections.Kept,
+    prepared: exchanges.Prepared,
+    deadline: instants.Instant,
+    max_idle_s: float,
+    may_send: typing.Callable[[], bool],
+) -> Transferred:
+    """Send `prepared` and return how it ended, at the latest at `deadline`."""
+    exchange = exchanges.Exchange(
+        typing.cast(typing.Any, kept.within(max_idle_s)), prepared, deadline, may_send
+    )
+    whole = False
+    fields: dict[str, str] = {}
+    result: results.Answered | results.Unreached | results.Broken
+    try:
+        async with asyncio.timeout_at(deadline):
+            await exchange.connect(None)
+            assert exchange.opened is not None
+            protocol = typing.cast(connections.Protocol, exchange.opened.protocol)
+            protocol.echo_header = prepared.echo_header
+            protocol.attempt_id = prepared.attempt_id or None
+            response = await exchange.send()
+            fields = dict(headers.from_bytes(response.raw_headers))
+            answer = await exchange.answer(response)
+        whole = True
+        protocol.keep_s = _keep_s(fields.get("keep-alive"))
+        result = results.Answered(answer, None)
+    except exchanges.Invalid as invalid:
+        result = results.Broken(invalid.reason, exchange.reused)
+    except (TimeoutError, aiohttp.ClientError, OSError) as error:
+        result = _failed(exchange, error)
+    finally:
+        exchange.close(whole)
+    skipped = 0
+    if exchange.opened is not None:
+        skipped = typing.cast(connections.Protocol, exchange.opened.protocol).skipped
+    return Transferred(result, fields, skipped)
+
+
+def _failed(exchange: exchanges.Exchange, error: Exception) -> results.Unreached | results.Broken:
+    if not exchange.sent:
+        refused = isinstance(error, ConnectionRefusedError)
+        return results.Unreached("refused" if refused else repr(error))
+    if isinstance(error, TimeoutError):
+        return results.Broken(reasons.Uncertainty.TIMED_OUT, exchange.reused)
+    if isinstance(error, aiohttp.ClientPayloadError):
+        return results.Broken(reasons.Uncertainty.ANSWER_CUT, exchange.reused)
+    if isinstance(error, aiohttp.ClientResponseError):
+        return results.Broken(reasons.Uncertainty.ANSWER_INVALID, exchange.reused)
+    return results.Broken(reasons.Uncertainty.ANSWER_LOST, exchange.reused)
+
+
+def _keep_s(text: str | None) -> float:
+    """Return the seconds for which an idle connection may be used, from a `Keep-Alive` header."""
+    options = {
+        name.strip().lower(): value.strip()
+        for name, _, value in (part.partition("=") for part in (text or "").split(","))
+    }
+    told = options.get("timeout", "")
+    if not (told.isascii() and told.isdecimal()):
+        return connections.DEFAULT_KEEP_S
+    return max(0.0, int(told) - connections.KEEP_MARGIN_S)
+
+
+def own_answer(
+    outcome: outcomes.Outcome, request_id: str, now: instants.Instant
+) -> outcomes.Answer:
+    """Return the answer to a client, with a `Retry-After` in fractions of a second."""
+    return outcomes.to_answer(outcome, request_id, now, outcomes.fractional_retry_after)
--- /dev/null
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/watch.py
@@ -0,0 +1,276 @@
+"""Keeps the node's copy of the shared tables up to date, from peers or from the store.
+
+In each failure domain the first live node by id watches the store; the others ask it, so that calls
+to the store do not grow with the number of nodes. A node whose source is gone or has itself lost
+the store takes the next one, and the store itself where there is none.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import random
+import typing
+
+import aiohttp
+import orjson
+
+from goldcrestgrade import instants
+from goldcrestgrade.storage import tables
+from goldcrestgrade_node.mesh import directory, replica
+
+log = logging.getLogger(__name__)
+
+STORE_WAIT_S = 2.5
+"""Longest time that the store holds a question for changes; within `contact`."""
+
+PEER_WAIT_S = 0.8
+"""Longest time that a peer holds such a question; a silent peer must be noticed within seconds."""
+
+ANSWER_SLACK_S = 0.4
+"""Time beyond the wait after which a source counts as silent."""
+
+GATHER_S = 0.08
+"""Time between questions to the store, in which changes gather into one answer."""
+
+BACKOFF_BASE_S = 0.2
+"""Time before the store is asked again after a first failure."""
+
+BACKOFF_LIMIT_S = 1.5
+"""Longest such time; rows must be back two seconds after the store is."""
+
+CONNECTED_S = 4.0
+"""Time after its last answer for which a node counts as connected to the store."""
+
+SHUN_S = 5.0
+"""Time for which a peer that failed as a source is not asked again."""
+
+PATH = "/mesh/changes"
+"""Path of the relay address at which a node tells its peers of changes."""
+
+MAX_ANSWER_BYTES = 16 << 20
+"""Largest answer of a peer."""
+
+
+class PeerError(Exception):
+    """A peer did not tell of changes."""
+
+
+class Sync:
+    """The task that watches one source after the other; owned by the event loop of the node."""
+
+    def __init__(
+        self,
+        own_id: str,
+        place: directory.Place,
+        copy: replica.Replica,
+        known: directory.Directory,
+        store: tables.WatchedTables,
+        session: aiohttp.ClientSession,
+        clocks: instants.Clocks,
+        rng: random.Random,
+    ) -> None:
+        self.own_id = own_id
+        self.place = place
+        self.copy = copy
+        self.known = known
+        self.store = store
+        self.session = session
+        self.clocks = clocks
+        self.rng = rng
+        self.store_answered_at: instants.Instant = -instants.NEVER
+        self.peer_connected_at: instants.Instant = -instants.NEVER
+        self.shunned: dict[str, instants.Instant] = {}
+        self.complete = asyncio.Event()
+        """Set once both tables were read from any source."""
+        self.failures = 0
+        self.questions: dict[str, asyncio.Task[tables.Changes]] = {}
+        """Questions to the store that wait for changes, by table."""
+
+    def connected(self) -> bool:
+        """Tell whether this node hears of changes straight from the store."""
+        return self.clocks.monotonic() - self.store_answered_at < CONNECTED_S
+
+    async def run(self) -> None:
+        """Watch until cancelled."""
+        await self._load()
+        while True:
+            source = self._source()
+            if source is None:
+                await self._watch_store()
+            else:
+                self._drop_questions()
+                await self._watch_peer(source)
+
+    async def _load(self) -> None:
+        """Read both tables whole, from the store."""
+        while not self.complete.is_set():
+            try:
+                for table in replica.TABLES:
+                    await self._read(table)
+            except tables.ReadError as error:
+                await self._back_off(error)
+
+    async def _read(self, table: str) -> None:
+        told = await self.store.snapshot(table)
+        self._store_answered()
+        self.copy.take_snapshot(table, told)
+        if all(self.copy.versions.values()):
+            self.complete.set()
+
+    def _source(self) -> directory.Instance | None:
+        """Return the peer to ask, or none where this node is to ask the store."""
+        now = self.clocks.monotonic()
+        peers = sorted(
+            (placement_rank(self.place, instance), instance.row.node_id, instance)
+            for instance in self.known.by_id.values()
+            if instance.row.node_id != self.own_id
+            and instance.failures == 0
+            and self.shunned.get(instance.row.node_id, 0.0) <= now
+            and instance.row.place.failure_domain == self.place.failure_domain
+            and instance.row.node_id < self.own_id
+        )
+        return peers[0][2] if peers else None
+
+    def _fallback(self) -> directory.Instance | None:
+        """Return a peer to ask while the store does not answer this node."""
+        now = self.clocks.monotonic()
+        peers = [
+            instance
+            for instance in self.known.by_id.values()
+            if instance.row.node_id != self.own_id
+            and instance.failures == 0
+            and self.shunned.get(instance.row.node_id, 0.0) <= now
+        ]
+        near = [peer for peer in peers if peer.row.place.region == self.place.region]
+        return self.rng.choice(near or peers) if peers else None
+
+    async def _watch_store(self) -> None:
+        try:
+            await self._changes()
+            await asyncio.sleep(GATHER_S)
+        except tables.HistoryGone:
+            self._drop_questions()
+            log.warning("the store forgot its history; reading all rows again")
+            await self._reread()
+        except tables.ReadError as error:
+            self._drop_questions()
+            peer = self._fallback()
+            if peer is not None:
+                await self._watch_peer(peer, wait_s=0.0)
+            await self._back_off(error)
+
+    async def _reread(self) -> None:
+        try:
+            for table in replica.TABLES:
+                await self._read(table)
+        except tables.ReadError as error:
+            await self._back_off(error)
+
+    async def _changes(self) -> None:
+        """Wait for the first answer to the questions for changes and take it in."""
+        for table in replica.TABLES:
+            if table not in self.questions:
+                question = self.store.changes(table, self.copy.versions[table], STORE_WAIT_S)
+                self.questions[table] = asyncio.create_task(question)
+        await asyncio.wait(self.questions.values(), return_when=asyncio.FIRST_COMPLETED)
+        for table, task in list(self.questions.items()):
+            if task.done():
+                del self.questions[table]
+                told = task.result()
+                self._store_answered()
+                self.copy.take(table, told)
+
+    def _drop_questions(self) -> None:
+        for task in self.questions.values():
+            task.cancel()
+            # A question that failed beside the one that is reported has the same cause.
+            task.add_done_callback(lambda done: done.cancelled() or done.exception())
+        self.questions.clear()
+
+    async def _watch_peer(self, peer: directory.Instance, wait_s: float = PEER_WAIT_S) -> None:
+        try:
+            connected = await self._ask(peer, wait_s)
+        except PeerError as error:
+            log.info("peer tells no changes", extra={"peer": peer.row.node_id, "error": str(error)})
+            connected = False
+        if connected:
+            self.peer_connected_at = self.clocks.monotonic()
+        else:
+            self.shunned[peer.row.node_id] = self.clocks.monotonic() + SHUN_S
+
+    async def _ask(self, peer: directory.Instance, wait_s: float) -> bool:
+        query = {f"after-{name}": str(version) for name, version in self.copy.versions.items()}
+        timeout = aiohttp.ClientTimeout(total=wait_s + ANSWER_SLACK_S)
+        try:
+            async with self.session.get(
+                f"http://{peer.address}{PATH}",
+                params={**query, "wait_s": f"{wait_s:.2f}"},
+                timeout=timeout,
+                allow_redirects=False,
+            ) as response:
+                body = await response.read()
+                if response.status != 200:
+                    raise PeerError(f"status {response.status}")
+            document = orjson.loads(body)
+            for table in replica.TABLES:
+                self.copy.take(table, decode(table, document[table]))
+            return bool(document["connected"])
+        except (TimeoutError, aiohttp.ClientError, OSError) as error:
+            raise PeerError(repr(error)) from error
+        except (orjson.JSONDecodeError, KeyError, TypeError, ValueError) as error:
+            raise PeerError(f"answer not readable: {error!r}") from error
+
+    async def answer(self, versions: dict[str, int], wait_s: float) -> bytes:
+        """Return what a peer that knows `versions` lacks, at the latest after `wait_s`."""
+        deadline = self.clocks.monotonic() + min(wait_s, PEER_WAIT_S)
+        try:
+            async with asyncio.timeout_at(deadline):
+                while not self.copy.has_news(versions) and self.connected():
+                    await self.copy.changed.wait()
+        except TimeoutError:
+            pass
+        return orjson.dumps(
+            {
+                "connected": self.connected(),
+                **{
+                    table: encode(self.copy.since(table, versions.get(table, 0)))
+                    for table in replica.TABLES
+                },
+            }
+        )
+
+    def _store_answered(self) -> None:
+        if self.failures:
+            log.info("store regained", extra={"failures": self.failures})
+        self.failures = 0
+        self.store_answered_at = self.clocks.monotonic()
+
+    async def _back_off(self, error: Exception) -> None:
+        self.failures += 1
+        if self.failures == 1:
+            log.warning("store lost", extra={"error": str(error)})
+        limit_s = min(BACKOFF_LIMIT_S, BACKOFF_BASE_S * 2 ** (self.failures - 1))
+        await asyncio.sleep(limit_s * self.rng.uniform(0.5, 1.0))
+
+
+def placement_rank(place: directory.Place, instance: directory.Instance) -> int:
+    """Return how far an instance stands from `place`, nearest first."""
+    if instance.row.place.failure_domain == place.failure_domain:
+        return 0
+    return 1 if instance.row.place.region == place.region else 2
+
+
+def encode(told: tables.Changes) -> dict[str, typing.Any]:
+    """Return changes in the form that peers exchange."""
+    rows = [(change.key, change.version, change.value) for change in told.changes]
+    return {"version": told.version, "rows": rows}
+
+
+def decode(table: str, document: typing.Any) -> tables.Changes:
+    """Return the changes in a peer's document; raises `KeyError`, `TypeError`, `ValueError`."""
+    changes = tuple(
+        tables.Change(table, str(key), int(version), value)
+        for key, version, value in document["rows"]
+    )
+    return tables.Changes(changes, int(document["version"]))
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/servers.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/servers.py
@@ -10,7 +10,8 @@
 import uvicorn
 from uvicorn.protocols.http import httptools_impl
 
-from goldcrestgrade import settings
+if typing.TYPE_CHECKING:
+    from goldcrestgrade import settings
 
 KEEPALIVE_S = 30
 """Time after which an idle connection is closed."""
@@ -97,8 +98,9 @@
     app: typing.Any,
     address: settings.Address,
     protocol: type[asyncio.Protocol] = NodeProtocol,
+    keepalive_s: int = KEEPALIVE_S,
 ) -> Server:
-    """Return a server of `app` at `address`."""
+    """Return a server of `app` at `address` that closes connections idle for `keepalive_s`."""
     return Server(
         uvicorn.Config(
             app,
@@ -113,7 +115,7 @@
             server_header=False,
             date_header=False,
             proxy_headers=False,
-            timeout_keep_alive=KEEPALIVE_S,
+            timeout_keep_alive=keepalive_s,
             backlog=BACKLOG,
         )
     )
--- a/packages/goldcrestgrade/goldcrestgrade/findings.py
+++ b/packages/goldcrestgrade/goldcrestgrade/findings.py
@@ -6,7 +6,8 @@
 import enum
 import typing
 
-import pydantic
+if typing.TYPE_CHECKING:
+    import pydantic
 
 
 class Severity(enum.StrEnum):
--- a/packages/goldcrestgrade/goldcrestgrade/headers.py
+++ b/packages/goldcrestgrade/goldcrestgrade/headers.py
@@ -50,18 +50,34 @@
 ENDPOINT_STATE = "goldcrestgrade-endpoint-state"
 """State of the endpoint, in the answer to its announcement."""
 
+RELAY = "goldcrestgrade-relay"
+"""What a node tells the node beside an endpoint of a request, as JSON."""
+
+NODE_LOAD = "goldcrestgrade-load"
+"""Load of an endpoint as the node beside it counts it."""
+
+RETRY_IN = "goldcrestgrade-retry-in"
+"""Seconds after which a node that sent a request back may be asked again."""
+
+ARRIVED = "goldcrestgrade-arrived"
+"""Set where the endpoint itself has seen the request."""
+
 INTERNAL = frozenset(
     {
+        ARRIVED,
         ATTEMPT_ID,
         CALLER_REGION,
         CONTROL_KEY,
         DEADLINE,
         LOAD,
+        NODE_LOAD,
         NO_RETRY,
         NOT_RUN,
         OUTCOME,
         REASON,
+        RELAY,
         REQUEST_ID,
+        RETRY_IN,
     }
 )
 """Headers that mean something between nodes and endpoints only; removed in both directions."""
--- a/packages/goldcrestgrade/goldcrestgrade/outcomes.py
+++ b/packages/goldcrestgrade/goldcrestgrade/outcomes.py
@@ -22,6 +22,10 @@
 """Smallest value of a `Retry-After` header; the header has whole seconds."""
 
 
+MIN_FRACTIONAL_RETRY_AFTER_S = 0.01
+"""Smallest value of a `Retry-After` header for clients that read fractions of a second."""
+
+
 class AnswerCut(Exception):
     """An answer ended before it was whole."""
 
@@ -78,6 +82,7 @@
 
 REFUSAL_STATUS: dict[reasons.Refusal, int] = {
     reasons.Refusal.UNKNOWN_SERVICE: 404,
+    reasons.Refusal.NO_ROUTE: 404,
     reasons.Refusal.INVALID_REQUEST: 400,
     reasons.Refusal.BODY_TOO_LARGE: 413,
     reasons.Refusal.KEY_MISSING: 400,
@@ -100,14 +105,30 @@
     request_id: str
 
 
-def to_answer(outcome: Outcome, request_id: str, now: instants.Instant) -> Answer:
-    """Return the answer that tells a caller of `outcome`."""
+FormatRetryAfter = typing.Callable[[instants.Instant, instants.Instant], str]
+"""Returns the value of a `Retry-After` header from the instant to retry at and the present one."""
+
+
+def to_answer(
+    outcome: Outcome,
+    request_id: str,
+    now: instants.Instant,
+    format_retry_after: FormatRetryAfter | None = None,
+) -> Answer:
+    """Return the answer that tells a caller of `outcome`.
+
+    `Retry-After` has whole seconds unless `format_retry_after` writes it.
+    """
     match outcome:
         case Ran(answer=answer):
             return answer
         case NotRun(reason=refusal, retry_at=retry_at):
             status = REFUSAL_STATUS.get(refusal, 503)
-            extra = () if retry_at is None else (("retry-after", retry_after(retry_at, now)),)
+            extra = (
+                ()
+                if retry_at is None
+                else (("retry-after", (format_retry_after or retry_after)(retry_at, now)),)
+            )
             return _document_answer(status, "not_run", refusal, request_id, extra)
         case Unknown(reason=uncertainty):
             return _document_answer(UNKNOWN_STATUS, "unknown", uncertainty, request_id, ())
@@ -118,6 +139,11 @@
     return str(max(MIN_RETRY_AFTER_S, math.ceil(retry_at - now)))
 
 
+def fractional_retry_after(retry_at: instants.Instant, now: instants.Instant) -> str:
+    """Return the value of a `Retry-After` header in seconds with a fraction."""
+    return f"{max(MIN_FRACTIONAL_RETRY_AFTER_S, retry_at - now):.3f}"
+
+
 def _document_answer(status: int, tag: str, reason: str, request_id: str, extra: Headers) -> Answer:
     body = orjson.dumps(OutcomeDocument(outcome=tag, reason=reason, request_id=request_id))
     fixed = (
--- a/packages/goldcrestgrade/goldcrestgrade/reasons.py
+++ b/packages/goldcrestgrade/goldcrestgrade/reasons.py
@@ -27,6 +27,10 @@
     CLAIM_BARRED = "claim_barred"
     STORE_UNAVAILABLE = "store_unavailable"
     STORE_SLOW = "store_slow"
+    NO_ROUTE = "no_route"
+    EXPIRED_WAITING = "expired_waiting"
+    CRASHES_ENDPOINTS = "crashes_endpoints"
+    NODE_STOPPING = "node_stopping"
 
 
 class Uncertainty(enum.StrEnum):
--- a/packages/goldcrestgrade/goldcrestgrade/storage/tables.py
+++ b/packages/goldcrestgrade/goldcrestgrade/storage/tables.py
@@ -127,3 +127,41 @@
     async def get(self, name: str) -> bytes | None:
         """Return an object, or none where there is none; raises `ObjectError`."""
         ...
+
+
+class Change(typing.NamedTuple):
+    """The latest state of a row that changed."""
+
+    table: str
+    key: str
+    version: int
+    """Commit version of the change."""
+    value: Value | None
+    """None where the row was removed."""
+
+
+class Changes(typing.NamedTuple):
+    """What changed in a table, up to a commit version."""
+
+    changes: tuple[Change, ...]
+    version: int
+    """All changes up to this commit version have been told."""
+
+
+class HistoryGone(ReadError):
+    """The service no longer holds the changes that were asked for."""
+
+
+class WatchedTables(TableService, typing.Protocol):
+    """A table service that tells of changes."""
+
+    async def snapshot(self, table: str) -> Changes:
+        """Return all rows of a table as of one moment; raises `ReadError`."""
+        ...
+
+    async def changes(self, table: str, after: int, wait_s: float) -> Changes:
+        """Return what changed later than the version `after`, or nothing after `wait_s` seconds.
+
+        Raises `HistoryGone` where the changes are no longer held, and `ReadError`.
+        """
+        ...
