Reuse connections to endpoints and read an empty store once

Cause: a kept connection without buffered bytes counts as false, so each request opened a new one and the old ones leaked until endpoints reset them; and a store without rows was read again without a pause. Change: the kept connection is compared with none; a table counts as read once it was read whole.

--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/connections.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/connections.py
@@ -94,7 +94,9 @@
 
     async def open(self, max_idle_s: float) -> pools.Opened:
         """Return a connection that is ready for one request; raises `OSError`."""
-        protocol = self._idle(max_idle_s) or await self._connect()
+        protocol = self._idle(max_idle_s)
+        if protocol is None:
+            protocol = await self._connect()
         reused, protocol.used = protocol.used, True
         held = connector.Connection(
             typing.cast(connector.BaseConnector, self),
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/watch.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/watch.py
@@ -84,6 +84,8 @@
         self.complete = asyncio.Event()
         """Set once both tables were read from any source."""
         self.failures = 0
+        self.read_tables: set[str] = set()
+        """Tables that were read whole."""
         self.questions: dict[str, asyncio.Task[tables.Changes]] = {}
         """Questions to the store that wait for changes, by table."""
 
@@ -115,7 +117,8 @@
         told = await self.store.snapshot(table)
         self._store_answered()
         self.copy.take_snapshot(table, told)
-        if all(self.copy.versions.values()):
+        self.read_tables.add(table)
+        if self.read_tables.issuperset(replica.TABLES):
             self.complete.set()
 
     def _source(self) -> directory.Instance | None:
