Reload settings and look for a returned store in short steps

Change: SIGHUP and a changed file reload the settings; while the store fails it is asked without a wait, and between two tries a peer is asked, which tells news as it comes.

--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/admission.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/admission.py
@@ -50,6 +50,14 @@
     retry_at: instants.Instant
 
 
+class Judgement(typing.NamedTuple):
+    """What the gate knew when it admitted a request."""
+
+    load: str
+    pace_age_s: float
+    """Age of the pace in the load."""
+
+
 class Waiter(typing.NamedTuple):
     """A request that waits; ordered by rank and arrival."""
 
@@ -93,6 +101,12 @@
         """Return the load as other nodes are told."""
         return loads.Load(self.running, len(self.waiting), self.slots, self.current_pace())
 
+    def judgement(self) -> Judgement:
+        """Return what a request that starts now is judged by."""
+        age_s = self.clocks.monotonic() - self.pace_at
+        load = self.load()._replace(pace=self.pace)
+        return Judgement(loads.encode(load), round(min(age_s, 999.0), 3))
+
     def current_pace(self) -> float:
         """Return the pace, which tends to the usual one as its report ages."""
         age_s = self.clocks.monotonic() - self.pace_at
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/dispatch.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/dispatch.py
@@ -73,6 +73,12 @@
         self.typical_s: dict[str, float] = {}
         self.budgets: dict[str, resends.ResendBudget] = {}
 
+    def set_terms(self, terms: resends.Terms) -> None:
+        """Change the terms of the budgets of arrivals beyond the first."""
+        self.terms = terms
+        for budget in self.budgets.values():
+            budget.terms = terms
+
     async def run(self, call: requests.Call, attempts: int) -> outcomes.Outcome:
         """Send a call until it is answered, refused or may not be sent again."""
         progress = Progress()
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/local.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/local.py
@@ -129,6 +129,7 @@
         endpoint = self.own.usable()
         assert endpoint is not None
         started = self.clocks.monotonic()
+        judged_by = self.gate.judgement()
         transferred = await transfer.send(
             self.kept,
             self._prepared(call, endpoint.endpoint_id, started),
@@ -145,7 +146,7 @@
             case results.Broken(reason=reason):
                 return self._broken(call, reason, started)
             case results.Answered(answer=answer):
-                return self._answered(call, answer, transferred.fields, started)
+                return self._answered(call, answer, transferred.fields, started, judged_by)
 
     def _answered(
         self,
@@ -153,6 +154,7 @@
         answer: outcomes.Answer,
         fields: typing.Mapping[str, str],
         started: instants.Instant,
+        judged_by: admission.Judgement,
     ) -> requests.Served:
         now = self.clocks.monotonic()
         if answer.status == MISDIRECTED:
@@ -173,6 +175,16 @@
         if not self._sound(answer, fields, call):
             return self._broken(call, reasons.Uncertainty.ANSWER_INVALID, started)
         self.hooks.ran(call)
+        log.info(
+            "endpoint answered",
+            extra={
+                "request_id": call.attempt_id,
+                "status": answer.status,
+                "took_s": round(now - started, 4),
+                "judged_by": judged_by,
+                "pace": round(self.gate.pace, 2),
+            },
+        )
         if answer.status < 500:
             self.gate.note_time(call.ticket().name, now - started)
         dropped = {self.names.load, self.names.endpoint_id}
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/node.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/node.py
@@ -112,7 +112,7 @@
             self.place,
             self.known,
             self.serve_at,
-            resends.Terms(config.resend_ratio, config.resend_slack, config.resend_window_s),
+            _terms(config),
             self.clocks,
             self.counts,
             self.rng,
@@ -130,6 +130,11 @@
             started_ms=int(now * 1000),
         )
 
+    def apply(self, config: settings.Settings) -> None:
+        """Take over changed settings; addresses that the node listens at stay until a restart."""
+        self.config = config
+        self.dispatcher.set_terms(_terms(config))
+
     # Beliefs
 
     def row_changed(self, change: tables.Change) -> None:
@@ -264,3 +269,7 @@
                 "took_s": round(self.clocks.monotonic() - started, 3),
             },
         )
+
+
+def _terms(config: settings.Settings) -> resends.Terms:
+    return resends.Terms(config.resend_ratio, config.resend_slack, config.resend_window_s)
--- /dev/null
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/reload.py
@@ -0,0 +1,73 @@
+"""Settings that change while the node runs, with a signal or without."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import pathlib
+import typing
+
+from goldcrestgrade import exceptions
+from goldcrestgrade_node.mesh import settings
+
+log = logging.getLogger(__name__)
+
+LOOK_S = 1.0
+"""Time between looks at the file, which may change without a signal."""
+
+
+class Reload:
+    """The task that reads the settings file again; owned by the event loop of the node."""
+
+    def __init__(
+        self,
+        path: pathlib.Path,
+        in_force: settings.Settings,
+        apply: typing.Callable[[settings.Settings], None],
+    ) -> None:
+        self.path = path
+        self.in_force = in_force
+        self.apply = apply
+        self.wanted = asyncio.Event()
+        self.body = _body(path)
+
+    async def run(self) -> None:
+        """Read the file when told to or when it has changed, until cancelled."""
+        while True:
+            try:
+                async with asyncio.timeout(LOOK_S):
+                    await self.wanted.wait()
+            except TimeoutError:
+                pass
+            self.wanted.clear()
+            self.look()
+
+    def look(self) -> None:
+        """Read the file and apply it if it changed; a faulty one leaves what is in force."""
+        body = _body(self.path)
+        if body is None or body == self.body:
+            return
+        self.body = body
+        try:
+            changed = settings.validate(body, self.path.name)
+        except exceptions.InvalidDocument as error:
+            log.error(
+                "settings not valid; those in force stay",
+                extra={"faults": [str(fault) for fault in error.faults]},
+            )
+            return
+        before, after = self.in_force._asdict(), changed._asdict()
+        log.info(
+            "settings reloaded",
+            extra={"changed": {k: v for k, v in after.items() if before[k] != v}},
+        )
+        self.in_force = changed
+        self.apply(changed)
+
+
+def _body(path: pathlib.Path) -> bytes | None:
+    try:
+        return path.read_bytes()
+    except OSError as error:
+        log.warning("settings file not readable", extra={"error": repr(error)})
+        return None
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/run.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/run.py
@@ -7,6 +7,7 @@
 import gc
 import itertools
 import logging
+import pathlib
 import signal
 import time
 import typing
@@ -15,7 +16,7 @@
 
 from goldcrestgrade import http_client
 from goldcrestgrade_node import asgi, servers
-from goldcrestgrade_node.mesh import node, settings
+from goldcrestgrade_node.mesh import node, reload, settings
 
 log = logging.getLogger(__name__)
 
@@ -52,13 +53,17 @@
         return time.clock_gettime(time.CLOCK_BOOTTIME)
 
 
-def run(config: settings.Settings, make_platform: MakePlatform, apps: Apps) -> None:
-    """Run a node with `config`; returns after its drain."""
+def run(
+    path: pathlib.Path, config: settings.Settings, make_platform: MakePlatform, apps: Apps
+) -> None:
+    """Run a node with `config`, which was read from `path`; returns after its drain."""
     with asyncio.Runner(loop_factory=BootClockLoop) as runner:
-        runner.run(_run(config, make_platform, apps))
+        runner.run(_run(path, config, make_platform, apps))
 
 
-async def _run(config: settings.Settings, make_platform: MakePlatform, apps: Apps) -> None:
+async def _run(
+    path: pathlib.Path, config: settings.Settings, make_platform: MakePlatform, apps: Apps
+) -> None:
     async with contextlib.AsyncExitStack() as stack:
         session = await stack.enter_async_context(
             http_client.open_session(CONTROL_CONNECTIONS, CONTROL_KEEPALIVE_S)
@@ -67,14 +72,19 @@
         loop = asyncio.get_running_loop()
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, parts.stopping.set)
+        reloading = reload.Reload(path, config, parts.apply)
+        loop.add_signal_handler(signal.SIGHUP, reloading.wanted.set)
         gc.collect()
         gc.freeze()
         gc.set_threshold(GC_THRESHOLD)
-        await _serve(config, parts, apps(parts))
+        await _serve(config, parts, apps(parts), reloading)
 
 
 async def _serve(
-    config: settings.Settings, parts: node.MeshNode, further: typing.Mapping[str, asgi.App]
+    config: settings.Settings,
+    parts: node.MeshNode,
+    further: typing.Mapping[str, asgi.App],
+    reloading: reload.Reload,
 ) -> None:
     running = [
         _server(parts.entry(), config.calls, CLIENT_KEEPALIVE_S),
@@ -83,7 +93,7 @@
     ]
     async with asyncio.TaskGroup() as group:
         serving = [group.create_task(server.serve()) for server in running]
-        background = [group.create_task(task) for task in parts.tasks()]
+        background = [group.create_task(task) for task in (*parts.tasks(), reloading.run())]
         log.info("node started", extra={"settings": config._asdict()})
         await parts.stopping.wait()
         log.info("node stopping")
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/watch.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/watch.py
@@ -79,7 +79,6 @@
         self.clocks = clocks
         self.rng = rng
         self.store_answered_at: instants.Instant = -instants.NEVER
-        self.peer_connected_at: instants.Instant = -instants.NEVER
         self.shunned: dict[str, instants.Instant] = {}
         self.complete = asyncio.Event()
         """Set once both tables were read from any source."""
@@ -111,7 +110,8 @@
                 for table in replica.TABLES:
                     await self._read(table)
             except tables.ReadError as error:
-                await self._back_off(error)
+                self._store_failed(error)
+                await self._back_off()
 
     async def _read(self, table: str) -> None:
         told = await self.store.snapshot(table)
@@ -150,7 +150,7 @@
 
     async def _watch_store(self) -> None:
         try:
-            await self._changes()
+            await self._changes(0.0 if self.failures else STORE_WAIT_S)
             await asyncio.sleep(GATHER_S)
         except tables.HistoryGone:
             self._drop_questions()
@@ -158,23 +158,27 @@
             await self._reread()
         except tables.ReadError as error:
             self._drop_questions()
+            self._store_failed(error)
             peer = self._fallback()
-            if peer is not None:
-                await self._watch_peer(peer, wait_s=0.0)
-            await self._back_off(error)
+            if peer is None:
+                await self._back_off()
+            else:
+                # A peer that has the news ends the wait before the store is asked again.
+                await self._watch_peer(peer, must_be_connected=False)
 
     async def _reread(self) -> None:
         try:
             for table in replica.TABLES:
                 await self._read(table)
         except tables.ReadError as error:
-            await self._back_off(error)
+            self._store_failed(error)
+            await self._back_off()
 
-    async def _changes(self) -> None:
+    async def _changes(self, wait_s: float) -> None:
         """Wait for the first answer to the questions for changes and take it in."""
         for table in replica.TABLES:
             if table not in self.questions:
-                question = self.store.changes(table, self.copy.versions[table], STORE_WAIT_S)
+                question = self.store.changes(table, self.copy.versions[table], wait_s)
                 self.questions[table] = asyncio.create_task(question)
         await asyncio.wait(self.questions.values(), return_when=asyncio.FIRST_COMPLETED)
         for table, task in list(self.questions.items()):
@@ -191,15 +195,14 @@
             task.add_done_callback(lambda done: done.cancelled() or done.exception())
         self.questions.clear()
 
-    async def _watch_peer(self, peer: directory.Instance, wait_s: float = PEER_WAIT_S) -> None:
+    async def _watch_peer(self, peer: directory.Instance, must_be_connected: bool = True) -> None:
+        """Ask a peer once, and shun it for a while where it is of no use as a source."""
         try:
-            connected = await self._ask(peer, wait_s)
+            connected = await self._ask(peer, PEER_WAIT_S) or not must_be_connected
         except PeerError as error:
             log.info("peer tells no changes", extra={"peer": peer.row.node_id, "error": str(error)})
             connected = False
-        if connected:
-            self.peer_connected_at = self.clocks.monotonic()
-        else:
+        if not connected:
             self.shunned[peer.row.node_id] = self.clocks.monotonic() + SHUN_S
 
     async def _ask(self, peer: directory.Instance, wait_s: float) -> bool:
@@ -229,7 +232,7 @@
         deadline = self.clocks.monotonic() + min(wait_s, PEER_WAIT_S)
         try:
             async with asyncio.timeout_at(deadline):
-                while not self.copy.has_news(versions) and self.connected():
+                while not self.copy.has_news(versions):
                     await self.copy.changed.wait()
         except TimeoutError:
             pass
@@ -249,10 +252,12 @@
         self.failures = 0
         self.store_answered_at = self.clocks.monotonic()
 
-    async def _back_off(self, error: Exception) -> None:
+    def _store_failed(self, error: Exception) -> None:
         self.failures += 1
         if self.failures == 1:
             log.warning("store lost", extra={"error": str(error)})
+
+    async def _back_off(self) -> None:
         limit_s = min(BACKOFF_LIMIT_S, BACKOFF_BASE_S * 2 ** (self.failures - 1))
         await asyncio.sleep(limit_s * self.rng.uniform(0.5, 1.0))
 
