Leave connections to the store behind after a failure; close servers by their answers

Change: a failed exchange with the store opens a new session, the first failure is followed by another try at once, questions last 2.0 s; servers may answer until shortly before SIGKILL.

--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/node.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/node.py
@@ -250,8 +250,11 @@
         await self.sync.complete.wait()
         await self.registration.run()
 
-    async def drain(self) -> None:
-        """Stop taking work and return once nothing is in flight, or shortly before SIGKILL."""
+    async def drain(self) -> instants.Instant:
+        """Stop taking work and return once nothing is in flight, or shortly before SIGKILL.
+
+        Returns the instant by which the process must have ended.
+        """
         started = self.clocks.monotonic()
         self.local.stop_waiting()
         self.registration.want(None)
@@ -269,6 +272,7 @@
                 "took_s": round(self.clocks.monotonic() - started, 3),
             },
         )
+        return limit
 
 
 def _terms(config: settings.Settings) -> resends.Terms:
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/run.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/run.py
@@ -12,8 +12,6 @@
 import time
 import typing
 
-import aiohttp
-
 from goldcrestgrade import http_client
 from goldcrestgrade_node import asgi, servers
 from goldcrestgrade_node.mesh import node, reload, settings
@@ -33,7 +31,7 @@
 """Time after which an idle connection of another node is closed; nodes stop using it before."""
 
 CLOSE_S = 0.3
-"""Longest wait for the servers to close their connections."""
+"""Shortest time that the servers get to close their connections."""
 
 GC_THRESHOLD = 50_000
 """Allocations between collections of the youngest generation."""
@@ -41,7 +39,7 @@
 Apps = typing.Callable[["node.MeshNode"], typing.Mapping[str, asgi.App]]
 """Returns further applications by the address that each listens at."""
 
-MakePlatform = typing.Callable[[aiohttp.ClientSession], "node.Platform"]
+MakePlatform = typing.Callable[[], "node.Platform"]
 """Returns the adapter of the deployment."""
 
 
@@ -68,7 +66,9 @@
         session = await stack.enter_async_context(
             http_client.open_session(CONTROL_CONNECTIONS, CONTROL_KEEPALIVE_S)
         )
-        parts = node.MeshNode(config, make_platform(session), session)
+        platform = make_platform()
+        stack.push_async_callback(platform.store.close)
+        parts = node.MeshNode(config, platform, session)
         loop = asyncio.get_running_loop()
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, parts.stopping.set)
@@ -97,10 +97,12 @@
         log.info("node started", extra={"settings": config._asdict()})
         await parts.stopping.wait()
         log.info("node stopping")
-        await parts.drain()
+        end_by = await parts.drain()
         for server in running:
             server.should_exit = True
-        _, slow = await asyncio.wait(serving, timeout=CLOSE_S)
+        # The servers close idle connections at once and the others after their answers.
+        left_s = max(CLOSE_S, end_by - asyncio.get_running_loop().time())
+        _, slow = await asyncio.wait(serving, timeout=left_s)
         for task in itertools.chain(slow, background):
             task.cancel()
     log.info("node stopped")
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/watch.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/watch.py
@@ -21,7 +21,7 @@
 
 log = logging.getLogger(__name__)
 
-STORE_WAIT_S = 2.5
+STORE_WAIT_S = 2.0
 """Longest time that the store holds a question for changes; within `contact`."""
 
 PEER_WAIT_S = 0.8
@@ -159,6 +159,9 @@
         except tables.ReadError as error:
             self._drop_questions()
             self._store_failed(error)
+            if self.failures == 1:
+                # The connection may have gone silent while new ones work.
+                return
             peer = self._fallback()
             if peer is None:
                 await self._back_off()
--- a/packages/goldcrestgrade/goldcrestgrade/storage/tables.py
+++ b/packages/goldcrestgrade/goldcrestgrade/storage/tables.py
@@ -165,3 +165,7 @@
         Raises `HistoryGone` where the changes are no longer held, and `ReadError`.
         """
         ...
+
+    async def close(self) -> None:
+        """Close all connections to the service."""
+        ...
