Tell a node from another one at its former address

Change: signs of life and answers to followers name the node; a node that follows is no source; a node that registers removes the rows of former instances at its address. Ruled out: silent connections to the store; the questions before were answered.

--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/directory.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/directory.py
@@ -114,7 +114,17 @@
             log.info("instance reached again", extra={"instance": instance.row.node_id})
             instance.failures = 0
 
+    def _drop_former(self) -> None:
+        """Forget instances at whose address another one registered later."""
+        latest: dict[str, Instance] = {}
+        for instance in sorted(self.by_id.values(), key=lambda i: i.version):
+            former = latest.get(instance.address)
+            if former is not None:
+                del self.by_id[former.row.node_id]
+            latest[instance.address] = instance
+
     def _index(self) -> None:
+        self._drop_former()
         self.by_service = {}
         for instance in sorted(self.by_id.values(), key=lambda i: i.row.node_id):
             if instance.row.serving:
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/peers.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/peers.py
@@ -18,6 +18,9 @@
 PING_PATH = "/mesh/ping"
 """Path of the relay address that tells that a node lives."""
 
+NODE_ID = "goldcrestgrade-node-id"
+"""Header that names the node that answers; its address may have been another one's before."""
+
 PING_TIMEOUT_S = 0.6
 """Longest wait for a sign of life; several round trips between regions."""
 
@@ -38,7 +41,7 @@
             return
         answer = outcomes.Answer(404, (), b"")
         if scope["path"] == PING_PATH:
-            answer = outcomes.Answer(200, (), b"")
+            answer = outcomes.Answer(200, ((NODE_ID, sync.own_id),), b"")
         elif scope["path"] == watch.PATH:
             answer = await _changes(scope, sync)
         await asgi.send_plain(send, answer, close=False)
@@ -94,7 +97,7 @@
                 f"http://{instance.address}{PING_PATH}",
                 timeout=aiohttp.ClientTimeout(total=PING_TIMEOUT_S),
             ) as response:
-                alive = response.status == 200
+                alive = response.headers.get(NODE_ID) == instance.row.node_id
         except (TimeoutError, aiohttp.ClientError, OSError) as error:
             log.debug("no sign of life", extra={"error": repr(error)})
             alive = False
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/registration.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/registration.py
@@ -76,36 +76,58 @@
             return True
         removed = known is None or known.value is None
         version = tables.ABSENT if removed or known is None else known.version
+        former = self._former_rows()
         result = await self.store.transact(
             tables.Transaction(
-                (tables.Condition(replica.MESH, self.key, version),),
-                (tables.Write(replica.MESH, self.key, wanted),),
+                (
+                    tables.Condition(replica.MESH, self.key, version),
+                    *(tables.Condition(replica.MESH, row.key, row.version) for row in former),
+                ),
+                (
+                    tables.Write(replica.MESH, self.key, wanted),
+                    *(tables.Write(replica.MESH, row.key, None) for row in former),
+                ),
             )
         )
         match result:
             case tables.Committed(version=committed):
-                self._take(committed, wanted)
+                self._take(self.key, committed, wanted)
                 log.info("own row written", extra={"version": committed, "row": wanted})
             case tables.Conflicted(failures=failures):
                 for failure in failures:
-                    row = failure.row
-                    self._take_found(row)
+                    self._take_found(failure)
                 self.due.set()
             case tables.Rejected(text=text) | tables.Unanswered(text=text):
                 log.warning("own row not written", extra={"error": text, "result": result.tag})
                 return False
         return True
 
-    def _take_found(self, row: tables.Row | None) -> None:
-        if row is not None:
-            self._take(row.version, row.value)
+    def _former_rows(self) -> list[tables.Change]:
+        """Return the rows of instances that were at the address of this one before it."""
+        if self.wanted is None:
+            return []
+        address = self.wanted.host, self.wanted.port
+        return [
+            row
+            for (table, key), row in self.copy.rows.items()
+            if table == replica.MESH
+            and key.startswith(directory.INSTANCE_PREFIX)
+            and key != self.key
+            and row.value is not None
+            and (row.value.get("host"), row.value.get("port")) == address
+        ]
+
+    def _take_found(self, failure: tables.Failure) -> None:
+        key = failure.condition.key
+        if failure.row is not None:
+            self._take(key, failure.row.version, failure.row.value)
         else:
-            known = self.copy.rows.get((replica.MESH, self.key))
-            self._take(0 if known is None else known.version + 1, None)
+            known = self.copy.rows.get((replica.MESH, key))
+            self._take(key, 0 if known is None else known.version + 1, None)
 
-    def _take(self, version: int, value: tables.Value | None) -> None:
+    def _take(self, key: str, version: int, value: tables.Value | None) -> None:
         # The version of the table stays: changes of other rows before this one may be unknown.
-        change = tables.Change(replica.MESH, self.key, version, value)
+        change = tables.Change(replica.MESH, key, version, value)
         self.copy.take(replica.MESH, tables.Changes((change,), 0))
 
     def _value(self) -> tables.Value | None:
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/watch.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/watch.py
@@ -39,7 +39,7 @@
 BACKOFF_LIMIT_S = 1.5
 """Longest such time; rows must be back two seconds after the store is."""
 
-CONNECTED_S = 4.0
+CONNECTED_S = 3.0
 """Time after its last answer for which a node counts as connected to the store."""
 
 SHUN_S = 5.0
@@ -83,20 +83,26 @@
         self.complete = asyncio.Event()
         """Set once both tables were read from any source."""
         self.failures = 0
+        self.watches_store = False
         self.read_tables: set[str] = set()
         """Tables that were read whole."""
         self.questions: dict[str, asyncio.Task[tables.Changes]] = {}
         """Questions to the store that wait for changes, by table."""
 
     def connected(self) -> bool:
-        """Tell whether this node hears of changes straight from the store."""
-        return self.clocks.monotonic() - self.store_answered_at < CONNECTED_S
+        """Tell whether this node watches the store itself and hears from it.
+
+        A node that follows a peer is no source for others, or two could follow each other.
+        """
+        recent = self.clocks.monotonic() - self.store_answered_at < CONNECTED_S
+        return self.watches_store and recent
 
     async def run(self) -> None:
         """Watch until cancelled."""
         await self._load()
         while True:
             source = self._source()
+            self.watches_store = source is None
             if source is None:
                 await self._watch_store()
             else:
@@ -222,6 +228,8 @@
                 if response.status != 200:
                     raise PeerError(f"status {response.status}")
             document = orjson.loads(body)
+            if document["node_id"] != peer.row.node_id:
+                raise PeerError(f"{document['node_id']} answers at the address")
             for table in replica.TABLES:
                 self.copy.take(table, decode(table, document[table]))
             return bool(document["connected"])
@@ -241,6 +249,7 @@
             pass
         return orjson.dumps(
             {
+                "node_id": self.own_id,
                 "connected": self.connected(),
                 **{
                     table: encode(self.copy.since(table, versions.get(table, 0)))
