Refuse requests that crash endpoints, bound the logs, serve metrics

Cause: no node knew which requests had ended endpoints; logs went to standard error and could block.

--- /dev/null
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/attempts/looks.py
@@ -0,0 +1,35 @@
+"""Looks at an endpoint that dropped a connection."""
+
+from __future__ import annotations
+
+import asyncio
+
+from goldcrestgrade_node.attempts import pools
+
+PAUSES_S = (0.0, 0.01, 0.02, 0.04, 0.08)
+"""Times before each look."""
+
+
+async def has_ended(host: str, port: int) -> bool:
+    """Tell whether an endpoint that dropped a connection refuses new ones.
+
+    A process that ends may close its connections before its listening socket, so it is looked at
+    several times.
+    """
+    for pause_s in PAUSES_S:
+        await asyncio.sleep(pause_s)
+        if await _refuses(host, port):
+            return True
+    return False
+
+
+async def _refuses(host: str, port: int) -> bool:
+    try:
+        async with asyncio.timeout(pools.CONNECT_TIMEOUT_S):
+            _, writer = await asyncio.open_connection(host, port)
+    except ConnectionRefusedError:
+        return True
+    except (OSError, TimeoutError):
+        return False
+    writer.close()
+    return False
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/attempts/transport.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/attempts/transport.py
@@ -25,9 +25,6 @@
 UNUSED_POOL_S = 60.0
 """Time after which the pool of an endpoint that is no longer called is dropped."""
 
-LOOK_PAUSES_S = (0.0, 0.01, 0.02, 0.04, 0.08)
-"""Times before each look at an endpoint that dropped a connection."""
-
 Address = tuple[str, int]
 """Host and port of an endpoint."""
 
@@ -91,18 +88,6 @@
             if not _has_rest(result):
                 exchange.close(whole=isinstance(result, results.Answered | results.Shed))
 
-    async def has_ended(self, host: str, port: int) -> bool:
-        """Tell whether an endpoint that dropped a connection refuses new ones.
-
-        A process that ends may close its connections before its listening socket, so it is looked
-        at several times.
-        """
-        for pause_s in LOOK_PAUSES_S:
-            await asyncio.sleep(pause_s)
-            if await _refuses(host, port):
-                return True
-        return False
-
     def set_shares(self, service: str, given: dict[Address, shares.Share]) -> None:
         """Set the shares of this node at the endpoints of `service`."""
         self.shares[service] = given
@@ -265,15 +250,3 @@
 def parse_load(text: str | None) -> int | None:
     """Return the load in a header, or none where it is absent or not a number."""
     return int(text) if text is not None and text.isdecimal() and len(text) < 7 else None
-
-
-async def _refuses(host: str, port: int) -> bool:
-    try:
-        async with asyncio.timeout(pools.CONNECT_TIMEOUT_S):
-            _, writer = await asyncio.open_connection(host, port)
-    except ConnectionRefusedError:
-        return True
-    except (OSError, TimeoutError):
-        return False
-    writer.close()
-    return False
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/local.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/local.py
@@ -181,7 +181,7 @@
                 "request_id": call.attempt_id,
                 "status": answer.status,
                 "took_s": round(now - started, 4),
-                "judged_by": judged_by,
+                "judged_by": judged_by._asdict(),
                 "pace": round(self.gate.pace, 2),
             },
         )
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/node.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/node.py
@@ -10,9 +10,10 @@
 
 import aiohttp
 
-from goldcrestgrade import counters, instants, reasons, routes
+from goldcrestgrade import counters, instants, outcomes, reasons, routes
 from goldcrestgrade.storage import tables
 from goldcrestgrade_node import asgi
+from goldcrestgrade_node.attempts import looks
 from goldcrestgrade_node.mesh import (
     admission,
     connections,
@@ -30,6 +31,7 @@
     requests,
     resends,
     settings,
+    suspects,
     watch,
 )
 
@@ -38,6 +40,12 @@
 STOPPING_RETRY_S = 0.05
 """Time after which a call that a stopping node sent back may go to another one."""
 
+SUSPECT_RETRY_S = 30.0
+"""Time after which a client may try again with a request that ends endpoints."""
+
+LOST_CONNECTION = frozenset({reasons.Uncertainty.ANSWER_LOST, reasons.Uncertainty.ANSWER_CUT})
+"""Ends of a call after which the endpoint is looked at."""
+
 READINESS_LAG_S = 2.3
 """Time in which clients notice that a node is no longer ready: two looks a second apart."""
 
@@ -106,6 +114,8 @@
             local.Hooks(self.forbids, self.health.want, self.call_broke, self.call_ran),
             self.clocks,
         )
+        self.suspects = suspects.Suspects(platform.store, self.clocks)
+        self.looking: set[asyncio.Task[None]] = set()
         self.relay = relay.RelayClient(platform.names, self.clocks)
         self.pinger = peers.Pinger(config.node_id, self.known, session, platform.store, self.clocks)
         self.dispatcher = dispatch.Dispatcher(
@@ -142,6 +152,8 @@
         if change.table == replica.CONFIGURATION:
             if change.key == replica.CURRENT and change.value is not None:
                 self._adopt(change.value, change.version)
+        elif change.key.startswith(suspects.PREFIX):
+            self.suspects.take(change)
         elif change.key.startswith(directory.INSTANCE_PREFIX):
             self.known.take(change)
             if change.key == self.registration.key:
@@ -196,25 +208,50 @@
             return await self.local.serve(call)
         return await self.relay.serve(instance.address, call)
 
-    def forbids(self, _call: requests.Call) -> local.Refused | None:
+    async def run_call(self, call: requests.Call, attempts: int) -> outcomes.Outcome:
+        """Run a call of a client, unless it is known to end the endpoints that run it."""
+        if self.suspects.crashes and self.suspects.forbidden(requests.digest(call)):
+            retry_at = self.clocks.monotonic() + SUSPECT_RETRY_S
+            return outcomes.NotRun(reasons.Refusal.CRASHES_ENDPOINTS, retry_at)
+        return await self.dispatcher.run(call, attempts)
+
+    def forbids(self, call: requests.Call) -> local.Refused | None:
         """Tell whether a call must not reach the own endpoint."""
+        if self.suspects.crashes and self.suspects.forbidden(requests.digest(call)):
+            retry_at = self.clocks.monotonic() + SUSPECT_RETRY_S
+            return local.Refused(reasons.Refusal.CRASHES_ENDPOINTS, retry_at)
         if self.stopping.is_set():
             retry_at = self.clocks.monotonic() + STOPPING_RETRY_S
             return local.Refused(reasons.Refusal.NODE_STOPPING, retry_at)
         return None
 
-    def call_broke(self, _call: requests.Call, _reason: reasons.Uncertainty) -> None:
+    def call_broke(self, call: requests.Call, reason: reasons.Uncertainty) -> None:
         """Take in that a call was sent to the endpoint and no whole answer came back."""
+        current = self.own.current
+        if reason not in LOST_CONNECTION or current is None:
+            return
+        task = asyncio.create_task(self._look_for_crash(call, current))
+        self.looking.add(task)
+        task.add_done_callback(self.looking.discard)
+
+    async def _look_for_crash(self, call: requests.Call, current: endpoints.Endpoint) -> None:
+        host, _, port = self.config.endpoint.rpartition(":")
+        if await looks.has_ended(host, int(port)):
+            self.own.refused()
+            self.health.want()
+            self.suspects.crash(requests.digest(call), f"{current.endpoint_id}-{current.born_ms}")
 
-    def call_ran(self, _call: requests.Call) -> None:
+    def call_ran(self, call: requests.Call) -> None:
         """Take in that the endpoint answered a call."""
+        if self.suspects.crashes:
+            self.suspects.answer(requests.digest(call))
 
     # Applications
 
     def entry(self) -> asgi.App:
         """Return the application that clients call."""
         return entry.EntryApp(
-            self.dispatcher.run,
+            self.run_call,
             lambda: self.table,
             self.config.service,
             self.platform.names,
@@ -244,6 +281,7 @@
             self._register(),
             self.health.run(),
             self.pinger.run(),
+            self.suspects.run(),
         ]
 
     async def _register(self) -> None:
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/settings.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/settings.py
@@ -34,6 +34,8 @@
     readiness: str
     heartbeats: str
     """Address at which the own endpoint tells of itself."""
+    metrics: str
+    """Address of metrics and of the latest log records."""
     store: str
     """Address of the platform's store."""
     heartbeat_s: float
@@ -100,6 +102,7 @@
     "relay": Field(_address),
     "readiness": Field(_address),
     "heartbeats": Field(_address),
+    "metrics": Field(_address),
     "store": Field(_address),
     "heartbeat_s": Field(duration_s, 1.5),
     "drain_s": Field(duration_s, 2.0),
--- /dev/null
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/suspects.py
@@ -0,0 +1,136 @@
+"""Requests that crash the endpoints that run them.
+
+Load pattern: one request ends each endpoint that begins to run it, and its client sends it again at
+any node. The node beside an endpoint that ended writes a row for each request that ran there; all
+nodes count the rows and refuse a request that has ended too many endpoints.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import collections
+import logging
+
+from goldcrestgrade import instants
+from goldcrestgrade.storage import tables
+from goldcrestgrade_node.mesh import replica
+
+log = logging.getLogger(__name__)
+
+PREFIX = "suspect/"
+"""Prefix of the keys of suspects; digest and endpoint follow."""
+
+MAX_CRASHES = 3
+"""Endpoints that one request may end before it is refused."""
+
+HOLD_S = 120.0
+"""Time for which a crash is held against a request."""
+
+GATHER_S = 0.05
+"""Time in which the requests that one crash broke gather into one write."""
+
+MAX_ROWS = 40
+"""Largest number of requests in one write, more than an endpoint has slots."""
+
+MAX_ANSWERED = 4096
+"""Requests remembered as answered."""
+
+RETRIES = 3
+"""Times that a write is tried."""
+
+RETRY_S = 0.3
+"""Time between two tries."""
+
+
+class Suspects:
+    """The crashes that this node knows of; owned by its event loop."""
+
+    def __init__(self, store: tables.TableService, clocks: instants.Clocks) -> None:
+        self.store = store
+        self.clocks = clocks
+        self.crashes: dict[str, dict[str, instants.WallInstant]] = {}
+        """Deadline of each crash, by digest and endpoint."""
+        self.answered: collections.OrderedDict[str, None] = collections.OrderedDict()
+        self.seen: asyncio.Queue[tuple[str, str]] = asyncio.Queue()
+        """Digests and endpoints of crashes that this node saw."""
+
+    def forbidden(self, digest: str) -> bool:
+        """Tell whether a request has ended too many endpoints."""
+        crashes = self.crashes.get(digest)
+        if crashes is None or digest in self.answered:
+            return False
+        now = self.clocks.wall()
+        return sum(until > now for until in crashes.values()) >= MAX_CRASHES
+
+    def answer(self, digest: str) -> None:
+        """Take in that an endpoint answered a request, so that it was not the cause of a crash."""
+        self.answered[digest] = None
+        self.answered.move_to_end(digest)
+        if len(self.answered) > MAX_ANSWERED:
+            self.answered.popitem(last=False)
+
+    def crash(self, digest: str, endpoint: str) -> None:
+        """Take in that an endpoint ended while it ran a request."""
+        self.answered.pop(digest, None)
+        self._hold(digest, endpoint, self.clocks.wall() + HOLD_S)
+        self.seen.put_nowait((digest, endpoint))
+
+    def take(self, change: tables.Change) -> None:
+        """Take in a row that a node wrote."""
+        digest, _, endpoint = change.key.removeprefix(PREFIX).partition("/")
+        if change.value is None:
+            return
+        until = change.value.get("until")
+        if not isinstance(until, int | float):
+            log.warning("suspect row not readable; ignored", extra={"key": change.key})
+            return
+        if endpoint not in self.crashes.get(digest, {}):
+            self.answered.pop(digest, None)
+        self._hold(digest, endpoint, until)
+
+    async def run(self) -> None:
+        """Write the crashes that this node sees until cancelled."""
+        while True:
+            first = await self.seen.get()
+            await asyncio.sleep(GATHER_S)
+            found = [first]
+            while not self.seen.empty() and len(found) < MAX_ROWS:
+                found.append(self.seen.get_nowait())
+            await self._write(found)
+
+    async def _write(self, found: list[tuple[str, str]]) -> None:
+        until = self.clocks.wall() + HOLD_S
+        writes = tuple(
+            tables.Write(replica.MESH, f"{PREFIX}{digest}/{endpoint}", {"until": until})
+            for digest, endpoint in dict.fromkeys(found)
+        )
+        for _ in range(RETRIES):
+            result = await self.store.transact(tables.Transaction((), (*writes, *self._old())))
+            log.warning(
+                "endpoint ended while it ran requests",
+                extra={"requests": [write.key for write in writes], "written": result.tag},
+            )
+            if isinstance(result, tables.Committed):
+                return
+            await asyncio.sleep(RETRY_S)
+
+    def _old(self) -> tuple[tables.Write, ...]:
+        """Return writes that remove crashes which are no longer held against a request."""
+        now = self.clocks.wall()
+        old = [
+            (digest, endpoint)
+            for digest, crashes in self.crashes.items()
+            for endpoint, until in crashes.items()
+            if until <= now
+        ][:MAX_ROWS]
+        for digest, endpoint in old:
+            del self.crashes[digest][endpoint]
+            if not self.crashes[digest]:
+                del self.crashes[digest]
+        return tuple(
+            tables.Write(replica.MESH, f"{PREFIX}{digest}/{endpoint}", None)
+            for digest, endpoint in old
+        )
+
+    def _hold(self, digest: str, endpoint: str, until: instants.WallInstant) -> None:
+        self.crashes.setdefault(digest, {})[endpoint] = until
--- a/packages/goldcrestgrade-node/tests/attempts/test_transport.py
+++ b/packages/goldcrestgrade-node/tests/attempts/test_transport.py
@@ -417,22 +417,3 @@
         result = await sender.send(method="POST", kind=RUN_ONCE)
         assert isinstance(result, results.Unreached)
         assert endpoint.requests == []
-
-
-async def test_endpoint_that_ended_is_told_from_one_that_dropped_a_connection():
-    async with sending(always(b"", close=True)) as (sender, endpoint):
-        assert isinstance(await sender.send(), results.Broken)
-        assert not await sender.path.has_ended("127.0.0.1", endpoint.port)
-    assert await sender.path.has_ended("127.0.0.1", endpoint.port)
-
-
-async def test_endpoint_that_closes_its_listening_socket_last_is_seen_to_end(monkeypatch):
-    looks = iter([False, False, True])
-
-    async def refuses(_host, _port):
-        return next(looks)
-
-    monkeypatch.setattr(transport, "_refuses", refuses)
-    path = transport.HttpTransport(instants.system_clocks(), counters.Counts())
-    assert await path.has_ended("127.0.0.1", 9)
-    await path.close()
--- /dev/null
+++ b/packages/goldcrestgrade/goldcrestgrade/log_output.py
@@ -0,0 +1,95 @@
+"""Log lines on a file descriptor, bounded in rate and size, that never block the process."""
+
+from __future__ import annotations
+
+import collections
+import logging
+import os
+import time
+import typing
+
+LINES_PER_S = 60.0
+"""Lines a second that a process writes in the long run, below a fiftieth of a small core."""
+
+BURST_LINES = 600.0
+"""Lines that may be written at once after a quiet time."""
+
+URGENT_RESERVE = 200.0
+"""Part of the burst that only warnings and errors may use."""
+
+MAX_PENDING_BYTES = 256 * 1024
+"""Bytes kept for a reader that does not read."""
+
+RECENT_RECORDS = 1000
+"""Latest records that are kept for a dump, those included that were not written."""
+
+
+class BoundedHandler(logging.Handler):
+    """Writes lines without blocking, and drops and counts those beyond the budget."""
+
+    def __init__(self, descriptor: int, clock: typing.Callable[[], float] = time.monotonic) -> None:
+        super().__init__()
+        os.set_blocking(descriptor, False)
+        self.descriptor = descriptor
+        self.clock = clock
+        self.tokens = BURST_LINES
+        self.counted_at = clock()
+        self.pending = bytearray()
+        self.dropped = 0
+        """Lines dropped since the last line that told of it."""
+        self.recent: collections.deque[logging.LogRecord] = collections.deque(maxlen=RECENT_RECORDS)
+
+    def emit(self, record: logging.LogRecord) -> None:
+        """Write a record, or count it as dropped."""
+        self.recent.append(record)
+        self._accrue()
+        reserve = 0.0 if record.levelno >= logging.WARNING else URGENT_RESERVE
+        full = len(self.pending) >= MAX_PENDING_BYTES
+        if self.tokens < 1 + reserve or full:
+            self.dropped += 1
+            self.write()
+            return
+        self.tokens -= 1
+        if self.dropped:
+            dropped, self.dropped = self.dropped, 0
+            self._append(
+                logging.makeLogRecord(
+                    {
+                        "name": __name__,
+                        "levelno": logging.WARNING,
+                        "levelname": "WARNING",
+                        "msg": "log lines dropped",
+                        "dropped": dropped,
+                    }
+                )
+            )
+        self._append(record)
+        self.write()
+
+    def write(self) -> None:
+        """Write what the reader takes at once and keep the rest."""
+        while self.pending:
+            try:
+                written = os.write(self.descriptor, self.pending)
+            except BlockingIOError:
+                return
+            except OSError:
+                # Nobody reads any more; there is no other place to say so.
+                self.pending.clear()
+                return
+            del self.pending[:written]
+
+    def dump(self) -> str:
+        """Return the latest records, one line each."""
+        return "".join(f"{self.format(record)}\n" for record in self.recent)
+
+    def _append(self, record: logging.LogRecord) -> None:
+        try:
+            self.pending += f"{self.format(record)}\n".encode()
+        except (TypeError, ValueError):
+            self.handleError(record)
+
+    def _accrue(self) -> None:
+        now = self.clock()
+        self.tokens = min(BURST_LINES, self.tokens + LINES_PER_S * (now - self.counted_at))
+        self.counted_at = now
--- a/packages/goldcrestgrade/goldcrestgrade/logs.py
+++ b/packages/goldcrestgrade/goldcrestgrade/logs.py
@@ -1,4 +1,4 @@
-"""Logs as JSON lines on standard error."""
+"""Logs as JSON lines."""
 
 from __future__ import annotations
 
@@ -10,9 +10,11 @@
 FIELDS = "{asctime}{levelname}{name}{message}"
 
 
-def configure(level: int, node_id: str | None = None) -> None:
-    """Send the records of all loggers to standard error, one JSON object a line."""
-    handler = logging.StreamHandler(sys.stderr)
+def configure(
+    level: int, node_id: str | None = None, handler: logging.Handler | None = None
+) -> None:
+    """Send the records of all loggers to `handler`, or to standard error, one object a line."""
+    handler = handler or logging.StreamHandler(sys.stderr)
     handler.setFormatter(
         json_formatter.OrjsonFormatter(
             FIELDS,
