Judge requests by the silence of an endpoint and by health checks on demand

Change: a report fades within 0.5 s; an endpoint that ends too few requests counts as slowed; while an old or inferred pace decides, a health check asks for it, at most every 80 ms.

--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/admission.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/admission.py
@@ -21,8 +21,20 @@
 TYPICAL_WEIGHT = 0.1
 """Weight of a new sample in the moving mean of the time that requests need."""
 
-PACE_HALF_LIFE_S = 0.5
-"""Age at which a report of the endpoint's pace counts half."""
+PACE_HOLD_S = 0.5
+"""Age at which a report of the endpoint's pace tells nothing any more."""
+
+SILENT_ENDS = 2.5
+"""Requests that should have ended since the last sign of the endpoint for it to count as slowed."""
+
+SILENT_PACE = 4.0
+"""Pace that a silent endpoint is taken to have until a health check tells it."""
+
+DISTURBED_PACE = 1.5
+"""Pace from which an endpoint counts as disturbed."""
+
+CHECK_AGE_S = 0.08
+"""Age of the pace from which a health check is worth its price while it decides on requests."""
 
 LATE_QUEUE_FACTOR = 0.0
 """Waiting requests, in multiples of the slots, beside which a late request is still taken."""
@@ -31,6 +43,10 @@
 """Shortest time after which a request that was sent back may be tried here again."""
 
 
+RETRY_DISTURBED_S = 0.1
+"""The same while the endpoint is disturbed, a part of the time that disturbances last."""
+
+
 class Ticket(typing.NamedTuple):
     """A request that asks for admission."""
 
@@ -74,6 +90,11 @@
     end_s: float
 
 
+def expected_pace(told: float, age_s: float) -> float:
+    """Return the pace to expect `age_s` after the endpoint told of `told`."""
+    return 1 + (told - 1) * max(0.0, 1 - age_s / PACE_HOLD_S)
+
+
 def estimate(
     running: int, ahead: int, slots: int, typical_s: float, needs_s: float, pace: float
 ) -> Estimate:
@@ -96,6 +117,8 @@
         self.mean_s = TYPICAL_START_S
         self.pace = loads.USUAL_PACE
         self.pace_at: instants.Instant = 0.0
+        self.sign_at: instants.Instant = 0.0
+        """When the endpoint last began to be idle or ended a request."""
 
     def load(self) -> loads.Load:
         """Return the load as other nodes are told."""
@@ -110,7 +133,18 @@
     def current_pace(self) -> float:
         """Return the pace, which tends to the usual one as its report ages."""
         age_s = self.clocks.monotonic() - self.pace_at
-        return 1 + (self.pace - 1) * 0.5 ** (age_s / PACE_HALF_LIFE_S)
+        told = expected_pace(self.pace, age_s)
+        return max(told, SILENT_PACE) if self.silent() else told
+
+    def silent(self) -> bool:
+        """Tell whether fewer requests ended than should have since the last sign."""
+        since_s = self.clocks.monotonic() - max(self.sign_at, self.pace_at)
+        return since_s * self.running >= SILENT_ENDS * self.mean_s
+
+    def check_due(self) -> bool:
+        """Tell whether a health check would settle what requests are judged by."""
+        stale = self.clocks.monotonic() - self.pace_at >= CHECK_AGE_S
+        return stale and self.current_pace() >= DISTURBED_PACE
 
     async def enter(self, ticket: Ticket) -> Rejected | None:
         """Wait until the request may start; return a rejection where it may not."""
@@ -118,7 +152,7 @@
         if rejected is not None:
             return rejected
         if self.running < self.slots and not self.waiting:
-            self.running += 1
+            self._start()
             return None
         admitted: asyncio.Future[Rejected | None] = asyncio.get_running_loop().create_future()
         heapq.heappush(self.waiting, Waiter(ticket.priority, next(self.numbers), ticket, admitted))
@@ -129,9 +163,15 @@
                 self.leave()
             raise
 
+    def _start(self) -> None:
+        if self.running == 0:
+            self.sign_at = self.clocks.monotonic()
+        self.running += 1
+
     def leave(self) -> None:
         """Give back the place of a request that ended."""
         self.running -= 1
+        self.sign_at = self.clocks.monotonic()
         self.serve()
 
     def note_time(self, name: str, took_s: float) -> None:
@@ -166,7 +206,7 @@
                 continue
             rejected = self._too_late(waiter.ticket, 0)
             if rejected is None:
-                self.running += 1
+                self._start()
             self._answer(waiter, rejected)
 
     def _judge(self, ticket: Ticket) -> Rejected | None:
@@ -188,7 +228,8 @@
             and self.running < self.slots
         ):
             return None
-        return Rejected("saturated", now + max(RETRY_FLOOR_S, expected.start_s))
+        floor_s = RETRY_DISTURBED_S if pace >= DISTURBED_PACE else RETRY_FLOOR_S
+        return Rejected("saturated", now + max(floor_s, expected.start_s))
 
     def _answer(self, waiter: Waiter, result: Rejected | None) -> None:
         if not waiter.admitted.done():
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/dispatch.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/dispatch.py
@@ -128,6 +128,19 @@
         finally:
             instance.in_flight -= 1
         now = self.clocks.monotonic()
+        log.info(
+            "call placed",
+            extra={
+                "request_id": call.attempt_id,
+                "instance": instance.row.node_id,
+                "distance": placement.distance(self.place, instance.row.place),
+                "expected_s": round(chosen.expected_s, 3),
+                "in_time": chosen.in_time,
+                "load_age_s": round(min(999.0, started - instance.load_at), 3),
+                "took_s": round(now - started, 3),
+                "outcome": "unreached" if served is None else served.outcome.tag,
+            },
+        )
         if served is None:
             self.known.unreached(instance, now)
             self.counts.retries[reasons.Retry.UNREACHED] += 1
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/health.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/health.py
@@ -24,6 +24,10 @@
 """Longest time between checks of an endpoint that is not known."""
 
 
+PACE_INTERVAL_S = 0.08
+"""Shortest time between checks for the pace; keeps their rate far below the endpoint's bound."""
+
+
 class HealthChecks:
     """The task that looks for the own endpoint; owned by the event loop of the node."""
 
@@ -43,11 +47,25 @@
         self.clocks = clocks
         self.rng = rng
         self.wanted = asyncio.Event()
+        self.paced = asyncio.Event()
+        self.note_load: typing.Callable[[loads.Load], None] = lambda _: None
 
     def want(self) -> None:
         """Have the endpoint checked, unless it is known by then."""
         self.wanted.set()
 
+    def want_pace(self) -> None:
+        """Have the endpoint tell its pace, since requests are judged by an old one."""
+        self.paced.set()
+
+    async def run_paced(self) -> None:
+        """Check for the pace whenever that is wanted, until cancelled."""
+        while True:
+            await self.paced.wait()
+            await self.check()
+            await asyncio.sleep(PACE_INTERVAL_S)
+            self.paced.clear()
+
     async def run(self) -> None:
         """Check whenever that is wanted, until the endpoint is known; until cancelled."""
         self.wanted.set()
@@ -84,5 +102,7 @@
             "endpoint checked",
             extra={"endpoint": endpoint_id, "healthy": healthy, "load": load},
         )
+        if load is not None:
+            self.note_load(load)
         if endpoint_id is not None:
             self.own.found(endpoint_id, None if load is None else load.slots, healthy)
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/local.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/local.py
@@ -58,7 +58,9 @@
     forbids: typing.Callable[[requests.Call], Refused | None]
     """Whether a call must not reach the endpoint."""
     look: typing.Callable[[], None]
-    """Asks for a health check of the endpoint."""
+    """Asks for a health check of an endpoint that may be gone."""
+    check_pace: typing.Callable[[], None]
+    """Asks for a health check that tells the endpoint's pace."""
     broke: typing.Callable[[requests.Call, reasons.Uncertainty], None]
     """A call was sent and no whole answer came back."""
     ran: typing.Callable[[requests.Call], None]
@@ -93,6 +95,8 @@
         refused = self._refused(call)
         if refused is not None:
             return self._sent_back(call, refused.reason, refused.retry_at)
+        if self.gate.check_due():
+            self.hooks.check_pace()
         rejected = await self.gate.enter(call.ticket())
         if rejected is not None:
             reason = reasons.Refusal(rejected.reason)
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/node.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/node.py
@@ -106,12 +106,19 @@
         self.health = health.HealthChecks(
             self.own, lambda: self.table, session, platform.names, self.clocks, self.rng
         )
+        self.health.note_load = self.gate.note_load
         self.local = local.LocalWork(
             self.own,
             self.gate,
             connections.Kept(config.endpoint),
             platform.names,
-            local.Hooks(self.forbids, self.health.want, self.call_broke, self.call_ran),
+            local.Hooks(
+                self.forbids,
+                self.health.want,
+                self.health.want_pace,
+                self.call_broke,
+                self.call_ran,
+            ),
             self.clocks,
         )
         self.suspects = suspects.Suspects(platform.store, self.clocks)
@@ -280,6 +287,7 @@
             self.sync.run(),
             self._register(),
             self.health.run(),
+            self.health.run_paced(),
             self.pinger.run(),
             self.suspects.run(),
         ]
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/placement.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/placement.py
@@ -14,8 +14,8 @@
 from goldcrestgrade import instants
 from goldcrestgrade_node.mesh import directory
 
-LOAD_HALF_LIFE_S = 0.5
-"""Age at which a load report counts half; the length of a usual disturbance."""
+LOAD_HOLD_S = 0.5
+"""Age at which a load report tells nothing any more; the length of a usual disturbance."""
 
 NEAR_S = 0.002
 """Expected network time of a request and its answer within a region."""
@@ -61,7 +61,7 @@
     travel_s = FAR_S if far else NEAR_S
     if load is None:
         return travel_s + aim.typical_s * (1 + instance.in_flight / 8)
-    weight = 0.5 ** ((now - instance.load_at) / LOAD_HALF_LIFE_S)
+    weight = max(0.0, 1 - (now - instance.load_at) / LOAD_HOLD_S)
     others = max(0, load.running + load.waiting - instance.in_flight_at_load)
     work = instance.in_flight + others * weight
     pace = 1 + (load.pace - 1) * weight
