--- /dev/null
+++ b/packages/goldcrestgrade-node/tests/mesh/test_placement.py
@@ -0,0 +1,70 @@
+"""Choice of the instance that a request is sent to."""
+
+import random
+
+from goldcrestgrade_node.mesh import directory, loads, placement
+
+OWN = directory.Place("khomas-a", "khomas")
+NEXT_DOMAIN = directory.Place("khomas-b", "khomas")
+FAR = directory.Place("oshana-a", "oshana")
+NOW = 100.0
+AIM = placement.Aim(NOW + 0.4, NOW + 0.8, 0.1)
+
+
+def instance(place, name=None, load=None, age_s=0.0):
+    row = directory.InstanceRow(
+        name or place.failure_domain, "10.0.0.1", 1, place, "archive", True, 1
+    )
+    return directory.Instance(row, 1, load=load, load_at=NOW - age_s)
+
+
+def chosen(*instances, aim=AIM):
+    choice = placement.choose(OWN, instances, aim, NOW, random.Random(1))
+    return None if choice is None else choice.instance.row.place
+
+
+def test_own_failure_domain_is_used_while_it_answers_in_time():
+    assert chosen(instance(FAR), instance(NEXT_DOMAIN), instance(OWN)) == OWN
+
+
+def test_slowed_instance_is_passed_over_for_the_next_failure_domain():
+    slowed = instance(OWN, load=loads.Load(1, 0, 9, 7.0))
+    assert chosen(slowed, instance(NEXT_DOMAIN), instance(FAR)) == NEXT_DOMAIN
+
+
+def test_report_of_a_disturbance_that_must_be_over_tells_nothing():
+    slowed = instance(OWN, load=loads.Load(1, 0, 9, 7.0), age_s=placement.LOAD_HOLD_S)
+    assert chosen(slowed, instance(NEXT_DOMAIN)) == OWN
+
+
+def test_other_region_is_used_only_where_the_own_would_be_late():
+    full = loads.Load(9, 40, 9, 1.0)
+    near = [instance(OWN, load=full), instance(NEXT_DOMAIN, load=full)]
+    assert chosen(*near, instance(FAR)) == FAR
+    assert chosen(near[0], instance(NEXT_DOMAIN), instance(FAR)) == NEXT_DOMAIN
+
+
+def test_where_all_are_late_the_one_expected_first_is_chosen():
+    slow, slower = loads.Load(9, 40, 9, 1.0), loads.Load(9, 90, 9, 1.0)
+    first = placement.choose(
+        OWN,
+        [instance(OWN, load=slower), instance(NEXT_DOMAIN, load=slow)],
+        AIM,
+        NOW,
+        random.Random(1),
+    )
+    assert first.instance.row.place == NEXT_DOMAIN
+    assert not first.in_time
+
+
+def test_instance_that_sent_a_request_back_or_was_not_reached_is_not_chosen():
+    avoided, unreached = instance(OWN), instance(NEXT_DOMAIN)
+    avoided.avoid_until = NOW + 0.1
+    unreached.failures = 1
+    assert chosen(avoided, unreached) is None
+
+
+def test_requests_of_this_node_count_beside_an_old_report():
+    busy = instance(OWN, load=loads.Load(0, 0, 9, 1.0), age_s=5.0)
+    busy.in_flight = 60
+    assert chosen(busy, instance(NEXT_DOMAIN)) == NEXT_DOMAIN
