--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/admission.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/admission.py
@@ -104,6 +104,11 @@
     return Estimate(start_s, start_s + needs_s * pace)
 
 
+def _started(admitted: asyncio.Future[Rejected | None]) -> bool:
+    """Tell whether a request was started while its wait ended."""
+    return admitted.done() and not admitted.cancelled() and admitted.result() is None
+
+
 class Gate:
     """The requests at the own endpoint; owned by the event loop of the node."""
 
@@ -157,12 +162,22 @@
         admitted: asyncio.Future[Rejected | None] = asyncio.get_running_loop().create_future()
         heapq.heappush(self.waiting, Waiter(ticket.priority, next(self.numbers), ticket, admitted))
         try:
-            return await admitted
+            async with asyncio.timeout(self._latest_start(ticket) - self.clocks.monotonic()):
+                return await admitted
+        except TimeoutError:
+            if _started(admitted):
+                return None
+            return Rejected("saturated", self.clocks.monotonic() + RETRY_FLOOR_S)
         except asyncio.CancelledError:
-            if admitted.done() and not admitted.cancelled() and admitted.result() is None:
+            if _started(admitted):
                 self.leave()
             raise
 
+    def _latest_start(self, ticket: Ticket) -> instants.Instant:
+        """Return when a waiting request can no longer come in time."""
+        needs_s = self.typical_s.get(ticket.name, self.mean_s)
+        return min(ticket.deadline, max(self.clocks.monotonic(), ticket.target_at - needs_s))
+
     def _start(self) -> None:
         if self.running == 0:
             self.sign_at = self.clocks.monotonic()
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/dispatch.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/dispatch.py
@@ -204,11 +204,12 @@
         return outcomes.NotRun(reason, retry_at)
 
     def _budget(self, service: str) -> resends.ResendBudget:
+        nodes = max(1, len(self.known.by_id))
         budget = self.budgets.get(service)
         if budget is None:
-            budget = resends.ResendBudget(self.terms, self.clocks.monotonic())
+            budget = resends.ResendBudget(self.terms, nodes, self.clocks.monotonic())
             self.budgets[service] = budget
-        budget.nodes = max(1, len(self.known.by_id))
+        budget.nodes = nodes
         return budget
 
 
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/resends.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/resends.py
@@ -28,10 +28,10 @@
 class ResendBudget:
     """This node's part of the budget of one service; owned by the event loop of the node."""
 
-    def __init__(self, terms: Terms, now: instants.Instant) -> None:
+    def __init__(self, terms: Terms, nodes: int, now: instants.Instant) -> None:
         self.terms = terms
-        self.nodes = 1
-        self.tokens = 0.0
+        self.nodes = nodes
+        self.tokens = min(1.0, USED_SHARE * terms.slack / nodes)
         self.updated_at = now
 
     def note_request(self, now: instants.Instant) -> None:
--- a/packages/goldcrestgrade-node/tests/mesh/test_admission.py
+++ b/packages/goldcrestgrade-node/tests/mesh/test_admission.py
@@ -117,3 +117,13 @@
     gate.reject_waiting("no_endpoint")
     assert (await waiting).reason == "no_endpoint"
     assert gate.running == 2
+
+
+async def test_waiting_request_is_sent_back_once_it_can_no_longer_come_in_time(gate, clock):
+    for _ in range(2):
+        await gate.enter(ticket(clock))
+    rejected = await asyncio.wait_for(gate.enter(ticket(clock, target_s=0.25)), 1.0)
+    assert rejected.reason == "saturated"
+    assert gate.running == 2
+    gate.leave()
+    assert gate.running == 1
--- a/packages/goldcrestgrade-node/tests/mesh/test_resends.py
+++ b/packages/goldcrestgrade-node/tests/mesh/test_resends.py
@@ -7,12 +7,11 @@
 
 def test_all_nodes_together_stay_within_the_terms_under_a_storm_of_failures():
     nodes = 12
-    budgets = [resends.ResendBudget(TERMS, 0.0) for _ in range(nodes)]
+    budgets = [resends.ResendBudget(TERMS, nodes, 0.0) for _ in range(nodes)]
     requests = taken = 0
     for step in range(100):
         now = step * 0.1
         for budget in budgets:
-            budget.nodes = nodes
             budget.note_request(now)
             requests += 1
             taken += sum(budget.take(now) for _ in range(5))
@@ -21,17 +20,20 @@
 
 
 def test_quiet_node_may_send_again_once():
-    budget = resends.ResendBudget(TERMS, 0.0)
-    budget.nodes = 12
+    budget = resends.ResendBudget(TERMS, 12, 0.0)
     assert budget.take(10.0)
 
 
 def test_large_fleet_without_requests_stays_within_the_slack():
     nodes = 300
-    budgets = [resends.ResendBudget(TERMS, 0.0) for _ in range(nodes)]
+    budgets = [resends.ResendBudget(TERMS, nodes, 0.0) for _ in range(nodes)]
     taken = 0
     for step in range(100):
         for budget in budgets:
-            budget.nodes = nodes
             taken += budget.take(step * 0.1)
     assert taken <= TERMS.slack
+
+
+def test_node_that_has_just_started_may_send_again_once():
+    budget = resends.ResendBudget(TERMS, 12, 0.0)
+    assert budget.take(0.0)
--- /dev/null
+++ b/packages/goldcrestgrade-testing/goldcrestgrade_testing/fleet_platform/endpoint.py
@@ -0,0 +1,224 @@
+"""Stand-in of an endpoint on the platform, with slots, load reports and faults on the wire."""
+
+from __future__ import annotations
+
+import asyncio
+import collections
+import contextlib
+import dataclasses
+import socket
+import struct
+import time
+import typing
+
+import aiohttp
+
+from goldcrestgrade_testing import raw_endpoint
+
+CANCEL_POLL_S = 0.01
+"""Time between looks at whether the caller of a request has gone."""
+
+
+class Fault(typing.NamedTuple):
+    """What goes wrong with the next answers."""
+
+    kind: str
+    """`cut`, `reset`, `spoiled`, `doubled`, `unframed`, `lost` or `late`."""
+    count: int
+
+
+@dataclasses.dataclass
+class Behaviour:
+    """How an endpoint treats its requests; tests change it while it runs."""
+
+    work_s: float = 0.02
+    slots: int = 4
+    queue: int = 16
+    pace: float = 1.0
+    failing: bool = False
+    draining: bool = False
+    crash_marker: str | None = None
+    """Text in a target at which the endpoint stops listening and drops its connections."""
+
+
+class Endpoint:
+    """One incarnation of an endpoint; owned by one event loop."""
+
+    def __init__(self, endpoint_id: str, service: str, behaviour: Behaviour) -> None:
+        self.endpoint_id = endpoint_id
+        self.service = service
+        self.behaviour = behaviour
+        self.born_ms = time.time_ns() // 1_000_000
+        self.sequence = 0
+        self.running = 0
+        self.waiting = 0
+        self.runs: collections.Counter[str] = collections.Counter()
+        """Times that work began, by id of the client's try."""
+        self.callers: dict[str, str | None] = {}
+        """Calling service by id of the client's try."""
+        self.deadlines_ms: dict[str, int] = {}
+        self.expected_by: set[str | None] = set()
+        self.faults: collections.deque[str] = collections.deque()
+        self.raw = raw_endpoint.RawEndpoint(self.respond)
+        self.server: asyncio.Server | None = None
+        self.writers: set[asyncio.StreamWriter] = set()
+
+    async def start(self, port: int = 0) -> None:
+        """Listen on loopback."""
+        self.server = await asyncio.start_server(self._serve, raw_endpoint.HOST, port)
+        self.raw.port = self.server.sockets[0].getsockname()[1]
+
+    async def stop(self) -> None:
+        """Stop listening and drop all connections."""
+        if self.server is not None:
+            self.server.close()
+        for writer in self.writers:
+            writer.transport.abort()
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.writers.add(writer)
+        try:
+            await self.raw.serve_connection(reader, writer)
+        finally:
+            self.writers.discard(writer)
+
+    def break_next(self, fault: Fault) -> None:
+        """Have the next answers go wrong."""
+        self.faults.extend([fault.kind] * fault.count)
+
+    def heartbeat(self, address: str, zone: str) -> dict[str, typing.Any]:
+        """Return the next heartbeat."""
+        self.sequence += 1
+        return {
+            "address": address,
+            "born": self.born_ms,
+            "info": {
+                "service": self.service,
+                "version": "v1",
+                "zone": zone,
+                "capacity": self.behaviour.slots,
+            },
+            "status": {
+                "state": "draining" if self.behaviour.draining else "ready",
+                "sequence": self.sequence,
+                "warmup_left": "0ms",
+            },
+        }
+
+    async def respond(self, request: raw_endpoint.RawRequest, writer: asyncio.StreamWriter) -> None:
+        """Answer one request."""
+        attempt = request.field("x-attempt-id") or ""
+        if request.target == "/healthz":
+            status = "503 Service Unavailable" if self.behaviour.draining else "200 OK"
+            self._write(writer, self._whole(b"", status, ""))
+            return
+        expected = request.field("x-expected-instance")
+        self.expected_by.add(expected)
+        if expected not in (None, self.endpoint_id):
+            self._write(writer, self._whole(b"", "421 Misdirected Request", attempt))
+            return
+        if self.running + self.waiting >= self.behaviour.slots + self.behaviour.queue:
+            self._write(writer, self._whole(b"", "503 Busy", attempt, "x-not-executed: 1\r\n"))
+            return
+        await self._run(request, attempt, writer)
+
+    async def _run(
+        self, request: raw_endpoint.RawRequest, attempt: str, writer: asyncio.StreamWriter
+    ) -> None:
+        self.waiting += 1
+        while self.running >= self.behaviour.slots:
+            await asyncio.sleep(CANCEL_POLL_S)
+        self.waiting -= 1
+        self.running += 1
+        self.runs[attempt] += 1
+        self.callers[attempt] = request.field("x-caller-service")
+        self.deadlines_ms[attempt] = int(request.field("x-deadline-ms") or -1)
+        try:
+            marker = self.behaviour.crash_marker
+            if marker is not None and marker in request.target:
+                await self.stop()
+                return
+            await asyncio.sleep(self.behaviour.work_s * self.behaviour.pace)
+        finally:
+            self.running -= 1
+        status = "500 Failed" if self.behaviour.failing else "200 OK"
+        signature = f"x-upstream-signature: {self.endpoint_id}.{attempt}\r\n"
+        await self._answer(writer, b"body of " + attempt.encode(), status, attempt, signature)
+
+    async def _answer(
+        self,
+        writer: asyncio.StreamWriter,
+        body: bytes,
+        status: str,
+        attempt: str,
+        signature: str,
+    ) -> None:
+        whole = self._whole(body, status, attempt, signature)
+        other = self._whole(b"another", "200 OK", "another-try", signature)
+        fault = self.faults.popleft() if self.faults else None
+        match fault:
+            case "cut":
+                self._write(writer, whole[:-3])
+                writer.close()
+            case "reset":
+                self._write(writer, self._head(status, attempt, signature) + body[:3])
+                await writer.drain()
+                await asyncio.sleep(CANCEL_POLL_S)
+                _reset(writer)
+            case "spoiled":
+                self._write(writer, b"\x00\x01 no answer at all \r\n\r\n")
+                writer.close()
+            case "doubled":
+                self._write(writer, whole + other)
+            case "late":
+                self._write(writer, other + whole)
+            case "unframed":
+                self._write(writer, self._head(status, attempt, signature) + body)
+                writer.close()
+            case "lost":
+                _reset(writer)
+            case _:
+                self._write(writer, whole)
+
+    def _write(self, writer: asyncio.StreamWriter, data: bytes) -> None:
+        if not writer.is_closing():
+            writer.write(data)
+
+    def _fields(self, attempt: str, fields: str) -> str:
+        load = f"{self.running},{self.waiting},{self.behaviour.slots}"
+        pace = round(100 * self.behaviour.pace)
+        echoed = f"x-attempt-id: {attempt}\r\n" if attempt else ""
+        return (
+            f"{echoed}x-instance-id: {self.endpoint_id}\r\nx-upstream-load: {load},{pace}\r\n"
+            f"keep-alive: timeout=10\r\n{fields}"
+        )
+
+    def _whole(self, body: bytes, status: str, attempt: str, fields: str = "") -> bytes:
+        return raw_endpoint.answer(body, status, self._fields(attempt, fields))
+
+    def _head(self, status: str, attempt: str, fields: str) -> bytes:
+        return f"HTTP/1.1 {status}\r\n{self._fields(attempt, fields)}\r\n".encode()
+
+
+def _reset(writer: asyncio.StreamWriter) -> None:
+    """End a connection so that the other side sees a reset."""
+    if writer.is_closing():
+        return
+    connection: socket.socket = writer.get_extra_info("socket")
+    connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    writer.transport.abort()
+
+
+async def beat_forever(
+    endpoint: Endpoint, address: str, zone: str, control: str, interval_s: float
+) -> None:
+    """Tell the node beside an endpoint of it, until cancelled."""
+    async with aiohttp.ClientSession() as session:
+        while True:
+            with contextlib.suppress(aiohttp.ClientError, OSError, TimeoutError):
+                await session.put(
+                    f"http://{control}/-/instances/{endpoint.endpoint_id}",
+                    json=endpoint.heartbeat(address, zone),
+                    timeout=aiohttp.ClientTimeout(total=1.0),
+                )
+            await asyncio.sleep(interval_s)
--- /dev/null
+++ b/packages/goldcrestgrade-testing/goldcrestgrade_testing/fleet_platform/fleet.py
@@ -0,0 +1,304 @@
+"""Nodes as processes on loopback, each beside a stand-in endpoint, with a stand-in store."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import dataclasses
+import itertools
+import os
+import pathlib
+import subprocess
+import sys
+import tempfile
+import time
+import typing
+
+import aiohttp
+import orjson
+
+from goldcrestgrade_testing import processes, serving
+from goldcrestgrade_testing.fleet_platform import endpoint, store
+
+HOST = "127.0.0.1"
+
+ROOT = pathlib.Path(__file__).resolve().parents[4]
+"""The checkout."""
+
+START = ROOT / "platform" / "start.py"
+"""Program that the platform starts."""
+
+HEARTBEAT_S = 0.5
+"""Time between the heartbeats of the stand-in endpoints."""
+
+READY_S = 30.0
+"""Longest wait for a node to be ready."""
+
+POLL_S = 0.05
+"""Time between looks."""
+
+HOST_NAME = "letters.example"
+"""Host of the routes."""
+
+
+class Place(typing.NamedTuple):
+    """Where an instance stands and what its endpoint serves."""
+
+    zone: str
+    region: str
+    service: str
+
+
+@dataclasses.dataclass
+class Instance:
+    """One instance: the addresses of its node, the process and the endpoint."""
+
+    name: str
+    place: Place
+    ports: dict[str, int]
+    door: store.Door
+    endpoint: endpoint.Endpoint
+    process: subprocess.Popen[bytes] | None = None
+    beating: asyncio.Task[None] | None = None
+
+    def address(self, name: str) -> str:
+        """Return one of the addresses of the node."""
+        return f"{HOST}:{self.ports[name]}"
+
+
+class Answer(typing.NamedTuple):
+    """What a client got."""
+
+    attempt: str
+    status: int
+    """0 where the connection ended without an answer."""
+    fields: typing.Mapping[str, str]
+    body: bytes
+    took_s: float
+
+
+class Fleet:
+    """A deployment on loopback; owned by one event loop."""
+
+    def __init__(self, folder: pathlib.Path) -> None:
+        self.folder = folder
+        self.store = store.Store()
+        self.instances: list[Instance] = []
+        self.former: list[endpoint.Endpoint] = []
+        """Endpoints that were replaced."""
+        self.version = 0
+        self.stack = contextlib.AsyncExitStack()
+        self.session = aiohttp.ClientSession(auto_decompress=False)
+        self.attempts = 0
+
+    async def add(self, name: str, place: Place, behaviour: endpoint.Behaviour) -> Instance:
+        """Add an instance and start its node."""
+        names = ("calls", "relay", "readiness", "heartbeats", "metrics")
+        ports = dict(zip(names, processes.free_ports(len(names)), strict=True))
+        door = store.Door()
+        ports["store"] = await self.stack.enter_async_context(serving.serving(self.store.app(door)))
+        beside = endpoint.Endpoint(f"i-{name}-1", place.service, behaviour)
+        await beside.start()
+        ports["endpoint"] = beside.raw.port
+        instance = Instance(name, place, ports, door, beside)
+        self.instances.append(instance)
+        self.start(instance)
+        self.beat(instance)
+        return instance
+
+    def start(self, instance: Instance) -> None:
+        """Start the node of an instance."""
+        path = self.folder / f"{instance.name}.json"
+        path.write_bytes(orjson.dumps(self.settings(instance)))
+        with (self.folder / f"{instance.name}.log").open("ab") as output:
+            instance.process = subprocess.Popen(
+                [sys.executable, str(START)],
+                env={**os.environ, "GOLDCRESTGRADE_SETTINGS": str(path)},
+                stdout=output,
+                stderr=subprocess.STDOUT,
+            )
+
+    def settings(self, instance: Instance) -> dict[str, typing.Any]:
+        """Return the settings of a node, as the platform writes them from the template."""
+        return {
+            "node_id": instance.name,
+            "host": HOST,
+            "region": instance.place.region,
+            "failure_domain": instance.place.zone,
+            "service": instance.place.service,
+            **{
+                name: instance.address(name)
+                for name in (
+                    "endpoint",
+                    "calls",
+                    "relay",
+                    "readiness",
+                    "heartbeats",
+                    "metrics",
+                    "store",
+                )
+            },
+            "heartbeat_s": f"{HEARTBEAT_S}s",
+            "resend_slack": 56,
+        }
+
+    def beat(self, instance: Instance) -> None:
+        """Have the endpoint tell its node of itself."""
+        instance.beating = asyncio.create_task(
+            endpoint.beat_forever(
+                instance.endpoint,
+                instance.address("endpoint"),
+                instance.place.zone,
+                instance.address("heartbeats"),
+                HEARTBEAT_S,
+            )
+        )
+
+    async def replace_endpoint(self, instance: Instance, endpoint_id: str) -> None:
+        """Crash the endpoint of an instance and start another one at its address."""
+        assert instance.beating is not None
+        instance.beating.cancel()
+        await instance.endpoint.stop()
+        self.former.append(instance.endpoint)
+        new = endpoint.Endpoint(
+            endpoint_id, instance.place.service, endpoint.Behaviour(work_s=0.02)
+        )
+        await new.start(instance.ports["endpoint"])
+        instance.endpoint = new
+        self.beat(instance)
+
+    def configure(self, *routes: dict[str, typing.Any]) -> None:
+        """Write a configuration with `routes` as the operator does."""
+        self.version += 2
+        services = sorted({instance.place.service for instance in self.instances})
+        self.store.write(
+            "op",
+            "config",
+            {
+                "version": self.version,
+                "limits": {"max_body_bytes": 65536, "idle_timeout": "15000ms"},
+                "listeners": [{"hostname": HOST_NAME, "rules": list(routes)}],
+                "clusters": [
+                    {"name": name, "health_path": "/healthz", "max_connections": 220}
+                    for name in services
+                ],
+            },
+        )
+
+    async def wait_ready(self, instances: typing.Sequence[Instance] = ()) -> None:
+        """Wait until nodes say that they are ready; raises `TimeoutError`."""
+        async with asyncio.timeout(READY_S):
+            for instance in instances or self.instances:
+                while not await self.ready(instance):
+                    await asyncio.sleep(POLL_S)
+
+    async def wait_served(self) -> None:
+        """Wait until each node reaches an endpoint of each service; raises `TimeoutError`."""
+        services = sorted({instance.place.service for instance in self.instances})
+        async with asyncio.timeout(READY_S):
+            for instance, service in itertools.product(self.instances, services):
+                while (await self.call(instance, f"/{service}/")).status != 200:
+                    await asyncio.sleep(POLL_S)
+
+    async def ready(self, instance: Instance) -> bool:
+        """Tell whether a node says that it is ready."""
+        try:
+            async with self.session.get(
+                f"http://{instance.address('readiness')}/-/readyz"
+            ) as response:
+                return response.status == 200
+        except (aiohttp.ClientError, OSError):
+            return False
+
+    async def call(
+        self,
+        instance: Instance,
+        path: str,
+        method: str = "GET",
+        deadline_ms: int = 2000,
+        attempt: str | None = None,
+    ) -> Answer:
+        """Send one request as a client on an instance does."""
+        self.attempts += 1
+        attempt = attempt or f"try-{self.attempts}"
+        started = time.monotonic()
+        try:
+            async with self.session.request(
+                method,
+                f"http://{instance.address('calls')}{path}",
+                headers={
+                    "host": HOST_NAME,
+                    "x-attempt-id": attempt,
+                    "x-deadline-ms": str(deadline_ms),
+                    "x-caller-service": "forged",
+                },
+                data=b"request" if method == "POST" else None,
+                timeout=aiohttp.ClientTimeout(total=deadline_ms / 1000 + 1),
+            ) as response:
+                body = await response.read()
+                fields = {name.lower(): value for name, value in response.headers.items()}
+                status = response.status
+        except (aiohttp.ClientError, OSError, TimeoutError):
+            status, fields, body = 0, {}, b""
+        return Answer(attempt, status, fields, body, time.monotonic() - started)
+
+    def runs(self, attempt: str) -> int:
+        """Return how often endpoints began to work on a client's try."""
+        known = [*self.former, *(instance.endpoint for instance in self.instances)]
+        return sum(beside.runs[attempt] for beside in known)
+
+    def log(self, instance: Instance) -> str:
+        """Return what the node of an instance has written."""
+        return (self.folder / f"{instance.name}.log").read_text("utf-8")
+
+    async def close(self) -> None:
+        """End everything that this fleet started."""
+        for instance in self.instances:
+            if instance.beating is not None:
+                instance.beating.cancel()
+        processes.stop_at_once(
+            instance.process for instance in self.instances if instance.process is not None
+        )
+        for instance in self.instances:
+            await instance.endpoint.stop()
+        self.store.close()
+        await self.session.close()
+        await self.stack.aclose()
+
+
+def route(
+    name: str, prefix: str, parts: dict[str, int], once: bool = False, **action: typing.Any
+) -> dict[str, typing.Any]:
+    """Return a rule of a configuration."""
+    split = [{"service": service, "weight": weight} for service, weight in parts.items()]
+    to = {"traffic_split": split} if len(split) > 1 else {"service": split[0]["service"]}
+    return {
+        "name": name,
+        "route_type": "non_idempotent" if once else "idempotent",
+        "target_latency": "400ms",
+        "priority": 1,
+        "match": {"prefix": prefix},
+        "action": {**to, "timeout": "1000ms", "attempts": 2, **action},
+    }
+
+
+@contextlib.asynccontextmanager
+async def running(
+    places: typing.Mapping[str, Place], work_s: float = 0.02
+) -> typing.AsyncIterator[Fleet]:
+    """Run a fleet with an instance for each of `places`, by name, and a first configuration."""
+    with tempfile.TemporaryDirectory() as folder:
+        fleet = Fleet(pathlib.Path(folder))
+        try:
+            for name, place in places.items():
+                await fleet.add(name, place, endpoint.Behaviour(work_s=work_s))
+            services = sorted({place.service for place in places.values()})
+            fleet.configure(
+                *(route(f"read-{s}", f"/{s}/", {s: 1}) for s in services),
+                *(route(f"file-{s}", f"/{s}/file/", {s: 1}, once=True) for s in services),
+            )
+            await fleet.wait_ready()
+            await fleet.wait_served()
+            yield fleet
+        finally:
+            await fleet.close()
--- /dev/null
+++ b/packages/goldcrestgrade-testing/goldcrestgrade_testing/fleet_platform/store.py
@@ -0,0 +1,195 @@
+"""Stand-in of the platform's metadata store, over HTTP, with its faults."""
+
+from __future__ import annotations
+
+import asyncio
+import base64
+import collections
+import dataclasses
+import enum
+import time
+import typing
+import urllib.parse
+
+import orjson
+
+from goldcrestgrade import outcomes
+from goldcrestgrade_node import asgi
+
+MAX_ROWS = 500
+"""Largest number of rows in one answer."""
+
+MAX_WAIT_MS = 30_000
+"""Longest wait for changes."""
+
+Row = dict[str, typing.Any]
+Place = tuple[str, str, str]
+"""Table, part and key."""
+
+
+class Outage(enum.StrEnum):
+    """How the store fails the calls that come through one door."""
+
+    NONE = "none"
+    BUSY = "busy"
+    """503: nothing was done."""
+    SILENT = "silent"
+    """No answer, and nothing is done."""
+    LOST = "lost"
+    """Calls are done and not answered."""
+    LATE = "late"
+    """Writes are done a second later and not answered."""
+
+
+@dataclasses.dataclass
+class Door:
+    """How the store treats the calls that come through one address."""
+
+    outage: Outage = Outage.NONE
+    delay_s: float = 0.0
+
+
+class Store:
+    """Rows and their history; owned by one event loop."""
+
+    def __init__(self, calls_per_s: float = float("inf")) -> None:
+        self.rows: dict[Place, Row] = {}
+        self.history: list[Row] = []
+        self.version = 0
+        self.forgotten = 0
+        """Version up to which the history is gone."""
+        self.changed = asyncio.Event()
+        self.closed = False
+        self.calls: collections.Counter[str] = collections.Counter()
+        self.calls_per_s = calls_per_s
+        self.second = 0
+        self.in_second = 0
+
+    def write(self, table: str, key: str, value: typing.Any) -> None:
+        """Write a row as the operator does."""
+        text = base64.b64encode(orjson.dumps(value)).decode()
+        self._apply({"writes": [{"table": table, "part": "", "key": key, "value": text}]})
+
+    def forget(self) -> None:
+        """Drop the history."""
+        self.history.clear()
+        self.forgotten = self.version
+        self._announce()
+
+    def close(self) -> None:
+        """End all waits for changes."""
+        self.closed = True
+        self._announce()
+
+    def app(self, door: Door) -> asgi.App:
+        """Return the application of one door."""
+
+        async def serve(scope: asgi.Scope, receive: asgi.Receive, send: asgi.Send) -> None:
+            body = await asgi.read_body(receive) or b""
+            path: str = scope["path"]
+            self.calls[path] += 1
+            await asyncio.sleep(door.delay_s)
+            if door.outage == Outage.SILENT:
+                await asgi.wait_disconnected(receive)
+                return
+            if door.outage == Outage.BUSY:
+                await asgi.send_plain(send, outcomes.Answer(503, (), b""), close=False)
+                return
+            if self._over_rate():
+                await asgi.send_plain(send, outcomes.Answer(429, (), b""), close=False)
+                return
+            if door.outage == Outage.LATE:
+                await asyncio.sleep(1.0)
+            query = dict(urllib.parse.parse_qsl(scope["query_string"].decode()))
+            status, document = await self._answer(path, query, body)
+            if door.outage in (Outage.LOST, Outage.LATE):
+                await asgi.wait_disconnected(receive)
+                return
+            fields = (("content-type", "application/json"),)
+            answer = outcomes.Answer(status, fields, orjson.dumps(document))
+            await asgi.send_plain(send, answer, close=False)
+
+        return serve
+
+    async def _answer(
+        self, path: str, query: dict[str, str], body: bytes
+    ) -> tuple[int, typing.Any]:
+        now = f"{round(time.monotonic() * 1000)}ms"
+        match path:
+            case "/-/rows-tx":
+                status, document = self._transact(orjson.loads(body))
+            case "/-/rows-get":
+                status, document = 200, self._get(query)
+            case "/-/rows-feed":
+                status, document = await self._feed(query)
+            case _:
+                status, document = 404, {}
+        return status, {"ver": self.version, "now": now, **document}
+
+    def _transact(self, document: Row) -> tuple[int, Row]:
+        failed = [
+            self.rows.get(_place(row), {**_named(row), "ver": 0})
+            for row in document.get("expected", ())
+            if self.rows.get(_place(row), {"ver": 0})["ver"] != row["ver"]
+        ]
+        if failed:
+            return 412, {"rows": [row for row in failed if row["ver"]]}
+        self._apply(document)
+        return 200, {}
+
+    def _apply(self, document: Row) -> None:
+        self.version += 1
+        for row in document.get("writes", ()):
+            self.rows[_place(row)] = {**row, "ver": self.version}
+            self.history.append(self.rows[_place(row)])
+        for row in document.get("remove", ()):
+            if self.rows.pop(_place(row), None) is not None:
+                self.history.append({**_named(row), "removed": True, "ver": self.version})
+        self._announce()
+
+    def _announce(self) -> None:
+        self.changed.set()
+        self.changed = asyncio.Event()
+
+    def _get(self, query: dict[str, str]) -> Row:
+        limit = min(MAX_ROWS, int(query.get("limit", MAX_ROWS)))
+        found = [
+            row
+            for (table, part, key), row in sorted(self.rows.items())
+            if table == query["table"]
+            and part == query.get("part", "")
+            and key >= query.get("from", "")
+            and ("to" not in query or key < query["to"])
+        ]
+        return {"rows": found[:limit], "has_more": len(found) > limit}
+
+    async def _feed(self, query: dict[str, str]) -> tuple[int, Row]:
+        after = int(query["after"])
+        wait_s = min(MAX_WAIT_MS, int(query.get("wait_ms", 0))) / 1000
+        try:
+            async with asyncio.timeout(wait_s):
+                while not (found := self._since(query["table"], after)) and not self.closed:
+                    if after < self.forgotten:
+                        return 410, {}
+                    await self.changed.wait()
+        except TimeoutError:
+            found = []
+        return (410, {}) if after < self.forgotten else (200, {"rows": found})
+
+    def _since(self, table: str, after: int) -> list[Row]:
+        return [row for row in self.history if row["table"] == table and row["ver"] > after]
+
+    def _over_rate(self) -> bool:
+        second = int(time.monotonic())
+        if second != self.second:
+            self.second, self.in_second = second, 0
+        self.in_second += 1
+        return self.in_second > self.calls_per_s
+
+
+def _place(row: Row) -> Place:
+    return row["table"], row.get("part", ""), row["key"]
+
+
+def _named(row: Row) -> Row:
+    return {name: row.get(name, "") for name in ("table", "part", "key")}
