Take short requests while they end before their deadline, ahead of long ones

Change: a request of at most 0.6 of the mean time is judged by its deadline and starts before longer ones of its rank.

--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/admission.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/admission.py
@@ -36,6 +36,12 @@
 CHECK_AGE_S = 0.08
 """Age of the pace from which a health check is worth its price while it decides on requests."""
 
+SHORT_SHARE = 0.6
+"""Share of the mean time of all requests up to which a request counts as short."""
+
+DEADLINE_SHARE = 0.9
+"""Share of the time to the deadline in which a short request must be expected to end."""
+
 LATE_QUEUE_FACTOR = 0.0
 """Waiting requests, in multiples of the slots, beside which a late request is still taken."""
 
@@ -78,6 +84,8 @@
     """A request that waits; ordered by rank and arrival."""
 
     priority: int
+    long: bool
+    """Short requests start before long ones of the same rank."""
     number: int
     ticket: Ticket
     admitted: asyncio.Future[Rejected | None]
@@ -160,7 +168,9 @@
             self._start()
             return None
         admitted: asyncio.Future[Rejected | None] = asyncio.get_running_loop().create_future()
-        heapq.heappush(self.waiting, Waiter(ticket.priority, next(self.numbers), ticket, admitted))
+        long = not self._is_short(ticket)
+        waiter = Waiter(ticket.priority, long, next(self.numbers), ticket, admitted)
+        heapq.heappush(self.waiting, waiter)
         try:
             async with asyncio.timeout(self._latest_start(ticket) - self.clocks.monotonic()):
                 return await admitted
@@ -175,8 +185,25 @@
 
     def _latest_start(self, ticket: Ticket) -> instants.Instant:
         """Return when a waiting request can no longer come in time."""
-        needs_s = self.typical_s.get(ticket.name, self.mean_s)
-        return min(ticket.deadline, max(self.clocks.monotonic(), ticket.target_at - needs_s))
+        needs_s = self._needs_s(ticket)
+        return min(ticket.deadline, max(self.clocks.monotonic(), self._end_by(ticket) - needs_s))
+
+    def _needs_s(self, ticket: Ticket) -> float:
+        return self.typical_s.get(ticket.name, self.mean_s)
+
+    def _is_short(self, ticket: Ticket) -> bool:
+        """Tell whether a request takes so little room that it is worth an answer also when late.
+
+        Endpoints call each other with such requests, and a refusal wastes the work of the caller.
+        """
+        return self._needs_s(ticket) <= SHORT_SHARE * self.mean_s
+
+    def _end_by(self, ticket: Ticket) -> instants.Instant:
+        """Return when a request must be expected to end to be taken."""
+        if not self._is_short(ticket):
+            return ticket.target_at
+        now = self.clocks.monotonic()
+        return max(ticket.target_at, now + DEADLINE_SHARE * (ticket.deadline - now))
 
     def _start(self) -> None:
         if self.running == 0:
@@ -227,15 +254,16 @@
     def _judge(self, ticket: Ticket) -> Rejected | None:
         self.waiting = [waiter for waiter in self.waiting if not waiter.admitted.done()]
         heapq.heapify(self.waiting)
-        ahead = sum(waiter.priority <= ticket.priority for waiter in self.waiting)
+        rank = ticket.priority, not self._is_short(ticket)
+        ahead = sum((waiter.priority, waiter.long) <= rank for waiter in self.waiting)
         return self._too_late(ticket, ahead)
 
     def _too_late(self, ticket: Ticket, ahead: int) -> Rejected | None:
         now = self.clocks.monotonic()
         pace = self.current_pace()
-        needs_s = self.typical_s.get(ticket.name, self.mean_s)
+        needs_s = self._needs_s(ticket)
         expected = estimate(self.running, ahead, self.slots, self.mean_s, needs_s, pace)
-        in_time = now + expected.end_s <= ticket.target_at
+        in_time = now + expected.end_s <= self._end_by(ticket)
         if in_time or (
             ticket.late_allowed
             and now + expected.end_s <= ticket.deadline
--- a/packages/goldcrestgrade-node/tests/mesh/test_admission.py
+++ b/packages/goldcrestgrade-node/tests/mesh/test_admission.py
@@ -127,3 +127,20 @@
     assert gate.running == 2
     gate.leave()
     assert gate.running == 1
+
+
+async def test_short_request_is_taken_though_late_and_starts_before_long_ones(gate, clock):
+    gate.note_time("route", 0.1)
+    gate.note_time("short", 0.01)
+    for _ in range(2):
+        await gate.enter(ticket(clock))
+    long = asyncio.create_task(gate.enter(ticket(clock)))
+    await asyncio.sleep(0)
+    late = ticket(clock, target_s=0.001, deadline_s=0.25)._replace(name="short")
+    short = asyncio.create_task(gate.enter(late))
+    await asyncio.sleep(0)
+    gate.leave()
+    await asyncio.sleep(0)
+    assert short.done() and not long.done()
+    assert short.result() is None
+    long.cancel()
