--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/run.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/run.py
@@ -77,6 +77,7 @@
         gc.collect()
         gc.freeze()
         gc.set_threshold(GC_THRESHOLD)
+        gc.enable()
         await _serve(config, parts, apps(parts), reloading)
 
 
