--- a/Makefile
+++ b/Makefile
@@ -20,13 +20,14 @@
 	$(BIN)/python -m pytest -n 6 -rxX
 
 lint: install ## Check format, lint and types
-	$(BIN)/ruff format --check packages conftest.py
-	$(BIN)/ruff check packages conftest.py
+	$(BIN)/ruff format --check packages platform conftest.py
+	$(BIN)/ruff check packages platform conftest.py
 	$(BIN)/mypy $(foreach p,$(PACKAGES),packages/$(p)/$(subst -,_,$(p)))
+	cd platform && MYPYPATH=../packages/goldcrestgrade:../packages/goldcrestgrade-node ../$(BIN)/mypy --config-file ../pyproject.toml goldcrestgrade_adapter
 
 format: install ## Format the sources
-	$(BIN)/ruff format packages
-	$(BIN)/ruff check --fix packages
+	$(BIN)/ruff format packages platform
+	$(BIN)/ruff check --fix packages platform
 
 demo: install ## Run the Letters Desk on loopback for half a minute
 	$(BIN)/python -m goldcrestgrade_testing.demo --seed=$(SEED)
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/relay.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/relay.py
@@ -62,11 +62,10 @@
         text = by_name.get(headers.RELAY.encode(), "")
         call = requests.decode(text, attempt_id, message, self.clocks.monotonic())
         if call is None or body is None:
-            served = requests.Served(
-                outcomes.NotRun(reasons.Refusal.INVALID_REQUEST), None, arrived=False
-            )
-        else:
-            served = await self._serve_watched(call, receive)
+            refused = outcomes.NotRun(reasons.Refusal.INVALID_REQUEST)
+            await self._answer(send, requests.Served(refused, None, arrived=False), attempt_id)
+            return
+        served = await self._serve_watched(call, receive)
         if served is not None:
             await self._answer(send, served, attempt_id)
 
--- a/packages/goldcrestgrade-testing/goldcrestgrade_testing/fleet_platform/endpoint.py
+++ b/packages/goldcrestgrade-testing/goldcrestgrade_testing/fleet_platform/endpoint.py
@@ -24,7 +24,7 @@
 
     kind: str
     """`cut`, `reset`, `spoiled`, `doubled`, `unframed`, `lost` or `late`."""
-    count: int
+    times: int
 
 
 @dataclasses.dataclass
@@ -84,7 +84,7 @@
 
     def break_next(self, fault: Fault) -> None:
         """Have the next answers go wrong."""
-        self.faults.extend([fault.kind] * fault.count)
+        self.faults.extend([fault.kind] * fault.times)
 
     def heartbeat(self, address: str, zone: str) -> dict[str, typing.Any]:
         """Return the next heartbeat."""
