Charge a repeated call to the budget once per arrival

Change: the budget is paid for an arrival, not for each instance tried; the age of the load in the log is that at the decision.

--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/dispatch.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/dispatch.py
@@ -43,6 +43,8 @@
     tried: set[str] = dataclasses.field(default_factory=set)
     arrivals: int = 0
     """Endpoints that have seen the call."""
+    paid: bool = False
+    """Whether the budget has allowed one more arrival that has not happened yet."""
     sent_back: int = 0
     retry_at: instants.Instant = 0.0
     """Earliest instant at which a node that sent the call back may take it."""
@@ -91,7 +93,8 @@
             chosen = self._choose(call, progress, now)
             if chosen is None:
                 return progress.last or self._none_left(call, progress, now)
-            if progress.arrivals and not budget.take(now):
+            progress.paid = progress.paid or (progress.arrivals > 0 and budget.take(now))
+            if progress.arrivals and not progress.paid:
                 self.counts.events[reasons.Refusal.RETRY_BUDGET_SPENT] += 1
                 return progress.last or outcomes.NotRun(
                     reasons.Refusal.RETRY_BUDGET_SPENT, now + NO_INSTANCE_RETRY_S
@@ -122,6 +125,7 @@
         progress.tried.add(instance.row.node_id)
         instance.in_flight += 1
         started = self.clocks.monotonic()
+        load_age_s = min(999.0, started - instance.load_at)
         served: requests.Served | None = None
         try:
             served = await self.serve(instance, call._replace(late_allowed=not chosen.in_time))
@@ -136,7 +140,7 @@
                 "distance": placement.distance(self.place, instance.row.place),
                 "expected_s": round(chosen.expected_s, 3),
                 "in_time": chosen.in_time,
-                "load_age_s": round(min(999.0, started - instance.load_at), 3),
+                "load_age_s": round(load_age_s, 3),
                 "took_s": round(now - started, 3),
                 "outcome": "unreached" if served is None else served.outcome.tag,
             },
@@ -173,6 +177,7 @@
     ) -> outcomes.Outcome | None:
         """Take in how a node ended a call and return its outcome, or none to send it again."""
         progress.arrivals += served.arrived
+        progress.paid = progress.paid and not served.arrived
         spent = progress.arrivals >= attempts
         match served.outcome:
             case outcomes.NotRun(reason=reason, retry_at=retry_at):
