--- a/packages/goldcrestgrade-operator/goldcrestgrade_operator/command_table.py
+++ b/packages/goldcrestgrade-operator/goldcrestgrade_operator/command_table.py
@@ -43,8 +43,8 @@
     "endpoints": Command("", "Show the endpoints by service.", NONE, endpoints.run),
     "drain": Command("NODE_ID", "Have the endpoint beside a node leave.", ONE, drain.run),
     "explain": Command(
-        "REASON | SERVICE METHOD PATH",
-        "Explain a reason, or how the sheet in force treats a request.",
+        "REASON | SERVICE METHOD PATH | REQUEST_ID --logs=FILES",
+        "Explain a reason, how the sheet in force treats a request, or what became of one.",
         frozenset({1, 3}),
         explain.run,
     ),
--- a/packages/goldcrestgrade-operator/goldcrestgrade_operator/commands/explain.py
+++ b/packages/goldcrestgrade-operator/goldcrestgrade_operator/commands/explain.py
@@ -1,4 +1,4 @@
-"""Explains a reason, or how the sheet in force treats a request."""
+"""Explains a reason, how the sheet in force treats a request, or what became of a request."""
 
 from __future__ import annotations
 
@@ -6,7 +6,7 @@
 import typing
 
 from goldcrestgrade import exceptions, sheet
-from goldcrestgrade_operator import explanations, options, output, platforms
+from goldcrestgrade_operator import explanations, options, output, platforms, request_logs
 from goldcrestgrade_operator.sheets import acceptance
 
 
@@ -31,7 +31,9 @@
 
 
 def run(arguments: typing.Sequence[str], given: options.Options) -> int:
-    """Print the explanation of `REASON` or of `SERVICE METHOD PATH`; raises `UserError`."""
+    """Print the explanation of a reason, a kind of request or a request; raises `UserError`."""
+    if given.logs:
+        return _explain_request(arguments[0], given)
     if len(arguments) == 1:
         found: list[ReasonExplanation] | list[KindExplanation] = explain_reason(arguments[0])
     else:
@@ -44,6 +46,16 @@
     return 0
 
 
+def _explain_request(request_id: str, given: options.Options) -> int:
+    lines = request_logs.join(given.logs, request_id)
+    if not lines:
+        raise exceptions.UserError(f"no line of request {request_id!r} in these files")
+    rows = [(line.time, line.node, line.message, line.inputs) for line in lines]
+    table = output.Table(request_id, ("time", "node", "decision", "inputs and outcome"), rows)
+    output.show([line._asdict() for line in lines], table, given.as_json)
+    return 0
+
+
 def explain_reason(reason: str) -> list[ReasonExplanation]:
     """Return each meaning of `reason`; raises `UserError` for one that does not exist."""
     found = [
--- a/packages/goldcrestgrade-operator/goldcrestgrade_operator/explanations.py
+++ b/packages/goldcrestgrade-operator/goldcrestgrade_operator/explanations.py
@@ -90,6 +90,22 @@
         "The table service did not answer a claim in time.",
         "Look at the platform's latency and write rate.",
     ),
+    reasons.Refusal.NO_ROUTE: Explanation(
+        "No route of the configuration in force matches the host and the path.",
+        "Compare the `configuration` of the log line with the version that was written.",
+    ),
+    reasons.Refusal.EXPIRED_WAITING: Explanation(
+        "The deadline passed before an endpoint had room.",
+        "Look at the load in the lines of the request; add endpoints if it stays.",
+    ),
+    reasons.Refusal.CRASHES_ENDPOINTS: Explanation(
+        "The request ended several endpoints that began to run it.",
+        "Look for `endpoint ended while it ran requests`; mend the endpoint.",
+    ),
+    reasons.Refusal.NODE_STOPPING: Explanation(
+        "The node beside the endpoint had been told to stop.",
+        "None; the request may go to another instance at once.",
+    ),
 }
 """Explanation of each refusal; a refused request did not run and will not."""
 
--- a/packages/goldcrestgrade-operator/goldcrestgrade_operator/options.py
+++ b/packages/goldcrestgrade-operator/goldcrestgrade_operator/options.py
@@ -46,6 +46,8 @@
     wait_timeout_s: float = DEFAULT_WAIT_TIMEOUT_S
     limit: int = DEFAULT_LIMIT
     as_json: bool = False
+    logs: tuple[pathlib.Path, ...] = ()
+    """Log files of nodes."""
 
 
 def define() -> flags.FlagValues:
@@ -102,6 +104,13 @@
         upper_bound=MAX_LIMIT,
         flag_values=values,
     )
+    flags.DEFINE_list(
+        "logs",
+        [],
+        "With explain, log files of nodes, separated by commas, to join the lines of a request "
+        "from.",
+        flag_values=values,
+    )
     flags.DEFINE_bool("json", False, "Print JSON instead of tables.", flag_values=values)
     return values
 
@@ -119,6 +128,7 @@
         wait_timeout_s=given["wait_timeout_s"],
         limit=given["limit"],
         as_json=given["json"],
+        logs=tuple(map(pathlib.Path, given["logs"])),
     )
 
 
--- /dev/null
+++ b/packages/goldcrestgrade-operator/goldcrestgrade_operator/request_logs.py
@@ -0,0 +1,75 @@
+"""Log lines of one request, joined across the log files of several nodes."""
+
+from __future__ import annotations
+
+import collections.abc
+import datetime
+import pathlib
+import typing
+
+import orjson
+
+from goldcrestgrade import exceptions
+
+HIDDEN = frozenset({"time", "level", "logger", "message", "node_id", "request_id"})
+"""Fields that have a column of their own or are the same in each line."""
+
+
+class Line(typing.NamedTuple):
+    """One decision on a request."""
+
+    time: str
+    node: str
+    message: str
+    inputs: str
+    """Remaining fields of the line, as JSON."""
+
+
+def join(paths: collections.abc.Iterable[pathlib.Path], request_id: str) -> list[Line]:
+    """Return the lines of `request_id` in `paths` by time; raises `UserError`.
+
+    Text before the JSON object of a line, such as the name of an instance, is passed over.
+    """
+    found = [
+        document
+        for path in paths
+        for document in _documents(path, request_id)
+        if document.get("request_id") == request_id
+    ]
+    return [_line(document) for document in sorted(found, key=lambda d: str(d.get("time")))]
+
+
+def _documents(
+    path: pathlib.Path, request_id: str
+) -> collections.abc.Iterator[dict[str, typing.Any]]:
+    try:
+        with path.open("rb") as lines:
+            for line in lines:
+                _, brace, rest = line.partition(b"{")
+                if request_id.encode() not in line or not brace:
+                    continue
+                try:
+                    yield orjson.loads(brace + rest)
+                except orjson.JSONDecodeError:
+                    # The last line of a process that ended may be cut.
+                    continue
+    except OSError as error:
+        raise exceptions.UserError(f"{path}: {error.strerror}") from error
+
+
+def _line(document: dict[str, typing.Any]) -> Line:
+    inputs = {name: value for name, value in document.items() if name not in HIDDEN}
+    return Line(
+        time=_time(document.get("time")),
+        node=str(document.get("node_id", "")),
+        message=str(document.get("message", "")),
+        inputs=orjson.dumps(inputs).decode(),
+    )
+
+
+def _time(value: typing.Any) -> str:
+    text = str(value).replace(",", ".")
+    try:
+        return datetime.datetime.fromisoformat(text).time().isoformat("milliseconds")
+    except ValueError:
+        return text
--- a/packages/goldcrestgrade-operator/tests/test_commands.py
+++ b/packages/goldcrestgrade-operator/tests/test_commands.py
@@ -263,3 +263,11 @@
         process.stdout.close()
         assert process.stderr.read() == b""
     assert process.returncode == 0
+
+
+def test_explain_joins_the_log_lines_of_a_request(command, tmp_path):
+    path = tmp_path / "node.log"
+    path.write_text('{"time":"t","message":"call refused","node_id":"a","request_id":"82f6"}\n')
+    status, out, _ = command("explain", "82f6", f"--logs={path}", "--json")
+    assert status == 0 and "call refused" in out
+    assert command("explain", "other", f"--logs={path}")[0] == 1
--- /dev/null
+++ b/packages/goldcrestgrade/tests/test_log_output.py
@@ -0,0 +1,82 @@
+"""Log lines that never block and stay within a budget."""
+
+import logging
+import os
+
+from goldcrestgrade import log_output
+
+
+def record(level=logging.INFO, text="text"):
+    return logging.makeLogRecord({"levelno": level, "levelname": "X", "msg": text})
+
+
+class Clock:
+    def __init__(self):
+        self.now = 0.0
+
+    def __call__(self):
+        return self.now
+
+
+def handler_of(pipe, clock):
+    handler = log_output.BoundedHandler(pipe[1], clock)
+    handler.setFormatter(logging.Formatter("%(message)s"))
+    return handler
+
+
+def read(descriptor):
+    os.set_blocking(descriptor, False)
+    try:
+        return os.read(descriptor, 1 << 20).decode().splitlines()
+    except BlockingIOError:
+        return []
+
+
+def test_reader_that_does_not_read_blocks_nothing_and_memory_stays_bounded():
+    pipe = os.pipe()
+    handler = handler_of(pipe, clock := Clock())
+    for _ in range(5000):
+        clock.now += 1.0
+        handler.emit(record(text="x" * 1000))
+    assert len(handler.pending) <= log_output.MAX_PENDING_BYTES + 2000
+    assert handler.dropped > 0
+
+
+def test_lines_beyond_the_budget_are_dropped_and_counted():
+    pipe = os.pipe()
+    handler = handler_of(pipe, clock := Clock())
+    for _ in range(2000):
+        handler.emit(record())
+    written = len(read(pipe[0]))
+    assert written <= log_output.BURST_LINES
+    clock.now += 10.0
+    handler.emit(record(text="later"))
+    assert read(pipe[0]) == ["log lines dropped", "later"]
+
+
+def test_warnings_are_written_where_other_lines_have_used_their_part():
+    pipe = os.pipe()
+    handler = handler_of(pipe, Clock())
+    for _ in range(2000):
+        handler.emit(record())
+    read(pipe[0])
+    handler.emit(record(logging.WARNING, "store lost"))
+    assert read(pipe[0])[-1] == "store lost"
+
+
+def test_latest_records_are_kept_whether_or_not_they_were_written():
+    pipe = os.pipe()
+    handler = handler_of(pipe, Clock())
+    for number in range(3000):
+        handler.emit(record(text=str(number)))
+    dump = handler.dump().splitlines()
+    assert len(dump) == log_output.RECENT_RECORDS
+    assert dump[-1] == "2999"
+
+
+def test_reader_that_went_away_ends_nothing():
+    pipe = os.pipe()
+    handler = handler_of(pipe, Clock())
+    os.close(pipe[0])
+    handler.emit(record())
+    handler.emit(record())
--- /dev/null
+++ b/packages/goldcrestgrade/tests/test_routes.py
@@ -0,0 +1,39 @@
+"""Route tables."""
+
+from goldcrestgrade import routes
+
+PART = (routes.Part("archive", 1.0),)
+SERVICE = routes.Service("archive", "/healthz", 220)
+
+
+def route(name, prefix, host="letters.example", parts=PART, **changes):
+    values = {"run_once": False, "target_s": 0.4, "timeout_s": 0.8, "priority": 1, "attempts": 2}
+    return routes.Route(name, host, prefix, parts=parts, **{**values, **changes})
+
+
+def table(*given):
+    return routes.build(7, routes.Limits(), [SERVICE], given)
+
+
+def test_longest_prefix_of_the_host_is_found():
+    found = table(route("short", "/a/"), route("long", "/a/b/"), route("x", "/a/b/", "other"))
+    assert routes.find(found, "Letters.Example:80", "/a/b/c").name == "long"
+    assert routes.find(found, "letters.example", "/a/c").name == "short"
+    assert routes.find(found, "letters.example", "/b/") is None
+    assert routes.find(found, "unknown.example", "/a/") is None
+
+
+def test_every_fault_of_a_table_is_found():
+    faulty = table(
+        route("a", "no-slash"),
+        route("b", "/b/", timeout_s=0.0, attempts=0),
+        route("c", "/c/", parts=(routes.Part("unknown", 0.0),)),
+    )
+    assert sorted(str(fault) for fault in routes.check(faulty)) == [
+        "version-7:a: the prefix does not begin with a slash",
+        "version-7:b: the timeout is not positive",
+        "version-7:b: there must be at least one attempt",
+        "version-7:c: a service is not declared",
+        "version-7:c: no service has a positive weight",
+    ]
+    assert routes.check(table(route("a", "/a/"))) == []
