--- /dev/null
+++ b/packages/goldcrestgrade-node/tests/mesh/test_settings.py
@@ -0,0 +1,61 @@
+"""Settings of a node of the mesh."""
+
+import orjson
+import pytest
+
+from goldcrestgrade import exceptions
+from goldcrestgrade_node.mesh import reload, settings
+
+ADDRESSES = ("endpoint", "calls", "relay", "readiness", "heartbeats", "metrics", "store")
+
+VALID = {
+    "node_id": "n",
+    "host": "10.0.0.1",
+    "region": "r",
+    "failure_domain": "d",
+    "service": "s",
+    **dict.fromkeys(
+        ("endpoint", "calls", "relay", "readiness", "heartbeats", "metrics", "store"), "10.0.0.1:80"
+    ),
+}
+
+
+def test_defaults_stand_where_the_file_gives_none():
+    found = settings.validate(orjson.dumps({**VALID, "grace_s": None, "new": 1}), "x.json")
+    assert found.grace_s == 6.0 and found.heartbeat_s == 1.5
+
+
+def test_every_fault_is_told_with_its_place():
+    body = orjson.dumps(
+        {**VALID, "calls": "10.0.0.1", "drain_s": 2, "resend_slack": True, "node_id": ""}
+    )
+    with pytest.raises(exceptions.InvalidDocument) as raised:
+        settings.validate(body, "x.json")
+    assert {fault.place for fault in raised.value.faults} == {
+        "x.json:calls",
+        "x.json:drain_s",
+        "x.json:resend_slack",
+        "x.json:node_id",
+    }
+
+
+@pytest.mark.parametrize("body", [b"", b"[]", b"{"])
+def test_file_that_is_no_object_is_refused(body):
+    with pytest.raises(exceptions.InvalidDocument):
+        settings.validate(body, "x.json")
+
+
+def test_changed_file_is_applied_once_and_a_faulty_one_not_at_all(tmp_path):
+    path = tmp_path / "x.json"
+    path.write_bytes(orjson.dumps(VALID))
+    applied = []
+    reloading = reload.Reload(path, settings.load(path), applied.append)
+    reloading.look()
+    assert applied == []
+    path.write_bytes(b"{}")
+    reloading.look()
+    assert applied == []
+    path.write_bytes(orjson.dumps({**VALID, "grace_s": "9s"}))
+    reloading.look()
+    reloading.look()
+    assert [found.grace_s for found in applied] == [9.0]
--- /dev/null
+++ b/packages/goldcrestgrade-node/tests/mesh/test_transfer.py
@@ -0,0 +1,163 @@
+"""One request and its whole answer, on real sockets."""
+
+import asyncio
+import socket
+import struct
+
+import pytest
+
+from goldcrestgrade import reasons
+from goldcrestgrade_node.attempts import exchanges, results
+from goldcrestgrade_node.mesh import connections, transfer
+from goldcrestgrade_testing import raw_endpoint
+
+ECHO = "x-try"
+
+
+def prepared(attempt="1", method="GET"):
+    return exchanges.Prepared(
+        method, "/", [], b"", attempt, streamed=False, echo_header=ECHO, unframed_allowed=True
+    )
+
+
+def reset(writer):
+    connection = writer.get_extra_info("socket")
+    connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    writer.transport.abort()
+
+
+class Sender:
+    def __init__(self, port):
+        self.kept = connections.Kept(f"127.0.0.1:{port}")
+
+    async def send(self, attempt="1", max_idle_s=5.0, wait_s=1.0, may_send=lambda: True):
+        deadline = asyncio.get_running_loop().time() + wait_s
+        return await transfer.send(self.kept, prepared(attempt), deadline, max_idle_s, may_send)
+
+
+async def answer_each(request, writer):
+    writer.write(raw_endpoint.answer(b"ok", fields=f"{ECHO}: 1\r\nkeep-alive: timeout=5\r\n"))
+
+
+async def test_connection_is_used_again():
+    async with raw_endpoint.serving(answer_each) as endpoint:
+        sender = Sender(endpoint.port)
+        for _ in range(5):
+            assert isinstance((await sender.send()).result, results.Answered)
+        assert endpoint.connections == 1
+        assert sender.kept.opened == 1
+        sender.kept.close_idle()
+
+
+async def test_connection_that_was_idle_too_long_for_a_request_is_not_used():
+    async with raw_endpoint.serving(answer_each) as endpoint:
+        sender = Sender(endpoint.port)
+        await sender.send()
+        await asyncio.sleep(0.05)
+        await sender.send(max_idle_s=0.01)
+        assert endpoint.connections == 2
+        sender.kept.close_idle()
+
+
+async def test_answer_to_another_request_that_comes_first_is_dropped():
+    async def respond(_, writer):
+        other = raw_endpoint.answer(b"other", fields=f"{ECHO}: 0\r\n")
+        writer.write(other + raw_endpoint.answer(b"own", fields=f"{ECHO}: 1\r\n"))
+
+    async with raw_endpoint.serving(respond) as endpoint:
+        sender = Sender(endpoint.port)
+        transferred = await sender.send()
+        assert transferred.result.answer.body == b"own"
+        assert transferred.skipped == 1
+        assert sender.kept.idle == []
+
+
+async def test_bytes_after_an_answer_belong_to_no_later_request():
+    async def respond(request, writer):
+        own = raw_endpoint.answer(b"own", fields=f"{ECHO}: {request.connection}\r\n")
+        writer.write(own + raw_endpoint.answer(b"more", fields=f"{ECHO}: 2\r\n"))
+
+    async with raw_endpoint.serving(respond) as endpoint:
+        sender = Sender(endpoint.port)
+        assert (await sender.send("1")).result.answer.body == b"own"
+        assert (await sender.send("2")).result.answer.body == b"own"
+
+
+async def test_answer_without_a_length_is_whole_at_its_end_and_cut_by_a_reset():
+    async def respond(request, writer):
+        writer.write(f"HTTP/1.1 200 OK\r\n{ECHO}: 1\r\n\r\npart".encode())
+        await writer.drain()
+        await asyncio.sleep(0.05)
+        if request.connection == 1:
+            writer.close()
+        else:
+            reset(writer)
+
+    async with raw_endpoint.serving(respond) as endpoint:
+        sender = Sender(endpoint.port)
+        assert (await sender.send()).result.answer.body == b"part"
+        assert isinstance((await sender.send()).result, results.Broken)
+
+
+@pytest.mark.parametrize(
+    ("sent", "reason"),
+    [
+        (b"HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\npart", reasons.Uncertainty.ANSWER_CUT),
+        (b"\x00 nothing of the kind\r\n\r\n", reasons.Uncertainty.ANSWER_INVALID),
+        (b"", reasons.Uncertainty.ANSWER_LOST),
+    ],
+)
+async def test_broken_answer_has_its_reason(sent, reason):
+    async def respond(_, writer):
+        writer.write(sent)
+        writer.close()
+
+    async with raw_endpoint.serving(respond) as endpoint:
+        transferred = await Sender(endpoint.port).send()
+        assert transferred.result.reason == reason
+
+
+async def test_silent_endpoint_ends_at_the_deadline_and_its_connection_is_closed():
+    async def respond(_, writer):
+        await asyncio.sleep(5.0)
+
+    async with raw_endpoint.serving(respond) as endpoint:
+        sender = Sender(endpoint.port)
+        transferred = await sender.send(wait_s=0.2)
+        assert transferred.result.reason == reasons.Uncertainty.TIMED_OUT
+        assert sender.kept.idle == []
+
+
+async def test_request_whose_time_has_passed_while_connecting_is_not_sent():
+    async with raw_endpoint.serving(answer_each) as endpoint:
+        transferred = await Sender(endpoint.port).send(may_send=lambda: False)
+        assert isinstance(transferred.result, results.Unreached)
+        assert endpoint.requests == []
+
+
+async def test_address_without_a_listener_was_not_reached():
+    with socket.socket() as free:
+        free.bind(("127.0.0.1", 0))
+        port = free.getsockname()[1]
+    assert (await Sender(port).send()).result == results.Unreached("refused")
+
+
+async def test_cancelled_request_closes_its_connection():
+    closed = asyncio.Event()
+
+    async def serve(reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        assert await reader.read() == b""
+        closed.set()
+        writer.close()
+
+    server = await asyncio.start_server(serve, "127.0.0.1", 0)
+    port = server.sockets[0].getsockname()[1]
+    task = asyncio.create_task(Sender(port).send(wait_s=5.0))
+    await asyncio.sleep(0.1)
+    task.cancel()
+    with pytest.raises(asyncio.CancelledError):
+        await task
+    async with asyncio.timeout(0.5):
+        await closed.wait()
+    server.close()
