--- a/Makefile
+++ b/Makefile
@@ -4,6 +4,7 @@
 PACKAGES := goldcrestgrade goldcrestgrade-node goldcrestgrade-operator goldcrestgrade-testing
 SEED ?= 1
 SCENARIO ?= all
+PLATFORM ?= own
 
 help: ## List the targets
 	@grep -hE '^[a-z-]+:.*##' $(MAKEFILE_LIST) | sed 's/:.*##/:/'
@@ -29,8 +30,12 @@
 	$(BIN)/ruff format packages platform
 	$(BIN)/ruff check --fix packages platform
 
-demo: install ## Run the Letters Desk on loopback for half a minute
+demo: install ## Run the Letters Desk on loopback for half a minute: PLATFORM=own or PLATFORM=fleet
+ifeq ($(PLATFORM),fleet)
+	$(BIN)/python -m goldcrestgrade_testing.fleet_platform.demo
+else
 	$(BIN)/python -m goldcrestgrade_testing.demo --seed=$(SEED)
+endif
 
 capacity: install ## Measure what membership and the sheet cost, and fit it over the size of the fleet
 	$(BIN)/python -m goldcrestgrade_testing.capacity --seed=$(SEED)
--- /dev/null
+++ b/packages/goldcrestgrade-testing/goldcrestgrade_testing/fleet_platform/demo.py
@@ -0,0 +1,114 @@
+"""Plays a short course on loopback against the stand-ins of the platform."""
+
+from __future__ import annotations
+
+import asyncio
+import collections
+import itertools
+import sys
+import typing
+
+from goldcrestgrade_testing.fleet_platform import endpoint, fleet, store
+
+DOMAINS = (("khomas-a", "khomas"), ("khomas-b", "khomas"), ("oshana-a", "oshana"))
+"""Failure domains and their regions."""
+
+SERVICES = ("archive", "corrections")
+
+CALLERS = 12
+"""Clients that call one request after the other."""
+
+PAUSE_S = 0.02
+"""Pause of a client between two requests."""
+
+STEP_S = 2.0
+"""Time between two steps of the course."""
+
+
+class Course:
+    """The requests of the clients and what became of them; owned by one event loop."""
+
+    def __init__(self, running: fleet.Fleet) -> None:
+        self.running = running
+        self.statuses: collections.Counter[tuple[str, int]] = collections.Counter()
+        self.broken: list[str] = []
+        self.over = False
+
+    async def call_forever(self, instance: fleet.Instance, once: bool) -> None:
+        """Call until the course is over."""
+        kind, method = ("file/", "POST") if once else ("", "GET")
+        for service in itertools.cycle(SERVICES):
+            if self.over:
+                return
+            answer = await self.running.call(instance, f"/{service}/{kind}", method)
+            self.statuses["run-once" if once else "idempotent", answer.status] += 1
+            self.check(answer, once)
+            await asyncio.sleep(PAUSE_S)
+
+    def check(self, answer: fleet.Answer, once: bool) -> None:
+        """Note each promise that an answer breaks."""
+        runs = self.running.runs(answer.attempt)
+        tests = (
+            (once and runs > 1, "a run-once request ran twice"),
+            (answer.status == 503 and runs > 0 and once, "a refused request ran"),
+            (answer.status == 503 and "retry-after" not in answer.fields, "no time to come back"),
+            (
+                answer.status == 200 and answer.body != b"body of " + answer.attempt.encode(),
+                "an answer of another request",
+            ),
+        )
+        self.broken += [f"{answer.attempt}: {text}" for wrong, text in tests if wrong]
+
+
+async def _steps(running: fleet.Fleet) -> typing.AsyncIterator[str]:
+    first, second, *_ = running.instances
+    yield "a calm time"
+    first.endpoint.break_next(endpoint.Fault("lost", 3))
+    second.endpoint.break_next(endpoint.Fault("late", 3))
+    yield "answers are lost and come late"
+    for instance in running.instances:
+        instance.door.outage = store.Outage.SILENT
+    yield "the store is silent"
+    for instance in running.instances:
+        instance.door.outage = store.Outage.NONE
+    first.endpoint.behaviour.draining = True
+    yield "an endpoint drains"
+    first.endpoint.behaviour.draining = False
+    assert second.process is not None
+    second.process.kill()
+    second.process.wait()
+    running.start(second)
+    yield "a node is killed and started again"
+    await running.wait_ready([second])
+    await running.replace_endpoint(second, "i-reborn")
+    yield "an endpoint crashes and another takes its address"
+
+
+async def run() -> int:
+    """Run the course, print a table and return the exit status."""
+    places = {
+        f"{domain}-{number}": fleet.Place(domain, region, service)
+        for domain, region in DOMAINS
+        for number, service in enumerate(SERVICES, 1)
+    }
+    async with fleet.running(places) as running:
+        course = Course(running)
+        clients = [
+            asyncio.create_task(
+                course.call_forever(running.instances[n % len(places)], once=n % 3 == 0)
+            )
+            for n in range(CALLERS)
+        ]
+        async for step in _steps(running):
+            print(step)
+            await asyncio.sleep(STEP_S)
+        course.over = True
+        await asyncio.gather(*clients)
+    for (kind, status), count in sorted(course.statuses.items()):
+        print(f"{kind:12} {status or 'no answer'!s:10} {count:6}")
+    print("\n".join(course.broken) or "every promise held")
+    return 1 if course.broken else 0
+
+
+if __name__ == "__main__":
+    sys.exit(asyncio.run(run()))
