--- a/packages/goldcrestgrade-testing/tests/fleet_platform/test_fleet.py
+++ b/packages/goldcrestgrade-testing/tests/fleet_platform/test_fleet.py
@@ -154,7 +154,12 @@
     east_1.process.kill()
     east_1.process.wait()
     running.start(east_1)
-    await asyncio.sleep(3.0)
+
+    async def listens():
+        return (await running.call(east_1, "/archive/letters")).status != 0
+
+    await eventually(listens, fleet.READY_S)
+    await asyncio.sleep(2.0)
     assert not await running.ready(east_1)
     refused = await running.call(east_1, "/archive/letters")
     assert refused.status == 503 and "retry-after" in refused.fields
