Give each worker of a test run ports of its own; remove what nobody reads

Cause: 6 of 84 runs of whole-path tests with six workers did not get a fleet; their logs, which the new error shows, say 'address already in use': about 90 ports were drawn from 11,000 by six processes at once, and a port is free until its process has started. Change: a worker draws from its own sixteenth and gives none out twice. Settings, constants and a second parser of times that nobody needed are gone; the two whole reads of the tables are one.

--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/placement.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/placement.py
@@ -26,9 +26,6 @@
 IN_TIME_SHARE = 0.8
 """Share of the time to the target latency that the expected answer may take."""
 
-MAX_QUEUE_FACTOR = 2.0
-"""Requests at an endpoint, in multiples of its slots, above which it is not chosen."""
-
 
 class Aim(typing.NamedTuple):
     """What a request needs."""
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/settings.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/settings.py
@@ -5,15 +5,11 @@
 import collections.abc
 import ipaddress
 import pathlib
-import re
 import typing
 
 import orjson
 
-from goldcrestgrade import exceptions, findings
-
-DURATION = re.compile(r"(\d+(?:\.\d+)?)(ms|s)")
-"""A time with its unit."""
+from goldcrestgrade import durations, exceptions, findings
 
 
 class Settings(typing.NamedTuple):
@@ -38,15 +34,11 @@
     """Address of metrics and of the latest log records."""
     store: str
     """Address of the platform's store."""
-    heartbeat_s: float
-    drain_s: float
     grace_s: float
     """Time between SIGTERM and SIGKILL."""
     resend_ratio: float
     resend_slack: float
     resend_window_s: float
-    contact_s: float
-    """Time after a disturbance by which a node is expected to have recovered."""
 
 
 class Field(typing.NamedTuple):
@@ -77,14 +69,6 @@
     return f"{_host(host)}:{port}"
 
 
-def duration_s(value: typing.Any) -> float:
-    """Return the seconds in a time such as `1500ms` or `2.5s`; raises `ValueError`."""
-    match = DURATION.fullmatch(value) if isinstance(value, str) else None
-    if match is None:
-        raise ValueError("must be a time such as 1500ms or 2.5s")
-    return float(match[1]) / (1000 if match[2] == "ms" else 1)
-
-
 def _number(value: typing.Any) -> float:
     if isinstance(value, bool) or not isinstance(value, int | float) or value < 0:
         raise ValueError("must be a number of at least 0")
@@ -104,13 +88,10 @@
     "heartbeats": Field(_address),
     "metrics": Field(_address),
     "store": Field(_address),
-    "heartbeat_s": Field(duration_s, 1.5),
-    "drain_s": Field(duration_s, 2.0),
-    "grace_s": Field(duration_s, 6.0),
+    "grace_s": Field(durations.seconds, 6.0),
     "resend_ratio": Field(_number, 0.2),
     "resend_slack": Field(_number, 10.0),
-    "resend_window_s": Field(duration_s, 10.0),
-    "contact_s": Field(duration_s, 3.0),
+    "resend_window_s": Field(durations.seconds, 10.0),
 }
 """How each setting is read; the defaults are those of a small deployment."""
 
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/watch.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/watch.py
@@ -48,9 +48,6 @@
 PATH = "/mesh/changes"
 """Path of the relay address at which a node tells its peers of changes."""
 
-MAX_ANSWER_BYTES = 16 << 20
-"""Largest answer of a peer."""
-
 
 class PeerError(Exception):
     """A peer did not tell of changes."""
@@ -112,12 +109,7 @@
     async def _load(self) -> None:
         """Read both tables whole, from the store."""
         while not self.complete.is_set():
-            try:
-                for table in replica.TABLES:
-                    await self._read(table)
-            except tables.ReadError as error:
-                self._store_failed(error)
-                await self._back_off()
+            await self._read_all()
 
     async def _read(self, table: str) -> None:
         told = await self.store.snapshot(table)
@@ -129,30 +121,29 @@
 
     def _source(self) -> directory.Instance | None:
         """Return the peer to ask, or none where this node is to ask the store."""
-        now = self.clocks.monotonic()
-        peers = sorted(
-            (placement_rank(self.place, instance), instance.row.node_id, instance)
-            for instance in self.known.by_id.values()
-            if instance.row.node_id != self.own_id
-            and instance.failures == 0
-            and self.shunned.get(instance.row.node_id, 0.0) <= now
-            and instance.row.place.failure_domain == self.place.failure_domain
-            and instance.row.node_id < self.own_id
+        before = (
+            peer
+            for peer in self._usable_peers()
+            if peer.row.place.failure_domain == self.place.failure_domain
+            and peer.row.node_id < self.own_id
         )
-        return peers[0][2] if peers else None
+        return min(before, key=lambda peer: peer.row.node_id, default=None)
 
     def _fallback(self) -> directory.Instance | None:
         """Return a peer to ask while the store does not answer this node."""
+        peers = self._usable_peers()
+        near = [peer for peer in peers if peer.row.place.region == self.place.region]
+        return self.rng.choice(near or peers) if peers else None
+
+    def _usable_peers(self) -> list[directory.Instance]:
         now = self.clocks.monotonic()
-        peers = [
+        return [
             instance
             for instance in self.known.by_id.values()
             if instance.row.node_id != self.own_id
             and instance.failures == 0
             and self.shunned.get(instance.row.node_id, 0.0) <= now
         ]
-        near = [peer for peer in peers if peer.row.place.region == self.place.region]
-        return self.rng.choice(near or peers) if peers else None
 
     async def _watch_store(self) -> None:
         try:
@@ -161,7 +152,7 @@
         except tables.HistoryGone:
             self._drop_questions()
             log.warning("the store forgot its history; reading all rows again")
-            await self._reread()
+            await self._read_all()
         except tables.ReadError as error:
             self._drop_questions()
             self._store_failed(error)
@@ -175,7 +166,8 @@
                 # A peer that has the news ends the wait before the store is asked again.
                 await self._watch_peer(peer, must_be_connected=False)
 
-    async def _reread(self) -> None:
+    async def _read_all(self) -> None:
+        """Read both tables whole, or wait a while where the store does not answer."""
         try:
             for table in replica.TABLES:
                 await self._read(table)
@@ -274,13 +266,6 @@
         await asyncio.sleep(limit_s * self.rng.uniform(0.5, 1.0))
 
 
-def placement_rank(place: directory.Place, instance: directory.Instance) -> int:
-    """Return how far an instance stands from `place`, nearest first."""
-    if instance.row.place.failure_domain == place.failure_domain:
-        return 0
-    return 1 if instance.row.place.region == place.region else 2
-
-
 def encode(told: tables.Changes) -> dict[str, typing.Any]:
     """Return changes in the form that peers exchange."""
     rows = [(change.key, change.version, change.value) for change in told.changes]
--- a/packages/goldcrestgrade-node/tests/mesh/test_settings.py
+++ b/packages/goldcrestgrade-node/tests/mesh/test_settings.py
@@ -22,18 +22,18 @@
 
 def test_defaults_stand_where_the_file_gives_none():
     found = settings.validate(orjson.dumps({**VALID, "grace_s": None, "new": 1}), "x.json")
-    assert found.grace_s == 6.0 and found.heartbeat_s == 1.5
+    assert found.grace_s == 6.0 and found.resend_ratio == 0.2
 
 
 def test_every_fault_is_told_with_its_place():
     body = orjson.dumps(
-        {**VALID, "calls": "10.0.0.1", "drain_s": 2, "resend_slack": True, "node_id": ""}
+        {**VALID, "calls": "10.0.0.1", "grace_s": 2, "resend_slack": True, "node_id": ""}
     )
     with pytest.raises(exceptions.InvalidDocument) as raised:
         settings.validate(body, "x.json")
     assert {fault.place for fault in raised.value.faults} == {
         "x.json:calls",
-        "x.json:drain_s",
+        "x.json:grace_s",
         "x.json:resend_slack",
         "x.json:node_id",
     }
--- a/packages/goldcrestgrade-testing/goldcrestgrade_testing/fleet_platform/fleet.py
+++ b/packages/goldcrestgrade-testing/goldcrestgrade_testing/fleet_platform/fleet.py
@@ -41,6 +41,10 @@
 """Host of the routes."""
 
 
+class NotServed(Exception):
+    """A fleet did not serve in time; the text is what its nodes have logged."""
+
+
 class Place(typing.NamedTuple):
     """Where an instance stands and what its endpoint serves."""
 
@@ -138,7 +142,6 @@
                     "store",
                 )
             },
-            "heartbeat_s": f"{HEARTBEAT_S}s",
             "resend_slack": 56,
         }
 
@@ -297,8 +300,12 @@
                 *(route(f"read-{s}", f"/{s}/", {s: 1}) for s in services),
                 *(route(f"file-{s}", f"/{s}/file/", {s: 1}, once=True) for s in services),
             )
-            await fleet.wait_ready()
-            await fleet.wait_served()
+            try:
+                await fleet.wait_ready()
+                await fleet.wait_served()
+            except TimeoutError as error:
+                logs = "\n".join(fleet.log(instance) for instance in fleet.instances)
+                raise NotServed(logs) from error
             yield fleet
         finally:
             await fleet.close()
--- a/packages/goldcrestgrade-testing/goldcrestgrade_testing/processes.py
+++ b/packages/goldcrestgrade-testing/goldcrestgrade_testing/processes.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import itertools
+import os
 import pathlib
 import random
 import signal
@@ -22,6 +23,9 @@
 PORTS = range(21_000, 32_000)
 """Ports below those that Linux gives to outgoing connections."""
 
+WORKERS = 16
+"""Parts that the ports are divided into, at least the workers of a test run."""
+
 START_TIMEOUT_S = 30.0
 """Longest wait for a process to be ready."""
 
@@ -31,14 +35,31 @@
 POLL_INTERVAL_S = 0.05
 """Time between looks at the state of a process."""
 
+_given: set[int] = set()
+"""Ports that this process gave out."""
+
 Process = subprocess.Popen[bytes]
 """A child of the test or the measurement."""
 
 
 def free_ports(count: int) -> list[int]:
-    """Return ports that are free now and that the system gives to no outgoing connection."""
-    candidates = random.SystemRandom().sample(PORTS, len(PORTS))
-    return list(itertools.islice(filter(_is_free, candidates), count))
+    """Return ports that are free now and that no other test of this run was given.
+
+    A port is bound only once its process has started, so that looking at it does not suffice: each
+    worker of the run has a part of the ports, and gives none out twice until all were.
+    """
+    if len(_given) + count > len(PORTS) // WORKERS:
+        _given.clear()
+    mine = [port for port in PORTS[_worker() :: WORKERS] if port not in _given]
+    candidates = random.SystemRandom().sample(mine, len(mine))
+    found = list(itertools.islice(filter(_is_free, candidates), count))
+    _given.update(found)
+    return found
+
+
+def _worker() -> int:
+    """Return the number of this worker of a test run, 0 outside of one."""
+    return int(os.environ.get("PYTEST_XDIST_WORKER", "gw0").removeprefix("gw")) % WORKERS
 
 
 def _is_free(port: int) -> bool:
--- a/packages/goldcrestgrade-testing/tests/fleet_platform/test_adapter.py
+++ b/packages/goldcrestgrade-testing/tests/fleet_platform/test_adapter.py
@@ -6,9 +6,9 @@
 
 import orjson
 import pytest
-from goldcrestgrade_adapter import configuration, durations, heartbeats, names, store
+from goldcrestgrade_adapter import configuration, heartbeats, names, store
 
-from goldcrestgrade import exceptions
+from goldcrestgrade import durations, exceptions
 from goldcrestgrade.storage import tables
 from goldcrestgrade_node.mesh import endpoints, replica
 from goldcrestgrade_testing import reference, serving
@@ -148,7 +148,7 @@
 def test_times_have_a_unit():
     assert durations.seconds("1500ms") == 1.5
     for wrong in ("1500", "s", "-1s", 5, None, "1 s"):
-        with pytest.raises(ValueError, match="is no time"):
+        with pytest.raises(ValueError, match="must be a time"):
             durations.seconds(wrong)
 
 
--- a/platform/goldcrestgrade_adapter/durations.py
+++ b/packages/goldcrestgrade/goldcrestgrade/durations.py
@@ -1,4 +1,4 @@
-"""Times on the wire: a number with its unit."""
+"""Times as text: a number with its unit."""
 
 from __future__ import annotations
 
@@ -9,8 +9,8 @@
 
 
 def seconds(value: typing.Any) -> float:
-    """Return the seconds in a time such as `1500ms`; raises `ValueError`."""
+    """Return the seconds in a time such as `1500ms` or `2.5s`; raises `ValueError`."""
     match = TIME.fullmatch(value) if isinstance(value, str) else None
     if match is None:
-        raise ValueError(f"{value!r} is no time")
+        raise ValueError("must be a time such as 1500ms or 2.5s")
     return float(match[1]) / (1000 if match[2] == "ms" else 1)
