--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/node.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/node.py
@@ -52,9 +52,6 @@
 GRACE_MARGIN_S = 0.7
 """Time before SIGKILL at which the node ends whatever is in flight."""
 
-TICK_S = 0.05
-"""Time between looks at what is in flight while the node stops."""
-
 DecodeTable = typing.Callable[[tables.Value], routes.RouteTable]
 """Returns the route table in a configuration; raises `InvalidDocument`."""
 
@@ -297,26 +294,19 @@
         await self.registration.run()
 
     async def drain(self) -> instants.Instant:
-        """Stop taking work and return once nothing is in flight, or shortly before SIGKILL.
+        """Send work elsewhere until clients have noticed that this node is not ready.
 
+        The servers then take nothing new, however much still comes, and end what is in flight.
         Returns the instant by which the process must have ended.
         """
         started = self.clocks.monotonic()
         self.local.stop_waiting()
         self.registration.want(None)
         limit = started + self.config.grace_s - GRACE_MARGIN_S
-        while self.clocks.monotonic() < limit:
-            quiet = not self.counts.in_flight and not self.local.running
-            if quiet and self.clocks.monotonic() >= started + READINESS_LAG_S:
-                break
-            await asyncio.sleep(TICK_S)
+        await asyncio.sleep(min(READINESS_LAG_S, limit - started))
         log.info(
-            "drain ended",
-            extra={
-                "in_flight": self.counts.in_flight,
-                "at_endpoint": len(self.local.running),
-                "took_s": round(self.clocks.monotonic() - started, 3),
-            },
+            "no more requests are taken",
+            extra={"in_flight": self.counts.in_flight, "at_endpoint": len(self.local.running)},
         )
         return limit
 
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/watch.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/watch.py
@@ -92,7 +92,7 @@
         A node that follows a peer is no source for others, or two could follow each other.
         """
         recent = self.clocks.monotonic() - self.store_answered_at < CONNECTED_S
-        return self.watches_store and recent
+        return self.watches_store and recent and not self.failures
 
     async def run(self) -> None:
         """Watch until cancelled."""
--- a/packages/goldcrestgrade-testing/tests/fleet_platform/test_fleet.py
+++ b/packages/goldcrestgrade-testing/tests/fleet_platform/test_fleet.py
@@ -18,6 +18,9 @@
 CONFIG_APPLY_S = 2.0
 """Time in which a configuration must be in force on a node that reaches the store or a peer."""
 
+GRACE_S = 6.0
+"""Time between SIGTERM and SIGKILL."""
+
 STORE_BACK_S = 2.0
 """Time after the store's return in which rows must be back."""
 
@@ -211,6 +214,30 @@
     assert await asyncio.to_thread(east_1.process.wait, 6.0) == 0
 
 
+async def test_node_that_stops_under_steady_calls_takes_no_new_ones_and_answers_the_last(running):
+    east_1 = running.instances[0]
+    for instance in running.instances:
+        instance.endpoint.behaviour.work_s = 0.3
+    answers = []
+
+    async def call_until_gone():
+        while east_1.process.poll() is None:
+            answers.append(await running.call(east_1, "/archive/letters"))
+            if answers[-1].status != 200:
+                await asyncio.sleep(0.02)
+
+    callers = [asyncio.create_task(call_until_gone()) for _ in range(6)]
+    await asyncio.sleep(0.5)
+    east_1.process.terminate()
+    stopped_at = time.monotonic()
+    assert await asyncio.to_thread(east_1.process.wait, 6.0) == 0
+    assert time.monotonic() - stopped_at < GRACE_S - 1.5
+    await asyncio.gather(*callers)
+    cut = [answer for answer in answers if answer.status == 0 and running.runs(answer.attempt)]
+    assert cut == []
+    assert {answer.status for answer in answers} <= {0, 200, 503}
+
+
 async def test_request_that_crashes_endpoints_is_refused_at_all_nodes(running):
     for instance in running.instances:
         instance.endpoint.behaviour.crash_marker = "poison"
