--- a/packages/goldcrestgrade-testing/tests/fleet_platform/test_fleet.py
+++ b/packages/goldcrestgrade-testing/tests/fleet_platform/test_fleet.py
@@ -218,6 +218,8 @@
     east_1 = running.instances[0]
     for instance in running.instances:
         instance.endpoint.behaviour.work_s = 0.3
+        instance.endpoint.behaviour.slots = 16
+    await asyncio.sleep(3 * fleet.HEARTBEAT_S)
     answers = []
 
     async def call_until_gone():
