Ignore a late heartbeat of an endpoint whose leave a restarted node heard first

Change: a leave without a known start counts for every incarnation that began before it. Measured: the new test fails before and passes after.

--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/endpoints.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/endpoints.py
@@ -100,9 +100,9 @@
         if matches and current is not None and born_ms is not None and current.born_ms > born_ms:
             return "stale"
         known_born = current.born_ms if matches and current is not None else 0
-        self.departed[endpoint_id] = max(
-            born_ms or 0, known_born, self.departed.get(endpoint_id, 0)
-        )
+        # Where no heartbeat told its start, any incarnation that began before now has left.
+        started_ms = born_ms or known_born or int(1000 * self.clocks.wall())
+        self.departed[endpoint_id] = max(started_ms, self.departed.get(endpoint_id, 0))
         self.departed.move_to_end(endpoint_id)
         while len(self.departed) > MAX_DEPARTED:
             self.departed.popitem(last=False)
--- a/packages/goldcrestgrade-node/tests/mesh/test_endpoints.py
+++ b/packages/goldcrestgrade-node/tests/mesh/test_endpoints.py
@@ -17,7 +17,7 @@
 
 @pytest.fixture
 def own():
-    clocks = instants.Clocks(lambda: 0.0, lambda: 0.0)
+    clocks = instants.Clocks(lambda: 0.0, lambda: 1.0)
     return endpoints.OwnEndpoint(OWN, clocks, lambda: None)
 
 
@@ -97,3 +97,10 @@
     assert own.usable() is None
     own.heartbeat(heartbeat(sequence=2))
     assert own.usable() is not None
+
+
+def test_late_heartbeat_after_a_leave_that_a_restarted_node_heard_first_is_ignored(own):
+    assert own.leave("a", None) == "unknown"
+    assert own.heartbeat(heartbeat(born_ms=100, sequence=24)) == "departed"
+    assert own.usable() is None
+    assert own.heartbeat(heartbeat(born_ms=1500, sequence=1)) == "first"
