Learn how many requests an endpoint should run at once

Usual times were also learned from requests in whose midst a disturbance began or ended, and from crowded ones.

Change: concurrency.Slowdowns learns the slowdown by the number of requests that run and gives the number at which most end; the gate admits up to it and tells it as its slots. Usual times come from steady pace, and from uncrowded moments where there were some.

--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/admission.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/admission.py
@@ -10,10 +10,17 @@
 import asyncio
 import heapq
 import itertools
+import logging
+import math
 import typing
 
 from goldcrestgrade import instants
-from goldcrestgrade_node.mesh import loads
+from goldcrestgrade_node.mesh import concurrency, loads
+
+log = logging.getLogger(__name__)
+
+MIN_TYPICAL_S = 0.001
+"""Shortest time that a request is taken to need, the resolution of the endpoints' clocks."""
 
 TYPICAL_START_S = 0.1
 """Time that a request is taken to need before the first one has ended."""
@@ -33,6 +40,12 @@
 DISTURBED_PACE = 1.5
 """Pace from which an endpoint counts as disturbed."""
 
+CALM_PACE = 1.2
+"""Pace up to which an endpoint counts as undisturbed, and ratio up to which two are the same."""
+
+FREE_SHARE = 0.6
+"""Share of the slots up to which requests are taken not to slow each other down."""
+
 CHECK_AGE_S = 0.08
 """Age of the pace from which a health check is worth its price while it decides on requests."""
 
@@ -75,10 +88,14 @@
 class Judgement(typing.NamedTuple):
     """What the gate knew when it admitted a request."""
 
-    load: str
+    load: loads.Load
     pace_age_s: float
     """Age of the pace in the load."""
 
+    def fields(self) -> dict[str, str | float]:
+        """Return what a log line tells of it."""
+        return {"load": loads.encode(self.load), "pace_age_s": round(self.pace_age_s, 3)}
+
 
 class Waiter(typing.NamedTuple):
     """A request that waits; ordered by rank and arrival."""
@@ -123,10 +140,15 @@
     def __init__(self, clocks: instants.Clocks) -> None:
         self.clocks = clocks
         self.slots = 1
+        self.slowdowns = concurrency.Slowdowns()
+        self.limit = 1
+        """Requests that may run at once; the slots, or fewer where those end more."""
         self.running = 0
         self.waiting: list[Waiter] = []
         self.numbers = itertools.count()
         self.typical_s: dict[str, float] = {}
+        self.free_at: instants.Instant = -math.inf
+        """When a request last ended that had run beside few others."""
         self.mean_s = TYPICAL_START_S
         self.pace = loads.USUAL_PACE
         self.pace_at: instants.Instant = 0.0
@@ -135,13 +157,12 @@
 
     def load(self) -> loads.Load:
         """Return the load as other nodes are told."""
-        return loads.Load(self.running, len(self.waiting), self.slots, self.current_pace())
+        return loads.Load(self.running, len(self.waiting), self.limit, self.current_pace())
 
     def judgement(self) -> Judgement:
         """Return what a request that starts now is judged by."""
         age_s = self.clocks.monotonic() - self.pace_at
-        load = self.load()._replace(pace=self.pace)
-        return Judgement(loads.encode(load), round(min(age_s, 999.0), 3))
+        return Judgement(self.load()._replace(pace=self.pace), min(age_s, 999.0))
 
     def current_pace(self) -> float:
         """Return the pace, which tends to the usual one as its report ages."""
@@ -164,7 +185,7 @@
         rejected = self._judge(ticket)
         if rejected is not None:
             return rejected
-        if self.running < self.slots and not self.waiting:
+        if self.running < self.limit and not self.waiting:
             self._start()
             return None
         admitted: asyncio.Future[Rejected | None] = asyncio.get_running_loop().create_future()
@@ -216,13 +237,44 @@
         self.sign_at = self.clocks.monotonic()
         self.serve()
 
-    def note_time(self, name: str, took_s: float) -> None:
-        """Take in the time that the endpoint took for a request."""
-        usual_s = took_s / max(0.1, self.current_pace())
+    def note_time(self, name: str, took_s: float, judged_by: Judgement) -> None:
+        """Take in the time that the endpoint took for a request that began at `judged_by`."""
+        now = self.clocks.monotonic()
+        began = expected_pace(judged_by.load.pace, judged_by.pace_age_s)
+        ended = expected_pace(self.pace, now - self.pace_at)
+        if max(began, ended) > CALM_PACE * min(began, ended):
+            # A disturbance began or ended under way: the time tells of neither state.
+            return
+        beside = round((judged_by.load.running + self.running) / 2)
+        usual_s = took_s / ended
         known_s = self.typical_s.get(name, usual_s)
+        if self._calm(judged_by):
+            self.slowdowns.note(beside, usual_s / max(known_s, MIN_TYPICAL_S), now)
+            self._set_limit()
+        if beside <= FREE_SHARE * self.slots:
+            self.free_at = now
+        elif now - self.free_at < concurrency.FORGET_S:
+            # The usual time is known from quieter moments; this one tells of the crowd.
+            return
         self.typical_s[name] = known_s + TYPICAL_WEIGHT * (usual_s - known_s)
         self.mean_s += TYPICAL_WEIGHT * (usual_s - self.mean_s)
 
+    def _calm(self, judged_by: Judgement) -> bool:
+        """Tell whether the endpoint was known to be undisturbed when a request began and ended."""
+        known = judged_by.pace_age_s < PACE_HOLD_S
+        return known and max(judged_by.load.pace, self.pace) <= CALM_PACE
+
+    def _set_limit(self) -> None:
+        limit = self.slowdowns.limit(self.slots, self.clocks.monotonic())
+        if limit == self.limit:
+            return
+        log.info(
+            "requests at once changed",
+            extra={"limit": limit, "before": self.limit, "slots": self.slots},
+        )
+        self.limit = limit
+        self.serve()
+
     def note_load(self, load: loads.Load) -> None:
         """Take in what the endpoint reported."""
         self.pace, self.pace_at = load.pace, self.clocks.monotonic()
@@ -232,6 +284,7 @@
     def resize(self, slots: int) -> None:
         """Set the number of requests that may run at once."""
         self.slots = max(1, slots)
+        self._set_limit()
         self.serve()
 
     def reject_waiting(self, reason: str) -> None:
@@ -242,7 +295,7 @@
 
     def serve(self) -> None:
         """Start waiting requests while there is room, and send back those that are too late."""
-        while self.waiting and self.running < self.slots:
+        while self.waiting and self.running < self.limit:
             waiter = heapq.heappop(self.waiting)
             if waiter.admitted.done():
                 continue
@@ -261,14 +314,15 @@
     def _too_late(self, ticket: Ticket, ahead: int) -> Rejected | None:
         now = self.clocks.monotonic()
         pace = self.current_pace()
+        slowdown = self.slowdowns.at(min(self.running + 1, self.limit), now)
         needs_s = self._needs_s(ticket)
-        expected = estimate(self.running, ahead, self.slots, self.mean_s, needs_s, pace)
+        expected = estimate(self.running, ahead, self.limit, self.mean_s, needs_s, pace * slowdown)
         in_time = now + expected.end_s <= self._end_by(ticket)
         if in_time or (
             ticket.late_allowed
             and now + expected.end_s <= ticket.deadline
-            and ahead <= LATE_QUEUE_FACTOR * self.slots
-            and self.running < self.slots
+            and ahead <= LATE_QUEUE_FACTOR * self.limit
+            and self.running < self.limit
         ):
             return None
         floor_s = RETRY_DISTURBED_S if pace >= DISTURBED_PACE else RETRY_FLOOR_S
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/local.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/local.py
@@ -185,12 +185,12 @@
                 "request_id": call.attempt_id,
                 "status": answer.status,
                 "took_s": round(now - started, 4),
-                "judged_by": judged_by._asdict(),
+                "judged_by": judged_by.fields(),
                 "pace": round(self.gate.pace, 2),
             },
         )
         if answer.status < 500:
-            self.gate.note_time(call.ticket().name, now - started)
+            self.gate.note_time(call.ticket().name, now - started, judged_by)
         dropped = {self.names.load, self.names.endpoint_id}
         kept = tuple(pair for pair in answer.headers if pair[0] not in dropped)
         return self._served(outcomes.Ran(answer._replace(headers=kept)), arrived=True)
--- a/packages/goldcrestgrade-node/tests/mesh/test_admission.py
+++ b/packages/goldcrestgrade-node/tests/mesh/test_admission.py
@@ -130,8 +130,8 @@
 
 
 async def test_short_request_is_taken_though_late_and_starts_before_long_ones(gate, clock):
-    gate.note_time("route", 0.1)
-    gate.note_time("short", 0.01)
+    gate.note_time("route", 0.1, gate.judgement())
+    gate.note_time("short", 0.01, gate.judgement())
     for _ in range(2):
         await gate.enter(ticket(clock))
     long = asyncio.create_task(gate.enter(ticket(clock)))
