--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/placement.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/placement.py
@@ -2,12 +2,12 @@
 
 Load pattern: machines turn several times slower for half a second at a time, so the nearest
 instance is used while an answer from it is expected in time, and a farther one pays for its bytes
-only where the nearer ones would be late.
+only where the nearer ones would be late. Where all would be late, the own region comes first: an
+answer from farther away costs its bytes and takes room there from requests that come in time.
 """
 
 from __future__ import annotations
 
-import math
 import random
 import typing
 
@@ -27,6 +27,10 @@
 """Share of the time to the target latency that the expected answer may take."""
 
 
+LATE_TIER = 3
+"""Rank of instances of the own region that would be late, after all that would be in time."""
+
+
 class Aim(typing.NamedTuple):
     """What a request needs."""
 
@@ -78,8 +82,8 @@
     now: instants.Instant,
     rng: random.Random,
 ) -> Choice | None:
-    """Return the nearest candidate expected in time, or else the one expected first, or none."""
-    best: tuple[tuple[float, float], Choice] | None = None
+    """Return the nearest candidate in time, or else the first in the own region, or elsewhere."""
+    best: tuple[tuple[int, float], Choice] | None = None
     spare_s = (aim.target_at - now) * IN_TIME_SHARE
     for instance in candidates:
         if not usable(instance, now):
@@ -87,7 +91,7 @@
         steps = distance(own, instance.row.place)
         wait_s = expected_s(instance, aim, steps == 2, now)
         in_time = wait_s <= spare_s
-        rank = (float(steps) if in_time else math.inf, wait_s * rng.uniform(0.95, 1.05))
+        rank = (steps if in_time else LATE_TIER + (steps == 2), wait_s * rng.uniform(0.95, 1.05))
         if best is None or rank < best[0]:
             best = rank, Choice(instance, wait_s, in_time)
     return None if best is None else best[1]
--- a/packages/goldcrestgrade-node/tests/mesh/test_placement.py
+++ b/packages/goldcrestgrade-node/tests/mesh/test_placement.py
@@ -68,3 +68,9 @@
     busy = instance(OWN, load=loads.Load(0, 0, 9, 1.0), age_s=5.0)
     busy.in_flight = 60
     assert chosen(busy, instance(NEXT_DOMAIN)) == NEXT_DOMAIN
+
+
+def test_where_all_are_late_the_own_region_comes_before_another_one():
+    slow, slower = loads.Load(9, 40, 9, 1.0), loads.Load(9, 90, 9, 1.0)
+    assert chosen(instance(NEXT_DOMAIN, load=slower), instance(FAR, load=slow)) == NEXT_DOMAIN
+    assert chosen(instance(FAR, load=slow)) == FAR
