Offer an instance only once its endpoint is found

Change: the first row says "serving" only if the first look found the endpoint (it waits 0.3 s at most for that look), and a later find changes it. "No endpoint", "stopping" and "wrong service" no longer count as signs that the others are full. The health check no longer runs before a configuration is known.

--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/directory.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/directory.py
@@ -38,7 +38,7 @@
     place: Place
     service: str
     serving: bool
-    """False once its endpoint leaves."""
+    """False until its endpoint is found and once it leaves."""
     started_ms: int
     """Wall milliseconds of the node's start."""
 
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/dispatch.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/dispatch.py
@@ -27,6 +27,15 @@
 NO_INSTANCE_RETRY_S = 0.3
 """Time after which a client may try again where no instance can be used."""
 
+UNABLE = frozenset(
+    {
+        reasons.Refusal.NO_ENDPOINT,
+        reasons.Refusal.NODE_STOPPING,
+        reasons.Refusal.UNKNOWN_SERVICE,
+    }
+)
+"""Reasons of a node that could take no call at all; they say nothing of how full the others are."""
+
 FAILED_STATUS = 500
 """Lowest status with which an endpoint says that it failed."""
 
@@ -46,6 +55,9 @@
     paid: bool = False
     """Whether the budget has allowed one more arrival that has not happened yet."""
     sent_back: int = 0
+    """Nodes that had no room for the call."""
+    unable: int = 0
+    """Nodes that could take no call at all."""
     retry_at: instants.Instant = 0.0
     """Earliest instant at which a node that sent the call back may take it."""
     last: outcomes.Outcome | None = None
@@ -182,7 +194,10 @@
         match served.outcome:
             case outcomes.NotRun(reason=reason, retry_at=retry_at):
                 self.counts.retries[reasons.Retry.REFUSED] += 1
-                progress.sent_back += 1
+                if reason in UNABLE:
+                    progress.unable += 1
+                else:
+                    progress.sent_back += 1
                 again_at = retry_at or self.clocks.monotonic()
                 progress.retry_at = min(progress.retry_at or again_at, again_at)
                 if reason == reasons.Refusal.CRASHES_ENDPOINTS or spent:
@@ -200,8 +215,10 @@
     def _none_left(
         self, call: requests.Call, progress: Progress, now: instants.Instant
     ) -> outcomes.NotRun:
-        if progress.sent_back:
-            return outcomes.NotRun(reasons.Refusal.SATURATED, progress.retry_at)
+        if progress.sent_back or progress.unable:
+            none_full = not progress.sent_back
+            refusal = reasons.Refusal.NO_ENDPOINT if none_full else reasons.Refusal.SATURATED
+            return outcomes.NotRun(refusal, progress.retry_at)
         instances = self.known.of_service(call.service)
         soonest = min((i.avoid_until for i in instances if not i.failures), default=0.0)
         retry_at = soonest if soonest > now else now + NO_INSTANCE_RETRY_S
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/health.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/health.py
@@ -48,6 +48,8 @@
         self.rng = rng
         self.wanted = asyncio.Event()
         self.paced = asyncio.Event()
+        self.looked = asyncio.Event()
+        """Set once the endpoint's address was asked, whatever came back."""
         self.note_load: typing.Callable[[loads.Load], None] = lambda _: None
 
     def want(self) -> None:
@@ -68,7 +70,6 @@
 
     async def run(self) -> None:
         """Check whenever that is wanted, until the endpoint is known; until cancelled."""
-        self.wanted.set()
         while True:
             await self.wanted.wait()
             self.wanted.clear()
@@ -97,6 +98,7 @@
                 healthy = response.status == 200
         except (TimeoutError, aiohttp.ClientError, OSError) as error:
             log.info("endpoint not found by a health check", extra={"error": repr(error)})
+            self.looked.set()
             return
         log.info(
             "endpoint checked",
@@ -106,3 +108,4 @@
             self.note_load(load)
         if endpoint_id is not None:
             self.own.found(endpoint_id, None if load is None else load.slots, healthy)
+        self.looked.set()
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/node.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/node.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import logging
 import random
 import time
@@ -43,6 +44,12 @@
 SUSPECT_RETRY_S = 30.0
 """Time after which a client may try again with a request that ends endpoints."""
 
+FIRST_LOOK_S = 0.3
+"""Longest wait for the first look at the endpoint, so that the first row tells whether it serves.
+
+A few round trips on loopback beside the other work of a start.
+"""
+
 LOST_CONNECTION = frozenset({reasons.Uncertainty.ANSWER_LOST, reasons.Uncertainty.ANSWER_CUT})
 """Ends of a call after which the endpoint is looked at."""
 
@@ -140,7 +147,7 @@
             int(port),
             self.place,
             self.config.service,
-            serving=True,
+            serving=False,
             started_ms=int(now * 1000),
         )
 
@@ -191,12 +198,11 @@
         current = self.own.current
         if self.own.slots:
             self.gate.resize(self.own.slots)
-        gone = current is None and bool(self.own.departed)
-        draining = current is not None and current.draining
         if self.own.usable() is None:
             self.local.stop_waiting()
         if not self.stopping.is_set():
-            self.registration.want(self.first_row._replace(serving=not (gone or draining)))
+            serving = current is not None and not current.draining
+            self.registration.want(self.first_row._replace(serving=serving))
 
     def ready(self) -> bool:
         """Tell whether clients may send requests to this node."""
@@ -291,6 +297,9 @@
 
     async def _register(self) -> None:
         await self.sync.complete.wait()
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(FIRST_LOOK_S):
+                await self.health.looked.wait()
         await self.registration.run()
 
     async def drain(self) -> instants.Instant:
--- a/packages/goldcrestgrade-node/tests/mesh/test_dispatch.py
+++ b/packages/goldcrestgrade-node/tests/mesh/test_dispatch.py
@@ -134,3 +134,14 @@
     rng = random.Random(1)
     drawn = [dispatch.divide(route, rng) for _ in range(2000)]
     assert 0.87 < drawn.count("a") / len(drawn) < 0.93
+
+
+async def test_nodes_without_an_endpoint_say_nothing_of_how_full_the_others_are():
+    now = instants.system_clocks().monotonic()
+    without = sent_back(now, reason=reasons.Refusal.NO_ENDPOINT)
+    world = World([without, without, without, ran()])
+    assert isinstance(await world.run(once=True), outcomes.Ran)
+    world = World([without] * 4)
+    outcome = await world.run(once=True)
+    assert outcome.reason == reasons.Refusal.NO_ENDPOINT
+    assert outcome.retry_at == pytest.approx(now + 0.1)
