Hold the learned limit for a second, and learn it from steady numbers only

Change: the limit stays for a second; only requests at whose begin and end about as many ran count; the pooled means start from eight samples and keep eighty.

--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/admission.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/admission.py
@@ -52,6 +52,12 @@
 CALM_PACE = 1.2
 """Pace up to which an endpoint counts as undisturbed, and ratio up to which two are the same."""
 
+LEVEL_CHANGE = 1
+"""Largest change in the number that run, from begin to end of a request that tells of it."""
+
+LIMIT_HOLD_S = 1.0
+"""Shortest time between changes of the limit, several times that of a usual request."""
+
 FREE_SHARE = 0.6
 """Share of the slots up to which requests are taken not to slow each other down."""
 
@@ -152,6 +158,8 @@
         self.slowdowns = concurrency.Slowdowns()
         self.limit = 1
         """Requests that may run at once; the slots, or fewer where those end more."""
+        self.limit_until: instants.Instant = 0.0
+        """Until when the limit stays, so that requests run beside the same number of others."""
         self.running = 0
         self.waiting: list[Waiter] = []
         self.numbers = itertools.count()
@@ -254,14 +262,15 @@
         if max(began, ended) > CALM_PACE * min(began, ended):
             # A disturbance began or ended under way: the time tells of neither state.
             return
-        beside = round((judged_by.load.running + self.running) / 2)
+        begun, beside = judged_by.load.running, self.running
         usual_s = took_s / ended
         known_s = self.typical_s.get(name, usual_s)
         usual_s = min(usual_s, TYPICAL_LIMIT * known_s)
-        if self._calm(judged_by):
+        if self._calm(judged_by) and abs(beside - begun) <= LEVEL_CHANGE:
             self.slowdowns.note(beside, usual_s / max(known_s, MIN_TYPICAL_S), now)
-            self._set_limit()
-        if beside <= FREE_SHARE * self.slots:
+            if now >= self.limit_until:
+                self._set_limit()
+        if max(begun, beside) <= FREE_SHARE * self.slots:
             self.free_at = now
         elif now - self.free_at < concurrency.FORGET_S:
             # The usual time is known from quieter moments; this one tells of the crowd.
@@ -281,7 +290,9 @@
         return known and max(judged_by.load.pace, self.pace) <= CALM_PACE
 
     def _set_limit(self) -> None:
-        limit = self.slowdowns.limit(self.slots, self.clocks.monotonic())
+        now = self.clocks.monotonic()
+        self.limit_until = now + LIMIT_HOLD_S
+        limit = self.slowdowns.limit(self.slots, now)
         if limit == self.limit:
             return
         log.info(
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/concurrency.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/concurrency.py
@@ -11,16 +11,16 @@
 
 from goldcrestgrade import instants
 
-PRIOR_SAMPLES = 3.0
+PRIOR_SAMPLES = 8.0
 """Samples without a slowdown that an estimate starts from; single requests differ much."""
 
-MAX_SAMPLES = 40.0
+MAX_SAMPLES = 80.0
 """Samples by number of requests after which older ones count less and less."""
 
 FORGET_S = 60.0
 """Time in which most of what was learned of a number of requests is forgotten."""
 
-GAIN = 1.1
+GAIN = 1.05
 """Throughput that fewer requests at once must bring to be preferred; above the means' noise."""
 
 MIN_SHARE = 0.5
@@ -35,13 +35,13 @@
 
     excess: float
     """Sum of the slowdowns beyond 1."""
-    count: float
+    weight: float
     at: instants.Instant
 
     def aged(self, now: instants.Instant) -> Samples:
         """Return these as they count at `now`."""
         kept = math.exp(-(now - self.at) / FORGET_S)
-        return Samples(self.excess * kept, self.count * kept, now)
+        return Samples(self.excess * kept, self.weight * kept, now)
 
 
 class Slowdowns:
@@ -53,9 +53,9 @@
     def note(self, running: int, slowdown: float, now: instants.Instant) -> None:
         """Take in that a request took `slowdown` times its usual time among `running` requests."""
         known = self._samples(running, now)
-        kept = min(1.0, MAX_SAMPLES / (known.count + 1))
+        kept = min(1.0, MAX_SAMPLES / (known.weight + 1))
         excess = known.excess + min(slowdown, SAMPLE_LIMIT) - 1
-        self.samples[running] = Samples(kept * excess, kept * (known.count + 1), now)
+        self.samples[running] = Samples(kept * excess, kept * (known.weight + 1), now)
 
     def at(self, running: int, now: instants.Instant) -> float:
         """Return the expected slowdown among `running` requests, 1 where nothing is known.
@@ -63,8 +63,8 @@
         Samples beside one request fewer count too, since the number changes under way.
         """
         near = [self._samples(number, now) for number in (running - 1, running)]
-        count = PRIOR_SAMPLES + sum(samples.count for samples in near)
-        return max(1.0, 1 + sum(samples.excess for samples in near) / count)
+        weight = PRIOR_SAMPLES + sum(samples.weight for samples in near)
+        return max(1.0, 1 + sum(samples.excess for samples in near) / weight)
 
     def limit(self, slots: int, now: instants.Instant) -> int:
         """Return how many requests should run at once for the most to end, `slots` at most."""
