Use the endpoint of a stopping node until clients have noticed the stop

Change: a stopping node serves at its endpoint until 0.4 s before its servers take nothing new; then it removes its row and sends calls back. The answers to other nodes ask for new connections only from then on.

Test with real processes, failing before: run-once calls run beside a node that is stopping, and none is lost until it has ended.

--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/node.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/node.py
@@ -56,6 +56,12 @@
 READINESS_LAG_S = 2.3
 """Time in which clients notice that a node is no longer ready: two looks a second apart."""
 
+HANDOVER_S = 0.4
+"""Time before the servers stop at which the endpoint gets no more work through this node.
+
+Several times what the other nodes need to hear of it.
+"""
+
 GRACE_MARGIN_S = 0.7
 """Time before SIGKILL at which the node ends whatever is in flight."""
 
@@ -83,6 +89,8 @@
         self.counts = counters.Counts()
         self.rng = random.Random()
         self.stopping = asyncio.Event()
+        self.handing_over = asyncio.Event()
+        """Set once a stopping node gives its endpoint no more work."""
         self.table: routes.RouteTable | None = None
         self.place = directory.Place(config.failure_domain, config.region)
         self.known = directory.Directory()
@@ -200,7 +208,7 @@
             self.gate.resize(self.own.slots)
         if self.own.usable() is None:
             self.local.stop_waiting()
-        if not self.stopping.is_set():
+        if not self.handing_over.is_set():
             serving = current is not None and not current.draining
             self.registration.want(self.first_row._replace(serving=serving))
 
@@ -230,7 +238,7 @@
         if self.suspects.crashes and self.suspects.forbidden(requests.digest(call)):
             retry_at = self.clocks.monotonic() + SUSPECT_RETRY_S
             return local.Refused(reasons.Refusal.CRASHES_ENDPOINTS, retry_at)
-        if self.stopping.is_set():
+        if self.handing_over.is_set():
             retry_at = self.clocks.monotonic() + STOPPING_RETRY_S
             return local.Refused(reasons.Refusal.NODE_STOPPING, retry_at)
         return None
@@ -277,7 +285,7 @@
             self.local.serve,
             self.platform.names,
             lambda: routes.DEFAULT_MAX_BODY_BYTES,
-            self.stopping.is_set,
+            self.handing_over.is_set,
             self.clocks,
         )
         return peers.app(relayed, self.sync)
@@ -303,16 +311,21 @@
         await self.registration.run()
 
     async def drain(self) -> instants.Instant:
-        """Send work elsewhere until clients have noticed that this node is not ready.
+        """Serve until clients have noticed that this node is not ready, then hand work over.
 
-        The servers then take nothing new, however much still comes, and end what is in flight.
-        Returns the instant by which the process must have ended.
+        Load pattern: nodes restart in turn under load; the endpoint can only be reached through its
+        node, so its room is used until just before the servers take nothing new, however much still
+        comes, and end what is in flight. Returns the instant by which the process must have ended.
         """
         started = self.clocks.monotonic()
-        self.local.stop_waiting()
-        self.registration.want(None)
         limit = started + self.config.grace_s - GRACE_MARGIN_S
-        await asyncio.sleep(min(READINESS_LAG_S, limit - started))
+        lag_s = min(READINESS_LAG_S, limit - started)
+        await asyncio.sleep(max(0.0, lag_s - HANDOVER_S))
+        self.handing_over.set()
+        self.registration.want(None)
+        self.local.stop_waiting()
+        log.info("endpoint gets no more work", extra={"at_endpoint": len(self.local.running)})
+        await asyncio.sleep(min(HANDOVER_S, lag_s))
         log.info(
             "no more requests are taken",
             extra={"in_flight": self.counts.in_flight, "at_endpoint": len(self.local.running)},
--- a/packages/goldcrestgrade-testing/tests/fleet_platform/test_fleet.py
+++ b/packages/goldcrestgrade-testing/tests/fleet_platform/test_fleet.py
@@ -240,6 +240,26 @@
     assert {answer.status for answer in answers} <= {0, 200, 503}
 
 
+async def test_endpoint_is_used_while_its_stopping_node_waits_for_clients_to_notice(running):
+    east_1, east_2, west_1 = running.instances
+    await running.call(east_2, "/archive/letters")
+    east_1.process.terminate()
+    await eventually(lambda: _not_ready(running, east_1), 1.0)
+    before = sum(east_1.endpoint.runs.values())
+    answers = [await running.call(east_2, "/archive/file/x", "POST") for _ in range(10)]
+    assert {answer.status for answer in answers} == {200}
+    assert sum(east_1.endpoint.runs.values()) >= before + 10
+    calls = []
+    while east_1.process.poll() is None:
+        calls.append(await running.call(east_2, "/archive/file/x", "POST"))
+    assert {answer.status for answer in calls} == {200}
+    assert sum(west_1.endpoint.runs.values()) > 0
+
+
+async def _not_ready(running, instance):
+    return not await running.ready(instance)
+
+
 async def test_request_that_crashes_endpoints_is_refused_at_all_nodes(running):
     for instance in running.instances:
         instance.endpoint.behaviour.crash_marker = "poison"
