--- a/packages/goldcrestgrade-testing/tests/test_process_checks.py
+++ b/packages/goldcrestgrade-testing/tests/test_process_checks.py
@@ -36,15 +36,18 @@
     assert [kind for kind in kinds if not any(text.startswith(kind) for text in found)] == []
 
 
-async def call(running: deployment.Deployment, number: int, rng: random.Random) -> int:
+async def call(
+    running: deployment.Deployment, number: int, rng: random.Random
+) -> tuple[int, bytes]:
+    """Return the status of one call, and the body where it failed."""
     entry = rng.choice(running.places)
     fields = {headers.SERVICE: "archive", headers.IDEMPOTENCY_KEY: f"key-{number}"}
     method = rng.choice(["GET", "POST"])
     async with running.session.request(
         method, f"{entry.calls_url}/letters/{number}", headers=fields
     ) as response:
-        await response.read()
-        return response.status
+        body = await response.read()
+        return response.status, b"" if response.status == 200 else body
 
 
 async def test_node_under_load_has_no_child_written_file_shared_memory_or_io_uring():
@@ -63,5 +66,5 @@
                 for process in running.processes.values()
             ]
             found = await asyncio.gather(*looking)
-            assert set(await calling) == {200}
+            assert set(await calling) == {(200, b"")}
             assert found == [[], []]
