Add a fault soak of the real programs, with a proxy, signals and eleven checks

MINUTES=..: six nodes as processes beside stand-in endpoints, a loopback proxy in front of each endpoint and each node's store, twenty-two kinds of trouble in series that overlap (kills, planned stops, pauses, links delayed, reset, cut one way or silent, the store busy, silent, slow, lost, late or without history, broken answers, slow, draining and crashing endpoints, configurations, settings). Clients call all the while; eleven promises are checked from what clients and endpoints saw. It ends only processes that it started.

Left: connections between nodes go through no proxy yet, clocks are not stepped, and there is no run at the limits of the machine.

--- a/Makefile
+++ b/Makefile
@@ -5,6 +5,7 @@
 SEED ?= 1
 SCENARIO ?= all
 PLATFORM ?= own
+MINUTES ?= 1
 
 help: ## List the targets
 	@grep -hE '^[a-z-]+:.*##' $(MAKEFILE_LIST) | sed 's/:.*##/:/'
@@ -58,3 +59,9 @@
 	$(BIN)/python -m goldcrestgrade_testing.bench --scenario=$(SCENARIO) --seed=$(SEED)
 
 .PHONY: help install test lint format demo soak reference latency bench
+
+soak-faults: install ## Soak the real programs under injected faults: SEED=0 draws one, MINUTES=1
+	$(BIN)/python -m goldcrestgrade_testing.fault_soak --seed=$(SEED) --minutes=$(MINUTES) --logs=soak-logs
+	@echo "lines of the soak, and of all code:"; cat packages/goldcrestgrade-testing/goldcrestgrade_testing/fault_soak/*.py | wc -l; cat $$(git ls-files 'packages/*.py' 'platform/*.py') | wc -l
+
+.PHONY: soak-faults
--- /dev/null
+++ b/packages/goldcrestgrade-testing/goldcrestgrade_testing/fault_soak/proxy.py
@@ -0,0 +1,102 @@
+"""Loopback proxy that delays, resets, silences or cuts connections one way."""
+
+from __future__ import annotations
+
+import asyncio
+import enum
+import socket
+import struct
+
+HOST = "127.0.0.1"
+
+READ_BYTES = 65536
+"""Largest part that is passed on at once."""
+
+
+class Mode(enum.StrEnum):
+    """What happens to bytes on their way."""
+
+    PASS = "pass"
+    DELAY = "delay"
+    HOLD_REQUESTS = "hold_requests"
+    """Nothing goes towards the server until the mode changes."""
+    HOLD_ANSWERS = "hold_answers"
+    HOLD_ALL = "hold_all"
+
+
+HELD = {
+    Mode.HOLD_REQUESTS: frozenset({"requests"}),
+    Mode.HOLD_ANSWERS: frozenset({"answers"}),
+    Mode.HOLD_ALL: frozenset({"requests", "answers"}),
+}
+"""Directions in which a mode lets nothing through."""
+
+
+class Proxy:
+    """Connections through one port; owned by one event loop."""
+
+    def __init__(self, target_port: int) -> None:
+        self.target_port = target_port
+        self.port = 0
+        self.mode = Mode.PASS
+        self.delay_s = 0.0
+        self.changed = asyncio.Event()
+        self.writers: set[asyncio.StreamWriter] = set()
+        self.server: asyncio.Server | None = None
+
+    async def start(self) -> None:
+        """Listen on a free port."""
+        self.server = await asyncio.start_server(self._serve, HOST, 0)
+        self.port = self.server.sockets[0].getsockname()[1]
+
+    def set_mode(self, mode: Mode, delay_s: float = 0.0) -> None:
+        """Change what happens to bytes from now on."""
+        self.mode, self.delay_s = mode, delay_s
+        self.changed.set()
+        self.changed = asyncio.Event()
+
+    def reset_all(self) -> None:
+        """Break all connections so that both sides see a reset."""
+        for writer in list(self.writers):
+            connection: socket.socket = writer.get_extra_info("socket")
+            connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+            writer.transport.abort()
+
+    async def stop(self) -> None:
+        """Listen no more and end all connections."""
+        if self.server is not None:
+            self.server.close()
+        self.reset_all()
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        try:
+            ahead, behind = await asyncio.open_connection(HOST, self.target_port)
+        except OSError:
+            # The server refuses; the client sees its connection end at once.
+            writer.transport.abort()
+            return
+        self.writers |= {writer, behind}
+        try:
+            async with asyncio.TaskGroup() as group:
+                group.create_task(self._pump("requests", reader, behind))
+                group.create_task(self._pump("answers", ahead, writer))
+        except* OSError:
+            # One side was reset; the other one is ended below.
+            pass
+        finally:
+            self.writers -= {writer, behind}
+            writer.transport.abort()
+            behind.transport.abort()
+
+    async def _pump(
+        self, direction: str, source: asyncio.StreamReader, sink: asyncio.StreamWriter
+    ) -> None:
+        while data := await source.read(READ_BYTES):
+            if self.mode == Mode.DELAY:
+                await asyncio.sleep(self.delay_s)
+            while direction in HELD.get(self.mode, frozenset()):
+                await self.changed.wait()
+            sink.write(data)
+            await sink.drain()
+        if sink.can_write_eof():
+            sink.write_eof()
--- /dev/null
+++ b/packages/goldcrestgrade-testing/goldcrestgrade_testing/fault_soak/soak.py
@@ -0,0 +1,175 @@
+"""Runs a fleet under a plan of troubles, with clients, and returns what was seen."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+import random
+import time
+import typing
+
+from goldcrestgrade_testing.fault_soak import checks, history, injection, plan
+from goldcrestgrade_testing.fleet_platform import fleet
+
+PLACES = {
+    f"{domain}-{number}": fleet.Place(domain, region, service)
+    for domain, region in (("khomas-a", "khomas"), ("khomas-b", "khomas"), ("oshana-a", "oshana"))
+    for number, service in enumerate(("archive", "corrections"), 1)
+}
+"""Instances of a usual run, by name."""
+
+CLIENTS = 8
+"""Clients that call one request after the other."""
+
+PAUSE_S = 0.02
+"""Pause of a client between two requests."""
+
+WORK_S = 0.05
+"""Time that an endpoint works on a request."""
+
+RECOVERY_S = 15.0
+"""Time in which all instances must serve after the last trouble; the pages'."""
+
+TICK_S = 0.05
+"""Time between looks at the clock of the soak itself."""
+
+STALL_S = 0.15
+"""Delay of such a look from which the soak counts as held up, so that no time is judged."""
+
+
+class Soak:
+    """One run; owned by one event loop."""
+
+    def __init__(self, running: fleet.Fleet, rng: random.Random) -> None:
+        self.running = running
+        self.rng = rng
+        self.tries: list[history.Try] = []
+        self.disturbances: list[history.Disturbance] = []
+        self.stalls: list[history.Span] = []
+        self.over = False
+
+    async def play(self, troubles: typing.Sequence[plan.Trouble]) -> history.History:
+        """Play `troubles` while clients call, wait for recovery and return what was seen."""
+        clients = [asyncio.create_task(self._client(number)) for number in range(CLIENTS)]
+        watch = asyncio.create_task(self._watch())
+        started = time.monotonic()
+        try:
+            await asyncio.gather(*(self._bring(trouble, started) for trouble in troubles))
+            recovered = await self._recovered()
+        finally:
+            self.over = True
+            await asyncio.gather(*clients)
+            watch.cancel()
+        return self._history(recovered)
+
+    async def _bring(self, trouble: plan.Trouble, started: float) -> None:
+        await asyncio.sleep(max(0.0, started + trouble.begin_s - time.monotonic()))
+        name = "" if trouble.kind in plan.OF_ALL else self.running.instances[trouble.instance].name
+        begin = time.monotonic()
+        end = await injection.begin(self.running, trouble)
+        await asyncio.sleep(max(0.0, started + trouble.end_s - time.monotonic()))
+        await end()
+        span = history.Span(begin, time.monotonic())
+        self.disturbances.append(history.Disturbance(trouble.kind, name, span))
+
+    async def _client(self, number: int) -> None:
+        services = sorted({place.service for place in PLACES.values()})
+        for count in itertools.count():
+            if self.over:
+                return
+            instance = self.rng.choice(self.running.instances)
+            once = (number + count) % 3 == 0
+            routes = [prefix for prefix, _ in self.running.routes]
+            path = f"/{self.rng.choice(services)}/{'file/' if once else ''}{count}"
+            if routes and count % 7 == 0:
+                path, once = f"{self.rng.choice(routes)}{count}", False
+            await self._call(instance, path, once)
+            await asyncio.sleep(PAUSE_S)
+
+    async def _call(self, instance: fleet.Instance, path: str, once: bool) -> None:
+        lifetime = 0 if instance.process is None else instance.process.pid
+        sent_at = time.monotonic()
+        answer = await self.running.call(instance, path, "POST" if once else "GET")
+        own = (
+            answer.body == b"body of " + answer.attempt.encode()
+            and answer.fields.get("x-attempt-id") == answer.attempt
+            and answer.fields.get("x-upstream-signature", "").endswith(f".{answer.attempt}")
+        )
+        self.tries.append(
+            history.Try(
+                answer.attempt,
+                instance.name,
+                lifetime,
+                path,
+                once,
+                sent_at,
+                time.monotonic(),
+                answer.status,
+                own,
+                "retry-after" in answer.fields,
+            )
+        )
+
+    async def _watch(self) -> None:
+        while True:
+            before = time.monotonic()
+            await asyncio.sleep(TICK_S)
+            now = time.monotonic()
+            if now - before > TICK_S + STALL_S:
+                self.stalls.append(history.Span(before, now))
+
+    async def _recovered(self) -> dict[str, bool]:
+        deadline = time.monotonic() + RECOVERY_S
+        services = sorted({place.service for place in PLACES.values()})
+        waiting = set(itertools.product([i.name for i in self.running.instances], services))
+        by_name = {instance.name: instance for instance in self.running.instances}
+        while waiting and time.monotonic() < deadline:
+            for name, service in sorted(waiting):
+                answer = await self.running.call(by_name[name], f"/{service}/back")
+                if answer.status == 200:
+                    waiting.discard((name, service))
+            await asyncio.sleep(TICK_S)
+        left = {name for name, _ in waiting}
+        return {name: name not in left for name in by_name}
+
+    def _history(self, recovered: dict[str, bool]) -> history.History:
+        known = [*self.running.former, *(i.endpoint for i in self.running.instances)]
+        return history.History(
+            self.tries,
+            [history.Run(*run) for endpoint in known for run in endpoint.begun],
+            [history.Route(*route) for route in self.running.routes],
+            {
+                endpoint.endpoint_id: endpoint.drain_acknowledged_at
+                for endpoint in known
+                if endpoint.drain_acknowledged_at is not None
+            },
+            self.disturbances,
+            self.stalls,
+            recovered,
+        )
+
+
+class Result(typing.NamedTuple):
+    """How a run ended."""
+
+    seen: history.History
+    violations: list[str]
+    logs: dict[str, str]
+    """What each node wrote."""
+
+
+async def run(seed: int, seconds: float, start: fleet.Start | None = None) -> Result:
+    """Play the troubles of `seed` for `seconds`."""
+    rng = random.Random(seed)
+    troubles = plan.draw(rng, len(PLACES), seconds)
+    return await play(troubles, rng, start)
+
+
+async def play(
+    troubles: typing.Sequence[plan.Trouble], rng: random.Random, start: fleet.Start | None = None
+) -> Result:
+    """Play `troubles` at a fleet whose nodes are started by `start`."""
+    async with fleet.running(PLACES, WORK_S, proxied=True, start=start) as running:
+        seen = await Soak(running, rng).play(troubles)
+        logs = {instance.name: running.log(instance) for instance in running.instances}
+    return Result(seen, checks.violations(seen), logs)
--- a/packages/goldcrestgrade-testing/goldcrestgrade_testing/fleet_platform/endpoint.py
+++ b/packages/goldcrestgrade-testing/goldcrestgrade_testing/fleet_platform/endpoint.py
@@ -54,6 +54,10 @@
         self.waiting = 0
         self.runs: collections.Counter[str] = collections.Counter()
         """Times that work began, by id of the client's try."""
+        self.begun: list[tuple[str, str, float]] = []
+        """Id of the try, own id and monotonic instant of each run."""
+        self.drain_acknowledged_at: float | None = None
+        """Monotonic instant at which a node first acknowledged a drain."""
         self.callers: dict[str, str | None] = {}
         """Calling service by id of the client's try."""
         self.deadlines_ms: dict[str, int] = {}
@@ -131,6 +135,7 @@
         self.waiting -= 1
         self.running += 1
         self.runs[attempt] += 1
+        self.begun.append((attempt, self.endpoint_id, time.monotonic()))
         self.callers[attempt] = request.field("x-caller-service")
         self.deadlines_ms[attempt] = int(request.field("x-deadline-ms") or -1)
         try:
@@ -216,9 +221,13 @@
     async with aiohttp.ClientSession() as session:
         while True:
             with contextlib.suppress(aiohttp.ClientError, OSError, TimeoutError):
-                await session.put(
+                heartbeat = endpoint.heartbeat(address, zone)
+                response = await session.put(
                     f"http://{control}/-/instances/{endpoint.endpoint_id}",
-                    json=endpoint.heartbeat(address, zone),
+                    json=heartbeat,
                     timeout=aiohttp.ClientTimeout(total=1.0),
                 )
+                draining = heartbeat["status"]["state"] == "draining"
+                if draining and response.ok and endpoint.drain_acknowledged_at is None:
+                    endpoint.drain_acknowledged_at = time.monotonic()
             await asyncio.sleep(interval_s)
--- a/packages/goldcrestgrade-testing/goldcrestgrade_testing/fleet_platform/fleet.py
+++ b/packages/goldcrestgrade-testing/goldcrestgrade_testing/fleet_platform/fleet.py
@@ -8,6 +8,7 @@
 import itertools
 import os
 import pathlib
+import signal
 import subprocess
 import sys
 import tempfile
@@ -18,6 +19,7 @@
 import orjson
 
 from goldcrestgrade_testing import processes, serving
+from goldcrestgrade_testing.fault_soak import proxy
 from goldcrestgrade_testing.fleet_platform import endpoint, store
 
 HOST = "127.0.0.1"
@@ -64,6 +66,10 @@
     endpoint: endpoint.Endpoint
     process: subprocess.Popen[bytes] | None = None
     beating: asyncio.Task[None] | None = None
+    links: dict[str, proxy.Proxy] = dataclasses.field(default_factory=dict)
+    """Proxies in front of the endpoint and the store, where the fleet has them."""
+    endpoint_port: int = 0
+    """Port at which the endpoint itself listens."""
 
     def address(self, name: str) -> str:
         """Return one of the addresses of the node."""
@@ -81,11 +87,25 @@
     took_s: float
 
 
+Start = typing.Sequence[str]
+"""Command that starts a node."""
+
+
 class Fleet:
     """A deployment on loopback; owned by one event loop."""
 
-    def __init__(self, folder: pathlib.Path) -> None:
+    def __init__(
+        self, folder: pathlib.Path, proxied: bool = False, start: Start | None = None
+    ) -> None:
         self.folder = folder
+        self.proxied = proxied
+        self.command = start or (sys.executable, str(START))
+        self.rules: list[dict[str, typing.Any]] = []
+        """Rules of the configuration in force."""
+        self.routes: list[tuple[str, float]] = []
+        """Prefixes of the routes added later and the monotonic instants of their writing."""
+        self.replaced = 0
+        """Endpoints that were replaced by a later one."""
         self.store = store.Store()
         self.instances: list[Instance] = []
         self.former: list[endpoint.Endpoint] = []
@@ -104,19 +124,44 @@
         beside = endpoint.Endpoint(f"i-{name}-1", place.service, behaviour)
         await beside.start()
         ports["endpoint"] = beside.raw.port
-        instance = Instance(name, place, ports, door, beside)
+        instance = Instance(name, place, ports, door, beside, endpoint_port=beside.raw.port)
+        if self.proxied:
+            await self._put_proxies(instance)
         self.instances.append(instance)
         self.start(instance)
         self.beat(instance)
         return instance
 
+    async def _put_proxies(self, instance: Instance) -> None:
+        for name in ("endpoint", "store"):
+            link = proxy.Proxy(instance.ports[name])
+            await link.start()
+            instance.links[name] = link
+            instance.ports[name] = link.port
+
+    def add_route(self) -> None:
+        """Write a configuration with one more route to the first service."""
+        prefix = f"/added-{len(self.routes) + 1}/"
+        service = min(instance.place.service for instance in self.instances)
+        rule = route(f"added-{len(self.routes) + 1}", prefix, {service: 1})
+        self.configure(*self.rules, rule)
+        self.routes.append((prefix, time.monotonic()))
+
+    def reload(self, instance: Instance) -> None:
+        """Change the settings file of a node and tell the node of it."""
+        settings = self.settings(instance)
+        settings["resend_slack"] += 1
+        (self.folder / f"{instance.name}.json").write_bytes(orjson.dumps(settings))
+        if instance.process is not None and instance.process.poll() is None:
+            instance.process.send_signal(signal.SIGHUP)
+
     def start(self, instance: Instance) -> None:
         """Start the node of an instance."""
         path = self.folder / f"{instance.name}.json"
         path.write_bytes(orjson.dumps(self.settings(instance)))
         with (self.folder / f"{instance.name}.log").open("ab") as output:
             instance.process = subprocess.Popen(
-                [sys.executable, str(START)],
+                self.command,
                 env={**os.environ, "GOLDCRESTGRADE_SETTINGS": str(path)},
                 stdout=output,
                 stderr=subprocess.STDOUT,
@@ -166,13 +211,14 @@
         new = endpoint.Endpoint(
             endpoint_id, instance.place.service, endpoint.Behaviour(work_s=0.02)
         )
-        await new.start(instance.ports["endpoint"])
+        await new.start(instance.endpoint_port)
         instance.endpoint = new
         self.beat(instance)
 
     def configure(self, *routes: dict[str, typing.Any]) -> None:
         """Write a configuration with `routes` as the operator does."""
         self.version += 2
+        self.rules = list(routes)
         services = sorted({instance.place.service for instance in self.instances})
         self.store.write(
             "op",
@@ -264,6 +310,8 @@
         )
         for instance in self.instances:
             await instance.endpoint.stop()
+            for link in instance.links.values():
+                await link.stop()
         self.store.close()
         await self.session.close()
         await self.stack.aclose()
@@ -287,11 +335,17 @@
 
 @contextlib.asynccontextmanager
 async def running(
-    places: typing.Mapping[str, Place], work_s: float = 0.02
+    places: typing.Mapping[str, Place],
+    work_s: float = 0.02,
+    proxied: bool = False,
+    start: Start | None = None,
 ) -> typing.AsyncIterator[Fleet]:
-    """Run a fleet with an instance for each of `places`, by name, and a first configuration."""
+    """Run a fleet with an instance for each of `places`, by name, and a first configuration.
+
+    With `proxied`, the endpoints and the store are reached through proxies.
+    """
     with tempfile.TemporaryDirectory() as folder:
-        fleet = Fleet(pathlib.Path(folder))
+        fleet = Fleet(pathlib.Path(folder), proxied, start)
         try:
             for name, place in places.items():
                 await fleet.add(name, place, endpoint.Behaviour(work_s=work_s))
--- /dev/null
+++ b/packages/goldcrestgrade-testing/tests/fault_soak/test_mutations.py
@@ -0,0 +1,188 @@
+"""Faults that are seeded in the product are found by the check that is meant for them."""
+
+import itertools
+import random
+import sys
+import typing
+
+import pytest
+
+from goldcrestgrade_testing.fault_soak import injection, plan, soak
+from goldcrestgrade_testing.fleet_platform import fleet
+
+PROGRAM = """
+import sys
+sys.path[:0] = {folders!r}
+from goldcrestgrade_node.mesh import dispatch, endpoints, entry, local, node, relay, requests
+from goldcrestgrade_node.mesh import connections, resends, transfer
+from goldcrestgrade_node.attempts import exchanges
+from goldcrestgrade import reasons, routes
+{mutation}
+from goldcrestgrade_adapter import __main__
+sys.exit(__main__.main())
+"""
+
+FOLDERS = [
+    str(fleet.ROOT / folder)
+    for folder in ("platform", "packages/goldcrestgrade", "packages/goldcrestgrade-node")
+]
+
+ALL = range(len(soak.PLACES))
+
+
+class Mutation(typing.NamedTuple):
+    """A fault in the product and the troubles under which it shows."""
+
+    code: str
+    troubles: list[plan.Trouble]
+
+
+def everywhere(kind, begin_s=1.0, end_s=4.0, variant=0):
+    return [plan.Trouble(kind, instance, begin_s, end_s, variant) for instance in ALL]
+
+
+def broken_answers(fault):
+    index = injection.ANSWER_FAULTS.index(fault)
+    variant = next(v for v in range(1000) if v % len(injection.ANSWER_FAULTS) == index)
+    variant += 3 * len(injection.ANSWER_FAULTS)
+    return [
+        trouble
+        for begin_s in (1.0, 1.5, 2.0, 2.5, 3.0)
+        for trouble in everywhere("answers", begin_s, begin_s + 0.3, variant)
+    ]
+
+
+MUTATIONS = {
+    "run_twice": Mutation(
+        """
+settled = dispatch.Dispatcher._settled
+def always_again(self, call, *rest):
+    return settled(self, call._replace(run_once=False), *rest)
+dispatch.Dispatcher._settled = always_again
+""",
+        broken_answers("lost"),
+    ),
+    "refused_but_run": Mutation(
+        """
+def refuse(self, call, reason, started):
+    return self._sent_back(call, reasons.Refusal.SATURATED, self.clocks.monotonic())
+local.LocalWork._broken = refuse
+""",
+        broken_answers("lost"),
+    ),
+    "refused_without_return": Mutation(
+        """
+own_answer = transfer.own_answer
+def without_return(*arguments):
+    answer = own_answer(*arguments)
+    kept = tuple(pair for pair in answer.headers if pair[0].lower() != "retry-after")
+    return answer._replace(headers=kept)
+transfer.own_answer = without_return
+""",
+        everywhere("drain"),
+    ),
+    "not_own_answer": Mutation(
+        """
+connections.Protocol.read = connections.client_proto.ResponseHandler.read
+exchanges.Exchange._check = lambda self, response, fields: None
+local.LocalWork._sound = lambda self, answer, fields, call: True
+""",
+        broken_answers("late"),
+    ),
+    "too_many_endpoints": Mutation(
+        """
+run = dispatch.Dispatcher.run
+async def unlimited(self, call, attempts):
+    return await run(self, call, 9)
+dispatch.Dispatcher.run = unlimited
+resends.ResendBudget.take = lambda self, now: True
+""",
+        broken_answers("lost"),
+    ),
+    "too_late": Mutation(
+        """
+call = requests.call
+def patient(*arguments):
+    made = call(*arguments)
+    return made._replace(deadline=made.deadline + 5.0)
+requests.call = patient
+""",
+        [plan.Trouble("link_answers", 0, 3.5, 7.0, 0)],
+    ),
+    "run_while_draining": Mutation(
+        """
+heartbeat = endpoints.OwnEndpoint.heartbeat
+def ignore_drain(self, told):
+    return heartbeat(self, told._replace(draining=False))
+endpoints.OwnEndpoint.heartbeat = ignore_drain
+""",
+        [plan.Trouble("drain", 0, 1.0, 6.0, 0)],
+    ),
+    "route_missing": Mutation(
+        """
+adopt = node.MeshNode._adopt
+def first_only(self, value, row_version):
+    if self.table is None:
+        adopt(self, value, row_version)
+node.MeshNode._adopt = first_only
+""",
+        [plan.Trouble("configure", 0, 1.0, 8.0, 0)],
+    ),
+    "route_forgotten": Mutation(
+        """
+find, looks = routes.find, []
+def forgetful(table, host, path):
+    looks.append(path)
+    return find(table, host, path) if len(looks) % 3 else None
+routes.find = forgetful
+""",
+        [plan.Trouble("configure", 0, 1.0, 5.0, 0)],
+    ),
+    "lost_at_planned_stop": Mutation(
+        """
+import os
+async def at_once(self):
+    os._exit(0)
+node.MeshNode.drain = at_once
+""",
+        [
+            plan.Trouble("stop", instance, begin_s, begin_s + 0.3, 0)
+            for turn in range(3)
+            for instance, begin_s in zip(ALL, itertools.count(1.0 + 3 * turn, 0.5))
+        ],
+    ),
+    "not_recovered": Mutation(
+        """
+import time
+started, serve = time.monotonic(), relay.RelayClient.serve
+async def deaf(self, address, call):
+    if time.monotonic() > started + 5.0:
+        return None
+    return await serve(self, address, call)
+relay.RelayClient.serve = deaf
+""",
+        [plan.Trouble("reload", 0, 1.0, 6.0, 0)],
+    ),
+}
+
+
+@pytest.mark.parametrize("name", MUTATIONS)
+async def test_check_finds_the_fault_that_is_seeded_in_the_product(name, tmp_path, monkeypatch):
+    monkeypatch.setattr(soak, "RECOVERY_S", 4.0)
+    program = tmp_path / "start.py"
+    mutation = MUTATIONS[name]
+    program.write_text(PROGRAM.format(folders=FOLDERS, mutation=mutation.code), "utf-8")
+    start = (sys.executable, str(program))
+    result = await soak.play(mutation.troubles, random.Random(1), start)
+    assert name in {text.partition(":")[0] for text in result.violations}
+
+
+async def test_product_itself_keeps_the_promises_under_the_same_troubles():
+    troubles = [
+        trouble
+        for name, mutation in MUTATIONS.items()
+        if name in ("run_twice", "too_late", "run_while_draining", "route_missing")
+        for trouble in mutation.troubles
+    ]
+    result = await soak.play(sorted(troubles, key=lambda t: t.begin_s), random.Random(1))
+    assert result.violations == []
--- /dev/null
+++ b/packages/goldcrestgrade-testing/tests/fault_soak/test_proxy.py
@@ -0,0 +1,73 @@
+"""The proxy between the programs."""
+
+import asyncio
+
+import pytest
+
+from goldcrestgrade_testing.fault_soak import proxy
+
+
+@pytest.fixture
+async def link():
+    async def echo(reader, writer):
+        while data := await reader.read(100):
+            writer.write(data)
+        writer.close()
+
+    server = await asyncio.start_server(echo, proxy.HOST, 0)
+    link = proxy.Proxy(server.sockets[0].getsockname()[1])
+    await link.start()
+    yield link
+    await link.stop()
+    server.close()
+
+
+async def test_bytes_pass_both_ways(link):
+    reader, writer = await asyncio.open_connection(proxy.HOST, link.port)
+    writer.write(b"one")
+    assert await reader.read(100) == b"one"
+    writer.close()
+
+
+@pytest.mark.parametrize(
+    "mode", [proxy.Mode.HOLD_REQUESTS, proxy.Mode.HOLD_ANSWERS, proxy.Mode.HOLD_ALL]
+)
+async def test_held_bytes_come_once_the_hold_ends(link, mode):
+    reader, writer = await asyncio.open_connection(proxy.HOST, link.port)
+    link.set_mode(mode)
+    writer.write(b"one")
+    with pytest.raises(TimeoutError):
+        await asyncio.wait_for(reader.read(100), 0.1)
+    link.set_mode(proxy.Mode.PASS)
+    assert await reader.read(100) == b"one"
+    writer.close()
+
+
+async def test_delayed_bytes_come_later(link):
+    link.set_mode(proxy.Mode.DELAY, 0.1)
+    reader, writer = await asyncio.open_connection(proxy.HOST, link.port)
+    started = asyncio.get_running_loop().time()
+    writer.write(b"one")
+    assert await reader.read(100) == b"one"
+    assert asyncio.get_running_loop().time() - started >= 0.2
+    writer.close()
+
+
+async def test_reset_breaks_open_connections(link):
+    reader, writer = await asyncio.open_connection(proxy.HOST, link.port)
+    writer.write(b"one")
+    await reader.read(100)
+    link.reset_all()
+    with pytest.raises(ConnectionResetError):
+        await reader.read(100)
+    writer.close()
+
+
+async def test_refusing_server_ends_the_connection():
+    link = proxy.Proxy(1)
+    await link.start()
+    reader, writer = await asyncio.open_connection(proxy.HOST, link.port)
+    with pytest.raises((ConnectionError, asyncio.IncompleteReadError)):
+        await reader.readexactly(1)
+    writer.close()
+    await link.stop()
--- /dev/null
+++ b/packages/goldcrestgrade-testing/tests/fault_soak/test_soak.py
@@ -0,0 +1,20 @@
+"""A short soak of the real programs, the same troubles each time."""
+
+import collections
+
+import pytest
+
+from goldcrestgrade_testing.fault_soak import soak
+
+SECONDS = 8.0
+
+SEEDS = (1, 2)
+"""Seeds of each run of the tests; seeds that ever failed are added, with their cause."""
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+async def test_promises_hold_under_the_troubles_of_a_seed(seed):
+    result = await soak.run(seed, SECONDS)
+    assert result.violations == []
+    statuses = collections.Counter(one.status for one in result.seen.tries)
+    assert statuses[200] > 100
