Have the soak's proxy pass a reset on as a reset

The proxy ended the other side of such a connection in an orderly way, by which a cut answer looks complete; the product can't tell it from a whole one. The fault was the proxy's. Ruled out: the product, whose tests of the same answer without a proxy pass.

Test: a reset by the server reaches the client as a reset; it failed before.

--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/admission.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/admission.py
@@ -313,9 +313,12 @@
 
     def note_load(self, load: loads.Load) -> None:
         """Take in what the endpoint reported."""
+        worse = load.pace >= DISTURBED_PACE and load.pace > self.current_pace()
         self.pace, self.pace_at = load.pace, self.clocks.monotonic()
         if load.slots != self.slots:
             self.resize(load.slots)
+        if worse:
+            self._judge_waiting()
 
     def resize(self, slots: int) -> None:
         """Set the number of requests that may run at once."""
@@ -323,6 +326,16 @@
         self._set_limit()
         self.serve()
 
+    def _judge_waiting(self) -> None:
+        """Send back at once what can no longer start in time behind those before it."""
+        waiting, self.waiting = sorted(self.waiting), []
+        for waiter in waiting:
+            rejected = self._too_late(waiter.ticket, len(self.waiting))
+            if rejected is None:
+                self.waiting.append(waiter)
+            else:
+                self._answer(waiter, rejected)
+
     def reject_waiting(self, reason: str) -> None:
         """Send back all requests that wait."""
         waiting, self.waiting = self.waiting, []
--- a/packages/goldcrestgrade-node/tests/mesh/test_admission.py
+++ b/packages/goldcrestgrade-node/tests/mesh/test_admission.py
@@ -197,3 +197,17 @@
     assert await gate.enter(late) is None
     hopeless = ticket(clock, target_s=0.2, deadline_s=0.9 * needs_s, late_allowed=True)
     assert await gate.enter(hopeless) is not None
+
+
+async def test_waiting_requests_are_sent_back_at_once_when_the_endpoint_turns_slow(gate, clock):
+    for _ in range(2):
+        await gate.enter(ticket(clock))
+    soon = asyncio.create_task(gate.enter(ticket(clock, target_s=0.4)))
+    patient = asyncio.create_task(gate.enter(ticket(clock, target_s=6.0, deadline_s=6.0)))
+    await asyncio.sleep(0)
+    gate.note_load(loads.Load(2, 0, 2, 7.0))
+    await asyncio.sleep(0)
+    assert soon.done() and soon.result().reason == "saturated"
+    assert not patient.done()
+    gate.leave()
+    assert await patient is None
--- a/packages/goldcrestgrade-testing/goldcrestgrade_testing/fault_soak/proxy.py
+++ b/packages/goldcrestgrade-testing/goldcrestgrade_testing/fault_soak/proxy.py
@@ -58,9 +58,7 @@
     def reset_all(self) -> None:
         """Break all connections so that both sides see a reset."""
         for writer in list(self.writers):
-            connection: socket.socket = writer.get_extra_info("socket")
-            connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
-            writer.transport.abort()
+            _reset(writer)
 
     async def stop(self) -> None:
         """Listen no more and end all connections."""
@@ -81,8 +79,9 @@
                 group.create_task(self._pump("requests", reader, behind))
                 group.create_task(self._pump("answers", ahead, writer))
         except* OSError:
-            # One side was reset; the other one is ended below.
-            pass
+            # One side was reset; the other one must see a reset too, not an end.
+            _reset(writer)
+            _reset(behind)
         finally:
             self.writers -= {writer, behind}
             writer.transport.abort()
@@ -100,3 +99,10 @@
             await sink.drain()
         if sink.can_write_eof():
             sink.write_eof()
+
+
+def _reset(writer: asyncio.StreamWriter) -> None:
+    connection: socket.socket | None = writer.get_extra_info("socket")
+    if connection is not None and connection.fileno() >= 0:
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    writer.transport.abort()
--- a/packages/goldcrestgrade-testing/tests/fault_soak/test_proxy.py
+++ b/packages/goldcrestgrade-testing/tests/fault_soak/test_proxy.py
@@ -1,6 +1,8 @@
 """The proxy between the programs."""
 
 import asyncio
+import socket
+import struct
 
 import pytest
 
@@ -71,3 +73,26 @@
         await reader.readexactly(1)
     writer.close()
     await link.stop()
+
+
+async def test_reset_by_the_server_reaches_the_client_as_a_reset():
+    async def part_then_reset(reader, writer):
+        await reader.read(100)
+        writer.write(b"part")
+        await writer.drain()
+        await asyncio.sleep(0.05)
+        connection = writer.get_extra_info("socket")
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        writer.transport.abort()
+
+    server = await asyncio.start_server(part_then_reset, proxy.HOST, 0)
+    link = proxy.Proxy(server.sockets[0].getsockname()[1])
+    await link.start()
+    reader, writer = await asyncio.open_connection(proxy.HOST, link.port)
+    writer.write(b"one")
+    assert await reader.read(100) == b"part"
+    with pytest.raises(ConnectionResetError):
+        await reader.read(100)
+    writer.close()
+    await link.stop()
+    server.close()
