--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/node.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/node.py
@@ -305,6 +305,7 @@
 
     async def _register(self) -> None:
         await self.sync.complete.wait()
+        # Without an answer by then the row tells of no endpoint; a later find changes it.
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(FIRST_LOOK_S):
                 await self.health.looked.wait()
