Reset connections, name services and draw schedules from one place each in the testing package

Read once more: the soak's proxy and the stand-in endpoint each had the code that resets a connection; the soak worked out the services three times; the two ways to generate schedules repeated the same times. Each stands once now.

--- a/packages/goldcrestgrade-testing/goldcrestgrade_testing/fault_soak/injection.py
+++ b/packages/goldcrestgrade-testing/goldcrestgrade_testing/fault_soak/injection.py
@@ -36,9 +36,9 @@
         case "store_forget":
             running.store.forget()
         case "store_link_reset":
-            _link(instance, "store").reset_all()
+            instance.links["store"].reset_all()
         case "store_link_silent":
-            return _hold(_link(instance, "store"), proxy.Mode.HOLD_ALL)
+            return _hold(instance.links["store"], proxy.Mode.HOLD_ALL)
         case "answers":
             fault = ANSWER_FAULTS[trouble.variant % len(ANSWER_FAULTS)]
             instance.endpoint.break_next(endpoint.Fault(fault, 1 + trouble.variant % 4))
@@ -55,7 +55,7 @@
         case "reload":
             running.reload(instance)
         case _ if family == "link":
-            return _disturb(_link(instance, "endpoint"), form)
+            return _disturb(instance.links["endpoint"], form)
         case _ if family == "store":
             return _disturb_store(instance.door, form)
         case _:
@@ -67,10 +67,6 @@
     """End a trouble that ended by itself."""
 
 
-def _link(instance: fleet.Instance, name: str) -> proxy.Proxy:
-    return instance.links[name]
-
-
 def _restore(owner: typing.Any, name: str, value: typing.Any) -> End:
     async def end() -> None:
         setattr(owner, name, value)
--- a/packages/goldcrestgrade-testing/goldcrestgrade_testing/fault_soak/proxy.py
+++ b/packages/goldcrestgrade-testing/goldcrestgrade_testing/fault_soak/proxy.py
@@ -58,7 +58,7 @@
     def reset_all(self) -> None:
         """Break all connections so that both sides see a reset."""
         for writer in list(self.writers):
-            _reset(writer)
+            reset(writer)
 
     async def stop(self) -> None:
         """Listen no more and end all connections."""
@@ -80,8 +80,8 @@
                 group.create_task(self._pump("answers", ahead, writer))
         except* OSError:
             # One side was reset; the other one must see a reset too, not an end.
-            _reset(writer)
-            _reset(behind)
+            reset(writer)
+            reset(behind)
         finally:
             self.writers -= {writer, behind}
             writer.transport.abort()
@@ -101,7 +101,8 @@
             sink.write_eof()
 
 
-def _reset(writer: asyncio.StreamWriter) -> None:
+def reset(writer: asyncio.StreamWriter) -> None:
+    """End a connection so that the other side sees a reset."""
     connection: socket.socket | None = writer.get_extra_info("socket")
     if connection is not None and connection.fileno() >= 0:
         connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
--- a/packages/goldcrestgrade-testing/goldcrestgrade_testing/fault_soak/soak.py
+++ b/packages/goldcrestgrade-testing/goldcrestgrade_testing/fault_soak/soak.py
@@ -18,6 +18,8 @@
 }
 """Instances of a usual run, by name."""
 
+SERVICES = sorted({place.service for place in PLACES.values()})
+
 CLIENTS = 8
 """Clients that call one request after the other."""
 
@@ -73,14 +75,13 @@
         self.disturbances.append(history.Disturbance(trouble.kind, name, span))
 
     async def _client(self, number: int) -> None:
-        services = sorted({place.service for place in PLACES.values()})
         for count in itertools.count():
             if self.over:
                 return
             instance = self.rng.choice(self.running.instances)
             once = (number + count) % 3 == 0
             routes = [prefix for prefix, _ in self.running.routes]
-            path = f"/{self.rng.choice(services)}/{'file/' if once else ''}{count}"
+            path = f"/{self.rng.choice(SERVICES)}/{'file/' if once else ''}{count}"
             if routes and count % 7 == 0:
                 path, once = f"{self.rng.choice(routes)}{count}", False
             await self._call(instance, path, once)
@@ -120,8 +121,7 @@
 
     async def _recovered(self) -> dict[str, bool]:
         deadline = time.monotonic() + RECOVERY_S
-        services = sorted({place.service for place in PLACES.values()})
-        waiting = set(itertools.product([i.name for i in self.running.instances], services))
+        waiting = set(itertools.product([i.name for i in self.running.instances], SERVICES))
         by_name = {instance.name: instance for instance in self.running.instances}
         while waiting and time.monotonic() < deadline:
             for name, service in sorted(waiting):
--- a/packages/goldcrestgrade-testing/goldcrestgrade_testing/fleet_platform/endpoint.py
+++ b/packages/goldcrestgrade-testing/goldcrestgrade_testing/fleet_platform/endpoint.py
@@ -6,14 +6,13 @@
 import collections
 import contextlib
 import dataclasses
-import socket
-import struct
 import time
 import typing
 
 import aiohttp
 
 from goldcrestgrade_testing import raw_endpoint
+from goldcrestgrade_testing.fault_soak import proxy
 
 CANCEL_POLL_S = 0.01
 """Time between looks at whether the caller of a request has gone."""
@@ -169,7 +168,8 @@
                 self._write(writer, self._head(status, attempt, signature) + body[:3])
                 await writer.drain()
                 await asyncio.sleep(CANCEL_POLL_S)
-                _reset(writer)
+                if not writer.is_closing():
+                    proxy.reset(writer)
             case "spoiled":
                 self._write(writer, b"\x00\x01 no answer at all \r\n\r\n")
                 writer.close()
@@ -181,7 +181,8 @@
                 self._write(writer, self._head(status, attempt, signature) + body)
                 writer.close()
             case "lost":
-                _reset(writer)
+                if not writer.is_closing():
+                    proxy.reset(writer)
             case _:
                 self._write(writer, whole)
 
@@ -205,15 +206,6 @@
         return f"HTTP/1.1 {status}\r\n{self._fields(attempt, fields)}\r\n".encode()
 
 
-def _reset(writer: asyncio.StreamWriter) -> None:
-    """End a connection so that the other side sees a reset."""
-    if writer.is_closing():
-        return
-    connection: socket.socket = writer.get_extra_info("socket")
-    connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
-    writer.transport.abort()
-
-
 async def beat_forever(
     endpoint: Endpoint, address: str, zone: str, control: str, interval_s: float
 ) -> None:
--- a/packages/goldcrestgrade-testing/goldcrestgrade_testing/schedules.py
+++ b/packages/goldcrestgrade-testing/goldcrestgrade_testing/schedules.py
@@ -21,6 +21,16 @@
 """Entry nodes; the last one stands in the other region."""
 
 
+LASTS_S = (0.1, 0.2, 0.6, 1.0, 2.0, 4.0)
+"""Durations of faults."""
+
+TIMEOUTS_S = (0.3, 0.6, 1.5, 3.0, 5.0)
+"""Timeouts of tries."""
+
+SKEWS_S = (0.0, 0.0, 0.5, -0.5)
+"""How far the wall clock of a guard may be ahead."""
+
+
 class FaultKind(enum.StrEnum):
     """What goes wrong during a fault."""
 
@@ -94,7 +104,7 @@
         _fault,
         kind=strategies.sampled_from(kinds),
         begins_at=_hundredths((0, 60), (0, 60), (0, 600)),
-        lasts_s=strategies.sampled_from((0.1, 0.2, 0.6, 1.0, 2.0, 4.0)),
+        lasts_s=strategies.sampled_from(LASTS_S),
         guard=strategies.integers(0, ALL_GUARDS),
     )
     return strategies.lists(fault, min_size=3, max_size=8).map(tuple)
@@ -104,12 +114,10 @@
     Try,
     begins_at=_hundredths((0, 60), (0, 60), (0, 800)),
     entry=strategies.integers(0, len(ENTRIES) - 1),
-    timeout_s=strategies.sampled_from((0.3, 0.6, 1.5, 3.0, 5.0)),
+    timeout_s=strategies.sampled_from(TIMEOUTS_S),
     changed=strategies.integers(0, 15).map(lambda draw: draw == 15),
 )
 
-SKEWS_S = strategies.sampled_from((0.0, 0.0, 0.5, -0.5))
-
 INTENTIONS = strategies.builds(
     Intention,
     dated=strategies.integers(0, 3).map(lambda draw: draw == 3),
@@ -125,7 +133,7 @@
     return strategies.builds(
         Schedule,
         seed=strategies.integers(0, 2**16),
-        skews_s=strategies.tuples(*(SKEWS_S for _ in GUARDS)),
+        skews_s=strategies.tuples(*(strategies.sampled_from(SKEWS_S) for _ in GUARDS)),
         intentions=strategies.lists(INTENTIONS, min_size=1, max_size=3).map(tuple),
         faults=drawn.flatmap(_faults),
     )
@@ -139,7 +147,7 @@
     chosen = rng.sample(kinds, rng.randint(1, min(4, len(kinds))))
     return Schedule(
         seed=rng.randint(0, 2**16),
-        skews_s=tuple(rng.choice((0.0, 0.0, 0.5, -0.5)) for _ in GUARDS),
+        skews_s=tuple(rng.choice(SKEWS_S) for _ in GUARDS),
         intentions=tuple(_drawn_intention(rng) for _ in range(rng.randint(1, 3))),
         faults=tuple(_drawn_fault(rng, chosen) for _ in range(rng.randint(3, 8))),
     )
@@ -151,7 +159,7 @@
             begins_at=rng.choice((rng.randint(0, 60), rng.randint(0, 60), rng.randint(0, 800)))
             / 100,
             entry=rng.randrange(len(ENTRIES)),
-            timeout_s=rng.choice((0.3, 0.6, 1.5, 3.0, 5.0)),
+            timeout_s=rng.choice(TIMEOUTS_S),
             changed=rng.randrange(16) == 0,
         )
         for _ in range(rng.randint(2, 5))
@@ -161,7 +169,7 @@
 
 def _drawn_fault(rng: random.Random, kinds: typing.Sequence[FaultKind]) -> Fault:
     begins_at = rng.choice((rng.randint(0, 60), rng.randint(0, 60), rng.randint(0, 600))) / 100
-    lasts_s = rng.choice((0.1, 0.2, 0.6, 1.0, 2.0, 4.0))
+    lasts_s = rng.choice(LASTS_S)
     return _fault(rng.choice(kinds), begins_at, lasts_s, rng.randint(0, ALL_GUARDS))
 
 
