--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/admission.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/admission.py
@@ -49,7 +49,13 @@
 """
 
 STALLED_PACE = 4.0
-"""Pace that a stalled endpoint is assumed to have until a health check reports its pace."""
+"""Pace that an endpoint is assumed to have once it counts as stalled.
+
+It grows with the number of overdue completions, until a health check reports the pace.
+"""
+
+STALL_REVIEW_INTERVAL_S = 0.08
+"""Time between two evaluations of the queue of a stalled endpoint."""
 
 DEGRADED_PACE = 1.5
 """Pace from which an endpoint counts as degraded."""
@@ -191,6 +197,8 @@
         self.pace_reported_at: instants.Instant = 0.0
         self.progress_at: instants.Instant = 0.0
         """When the endpoint last became busy or completed a request."""
+        self.stall_review: asyncio.TimerHandle | None = None
+        """Next check whether the endpoint stalls, while requests are queued."""
 
     def load(self) -> loads.Load:
         """Return the load that is reported to other nodes."""
@@ -209,15 +217,21 @@
         """
         age_s = self.clocks.monotonic() - self.pace_reported_at
         expected = expected_pace(self.pace, age_s)
-        return max(expected, STALLED_PACE) if self.is_stalled() else expected
+        if not self.is_stalled():
+            return expected
+        return max(expected, STALLED_PACE * self._overdue_completions() / STALL_THRESHOLD)
 
     def is_stalled(self) -> bool:
-        """Return whether `STALL_THRESHOLD` completions are overdue since the last progress.
+        """Return whether `STALL_THRESHOLD` completions are overdue since the last progress."""
+        return self._overdue_completions() >= STALL_THRESHOLD
+
+    def _overdue_completions(self) -> float:
+        """Return how many completions were to be expected since the last progress.
 
         A pace report counts as progress too.
         """
         since_progress_s = self.clocks.monotonic() - max(self.progress_at, self.pace_reported_at)
-        return since_progress_s * self.in_flight >= STALL_THRESHOLD * self.mean_service_time_s
+        return since_progress_s * self.in_flight / self.mean_service_time_s
 
     def is_health_check_due(self) -> bool:
         """Return whether requests are evaluated by a degraded pace whose report is old."""
@@ -236,6 +250,7 @@
         long = not self._is_short(request)
         queued = QueuedRequest(request.priority, long, next(self.arrivals), request, admitted)
         heapq.heappush(self.queue, queued)
+        self._schedule_stall_review()
         try:
             async with asyncio.timeout(self._latest_start(request) - self.clocks.monotonic()):
                 return await admitted
@@ -361,6 +376,26 @@
         self._update_limit()
         self.start_queued()
 
+    def _schedule_stall_review(self) -> None:
+        """Schedule a check for the instant at which the endpoint counts as stalled.
+
+        Load pattern: the endpoint stops completing requests and reports nothing. Queued requests
+        that can no longer end in time are rejected when the gap shows it, not at their target.
+        """
+        if self.stall_review is not None or not self.queue:
+            return
+        missing = STALL_THRESHOLD - self._overdue_completions()
+        wait_s = missing * self.mean_service_time_s / max(1, self.in_flight)
+        self.stall_review = asyncio.get_running_loop().call_later(
+            max(STALL_REVIEW_INTERVAL_S, wait_s), self._review_stall
+        )
+
+    def _review_stall(self) -> None:
+        self.stall_review = None
+        if self.is_stalled():
+            self._reevaluate_queue()
+        self._schedule_stall_review()
+
     def _reevaluate_queue(self) -> None:
         """Reject queued requests that can no longer end in time behind those that stay queued."""
         queue, self.queue = sorted(self.queue), []
--- a/packages/goldcrestgrade-node/tests/mesh/test_replayed_loads.py
+++ b/packages/goldcrestgrade-node/tests/mesh/test_replayed_loads.py
@@ -148,6 +148,38 @@
     assert completed.in_time > 1.05 * baseline.in_time
 
 
+async def waits_before_rejection(reviewed):
+    """Return how long queued requests wait at an endpoint that suddenly answers none in time."""
+    loop = asyncio.get_running_loop()
+    controller = admission.AdmissionController(instants.Clocks(loop.time, loop.time))
+    if not reviewed:
+        controller._review_stall = lambda: None
+    controller.mean_service_time_s = 0.02
+    controller.service_times_s["route"] = 0.02
+    waits_s = []
+
+    async def request():
+        target_at, deadline = loop.time() + 0.4, loop.time() + 1.0
+        started = loop.time()
+        if await controller.admit(admission.Request("route", 1, target_at, deadline, False)):
+            waits_s.append(loop.time() - started)
+            return
+        await asyncio.sleep(0.3)
+        controller.release()
+
+    await asyncio.gather(*(request() for _ in range(24)))
+    return waits_s
+
+
+def test_requests_queued_at_an_endpoint_that_stalls_are_rejected_before_their_target():
+    waits_s = virtual_time.run(waits_before_rejection(reviewed=True))
+    former_waits_s = virtual_time.run(waits_before_rejection(reviewed=False))
+    assert len(waits_s) >= len(former_waits_s) > 10
+    assert max(former_waits_s) > 0.9 * 0.4
+    # Six completions are overdue after 0.12 s, and as many more at the next review.
+    assert max(waits_s) <= 0.12 + 0.12
+
+
 def test_lasting_overload_completes_more_in_time_with_a_service_time_margin(monkeypatch):
     arrivals_by_seed = [list(burst(random.Random(seed), 180.0, 20.0)) for seed in range(1, 5)]
     completed = [virtual_time.run(replay(arrivals, Endpoint())) for arrivals in arrivals_by_seed]
--- a/packages/goldcrestgrade-testing/goldcrestgrade_testing/demo/__main__.py
+++ b/packages/goldcrestgrade-testing/goldcrestgrade_testing/demo/__main__.py
@@ -31,7 +31,9 @@
 async def _run(shape_name: str, seed: int) -> scenario.Result:
     running = asyncio.current_task()
     assert running is not None
-    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, running.cancel)
+    for signum in (signal.SIGINT, signal.SIGTERM):
+        # A shell that starts the demo in the background has it ignore SIGINT.
+        asyncio.get_running_loop().add_signal_handler(signum, running.cancel)
     return await scenario.run(SHAPES[shape_name], scenario.Schedule(), seed)
 
 
--- a/packages/goldcrestgrade-testing/goldcrestgrade_testing/fault_soak/injection.py
+++ b/packages/goldcrestgrade-testing/goldcrestgrade_testing/fault_soak/injection.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import signal
+import subprocess
 import typing
 
 from goldcrestgrade_testing.fault_soak import plan, proxy
@@ -15,7 +16,7 @@
 DEGRADED_PACE = 7.0
 """Pace of a degraded endpoint; 1.0 is normal."""
 
-ANSWER_FAULTS = ("cut", "reset", "spoiled", "doubled", "late", "unframed", "lost")
+ANSWER_FAULTS = ("cut", "reset", "spoiled", "doubled", "late", "unframed", "lost", "mute")
 
 STOP_TIMEOUT_S = 6.0
 """Time that the platform allows a node between SIGTERM and SIGKILL."""
@@ -125,7 +126,7 @@
             return
         try:
             await asyncio.to_thread(process.wait, STOP_TIMEOUT_S)
-        except TimeoutError:
+        except subprocess.TimeoutExpired:
             process.kill()
             await asyncio.to_thread(process.wait)
         if instance.process is process:
--- a/packages/goldcrestgrade-testing/goldcrestgrade_testing/fleet_platform/endpoint.py
+++ b/packages/goldcrestgrade-testing/goldcrestgrade_testing/fleet_platform/endpoint.py
@@ -33,7 +33,8 @@
     - `doubled`: a stray answer, of another attempt, follows the answer;
     - `late`: the stray answer precedes the answer;
     - `unframed`: the answer has no `Content-Length`, and the connection closes after the body;
-    - `lost`: the connection is reset without an answer.
+    - `lost`: the connection is reset without an answer;
+    - `mute`: no answer follows and the connection stays open.
     """
     times: int
     """Number of answers that have the fault."""
@@ -211,6 +212,8 @@
             case "lost":
                 if not writer.is_closing():
                     proxy.reset(writer)
+            case "mute":
+                pass
             case _:
                 self._write(writer, answer)
 
