Poll the store less often and get the configuration from a peer at the start

Each of 194 nodes reads two tables and writes its row twice at its start; the eight watchers poll up to 12.5 times a second while rows change.

A node that starts gets the configuration from a peer of its failure domain, which may also be newer than that of a store that came back from a copy.

--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/watch.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/watch.py
@@ -27,10 +27,18 @@
 
 log = logging.getLogger(__name__)
 
-STORE_LONG_POLL_S = 2.0
-"""Longest time for which the store may wait for changes before it answers a poll.
+STORE_LONG_POLLS_S = {replica.CONFIGURATION: 2.0, replica.MESH: 4.0}
+"""Longest time for which the store may wait for changes of a table before it answers a poll.
 
-It is within the 3 s after which nodes are required to have recovered from a lost connection.
+A silent connection is noticed after this time, and a configuration must be in force within 2 s of
+the moment at which nodes are required to have recovered from it.
+"""
+
+STORE_POLL_DELAYS_S = {replica.CONFIGURATION: 0.0, replica.MESH: 0.25}
+"""Time between two polls of a table, in which changes gather into one answer.
+
+Each request to the store has a price. An outdated instance row costs a request one hop, and a node
+that stops waits longer than this after it has removed its row.
 """
 
 PEER_LONG_POLL_S = 0.8
@@ -45,9 +53,6 @@
 RESPONSE_MARGIN_S = 0.4
 """Time beyond the long poll after which a poll of a peer fails."""
 
-STORE_POLL_DELAY_S = 0.08
-"""Time between polls of the store, in which changes gather into one answer."""
-
 BACKOFF_BASE_S = 0.2
 """Longest backoff before the store is polled again after a first failure."""
 
@@ -115,8 +120,8 @@
         self.encoded_changes: dict[tuple[tables.Position, ...], bytes] = {}
         """Answers to polls by the positions of the peer, as of `encoded_at`."""
         self.encoded_at = local_replica.changed
-        self.loaded_tables: set[str] = set()
-        """Tables that were read in full."""
+        self.polled_at: dict[str, instants.Instant] = {}
+        """When the store last answered a poll, by table."""
         self.pending_polls: dict[str, asyncio.Task[tables.Changes]] = {}
         """Polls of the store that wait for changes, by table."""
 
@@ -141,7 +146,6 @@
     async def run(self) -> None:
         """Read both tables in full, then watch them until cancelled."""
         await self._load()
-        await self._ask_for_configuration()
         while True:
             source = self.instances.by_id.get(self.source_id or "")
             if self._lower_peers() and source is None:
@@ -153,24 +157,37 @@
                 self.source_id = None
 
     async def _load(self) -> None:
-        """Read both tables in full from the store, repeated until that succeeds."""
+        """Read the instances from the store, and the configuration from a peer if there is one.
+
+        A peer's configuration may be newer, since the store may come back from a copy of its past.
+        """
         while not self.complete.is_set():
-            await self._read_all()
+            try:
+                await self._read(replica.MESH)
+                if not await self._ask_for_configuration():
+                    await self._read(replica.CONFIGURATION)
+                self.complete.set()
+            except tables.ReadError as error:
+                self._store_failed(error)
+                await self._back_off()
 
-    async def _ask_for_configuration(self) -> None:
-        """Ask a peer for its configuration, since the store may have lost it for a moment."""
-        peer = self._fallback_peer()
-        if peer is not None:
-            with contextlib.suppress(PeerError):
-                await self._poll_peer(peer, 0.0)
+    async def _ask_for_configuration(self) -> bool:
+        """Ask a peer for its configuration and return whether it had one."""
+        near = [
+            peer
+            for peer in self._usable_peers()
+            if peer.row.place.failure_domain == self.location.failure_domain
+        ]
+        if not near:
+            return False
+        with contextlib.suppress(PeerError):
+            await self._poll_peer(self.rng.choice(near), 0.0)
+        return (replica.CONFIGURATION, replica.CURRENT) in self.replica.rows
 
     async def _read(self, table: str) -> None:
         received = await self.store.snapshot(table)
         self._store_answered()
         self.replica.apply_snapshot(table, received)
-        self.loaded_tables.add(table)
-        if self.loaded_tables.issuperset(replica.TABLES):
-            self.complete.set()
 
     async def _search(self) -> None:
         """Find a peer that watches the store, or begin to watch the store."""
@@ -243,8 +260,7 @@
             await self._read_all()
             return
         try:
-            await self._poll_store(0.0 if self.failures else STORE_LONG_POLL_S)
-            await asyncio.sleep(STORE_POLL_DELAY_S)
+            await self._poll_store()
         except tables.HistoryGone:
             self._cancel_polls()
             log.warning("changes since the last poll are not to be had; reading all rows again")
@@ -272,12 +288,11 @@
             self._store_failed(error)
             await self._back_off()
 
-    async def _poll_store(self, wait_s: float) -> None:
+    async def _poll_store(self) -> None:
         """Wait for the first answer to the polls of the store and apply it."""
         for table in replica.TABLES:
             if table not in self.pending_polls:
-                poll = self.store.changes(table, self.replica.positions[table], wait_s)
-                self.pending_polls[table] = asyncio.create_task(poll)
+                self.pending_polls[table] = asyncio.create_task(self._poll_table(table))
         await asyncio.wait(self.pending_polls.values(), return_when=asyncio.FIRST_COMPLETED)
         for table, task in list(self.pending_polls.items()):
             if task.done():
@@ -288,6 +303,15 @@
                 self._store_answered()
                 self.replica.apply_changes(table, received)
 
+    async def _poll_table(self, table: str) -> tables.Changes:
+        """Poll the store for changes of a table, `STORE_POLL_DELAYS_S` after the last answer."""
+        due_at = self.polled_at.get(table, -instants.NEVER) + STORE_POLL_DELAYS_S[table]
+        await asyncio.sleep(max(0.0, due_at - self.clocks.monotonic()))
+        wait_s = 0.0 if self.failures else STORE_LONG_POLLS_S[table]
+        received = await self.store.changes(table, self.replica.positions[table], wait_s)
+        self.polled_at[table] = self.clocks.monotonic()
+        return received
+
     def _cancel_polls(self) -> None:
         for task in self.pending_polls.values():
             task.cancel()
@@ -308,6 +332,20 @@
             return False
 
     async def _poll_peer(self, peer: directory.Instance, wait_s: float) -> bool:
+        """Apply the changes of a peer, after `wait_s` at most; return whether it has the store."""
+        try:
+            document = orjson.loads(await self._fetch_changes(peer, wait_s))
+            if document["node_id"] != peer.row.node_id:
+                raise PeerError(
+                    f"node {document['node_id']} answers at the address of {peer.row.node_id}"
+                )
+            for table in replica.TABLES:
+                self._apply_answer(table, decode(table, document[table]))
+            return bool(document["connected"])
+        except (orjson.JSONDecodeError, KeyError, TypeError, ValueError) as error:
+            raise PeerError(f"malformed answer: {error!r}") from error
+
+    async def _fetch_changes(self, peer: directory.Instance, wait_s: float) -> bytes:
         query = {f"after-{name}": str(after) for name, after in self.replica.positions.items()}
         timeout = aiohttp.ClientTimeout(total=wait_s + RESPONSE_MARGIN_S)
         try:
@@ -320,18 +358,9 @@
                 body = await response.read()
                 if response.status != 200:
                     raise PeerError(f"status {response.status}")
-            document = orjson.loads(body)
-            if document["node_id"] != peer.row.node_id:
-                raise PeerError(
-                    f"node {document['node_id']} answers at the address of {peer.row.node_id}"
-                )
-            for table in replica.TABLES:
-                self._apply_answer(table, decode(table, document[table]))
-            return bool(document["connected"])
+                return body
         except (TimeoutError, aiohttp.ClientError, OSError) as error:
             raise PeerError(repr(error)) from error
-        except (orjson.JSONDecodeError, KeyError, TypeError, ValueError) as error:
-            raise PeerError(f"malformed answer: {error!r}") from error
 
     def _apply_answer(self, table: str, received: tables.Changes) -> None:
         """Apply a peer's changes, which are all its rows if its era is later than this node's."""
