Write the first row of a node once its endpoint is known

A node that follows a peer, has no endpoint and no row of an earlier start now waits up to 4 s for its endpoint. Nobody needs its row before: it serves nothing, and peers look for a watcher among those that have registered.

--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/node.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/node.py
@@ -51,6 +51,12 @@
 Covers a few round trips on loopback while the rest of the node starts.
 """
 
+FOLLOWER_REGISTRATION_DELAY_S = 4.0
+"""Longest wait of a node that follows a peer for its endpoint, before it writes its first row.
+
+Endpoints start within seconds. Nobody needs the row of such a node before.
+"""
+
 LOST_CONNECTION_REASONS = frozenset(
     {reasons.Uncertainty.ANSWER_LOST, reasons.Uncertainty.ANSWER_CUT}
 )
@@ -94,6 +100,8 @@
         self.stopping = asyncio.Event()
         self.handing_over = asyncio.Event()
         """Set once a stopping node sends its endpoint no more requests."""
+        self.endpoint_known = asyncio.Event()
+        """Set once an endpoint was found on this instance."""
         self.table: routes.RouteTable | None = None
         self.location = directory.Location(config.failure_domain, config.region)
         self.instances = directory.Directory()
@@ -225,6 +233,8 @@
     def on_endpoint_changed(self) -> None:
         """Apply a change of the own endpoint: it started, left, drains or refused a connection."""
         current = self.own.current
+        if current is not None:
+            self.endpoint_known.set()
         if self.own.slots:
             self.controller.set_slots(self.own.slots)
         if self.own.usable() is None:
@@ -333,8 +343,23 @@
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(FIRST_CHECK_TIMEOUT_S):
                 await self.health.first_check_done.wait()
+        register_by = self.clocks.monotonic() + FOLLOWER_REGISTRATION_DELAY_S
+        while self._is_row_dispensable() and self.clocks.monotonic() < register_by:
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(FIRST_CHECK_TIMEOUT_S):
+                    await self.endpoint_known.wait()
         await self.registration.run()
 
+    def _is_row_dispensable(self) -> bool:
+        """Return whether peers can do without the row of this node, which has no endpoint yet.
+
+        A first row and a second one for the endpoint would double the writes at the start of a
+        fleet. A row of an earlier start is outdated, and a watcher has to be found by its row.
+        """
+        registered = (replica.MESH, self.registration.key) in self.replica.rows
+        follows = self.sync.source_id is not None
+        return follows and not registered and not self.endpoint_known.is_set()
+
     async def drain(self) -> instants.Instant:
         """Serve until clients have noticed that this node is not ready, then reject new requests.
 
