--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/node.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/node.py
@@ -96,6 +96,7 @@
         self.platform = platform
         self.clocks = instants.system_clocks()
         self.counts = counters.Counts()
+        platform.store.on_era(self.on_store_era)
         self.rng = random.Random()
         self.stopping = asyncio.Event()
         self.handing_over = asyncio.Event()
@@ -203,6 +204,10 @@
                 self.registration.on_own_row_change(change)
         return True
 
+    def on_store_era(self, era: int) -> None:
+        """Record that the store is in a new era."""
+        self.counts.store_era = era
+
     def _apply_configuration(self, value: tables.Value, position: tables.Position) -> bool:
         """Put a configuration in force unless a newer one is; return whether it is in force."""
         try:
--- a/packages/goldcrestgrade/goldcrestgrade/counters.py
+++ b/packages/goldcrestgrade/goldcrestgrade/counters.py
@@ -20,6 +20,8 @@
         self.retries: collections.Counter[str] = collections.Counter()
         self.events: collections.Counter[str] = collections.Counter()
         self.in_flight = 0
+        self.store_era = 0
+        """Latest era of the store that this process has seen."""
         self.latency_buckets = [0] * (len(LATENCY_BOUNDS_S) + 1)
         """Requests by latency: one count for each bound, and one for those above the last."""
         self.latency_sum_s = 0.0
--- a/packages/goldcrestgrade/goldcrestgrade/telemetry.py
+++ b/packages/goldcrestgrade/goldcrestgrade/telemetry.py
@@ -59,6 +59,11 @@
         callbacks=[lambda _: [metrics.Observation(counts.in_flight)]],
         description="Calls of callers that have not ended.",
     )
+    meter.create_observable_gauge(
+        "goldcrestgrade.store_era",
+        callbacks=[lambda _: [metrics.Observation(counts.store_era)]],
+        description="Latest era of the store, which rises when it comes back from a copy.",
+    )
     collectors.register(_LatencyCollector(counts))
     return Registry(provider, collectors)
 
--- a/packages/goldcrestgrade/tests/test_telemetry.py
+++ b/packages/goldcrestgrade/tests/test_telemetry.py
@@ -37,9 +37,11 @@
     registry = telemetry.register(counts)
     counts.refusals[reasons.Refusal.NO_SHEET] += 2
     counts.in_flight = 3
+    counts.store_era = 2
     values = samples(registry)
     assert values["goldcrestgrade_refusals_total", "no_sheet"] == 2
     assert values["goldcrestgrade_in_flight", ""] == 3
+    assert values["goldcrestgrade_store_era", ""] == 2
 
 
 def test_registries_of_one_process_are_independent():
