--- a/packages/goldcrestgrade/goldcrestgrade/log_output.py
+++ b/packages/goldcrestgrade/goldcrestgrade/log_output.py
@@ -23,6 +23,9 @@
 MAX_PENDING_BYTES = 256 * 1024
 """Buffered bytes from which lines are dropped because the reader does not keep up."""
 
+DROP_REPORT_INTERVAL_S = 1.0
+"""Shortest time between two lines that report dropped lines."""
+
 RECENT_RECORDS = 1000
 """Number of latest records kept for a dump, including those that were not written."""
 
@@ -40,6 +43,7 @@
         self.pending = bytearray()
         self.dropped = 0
         """Lines dropped since the last line that reported dropped lines."""
+        self.next_report_at = clock()
         self.recent: collections.deque[logging.LogRecord] = collections.deque(maxlen=RECENT_RECORDS)
 
     def emit(self, record: logging.LogRecord) -> None:
@@ -53,7 +57,9 @@
             self.write_pending()
             return
         self.tokens -= 1
-        if self.dropped:
+        if self.dropped and self.clock() >= self.next_report_at:
+            self.next_report_at = self.clock() + DROP_REPORT_INTERVAL_S
+            self.tokens -= 1
             dropped, self.dropped = self.dropped, 0
             self._append(
                 logging.makeLogRecord(
--- a/packages/goldcrestgrade/tests/test_log_output.py
+++ b/packages/goldcrestgrade/tests/test_log_output.py
@@ -54,6 +54,18 @@
     assert read(pipe[0]) == ["log lines dropped", "later"]
 
 
+def test_lasting_overload_stays_within_the_rate_and_reports_dropped_lines_once_a_second():
+    pipe = os.pipe()
+    handler = handler_of(pipe, clock := Clock())
+    seconds, written = 20, []
+    for _ in range(seconds * 200):
+        clock.now += 1 / 200
+        handler.emit(record())
+        written += read(pipe[0])
+    assert len(written) <= log_output.BURST_LINES + seconds * log_output.LINES_PER_S
+    assert 0 < written.count("log lines dropped") <= seconds
+
+
 def test_warning_is_written_after_info_lines_have_spent_their_part_of_the_budget():
     pipe = os.pipe()
     handler = handler_of(pipe, Clock())
