Watch the store once in each region instead of once in each failure domain

The first node of each failure domain now follows the first node of an earlier failure domain of its region, and counts as connected while its source does. Nodes only follow nodes before them in the order of failure domain and id, so none can follow each other. It restores the lost rows of its failure domain as the watcher did.

--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/restoration.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/restoration.py
@@ -1,8 +1,8 @@
 """Restoration of shared rows that the store lost when it came back from a copy of its past.
 
 Load pattern: all rows written since the copy are missing at once, and the store accepts few writes
-a second. The node that watches the store for its failure domain writes the lost rows of the domain
-in a few transactions. The other nodes write their own rows only if that did not happen soon.
+a second. The first node of each failure domain writes the lost rows of the domain in a few
+transactions. The other nodes write their own rows only if that did not happen soon.
 """
 
 from __future__ import annotations
@@ -85,7 +85,7 @@
         failure_domain: str,
         local_replica: replica.Replica,
         store: tables.TableService,
-        watches_store: typing.Callable[[], bool],
+        leads: typing.Callable[[], bool],
         write_own_row: typing.Callable[[], None],
         clocks: instants.Clocks,
         rng: random.Random,
@@ -93,7 +93,8 @@
         self.failure_domain = failure_domain
         self.replica = local_replica
         self.store = store
-        self.watches_store = watches_store
+        self.leads = leads
+        """Returns whether this node is the first of its failure domain."""
         self.write_own_row = write_own_row
         self.clocks = clocks
         self.rng = rng
@@ -119,7 +120,7 @@
     async def _restore(self) -> None:
         own_row_at = self.clocks.monotonic() + self.rng.uniform(*OWN_ROW_DELAY_S)
         end_at = self.replica.lost_rows_end_at
-        if self.watches_store():
+        if self.leads():
             await self._write(lost_rows_of(self.replica, self.failure_domain))
             await asyncio.sleep(self.rng.uniform(0.0, MAX_SHARED_DELAY_S))
             await self._write(lost_shared_rows(self.replica))
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/watch.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/watch.py
@@ -1,8 +1,12 @@
 """Keeps the node's replica of the shared tables up to date, from a peer or from the store.
 
-In each failure domain the reachable node with the lowest id watches the store and the others poll
-that node, so that the number of store requests does not grow with the number of nodes. A node that
-loses its source asks several peers at once for the next one.
+In each failure domain the reachable node with the lowest id is the source of the others, which poll
+it. These first nodes follow the one of the first failure domain of their region, which watches the
+store, so that the number of store requests grows with neither nodes nor failure domains. Nodes only
+follow nodes before them in this order, so no two can follow each other.
+
+A node that loses its source asks several peers at once for the next one. The first node of a
+failure domain watches the store meanwhile, so that the others hardly notice.
 
 Load pattern: many nodes of a failure domain are lost or cut off at once, the watcher among them.
 Each round of the search takes as long as one silent peer, however many are silent. While no peer
@@ -68,6 +72,9 @@
 DISCONNECTED_PEER_BACKOFF_S = 1.0
 """The same for a peer that answered that it does not have the store."""
 
+MAX_SOURCE_ANSWER_AGE_S = PEER_LONG_POLL_S + RESPONSE_MARGIN_S
+"""Time after the last answer of its source for which a node counts as connected to the store."""
+
 CHANGES_PATH = "/mesh/changes"
 """Path of the relay address at which a node answers polls of its peers for changes."""
 
@@ -114,6 +121,10 @@
         self.failures = 0
         self.source_id: str | None = None
         """Peer that this node polls; none while it watches the store or searches a peer."""
+        self.source_answered_at: instants.Instant = -instants.NEVER
+        """When the present source last answered that it is connected to the store."""
+        self.region_search_at: instants.Instant = 0.0
+        """When the first node of a failure domain next looks for a source in its region."""
         self.watches_store = False
         self.known_era = 0
         """Latest era of the store that any answer has shown."""
@@ -126,12 +137,15 @@
         """Polls of the store that wait for changes, by table."""
 
     def is_connected(self) -> bool:
-        """Return whether this node watches the store itself and the store answers it.
+        """Return whether the store, or a source that is connected to it, answers this node."""
+        now = self.clocks.monotonic()
+        if self.watches_store:
+            return now - self.store_answered_at < MAX_STORE_ANSWER_AGE_S and not self.failures
+        return now - self.source_answered_at < MAX_SOURCE_ANSWER_AGE_S
 
-        A node that follows a peer is no source for others, or two nodes could follow each other.
-        """
-        recent = self.clocks.monotonic() - self.store_answered_at < MAX_STORE_ANSWER_AGE_S
-        return self.watches_store and recent and not self.failures
+    def is_first_in_failure_domain(self) -> bool:
+        """Return whether no node of the failure domain with a lower id is usable as a source."""
+        return not self._lower_peers()
 
     def observe_era(self, era: int) -> None:
         """Record an era that an answer of the store or a poll of a peer has shown.
@@ -148,13 +162,16 @@
         await self._load()
         while True:
             source = self.instances.by_id.get(self.source_id or "")
-            if self._lower_peers() and source is None:
+            if source is not None:
+                if not await self._watch_peer(source):
+                    self._leave_source()
+            elif self._lower_peers():
                 await self._search()
-            elif source is None:
+            elif self._region_peers() and self.region_search_at <= self.clocks.monotonic():
+                await self._search_region()
+            else:
                 self.watches_store = True
                 await self._watch_store()
-            elif not await self._watch_peer(source):
-                self.source_id = None
 
     async def _load(self) -> None:
         """Read the instances from the store, and the configuration from a peer if there is one.
@@ -192,17 +209,8 @@
     async def _search(self) -> None:
         """Find a peer that watches the store, or begin to watch the store."""
         for search_round in itertools.count():
-            peers = self._lower_peers()
-            asked = peers[:SEARCH_WIDTH]
-            connected = await asyncio.gather(*(self._ask(peer) for peer in asked))
-            sources = [peer for peer, usable in zip(asked, connected, strict=True) if usable]
-            if sources:
-                self._cancel_polls()
-                self.watches_store = False
-                # Peers that poll this node learn that it does not watch the store any more.
-                self.replica.notify()
-                self.source_id = sources[0].row.node_id
-                log.info("source found", extra={"peer": self.source_id, "round": search_round})
+            asked = self._lower_peers()[:SEARCH_WIDTH]
+            if await self._follow_one_of(asked):
                 return
             remaining = self._lower_peers()
             if self.watches_store or watches_itself(len(remaining), search_round):
@@ -215,6 +223,31 @@
             if any(peer in remaining for peer in asked):
                 await asyncio.sleep(SEARCH_INTERVAL_S)
 
+    async def _search_region(self) -> None:
+        """Find a source in another failure domain of the region, if there is one."""
+        self.region_search_at = self.clocks.monotonic() + DISCONNECTED_PEER_BACKOFF_S
+        await self._follow_one_of(self._region_peers()[:SEARCH_WIDTH])
+
+    async def _follow_one_of(self, asked: typing.Sequence[directory.Instance]) -> bool:
+        """Ask peers at once and follow the first one that has the store; return whether one has."""
+        connected = await asyncio.gather(*(self._ask(peer) for peer in asked))
+        sources = [peer for peer, usable in zip(asked, connected, strict=True) if usable]
+        if not sources:
+            return False
+        self._cancel_polls()
+        self.watches_store = False
+        self.source_id = sources[0].row.node_id
+        self.source_answered_at = self.clocks.monotonic()
+        log.info("source found", extra={"peer": self.source_id})
+        return True
+
+    def _leave_source(self) -> None:
+        """Stop following the source, and tell so to the peers that poll this node."""
+        self.source_id = None
+        self.source_answered_at = -instants.NEVER
+        self.region_search_at = self.clocks.monotonic() + DISCONNECTED_PEER_BACKOFF_S
+        self.replica.notify()
+
     async def _ask(self, peer: directory.Instance) -> bool:
         """Apply the changes of a peer without waiting for any; return whether it has the store."""
         try:
@@ -238,6 +271,16 @@
         )
         return sorted(peers, key=lambda peer: peer.row.node_id)
 
+    def _region_peers(self) -> list[directory.Instance]:
+        """Return the usable first node of each earlier failure domain of the region."""
+        first_nodes: dict[str, directory.Instance] = {}
+        for peer in sorted(self._usable_peers(), key=lambda peer: peer.row.node_id):
+            place = peer.row.place
+            before = place.failure_domain < self.location.failure_domain
+            if place.region == self.location.region and before:
+                first_nodes.setdefault(place.failure_domain, peer)
+        return [first_nodes[name] for name in sorted(first_nodes)]
+
     def _fallback_peer(self) -> directory.Instance | None:
         """Return a peer to poll while the store does not answer this node."""
         peers = self._usable_peers()
@@ -322,7 +365,10 @@
     async def _watch_peer(self, peer: directory.Instance) -> bool:
         """Poll a peer once and return whether it still has the store."""
         try:
-            return await self._poll_peer(peer, PEER_LONG_POLL_S)
+            connected = await self._poll_peer(peer, PEER_LONG_POLL_S)
+            if connected:
+                self.source_answered_at = self.clocks.monotonic()
+            return connected
         except PeerError as error:
             log.info(
                 "poll of a peer failed; using another source",
@@ -413,6 +459,7 @@
 
     def _store_failed(self, error: Exception) -> None:
         self.failures += 1
+        self.region_search_at = self.clocks.monotonic()
         if self.failures == 1:
             log.warning("store lost", extra={"error": str(error)})
             self.replica.notify()
--- a/packages/goldcrestgrade-node/tests/mesh/test_watch.py
+++ b/packages/goldcrestgrade-node/tests/mesh/test_watch.py
@@ -46,12 +46,12 @@
     instances.apply_change(tables.Change(replica.MESH, key, position, directory.encode(row)))
 
 
-def make_sync(own_id="n2"):
+def make_sync(own_id="n2", location=LOCATION):
     clocks = instants.system_clocks()
     local_replica = replica.Replica(lambda _: True, clocks)
     return watch.Sync(
         own_id,
-        LOCATION,
+        location,
         local_replica,
         directory.Directory(),
         Store(),
@@ -91,12 +91,58 @@
     assert sync.is_connected()
 
 
-async def test_node_that_follows_a_peer_is_not_connected(sync):
+async def test_node_that_follows_a_peer_is_connected_while_its_source_is(sync):
     await sync._read_all()
-    sync.watches_store = False
+    add(sync.instances, "n1", 1)
+    peers = Peers({"n1": True})
+    sync._poll_peer = peers.poll
+    await sync._search()
+    assert sync.source_id == "n1" and sync.is_connected()
+    source = sync.instances.by_id["n1"]
+    assert await sync._watch_peer(source)
+    peers.connected["n1"] = False
+    assert not await sync._watch_peer(source)
+    sync._leave_source()
     assert not sync.is_connected()
 
 
+async def test_first_node_of_a_failure_domain_follows_that_of_an_earlier_one_in_its_region():
+    sync = make_sync("n5", directory.Location("khomas-c", "khomas"))
+    for number, (name, domain, region) in enumerate(
+        (
+            ("n1", "khomas-a", "khomas"),
+            ("n2", "khomas-a", "khomas"),
+            ("n3", "khomas-b", "khomas"),
+            ("n4", "khomas-d", "khomas"),
+            ("n0", "oshana-a", "oshana"),
+        ),
+        1,
+    ):
+        add(sync.instances, name, number, directory.Location(domain, region))
+    assert [peer.row.node_id for peer in sync._region_peers()] == ["n1", "n3"]
+    assert sync.is_first_in_failure_domain()
+    sync._poll_peer = Peers({"n1": False, "n3": True}).poll
+    await sync._search_region()
+    assert sync.source_id == "n3"
+    assert sync.is_connected() and not sync.watches_store
+
+
+async def test_first_node_of_a_failure_domain_that_loses_its_source_watches_the_store_at_once():
+    sync = make_sync("n5", directory.Location("khomas-b", "khomas"))
+    add(sync.instances, "n1", 1)
+    sync._poll_peer = Peers({"n1": True}).poll
+    await sync._read_all()
+    sync.complete.set()
+    running = asyncio.create_task(sync.run())
+    await asyncio.sleep(0.1)
+    assert sync.source_id == "n1"
+    sync._poll_peer = Peers({}).poll
+    # The poll that was open, one that fails, and a moment for the store to answer.
+    await asyncio.sleep(watch.PEER_LONG_POLL_S + SILENCE_S + 0.2)
+    assert sync.watches_store and sync.is_connected()
+    running.cancel()
+
+
 async def test_answer_to_a_poll_names_the_node_and_contains_the_missing_changes(sync):
     await sync._read_all()
     position = tables.Position(1, 5)
@@ -141,6 +187,7 @@
         if peer.row.node_id not in self.connected:
             await asyncio.sleep(wait_s + SILENCE_S)
             raise watch.PeerError("silent")
+        await asyncio.sleep(min(wait_s, 0.05))
         return self.connected[peer.row.node_id]
 
 
--- a/packages/goldcrestgrade-testing/tests/fleet_platform/test_restored_store.py
+++ b/packages/goldcrestgrade-testing/tests/fleet_platform/test_restored_store.py
@@ -186,7 +186,7 @@
             LOCATIONS[node_id].failure_domain,
             self.replica,
             self.client,
-            lambda: self.sync.watches_store,
+            self.sync.is_first_in_failure_domain,
             self.registration.check,
             clocks,
             rng,
