Send no late request to another region while the own one has an instance

All regions were saturated.

A request that is expected to be late in another region too now stays in its own region, unless that has no reachable instance.

--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/dispatch.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/dispatch.py
@@ -130,13 +130,15 @@
         if progress.rejections >= MAX_REJECTIONS:
             return None
         service_time_s = self.service_times_s.get(_service_time_key(call), INITIAL_SERVICE_TIME_S)
-        candidates = [
-            instance
-            for instance in self.instances.of_service(call.service)
-            if instance.row.node_id not in progress.tried
-        ]
         requirements = placement.Requirements(call.target_at, call.deadline, service_time_s)
-        return placement.choose(self.location, candidates, requirements, now, self.rng)
+        return placement.choose(
+            self.location,
+            self.instances.of_service(call.service),
+            progress.tried,
+            requirements,
+            now,
+            self.rng,
+        )
 
     async def _send(
         self, call: requests.Call, choice: placement.Choice, progress: Progress
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/placement.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/placement.py
@@ -2,9 +2,11 @@
 
 Load pattern: instances become several times slower for half a second at a time. The nearest
 instance is therefore used while it is expected to answer in time, and a more distant one, which
-costs traffic between regions, only if all nearer ones would be late. If all would be late, the own
-region is preferred: an answer from another region costs traffic and takes capacity there from
-requests that would be in time.
+costs traffic between regions, only if all nearer ones would be late.
+
+Load pattern: all regions are saturated. A request that is expected to be late in another region too
+is not sent there while the own region has a reachable instance: most of these requests would be
+rejected, and the others would take capacity from requests that would be in time.
 """
 
 from __future__ import annotations
@@ -27,8 +29,11 @@
 IN_TIME_SHARE = 0.8
 """Share of the time to the latency target that the expected latency may take."""
 
+OTHER_REGION = 2
+"""Distance of an instance in another region."""
+
 LATE_RANK = 3
-"""Rank of late instances of the own region, after all that are expected in time."""
+"""Rank of late instances, after all that are expected in time."""
 
 
 class Requirements(typing.NamedTuple):
@@ -82,26 +87,34 @@
 
 def choose(
     own: directory.Location,
-    candidates: typing.Iterable[directory.Instance],
+    instances: typing.Sequence[directory.Instance],
+    tried: typing.Container[str],
     requirements: Requirements,
     now: instants.Instant,
     rng: random.Random,
 ) -> Choice | None:
-    """Return the nearest candidate that is expected in time, or none if no candidate is usable.
+    """Return the nearest of `instances` that is expected in time, or none if none may be used.
 
-    If all would be late, return the one with the lowest expected latency in the own region, or else
-    in another one.
+    Instances whose node ids are in `tried` are not used. If all would be late, return the one with
+    the lowest expected latency in the own region, or in another one if the own has none to reach.
     """
     best: tuple[tuple[int, float], Choice] | None = None
     time_budget_s = (requirements.target_at - now) * IN_TIME_SHARE
-    for instance in candidates:
-        if not is_usable(instance, now):
+    region_reachable = any(
+        distance(own, instance.row.place) < OTHER_REGION and instance.failures == 0
+        for instance in instances
+    )
+    for instance in instances:
+        if instance.row.node_id in tried or not is_usable(instance, now):
             continue
         distance_rank = distance(own, instance.row.place)
-        latency_s = expected_latency_s(instance, requirements, distance_rank == 2, now)
+        in_other_region = distance_rank == OTHER_REGION
+        latency_s = expected_latency_s(instance, requirements, in_other_region, now)
         in_time = latency_s <= time_budget_s
+        if in_other_region and region_reachable and not in_time:
+            continue
         rank = (
-            distance_rank if in_time else LATE_RANK + (distance_rank == 2),
+            distance_rank if in_time else LATE_RANK,
             latency_s * rng.uniform(0.95, 1.05),
         )
         if best is None or rank < best[0]:
--- a/packages/goldcrestgrade-node/tests/mesh/test_placement.py
+++ b/packages/goldcrestgrade-node/tests/mesh/test_placement.py
@@ -20,7 +20,7 @@
 
 
 def chosen(*instances, requirements=REQUIREMENTS):
-    choice = placement.choose(OWN, instances, requirements, NOW, random.Random(1))
+    choice = placement.choose(OWN, instances, (), requirements, NOW, random.Random(1))
     return None if choice is None else choice.instance.row.place
 
 
@@ -50,6 +50,7 @@
     choice = placement.choose(
         OWN,
         [instance(OWN, load=slower), instance(NEXT_DOMAIN, load=slow)],
+        (),
         REQUIREMENTS,
         NOW,
         random.Random(1),
@@ -71,7 +72,12 @@
     assert chosen(busy, instance(NEXT_DOMAIN)) == NEXT_DOMAIN
 
 
-def test_own_region_is_preferred_when_all_would_be_late():
+def test_late_request_goes_to_another_region_only_if_the_own_region_has_no_reachable_instance():
     slow, slower = loads.Load(9, 40, 9, 1.0), loads.Load(9, 90, 9, 1.0)
-    assert chosen(instance(NEXT_DOMAIN, load=slower), instance(FAR, load=slow)) == NEXT_DOMAIN
-    assert chosen(instance(FAR, load=slow)) == FAR
+    near, far = instance(NEXT_DOMAIN, load=slower), instance(FAR, load=slow)
+    assert chosen(near, far) == NEXT_DOMAIN
+    near.backoff_until = NOW + 0.1
+    assert chosen(near, far) is None
+    near.failures = 1
+    assert chosen(near, far) == FAR
+    assert chosen(far) == FAR
