Ask an endpoint for its pace before its first request too

A missing report now counts as outdated, unless a health check has shown that the endpoint reports no load.

--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/admission.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/admission.py
@@ -200,7 +200,9 @@
         """End of the last request of each route key that ran with few others in flight."""
         self.mean_service_time_s = INITIAL_SERVICE_TIME_S
         self.pace = loads.NORMAL_PACE
-        self.pace_reported_at: instants.Instant = 0.0
+        self.pace_reported_at: instants.Instant = -instants.NEVER
+        self.reports_pace = True
+        """Whether the endpoint reports its pace; assumed until a health check shows otherwise."""
         self.progress_at: instants.Instant = 0.0
         """When the endpoint last became busy or completed a request."""
         self.stall_review: asyncio.TimerHandle | None = None
@@ -250,8 +252,8 @@
         Load pattern: the endpoint gets so few requests that its pace changes between two reports,
         as in a large fleet. A request that it starts while degraded takes several times as long.
         """
-        if not self.pace_reported_at or self.in_flight >= self.limit:
-            # The endpoint reports no pace, or a request has to wait for an answer anyway.
+        if not self.reports_pace or self.in_flight >= self.limit:
+            # A request that is queued is evaluated again after an answer, which reports the pace.
             return False
         return self.clocks.monotonic() - self.pace_reported_at >= MAX_ADMISSION_PACE_AGE_S
 
@@ -378,8 +380,13 @@
         self.limit = limit
         self.start_queued()
 
+    def record_missing_load(self) -> None:
+        """Record that the endpoint answered a health check without a load report."""
+        self.reports_pace = False
+
     def apply_load_report(self, load: loads.Load) -> None:
         """Apply a load report, and reject queued requests that a higher pace makes late."""
+        self.reports_pace = True
         degraded = load.pace >= DEGRADED_PACE and load.pace > self.current_pace()
         self.pace, self.pace_reported_at = load.pace, self.clocks.monotonic()
         if load.slots != self.slots:
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/health.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/health.py
@@ -58,6 +58,7 @@
         self.first_check_done = asyncio.Event()
         """Set once a first health check has ended, whatever its result."""
         self.on_load: typing.Callable[[loads.Load], None] = lambda _: None
+        self.on_missing_load: typing.Callable[[], None] = lambda: None
 
     def request_check(self) -> None:
         """Request a check of the endpoint, skipped if it is known and reachable by then."""
@@ -125,6 +126,8 @@
         )
         if load is not None:
             self.on_load(load)
+        else:
+            self.on_missing_load()
         if endpoint_id is not None:
             self.own.apply_health_check(endpoint_id, None if load is None else load.slots, healthy)
         self.first_check_done.set()
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/node.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/node.py
@@ -140,6 +140,7 @@
             self.own, lambda: self.table, session, platform.header_names, self.clocks, self.rng
         )
         self.health.on_load = self.controller.apply_load_report
+        self.health.on_missing_load = self.controller.record_missing_load
         self.local = local.LocalRunner(
             self.own,
             self.controller,
--- a/packages/goldcrestgrade-node/tests/mesh/test_admission.py
+++ b/packages/goldcrestgrade-node/tests/mesh/test_admission.py
@@ -39,6 +39,20 @@
     )
 
 
+async def test_pace_that_was_never_reported_is_asked_for_unless_the_endpoint_reports_none(clock):
+    controller = admission.AdmissionController(clock.clocks())
+    controller.set_slots(2)
+    assert controller.is_pace_outdated()
+    controller.record_missing_load()
+    assert not controller.is_pace_outdated()
+    controller.apply_load_report(loads.Load(0, 0, 2, 1.0))
+    assert not controller.is_pace_outdated()
+    clock.now += admission.MAX_ADMISSION_PACE_AGE_S
+    assert controller.is_pace_outdated()
+    controller.in_flight = 2
+    assert not controller.is_pace_outdated()
+
+
 async def test_request_starts_at_once_when_a_slot_is_free(controller, clock):
     assert await controller.admit(request(clock)) is None
     assert controller.in_flight == 1
