--- a/Makefile
+++ b/Makefile
@@ -6,8 +6,9 @@
 SCENARIO ?= all
 PLATFORM ?= own
 MINUTES ?= 1
+LANDING ?= HEAD
 
-.PHONY: help install test lint format demo capacity soak bench-costs reference latency bench soak-faults
+.PHONY: help install test lint format demo capacity soak bench-costs reference latency bench soak-faults regression
 
 help: ## List the targets
 	@grep -hE '^[a-z-]+:.*##' $(MAKEFILE_LIST) | sed 's/:.*##/:/'
@@ -59,6 +60,9 @@
 bench: install ## Compare routing policies in virtual time: SCENARIO=all, SEED=1
 	$(BIN)/python -m goldcrestgrade_testing.bench --scenario=$(SCENARIO) --seed=$(SEED)
 
+regression: install ## Compare the latest scores in the journal with those of LANDING, the last landing's commit
+	$(BIN)/python -m goldcrestgrade_testing.regression --landing=$(LANDING)
+
 soak-faults: install ## Run the real programs under injected faults: MINUTES=1, SEED=1; SEED=0 draws a random seed
 	$(BIN)/python -m goldcrestgrade_testing.fault_soak --seed=$(SEED) --minutes=$(MINUTES) --logs=soak-logs
 	@echo "lines of the soak, and of all code:"; cat packages/goldcrestgrade-testing/goldcrestgrade_testing/fault_soak/*.py | wc -l; cat $$(git ls-files 'packages/*.py' 'platform/*.py') | wc -l
