Tell operators of a sheet that the table service has lost, and give it a new version

Cause: a table service that comes back from a copy lacks acknowledged sheets. Nodes keep theirs in force, since versions only rise, but `apply` took the next version after the copy's head, which nodes that had another sheet of that number ignored; and handing in the sheet that the copy shows was "unchanged".

`apply` takes a version above both.

--- a/packages/goldcrestgrade-operator/goldcrestgrade_operator/commands/apply.py
+++ b/packages/goldcrestgrade-operator/goldcrestgrade_operator/commands/apply.py
@@ -10,7 +10,7 @@
 from goldcrestgrade import exceptions, sheet
 from goldcrestgrade_operator import adoption_progress, node_client, options, output, platforms
 from goldcrestgrade_operator.commands import check
-from goldcrestgrade_operator.sheets import acceptance
+from goldcrestgrade_operator.sheets import acceptance, lost
 
 
 class ApplyDocument(typing.TypedDict):
@@ -86,10 +86,18 @@
 
 
 async def _apply(document: sheet.SheetDocument, opts: options.Options) -> acceptance.Acceptance:
+    at_node = await lost.newest_at_node(opts)
     async with platforms.connect(opts.platform_url) as platform:
         seen = await acceptance.read_head(platform.store)
+        warning = lost.warning(seen.document, at_node)
+        output.show_warnings([] if warning is None else [warning])
         return _check_expected_version(seen, opts.on_version) or await acceptance.accept(
-            platform.store, platform.objects, document, seen, opts.operator
+            platform.store,
+            platform.objects,
+            document,
+            seen,
+            opts.operator,
+            newest_version=0 if at_node is None else at_node.version,
         )
 
 
--- a/packages/goldcrestgrade-operator/goldcrestgrade_operator/commands/history.py
+++ b/packages/goldcrestgrade-operator/goldcrestgrade_operator/commands/history.py
@@ -7,7 +7,7 @@
 
 from goldcrestgrade import sheet
 from goldcrestgrade_operator import options, output, platforms
-from goldcrestgrade_operator.sheets import acceptance
+from goldcrestgrade_operator.sheets import acceptance, lost
 
 COLUMNS = ("version", "day", "accepted at", "operator", "object")
 
@@ -15,6 +15,8 @@
 def run(_arguments: typing.Sequence[str], opts: options.Options) -> int:
     """Print the latest versions, beginning with the one in force; raises `UserError`."""
     heads = asyncio.run(_fetch_heads(opts))
+    warning = lost.warning(heads[0] if heads else None, asyncio.run(lost.newest_at_node(opts)))
+    output.show_warnings([] if warning is None else [warning])
     rows = [
         (
             head["version"],
--- a/packages/goldcrestgrade-operator/goldcrestgrade_operator/sheets/acceptance.py
+++ b/packages/goldcrestgrade-operator/goldcrestgrade_operator/sheets/acceptance.py
@@ -97,18 +97,25 @@
     seen: Head,
     operator: str,
     clocks: instants.Clocks | None = None,
+    newest_version: int = 0,
 ) -> Acceptance:
-    """Put `document` in force if the sheet in force is still `seen`."""
+    """Put `document` in force if the sheet in force is still `seen`.
+
+    `newest_version` is the newest version that a node has in force. The table service may have lost
+    it, and then neither its version is used again, nor does an older sheet count as in force.
+    """
     clocks = clocks or instants.system_clocks()
     deadline = clocks.monotonic() + ACCEPT_TIMEOUT_S
     body = sheet.encode(document)
     name = sheet.object_name(body)
-    if seen.document is not None and name == seen.document["object_name"]:
+    seen_version = 0 if seen.document is None else seen.document["version"]
+    in_force = seen.document is not None and newest_version <= seen_version
+    if in_force and seen.document is not None and name == seen.document["object_name"]:
         return Unchanged(seen.document)
     if seen.document is not None and document["day"] < seen.document["day"]:
         return Outdated(seen.document)
     head = sheet.HeadDocument(
-        version=(seen.document["version"] if seen.document else 0) + 1,
+        version=max(seen_version, newest_version) + 1,
         day=document["day"],
         object_name=name,
         accepted_at=clocks.wall(),
--- a/packages/goldcrestgrade-operator/tests/conftest.py
+++ b/packages/goldcrestgrade-operator/tests/conftest.py
@@ -27,6 +27,8 @@
         self.nodes_with_old_record: set[str] = set()
         """Ids of nodes whose record has an older sheet version than the one they have in force."""
         self.state = records.EndpointState.READY
+        self.sheet_version: int | None = None
+        """Version that the node has in force; none stands for that of the head row."""
         self.in_flight = 0
         self.url = ""
 
@@ -54,6 +56,8 @@
     def status(self) -> dict:
         row = self.store.rows.get((sheet.HEAD_TABLE, sheet.HEAD_KEY))
         version = row.value["version"] if row else 0
+        if self.sheet_version is not None:
+            version = self.sheet_version
         return {
             "node_id": "archive-1",
             "state": self.state,
--- a/packages/goldcrestgrade-operator/tests/test_commands.py
+++ b/packages/goldcrestgrade-operator/tests/test_commands.py
@@ -63,6 +63,49 @@
     assert [head["version"] for head in orjson.loads(out)] == [5, 4]
 
 
+def test_sheet_that_the_table_service_lost_is_reported_and_handed_in_under_a_new_version(
+    command, write_sheet, store, node
+):
+    first, second = write_sheet("2026-01-01"), write_sheet("2026-01-02")
+    command("apply", first)
+    command("apply", second)
+    assert command("history")[2] == ""
+    node.sheet_version = 2
+    store.restore(lost_commits=1)
+    status, out, err = command("history", "--json")
+    assert status == 0
+    assert [head["version"] for head in orjson.loads(out)] == [1]
+    assert err.startswith("version 2: ") and "hand it in again" in err
+    _, out, err = command("apply", second, "--json")
+    assert orjson.loads(out)["version"] == 3
+    assert "hand it in again" in err
+    node.sheet_version = 3
+    assert command("history")[2] == ""
+
+
+def test_older_sheet_that_the_copy_shows_as_in_force_can_be_applied_again(
+    command, write_sheet, store, node
+):
+    first = write_sheet("2026-01-01")
+    command("apply", first)
+    command("apply", write_sheet("2026-01-02"))
+    node.sheet_version = 2
+    store.restore(lost_commits=1)
+    _, out, _ = command("apply", first, "--json")
+    document = orjson.loads(out)
+    assert (document["version"], document["changed"]) == (3, True)
+
+
+def test_commands_without_a_shared_key_go_by_the_table_service(
+    command, write_sheet, node, monkeypatch
+):
+    node.sheet_version = 7
+    monkeypatch.delenv(options.KEY_VARIABLE)
+    _, out, err = command("apply", write_sheet("2026-01-01"), "--json")
+    assert orjson.loads(out)["version"] == 1
+    assert err == ""
+
+
 def test_older_day_and_overtaken_version_are_refused_in_one_line(command, write_sheet):
     command("apply", write_sheet("2026-01-02"))
     status, _, err = command("apply", write_sheet("2026-01-01"))
--- a/packages/goldcrestgrade-testing/goldcrestgrade_testing/memory_platform.py
+++ b/packages/goldcrestgrade-testing/goldcrestgrade_testing/memory_platform.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import asyncio
+import collections
 import dataclasses
 import itertools
 import math
@@ -13,6 +14,9 @@
 
 from goldcrestgrade.storage import tables
 
+MAX_LOST_COMMITS = 256
+"""Largest number of commits that the table service can lose when it comes back from a copy."""
+
 
 @dataclasses.dataclass
 class Faults:
@@ -52,6 +56,10 @@
         self.version = 0
         self.current_second = 0
         self.writes_in_second = 0
+        self.replaced_rows: collections.deque[dict[tuple[str, str], tables.Row | None]] = (
+            collections.deque(maxlen=MAX_LOST_COMMITS)
+        )
+        """Rows as they were before each of the latest commits; none for one that did not exist."""
         self.writes = 0
         self.reads = 0
 
@@ -99,10 +107,30 @@
         if failures:
             return tables.Conflicted(failures)
         self.version += 1
+        keys = [(write.table, write.key) for write in transaction.writes]
+        self.replaced_rows.append({row_key: self.rows.get(row_key) for row_key in keys})
         for write in transaction.writes:
             self._apply(write)
         return tables.Committed(self.position())
 
+    def restore(self, lost_commits: int) -> None:
+        """Come back from a copy without the latest commits, in a new era.
+
+        At most `MAX_LOST_COMMITS` of them, and none of an earlier era, can be lost.
+        """
+        for _ in range(min(lost_commits, len(self.replaced_rows))):
+            self.version -= 1
+            for row_key, row in self.replaced_rows.pop().items():
+                self.rows.pop(row_key, None)
+                if row is not None:
+                    self.rows[row_key] = row
+        self.replaced_rows.clear()
+        self.era += 1
+        self.rows = {
+            row_key: row._replace(position=row.position._replace(era=self.era))
+            for row_key, row in self.rows.items()
+        }
+
     async def read(self, table: str, key: str) -> tables.Row | None:
         """Return a row as of its last commit; raises `ReadError`."""
         await self._apply_read_faults()
