--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/watch.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/watch.py
@@ -46,7 +46,13 @@
 """
 
 PEER_LONG_POLL_S = 0.8
-"""The same for a poll of a peer; a silent peer must be detected within seconds."""
+"""Longest time for which a peer may wait for changes before it answers a poll.
+
+A silent peer must be noticed within seconds.
+"""
+
+RESPONSE_MARGIN_S = 0.4
+"""Time beyond the long poll after which a poll of a peer fails."""
 
 SEARCH_WIDTH = 4
 """Number of peers that a node without a source asks at once."""
@@ -54,9 +60,6 @@
 SEARCH_INTERVAL_S = 0.25
 """Time between two rounds of a search; a new watcher has read the changes by then."""
 
-RESPONSE_MARGIN_S = 0.4
-"""Time beyond the long poll after which a poll of a peer fails."""
-
 BACKOFF_BASE_S = 0.2
 """Longest backoff before the store is polled again after a first failure."""
 
@@ -207,7 +210,7 @@
         self.replica.apply_snapshot(table, received)
 
     async def _search(self) -> None:
-        """Find a peer that watches the store, or begin to watch the store."""
+        """Find a source in the failure domain, or begin to watch the store."""
         for search_round in itertools.count():
             asked = self._lower_peers()[:SEARCH_WIDTH]
             if await self._follow_one_of(asked):
