--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/node.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/node.py
@@ -125,7 +125,7 @@
             config.failure_domain,
             self.replica,
             platform.store,
-            lambda: self.sync.is_first_in_failure_domain(),
+            self.sync.is_first_in_failure_domain,
             self.registration.check,
             self.clocks,
             self.rng,
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/restoration.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/restoration.py
@@ -37,22 +37,17 @@
 """Delay between two attempts of a write."""
 
 
-class Batch(typing.NamedTuple):
-    """Rows that are written together, and removed if their value is none."""
-
-    rows: tuple[tables.Change, ...]
-
-    def transaction(self, local_replica: replica.Replica) -> tables.Transaction:
-        """Return the transaction that restores the rows if the store's ones are as known."""
-        return tables.Transaction(
-            tuple(
-                tables.Condition(
-                    row.table, row.key, local_replica.store_position(row.table, row.key)
-                )
-                for row in self.rows
-            ),
-            tuple(tables.Write(row.table, row.key, row.value) for row in self.rows),
-        )
+def transaction(
+    local_replica: replica.Replica, lost: typing.Sequence[tables.Change]
+) -> tables.Transaction:
+    """Return the transaction that restores rows and removals if the store's rows are as known."""
+    return tables.Transaction(
+        tuple(
+            tables.Condition(row.table, row.key, local_replica.store_position(row.table, row.key))
+            for row in lost
+        ),
+        tuple(tables.Write(row.table, row.key, row.value) for row in lost),
+    )
 
 
 def lost_rows_of(local_replica: replica.Replica, failure_domain: str) -> list[tables.Change]:
@@ -85,7 +80,7 @@
         failure_domain: str,
         local_replica: replica.Replica,
         store: tables.TableService,
-        leads: typing.Callable[[], bool],
+        is_first_in_failure_domain: typing.Callable[[], bool],
         write_own_row: typing.Callable[[], None],
         clocks: instants.Clocks,
         rng: random.Random,
@@ -93,8 +88,7 @@
         self.failure_domain = failure_domain
         self.replica = local_replica
         self.store = store
-        self.leads = leads
-        """Returns whether this node is the first of its failure domain."""
+        self.is_first_in_failure_domain = is_first_in_failure_domain
         self.write_own_row = write_own_row
         self.clocks = clocks
         self.rng = rng
@@ -120,7 +114,7 @@
     async def _restore(self) -> None:
         own_row_at = self.clocks.monotonic() + self.rng.uniform(*OWN_ROW_DELAY_S)
         end_at = self.replica.lost_rows_end_at
-        if self.leads():
+        if self.is_first_in_failure_domain():
             await self._write(lost_rows_of(self.replica, self.failure_domain))
             await asyncio.sleep(self.rng.uniform(0.0, MAX_SHARED_DELAY_S))
             await self._write(lost_shared_rows(self.replica))
@@ -133,22 +127,21 @@
 
     async def _write(self, lost: typing.Sequence[tables.Change]) -> None:
         for first in range(0, len(lost), MAX_ROWS):
-            await self._write_batch(Batch(tuple(lost[first : first + MAX_ROWS])))
+            await self._write_together(lost[first : first + MAX_ROWS])
 
-    async def _write_batch(self, batch: Batch) -> None:
+    async def _write_together(self, lost: typing.Sequence[tables.Change]) -> None:
         for _ in range(WRITE_ATTEMPTS):
-            still_lost = tuple(r for r in batch.rows if self.replica.is_lost(r.table, r.key))
+            still_lost = [row for row in lost if self.replica.is_lost(row.table, row.key)]
             if not still_lost:
                 return
-            batch = Batch(still_lost)
-            result = await self.store.transact(batch.transaction(self.replica))
+            result = await self.store.transact(transaction(self.replica, still_lost))
             log.info(
                 "lost rows written again",
-                extra={"rows": [row.key for row in batch.rows], "result": result.tag},
+                extra={"rows": [row.key for row in still_lost], "result": result.tag},
             )
             match result:
                 case tables.Committed(position=position):
-                    for row in batch.rows:
+                    for row in still_lost:
                         self.replica.apply_change(row._replace(position=position))
                     return
                 case tables.Conflicted(failures=failures):
