Let returns of the stand-in store overlap in the soak

The fleet now keeps the operator's last configuration, and a return that begins during another one follows it. The new test of three returns at once failed before.

--- a/packages/goldcrestgrade-testing/goldcrestgrade_testing/fleet_platform/fleet.py
+++ b/packages/goldcrestgrade-testing/goldcrestgrade_testing/fleet_platform/fleet.py
@@ -115,6 +115,8 @@
         self.former_endpoints: list[endpoint.Endpoint] = []
         """Crashed endpoints, in the order of their replacement."""
         self.config_version = 0
+        self.configuration: dict[str, typing.Any] = {}
+        """Last configuration that the operator wrote."""
         self.stack = contextlib.AsyncExitStack()
         self.session = aiohttp.ClientSession(auto_decompress=False)
         self.sent_requests = 0
@@ -230,29 +232,25 @@
         self.config_version += 2
         self.rules = list(routes)
         services = sorted({instance.placement.service for instance in self.instances})
-        self.store.write(
-            "op",
-            "config",
-            {
-                "version": self.config_version,
-                "limits": {"max_body_bytes": 65536, "idle_timeout": "15000ms"},
-                "listeners": [{"hostname": ROUTE_HOSTNAME, "rules": list(routes)}],
-                "clusters": [
-                    {"name": name, "health_path": "/healthz", "max_connections": 220}
-                    for name in services
-                ],
-            },
-        )
+        self.configuration = {
+            "version": self.config_version,
+            "limits": {"max_body_bytes": 65536, "idle_timeout": "15000ms"},
+            "listeners": [{"hostname": ROUTE_HOSTNAME, "rules": list(routes)}],
+            "clusters": [
+                {"name": name, "health_path": "/healthz", "max_connections": 220}
+                for name in services
+            ],
+        }
+        self.store.write("op", "config", self.configuration)
 
     async def restore_store(self, age_s: float, away_s: float) -> None:
         """Have the store come back from a copy; the operator then writes the configuration again.
 
         `age_s` is the age of the copy and `away_s` the time for which the store is away.
         """
-        configuration = self.store.rows["op", "", "config"]
         await self.store.restore(age_s, away_s)
         await asyncio.sleep(OPERATOR_DELAY_S)
-        self.store.write_text("op", "config", configuration["value"])
+        self.store.write("op", "config", self.configuration)
 
     async def wait_ready(self, instances: typing.Sequence[Instance] = ()) -> None:
         """Wait until nodes report readiness, all nodes if `instances` is empty.
--- a/packages/goldcrestgrade-testing/goldcrestgrade_testing/fleet_platform/store.py
+++ b/packages/goldcrestgrade-testing/goldcrestgrade_testing/fleet_platform/store.py
@@ -80,6 +80,7 @@
         self.era = 1
         """Number of times that the store began, the first start included."""
         self.copies: collections.deque[Copy] = collections.deque()
+        self.restoring = asyncio.Lock()
         self.away = False
         """Whether the store is about to come back from a copy; it drops all requests until then."""
         self.history_dropped_to = 0
@@ -95,10 +96,7 @@
 
     def write(self, table: str, key: str, value: typing.Any) -> None:
         """Write `value` as JSON to a row, without a condition, as the operator does."""
-        self.write_text(table, key, base64.b64encode(orjson.dumps(value)).decode())
-
-    def write_text(self, table: str, key: str, text: str) -> None:
-        """Write an encoded value to a row, without a condition."""
+        text = base64.b64encode(orjson.dumps(value)).decode()
         self._apply({"writes": [{"table": table, "part": "", "key": key, "value": text}]})
 
     def drop_history(self) -> None:
@@ -108,7 +106,14 @@
         self._wake_waiters()
 
     async def restore(self, age_s: float, away_s: float) -> None:
-        """Be away for `away_s`, then come back as of `age_s` before that, in a new era."""
+        """Be away for `away_s`, then come back as of `age_s` before that, in a new era.
+
+        A return that begins during another one follows it.
+        """
+        async with self.restoring:
+            await self._restore(age_s, away_s)
+
+    async def _restore(self, age_s: float, away_s: float) -> None:
         restored = self._copy_at(time.monotonic() - age_s)
         self.away = True
         self._wake_waiters()
--- a/packages/goldcrestgrade-testing/tests/fleet_platform/test_fleet.py
+++ b/packages/goldcrestgrade-testing/tests/fleet_platform/test_fleet.py
@@ -223,6 +223,18 @@
     assert len(statuses) > 50
 
 
+async def test_returns_of_the_store_that_overlap_lose_no_configuration(running_fleet):
+    await asyncio.gather(*(running_fleet.restore_store(age_s=60.0, away_s=0.2) for _ in range(3)))
+    assert running_fleet.store.era == 4
+
+    async def all_rows_are_back():
+        return instance_rows(running_fleet) == {i.name for i in running_fleet.instances}
+
+    await wait_until(all_rows_are_back, STORE_RECOVERY_S)
+    answers = [await running_fleet.call(i, "/archive/x") for i in running_fleet.instances]
+    assert {answer.status for answer in answers} == {200}
+
+
 async def test_removal_of_a_row_is_repeated_after_the_store_came_back_from_an_older_copy(
     running_fleet,
 ):
