Show where a configuration came from, and its version as a metric

The log line of a configuration gave no source, so that a late change could not be told from one that the store's feed left out. No decision changes.

--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/node.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/node.py
@@ -228,9 +228,14 @@
             return table.version == self.table.version
         first = self.table is None
         self.table = table
+        self.counts.configuration_version = table.version
         log.info(
             "configuration in force",
-            extra={"version": table.version, "position": str(position)},
+            extra={
+                "version": table.version,
+                "position": str(position),
+                "source": self.sync.answered_by,
+            },
         )
         if first:
             self.health.request_check()
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/watch.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/watch.py
@@ -78,6 +78,9 @@
 MAX_SOURCE_ANSWER_AGE_S = PEER_LONG_POLL_S + RESPONSE_MARGIN_S
 """Time after the last answer of its source for which a node counts as connected to the store."""
 
+STORE = "store"
+"""Name of the store as a source of changes in log lines."""
+
 CHANGES_PATH = "/mesh/changes"
 """Path of the relay address at which a node answers polls of its peers for changes."""
 
@@ -129,6 +132,8 @@
         self.region_search_at: instants.Instant = 0.0
         """When the first node of a failure domain next looks for a source in its region."""
         self.watches_store = False
+        self.answered_by = STORE
+        """Id of the peer that sent the latest answer, or `STORE`."""
         self.known_era = 0
         """Latest era of the store that any answer has shown."""
         self.encoded_changes: dict[tuple[tables.Position, ...], bytes] = {}
@@ -388,6 +393,7 @@
                 raise PeerError(
                     f"node {document['node_id']} answers at the address of {peer.row.node_id}"
                 )
+            self.answered_by = peer.row.node_id
             for table in replica.TABLES:
                 self._apply_answer(table, decode(table, document[table]))
             return bool(document["connected"])
@@ -458,6 +464,7 @@
         if self.failures:
             log.info("store regained", extra={"failures": self.failures})
         self.failures = 0
+        self.answered_by = STORE
         self.store_answered_at = self.clocks.monotonic()
 
     def _store_failed(self, error: Exception) -> None:
--- a/packages/goldcrestgrade/goldcrestgrade/telemetry.py
+++ b/packages/goldcrestgrade/goldcrestgrade/telemetry.py
@@ -64,6 +64,11 @@
         callbacks=[lambda _: [metrics.Observation(counts.store_era)]],
         description="Latest era of the store, which rises when it comes back from a copy.",
     )
+    meter.create_observable_gauge(
+        "goldcrestgrade.configuration_version",
+        callbacks=[lambda _: [metrics.Observation(counts.configuration_version)]],
+        description="Version of the configuration in force.",
+    )
     collectors.register(_LatencyCollector(counts))
     return Registry(provider, collectors)
 
--- a/packages/goldcrestgrade/tests/test_telemetry.py
+++ b/packages/goldcrestgrade/tests/test_telemetry.py
@@ -38,10 +38,12 @@
     counts.refusals[reasons.Refusal.NO_SHEET] += 2
     counts.in_flight = 3
     counts.store_era = 2
+    counts.configuration_version = 17
     values = samples(registry)
     assert values["goldcrestgrade_refusals_total", "no_sheet"] == 2
     assert values["goldcrestgrade_in_flight", ""] == 3
     assert values["goldcrestgrade_store_era", ""] == 2
+    assert values["goldcrestgrade_configuration_version", ""] == 17
 
 
 def test_registries_of_one_process_are_independent():
