--- /dev/null
+++ b/packages/goldcrestgrade-node/tests/mesh/test_watch_fleet.py
@@ -0,0 +1,261 @@
+"""Time until a configuration is known everywhere while sources are cut off or stand still."""
+
+import asyncio
+import itertools
+import random
+import typing
+
+import pytest
+
+from goldcrestgrade import instants
+from goldcrestgrade.storage import tables
+from goldcrestgrade_node.mesh import directory, replica, watch
+from goldcrestgrade_testing import virtual_time
+
+CONFIG_APPLY_S = 2.0
+"""Documented time within which a configuration is in force."""
+
+CONTACT_S = 3.0
+"""Documented time without a fault after which time bounds hold for an instance again."""
+
+STORE_LATENCY_S = 0.012
+RELAY_LATENCY_S = 0.003
+
+CONNECT_TIMEOUT_S = 0.4
+"""Time after which a request to a silent store fails, in addition to its wait for changes."""
+
+LOCATIONS = {
+    f"{domain}-{number}": directory.Location(domain, domain.partition("-")[0])
+    for domain, count in (("east-a", 4), ("east-b", 3), ("west-a", 3), ("west-b", 3))
+    for number in range(1, count + 1)
+}
+
+
+class Silence(typing.NamedTuple):
+    """A time in which a node reaches neither the store nor, if it is frozen, other nodes."""
+
+    node_id: str
+    begin: float
+    end: float
+    frozen: bool
+
+
+class Store:
+    """A store that keeps one configuration and a row for each node."""
+
+    def __init__(self):
+        self.version = 1
+        self.acknowledged_at = {}
+        self.changed = asyncio.Event()
+        self.configuration = tables.Change(
+            replica.CONFIGURATION, replica.CURRENT, tables.Position(0, 1), {"version": 1}
+        )
+        self.instances = [
+            tables.Change(
+                replica.MESH,
+                directory.INSTANCE_PREFIX + node_id,
+                tables.Position(0, 1),
+                directory.encode(
+                    directory.InstanceRow(node_id, node_id, 1, location, "s", True, 1)
+                ),
+            )
+            for node_id, location in LOCATIONS.items()
+        ]
+
+    def commit(self):
+        self.version += 1
+        position = tables.Position(0, self.version)
+        self.configuration = self.configuration._replace(
+            position=position, value={"version": self.version}
+        )
+        self.acknowledged_at[self.version] = asyncio.get_running_loop().time()
+        self.changed.set()
+        self.changed = asyncio.Event()
+
+    def changes_since(self, table, after):
+        rows = [self.configuration] if table == replica.CONFIGURATION else self.instances
+        return tuple(row for row in rows if row.position > after)
+
+
+class Client:
+    """A node's client of the store, whose connections are silent at times."""
+
+    def __init__(self, fleet, node_id):
+        self.fleet = fleet
+        self.node_id = node_id
+
+    def on_era(self, _listener):
+        """Ignore the listener, since the store has one era."""
+
+    async def snapshot(self, table):
+        return await self.changes(table, tables.START, 0.0)
+
+    async def changes(self, table, after, wait_s):
+        store = self.fleet.store
+        self.fleet.store_requests += 1
+        async with self.fleet.exchange({self.node_id}, False, wait_s + CONNECT_TIMEOUT_S):
+            await asyncio.sleep(STORE_LATENCY_S)
+            deadline = asyncio.get_running_loop().time() + wait_s
+            while not (found := store.changes_since(table, after)):
+                try:
+                    async with asyncio.timeout_at(deadline):
+                        await store.changed.wait()
+                except TimeoutError:
+                    break
+            return tables.Changes(found, tables.Position(0, store.version))
+
+
+class Exchange:
+    """Turns an exchange that a silence touches into a time-out of its whole length."""
+
+    def __init__(self, fleet, node_ids, between_nodes, timeout_s):
+        self.fleet = fleet
+        self.node_ids = node_ids
+        self.between_nodes = between_nodes
+        self.timeout_s = timeout_s
+
+    async def __aenter__(self):
+        self.began_at = asyncio.get_running_loop().time()
+
+    async def __aexit__(self, *_error):
+        now = asyncio.get_running_loop().time()
+        if any(
+            silence.node_id in self.node_ids
+            and silence.begin <= now
+            and silence.end >= self.began_at
+            and (silence.frozen or not self.between_nodes)
+            for silence in self.fleet.silences
+        ):
+            await asyncio.sleep(self.began_at + self.timeout_s - now)
+            raise watch.PeerError("silent") if self.between_nodes else tables.ReadError("silent")
+
+
+class Fleet:
+    """Nodes that follow one store; owned by one event loop in virtual time."""
+
+    def __init__(self, silences, seed):
+        self.store = Store()
+        self.silences = silences
+        self.store_requests = 0
+        self.known_at = {}
+        """Instant at which each node first knew each version."""
+        self.nodes = {node_id: self._sync(node_id, seed) for node_id in LOCATIONS}
+
+    def exchange(self, node_ids, between_nodes, timeout_s):
+        return Exchange(self, node_ids, between_nodes, timeout_s)
+
+    def _sync(self, node_id, seed):
+        clocks = instants.loop_clocks()
+        instances = directory.Directory()
+
+        def apply(change):
+            if change.table == replica.MESH:
+                instances.apply_change(change)
+            else:
+                for version in range(1, change.value["version"] + 1):
+                    self.known_at.setdefault((node_id, version), clocks.monotonic())
+            return True
+
+        sync = watch.Sync(
+            node_id,
+            LOCATIONS[node_id],
+            replica.Replica(apply, clocks),
+            instances,
+            Client(self, node_id),
+            None,
+            clocks,
+            random.Random(f"{seed} {node_id}"),
+        )
+
+        async def fetch_changes(peer, wait_s):
+            peer_id = peer.row.node_id
+            timeout_s = wait_s + watch.RESPONSE_MARGIN_S
+            async with self.exchange({node_id, peer_id}, True, timeout_s):
+                await asyncio.sleep(RELAY_LATENCY_S)
+                return await self.nodes[peer_id].answer_poll(dict(sync.replica.positions), wait_s)
+
+        sync._fetch_changes = fetch_changes
+        return sync
+
+    async def run(self, commits_at):
+        started = [asyncio.create_task(sync.run()) for sync in self.nodes.values()]
+        for at in commits_at:
+            await asyncio.sleep(at - asyncio.get_running_loop().time())
+            self.store.commit()
+        await asyncio.sleep(CONTACT_S + CONFIG_APPLY_S + 1.0)
+        for task in started:
+            task.cancel()
+
+    def late(self):
+        """Return each node and version that the node lacked while it had to know it."""
+        return [
+            f"{node_id} had version {version} "
+            f"{self.known_at.get((node_id, version), instants.NEVER) - acknowledged_at:.3f} s late"
+            for node_id, (version, acknowledged_at) in itertools.product(
+                self.nodes, self.store.acknowledged_at.items()
+            )
+            if self._was_owed(node_id, version, acknowledged_at)
+        ]
+
+    def _was_owed(self, node_id, version, acknowledged_at):
+        owed_at = acknowledged_at + CONFIG_APPLY_S
+        for silence in sorted(s for s in self.silences if s.node_id == node_id):
+            if silence.begin <= owed_at <= silence.end + CONTACT_S:
+                owed_at = silence.end + CONTACT_S
+        return self.known_at.get((node_id, version), instants.NEVER) > owed_at
+
+
+def play(silences, commits_at, seed=1):
+    async def main():
+        fleet = Fleet(silences, seed)
+        await fleet.run(commits_at)
+        return fleet
+
+    return virtual_time.run(main())
+
+
+def test_configuration_reaches_all_nodes_of_a_calm_fleet_at_once():
+    fleet = play([], [10.0, 10.5, 14.0])
+    delays = [
+        known_at - fleet.store.acknowledged_at[version]
+        for (_, version), known_at in fleet.known_at.items()
+        if version > 1
+    ]
+    assert len(delays) == 3 * len(LOCATIONS)
+    assert max(delays) < 0.1
+
+
+@pytest.mark.parametrize("frozen", [False, True])
+@pytest.mark.parametrize(
+    "silent",
+    [("east-a-1",), ("east-a-1", "east-b-1"), ("east-a-1", "east-a-2", "east-b-1", "east-b-2")],
+)
+def test_configuration_is_in_force_in_time_behind_silent_sources(silent, frozen):
+    late = {}
+    for phase in range(24):
+        begin = 10.0 + 0.1 * phase
+        silences = [Silence(node_id, begin, begin + 4.0, frozen) for node_id in silent]
+        if found := play(silences, [begin + 0.05]).late():
+            late[round(begin, 1)] = found
+    assert late == {}
+
+
+def draw(rng):
+    """Return overlapping series of silences, and the instants of changes."""
+    silences = []
+    for at in itertools.accumulate(rng.uniform(0.5, 4.0) for _ in range(10)):
+        frozen, length_s = rng.random() < 0.5, rng.uniform(0.2, 5.0)
+        share = rng.choice((0.1, 0.3, 0.5))
+        silences += [
+            Silence(node_id, 8.0 + at, 8.0 + at + length_s, frozen)
+            for node_id in LOCATIONS
+            if rng.random() < share
+        ]
+    changes = itertools.accumulate(rng.uniform(0.05, 2.0) for _ in range(30))
+    return silences, [8.0 + at for at in changes]
+
+
+@pytest.mark.parametrize("seed", range(30))
+def test_undisturbed_node_has_each_configuration_in_time_under_random_silences(seed):
+    silences, commits_at = draw(random.Random(seed))
+    assert play(silences, commits_at, seed).late() == []
