Read the configuration from the store when a node's knowledge of it is old

Cause: a silent source looks like one without news until a poll of it times out, and the time-outs along a chain of sources and of the search for the next one add up: 2.4 s at the store, 1.2 s at a peer, up to 0.65 s of search.

Answers now state the age of their source's knowledge, polls end when it is renewed, and a node whose own may be older than 1.1 s (1.4 s at most) reads the configuration itself. The long poll of the configuration at the store is 0.7 s instead of 2 s, so that ages stay below that while nothing is wrong.

--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/node.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/node.py
@@ -340,6 +340,7 @@
         """Return the background tasks that run alongside the servers until the node stops."""
         return [
             self.sync.run(),
+            self.sync.keep_current(),
             self._register(),
             self.restoration.run(),
             self.health.run(),
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/watch.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/watch.py
@@ -8,6 +8,11 @@
 A node that loses its source asks several peers at once for the next one. The first node of a
 failure domain watches the store meanwhile, so that the others hardly notice.
 
+A silent source can't be told from one that has nothing new, and along a chain of sources the
+time-outs add up. Each answer therefore states how old the knowledge of the source is, and a node
+whose own may be older than `MAX_AGE_S` reads the configuration from the store, whatever its
+sources do.
+
 Load pattern: many nodes of a failure domain are lost or cut off at once, the watcher among them.
 Each round of the search takes as long as one silent peer, however many are silent. While no peer
 has the store, the number of nodes that try it themselves doubles with each round.
@@ -31,13 +36,32 @@
 
 log = logging.getLogger(__name__)
 
-STORE_LONG_POLLS_S = {replica.CONFIGURATION: 2.0, replica.MESH: 4.0}
+STORE_LONG_POLLS_S = {replica.CONFIGURATION: 0.7, replica.MESH: 4.0}
 """Longest time for which the store may wait for changes of a table before it answers a poll.
 
-A silent connection is noticed after this time, and a configuration must be in force within 2 s of
-the moment at which nodes are required to have recovered from it.
+Each answer to a poll of the configuration shows all followers that theirs is up to date. A silent
+connection is noticed by these polls; those of both tables then begin anew.
+"""
+
+MAX_AGE_S = 1.1
+"""Age of its knowledge at which a node reads the configuration from the store itself.
+
+More than a long poll of the store, and less than the 2 s within which a configuration must be in
+force.
 """
 
+AGE_CHECK_INTERVAL_S = 0.1
+"""Shortest time between two looks at the age."""
+
+AGE_SPREAD_S = 0.3
+"""Time over which the followers of one lost source spread these reads."""
+
+MAX_STATED_AGE_S = 3600.0
+"""Largest age that an answer states."""
+
+READ_BACKOFF_S = 1.5
+"""Longest time between two such reads while the store does not answer."""
+
 STORE_POLL_DELAYS_S = {replica.CONFIGURATION: 0.0, replica.MESH: 0.25}
 """Time between two polls of a table, in which changes gather into one answer.
 
@@ -129,6 +153,8 @@
         """Peer that this node polls; none while it watches the store or searches a peer."""
         self.source_answered_at: instants.Instant = -instants.NEVER
         """When the present source last answered that it is connected to the store."""
+        self.current_at: instants.Instant = -instants.NEVER
+        """Latest instant as of which the replica is known to have the store's configuration."""
         self.region_search_at: instants.Instant = 0.0
         """When the first node of a failure domain next looks for a source in its region."""
         self.watches_store = False
@@ -181,6 +207,48 @@
                 self.watches_store = True
                 await self._watch_store()
 
+    async def keep_current(self) -> None:
+        """Read the configuration from the store whenever it may be too old, until cancelled.
+
+        Load pattern: the sources of a node are cut off or stand still one after the other, or in a
+        chain. A node that watches the store notices by its own polls.
+        """
+        await self.complete.wait()
+        while True:
+            max_age_s = MAX_AGE_S + self.rng.uniform(0.0, AGE_SPREAD_S)
+            while self.watches_store or self.age_s() < max_age_s:
+                await asyncio.sleep(max(AGE_CHECK_INTERVAL_S, max_age_s - self.age_s()))
+            if not await self._read_configuration():
+                await asyncio.sleep(READ_BACKOFF_S * self.rng.uniform(0.5, 1.0))
+
+    async def _read_configuration(self) -> bool:
+        """Read what changed in the configuration; return whether the store answered."""
+        table = replica.CONFIGURATION
+        try:
+            try:
+                received = await self.store.changes(table, self.replica.positions[table], 0.0)
+                self.answered_by = STORE
+                self.replica.apply_changes(table, received)
+            except tables.HistoryGone:
+                snapshot = await self.store.snapshot(table)
+                self.answered_by = STORE
+                self.replica.apply_snapshot(table, snapshot)
+        except tables.ReadError as error:
+            log.info("configuration not read from the store", extra={"error": str(error)})
+            return False
+        self._record_current(self.clocks.monotonic())
+        return True
+
+    def age_s(self) -> float:
+        """Return the largest possible age of the configuration that this node knows, in seconds."""
+        return self.clocks.monotonic() - self.current_at
+
+    def _record_current(self, as_of: instants.Instant) -> None:
+        """Record that the replica has all that the store had at `as_of`, and tell followers."""
+        if as_of > self.current_at:
+            self.current_at = as_of
+            self.replica.notify()
+
     async def _load(self) -> None:
         """Read the instances from the store, and the configuration from a peer if there is one.
 
@@ -213,6 +281,8 @@
         received = await self.store.snapshot(table)
         self._store_answered()
         self.replica.apply_snapshot(table, received)
+        if table == replica.CONFIGURATION:
+            self._record_current(self.clocks.monotonic())
 
     async def _search(self) -> None:
         """Find a source in the failure domain, or begin to watch the store."""
@@ -353,6 +423,8 @@
                 received = task.result()
                 self._store_answered()
                 self.replica.apply_changes(table, received)
+                if table == replica.CONFIGURATION:
+                    self._record_current(self.clocks.monotonic())
 
     async def _poll_table(self, table: str) -> tables.Changes:
         """Poll the store for changes of a table, `STORE_POLL_DELAYS_S` after the last answer."""
@@ -396,6 +468,7 @@
             self.answered_by = peer.row.node_id
             for table in replica.TABLES:
                 self._apply_answer(table, decode(table, document[table]))
+            self._record_current(self.clocks.monotonic() - float(document["age_s"]))
             return bool(document["connected"])
         except (orjson.JSONDecodeError, KeyError, TypeError, ValueError) as error:
             raise PeerError(f"malformed answer: {error!r}") from error
@@ -430,19 +503,23 @@
     ) -> bytes:
         """Return the changes that a peer at `positions` lacks, after `wait_s` at most.
 
-        The wait also ends when this node loses the store.
+        The wait also ends when this node loses the store or learns that nothing has changed.
         """
         deadline = self.clocks.monotonic() + min(wait_s, PEER_LONG_POLL_S)
-        connected = self.is_connected()
+        connected, current_at = self.is_connected(), self.current_at
         try:
             async with asyncio.timeout_at(deadline):
                 while not self.replica.has_changes_since(positions):
                     await self.replica.changed.wait()
-                    if connected and not self.is_connected():
+                    if self.current_at > current_at or (connected and not self.is_connected()):
                         break
         except TimeoutError:
             pass
-        status = {"node_id": self.own_id, "connected": self.is_connected()}
+        status = {
+            "node_id": self.own_id,
+            "connected": self.is_connected(),
+            "age_s": round(min(self.age_s(), MAX_STATED_AGE_S), 3),
+        }
         return orjson.dumps(status)[:-1] + b"," + self._encoded_changes(positions)[1:]
 
     def _encoded_changes(self, positions: typing.Mapping[str, tables.Position]) -> bytes:
--- a/packages/goldcrestgrade-node/tests/mesh/test_watch_fleet.py
+++ b/packages/goldcrestgrade-node/tests/mesh/test_watch_fleet.py
@@ -92,7 +92,7 @@
 
     async def changes(self, table, after, wait_s):
         store = self.fleet.store
-        self.fleet.store_requests += 1
+        self.fleet.asked_store_at.append((self.node_id, asyncio.get_running_loop().time()))
         async with self.fleet.exchange({self.node_id}, False, wait_s + CONNECT_TIMEOUT_S):
             await asyncio.sleep(STORE_LATENCY_S)
             deadline = asyncio.get_running_loop().time() + wait_s
@@ -136,7 +136,8 @@
     def __init__(self, silences, seed):
         self.store = Store()
         self.silences = silences
-        self.store_requests = 0
+        self.asked_store_at = []
+        """Node and instant of each request to the store."""
         self.known_at = {}
         """Instant at which each node first knew each version."""
         self.nodes = {node_id: self._sync(node_id, seed) for node_id in LOCATIONS}
@@ -178,11 +179,14 @@
         return sync
 
     async def run(self, commits_at):
-        started = [asyncio.create_task(sync.run()) for sync in self.nodes.values()]
+        tasks = [task for sync in self.nodes.values() for task in (sync.run(), sync.keep_current())]
+        started = [asyncio.create_task(task) for task in tasks]
         for at in commits_at:
             await asyncio.sleep(at - asyncio.get_running_loop().time())
             self.store.commit()
-        await asyncio.sleep(CONTACT_S + CONFIG_APPLY_S + 1.0)
+        calm_at = max([*commits_at, *(silence.end for silence in self.silences)])
+        end_at = calm_at + CONTACT_S + CONFIG_APPLY_S
+        await asyncio.sleep(end_at - asyncio.get_running_loop().time())
         for task in started:
             task.cancel()
 
@@ -190,7 +194,7 @@
         """Return each node and version that the node lacked while it had to know it."""
         return [
             f"{node_id} had version {version} "
-            f"{self.known_at.get((node_id, version), instants.NEVER) - acknowledged_at:.3f} s late"
+            f"{self.known_at.get((node_id, version), instants.NEVER) - acknowledged_at:.3f} s after"
             for node_id, (version, acknowledged_at) in itertools.product(
                 self.nodes, self.store.acknowledged_at.items()
             )
@@ -225,6 +229,12 @@
     assert max(delays) < 0.1
 
 
+def test_only_one_node_of_each_region_asks_the_store_in_a_calm_fleet():
+    fleet = play([], [30.0])
+    asking = {node_id for node_id, at in fleet.asked_store_at if at > 5.0}
+    assert asking == {"east-a-1", "west-a-1"}
+
+
 @pytest.mark.parametrize("frozen", [False, True])
 @pytest.mark.parametrize(
     "silent",
