Poll peers of other regions while the store denies a whole region

Nodes of a region whose nodes are all denied by the store had a configuration only once they were let in again: a node without the store polled random peers of its own region, which knew no more. With knowledge older than 2 s it now polls any peer.

The new test fails without the change (no node of the region has the version within 7 s, the bound for an unstable store).

--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/watch.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/watch.py
@@ -59,6 +59,9 @@
 MAX_STATED_AGE_S = 3600.0
 """Largest age that an answer states."""
 
+MAX_REGION_AGE_S = 2.0
+"""Age of its knowledge from which a node that the store does not answer polls other regions too."""
+
 READ_BACKOFF_S = 1.5
 """Longest time between two such reads while the store does not answer."""
 
@@ -360,10 +363,16 @@
         return [first_nodes[name] for name in sorted(first_nodes)]
 
     def _fallback_peer(self) -> directory.Instance | None:
-        """Return a peer to poll while the store does not answer this node."""
+        """Return a peer to poll while the store does not answer this node.
+
+        Load pattern: the store denies all nodes of a region. Polls of another region cost traffic
+        between regions, so they begin once the peers of the own one have had nothing new.
+        """
         peers = self._usable_peers()
         near = [peer for peer in peers if peer.row.place.region == self.location.region]
-        return self.rng.choice(near or peers) if peers else None
+        if not near or self.age_s() >= MAX_REGION_AGE_S:
+            near = peers
+        return self.rng.choice(near) if near else None
 
     def _usable_peers(self) -> list[directory.Instance]:
         now = self.clocks.monotonic()
--- a/packages/goldcrestgrade-node/tests/mesh/test_watch_fleet.py
+++ b/packages/goldcrestgrade-node/tests/mesh/test_watch_fleet.py
@@ -269,3 +269,15 @@
 def test_undisturbed_node_has_each_configuration_in_time_under_random_silences(seed):
     silences, commits_at = draw(random.Random(seed))
     assert play(silences, commits_at, seed).late() == []
+
+
+MAX_STRETCH_S = 5.0
+"""Documented time by which the bound of a configuration grows for nodes that the store denies."""
+
+
+def test_configuration_reaches_a_region_whose_nodes_are_all_denied_by_the_store():
+    denied = [node_id for node_id in LOCATIONS if node_id.startswith("west")]
+    fleet = play([Silence(node_id, 10.0, 22.0, False) for node_id in denied], [11.0])
+    bound = 11.0 + CONFIG_APPLY_S + MAX_STRETCH_S
+    late = [node_id for node_id in denied if fleet.known_at[node_id, 2] > bound]
+    assert late == []
