Read the rate limit and the leaving of an endpoint, and log them

Answers may name a limit of requests a second and say that the endpoint leaves. The adapter names the headers, the node beside the endpoint logs changes, and the stand-in endpoints send them. No decision changes.

--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/dialect.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/dialect.py
@@ -24,6 +24,10 @@
     """Set by an endpoint that did not run the request."""
     load: str
     """In-flight requests, queued requests, slots and, optionally, the pace in percent."""
+    rate_limit: str
+    """Requests a second that the endpoint takes from all nodes together; a decimal number."""
+    leaving: str
+    """`1` in all answers of an endpoint that will end soon."""
 
     @property
     def set_by_node(self) -> frozenset[str]:
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/endpoints.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/endpoints.py
@@ -7,6 +7,7 @@
 import typing
 
 from goldcrestgrade import instants
+from goldcrestgrade_node.mesh import signals
 
 log = logging.getLogger(__name__)
 
@@ -67,6 +68,15 @@
         self.departed: collections.OrderedDict[str, int] = collections.OrderedDict()
         """Highest departed `born_ms` by endpoint id; a health check makes none of these current."""
         self.slots = 0
+        self.signals = signals.NONE
+        """What the endpoint said in its latest answer."""
+
+    def record_signals(self, endpoint_id: str, latest: signals.Signals) -> None:
+        """Record what an endpoint said in an answer, unless another one has replaced it."""
+        current = self.current
+        if current is not None and current.endpoint_id == endpoint_id and latest != self.signals:
+            log.info("endpoint signals changed", extra=latest._asdict())
+            self.signals = latest
 
     def usable(self) -> Endpoint | None:
         """Return the endpoint if it accepts new requests, else none."""
@@ -162,6 +172,8 @@
     def _set_current(self, endpoint: Endpoint | None) -> None:
         before = self.current
         self.current = endpoint
+        if not _is_same_incarnation(before, endpoint):
+            self.signals = signals.NONE
         if _visible(before) != _visible(endpoint):
             log.info(
                 "own endpoint changed",
@@ -170,5 +182,11 @@
             self.on_change()
 
 
+def _is_same_incarnation(before: Endpoint | None, after: Endpoint | None) -> bool:
+    if before is None or after is None or before.endpoint_id != after.endpoint_id:
+        return False
+    return before.born_ms == after.born_ms or 0 in (before.born_ms, after.born_ms)
+
+
 def _visible(endpoint: Endpoint | None) -> tuple[str, bool] | None:
     return None if endpoint is None else (endpoint.endpoint_id, endpoint.draining)
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/health.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/health.py
@@ -10,7 +10,7 @@
 import aiohttp
 
 from goldcrestgrade import instants, routes
-from goldcrestgrade_node.mesh import dialect, endpoints, loads
+from goldcrestgrade_node.mesh import dialect, endpoints, loads, signals
 
 log = logging.getLogger(__name__)
 
@@ -113,6 +113,8 @@
                 endpoint_id = response.headers.get(self.names.endpoint_id)
                 load = loads.parse(response.headers.get(self.names.load))
                 healthy = response.status == 200
+                fields = {name.lower(): value for name, value in response.headers.items()}
+                said = signals.parse(fields, self.names)
         except (TimeoutError, aiohttp.ClientError, OSError) as error:
             log.info(
                 "health check failed; the endpoint keeps its previous state",
@@ -130,4 +132,5 @@
             self.on_missing_load()
         if endpoint_id is not None:
             self.own.apply_health_check(endpoint_id, None if load is None else load.slots, healthy)
+            self.own.record_signals(endpoint_id, said)
         self.first_check_done.set()
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/local.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/local.py
@@ -15,6 +15,7 @@
     endpoints,
     loads,
     requests,
+    signals,
     transfer,
 )
 
@@ -154,11 +155,14 @@
             case results.Broken(reason=reason):
                 return self._broken(call, reason, started)
             case results.Answered(answer=answer):
-                return self._answered(call, answer, transferred.fields, started, start_load)
+                return self._answered(
+                    call, endpoint.endpoint_id, answer, transferred.fields, started, start_load
+                )
 
     def _answered(
         self,
         call: requests.Call,
+        endpoint_id: str,
         answer: outcomes.Answer,
         fields: typing.Mapping[str, str],
         started: instants.Instant,
@@ -176,12 +180,14 @@
         echoed = fields.get(self.header_names.attempt_id)
         if self.header_names.not_run in fields and answer.status in NOT_RUN_STATUSES:
             if echoed is not None or not call.run_once:
+                self.own.record_signals(endpoint_id, signals.parse(fields, self.header_names))
                 return self._rejected(
                     call, reasons.Refusal.ENDPOINT_REFUSED, now + SHED_RETRY_S, arrived=True
                 )
             return self._broken(call, reasons.Uncertainty.ANSWER_INVALID, started)
         if not self._is_valid(answer, fields, call):
             return self._broken(call, reasons.Uncertainty.ANSWER_INVALID, started)
+        self.own.record_signals(endpoint_id, signals.parse(fields, self.header_names))
         self.hooks.on_answered(call)
         log.info(
             "endpoint answered",
--- /dev/null
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/signals.py
@@ -0,0 +1,39 @@
+"""What an endpoint says about itself in its answers, besides its load."""
+
+from __future__ import annotations
+
+import math
+import typing
+
+from goldcrestgrade_node.mesh import dialect
+
+MAX_TEXT_CHARS = 20
+"""Longest value of a rate limit that is read."""
+
+
+class Signals(typing.NamedTuple):
+    """What the latest answer of an endpoint says."""
+
+    rate_limit: float | None = None
+    """Requests a second that it takes from all nodes together; none if it names no limit."""
+    leaving: bool = False
+    """Whether it will end soon and takes no new requests."""
+
+
+NONE = Signals()
+"""Signals of an endpoint that says nothing about itself."""
+
+
+def parse(fields: typing.Mapping[str, str], names: dialect.Dialect) -> Signals:
+    """Return the signals in the headers of an answer; a malformed limit counts as none."""
+    return Signals(_parse_rate(fields.get(names.rate_limit)), fields.get(names.leaving) == "1")
+
+
+def _parse_rate(text: str | None) -> float | None:
+    if text is None or len(text) > MAX_TEXT_CHARS:
+        return None
+    try:
+        rate = float(text)
+    except ValueError:
+        return None
+    return rate if math.isfinite(rate) and rate >= 0 else None
--- a/packages/goldcrestgrade-testing/goldcrestgrade_testing/fleet_platform/endpoint.py
+++ b/packages/goldcrestgrade-testing/goldcrestgrade_testing/fleet_platform/endpoint.py
@@ -53,6 +53,10 @@
     failing: bool = False
     """Whether requests are answered with 500."""
     draining: bool = False
+    rate_limit: float | None = None
+    """Requests a second that answers name as the limit of all nodes together."""
+    leaving: bool = False
+    """Whether answers say that the endpoint leaves; heartbeats don't."""
     crash_marker: str | None = None
     """A request whose target contains this text makes the endpoint crash.
 
@@ -224,6 +228,10 @@
     def _header_fields(self, attempt_id: str, fields: str) -> str:
         load = f"{self.in_flight},{self.queued},{self.behaviour.slots}"
         pace = round(100 * self.behaviour.pace)
+        if self.behaviour.rate_limit is not None:
+            fields += f"server-limit: {self.behaviour.rate_limit}\r\n"
+        if self.behaviour.leaving:
+            fields += "server-leaving: 1\r\n"
         echoed = f"x-attempt-id: {attempt_id}\r\n" if attempt_id else ""
         return (
             f"{echoed}x-instance-id: {self.endpoint_id}\r\nx-upstream-load: {load},{pace}\r\n"
--- a/packages/goldcrestgrade-testing/tests/fleet_platform/test_adapter.py
+++ b/packages/goldcrestgrade-testing/tests/fleet_platform/test_adapter.py
@@ -21,7 +21,7 @@
 
 PLATFORM_WORDS = re.compile(
     r"x-attempt-id|x-deadline-ms|x-upstream|x-expected-instance|x-caller-service|x-instance-id"
-    r"|x-not-executed|/-/|non_idempotent|traffic_split|app_endpoint|control_plane|sidecar"
+    r"|x-not-executed|server-limit|server-leaving|/-/|non_idempotent|traffic_split|app_endpoint|control_plane|sidecar"
     r"|warmup_left|target_latency|heartbeat_endpoint|route_type|(?<!time )\bzone\b|\btenant\b"
     r"|\brequester|\bupstream",
     re.IGNORECASE,
