Draw rate limits of endpoints in the soak, and test that they are kept

The soak draws endpoints that name a limit which falls, rises and ends, and counts the requests of instances that had passed the limit on, in sliding windows of 4 s.

--- a/packages/goldcrestgrade-testing/goldcrestgrade_testing/fault_soak/checks.py
+++ b/packages/goldcrestgrade-testing/goldcrestgrade_testing/fault_soak/checks.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+import bisect
 import collections
 import itertools
+import math
 import typing
 
 from goldcrestgrade_testing.fault_soak import history
@@ -35,6 +37,21 @@
 ISOLATING_KINDS = ("kill", "stop", "pause", "link", "store")
 """Prefixes of the kinds of fault that cut an instance off; other kinds do not excuse a delay."""
 
+RATE_WINDOW_S = 4.0
+"""Length of the windows in which the requests at an endpoint with a rate limit are counted."""
+
+MAX_RATE_RATIO = 1.5
+"""Multiple of its rate limit that an endpoint may get in a window, besides `RATE_SLACK`."""
+
+RATE_SLACK = 5
+"""Requests that an endpoint may get in a window in addition."""
+
+KNOWN_DELAY_S = 0.5
+"""Time after an instance has passed on an answer from which it is bound by what the answer says."""
+
+EXCUSING_KINDS = frozenset({"kill", "stop", "pause"})
+"""Kinds of fault after which an instance is bound by new answers only."""
+
 Check = typing.Callable[[history.History], typing.Iterator[str]]
 """Yields a description of each violation in a history."""
 
@@ -145,6 +162,85 @@
             yield f"{request.attempt_id} ran and got no answer from {request.instance}"
 
 
+def over_rate_limit(observed: history.History) -> typing.Iterator[str]:
+    """Find endpoints that got more requests than their rate limit allows.
+
+    A request counts if the instance at which it began had passed on an answer that names the limit.
+    Windows in which the link to the endpoint held requests up are left out.
+    """
+    for endpoint_id, changes in observed.rate_limits.items():
+        arrivals = [a.at for a in _arrivals_from_informed(observed, endpoint_id)]
+        for last, at in enumerate(arrivals):
+            window = history.Span(at - RATE_WINDOW_S, at)
+            allowed = _allowed_requests(changes, window)
+            counted = last + 1 - bisect.bisect_right(arrivals, window.begin)
+            due = at >= changes[0].at + GUARANTEE_DELAY_S
+            if due and counted > allowed and not _was_held_up(observed, endpoint_id, window):
+                yield (
+                    f"{endpoint_id} got {counted} requests in {RATE_WINDOW_S:.0f} s, "
+                    f"{allowed:.1f} allowed"
+                )
+
+
+def _arrivals_from_informed(observed: history.History, endpoint_id: str) -> list[history.Arrival]:
+    """Return the arrivals whose instances knew of the endpoint's rate limit, by time."""
+    by_attempt = {request.attempt_id: request for request in observed.requests}
+    informed: dict[str, list[float]] = collections.defaultdict(list)
+    for request in observed.requests:
+        if request.endpoint_id == endpoint_id and request.names_rate_limit:
+            informed[request.instance].append(request.answered_at)
+    excused = collections.defaultdict(list)
+    for fault in observed.injected_faults:
+        if fault.kind in EXCUSING_KINDS:
+            excused[fault.instance].append(fault.span)
+
+    def is_bound(arrival: history.Arrival) -> bool:
+        request = by_attempt.get(arrival.attempt_id)
+        if request is None:
+            return False
+        spans = [span for span in excused[request.instance] if span.begin <= arrival.at]
+        bound_from = max((span.end for span in spans), default=0.0)
+        return any(
+            bound_from <= at <= arrival.at - KNOWN_DELAY_S for at in informed[request.instance]
+        )
+
+    arrivals = (a for a in observed.arrivals if a.endpoint_id == endpoint_id)
+    return sorted(filter(is_bound, arrivals), key=lambda arrival: arrival.at)
+
+
+def _allowed_requests(changes: typing.Sequence[history.RateLimit], window: history.Span) -> float:
+    """Return how many requests the limits in a window allow; infinite once one has ended.
+
+    A limit counts from before it was first named, and for `KNOWN_DELAY_S` after it has changed.
+    """
+    begins_at = [-math.inf, *(change.at for change in changes[1:])]
+    ends_at = [*(change.at + KNOWN_DELAY_S for change in changes[1:]), math.inf]
+    bounds = sorted(
+        {*window, *(at for at in begins_at + ends_at if window.begin < at < window.end)}
+    )
+    allowed = 0.0
+    for begin, end in itertools.pairwise(bounds):
+        rate = max(
+            math.inf if change.rate is None else change.rate
+            for change, first, last in zip(changes, begins_at, ends_at, strict=True)
+            if first <= begin and end <= last
+        )
+        allowed += rate * (end - begin)
+    return MAX_RATE_RATIO * allowed + RATE_SLACK
+
+
+def _was_held_up(observed: history.History, endpoint_id: str, window: history.Span) -> bool:
+    """Return whether the link to an endpoint was disturbed in a window or shortly before it."""
+    instance = observed.hosts.get(endpoint_id)
+    return any(
+        fault.kind.startswith("link")
+        and fault.instance == instance
+        and fault.span.begin <= window.end
+        and fault.span.end >= window.begin - GUARANTEE_DELAY_S
+        for fault in observed.injected_faults
+    )
+
+
 def not_recovered(observed: history.History) -> typing.Iterator[str]:
     """Find instances that did not serve all services again after the last fault."""
     for instance, recovered in observed.recovered.items():
@@ -165,6 +261,7 @@
         route_missing,
         route_forgotten,
         lost_at_planned_stop,
+        over_rate_limit,
         not_recovered,
     )
 }
--- a/packages/goldcrestgrade-testing/goldcrestgrade_testing/fault_soak/history.py
+++ b/packages/goldcrestgrade-testing/goldcrestgrade_testing/fault_soak/history.py
@@ -31,6 +31,10 @@
     is_own_answer: bool
     """Whether the answer is complete and belongs to this request."""
     has_retry_after: bool
+    endpoint_id: str = ""
+    """Endpoint that made the answer; empty if a node made it."""
+    names_rate_limit: bool = False
+    """Whether the answer names a rate limit of the endpoint."""
 
 
 class Run(typing.NamedTuple):
@@ -41,6 +45,22 @@
     began_at: Instant
 
 
+class Arrival(typing.NamedTuple):
+    """One request that reached an endpoint, whether the endpoint ran or rejected it."""
+
+    attempt_id: str
+    endpoint_id: str
+    at: Instant
+
+
+class RateLimit(typing.NamedTuple):
+    """The rate limit that an endpoint names from an instant on."""
+
+    at: Instant
+    rate: float | None
+    """Requests a second; none if the endpoint names no limit any more."""
+
+
 class Route(typing.NamedTuple):
     """A route that was added to the configuration during the run."""
 
@@ -70,3 +90,8 @@
     """Times in which the soak process itself was delayed."""
     recovered: dict[str, bool]
     """Whether each instance served all services in time after the last fault, by instance name."""
+    arrivals: typing.Sequence[Arrival] = ()
+    rate_limits: typing.Mapping[str, typing.Sequence[RateLimit]] = {}
+    """Changes of its rate limit by endpoint id, in order."""
+    hosts: typing.Mapping[str, str] = {}
+    """Name of the instance that runs an endpoint, by endpoint id."""
--- a/packages/goldcrestgrade-testing/goldcrestgrade_testing/fault_soak/injection.py
+++ b/packages/goldcrestgrade-testing/goldcrestgrade_testing/fault_soak/injection.py
@@ -59,6 +59,8 @@
         case "drain":
             instance.endpoint.behaviour.draining = True
             return lambda: _replace_endpoint(running_fleet, instance)
+        case "limit":
+            return _limit_rate(instance.endpoint, fault)
         case "crash":
             await _replace_endpoint(running_fleet, instance)
         case "configure":
@@ -96,6 +98,24 @@
     return end
 
 
+def _limit_rate(limited: endpoint.Endpoint, fault: plan.Fault) -> EndFault:
+    """Name three rate limits in turn, each for a third of the fault."""
+    rates = (2.0 + fault.variant % 8, 1.0 + fault.variant % 5, 1.5 + fault.variant % 11)
+
+    async def change() -> None:
+        for rate in rates:
+            limited.set_rate_limit(rate)
+            await asyncio.sleep((fault.end_s - fault.begin_s) / len(rates))
+
+    changing = asyncio.create_task(change())
+
+    async def end() -> None:
+        changing.cancel()
+        limited.set_rate_limit(None)
+
+    return end
+
+
 def _set_mode(link: proxy.Proxy, mode: proxy.Mode, delay_s: float = 0.0) -> EndFault:
     link.set_mode(mode, delay_s)
 
--- a/packages/goldcrestgrade-testing/goldcrestgrade_testing/fault_soak/plan.py
+++ b/packages/goldcrestgrade-testing/goldcrestgrade_testing/fault_soak/plan.py
@@ -27,6 +27,7 @@
     "answers",
     "slow_endpoint",
     "drain",
+    "limit",
     "crash",
     "configure",
     "reload",
@@ -45,6 +46,15 @@
 MAX_FAULT_S = 3.0
 """Longest duration of one fault, equal to `checks.GUARANTEE_DELAY_S`."""
 
+LONG_KINDS = frozenset({"limit"})
+"""Kinds whose effect is judged over several seconds."""
+
+MIN_LONG_FAULT_S = 8.0
+"""Shortest duration of a fault of a long kind."""
+
+MAX_LONG_FAULT_S = 14.0
+"""Longest duration of a fault of a long kind."""
+
 QUIET_START_S = 1.0
 """Time at the start of a run in which no fault begins."""
 
@@ -60,8 +70,8 @@
     variant: int
     """Random number that selects details of some kinds.
 
-    It gives the answer fault and its count for the kind `answers`, and the age of the copy and the
-    time away for the kind `store_restore`.
+    It gives the answer fault and its count for the kind `answers`, the age of the copy and the time
+    away for the kind `store_restore`, and the rates for the kind `limit`.
     """
 
 
@@ -83,7 +93,10 @@
     instance = rng.randrange(instances)
     at_s = rng.uniform(QUIET_START_S, seconds)
     for _ in range(rng.randint(1, MAX_SERIES_LENGTH)):
-        end_s = at_s + rng.uniform(0.2, MAX_FAULT_S)
+        shortest_s, longest_s = (
+            (MIN_LONG_FAULT_S, MAX_LONG_FAULT_S) if kind in LONG_KINDS else (0.2, MAX_FAULT_S)
+        )
+        end_s = at_s + rng.uniform(shortest_s, longest_s)
         if end_s > seconds:
             return
         yield Fault(kind, instance, at_s, end_s, rng.randrange(1000))
--- a/packages/goldcrestgrade-testing/goldcrestgrade_testing/fault_soak/soak.py
+++ b/packages/goldcrestgrade-testing/goldcrestgrade_testing/fault_soak/soak.py
@@ -113,6 +113,8 @@
                 answer.status,
                 is_own_answer,
                 "retry-after" in answer.fields,
+                answer.fields.get("x-upstream-signature", "").partition(".")[0],
+                "server-limit" in answer.fields,
             )
         )
 
@@ -151,6 +153,13 @@
             self.injected_faults,
             self.stalls,
             recovered,
+            [history.Arrival(*arrival) for one in all_endpoints for arrival in one.arrivals],
+            {
+                one.endpoint_id: [history.RateLimit(*change) for change in one.rate_limits]
+                for one in all_endpoints
+                if one.rate_limits
+            },
+            {one.endpoint_id: one.instance for one in all_endpoints},
         )
 
 
--- a/packages/goldcrestgrade-testing/goldcrestgrade_testing/fleet_platform/endpoint.py
+++ b/packages/goldcrestgrade-testing/goldcrestgrade_testing/fleet_platform/endpoint.py
@@ -67,8 +67,12 @@
 class Endpoint:
     """One incarnation of an endpoint; owned by one event loop."""
 
-    def __init__(self, endpoint_id: str, service: str, behaviour: Behaviour) -> None:
+    def __init__(
+        self, endpoint_id: str, service: str, behaviour: Behaviour, instance: str = ""
+    ) -> None:
         self.endpoint_id = endpoint_id
+        self.instance = instance
+        """Name of the instance that it runs on."""
         self.service = service
         self.behaviour = behaviour
         self.born_ms = time.time_ns() // 1_000_000
@@ -79,6 +83,10 @@
         """Number of times the endpoint began to work on an attempt of a client, by attempt id."""
         self.started_runs: list[tuple[str, str, float]] = []
         """Attempt id, endpoint id and monotonic start instant of each run."""
+        self.arrivals: list[tuple[str, str, float]] = []
+        """Attempt id, endpoint id and monotonic instant of each request, health checks excluded."""
+        self.rate_limits: list[tuple[float, float | None]] = []
+        """Monotonic instant and rate of each change of the rate limit; no rate if it ended."""
         self.drain_acknowledged_at: float | None = None
         """Monotonic instant at which the node first answered a heartbeat that reports a drain."""
         self.calling_services: dict[str, str | None] = {}
@@ -112,6 +120,11 @@
         finally:
             self.writers.discard(writer)
 
+    def set_rate_limit(self, rate: float | None) -> None:
+        """Name `rate` as the limit in all answers from now on, or no limit if it is none."""
+        self.behaviour.rate_limit = rate
+        self.rate_limits.append((time.monotonic(), rate))
+
     def fail_next_answers(self, fault: AnswerFault) -> None:
         """Apply `fault` to the next answers that have no planned fault yet."""
         self.answer_faults.extend([fault.kind] * fault.times)
@@ -146,6 +159,7 @@
             status = "503 Service Unavailable" if self.behaviour.draining else "200 OK"
             self._write(writer, self._encode_answer(b"", status, ""))
             return
+        self.arrivals.append((attempt_id, self.endpoint_id, time.monotonic()))
         expected = request.field("x-expected-instance")
         self.expected_instances.add(expected)
         if expected not in (None, self.endpoint_id):
--- a/packages/goldcrestgrade-testing/goldcrestgrade_testing/fleet_platform/fleet.py
+++ b/packages/goldcrestgrade-testing/goldcrestgrade_testing/fleet_platform/fleet.py
@@ -131,7 +131,7 @@
         ports["store"] = await self.stack.enter_async_context(
             serving.serving(self.store.app(store_access))
         )
-        new_endpoint = endpoint.Endpoint(f"i-{name}-1", placement.service, behaviour)
+        new_endpoint = endpoint.Endpoint(f"i-{name}-1", placement.service, behaviour, name)
         await new_endpoint.start()
         ports["endpoint"] = new_endpoint.raw.port
         instance = Instance(
@@ -221,7 +221,10 @@
         await instance.endpoint.stop()
         self.former_endpoints.append(instance.endpoint)
         new_endpoint = endpoint.Endpoint(
-            endpoint_id, instance.placement.service, endpoint.Behaviour(service_time_s=0.02)
+            endpoint_id,
+            instance.placement.service,
+            endpoint.Behaviour(service_time_s=0.02),
+            instance.name,
         )
         await new_endpoint.start(instance.endpoint_port)
         instance.endpoint = new_endpoint
--- a/packages/goldcrestgrade-testing/tests/fault_soak/test_checks.py
+++ b/packages/goldcrestgrade-testing/tests/fault_soak/test_checks.py
@@ -20,6 +20,25 @@
     return history.InjectedFault(kind, instance, history.Span(begin, end))
 
 
+def limited(rates, arrivals_at, **others):
+    """Return a history in which n1 passes on, at 10.1, that e1 has a rate limit."""
+    return observed(
+        ANSWERED._replace(endpoint_id="e1", names_rate_limit=True),
+        *(
+            ANSWERED._replace(attempt_id=f"a{number}", sent_at=at, answered_at=at + 0.01)
+            for number, at in enumerate(arrivals_at)
+        ),
+        arrivals=[history.Arrival(f"a{number}", "e1", at) for number, at in enumerate(arrivals_at)],
+        rate_limits={"e1": [history.RateLimit(*change) for change in rates]},
+        hosts={"e1": "n2"},
+        **others,
+    )
+
+
+def evenly(count, begin, end):
+    return [begin + (end - begin) * number / count for number in range(count)]
+
+
 VIOLATING = {
     "run_twice": observed(ANSWERED, runs=[RUN, RUN]),
     "refused_but_run": observed(ANSWERED._replace(status=503, has_retry_after=True)),
@@ -35,6 +54,7 @@
     "lost_at_planned_stop": observed(
         ANSWERED._replace(status=0), injected_faults=[injected("stop")]
     ),
+    "over_rate_limit": limited([(9.0, 2.0)], evenly(18, 11.0, 14.9)),
     "not_recovered": EMPTY._replace(recovered={"n1": False}),
 }
 
@@ -78,12 +98,34 @@
         ),
         observed(ANSWERED._replace(status=0), injected_faults=[injected("kill")]),
         observed(ANSWERED._replace(status=0), runs=[]),
+        limited([(9.0, 2.0)], evenly(17, 11.0, 14.9)),
+        limited([(9.0, 2.0)], evenly(18, 10.2, 10.6)),
+        limited([(9.0, 2.0)], evenly(40, 11.0, 11.9)),
+        limited([(9.0, 2.0), (13.0, None)], evenly(18, 11.0, 14.9)),
+        limited([(9.0, 2.0), (13.0, 4.0)], evenly(20, 11.0, 14.9)),
+        limited([(9.0, 4.0), (13.0, 2.0)], evenly(22, 11.0, 14.9)),
+        limited([(9.0, 2.0)], evenly(18, 11.0, 14.9), injected_faults=[injected("kill", end=10.5)]),
+        limited(
+            [(9.0, 2.0)], evenly(18, 11.0, 14.9), injected_faults=[injected("link_delay", "n2")]
+        ),
     ],
 )
 def test_allowed_history_violates_nothing(allowed):
     assert checks.violations(allowed) == []
 
 
+def test_other_nodes_are_bound_by_a_rate_limit_while_the_node_beside_its_endpoint_restarts():
+    restarted = injected("kill", "n2", begin=11.5, end=12.0)
+    too_many = limited([(9.0, 2.0)], evenly(18, 11.0, 14.9), injected_faults=[restarted])
+    assert checks.violations(too_many) != []
+
+
+def test_restarted_instance_is_bound_again_by_an_answer_after_its_restart():
+    restarted = injected("kill", "n1", begin=9.0, end=10.05)
+    too_many = limited([(9.0, 2.0)], evenly(18, 11.0, 14.9), injected_faults=[restarted])
+    assert checks.violations(too_many) != []
+
+
 @pytest.mark.parametrize("kind", ["configure", "reload", "answers", "slow_endpoint", "drain"])
 def test_late_answer_is_a_violation_under_planned_operations_and_endpoint_faults(kind):
     late = observed(ANSWERED._replace(answered_at=11.6), injected_faults=[injected(kind)])
--- a/packages/goldcrestgrade-testing/tests/fault_soak/test_mutations.py
+++ b/packages/goldcrestgrade-testing/tests/fault_soak/test_mutations.py
@@ -162,6 +162,13 @@
             for instance, begin_s in zip(INSTANCES, itertools.count(1.0 + 3 * repetition, 0.5))
         ],
     ),
+    "over_rate_limit": Mutation(
+        """
+from goldcrestgrade_node.mesh import signals
+signals.parse = lambda fields, names: signals.NONE
+""",
+        [plan.Fault("limit", 0, 1.0, 10.0, 0)],
+    ),
     "not_recovered": Mutation(
         """
 import time
