Make the verdict on an ignored era independent of the load of the machine

The test of this seeded defect failed once beside other tests. Traced: the defect makes a watcher read all rows in a loop, and followers miss the rows it hands on. Since followers read the configuration themselves once their knowledge is old, a busy machine lets them find the change after all, and the check sees nothing. The mutation now switches these reads off, so that only the seeded defect decides.

--- a/packages/goldcrestgrade-testing/tests/fault_soak/test_mutations.py
+++ b/packages/goldcrestgrade-testing/tests/fault_soak/test_mutations.py
@@ -131,7 +131,10 @@
     "route_missing after the store came back from a copy": Mutation(
         """
 from goldcrestgrade_adapter import names
+from goldcrestgrade_node.mesh import watch
 names.ERA_HEADER = "no-such-header"
+# Followers that read the store themselves would hide the defect of their source.
+watch.MAX_AGE_S = float("inf")
 """,
         [
             *(plan.Fault("configure", 0, 1.0 + n / 10, 1.1 + n / 10, 0) for n in range(8)),
