Keep the rate limit that an endpoint names

Cause: no code read the header. The node beside the endpoint, through which all its requests pass, now starts them from a token bucket of that rate; a request that would wait too long is sent back before it reached the endpoint, with the time to come back. Requests carry what their entry node heard from the endpoint, so that a node that has restarted keeps the limit before its endpoint has answered it. Reports outlive the row of a node that restarts. Only answers to requests end a limit, since health checks may not name it.

Two replays in virtual time: no window of 4 s above the limit, where the former decisions break it in over a hundred, and nine tenths of the rate or more are used.

--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/admission.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/admission.py
@@ -4,7 +4,7 @@
 through this node, which therefore rejects a request that would be answered too late before the
 endpoint has received it; the entry node may then send it to another instance at once. Queued
 requests start by priority, short ones before long ones of the same priority, and otherwise in order
-of arrival.
+of arrival. If the endpoint names a rate limit, requests also wait for it, or are rejected.
 """
 
 from __future__ import annotations
@@ -17,7 +17,7 @@
 import typing
 
 from goldcrestgrade import instants
-from goldcrestgrade_node.mesh import concurrency, loads
+from goldcrestgrade_node.mesh import concurrency, loads, rates
 
 log = logging.getLogger(__name__)
 
@@ -99,6 +99,12 @@
 MIN_RETRY_DELAY_S = 0.02
 """Shortest time after which a rejected request may be retried at this node."""
 
+MAX_RATE_RETRY_DELAY_S = 2.0
+"""Longest time after which a request that the rate limit rejects may be retried.
+
+The limit may rise or end at any time.
+"""
+
 DEGRADED_RETRY_DELAY_S = 0.1
 """The same while the endpoint is degraded; a fraction of the usual length of a degraded period."""
 
@@ -187,6 +193,7 @@
     def __init__(self, clocks: instants.Clocks) -> None:
         self.clocks = clocks
         self.slots = 1
+        self.rate = rates.RateLimiter(clocks)
         self.slowdowns = concurrency.Slowdowns()
         self.limit = 1
         """Concurrency limit: the slots, or fewer if the endpoint then completes more requests."""
@@ -207,10 +214,16 @@
         """When the endpoint last became busy or completed a request."""
         self.stall_review: asyncio.TimerHandle | None = None
         """Next check whether the endpoint stalls, while requests are queued."""
+        self.next_start: asyncio.TimerHandle | None = None
+        """When the rate limit next lets a queued request start."""
 
     def load(self) -> loads.Load:
         """Return the load that is reported to other nodes."""
-        return loads.Load(self.in_flight, len(self.queue), self.limit, self.current_pace())
+        slots = self.limit
+        if self.rate.rate is not None:
+            # By Little's law, as many requests as this keep the endpoint at its rate.
+            slots = min(slots, max(1, math.ceil(self.rate.rate * self.mean_service_time_s)))
+        return loads.Load(self.in_flight, len(self.queue), slots, self.current_pace())
 
     def load_snapshot(self) -> LoadSnapshot:
         """Return the current load, with the pace as reported instead of the one to expect now."""
@@ -252,7 +265,7 @@
         Load pattern: the endpoint gets so few requests that its pace changes between two reports,
         as in a large fleet. A request that it starts while degraded takes several times as long.
         """
-        if not self.reports_pace or self.in_flight >= self.limit:
+        if not self.reports_pace or not self._may_start():
             # A request that is queued is evaluated again after an answer, which reports the pace.
             return False
         return self.clocks.monotonic() - self.pace_reported_at >= MAX_ADMISSION_PACE_AGE_S
@@ -262,7 +275,7 @@
         rejected = self._evaluate(request)
         if rejected is not None:
             return rejected
-        if self.in_flight < self.limit and not self.queue:
+        if self._may_start() and not self.queue:
             self._start()
             return None
         admitted: asyncio.Future[Rejected | None] = asyncio.get_running_loop().create_future()
@@ -270,13 +283,14 @@
         queued = QueuedRequest(request.priority, long, next(self.arrivals), request, admitted)
         heapq.heappush(self.queue, queued)
         self._schedule_stall_review()
+        self._schedule_start()
         try:
             async with asyncio.timeout(self._latest_start(request) - self.clocks.monotonic()):
                 return await admitted
         except TimeoutError:
             if _was_started(admitted):
                 return None
-            return Rejected("saturated", self.clocks.monotonic() + MIN_RETRY_DELAY_S)
+            return self._reject(MIN_RETRY_DELAY_S, self.rate.wait_s())
         except asyncio.CancelledError:
             if _was_started(admitted):
                 self.release()
@@ -307,10 +321,15 @@
         now = self.clocks.monotonic()
         return max(request.target_at, now + DEADLINE_SHARE * (request.deadline - now))
 
+    def _may_start(self) -> bool:
+        """Return whether the concurrency limit and the rate limit let one more request start."""
+        return self.in_flight < self.limit and self.rate.wait_s() == 0
+
     def _start(self) -> None:
         if self.in_flight == 0:
             self.progress_at = self.clocks.monotonic()
         self.in_flight += 1
+        self.rate.acquire()
 
     def release(self) -> None:
         """Release the slot of a request that ended, and start queued requests."""
@@ -394,6 +413,12 @@
         if degraded:
             self._reevaluate_queue()
 
+    def set_rate_limit(self, rate: float | None) -> None:
+        """Set the endpoint's rate limit in requests a second; none if it names no limit."""
+        if self.rate.set_rate(rate):
+            self._reevaluate_queue()
+            self.start_queued()
+
     def set_slots(self, slots: int) -> None:
         """Set the endpoint's number of slots, and update the concurrency limit."""
         self.slots = max(1, slots)
@@ -437,8 +462,8 @@
             self._resolve(queued, Rejected(reason, self.clocks.monotonic()))
 
     def start_queued(self) -> None:
-        """Start queued requests up to the limit, and reject those that would end too late."""
-        while self.queue and self.in_flight < self.limit:
+        """Start queued requests up to the limits, and reject those that would end too late."""
+        while self.queue and self._may_start():
             queued = heapq.heappop(self.queue)
             if queued.admitted.done():
                 continue
@@ -446,6 +471,17 @@
             if rejected is None:
                 self._start()
             self._resolve(queued, rejected)
+        self._schedule_start()
+
+    def _schedule_start(self) -> None:
+        """Start queued requests again once the rate limit allows it."""
+        if self.next_start is not None:
+            self.next_start.cancel()
+            self.next_start = None
+        wait_s = self.rate.wait_s()
+        if self.queue and wait_s > 0:
+            loop = asyncio.get_running_loop()
+            self.next_start = loop.call_later(wait_s, self.start_queued)
 
     def _evaluate(self, request: Request) -> Rejected | None:
         self.queue = [queued for queued in self.queue if not queued.admitted.done()]
@@ -457,7 +493,9 @@
     def _rejection(self, request: Request, ahead: int) -> Rejected | None:
         now = self.clocks.monotonic()
         pace = self.current_pace()
-        if self.in_flight == 0 and not self.queue and pace < DEGRADED_PACE:
+        rate_wait_s = self.rate.wait_s(ahead)
+        idle = self.in_flight == 0 and not self.queue
+        if idle and pace < DEGRADED_PACE and rate_wait_s == 0:
             # The estimates may be wrong, and only a request that runs can correct them.
             return None
         slowdown = self._slowdown(min(self.in_flight + 1, self.limit))
@@ -470,16 +508,25 @@
             service_time_s,
             pace * slowdown,
         )
-        in_time = now + expected.end_s <= self._latest_end(request)
+        rate_delay_s = max(0.0, rate_wait_s - expected.start_s)
+        in_time = now + expected.end_s + rate_delay_s <= self._latest_end(request)
         if in_time or (
             request.late_allowed
+            and rate_wait_s == 0
             and now + expected.mean_end_s <= request.deadline
             and ahead <= LATE_QUEUE_FACTOR * self.limit
             and self.in_flight < self.limit
         ):
             return None
         retry_delay_s = DEGRADED_RETRY_DELAY_S if pace >= DEGRADED_PACE else MIN_RETRY_DELAY_S
-        return Rejected("saturated", now + max(retry_delay_s, expected.start_s))
+        return self._reject(max(retry_delay_s, expected.start_s), rate_wait_s)
+
+    def _reject(self, retry_delay_s: float, rate_wait_s: float) -> Rejected:
+        """Return a rejection for the later of two reasons, each with the seconds until it ends."""
+        now = self.clocks.monotonic()
+        if rate_wait_s <= retry_delay_s:
+            return Rejected("saturated", now + retry_delay_s)
+        return Rejected("rate_limited", now + min(rate_wait_s, MAX_RATE_RETRY_DELAY_S))
 
     def _resolve(self, queued: QueuedRequest, result: Rejected | None) -> None:
         if not queued.admitted.done():
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/directory.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/directory.py
@@ -2,13 +2,14 @@
 
 from __future__ import annotations
 
+import collections
 import dataclasses
 import logging
 import typing
 
 from goldcrestgrade import instants
 from goldcrestgrade.storage import tables
-from goldcrestgrade_node.mesh import loads
+from goldcrestgrade_node.mesh import loads, signals
 
 log = logging.getLogger(__name__)
 
@@ -18,6 +19,9 @@
 BACKOFF_BASE_S = 0.5
 """Backoff after an instance was first unreachable; doubles with each further failure."""
 
+MAX_REPORTS = 4096
+"""Largest number of endpoints whose reports are remembered."""
+
 BACKOFF_LIMIT_S = 4.0
 """Longest backoff before an instance is probed again."""
 
@@ -76,6 +80,21 @@
     def __init__(self) -> None:
         self.by_id: dict[str, Instance] = {}
         self.by_service: dict[str, list[Instance]] = {}
+        self.reports: collections.OrderedDict[str, signals.Report] = collections.OrderedDict()
+        """What endpoints said of themselves in answers to this node, by the id of their node.
+
+        A report outlives the row of the node, which restarts without its endpoint.
+        """
+
+    def record_report(self, node_id: str, heard: signals.Report) -> None:
+        """Record what the endpoint of a node said in its latest answer."""
+        if heard.signals == signals.NONE:
+            self.reports.pop(node_id, None)
+            return
+        self.reports[node_id] = heard
+        self.reports.move_to_end(node_id)
+        while len(self.reports) > MAX_REPORTS:
+            self.reports.popitem(last=False)
 
     def apply_change(self, change: tables.Change) -> None:
         """Apply a change of an instance row; a malformed row is logged and ignored."""
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/dispatch.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/dispatch.py
@@ -150,7 +150,10 @@
         load_age_s = min(999.0, started - instance.load_at)
         served: requests.Served | None = None
         try:
-            served = await self.serve(instance, call._replace(late_allowed=not choice.in_time))
+            heard = self.instances.reports.get(instance.row.node_id)
+            served = await self.serve(
+                instance, call._replace(late_allowed=not choice.in_time, heard=heard)
+            )
         finally:
             instance.in_flight -= 1
         now = self.clocks.monotonic()
@@ -185,6 +188,8 @@
         if served.load is not None:
             instance.load, instance.load_at = served.load, now
             instance.in_flight_at_load = instance.in_flight
+        if served.heard is not None:
+            self.instances.record_report(instance.row.node_id, served.heard)
         match served.outcome:
             case outcomes.Ran(answer=answer) if answer.status < MIN_FAILED_STATUS:
                 pace = served.load.pace if served.load is not None else 1.0
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/endpoints.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/endpoints.py
@@ -69,14 +69,41 @@
         """Highest departed `born_ms` by endpoint id; a health check makes none of these current."""
         self.slots = 0
         self.signals = signals.NONE
-        """What the endpoint said in its latest answer."""
+        """What the endpoint said in its latest answer, or what other nodes heard from it."""
+        self.answered = False
+        """Whether the endpoint has answered a request of this node."""
+        self.on_signals: typing.Callable[[signals.Signals], None] = lambda _: None
 
-    def record_signals(self, endpoint_id: str, latest: signals.Signals) -> None:
-        """Record what an endpoint said in an answer, unless another one has replaced it."""
-        current = self.current
-        if current is not None and current.endpoint_id == endpoint_id and latest != self.signals:
+    def record_answer(self, heard: signals.Report) -> None:
+        """Record what an endpoint said in the answer to a request."""
+        if self._is_current(heard.endpoint_id):
+            self.answered = True
+            self._set_signals(heard.signals)
+
+    def record_health_answer(self, heard: signals.Report) -> None:
+        """Record what an endpoint said in the answer to a health check.
+
+        Only answers to requests show that a limit has ended.
+        """
+        if self._is_current(heard.endpoint_id) and heard.signals != signals.NONE:
+            self._set_signals(heard.signals)
+
+    def adopt_report(self, heard: signals.Report) -> None:
+        """Apply what another node heard from the endpoint, which has not answered this one yet.
+
+        Load pattern: this node restarts, and the requests of the other nodes go on.
+        """
+        if self._is_current(heard.endpoint_id) and not self.answered:
+            self._set_signals(heard.signals)
+
+    def _is_current(self, endpoint_id: str) -> bool:
+        return self.current is not None and self.current.endpoint_id == endpoint_id
+
+    def _set_signals(self, latest: signals.Signals) -> None:
+        if latest != self.signals:
             log.info("endpoint signals changed", extra=latest._asdict())
             self.signals = latest
+            self.on_signals(latest)
 
     def usable(self) -> Endpoint | None:
         """Return the endpoint if it accepts new requests, else none."""
@@ -173,7 +200,8 @@
         before = self.current
         self.current = endpoint
         if not _is_same_incarnation(before, endpoint):
-            self.signals = signals.NONE
+            self.answered = False
+            self._set_signals(signals.NONE)
         if _visible(before) != _visible(endpoint):
             log.info(
                 "own endpoint changed",
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/local.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/local.py
@@ -95,6 +95,8 @@
 
         A run-once request that was admitted continues when the task that awaits it is cancelled.
         """
+        if call.heard is not None:
+            self.own.adopt_report(call.heard)
         refused = self._find_refusal(call)
         if refused is not None:
             return self._rejected(call, refused.reason, refused.retry_at)
@@ -180,14 +182,15 @@
         echoed = fields.get(self.header_names.attempt_id)
         if self.header_names.not_run in fields and answer.status in NOT_RUN_STATUSES:
             if echoed is not None or not call.run_once:
-                self.own.record_signals(endpoint_id, signals.parse(fields, self.header_names))
+                self.own.record_answer(self._heard(endpoint_id, fields))
                 return self._rejected(
                     call, reasons.Refusal.ENDPOINT_REFUSED, now + SHED_RETRY_S, arrived=True
                 )
             return self._broken(call, reasons.Uncertainty.ANSWER_INVALID, started)
         if not self._is_valid(answer, fields, call):
             return self._broken(call, reasons.Uncertainty.ANSWER_INVALID, started)
-        self.own.record_signals(endpoint_id, signals.parse(fields, self.header_names))
+        heard = self._heard(endpoint_id, fields)
+        self.own.record_answer(heard)
         self.hooks.on_answered(call)
         log.info(
             "endpoint answered",
@@ -205,7 +208,11 @@
             )
         dropped = {self.header_names.load, self.header_names.endpoint_id}
         forwarded = tuple(pair for pair in answer.headers if pair[0] not in dropped)
-        return self._served(outcomes.Ran(answer._replace(headers=forwarded)), arrived=True)
+        ran = outcomes.Ran(answer._replace(headers=forwarded))
+        return self._served(ran, arrived=True)._replace(heard=heard)
+
+    def _heard(self, endpoint_id: str, fields: typing.Mapping[str, str]) -> signals.Report:
+        return signals.Report(endpoint_id, signals.parse(fields, self.header_names))
 
     def _is_valid(
         self, answer: outcomes.Answer, fields: typing.Mapping[str, str], call: requests.Call
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/node.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/node.py
@@ -136,6 +136,7 @@
             self.on_endpoint_changed,
         )
         self.controller = admission.AdmissionController(self.clocks)
+        self.own.on_signals = lambda said: self.controller.set_rate_limit(said.rate_limit)
         self.health = health.HealthChecks(
             self.own, lambda: self.table, session, platform.header_names, self.clocks, self.rng
         )
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/relay.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/relay.py
@@ -9,7 +9,7 @@
 from goldcrestgrade_node import asgi
 from goldcrestgrade_node.attempts import exchanges, results
 from goldcrestgrade_node.entry import disconnects
-from goldcrestgrade_node.mesh import connections, dialect, loads, requests, transfer
+from goldcrestgrade_node.mesh import connections, dialect, loads, requests, signals, transfer
 
 RUN_ONCE_MAX_IDLE_S = 10.0
 """Longest idle time after which a connection to a node is reused for a run-once request."""
@@ -92,6 +92,8 @@
             relay_headers.append((headers.NODE_LOAD, loads.encode(served.load)))
         if served.arrived:
             relay_headers.append((headers.ARRIVED, "1"))
+        if served.heard is not None and served.heard.signals != signals.NONE:
+            relay_headers.append((headers.ENDPOINT_ID, served.heard.endpoint_id))
         match served.outcome:
             case outcomes.Ran(answer=answer):
                 relay_headers.append((headers.OUTCOME, "ran"))
@@ -154,7 +156,9 @@
         arrived = headers.ARRIVED in fields
         match fields.get(headers.OUTCOME):
             case "ran":
-                return requests.Served(outcomes.Ran(answer), load, arrived)
+                said = signals.parse(fields, self.header_names)
+                heard = signals.Report(fields.get(headers.ENDPOINT_ID, ""), said)
+                return requests.Served(outcomes.Ran(answer), load, arrived, heard)
             case "not_run":
                 refusal = _parse_reason(reasons.Refusal, fields.get(headers.REASON, ""))
                 retry_at = now + float(fields.get(headers.RETRY_IN, "0"))
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/requests.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/requests.py
@@ -8,7 +8,7 @@
 import xxhash
 
 from goldcrestgrade import instants, outcomes, routes
-from goldcrestgrade_node.mesh import admission, loads
+from goldcrestgrade_node.mesh import admission, loads, signals
 
 
 class Call(typing.NamedTuple):
@@ -34,6 +34,8 @@
     deadline: instants.Instant
     late_allowed: bool = False
     """Whether it may be admitted although it is expected to miss its latency target."""
+    heard: signals.Report | None = None
+    """What the entry node has heard from the endpoint that the request is sent to."""
 
     def admission_request(self) -> admission.Request:
         """Return what the admission controller of an endpoint needs to evaluate the request."""
@@ -54,6 +56,8 @@
     """Load of the endpoint after the request, if known."""
     arrived: bool
     """Whether the endpoint has received the request."""
+    heard: signals.Report | None = None
+    """What the endpoint said in its answer, if it answered."""
 
 
 def call(
@@ -107,6 +111,16 @@
     left_ms: int
     """Milliseconds until the deadline."""
     late: bool
+    heard: typing.NotRequired[HeardDocument]
+    """What the sending node has heard from the endpoint; left out if that is nothing."""
+
+
+class HeardDocument(typing.TypedDict):
+    """Part of the relay header."""
+
+    endpoint: str
+    rate: float | None
+    leaving: bool
 
 
 def encode(call_: Call, now: instants.Instant) -> str:
@@ -121,6 +135,11 @@
         left_ms=round(1000 * (call_.deadline - now)),
         late=call_.late_allowed,
     )
+    if call_.heard is not None and call_.heard.signals != signals.NONE:
+        said = call_.heard.signals
+        document["heard"] = HeardDocument(
+            endpoint=call_.heard.endpoint_id, rate=said.rate_limit, leaving=said.leaving
+        )
     return orjson.dumps(document).decode()
 
 
@@ -143,11 +162,19 @@
             target_at=now + document["target_ms"] / 1000,
             deadline=now + document["left_ms"] / 1000,
             late_allowed=document["late"],
+            heard=_decode_heard(document.get("heard")),
         )
     except (orjson.JSONDecodeError, KeyError, TypeError):
         return None
 
 
+def _decode_heard(document: HeardDocument | None) -> signals.Report | None:
+    if document is None:
+        return None
+    said = signals.Signals(document["rate"], document["leaving"])
+    return signals.Report(document["endpoint"], said)
+
+
 def digest(call_: Call) -> str:
     """Return a digest of service, caller, method, target and body."""
     hasher = xxhash.xxh3_128()
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/signals.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/signals.py
@@ -24,6 +24,13 @@
 """Signals of an endpoint that says nothing about itself."""
 
 
+class Report(typing.NamedTuple):
+    """What a node has heard from an endpoint."""
+
+    endpoint_id: str
+    signals: Signals
+
+
 def parse(fields: typing.Mapping[str, str], names: dialect.Dialect) -> Signals:
     """Return the signals in the headers of an answer; a malformed limit counts as none."""
     return Signals(_parse_rate(fields.get(names.rate_limit)), fields.get(names.leaving) == "1")
--- a/packages/goldcrestgrade-node/tests/mesh/test_admission.py
+++ b/packages/goldcrestgrade-node/tests/mesh/test_admission.py
@@ -237,3 +237,39 @@
     assert not later.done()
     controller.release()
     assert await later is None
+
+
+async def test_rate_limit_is_reported_as_the_slots_that_keep_the_endpoint_at_its_rate(controller):
+    controller.set_slots(9)
+    assert controller.load().slots == 9
+    controller.set_rate_limit(2.5 / admission.INITIAL_SERVICE_TIME_S)
+    assert controller.load().slots == 3
+    controller.set_rate_limit(0.1)
+    assert controller.load().slots == 1
+    controller.set_rate_limit(None)
+    assert controller.load().slots == 9
+
+
+async def test_request_that_the_rate_limit_delays_too_long_is_rejected_until_it_may_start(
+    controller, clock
+):
+    controller.set_rate_limit(1.0)
+    rejected = await controller.admit(request(clock))
+    assert rejected == admission.Rejected("rate_limited", clock.now + 1.0)
+    clock.now += 1.0
+    assert await controller.admit(request(clock)) is None
+
+
+async def test_queued_requests_start_by_priority_as_the_rate_limit_allows(controller, clock):
+    controller.set_rate_limit(20.0)
+    low = asyncio.create_task(controller.admit(request(clock, priority=2)))
+    high = asyncio.create_task(controller.admit(request(clock, priority=0)))
+    await asyncio.sleep(0)
+    assert not low.done() and not high.done()
+    clock.now += 0.05
+    controller.start_queued()
+    await asyncio.sleep(0)
+    assert high.done() and not low.done()
+    controller.set_rate_limit(None)
+    await asyncio.sleep(0)
+    assert low.done() and low.result() is None
--- a/packages/goldcrestgrade-node/tests/mesh/test_directory.py
+++ b/packages/goldcrestgrade-node/tests/mesh/test_directory.py
@@ -1,7 +1,7 @@
 """Instances that a node knows, and their failures."""
 
 from goldcrestgrade.storage import tables
-from goldcrestgrade_node.mesh import directory, replica
+from goldcrestgrade_node.mesh import directory, replica, signals
 
 LOCATION = directory.Location("khomas-a", "khomas")
 
@@ -61,3 +61,15 @@
     assert backoffs_s[-1] == directory.BACKOFF_LIMIT_S
     known.record_reachable(instance)
     assert instance.failures == 0
+
+
+def test_report_on_an_endpoint_outlives_the_row_of_its_node():
+    known = directory.Directory()
+    limited = signals.Report("e1", signals.Signals(rate_limit=7.0))
+    known.apply_change(change("a", 1, row("a")))
+    known.record_report("a", limited)
+    known.apply_change(change("a", 2, None))
+    known.apply_change(change("a", 3, row("a", started_ms=2)))
+    assert known.reports["a"] == limited
+    known.record_report("a", signals.Report("e1", signals.NONE))
+    assert "a" not in known.reports
--- a/packages/goldcrestgrade-node/tests/mesh/test_endpoints.py
+++ b/packages/goldcrestgrade-node/tests/mesh/test_endpoints.py
@@ -3,7 +3,7 @@
 import pytest
 
 from goldcrestgrade import instants
-from goldcrestgrade_node.mesh import endpoints
+from goldcrestgrade_node.mesh import endpoints, signals
 
 OWN = endpoints.ConfiguredEndpoint("10.0.0.1:80", "archive", "khomas-a")
 
@@ -104,3 +104,43 @@
     assert own.apply_heartbeat(heartbeat(born_ms=100, sequence=24)) == "departed"
     assert own.usable() is None
     assert own.apply_heartbeat(heartbeat(born_ms=1500, sequence=1)) == "first"
+
+
+def report(endpoint_id="a", rate_limit=7.0):
+    return signals.Report(endpoint_id, signals.Signals(rate_limit))
+
+
+def test_limit_is_that_of_the_latest_answer_to_a_request(own):
+    own.apply_heartbeat(heartbeat())
+    named = []
+    own.on_signals = lambda said: named.append(said.rate_limit)
+    for rate in (7.0, 7.0, 5.0, None):
+        own.record_answer(report(rate_limit=rate))
+    assert named == [7.0, 5.0, None]
+
+
+def test_health_check_may_show_a_limit_but_not_its_end(own):
+    own.apply_heartbeat(heartbeat())
+    own.record_health_answer(report())
+    own.record_health_answer(signals.Report("a", signals.NONE))
+    assert own.signals.rate_limit == 7.0
+
+
+def test_limit_ends_with_the_incarnation_that_named_it(own):
+    own.apply_heartbeat(heartbeat())
+    own.record_answer(report())
+    own.apply_heartbeat(heartbeat(born_ms=200))
+    assert own.signals == signals.NONE
+
+
+def test_restarted_node_adopts_what_others_heard_until_its_endpoint_answers(own):
+    own.adopt_report(report())
+    assert own.signals == signals.NONE
+    own.apply_heartbeat(heartbeat())
+    own.adopt_report(report(endpoint_id="b"))
+    assert own.signals == signals.NONE
+    own.adopt_report(report())
+    assert own.signals.rate_limit == 7.0
+    own.record_answer(report(rate_limit=3.0))
+    own.adopt_report(report())
+    assert own.signals.rate_limit == 3.0
--- a/packages/goldcrestgrade-node/tests/mesh/test_replayed_loads.py
+++ b/packages/goldcrestgrade-node/tests/mesh/test_replayed_loads.py
@@ -1,12 +1,15 @@
 """Replays of heavy load through the real admission decisions, compared with a baseline policy."""
 
 import asyncio
+import bisect
 import random
+import types
 import typing
 
 from goldcrestgrade import instants
 from goldcrestgrade_node.mesh import admission, health, loads
 from goldcrestgrade_testing import virtual_time
+from goldcrestgrade_testing.fault_soak import checks, history
 
 SLOTS = 12
 SERVICE_TIME_S = 0.1
@@ -258,3 +261,88 @@
     baseline = [virtual_time.run(replay(arrivals, Endpoint())) for arrivals in arrivals_by_seed]
     assert sum(one.in_time for one in completed) > 1.05 * sum(one.in_time for one in baseline)
     assert sum(one.late for one in completed) < 0.5 * sum(one.late for one in baseline)
+
+
+RATE_LIMITS = [(5.0, 20.0), (12.0, 6.0), (20.0, 12.0), (28.0, None)]
+"""Instants at which an endpoint changes the rate limit that it names in its answers."""
+
+
+async def replay_rate_limits(limited, restarts_at=()):
+    """Return when requests started at the endpoint, and how they ended.
+
+    Without `limited`, the node does not read the limit. A restarted node forgets it, and requests
+    of other nodes bring what they have heard.
+    """
+    loop = asyncio.get_running_loop()
+    rng = random.Random(1)
+    started, ended, heard, nodes = [], [], [], []
+
+    def restart():
+        controller = admission.AdmissionController(instants.Clocks(loop.time, loop.time))
+        controller.set_slots(SLOTS)
+        controller.service_times_s["route"] = controller.mean_service_time_s = SERVICE_TIME_S
+        controller.apply_load_report(loads.Load(0, 0, SLOTS, 1.0))
+        nodes.append(types.SimpleNamespace(controller=controller, answered=False))
+
+    def limit():
+        return next((rate for at, rate in reversed(RATE_LIMITS) if at <= loop.time()), None)
+
+    async def request(at):
+        await asyncio.sleep(at)
+        node = nodes[-1]
+        controller = node.controller
+        if limited and heard and not node.answered:
+            controller.set_rate_limit(heard[-1])
+        target_at = loop.time() + TARGET_S
+        admitted = admission.Request("route", 1, target_at, loop.time() + DEADLINE_S, False)
+        if await controller.admit(admitted) is not None:
+            ended.append("rejected")
+            return
+        started.append(loop.time())
+        await asyncio.sleep(SERVICE_TIME_S * rng.lognormvariate(-(SIGMA**2) / 2, SIGMA))
+        heard.append(limit())
+        if limited:
+            node.answered = True
+            controller.set_rate_limit(limit())
+        controller.release()
+        ended.append("in_time" if loop.time() <= target_at else "late")
+
+    restart()
+    for at in restarts_at:
+        loop.call_at(at, restart)
+    arrivals = (at for at, _ in burst(rng, BASE_RATE, 32.0))
+    await asyncio.gather(*(request(at) for at in arrivals))
+    return started, ended
+
+
+def excesses(started):
+    """Return the windows in which more requests started than the limits allow."""
+    changes = [history.RateLimit(*change) for change in RATE_LIMITS]
+    first = changes[0].at + checks.KNOWN_DELAY_S
+    counted = [at for at in started if at >= first]
+    found = []
+    for last, at in enumerate(counted):
+        window = history.Span(at - checks.RATE_WINDOW_S, at)
+        count = last + 1 - bisect.bisect_right(counted, window.begin)
+        if count > checks.allowed_requests(changes, window):
+            found.append((at, count))
+    return found
+
+
+def test_endpoint_with_changing_rate_limits_gets_what_they_allow_and_not_more():
+    started, ended = virtual_time.run(replay_rate_limits(limited=True))
+    former, _ = virtual_time.run(replay_rate_limits(limited=False))
+    assert excesses(started) == []
+    assert len(excesses(former)) > 100
+    assert ended.count("late") <= 0.05 * len(ended)
+    for begin, end, rate in ((6.0, 12.0, 20.0), (13.0, 20.0, 6.0), (21.0, 28.0, 12.0)):
+        count = sum(begin <= at < end for at in started)
+        assert count >= 0.9 * rate * (end - begin)
+    after_limit = sum(29.0 <= at < 32.0 for at in started)
+    assert after_limit >= 0.9 * sum(29.0 <= at < 32.0 for at in former)
+
+
+def test_rate_limit_holds_while_the_node_beside_its_endpoint_restarts_again_and_again():
+    restarts_at = [7.0 + 1.3 * number for number in range(16)]
+    started, _ = virtual_time.run(replay_rate_limits(True, restarts_at))
+    assert excesses(started) == []
--- /dev/null
+++ b/packages/goldcrestgrade-node/tests/mesh/test_requests.py
@@ -0,0 +1,47 @@
+"""Requests as nodes pass them on."""
+
+import pytest
+
+from goldcrestgrade_node.mesh import requests, signals
+
+MESSAGE = requests.Message("POST", "/a/1?b=2", "letters.example", (("a", "b"),), b"body")
+
+CALL = requests.Call(
+    attempt_id="try-1",
+    route="r",
+    service="archive",
+    run_once=True,
+    priority=1,
+    caller="intake",
+    method=MESSAGE.method,
+    target=MESSAGE.target,
+    host=MESSAGE.host,
+    headers=MESSAGE.headers,
+    body=MESSAGE.body,
+    target_at=100.4,
+    deadline=101.0,
+)
+
+
+@pytest.mark.parametrize(
+    "heard",
+    [
+        None,
+        signals.Report("e1", signals.Signals(7.8, False)),
+        signals.Report("e1", signals.Signals(None, True)),
+    ],
+)
+def test_call_survives_encoding_and_decoding(heard):
+    call = CALL._replace(heard=heard)
+    text = requests.encode(call, 100.0)
+    assert requests.decode(text, "try-1", MESSAGE, 100.0) == call
+
+
+def test_report_that_says_nothing_is_not_passed_on():
+    silent = CALL._replace(heard=signals.Report("e1", signals.NONE))
+    assert requests.encode(silent, 100.0) == requests.encode(CALL, 100.0)
+
+
+@pytest.mark.parametrize("text", ["", "7", "[]", "{}", '{"heard": {}}'])
+def test_malformed_relay_header_is_no_call(text):
+    assert requests.decode(text, "try-1", MESSAGE, 100.0) is None
--- a/packages/goldcrestgrade-operator/goldcrestgrade_operator/explanations.py
+++ b/packages/goldcrestgrade-operator/goldcrestgrade_operator/explanations.py
@@ -56,6 +56,10 @@
         "Every endpoint that may run the request is at capacity.",
         "Add endpoints if this persists; clients retry after `Retry-After`.",
     ),
+    reasons.Refusal.RATE_LIMITED: Explanation(
+        "The endpoint gets as many requests as the rate limit that it names in its answers.",
+        "Find out why the endpoint limits its rate; add endpoints if this persists.",
+    ),
     reasons.Refusal.QUARANTINED: Explanation(
         "The request has crashed endpoints before.",
         "Find the request in the logs by its id; fix the fault in the endpoint.",
--- a/packages/goldcrestgrade-testing/goldcrestgrade_testing/fault_soak/checks.py
+++ b/packages/goldcrestgrade-testing/goldcrestgrade_testing/fault_soak/checks.py
@@ -172,7 +172,7 @@
         arrivals = [a.at for a in _arrivals_from_informed(observed, endpoint_id)]
         for last, at in enumerate(arrivals):
             window = history.Span(at - RATE_WINDOW_S, at)
-            allowed = _allowed_requests(changes, window)
+            allowed = allowed_requests(changes, window)
             counted = last + 1 - bisect.bisect_right(arrivals, window.begin)
             due = at >= changes[0].at + GUARANTEE_DELAY_S
             if due and counted > allowed and not _was_held_up(observed, endpoint_id, window):
@@ -208,7 +208,7 @@
     return sorted(filter(is_bound, arrivals), key=lambda arrival: arrival.at)
 
 
-def _allowed_requests(changes: typing.Sequence[history.RateLimit], window: history.Span) -> float:
+def allowed_requests(changes: typing.Sequence[history.RateLimit], window: history.Span) -> float:
     """Return how many requests the limits in a window allow; infinite once one has ended.
 
     A limit counts from before it was first named, and for `KNOWN_DELAY_S` after it has changed.
--- a/packages/goldcrestgrade/goldcrestgrade/headers.py
+++ b/packages/goldcrestgrade/goldcrestgrade/headers.py
@@ -56,6 +56,9 @@
 NODE_LOAD = "goldcrestgrade-load"
 """Load of an endpoint as the endpoint's node counts it."""
 
+ENDPOINT_ID = "goldcrestgrade-endpoint"
+"""Id of the endpoint that made a relayed answer."""
+
 RETRY_IN = "goldcrestgrade-retry-in"
 """Seconds after which a node that sent a request back may be sent requests again."""
 
@@ -69,6 +72,7 @@
         CALLER_REGION,
         CONTROL_KEY,
         DEADLINE,
+        ENDPOINT_ID,
         LOAD,
         NODE_LOAD,
         NO_RETRY,
--- a/packages/goldcrestgrade/goldcrestgrade/reasons.py
+++ b/packages/goldcrestgrade/goldcrestgrade/reasons.py
@@ -18,6 +18,7 @@
     DEADLINE_PASSED = "deadline_passed"
     NO_ENDPOINT = "no_endpoint"
     SATURATED = "saturated"
+    RATE_LIMITED = "rate_limited"
     QUARANTINED = "quarantined"
     ENDPOINT_REFUSED = "endpoint_refused"
     ENDPOINT_UNREACHED = "endpoint_unreached"
