Draw endpoints that say in their answers that they leave, and test it

The soak draws endpoints that say so in answers, with or without heartbeats, and checks that no instance sends them requests 2 s after it passed such an answer on.

--- a/packages/goldcrestgrade-testing/goldcrestgrade_testing/fault_soak/checks.py
+++ b/packages/goldcrestgrade-testing/goldcrestgrade_testing/fault_soak/checks.py
@@ -182,6 +182,45 @@
                 )
 
 
+def sent_after_leaving(observed: history.History) -> typing.Iterator[str]:
+    """Find requests that reached a leaving endpoint although their instance knew that it leaves.
+
+    An instance knows it `DRAIN_S` after it has passed on an answer that says so, until it restarts
+    or stands still.
+    """
+    by_attempt = {request.attempt_id: request for request in observed.requests}
+    told = collections.defaultdict(list)
+    for request in observed.requests:
+        if request.says_leaving:
+            told[request.instance, request.endpoint_id].append(request.answered_at)
+    for arrival in observed.arrivals:
+        arrived = by_attempt.get(arrival.attempt_id)
+        if arrived is None:
+            continue
+        since = [
+            at
+            for at in told[arrived.instance, arrival.endpoint_id]
+            if at + DRAIN_S < arrived.sent_at
+            and not _was_interrupted(observed, arrived.instance, history.Span(at, arrival.at))
+        ]
+        if since:
+            yield (
+                f"{arrival.attempt_id} was sent to {arrival.endpoint_id} "
+                f"{arrived.sent_at - min(since):.2f} s after {arrived.instance} had been told"
+            )
+
+
+def _was_interrupted(observed: history.History, instance: str, span: history.Span) -> bool:
+    """Return whether the node of an instance restarted or stood still in a span."""
+    return any(
+        fault.kind in EXCUSING_KINDS
+        and fault.instance == instance
+        and fault.span.begin <= span.end
+        and fault.span.end >= span.begin
+        for fault in observed.injected_faults
+    )
+
+
 def _arrivals_from_informed(observed: history.History, endpoint_id: str) -> list[history.Arrival]:
     """Return the arrivals whose instances knew of the endpoint's rate limit, by time."""
     by_attempt = {request.attempt_id: request for request in observed.requests}
@@ -262,6 +301,7 @@
         route_forgotten,
         lost_at_planned_stop,
         over_rate_limit,
+        sent_after_leaving,
         not_recovered,
     )
 }
--- a/packages/goldcrestgrade-testing/goldcrestgrade_testing/fault_soak/history.py
+++ b/packages/goldcrestgrade-testing/goldcrestgrade_testing/fault_soak/history.py
@@ -35,6 +35,8 @@
     """Endpoint that made the answer; empty if a node made it."""
     names_rate_limit: bool = False
     """Whether the answer names a rate limit of the endpoint."""
+    says_leaving: bool = False
+    """Whether the answer says that the endpoint leaves."""
 
 
 class Run(typing.NamedTuple):
--- a/packages/goldcrestgrade-testing/goldcrestgrade_testing/fault_soak/injection.py
+++ b/packages/goldcrestgrade-testing/goldcrestgrade_testing/fault_soak/injection.py
@@ -61,6 +61,8 @@
             return lambda: _replace_endpoint(running_fleet, instance)
         case "limit":
             return _limit_rate(instance.endpoint, fault)
+        case "leave":
+            return _leave(running_fleet, instance, fault.variant)
         case "crash":
             await _replace_endpoint(running_fleet, instance)
         case "configure":
@@ -116,6 +118,16 @@
     return end
 
 
+def _leave(running_fleet: fleet.Fleet, instance: fleet.Instance, variant: int) -> EndFault:
+    """Have an endpoint say in its answers that it leaves, and in its heartbeats or in none."""
+    instance.endpoint.behaviour.leaving = True
+    if variant % 2:
+        instance.endpoint.behaviour.draining = True
+    elif instance.heartbeat_task is not None:
+        instance.heartbeat_task.cancel()
+    return lambda: _replace_endpoint(running_fleet, instance)
+
+
 def _set_mode(link: proxy.Proxy, mode: proxy.Mode, delay_s: float = 0.0) -> EndFault:
     link.set_mode(mode, delay_s)
 
--- a/packages/goldcrestgrade-testing/goldcrestgrade_testing/fault_soak/plan.py
+++ b/packages/goldcrestgrade-testing/goldcrestgrade_testing/fault_soak/plan.py
@@ -28,6 +28,7 @@
     "slow_endpoint",
     "drain",
     "limit",
+    "leave",
     "crash",
     "configure",
     "reload",
@@ -46,7 +47,7 @@
 MAX_FAULT_S = 3.0
 """Longest duration of one fault, equal to `checks.GUARANTEE_DELAY_S`."""
 
-LONG_KINDS = frozenset({"limit"})
+LONG_KINDS = frozenset({"limit", "leave"})
 """Kinds whose effect is judged over several seconds."""
 
 MIN_LONG_FAULT_S = 8.0
@@ -71,7 +72,8 @@
     """Random number that selects details of some kinds.
 
     It gives the answer fault and its count for the kind `answers`, the age of the copy and the time
-    away for the kind `store_restore`, and the rates for the kind `limit`.
+    away for the kind `store_restore`, the rates for the kind `limit`, and for the
+    kind `leave` whether the heartbeats say so too.
     """
 
 
--- a/packages/goldcrestgrade-testing/goldcrestgrade_testing/fault_soak/soak.py
+++ b/packages/goldcrestgrade-testing/goldcrestgrade_testing/fault_soak/soak.py
@@ -115,6 +115,7 @@
                 "retry-after" in answer.fields,
                 answer.fields.get("x-upstream-signature", "").partition(".")[0],
                 "server-limit" in answer.fields,
+                "server-leaving" in answer.fields,
             )
         )
 
--- a/packages/goldcrestgrade-testing/goldcrestgrade_testing/fleet_platform/endpoint.py
+++ b/packages/goldcrestgrade-testing/goldcrestgrade_testing/fleet_platform/endpoint.py
@@ -156,7 +156,8 @@
         """
         attempt_id = request.field("x-attempt-id") or ""
         if request.target == "/healthz":
-            status = "503 Service Unavailable" if self.behaviour.draining else "200 OK"
+            ending = self.behaviour.draining or self.behaviour.leaving
+            status = "503 Service Unavailable" if ending else "200 OK"
             self._write(writer, self._encode_answer(b"", status, ""))
             return
         self.arrivals.append((attempt_id, self.endpoint_id, time.monotonic()))
--- a/packages/goldcrestgrade-testing/tests/fault_soak/test_checks.py
+++ b/packages/goldcrestgrade-testing/tests/fault_soak/test_checks.py
@@ -39,6 +39,16 @@
     return [begin + (end - begin) * number / count for number in range(count)]
 
 
+LEAVING = ANSWERED._replace(attempt_id="t", endpoint_id="e1", says_leaving=True)
+AFTER_LEAVING = ANSWERED._replace(sent_at=12.2, answered_at=12.3)
+
+
+def leaving(**others):
+    """Return a history in which n1 passes on, at 10.1, that e1 leaves, and sends to it later."""
+    arrival = history.Arrival("a", "e1", 12.25)
+    return observed(LEAVING, AFTER_LEAVING, arrivals=[arrival], **others)
+
+
 VIOLATING = {
     "run_twice": observed(ANSWERED, runs=[RUN, RUN]),
     "refused_but_run": observed(ANSWERED._replace(status=503, has_retry_after=True)),
@@ -55,6 +65,7 @@
         ANSWERED._replace(status=0), injected_faults=[injected("stop")]
     ),
     "over_rate_limit": limited([(9.0, 2.0)], evenly(18, 11.0, 14.9)),
+    "sent_after_leaving": leaving(),
     "not_recovered": EMPTY._replace(recovered={"n1": False}),
 }
 
@@ -98,6 +109,13 @@
         ),
         observed(ANSWERED._replace(status=0), injected_faults=[injected("kill")]),
         observed(ANSWERED._replace(status=0), runs=[]),
+        leaving(injected_faults=[injected("pause", begin=11.0, end=11.5)]),
+        leaving(injected_faults=[injected("kill", begin=10.0, end=10.2)]),
+        observed(
+            LEAVING,
+            AFTER_LEAVING._replace(sent_at=12.0),
+            arrivals=[history.Arrival("a", "e1", 12.25)],
+        ),
         limited([(9.0, 2.0)], evenly(17, 11.0, 14.9)),
         limited([(9.0, 2.0)], evenly(18, 10.2, 10.6)),
         limited([(9.0, 2.0)], evenly(40, 11.0, 11.9)),
@@ -126,6 +144,11 @@
     assert checks.violations(too_many) != []
 
 
+def test_restart_of_the_node_beside_a_leaving_endpoint_excuses_no_other_node():
+    restarted = injected("kill", "n2", begin=11.0, end=11.5)
+    assert checks.violations(leaving(injected_faults=[restarted])) != []
+
+
 @pytest.mark.parametrize("kind", ["configure", "reload", "answers", "slow_endpoint", "drain"])
 def test_late_answer_is_a_violation_under_planned_operations_and_endpoint_faults(kind):
     late = observed(ANSWERED._replace(answered_at=11.6), injected_faults=[injected(kind)])
--- a/packages/goldcrestgrade-testing/tests/fault_soak/test_mutations.py
+++ b/packages/goldcrestgrade-testing/tests/fault_soak/test_mutations.py
@@ -172,6 +172,13 @@
 """,
         [plan.Fault("limit", 0, 1.0, 10.0, 0)],
     ),
+    "sent_after_leaving": Mutation(
+        """
+from goldcrestgrade_node.mesh import signals
+signals.parse = lambda fields, names: signals.NONE
+""",
+        [plan.Fault("leave", 0, 1.0, 10.0, 0)],
+    ),
     "not_recovered": Mutation(
         """
 import time
--- a/packages/goldcrestgrade-testing/tests/fault_soak/test_soak.py
+++ b/packages/goldcrestgrade-testing/tests/fault_soak/test_soak.py
@@ -21,6 +21,9 @@
     assert statuses[200] > 100
 
 
+LEAVE = plan.Fault("leave", 0, 1.0, 13.0, 0)
+"""The endpoint of the first instance says in its answers only that it leaves."""
+
 LIMIT = plan.Fault("limit", 0, 1.0, 13.0, 1)
 """The endpoint of the first instance names 3, 2 and 2.5 requests a second, for 4 s each."""
 
@@ -46,3 +49,11 @@
     assert result.violations == []
     limited = [request for request in result.observed.requests if request.names_rate_limit]
     assert limited
+
+
+@pytest.mark.parametrize("name", DISTURBANCES)
+async def test_leaving_endpoint_gets_no_request_from_instances_that_were_told(name):
+    faults = sorted([LEAVE, *DISTURBANCES[name]], key=lambda fault: fault.begin_s)
+    result = await soak.play(faults, random.Random(1))
+    assert result.violations == []
+    assert any(request.says_leaving for request in result.observed.requests)
