Send no requests to an endpoint that says in its answers that it leaves

Cause: as for the rate limit, no code read the header. The node beside the endpoint now rejects what is queued and new, and its row says that it does not serve. What entry nodes have heard goes with their requests, so that a node that has restarted does not begin again; a health check that finds the endpoint healthy excludes reports on an earlier incarnation with the same id.

--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/endpoints.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/endpoints.py
@@ -72,21 +72,34 @@
         """What the endpoint said in its latest answer, or what other nodes heard from it."""
         self.answered = False
         """Whether the endpoint has answered a request of this node."""
+        self.stays = False
+        """Whether a health check has shown that the endpoint does not leave."""
         self.on_signals: typing.Callable[[signals.Signals], None] = lambda _: None
 
     def record_answer(self, heard: signals.Report) -> None:
         """Record what an endpoint said in the answer to a request."""
         if self._is_current(heard.endpoint_id):
             self.answered = True
-            self._set_signals(heard.signals)
+            # An answer that was sent before the endpoint began to leave may arrive later.
+            leaving = self.signals.leaving or heard.signals.leaving
+            self._set_signals(heard.signals._replace(leaving=leaving))
 
-    def record_health_answer(self, heard: signals.Report) -> None:
+    def record_health_answer(self, heard: signals.Report, healthy: bool) -> None:
         """Record what an endpoint said in the answer to a health check.
 
-        Only answers to requests show that a limit has ended.
+        Only answers to requests show that a limit has ended. A healthy endpoint does not leave,
+        whatever other nodes have heard from an earlier incarnation with its id.
         """
-        if self._is_current(heard.endpoint_id) and heard.signals != signals.NONE:
-            self._set_signals(heard.signals)
+        if not self._is_current(heard.endpoint_id):
+            return
+        rate_limit, leaving = heard.signals
+        if healthy and not leaving and not self.answered:
+            self.stays = True
+        else:
+            leaving = leaving or self.signals.leaving
+        if rate_limit is None:
+            rate_limit = self.signals.rate_limit
+        self._set_signals(signals.Signals(rate_limit, leaving))
 
     def adopt_report(self, heard: signals.Report) -> None:
         """Apply what another node heard from the endpoint, which has not answered this one yet.
@@ -94,7 +107,8 @@
         Load pattern: this node restarts, and the requests of the other nodes go on.
         """
         if self._is_current(heard.endpoint_id) and not self.answered:
-            self._set_signals(heard.signals)
+            leaving = heard.signals.leaving and not self.stays
+            self._set_signals(heard.signals._replace(leaving=leaving))
 
     def _is_current(self, endpoint_id: str) -> bool:
         return self.current is not None and self.current.endpoint_id == endpoint_id
@@ -105,10 +119,14 @@
             self.signals = latest
             self.on_signals(latest)
 
+    def leaves(self) -> bool:
+        """Return whether the endpoint drains or says in its answers that it leaves."""
+        return self.signals.leaving or (self.current is not None and self.current.draining)
+
     def usable(self) -> Endpoint | None:
         """Return the endpoint if it accepts new requests, else none."""
         current = self.current
-        return None if current is None or current.draining or self.unreachable else current
+        return None if current is None or self.leaves() or self.unreachable else current
 
     def apply_heartbeat(self, heartbeat: Heartbeat) -> str:
         """Apply a heartbeat and return how it was classified.
@@ -200,7 +218,7 @@
         before = self.current
         self.current = endpoint
         if not _is_same_incarnation(before, endpoint):
-            self.answered = False
+            self.answered = self.stays = False
             self._set_signals(signals.NONE)
         if _visible(before) != _visible(endpoint):
             log.info(
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/health.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/health.py
@@ -132,5 +132,5 @@
             self.on_missing_load()
         if endpoint_id is not None:
             self.own.apply_health_check(endpoint_id, None if load is None else load.slots, healthy)
-            self.own.record_health_answer(signals.Report(endpoint_id, said))
+            self.own.record_health_answer(signals.Report(endpoint_id, said), healthy)
         self.first_check_done.set()
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/local.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/local.py
@@ -95,8 +95,9 @@
 
         A run-once request that was admitted continues when the task that awaits it is cancelled.
         """
-        if call.heard is not None:
+        if call.heard is not None and not self.own.answered:
             self.own.adopt_report(call.heard)
+            self.hooks.request_pace_check()
         refused = self._find_refusal(call)
         if refused is not None:
             return self._rejected(call, refused.reason, refused.retry_at)
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/node.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/node.py
@@ -34,6 +34,7 @@
     restoration,
     retry_budget,
     settings,
+    signals,
     watch,
 )
 
@@ -136,7 +137,7 @@
             self.on_endpoint_changed,
         )
         self.controller = admission.AdmissionController(self.clocks)
-        self.own.on_signals = lambda said: self.controller.set_rate_limit(said.rate_limit)
+        self.own.on_signals = self.on_signals
         self.health = health.HealthChecks(
             self.own, lambda: self.table, session, platform.header_names, self.clocks, self.rng
         )
@@ -252,9 +253,14 @@
         if self.own.usable() is None:
             self.local.reject_queued()
         if not self.handing_over.is_set():
-            serving = current is not None and not current.draining
+            serving = current is not None and not self.own.leaves()
             self.registration.set_desired(self.initial_row._replace(serving=serving))
 
+    def on_signals(self, said: signals.Signals) -> None:
+        """Apply what the own endpoint says of itself: its rate limit, and whether it leaves."""
+        self.controller.set_rate_limit(said.rate_limit)
+        self.on_endpoint_changed()
+
     def is_ready(self) -> bool:
         """Return whether clients may send requests to this node."""
         return self.table is not None and self.sync.complete.is_set() and not self.stopping.is_set()
--- a/packages/goldcrestgrade-node/tests/mesh/test_endpoints.py
+++ b/packages/goldcrestgrade-node/tests/mesh/test_endpoints.py
@@ -121,8 +121,8 @@
 
 def test_health_check_may_show_a_limit_but_not_its_end(own):
     own.apply_heartbeat(heartbeat())
-    own.record_health_answer(report())
-    own.record_health_answer(signals.Report("a", signals.NONE))
+    own.record_health_answer(report(), healthy=True)
+    own.record_health_answer(signals.Report("a", signals.NONE), healthy=True)
     assert own.signals.rate_limit == 7.0
 
 
@@ -144,3 +144,43 @@
     own.record_answer(report(rate_limit=3.0))
     own.adopt_report(report())
     assert own.signals.rate_limit == 3.0
+
+
+LEAVING = signals.Report("a", signals.Signals(leaving=True))
+SILENT = signals.Report("a", signals.NONE)
+
+
+def test_endpoint_that_says_it_leaves_is_not_used_again(own):
+    own.apply_heartbeat(heartbeat())
+    own.record_answer(LEAVING)
+    assert own.usable() is None and own.leaves()
+    own.record_answer(SILENT)
+    own.record_health_answer(SILENT, healthy=True)
+    own.apply_heartbeat(heartbeat(sequence=2))
+    assert own.usable() is None
+
+
+def test_new_incarnation_of_an_endpoint_that_left_is_used(own):
+    own.apply_heartbeat(heartbeat())
+    own.record_answer(LEAVING)
+    own.apply_heartbeat(heartbeat(born_ms=200))
+    assert own.usable() is not None
+
+
+def test_restarted_node_does_not_use_an_endpoint_that_others_heard_leave(own):
+    own.apply_heartbeat(heartbeat())
+    own.adopt_report(LEAVING)
+    assert own.usable() is None
+    own.record_health_answer(SILENT, healthy=False)
+    assert own.usable() is None
+
+
+def test_healthy_endpoint_is_used_though_others_heard_an_earlier_one_with_its_id_leave(own):
+    own.apply_heartbeat(heartbeat())
+    own.adopt_report(LEAVING)
+    own.record_health_answer(SILENT, healthy=True)
+    assert own.usable() is not None
+    own.adopt_report(LEAVING)
+    assert own.usable() is not None
+    own.record_answer(LEAVING)
+    assert own.usable() is None
