Keep the report that an endpoint leaves when an earlier answer arrives late

Answers of one endpoint travel on several connections, so that one sent before it began to leave may arrive after one that says so, and an entry node forgot what it had heard. It matters if the node beside the endpoint then restarts. Found by reading; the new test fails without the change.

--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/directory.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/directory.py
@@ -87,7 +87,15 @@
         """
 
     def record_report(self, node_id: str, heard: signals.Report) -> None:
-        """Record what the endpoint of a node said in its latest answer."""
+        """Record what the endpoint of a node said in an answer.
+
+        Answers may overtake each other, so that an endpoint leaves until another one answers.
+        """
+        known = self.reports.get(node_id)
+        if known is not None and known.signals.leaving:
+            # Answers without signals do not name their endpoint.
+            if heard.endpoint_id in ("", known.endpoint_id):
+                heard = known._replace(signals=heard.signals._replace(leaving=True))
         if heard.signals == signals.NONE:
             self.reports.pop(node_id, None)
             return
--- a/packages/goldcrestgrade-node/tests/mesh/test_directory.py
+++ b/packages/goldcrestgrade-node/tests/mesh/test_directory.py
@@ -73,3 +73,16 @@
     assert known.reports["a"] == limited
     known.record_report("a", signals.Report("e1", signals.NONE))
     assert "a" not in known.reports
+
+
+def test_answer_that_was_overtaken_does_not_undo_that_an_endpoint_leaves():
+    known = directory.Directory()
+    leaving = signals.Report("e1", signals.Signals(leaving=True))
+    known.record_report("a", leaving)
+    known.record_report("a", signals.Report("", signals.NONE))
+    assert known.reports["a"] == leaving
+    known.record_report("a", signals.Report("e1", signals.Signals(rate_limit=3.0)))
+    assert known.reports["a"].signals == signals.Signals(3.0, leaving=True)
+    other = signals.Report("e2", signals.Signals(rate_limit=3.0))
+    known.record_report("a", other)
+    assert known.reports["a"] == other
