--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/directory.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/directory.py
@@ -92,10 +92,10 @@
         Answers may overtake each other, so that an endpoint leaves until another one answers.
         """
         known = self.reports.get(node_id)
-        if known is not None and known.signals.leaving:
-            # Answers without signals do not name their endpoint.
-            if heard.endpoint_id in ("", known.endpoint_id):
-                heard = known._replace(signals=heard.signals._replace(leaving=True))
+        # Answers without signals do not name their endpoint.
+        same_endpoint = known is not None and heard.endpoint_id in ("", known.endpoint_id)
+        if known is not None and same_endpoint and known.signals.leaving:
+            heard = known._replace(signals=heard.signals._replace(leaving=True))
         if heard.signals == signals.NONE:
             self.reports.pop(node_id, None)
             return
