Compress large changes between nodes, and fail a poll by silence instead of time

Cause: the whole configuration goes from one link of 10 to 100 Mbit/s to all nodes of a failure domain at once, a poll had one time-out for the whole answer, and what had arrived was thrown away. The next source was overrun in the same way.

Changes are compressed once for all who ask alike (260 KB become 26 KB with 1,400 routes), and a poll of a peer fails 0.4 s after its wait without a byte, or after 5 s. The first line of an answer is the state of the peer.

The two new tests fail on the former code. The proxy of the soak gets a rate; the soak does not draw it yet.

--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/peers.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/peers.py
@@ -64,7 +64,7 @@
         return outcomes.Answer(400, (), b"")
     sync.observe_era(era)
     body = await sync.answer_poll(positions, wait_s)
-    return outcomes.Answer(200, (("content-type", "application/json"),), body)
+    return outcomes.Answer(200, (("content-type", "application/octet-stream"),), body)
 
 
 class Prober:
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/watch.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/watch.py
@@ -26,6 +26,7 @@
 import logging
 import random
 import typing
+import zlib
 
 import aiohttp
 import orjson
@@ -79,7 +80,16 @@
 """
 
 RESPONSE_MARGIN_S = 0.4
-"""Time beyond the long poll after which a poll of a peer fails."""
+"""Time beyond the long poll without a byte after which a poll of a peer fails."""
+
+MAX_TRANSFER_S = 5.0
+"""Time after which a poll of a peer fails although bytes of its answer still arrive."""
+
+MIN_COMPRESSED_BYTES = 2048
+"""Size from which changes are compressed; small answers are most of them."""
+
+COMPRESSION_LEVEL = 1
+"""Level of `zlib`; configurations repeat so much that higher ones gain little."""
 
 SEARCH_WIDTH = 4
 """Number of peers that a node without a source asks at once."""
@@ -469,7 +479,7 @@
     async def _poll_peer(self, peer: directory.Instance, wait_s: float) -> bool:
         """Apply the changes of a peer, after `wait_s` at most; return whether it has the store."""
         try:
-            document = orjson.loads(await self._fetch_changes(peer, wait_s))
+            document = parse_answer(await self._fetch_changes(peer, wait_s))
             if document["node_id"] != peer.row.node_id:
                 raise PeerError(
                     f"node {document['node_id']} answers at the address of {peer.row.node_id}"
@@ -479,12 +489,16 @@
                 self._apply_answer(table, decode(table, document[table]))
             self._record_current(self.clocks.monotonic() - float(document["age_s"]))
             return bool(document["connected"])
-        except (orjson.JSONDecodeError, KeyError, TypeError, ValueError) as error:
+        except (orjson.JSONDecodeError, zlib.error, KeyError, TypeError, ValueError) as error:
             raise PeerError(f"malformed answer: {error!r}") from error
 
     async def _fetch_changes(self, peer: directory.Instance, wait_s: float) -> bytes:
         query = {f"after-{name}": str(after) for name, after in self.replica.positions.items()}
-        timeout = aiohttp.ClientTimeout(total=wait_s + RESPONSE_MARGIN_S)
+        timeout = aiohttp.ClientTimeout(
+            total=MAX_TRANSFER_S,
+            connect=RESPONSE_MARGIN_S,
+            sock_read=wait_s + RESPONSE_MARGIN_S,
+        )
         try:
             async with self.session.get(
                 f"http://{peer.address}{CHANGES_PATH}",
@@ -510,7 +524,9 @@
     async def answer_poll(
         self, positions: typing.Mapping[str, tables.Position], wait_s: float
     ) -> bytes:
-        """Return the changes that a peer at `positions` lacks, after `wait_s` at most.
+        """Return what `parse_answer` reads: the changes that a peer at `positions` lacks.
+
+        Waits `wait_s` at most for such changes.
 
         The wait also ends when this node loses the store or learns that nothing has changed.
         """
@@ -529,21 +545,24 @@
             "connected": self.is_connected(),
             "age_s": round(min(self.age_s(), MAX_STATED_AGE_S), 3),
         }
-        return orjson.dumps(status)[:-1] + b"," + self._encoded_changes(positions)[1:]
+        return orjson.dumps(status) + b"\n" + self._encoded_changes(positions)
 
     def _encoded_changes(self, positions: typing.Mapping[str, tables.Position]) -> bytes:
-        """Return the changes after `positions` as a JSON object; peers mostly ask alike."""
+        """Return the changes after `positions`, encoded once for all peers that ask alike."""
         after = tuple(positions[table] for table in replica.TABLES)
         if self.encoded_at is not self.replica.changed:
             self.encoded_changes.clear()
             self.encoded_at = self.replica.changed
         if after not in self.encoded_changes:
-            self.encoded_changes[after] = orjson.dumps(
+            changes = orjson.dumps(
                 {
                     table: encode(self.replica.changes_since(table, positions[table]))
                     for table in replica.TABLES
                 }
             )
+            if len(changes) >= MIN_COMPRESSED_BYTES:
+                changes = zlib.compress(changes, COMPRESSION_LEVEL)
+            self.encoded_changes[after] = changes
         return self.encoded_changes[after]
 
     def _store_answered(self) -> None:
@@ -565,6 +584,18 @@
         await asyncio.sleep(limit_s * self.rng.uniform(0.5, 1.0))
 
 
+def parse_answer(body: bytes) -> dict[str, typing.Any]:
+    """Return the document in an answer to a poll of a peer.
+
+    The first line holds the state of the peer as JSON, the rest the changes as JSON, which may be
+    compressed. Raises `ValueError` and `zlib.error`.
+    """
+    status, _, changes = body.partition(b"\n")
+    if not changes.startswith(b"{"):
+        changes = zlib.decompress(changes)
+    return {**orjson.loads(status), **orjson.loads(changes)}
+
+
 def encode(received: tables.Changes) -> dict[str, typing.Any]:
     """Return changes as the document that peers exchange."""
     rows = [(change.key, str(change.position), change.value) for change in received.changes]
--- a/packages/goldcrestgrade-node/tests/mesh/test_watch.py
+++ b/packages/goldcrestgrade-node/tests/mesh/test_watch.py
@@ -3,7 +3,6 @@
 import asyncio
 import random
 
-import orjson
 import pytest
 
 from goldcrestgrade import instants
@@ -84,7 +83,7 @@
     sync.store.fails = True
     await sync._watch_store()
     assert not sync.is_connected()
-    answer = orjson.loads(await sync.answer_poll(sync.replica.positions, 0.0))
+    answer = watch.parse_answer(await sync.answer_poll(sync.replica.positions, 0.0))
     assert answer["connected"] is False
     sync.store.fails = False
     await sync._watch_store()
@@ -149,7 +148,7 @@
     change = tables.Change(replica.MESH, "k", position, {"a": 1})
     sync.replica.apply_changes(replica.MESH, tables.Changes((change,), position))
     after = dict.fromkeys(replica.TABLES, tables.Position(1, 4))
-    answer = orjson.loads(await sync.answer_poll(after, 0.5))
+    answer = watch.parse_answer(await sync.answer_poll(after, 0.5))
     assert answer["node_id"] == "n2"
     decoded = watch.decode(replica.MESH, answer[replica.MESH])
     assert decoded == tables.Changes((change,), position)
@@ -162,7 +161,7 @@
     await asyncio.sleep(0.05)
     sync._store_failed(tables.ReadError("refused"))
     async with asyncio.timeout(0.2):
-        answer = orjson.loads(await poll)
+        answer = watch.parse_answer(await poll)
     assert answer["connected"] is False
 
 
--- a/packages/goldcrestgrade-testing/goldcrestgrade_testing/fault_soak/proxy.py
+++ b/packages/goldcrestgrade-testing/goldcrestgrade_testing/fault_soak/proxy.py
@@ -1,4 +1,4 @@
-"""TCP proxy on loopback: delays data, holds it back in either direction, resets connections."""
+"""TCP proxy on loopback: delays, holds back or slows down data, and resets connections."""
 
 from __future__ import annotations
 
@@ -13,6 +13,10 @@
 """Largest number of bytes that are forwarded at once."""
 
 
+RATE_LIMITED_CHUNK_BYTES = 8192
+"""The same on a link with a rate, so that its connections get equal shares."""
+
+
 class Mode(enum.StrEnum):
     """What the proxy does with the bytes that it receives."""
 
@@ -37,8 +41,12 @@
 class Proxy:
     """Forwards connections from its own port to `target_port`; owned by one event loop."""
 
-    def __init__(self, target_port: int) -> None:
+    def __init__(self, target_port: int, answer_rate: float | None = None) -> None:
         self.target_port = target_port
+        self.answer_rate = answer_rate
+        """Bytes a second that all connections together carry to clients; none if unlimited."""
+        self.answers_free_at = 0.0
+        """Instant at which the link has carried the bytes that were accepted for clients."""
         self.port = 0
         self.mode = Mode.PASS
         self.delay_s = 0.0
@@ -92,7 +100,11 @@
     async def _pump(
         self, direction: str, source: asyncio.StreamReader, sink: asyncio.StreamWriter
     ) -> None:
-        while data := await source.read(MAX_CHUNK_BYTES):
+        limited = direction == "answers" and self.answer_rate is not None
+        chunk_bytes = RATE_LIMITED_CHUNK_BYTES if limited else MAX_CHUNK_BYTES
+        while data := await source.read(chunk_bytes):
+            if limited:
+                await self._carry(len(data))
             if self.mode == Mode.DELAY:
                 await asyncio.sleep(self.delay_s)
             while direction in HELD_DIRECTIONS.get(self.mode, frozenset()):
@@ -102,6 +114,13 @@
         if sink.can_write_eof():
             sink.write_eof()
 
+    async def _carry(self, size: int) -> None:
+        """Wait until the link has carried `size` bytes behind those of the other connections."""
+        assert self.answer_rate is not None
+        now = asyncio.get_running_loop().time()
+        self.answers_free_at = max(now, self.answers_free_at) + size / self.answer_rate
+        await asyncio.sleep(self.answers_free_at - now)
+
 
 def reset(writer: asyncio.StreamWriter) -> None:
     """Close a connection with a TCP reset, by a linger time of 0."""
--- a/packages/goldcrestgrade-testing/tests/fault_soak/test_proxy.py
+++ b/packages/goldcrestgrade-testing/tests/fault_soak/test_proxy.py
@@ -96,3 +96,16 @@
     writer.close()
     await link.stop()
     server.close()
+
+
+async def test_answers_of_all_connections_share_the_rate_of_a_link(link):
+    link.answer_rate = 100_000.0
+    loop = asyncio.get_running_loop()
+    connections = [await asyncio.open_connection(proxy.HOST, link.port) for _ in range(3)]
+    started = loop.time()
+    for _, writer in connections:
+        writer.write(bytes(10_000))
+    for reader, writer in connections:
+        await reader.readexactly(10_000)
+        writer.close()
+    assert loop.time() - started >= 0.3
--- /dev/null
+++ b/packages/goldcrestgrade-testing/tests/fleet_platform/test_thin_links.py
@@ -0,0 +1,134 @@
+"""A large configuration that one node passes on to many over the slowest links."""
+
+import asyncio
+import contextlib
+import random
+import types
+
+import pytest
+
+from goldcrestgrade import http_client, instants
+from goldcrestgrade.storage import tables
+from goldcrestgrade_node.mesh import directory, peers, replica, watch
+from goldcrestgrade_testing import serving
+from goldcrestgrade_testing.fault_soak import proxy
+
+CONFIG_APPLY_S = 2.0
+"""Documented time within which a configuration is in force."""
+
+FOLLOWERS = 26
+"""Nodes of the largest failure domain, its first one excluded."""
+
+LINK_RATE = 10e6 / 8
+"""Bytes a second of the slowest link, 10 Mbit/s."""
+
+ROUTES = 1400
+"""Routes of the largest configuration."""
+
+LOCATION = directory.Location("khomas-a", "khomas")
+SOURCE = "n00"
+
+
+def configuration(version):
+    rng = random.Random(version)
+    rules = [
+        {
+            "name": f"r-{rng.randrange(36**6):x}",
+            "route_type": "idempotent",
+            "target_latency": "400ms",
+            "priority": 1,
+            "match": {"prefix": f"/{rng.randrange(36**5):x}/{rng.randrange(36**4):x}/"},
+            "action": {"service": "archive", "timeout": "1000ms", "attempts": 2},
+        }
+        for _ in range(ROUTES)
+    ]
+    return {"version": version, "listeners": [{"hostname": "letters.example", "rules": rules}]}
+
+
+def no_store():
+    """Return a store that nobody asks, since all nodes but the source follow a peer."""
+    return types.SimpleNamespace(on_era=lambda _: None)
+
+
+def make_sync(node_id, listener, session):
+    clocks = instants.system_clocks()
+    return watch.Sync(
+        node_id,
+        LOCATION,
+        replica.Replica(listener, clocks),
+        directory.Directory(),
+        no_store(),
+        session,
+        clocks,
+        random.Random(node_id),
+    )
+
+
+def commit(source, version):
+    position = tables.Position(1, version)
+    row = tables.Change(replica.CONFIGURATION, replica.CURRENT, position, configuration(version))
+    source.replica.apply_changes(replica.CONFIGURATION, tables.Changes((row,), position))
+
+
+async def follow(follower):
+    source = follower.instances.by_id[SOURCE]
+    while True:
+        if not await follower._watch_peer(source):
+            await asyncio.sleep(watch.SEARCH_INTERVAL_S)
+
+
+@contextlib.asynccontextmanager
+async def following(known_at):
+    """Yield a source whose followers record in `known_at` when they first know a version."""
+    loop = asyncio.get_running_loop()
+    async with contextlib.AsyncExitStack() as stack:
+        source = make_sync(SOURCE, lambda _: True, None)
+        source.watches_store = True
+        source.store_answered_at = source.current_at = loop.time() + 3600.0
+        port = await stack.enter_async_context(serving.serving(peers.app(None, source)))
+        link = proxy.Proxy(port, LINK_RATE)
+        await link.start()
+        stack.push_async_callback(link.stop)
+        row = directory.InstanceRow(SOURCE, proxy.HOST, link.port, LOCATION, "s", True, 1)
+        tasks = []
+        for number in range(1, 1 + FOLLOWERS):
+            node_id = f"n{number:02}"
+
+            def record(change, node_id=node_id):
+                known_at.setdefault((node_id, change.value["version"]), loop.time())
+                return True
+
+            session = await stack.enter_async_context(http_client.open_session(4, 15.0))
+            follower = make_sync(node_id, record, session)
+            follower.instances.apply_change(
+                tables.Change(
+                    replica.MESH,
+                    directory.INSTANCE_PREFIX + SOURCE,
+                    tables.Position(1, 1),
+                    directory.encode(row),
+                )
+            )
+            tasks.append(asyncio.create_task(follow(follower)))
+        for table in replica.TABLES:
+            source.replica.apply_snapshot(table, tables.Changes((), tables.Position(1, 1)))
+        await asyncio.sleep(1.0)
+        yield source
+        for task in tasks:
+            task.cancel()
+
+
+@pytest.mark.parametrize("pause_s", [None, 3.0])
+async def test_large_configurations_reach_all_followers_over_a_thin_link_in_time(pause_s):
+    known_at = {}
+    acknowledged_at = {}
+    async with following(known_at) as source:
+        for version in (2, 3) if pause_s else (2,):
+            acknowledged_at[version] = asyncio.get_running_loop().time()
+            commit(source, version)
+            await asyncio.sleep(pause_s or CONFIG_APPLY_S + 0.5)
+    late = {
+        (number, version): known_at.get((f"n{number:02}", version), instants.NEVER) - at
+        for number in range(1, 1 + FOLLOWERS)
+        for version, at in acknowledged_at.items()
+    }
+    assert {key: delay for key, delay in late.items() if delay > CONFIG_APPLY_S} == {}
