--- a/Makefile
+++ b/Makefile
@@ -6,6 +6,7 @@
 SCENARIO ?= all
 PLATFORM ?= own
 MINUTES ?= 1
+SIZE ?= 1
 LANDING ?= HEAD
 
 .PHONY: help install test lint format demo capacity soak bench-costs reference latency bench soak-faults regression
@@ -63,6 +64,6 @@
 regression: install ## Compare the latest scores in the journal with those of LANDING, the last landing's commit
 	$(BIN)/python -m goldcrestgrade_testing.regression --landing=$(LANDING)
 
-soak-faults: install ## Run the real programs under injected faults: MINUTES=1, SEED=1; SEED=0 draws a random seed
-	$(BIN)/python -m goldcrestgrade_testing.fault_soak --seed=$(SEED) --minutes=$(MINUTES) --logs=soak-logs
+soak-faults: install ## Run the real programs under injected faults: MINUTES=1, SEED=1, SIZE=1; SEED=0 draws a random seed
+	$(BIN)/python -m goldcrestgrade_testing.fault_soak --seed=$(SEED) --minutes=$(MINUTES) --size=$(SIZE) --logs=soak-logs
 	@echo "lines of the soak, and of all code:"; cat packages/goldcrestgrade-testing/goldcrestgrade_testing/fault_soak/*.py | wc -l; cat $$(git ls-files 'packages/*.py' 'platform/*.py') | wc -l
--- a/packages/goldcrestgrade-testing/goldcrestgrade_testing/fault_soak/__main__.py
+++ b/packages/goldcrestgrade-testing/goldcrestgrade_testing/fault_soak/__main__.py
@@ -32,6 +32,9 @@
         default=1.0,
         help="time after which no new seed starts; ignored with --seeds",
     )
+    parser.add_argument(
+        "--size", type=int, default=1, help="instances of each service in each failure domain"
+    )
     parser.add_argument(
         "--logs", type=pathlib.Path, help="folder for the node logs of failed seeds"
     )
@@ -40,7 +43,7 @@
     deadline = time.monotonic() + 60 * arguments.minutes
     failed = seeds_run = 0
     while seeds_run < arguments.seeds or (not arguments.seeds and time.monotonic() < deadline):
-        result = asyncio.run(soak.run(seed, FAULT_PHASE_S))
+        result = asyncio.run(soak.run(seed, FAULT_PHASE_S, arguments.size))
         statuses = collections.Counter(request.status for request in result.observed.requests)
         kinds = sorted({fault.kind for fault in result.observed.injected_faults})
         print(f"seed {seed}: {dict(sorted(statuses.items()))}; {' '.join(kinds)}", flush=True)
--- a/packages/goldcrestgrade-testing/goldcrestgrade_testing/fault_soak/soak.py
+++ b/packages/goldcrestgrade-testing/goldcrestgrade_testing/fault_soak/soak.py
@@ -11,17 +11,29 @@
 from goldcrestgrade_testing.fault_soak import checks, history, injection, plan
 from goldcrestgrade_testing.fleet_platform import fleet
 
-PLACEMENTS = {
-    f"{domain}-{number}": fleet.Placement(domain, region, service)
-    for domain, region in (("khomas-a", "khomas"), ("khomas-b", "khomas"), ("oshana-a", "oshana"))
-    for number, service in enumerate(("archive", "corrections"), 1)
-}
-"""Placements of the instances of a run, by instance name."""
+REGIONS = {"khomas-a": "khomas", "khomas-b": "khomas", "oshana-a": "oshana"}
+"""Region of each failure domain."""
 
-SERVICES = sorted({placement.service for placement in PLACEMENTS.values()})
+SERVICES = ("archive", "corrections")
 
 CLIENTS = 8
-"""Number of clients; each sends one request at a time."""
+"""Number of clients of the smallest fleet; each sends one request at a time."""
+
+MAX_CLIENTS = 24
+"""Largest number of clients; more would stall the soak, which also runs all endpoints."""
+
+
+def placements(size: int) -> dict[str, fleet.Placement]:
+    """Return placements by instance name: `size` instances of each service in each domain."""
+    return {
+        f"{domain}-{number}": fleet.Placement(domain, region, service)
+        for domain, region in REGIONS.items()
+        for number, service in enumerate(SERVICES * size, 1)
+    }
+
+
+PLACEMENTS = placements(1)
+"""Placements of the smallest fleet."""
 
 PAUSE_S = 0.02
 """Pause of a client between an answer and its next request."""
@@ -55,7 +67,9 @@
 
     async def play(self, faults: typing.Sequence[plan.Fault]) -> history.History:
         """Inject `faults` while clients send requests, wait for recovery and return the history."""
-        clients = [asyncio.create_task(self._run_client(number)) for number in range(CLIENTS)]
+        size = len(self.fleet.instances) // len(PLACEMENTS)
+        count = min(CLIENTS * size, MAX_CLIENTS)
+        clients = [asyncio.create_task(self._run_client(number)) for number in range(count)]
         stall_recorder = asyncio.create_task(self._record_stalls())
         started = time.monotonic()
         try:
@@ -173,24 +187,28 @@
     """Log of each node, by instance name."""
 
 
-async def run(seed: int, seconds: float, start_command: fleet.StartCommand | None = None) -> Result:
-    """Run the soak for `seconds` with the faults drawn from `seed`."""
+async def run(seed: int, seconds: float, size: int = 1) -> Result:
+    """Run the soak for `seconds` with the faults drawn from `seed`, on a fleet of `size`."""
     rng = random.Random(seed)
-    faults = plan.draw(rng, len(PLACEMENTS), seconds)
-    return await play(faults, rng, start_command)
+    faults = [
+        fault for _ in range(size) for fault in plan.draw(rng, size * len(PLACEMENTS), seconds)
+    ]
+    faults.sort(key=lambda fault: fault.begin_s)
+    return await play(faults, rng, size=size)
 
 
 async def play(
     faults: typing.Sequence[plan.Fault],
     rng: random.Random,
     start_command: fleet.StartCommand | None = None,
+    size: int = 1,
 ) -> Result:
-    """Run the soak with `faults` on a fleet whose nodes are started by `start_command`.
+    """Run the soak with `faults` on a fleet of `size` whose nodes `start_command` starts.
 
     Raises `fleet.FleetNotReady` if the nodes do not serve before the first fault.
     """
     async with fleet.running(
-        PLACEMENTS, SERVICE_TIME_S, proxied=True, start_command=start_command
+        placements(size), SERVICE_TIME_S, proxied=True, start_command=start_command
     ) as running_fleet:
         observed = await Soak(running_fleet, rng).play(faults)
         logs = {
