Judge large configurations on a thin link by bytes instead of time

The test of 26 followers compared measured times with 2 s; beside load the machine, not the product, could have decided.

--- a/packages/goldcrestgrade-testing/goldcrestgrade_testing/fault_soak/proxy.py
+++ b/packages/goldcrestgrade-testing/goldcrestgrade_testing/fault_soak/proxy.py
@@ -45,6 +45,8 @@
         self.target_port = target_port
         self.answer_rate = answer_rate
         """Bytes a second that all connections together carry to clients; none if unlimited."""
+        self.carried_bytes = 0
+        """Bytes that the link has carried to clients since it has a rate."""
         self.answers_free_at = 0.0
         """Instant at which the link has carried the bytes that were accepted for clients."""
         self.port = 0
@@ -118,6 +120,7 @@
         """Wait until the link has carried `size` bytes behind those of the other connections."""
         assert self.answer_rate is not None
         now = asyncio.get_running_loop().time()
+        self.carried_bytes += size
         self.answers_free_at = max(now, self.answers_free_at) + size / self.answer_rate
         await asyncio.sleep(self.answers_free_at - now)
 
