--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/watch.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/watch.py
@@ -51,20 +51,20 @@
 force.
 """
 
-AGE_CHECK_INTERVAL_S = 0.1
-"""Shortest time between two looks at the age."""
-
 AGE_SPREAD_S = 0.3
-"""Time over which the followers of one lost source spread these reads."""
+"""Time over which the followers of one lost source spread their reads of the configuration."""
 
-MAX_STATED_AGE_S = 3600.0
-"""Largest age that an answer states."""
+READ_BACKOFF_S = 1.5
+"""Longest time between two reads of a follower while the store does not answer."""
+
+AGE_CHECK_INTERVAL_S = 0.1
+"""Shortest time between two checks of the age."""
 
 MAX_REGION_AGE_S = 2.0
 """Age of its knowledge from which a node that the store does not answer polls other regions too."""
 
-READ_BACKOFF_S = 1.5
-"""Longest time between two such reads while the store does not answer."""
+MAX_STATED_AGE_S = 3600.0
+"""Largest age that an answer to a poll states."""
 
 STORE_POLL_DELAYS_S = {replica.CONFIGURATION: 0.0, replica.MESH: 0.25}
 """Time between two polls of a table, in which changes gather into one answer.
--- a/packages/goldcrestgrade-testing/tests/fleet_platform/test_restored_store.py
+++ b/packages/goldcrestgrade-testing/tests/fleet_platform/test_restored_store.py
@@ -215,6 +215,7 @@
     async def run(self):
         async with asyncio.TaskGroup() as group:
             group.create_task(self.sync.run())
+            group.create_task(self.sync.keep_current())
             group.create_task(self.restoration.run())
             await self.sync.complete.wait()
             group.create_task(self.registration.run())
