--- a/packages/goldcrestgrade-testing/goldcrestgrade_testing/fault_soak/proxy.py
+++ b/packages/goldcrestgrade-testing/goldcrestgrade_testing/fault_soak/proxy.py
@@ -14,7 +14,7 @@
 
 
 RATE_LIMITED_CHUNK_BYTES = 8192
-"""The same on a link with a rate, so that its connections get equal shares."""
+"""Largest number of bytes forwarded at once on a link with a rate, so that connections share it."""
 
 
 class Mode(enum.StrEnum):
