Replay the placement beside endpoints with a rate limit

Cause: let an endpoint with a rate limit report as many slots as keep it at its rate, and showed that decision by a unit test only. Change: a replay of its load in virtual time, five instances with their real admission, two of them limited to 6 requests a second, 80 requests a second for 20 s, against the former report of all slots.

--- a/packages/goldcrestgrade-node/tests/mesh/test_dispatch.py
+++ b/packages/goldcrestgrade-node/tests/mesh/test_dispatch.py
@@ -1,13 +1,25 @@
 """Dispatch of client requests: instances tried, retry budget, and the outcome."""
 
 import asyncio
+import collections
+import functools
+import itertools
 import random
 
 import pytest
 
 from goldcrestgrade import counters, instants, outcomes, reasons, routes
 from goldcrestgrade.storage import tables
-from goldcrestgrade_node.mesh import directory, dispatch, loads, replica, requests, retry_budget
+from goldcrestgrade_node.mesh import (
+    admission,
+    directory,
+    dispatch,
+    loads,
+    replica,
+    requests,
+    retry_budget,
+)
+from goldcrestgrade_testing import virtual_time
 
 PLACE = directory.Location("khomas-a", "khomas")
 IDLE = loads.Load(0, 0, 9, 1.0)
@@ -145,3 +157,79 @@
     outcome = await scripted.run(once=True)
     assert outcome.reason == reasons.Refusal.NO_ENDPOINT
     assert outcome.retry_at == pytest.approx(now + 0.1)
+
+
+class LimitedFleet:
+    """Five instances in virtual time with their real admission, two of them with a rate limit."""
+
+    def __init__(self, reports_sustained_slots):
+        clocks = instants.loop_clocks()
+        self.directory = ScriptedInstances([], instances=5).directory
+        self.controllers = {}
+        self.rejections = collections.Counter()
+        for number in range(5):
+            controller = admission.AdmissionController(clocks)
+            controller.set_slots(12)
+            controller.set_rate_limit(6.0 if number < 2 else None)
+            if not reports_sustained_slots:
+                controller.load = functools.partial(self.load_without_rate, controller)
+            self.controllers[f"n{number}"] = controller
+        self.dispatcher = dispatch.Dispatcher(
+            PLACE,
+            self.directory,
+            self.serve,
+            retry_budget.Terms(0.2, 56, 10.0),
+            clocks,
+            counters.Counts(),
+            random.Random(1),
+        )
+        self.clocks = clocks
+
+    def load_without_rate(self, controller):
+        return loads.Load(
+            controller.in_flight,
+            len(controller.queue),
+            controller.limit,
+            controller.current_pace(),
+        )
+
+    async def serve(self, instance, call):
+        controller = self.controllers[instance.row.node_id]
+        refused = await controller.admit(call.admission_request())
+        if refused is not None:
+            self.rejections[instance.row.node_id] += 1
+            outcome = outcomes.NotRun(reasons.Refusal(refused.reason), refused.retry_at)
+            return requests.Served(outcome, controller.load(), arrived=False)
+        at_start, started = controller.load_snapshot(), self.clocks.monotonic()
+        await asyncio.sleep(0.1)
+        controller.apply_load_report(loads.Load(controller.in_flight, 0, 12, 1.0))
+        controller.record_service_time("s", self.clocks.monotonic() - started, at_start)
+        controller.release()
+        return requests.Served(outcomes.Ran(ANSWER), controller.load(), arrived=True)
+
+    async def run(self):
+        """Return how the requests of 20 s end: tag of the outcome, and whether it was in time."""
+        rng = random.Random(2)
+
+        async def send(at):
+            await asyncio.sleep(at)
+            now = self.clocks.monotonic()
+            call = requests.Call(
+                "try", "r", "s", False, 1, "c", "GET", "/", "h", (), b"", now + 0.4, now + 1.0
+            )
+            outcome = await self.dispatcher.run(call, 2)
+            return outcome.tag, self.clocks.monotonic() <= call.target_at
+
+        gaps = (rng.expovariate(80.0) for _ in range(1600))
+        return await asyncio.gather(*(send(at) for at in itertools.accumulate(gaps)))
+
+
+def test_fewer_requests_are_sent_to_instances_whose_rate_limit_would_reject_them():
+    async def play(reports_sustained_slots):
+        fleet = LimitedFleet(reports_sustained_slots)
+        return await fleet.run(), sum(fleet.rejections.values())
+
+    current, rejections = virtual_time.run(play(True))
+    former, former_rejections = virtual_time.run(play(False))
+    assert rejections < 0.5 * former_rejections
+    assert current.count(("ran", True)) >= former.count(("ran", True))
