Use one term for the signals that a node received from an endpoint

Cause: parameters, fields and comments called them heard, said or told beside report and signals, so that a reader had to learn four words for one thing. Change: they are reports and signals everywhere, also in the relay header; no decision changes.

--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/directory.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/directory.py
@@ -81,25 +81,25 @@
         self.by_id: dict[str, Instance] = {}
         self.by_service: dict[str, list[Instance]] = {}
         self.reports: collections.OrderedDict[str, signals.Report] = collections.OrderedDict()
-        """What endpoints said of themselves in answers to this node, by the id of their node.
+        """Signals that endpoints sent with answers to this node, by the id of their node.
 
         A report outlives the row of the node, which restarts without its endpoint.
         """
 
-    def record_report(self, node_id: str, heard: signals.Report) -> None:
-        """Record what the endpoint of a node said in an answer.
+    def record_report(self, node_id: str, report: signals.Report) -> None:
+        """Record the signals in an answer of the endpoint of a node.
 
         Answers may overtake each other, so that an endpoint leaves until another one answers.
         """
         known = self.reports.get(node_id)
         # Answers without signals do not name their endpoint.
-        same_endpoint = known is not None and heard.endpoint_id in ("", known.endpoint_id)
+        same_endpoint = known is not None and report.endpoint_id in ("", known.endpoint_id)
         if known is not None and same_endpoint and known.signals.leaving:
-            heard = known._replace(signals=heard.signals._replace(leaving=True))
-        if heard.signals == signals.NONE:
+            report = known._replace(signals=report.signals._replace(leaving=True))
+        if report.signals == signals.NONE:
             self.reports.pop(node_id, None)
             return
-        self.reports[node_id] = heard
+        self.reports[node_id] = report
         self.reports.move_to_end(node_id)
         while len(self.reports) > MAX_REPORTS:
             self.reports.popitem(last=False)
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/dispatch.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/dispatch.py
@@ -150,9 +150,9 @@
         load_age_s = min(999.0, started - instance.load_at)
         served: requests.Served | None = None
         try:
-            heard = self.instances.reports.get(instance.row.node_id)
+            report = self.instances.reports.get(instance.row.node_id)
             served = await self.serve(
-                instance, call._replace(late_allowed=not choice.in_time, heard=heard)
+                instance, call._replace(late_allowed=not choice.in_time, report=report)
             )
         finally:
             instance.in_flight -= 1
@@ -188,8 +188,8 @@
         if served.load is not None:
             instance.load, instance.load_at = served.load, now
             instance.in_flight_at_load = instance.in_flight
-        if served.heard is not None:
-            self.instances.record_report(instance.row.node_id, served.heard)
+        if served.report is not None:
+            self.instances.record_report(instance.row.node_id, served.report)
         match served.outcome:
             case outcomes.Ran(answer=answer) if answer.status < MIN_FAILED_STATUS:
                 pace = served.load.pace if served.load is not None else 1.0
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/endpoints.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/endpoints.py
@@ -69,46 +69,46 @@
         """Highest departed `born_ms` by endpoint id; a health check makes none of these current."""
         self.slots = 0
         self.signals = signals.NONE
-        """What the endpoint said in its latest answer, or what other nodes heard from it."""
+        """Signals in the latest answer of the endpoint, or as other nodes received them."""
         self.answered = False
         """Whether the endpoint has answered a request of this node."""
-        self.stays = False
+        self.known_to_stay = False
         """Whether a health check has shown that the endpoint does not leave."""
         self.on_signals: typing.Callable[[signals.Signals], None] = lambda _: None
 
-    def record_answer(self, heard: signals.Report) -> None:
-        """Record what an endpoint said in the answer to a request."""
-        if self._is_current(heard.endpoint_id):
+    def record_answer(self, report: signals.Report) -> None:
+        """Record the signals in the answer to a request."""
+        if self._is_current(report.endpoint_id):
             self.answered = True
             # An answer that was sent before the endpoint began to leave may arrive later.
-            leaving = self.signals.leaving or heard.signals.leaving
-            self._set_signals(heard.signals._replace(leaving=leaving))
+            leaving = self.signals.leaving or report.signals.leaving
+            self._set_signals(report.signals._replace(leaving=leaving))
 
-    def record_health_answer(self, heard: signals.Report, healthy: bool) -> None:
-        """Record what an endpoint said in the answer to a health check.
+    def record_health_answer(self, report: signals.Report, healthy: bool) -> None:
+        """Record the signals in the answer to a health check.
 
         Only answers to requests show that a limit has ended. A healthy endpoint does not leave,
-        whatever other nodes have heard from an earlier incarnation with its id.
+        whatever other nodes report of an earlier incarnation with its id.
         """
-        if not self._is_current(heard.endpoint_id):
+        if not self._is_current(report.endpoint_id):
             return
-        rate_limit, leaving = heard.signals
+        rate_limit, leaving = report.signals
         if healthy and not leaving and not self.answered:
-            self.stays = True
+            self.known_to_stay = True
         else:
             leaving = leaving or self.signals.leaving
         if rate_limit is None:
             rate_limit = self.signals.rate_limit
         self._set_signals(signals.Signals(rate_limit, leaving))
 
-    def adopt_report(self, heard: signals.Report) -> None:
-        """Apply what another node heard from the endpoint, which has not answered this one yet.
+    def adopt_report(self, report: signals.Report) -> None:
+        """Apply the report of another node on an endpoint that has not answered this one yet.
 
         Load pattern: this node restarts, and the requests of the other nodes go on.
         """
-        if self._is_current(heard.endpoint_id) and not self.answered:
-            leaving = heard.signals.leaving and not self.stays
-            self._set_signals(heard.signals._replace(leaving=leaving))
+        if self._is_current(report.endpoint_id) and not self.answered:
+            leaving = report.signals.leaving and not self.known_to_stay
+            self._set_signals(report.signals._replace(leaving=leaving))
 
     def _is_current(self, endpoint_id: str) -> bool:
         return self.current is not None and self.current.endpoint_id == endpoint_id
@@ -218,7 +218,7 @@
         before = self.current
         self.current = endpoint
         if not _is_same_incarnation(before, endpoint):
-            self.answered = self.stays = False
+            self.answered = self.known_to_stay = False
             self._set_signals(signals.NONE)
         if _visible(before) != _visible(endpoint):
             log.info(
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/health.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/health.py
@@ -114,7 +114,7 @@
                 load = loads.parse(response.headers.get(self.names.load))
                 healthy = response.status == 200
                 fields = {name.lower(): value for name, value in response.headers.items()}
-                said = signals.parse(fields, self.names)
+                latest = signals.parse(fields, self.names)
         except (TimeoutError, aiohttp.ClientError, OSError) as error:
             log.info(
                 "health check failed; the endpoint keeps its previous state",
@@ -132,5 +132,5 @@
             self.on_missing_load()
         if endpoint_id is not None:
             self.own.apply_health_check(endpoint_id, None if load is None else load.slots, healthy)
-            self.own.record_health_answer(signals.Report(endpoint_id, said), healthy)
+            self.own.record_health_answer(signals.Report(endpoint_id, latest), healthy)
         self.first_check_done.set()
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/local.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/local.py
@@ -95,8 +95,8 @@
 
         A run-once request that was admitted continues when the task that awaits it is cancelled.
         """
-        if call.heard is not None and not self.own.answered:
-            self.own.adopt_report(call.heard)
+        if call.report is not None and not self.own.answered:
+            self.own.adopt_report(call.report)
             self.hooks.request_pace_check()
         refused = self._find_refusal(call)
         if refused is not None:
@@ -183,15 +183,15 @@
         echoed = fields.get(self.header_names.attempt_id)
         if self.header_names.not_run in fields and answer.status in NOT_RUN_STATUSES:
             if echoed is not None or not call.run_once:
-                self.own.record_answer(self._heard(endpoint_id, fields))
+                self.own.record_answer(self._report(endpoint_id, fields))
                 return self._rejected(
                     call, reasons.Refusal.ENDPOINT_REFUSED, now + SHED_RETRY_S, arrived=True
                 )
             return self._broken(call, reasons.Uncertainty.ANSWER_INVALID, started)
         if not self._is_valid(answer, fields, call):
             return self._broken(call, reasons.Uncertainty.ANSWER_INVALID, started)
-        heard = self._heard(endpoint_id, fields)
-        self.own.record_answer(heard)
+        report = self._report(endpoint_id, fields)
+        self.own.record_answer(report)
         self.hooks.on_answered(call)
         log.info(
             "endpoint answered",
@@ -210,9 +210,9 @@
         dropped = {self.header_names.load, self.header_names.endpoint_id}
         forwarded = tuple(pair for pair in answer.headers if pair[0] not in dropped)
         ran = outcomes.Ran(answer._replace(headers=forwarded))
-        return self._served(ran, arrived=True)._replace(heard=heard)
+        return self._served(ran, arrived=True)._replace(report=report)
 
-    def _heard(self, endpoint_id: str, fields: typing.Mapping[str, str]) -> signals.Report:
+    def _report(self, endpoint_id: str, fields: typing.Mapping[str, str]) -> signals.Report:
         return signals.Report(endpoint_id, signals.parse(fields, self.header_names))
 
     def _is_valid(
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/node.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/node.py
@@ -256,9 +256,9 @@
             serving = current is not None and not self.own.leaves()
             self.registration.set_desired(self.initial_row._replace(serving=serving))
 
-    def on_signals(self, said: signals.Signals) -> None:
+    def on_signals(self, latest: signals.Signals) -> None:
         """Apply what the own endpoint says of itself: its rate limit, and whether it leaves."""
-        self.controller.set_rate_limit(said.rate_limit)
+        self.controller.set_rate_limit(latest.rate_limit)
         self.on_endpoint_changed()
 
     def is_ready(self) -> bool:
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/relay.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/relay.py
@@ -92,8 +92,8 @@
             relay_headers.append((headers.NODE_LOAD, loads.encode(served.load)))
         if served.arrived:
             relay_headers.append((headers.ARRIVED, "1"))
-        if served.heard is not None and served.heard.signals != signals.NONE:
-            relay_headers.append((headers.ENDPOINT_ID, served.heard.endpoint_id))
+        if served.report is not None and served.report.signals != signals.NONE:
+            relay_headers.append((headers.ENDPOINT_ID, served.report.endpoint_id))
         match served.outcome:
             case outcomes.Ran(answer=answer):
                 relay_headers.append((headers.OUTCOME, "ran"))
@@ -156,9 +156,9 @@
         arrived = headers.ARRIVED in fields
         match fields.get(headers.OUTCOME):
             case "ran":
-                said = signals.parse(fields, self.header_names)
-                heard = signals.Report(fields.get(headers.ENDPOINT_ID, ""), said)
-                return requests.Served(outcomes.Ran(answer), load, arrived, heard)
+                latest = signals.parse(fields, self.header_names)
+                report = signals.Report(fields.get(headers.ENDPOINT_ID, ""), latest)
+                return requests.Served(outcomes.Ran(answer), load, arrived, report)
             case "not_run":
                 refusal = _parse_reason(reasons.Refusal, fields.get(headers.REASON, ""))
                 retry_at = now + float(fields.get(headers.RETRY_IN, "0"))
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/requests.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/requests.py
@@ -34,8 +34,8 @@
     deadline: instants.Instant
     late_allowed: bool = False
     """Whether it may be admitted although it is expected to miss its latency target."""
-    heard: signals.Report | None = None
-    """What the entry node has heard from the endpoint that the request is sent to."""
+    report: signals.Report | None = None
+    """Signals of the endpoint that the request is sent to, as the entry node last received them."""
 
     def admission_request(self) -> admission.Request:
         """Return what the admission controller of an endpoint needs to evaluate the request."""
@@ -56,8 +56,8 @@
     """Load of the endpoint after the request, if known."""
     arrived: bool
     """Whether the endpoint has received the request."""
-    heard: signals.Report | None = None
-    """What the endpoint said in its answer, if it answered."""
+    report: signals.Report | None = None
+    """Signals in the answer of the endpoint, if it answered."""
 
 
 def call(
@@ -111,11 +111,11 @@
     left_ms: int
     """Milliseconds until the deadline."""
     late: bool
-    heard: typing.NotRequired[HeardDocument]
-    """What the sending node has heard from the endpoint; left out if that is nothing."""
+    report: typing.NotRequired[ReportDocument]
+    """Signals of the endpoint as the sending node last received them; left out if none."""
 
 
-class HeardDocument(typing.TypedDict):
+class ReportDocument(typing.TypedDict):
     """Part of the relay header."""
 
     endpoint: str
@@ -135,10 +135,10 @@
         left_ms=round(1000 * (call_.deadline - now)),
         late=call_.late_allowed,
     )
-    if call_.heard is not None and call_.heard.signals != signals.NONE:
-        said = call_.heard.signals
-        document["heard"] = HeardDocument(
-            endpoint=call_.heard.endpoint_id, rate=said.rate_limit, leaving=said.leaving
+    if call_.report is not None and call_.report.signals != signals.NONE:
+        latest = call_.report.signals
+        document["report"] = ReportDocument(
+            endpoint=call_.report.endpoint_id, rate=latest.rate_limit, leaving=latest.leaving
         )
     return orjson.dumps(document).decode()
 
@@ -162,17 +162,17 @@
             target_at=now + document["target_ms"] / 1000,
             deadline=now + document["left_ms"] / 1000,
             late_allowed=document["late"],
-            heard=_decode_heard(document.get("heard")),
+            report=_decode_report(document.get("report")),
         )
     except (orjson.JSONDecodeError, KeyError, TypeError):
         return None
 
 
-def _decode_heard(document: HeardDocument | None) -> signals.Report | None:
+def _decode_report(document: ReportDocument | None) -> signals.Report | None:
     if document is None:
         return None
-    said = signals.Signals(document["rate"], document["leaving"])
-    return signals.Report(document["endpoint"], said)
+    latest = signals.Signals(document["rate"], document["leaving"])
+    return signals.Report(document["endpoint"], latest)
 
 
 def digest(call_: Call) -> str:
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/signals.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/signals.py
@@ -25,7 +25,7 @@
 
 
 class Report(typing.NamedTuple):
-    """What a node has heard from an endpoint."""
+    """Signals that a node received from an endpoint."""
 
     endpoint_id: str
     signals: Signals
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/watch.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/watch.py
@@ -8,10 +8,10 @@
 A node that loses its source asks several peers at once for the next one. The first node of a
 failure domain watches the store meanwhile, so that the others hardly notice.
 
-A silent source can't be told from one that has nothing new, and along a chain of sources the
-time-outs add up. Each answer therefore states how old the knowledge of the source is, and a node
-whose own may be older than `MAX_AGE_S` reads the configuration from the store, whatever its
-sources do.
+A silent source looks like one that has nothing new until a poll of it times out, and along a chain
+of sources the time-outs add up. Each answer therefore states how old the knowledge of the source
+is, and a node whose own may be older than `MAX_AGE_S` reads the configuration from the store,
+whatever its sources do.
 
 Load pattern: many nodes of a failure domain are lost or cut off at once, the watcher among them.
 Each round of the search takes as long as one silent peer, however many are silent. While no peer
--- a/packages/goldcrestgrade-node/tests/mesh/test_endpoints.py
+++ b/packages/goldcrestgrade-node/tests/mesh/test_endpoints.py
@@ -113,7 +113,7 @@
 def test_limit_is_that_of_the_latest_answer_to_a_request(own):
     own.apply_heartbeat(heartbeat())
     named = []
-    own.on_signals = lambda said: named.append(said.rate_limit)
+    own.on_signals = lambda latest: named.append(latest.rate_limit)
     for rate in (7.0, 7.0, 5.0, None):
         own.record_answer(report(rate_limit=rate))
     assert named == [7.0, 5.0, None]
--- a/packages/goldcrestgrade-node/tests/mesh/test_replayed_loads.py
+++ b/packages/goldcrestgrade-node/tests/mesh/test_replayed_loads.py
@@ -271,11 +271,11 @@
     """Return when requests started at the endpoint, and how they ended.
 
     Without `limited`, the node does not read the limit. A restarted node forgets it, and requests
-    of other nodes bring what they have heard.
+    of other nodes bring their reports.
     """
     loop = asyncio.get_running_loop()
     rng = random.Random(1)
-    started, ended, heard, nodes = [], [], [], []
+    started, ended, reported, nodes = [], [], [], []
 
     def restart():
         controller = admission.AdmissionController(instants.Clocks(loop.time, loop.time))
@@ -291,8 +291,8 @@
         await asyncio.sleep(at)
         node = nodes[-1]
         controller = node.controller
-        if limited and heard and not node.answered:
-            controller.set_rate_limit(heard[-1])
+        if limited and reported and not node.answered:
+            controller.set_rate_limit(reported[-1])
         target_at = loop.time() + TARGET_S
         admitted = admission.Request("route", 1, target_at, loop.time() + DEADLINE_S, False)
         if await controller.admit(admitted) is not None:
@@ -300,7 +300,7 @@
             return
         started.append(loop.time())
         await asyncio.sleep(SERVICE_TIME_S * rng.lognormvariate(-(SIGMA**2) / 2, SIGMA))
-        heard.append(limit())
+        reported.append(limit())
         if limited:
             node.answered = True
             controller.set_rate_limit(limit())
--- a/packages/goldcrestgrade-node/tests/mesh/test_requests.py
+++ b/packages/goldcrestgrade-node/tests/mesh/test_requests.py
@@ -24,24 +24,24 @@
 
 
 @pytest.mark.parametrize(
-    "heard",
+    "report",
     [
         None,
         signals.Report("e1", signals.Signals(7.8, False)),
         signals.Report("e1", signals.Signals(None, True)),
     ],
 )
-def test_call_survives_encoding_and_decoding(heard):
-    call = CALL._replace(heard=heard)
+def test_call_survives_encoding_and_decoding(report):
+    call = CALL._replace(report=report)
     text = requests.encode(call, 100.0)
     assert requests.decode(text, "try-1", MESSAGE, 100.0) == call
 
 
 def test_report_that_says_nothing_is_not_passed_on():
-    silent = CALL._replace(heard=signals.Report("e1", signals.NONE))
+    silent = CALL._replace(report=signals.Report("e1", signals.NONE))
     assert requests.encode(silent, 100.0) == requests.encode(CALL, 100.0)
 
 
-@pytest.mark.parametrize("text", ["", "7", "[]", "{}", '{"heard": {}}'])
+@pytest.mark.parametrize("text", ["", "7", "[]", "{}", '{"report": {}}'])
 def test_malformed_relay_header_is_no_call(text):
     assert requests.decode(text, "try-1", MESSAGE, 100.0) is None
--- a/packages/goldcrestgrade-testing/goldcrestgrade_testing/fault_soak/checks.py
+++ b/packages/goldcrestgrade-testing/goldcrestgrade_testing/fault_soak/checks.py
@@ -189,24 +189,24 @@
     or stands still.
     """
     by_attempt = {request.attempt_id: request for request in observed.requests}
-    told = collections.defaultdict(list)
+    informed_at = collections.defaultdict(list)
     for request in observed.requests:
         if request.says_leaving:
-            told[request.instance, request.endpoint_id].append(request.answered_at)
+            informed_at[request.instance, request.endpoint_id].append(request.answered_at)
     for arrival in observed.arrivals:
         arrived = by_attempt.get(arrival.attempt_id)
         if arrived is None:
             continue
         since = [
             at
-            for at in told[arrived.instance, arrival.endpoint_id]
+            for at in informed_at[arrived.instance, arrival.endpoint_id]
             if at + DRAIN_S < arrived.sent_at
             and not _was_interrupted(observed, arrived.instance, history.Span(at, arrival.at))
         ]
         if since:
             yield (
                 f"{arrival.attempt_id} was sent to {arrival.endpoint_id} "
-                f"{arrived.sent_at - min(since):.2f} s after {arrived.instance} had been told"
+                f"{arrived.sent_at - min(since):.2f} s after {arrived.instance} was informed"
             )
 
 
