Wait in the stand-in fleet until each node knows all endpoints

Traced by the logs of the nodes, in 1 of 67 starts beside busy processes: the nearer instance had written its row 0.2 s before, and the watcher gathers changes of rows for 0.25 s, as documented, so that it knew only the other instance. The fleet counted as ready once each service was served by anyone.

Change: it is ready once each node has logged all instances as serving. The checks of the tests stay as they are.

--- a/packages/goldcrestgrade-testing/goldcrestgrade_testing/fleet_platform/fleet.py
+++ b/packages/goldcrestgrade-testing/goldcrestgrade_testing/fleet_platform/fleet.py
@@ -276,6 +276,26 @@
                 while (await self.call(instance, f"/{service}/")).status != 200:
                     await asyncio.sleep(POLL_INTERVAL_S)
 
+    async def wait_known(self) -> None:
+        """Wait until each node knows that the endpoint of each instance serves.
+
+        A node may serve by other endpoints before. Raises `TimeoutError` after `READY_TIMEOUT_S`.
+        """
+        names = {instance.name for instance in self.instances}
+        async with asyncio.timeout(READY_TIMEOUT_S):
+            for instance in self.instances:
+                while not names <= self._serving_instances(instance):
+                    await asyncio.sleep(POLL_INTERVAL_S)
+
+    def _serving_instances(self, instance: Instance) -> set[str]:
+        """Return the names of the instances that the node of `instance` has logged as serving."""
+        lines = (
+            orjson.loads(line)
+            for line in self.node_log(instance).splitlines()
+            if '"instance known"' in line and line.endswith("}")
+        )
+        return {line["instance"] for line in lines if line["row"]["serving"]}
+
     async def is_ready(self, instance: Instance) -> bool:
         """Return whether the node of `instance` reports readiness."""
         try:
@@ -394,6 +414,7 @@
             try:
                 await fleet.wait_ready()
                 await fleet.wait_served()
+                await fleet.wait_known()
             except TimeoutError as error:
                 logs = "\n".join(fleet.node_log(instance) for instance in fleet.instances)
                 raise FleetNotReady(logs) from error
