Sort the modules of the mesh into folders by who decides

A reader could not see which of them run at the entry node and which beside the endpoint. Change: folders entry, endpoint, state and transport; entry.py is entry/app.py. Only imports changed.

--- /dev/null
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/endpoint/__init__.py
@@ -0,0 +1,1 @@
+"""What runs at the node beside an endpoint."""
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/admission.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/endpoint/admission.py
@@ -17,7 +17,8 @@
 import typing
 
 from goldcrestgrade import instants
-from goldcrestgrade_node.mesh import concurrency, loads, rates
+from goldcrestgrade_node.mesh.endpoint import concurrency, rates
+from goldcrestgrade_node.mesh.transport import loads
 
 log = logging.getLogger(__name__)
 
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/endpoints.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/endpoint/endpoints.py
@@ -7,7 +7,7 @@
 import typing
 
 from goldcrestgrade import instants
-from goldcrestgrade_node.mesh import signals
+from goldcrestgrade_node.mesh.transport import signals
 
 log = logging.getLogger(__name__)
 
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/health.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/endpoint/health.py
@@ -10,7 +10,8 @@
 import aiohttp
 
 from goldcrestgrade import instants, routes
-from goldcrestgrade_node.mesh import dialect, endpoints, loads, signals
+from goldcrestgrade_node.mesh.endpoint import endpoints
+from goldcrestgrade_node.mesh.transport import dialect, loads, signals
 
 log = logging.getLogger(__name__)
 
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/local.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/endpoint/local.py
@@ -8,11 +8,10 @@
 
 from goldcrestgrade import instants, outcomes, reasons
 from goldcrestgrade_node.attempts import exchanges, results
-from goldcrestgrade_node.mesh import (
-    admission,
+from goldcrestgrade_node.mesh.endpoint import admission, endpoints
+from goldcrestgrade_node.mesh.transport import (
     connections,
     dialect,
-    endpoints,
     loads,
     requests,
     signals,
--- /dev/null
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/entry/__init__.py
@@ -0,0 +1,1 @@
+"""What runs at the node that a client connects to."""
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/entry.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/entry/app.py
@@ -11,7 +11,8 @@
 from goldcrestgrade import counters, headers, instants, outcomes, reasons, routes
 from goldcrestgrade_node import asgi
 from goldcrestgrade_node.entry import disconnects
-from goldcrestgrade_node.mesh import dialect, dispatch, requests, transfer
+from goldcrestgrade_node.mesh.entry import dispatch
+from goldcrestgrade_node.mesh.transport import dialect, requests, transfer
 
 log = logging.getLogger(__name__)
 
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/dispatch.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/entry/dispatch.py
@@ -8,7 +8,9 @@
 import typing
 
 from goldcrestgrade import counters, instants, outcomes, reasons, routes
-from goldcrestgrade_node.mesh import directory, placement, requests, retry_budget
+from goldcrestgrade_node.mesh.entry import placement, retry_budget
+from goldcrestgrade_node.mesh.state import directory
+from goldcrestgrade_node.mesh.transport import requests
 
 log = logging.getLogger(__name__)
 
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/placement.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/entry/placement.py
@@ -15,7 +15,7 @@
 import typing
 
 from goldcrestgrade import instants
-from goldcrestgrade_node.mesh import directory
+from goldcrestgrade_node.mesh.state import directory
 
 MAX_LOAD_AGE_S = 0.5
 """Staleness limit of a load report; the usual length of a degraded period."""
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/node.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/node.py
@@ -15,28 +15,18 @@
 from goldcrestgrade.storage import tables
 from goldcrestgrade_node import asgi
 from goldcrestgrade_node.attempts import liveness
-from goldcrestgrade_node.mesh import (
-    admission,
-    connections,
-    dialect,
+from goldcrestgrade_node.mesh import settings
+from goldcrestgrade_node.mesh.endpoint import admission, endpoints, health, local
+from goldcrestgrade_node.mesh.entry import app, dispatch, retry_budget
+from goldcrestgrade_node.mesh.state import (
     directory,
-    dispatch,
-    endpoints,
-    entry,
-    health,
-    local,
-    peers,
     quarantine,
     registration,
-    relay,
     replica,
-    requests,
     restoration,
-    retry_budget,
-    settings,
-    signals,
     watch,
 )
+from goldcrestgrade_node.mesh.transport import connections, dialect, peers, relay, requests, signals
 
 log = logging.getLogger(__name__)
 
@@ -319,7 +309,7 @@
 
     def entry(self) -> asgi.App:
         """Return the application that receives requests of clients."""
-        return entry.EntryApp(
+        return app.EntryApp(
             self.run_call,
             lambda: self.table,
             self.config.service,
--- /dev/null
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/state/__init__.py
@@ -0,0 +1,1 @@
+"""State that all nodes share, and the tasks that keep it current."""
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/directory.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/state/directory.py
@@ -9,7 +9,7 @@
 
 from goldcrestgrade import instants
 from goldcrestgrade.storage import tables
-from goldcrestgrade_node.mesh import loads, signals
+from goldcrestgrade_node.mesh.transport import loads, signals
 
 log = logging.getLogger(__name__)
 
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/quarantine.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/state/quarantine.py
@@ -13,7 +13,7 @@
 
 from goldcrestgrade import instants
 from goldcrestgrade.storage import tables
-from goldcrestgrade_node.mesh import replica
+from goldcrestgrade_node.mesh.state import replica
 
 log = logging.getLogger(__name__)
 
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/restoration.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/state/restoration.py
@@ -14,7 +14,7 @@
 
 from goldcrestgrade import instants
 from goldcrestgrade.storage import tables
-from goldcrestgrade_node.mesh import directory, replica
+from goldcrestgrade_node.mesh.state import directory, replica
 
 log = logging.getLogger(__name__)
 
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/watch.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/state/watch.py
@@ -33,7 +33,7 @@
 
 from goldcrestgrade import instants
 from goldcrestgrade.storage import tables
-from goldcrestgrade_node.mesh import directory, replica
+from goldcrestgrade_node.mesh.state import directory, replica
 
 log = logging.getLogger(__name__)
 
--- /dev/null
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/transport/__init__.py
@@ -0,0 +1,1 @@
+"""Connections and messages between nodes, clients and endpoints."""
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/peers.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/transport/peers.py
@@ -11,7 +11,8 @@
 from goldcrestgrade import headers, instants, outcomes
 from goldcrestgrade.storage import tables
 from goldcrestgrade_node import asgi
-from goldcrestgrade_node.mesh import directory, relay, replica, watch
+from goldcrestgrade_node.mesh.state import directory, replica, watch
+from goldcrestgrade_node.mesh.transport import relay
 
 log = logging.getLogger(__name__)
 
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/relay.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/transport/relay.py
@@ -9,7 +9,14 @@
 from goldcrestgrade_node import asgi
 from goldcrestgrade_node.attempts import exchanges, results
 from goldcrestgrade_node.entry import disconnects
-from goldcrestgrade_node.mesh import connections, dialect, loads, requests, signals, transfer
+from goldcrestgrade_node.mesh.transport import (
+    connections,
+    dialect,
+    loads,
+    requests,
+    signals,
+    transfer,
+)
 
 RUN_ONCE_MAX_IDLE_S = 10.0
 """Longest idle time after which a connection to a node is reused for a run-once request."""
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/requests.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/transport/requests.py
@@ -8,7 +8,8 @@
 import xxhash
 
 from goldcrestgrade import instants, outcomes, routes
-from goldcrestgrade_node.mesh import admission, loads, signals
+from goldcrestgrade_node.mesh.endpoint import admission
+from goldcrestgrade_node.mesh.transport import loads, signals
 
 
 class Call(typing.NamedTuple):
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/signals.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/transport/signals.py
@@ -5,7 +5,7 @@
 import math
 import typing
 
-from goldcrestgrade_node.mesh import dialect
+from goldcrestgrade_node.mesh.transport import dialect
 
 MAX_TEXT_CHARS = 20
 """Longest value of a rate limit that is read."""
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/transfer.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/transport/transfer.py
@@ -9,7 +9,7 @@
 
 from goldcrestgrade import headers, instants, outcomes, reasons
 from goldcrestgrade_node.attempts import exchanges, results
-from goldcrestgrade_node.mesh import connections
+from goldcrestgrade_node.mesh.transport import connections
 
 
 class TransferResult(typing.NamedTuple):
--- a/packages/goldcrestgrade-node/tests/mesh/test_admission.py
+++ b/packages/goldcrestgrade-node/tests/mesh/test_admission.py
@@ -5,7 +5,8 @@
 import pytest
 
 from goldcrestgrade import instants
-from goldcrestgrade_node.mesh import admission, loads
+from goldcrestgrade_node.mesh.endpoint import admission
+from goldcrestgrade_node.mesh.transport import loads
 
 SERVICE_TIME_S = 0.1
 
--- a/packages/goldcrestgrade-node/tests/mesh/test_concurrency.py
+++ b/packages/goldcrestgrade-node/tests/mesh/test_concurrency.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from goldcrestgrade_node.mesh import concurrency
+from goldcrestgrade_node.mesh.endpoint import concurrency
 
 SLOTS = 12
 KNEE = 10
--- a/packages/goldcrestgrade-node/tests/mesh/test_directory.py
+++ b/packages/goldcrestgrade-node/tests/mesh/test_directory.py
@@ -1,7 +1,8 @@
 """Instances that a node knows, and their failures."""
 
 from goldcrestgrade.storage import tables
-from goldcrestgrade_node.mesh import directory, replica, signals
+from goldcrestgrade_node.mesh.state import directory, replica
+from goldcrestgrade_node.mesh.transport import signals
 
 LOCATION = directory.Location("khomas-a", "khomas")
 
--- a/packages/goldcrestgrade-node/tests/mesh/test_dispatch.py
+++ b/packages/goldcrestgrade-node/tests/mesh/test_dispatch.py
@@ -10,15 +10,10 @@
 
 from goldcrestgrade import counters, instants, outcomes, reasons, routes
 from goldcrestgrade.storage import tables
-from goldcrestgrade_node.mesh import (
-    admission,
-    directory,
-    dispatch,
-    loads,
-    replica,
-    requests,
-    retry_budget,
-)
+from goldcrestgrade_node.mesh.endpoint import admission
+from goldcrestgrade_node.mesh.entry import dispatch, retry_budget
+from goldcrestgrade_node.mesh.state import directory, replica
+from goldcrestgrade_node.mesh.transport import loads, requests
 from goldcrestgrade_testing import virtual_time
 
 PLACE = directory.Location("khomas-a", "khomas")
--- a/packages/goldcrestgrade-node/tests/mesh/test_endpoints.py
+++ b/packages/goldcrestgrade-node/tests/mesh/test_endpoints.py
@@ -3,7 +3,8 @@
 import pytest
 
 from goldcrestgrade import instants
-from goldcrestgrade_node.mesh import endpoints, signals
+from goldcrestgrade_node.mesh.endpoint import endpoints
+from goldcrestgrade_node.mesh.transport import signals
 
 OWN = endpoints.ConfiguredEndpoint("10.0.0.1:80", "archive", "khomas-a")
 
--- a/packages/goldcrestgrade-node/tests/mesh/test_node.py
+++ b/packages/goldcrestgrade-node/tests/mesh/test_node.py
@@ -5,7 +5,8 @@
 
 import pytest
 
-from goldcrestgrade_node.mesh import node, replica
+from goldcrestgrade_node.mesh import node
+from goldcrestgrade_node.mesh.state import replica
 
 KEY = "instance/n1"
 
--- a/packages/goldcrestgrade-node/tests/mesh/test_placement.py
+++ b/packages/goldcrestgrade-node/tests/mesh/test_placement.py
@@ -3,7 +3,9 @@
 import random
 
 from goldcrestgrade.storage import tables
-from goldcrestgrade_node.mesh import directory, loads, placement
+from goldcrestgrade_node.mesh.entry import placement
+from goldcrestgrade_node.mesh.state import directory
+from goldcrestgrade_node.mesh.transport import loads
 
 OWN = directory.Location("khomas-a", "khomas")
 NEXT_DOMAIN = directory.Location("khomas-b", "khomas")
--- a/packages/goldcrestgrade-node/tests/mesh/test_quarantine.py
+++ b/packages/goldcrestgrade-node/tests/mesh/test_quarantine.py
@@ -2,7 +2,7 @@
 
 from goldcrestgrade import instants
 from goldcrestgrade.storage import tables
-from goldcrestgrade_node.mesh import quarantine, replica
+from goldcrestgrade_node.mesh.state import quarantine, replica
 
 
 def row(digest, endpoint, expires_at=100.0):
--- a/packages/goldcrestgrade-node/tests/mesh/test_rates.py
+++ b/packages/goldcrestgrade-node/tests/mesh/test_rates.py
@@ -3,7 +3,7 @@
 import pytest
 
 from goldcrestgrade import instants
-from goldcrestgrade_node.mesh import rates
+from goldcrestgrade_node.mesh.endpoint import rates
 
 
 class Clock:
--- a/packages/goldcrestgrade-node/tests/mesh/test_replayed_loads.py
+++ b/packages/goldcrestgrade-node/tests/mesh/test_replayed_loads.py
@@ -7,7 +7,8 @@
 import typing
 
 from goldcrestgrade import instants
-from goldcrestgrade_node.mesh import admission, health, loads
+from goldcrestgrade_node.mesh.endpoint import admission, health
+from goldcrestgrade_node.mesh.transport import loads
 from goldcrestgrade_testing import virtual_time
 from goldcrestgrade_testing.fault_soak import checks, history
 
--- a/packages/goldcrestgrade-node/tests/mesh/test_replayed_regions.py
+++ b/packages/goldcrestgrade-node/tests/mesh/test_replayed_regions.py
@@ -6,16 +6,10 @@
 
 from goldcrestgrade import counters, instants, outcomes, reasons
 from goldcrestgrade.storage import tables
-from goldcrestgrade_node.mesh import (
-    admission,
-    directory,
-    dispatch,
-    loads,
-    placement,
-    replica,
-    requests,
-    retry_budget,
-)
+from goldcrestgrade_node.mesh.endpoint import admission
+from goldcrestgrade_node.mesh.entry import dispatch, placement, retry_budget
+from goldcrestgrade_node.mesh.state import directory, replica
+from goldcrestgrade_node.mesh.transport import loads, requests
 from goldcrestgrade_testing import virtual_time
 
 SLOTS = 8
--- a/packages/goldcrestgrade-node/tests/mesh/test_replica.py
+++ b/packages/goldcrestgrade-node/tests/mesh/test_replica.py
@@ -4,7 +4,7 @@
 
 from goldcrestgrade import instants
 from goldcrestgrade.storage import tables
-from goldcrestgrade_node.mesh import replica
+from goldcrestgrade_node.mesh.state import replica
 
 ERA = 3
 
--- a/packages/goldcrestgrade-node/tests/mesh/test_requests.py
+++ b/packages/goldcrestgrade-node/tests/mesh/test_requests.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from goldcrestgrade_node.mesh import requests, signals
+from goldcrestgrade_node.mesh.transport import requests, signals
 
 MESSAGE = requests.Message("POST", "/a/1?b=2", "letters.example", (("a", "b"),), b"body")
 
--- a/packages/goldcrestgrade-node/tests/mesh/test_retry_budget.py
+++ b/packages/goldcrestgrade-node/tests/mesh/test_retry_budget.py
@@ -1,6 +1,6 @@
 """Retry budget that all nodes share."""
 
-from goldcrestgrade_node.mesh import retry_budget
+from goldcrestgrade_node.mesh.entry import retry_budget
 
 TERMS = retry_budget.Terms(ratio=0.2, slack=56, window_s=10.0)
 
--- a/packages/goldcrestgrade-node/tests/mesh/test_signals.py
+++ b/packages/goldcrestgrade-node/tests/mesh/test_signals.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from goldcrestgrade_node.mesh import dialect, signals
+from goldcrestgrade_node.mesh.transport import dialect, signals
 
 NAMES = dialect.Dialect(*dialect.Dialect._fields)
 
--- a/packages/goldcrestgrade-node/tests/mesh/test_transfer.py
+++ b/packages/goldcrestgrade-node/tests/mesh/test_transfer.py
@@ -8,7 +8,7 @@
 
 from goldcrestgrade import reasons
 from goldcrestgrade_node.attempts import exchanges, results
-from goldcrestgrade_node.mesh import connections, transfer
+from goldcrestgrade_node.mesh.transport import connections, transfer
 from goldcrestgrade_testing import raw_endpoint
 
 ECHO = "x-try"
--- a/packages/goldcrestgrade-node/tests/mesh/test_watch.py
+++ b/packages/goldcrestgrade-node/tests/mesh/test_watch.py
@@ -7,7 +7,7 @@
 
 from goldcrestgrade import instants
 from goldcrestgrade.storage import tables
-from goldcrestgrade_node.mesh import directory, replica, watch
+from goldcrestgrade_node.mesh.state import directory, replica, watch
 
 LOCATION = directory.Location("khomas-a", "khomas")
 
--- a/packages/goldcrestgrade-node/tests/mesh/test_watch_fleet.py
+++ b/packages/goldcrestgrade-node/tests/mesh/test_watch_fleet.py
@@ -9,7 +9,7 @@
 
 from goldcrestgrade import instants
 from goldcrestgrade.storage import tables
-from goldcrestgrade_node.mesh import directory, replica, watch
+from goldcrestgrade_node.mesh.state import directory, replica, watch
 from goldcrestgrade_testing import virtual_time
 
 CONFIG_APPLY_S = 2.0
--- a/packages/goldcrestgrade-testing/tests/fault_soak/test_mutations.py
+++ b/packages/goldcrestgrade-testing/tests/fault_soak/test_mutations.py
@@ -13,8 +13,12 @@
 PROGRAM = """
 import sys
 sys.path[:0] = {folders!r}
-from goldcrestgrade_node.mesh import dispatch, endpoints, entry, local, node, relay, requests
-from goldcrestgrade_node.mesh import connections, retry_budget, transfer
+from goldcrestgrade_node.mesh import node
+from goldcrestgrade_node.mesh.endpoint import endpoints, local
+from goldcrestgrade_node.mesh.entry import app, dispatch
+from goldcrestgrade_node.mesh.transport import relay, requests
+from goldcrestgrade_node.mesh.entry import retry_budget
+from goldcrestgrade_node.mesh.transport import connections, transfer
 from goldcrestgrade_node.attempts import exchanges
 from goldcrestgrade import reasons, routes
 {mutation}
@@ -131,7 +135,7 @@
     "route_missing after the store came back from a copy": Mutation(
         """
 from goldcrestgrade_adapter import names
-from goldcrestgrade_node.mesh import watch
+from goldcrestgrade_node.mesh.state import watch
 names.ERA_HEADER = "no-such-header"
 # Followers that read the store themselves would hide the defect of their source.
 watch.MAX_AGE_S = float("inf")
@@ -167,14 +171,14 @@
     ),
     "over_rate_limit": Mutation(
         """
-from goldcrestgrade_node.mesh import signals
+from goldcrestgrade_node.mesh.transport import signals
 signals.parse = lambda fields, names: signals.NONE
 """,
         [plan.Fault("limit", 0, 1.0, 10.0, 0)],
     ),
     "sent_after_leaving": Mutation(
         """
-from goldcrestgrade_node.mesh import signals
+from goldcrestgrade_node.mesh.transport import signals
 signals.parse = lambda fields, names: signals.NONE
 """,
         [plan.Fault("leave", 0, 1.0, 10.0, 0)],
--- a/packages/goldcrestgrade-testing/tests/fleet_platform/test_adapter.py
+++ b/packages/goldcrestgrade-testing/tests/fleet_platform/test_adapter.py
@@ -10,7 +10,8 @@
 
 from goldcrestgrade import durations, exceptions
 from goldcrestgrade.storage import tables
-from goldcrestgrade_node.mesh import endpoints, replica
+from goldcrestgrade_node.mesh.endpoint import endpoints
+from goldcrestgrade_node.mesh.state import replica
 from goldcrestgrade_testing import reference, serving
 from goldcrestgrade_testing.fleet_platform import store as stand_in
 
--- a/packages/goldcrestgrade-testing/tests/fleet_platform/test_restored_store.py
+++ b/packages/goldcrestgrade-testing/tests/fleet_platform/test_restored_store.py
@@ -13,7 +13,7 @@
 
 from goldcrestgrade import instants
 from goldcrestgrade.storage import tables
-from goldcrestgrade_node.mesh import directory, registration, replica, restoration, watch
+from goldcrestgrade_node.mesh.state import directory, registration, replica, restoration, watch
 from goldcrestgrade_testing import virtual_time
 
 LOCATIONS = {
--- a/packages/goldcrestgrade-testing/tests/fleet_platform/test_thin_links.py
+++ b/packages/goldcrestgrade-testing/tests/fleet_platform/test_thin_links.py
@@ -7,7 +7,8 @@
 
 from goldcrestgrade import http_client, instants
 from goldcrestgrade.storage import tables
-from goldcrestgrade_node.mesh import directory, peers, replica, watch
+from goldcrestgrade_node.mesh.state import directory, replica, watch
+from goldcrestgrade_node.mesh.transport import peers
 from goldcrestgrade_testing import serving
 from goldcrestgrade_testing.fault_soak import proxy
 
