Read allowed regions, warm-ups and workspaces, and bind requests to regions and keys

Cause: a route of a type that the adapter did not know made every node refuse the whole configuration, and the message named neither route nor place. Nothing read allowed regions, the warm-up of a service or the keys of workspaces: requests ran outside their regions, and keys were passed on to endpoints. Change: the route table holds allowed regions, warm-ups and workspaces. Placement drops instances outside the regions of a request, and the endpoint's node checks them again right before the exchange, against its own configuration too. The entry node looks up keys by digest, answers 401 to unknown ones, and passes on the name of the workspace instead. An unreadable route is named with its host. The settings, the names of headers and the reasons of refusals for the other parts are in place, so that these can be built side by side.

--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/endpoint/local.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/endpoint/local.py
@@ -284,11 +284,13 @@
     ) -> exchanges.PreparedRequest:
         left_ms = max(1, int(1000 * (call.deadline - now)))
         node_headers = self.header_names.set_by_node
+        identity = ((self.header_names.workspace, call.workspace),) if call.workspace else ()
         fields = [
             *(pair for pair in call.headers if pair[0] not in node_headers),
             (self.header_names.remaining_ms, str(left_ms)),
             (self.header_names.expected_endpoint, endpoint_id),
             (self.header_names.caller, call.caller),
+            *identity,
         ]
         return exchanges.PreparedRequest(
             call.method,
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/entry/app.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/entry/app.py
@@ -11,7 +11,7 @@
 from goldcrestgrade import counters, headers, instants, outcomes, reasons, routes
 from goldcrestgrade_node import asgi
 from goldcrestgrade_node.entry import disconnects
-from goldcrestgrade_node.mesh.entry import dispatch
+from goldcrestgrade_node.mesh.entry import dispatch, workspaces
 from goldcrestgrade_node.mesh.transport import dialect, requests, transfer
 
 log = logging.getLogger(__name__)
@@ -26,6 +26,14 @@
 """Runs a request at the given number of endpoints at most."""
 
 
+class Match(typing.NamedTuple):
+    """What the configuration says of a request."""
+
+    route: routes.Route
+    workspace: routes.Workspace | None
+    """Workspace on whose behalf it is made; none for an anonymous request."""
+
+
 class EntryApp:
     """Reads requests of clients, has them run and sends the answers."""
 
@@ -61,15 +69,16 @@
             return
         by_name = {name: value.decode("latin-1") for name, value in scope["headers"]}
         attempt_id = by_name.get(self.header_names.attempt_id.encode(), "")
-        route = self._route(scope, by_name, body)
-        if isinstance(route, outcomes.NotRun):
-            await self._answer(send, route, attempt_id, started, None)
+        match_ = self._match(scope, by_name, body)
+        if isinstance(match_, outcomes.NotRun):
+            await self._answer(send, match_, attempt_id, started, None)
             return
+        route, workspace = match_
         message = requests.Message(
             scope["method"],
             asgi.target_of(scope),
             by_name.get(b"host", ""),
-            headers.end_to_end(headers.from_bytes(scope["headers"])),
+            self._forwarded_headers(scope),
             body or b"",
         )
         call = requests.call(
@@ -80,24 +89,41 @@
             message,
             started,
             _client_timeout_s(by_name.get(self.header_names.remaining_ms.encode())),
+            workspace,
         )
         await self._run_watched(call, route, receive, send, started)
 
-    def _route(
+    def _forwarded_headers(self, scope: asgi.Scope) -> outcomes.Headers:
+        """Return the headers that are passed on, without the client's key and its own identity."""
+        fields = headers.end_to_end(headers.from_bytes(scope["headers"]))
+        table = self.table()
+        if table is None or not table.workspaces:
+            return fields
+        dropped = {self.header_names.authorization, self.header_names.workspace}
+        return tuple(pair for pair in fields if pair[0] not in dropped)
+
+    def _match(
         self, scope: asgi.Scope, by_name: dict[bytes, str], body: bytes | None
-    ) -> routes.Route | outcomes.NotRun:
+    ) -> Match | outcomes.NotRun:
+        """Return the route and workspace of a request, or why it has none."""
         table = self.table()
         if table is None:
             return outcomes.NotRun(
                 reasons.Refusal.NO_SHEET, self.clocks.monotonic() + NOT_READY_RETRY_S
             )
+        text = by_name.get(self.header_names.authorization.encode())
+        holder = workspaces.holder(table, text, self.header_names.authorization_scheme)
+        if text is not None and table.workspaces and holder is None:
+            return outcomes.NotRun(reasons.Refusal.UNAUTHORIZED)
         path = scope["raw_path"].decode("latin-1")
         route = routes.find(table, by_name.get(b"host", ""), path)
         if route is None:
             return outcomes.NotRun(reasons.Refusal.NO_ROUTE)
+        if table.workspaces and holder is None and not route.anonymous:
+            return outcomes.NotRun(reasons.Refusal.UNAUTHORIZED)
         if body is None:
             return outcomes.NotRun(reasons.Refusal.BODY_TOO_LARGE)
-        return route
+        return Match(route, holder)
 
     async def _run_watched(
         self,
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/entry/dispatch.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/entry/dispatch.py
@@ -34,6 +34,8 @@
         reasons.Refusal.NO_ENDPOINT,
         reasons.Refusal.NODE_STOPPING,
         reasons.Refusal.UNKNOWN_SERVICE,
+        reasons.Refusal.REGION_NOT_ALLOWED,
+        reasons.Refusal.EVACUATED,
     }
 )
 """Reasons with which a node rejects every request; they don't show that others are saturated."""
@@ -135,13 +137,17 @@
         requirements = placement.Requirements(call.target_at, call.deadline, service_time_s)
         return placement.choose(
             self.location,
-            self.instances.of_service(call.service),
+            self._allowed(call),
             progress.tried,
             requirements,
             now,
             self.rng,
         )
 
+    def _allowed(self, call: requests.Call) -> list[directory.Instance]:
+        """Return the instances of the service in regions where the request may run."""
+        return placement.allowed(self.instances.of_service(call.service), call.allowed_regions)
+
     async def _send(
         self, call: requests.Call, choice: placement.Choice, progress: Progress
     ) -> requests.Served | None:
@@ -238,7 +244,9 @@
             none_saturated = not progress.rejections
             refusal = reasons.Refusal.NO_ENDPOINT if none_saturated else reasons.Refusal.SATURATED
             return outcomes.NotRun(refusal, progress.retry_at)
-        instances = self.instances.of_service(call.service)
+        instances = self._allowed(call)
+        if not instances and call.allowed_regions is not None:
+            return outcomes.NotRun(reasons.Refusal.REGION_NOT_ALLOWED, now + NO_INSTANCE_RETRY_S)
         earliest = min((i.backoff_until for i in instances if not i.failures), default=0.0)
         retry_at = earliest if earliest > now else now + NO_INSTANCE_RETRY_S
         reason = reasons.Refusal.SATURATED if earliest > now else reasons.Refusal.NO_ENDPOINT
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/entry/placement.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/entry/placement.py
@@ -85,6 +85,15 @@
     return instance.backoff_until <= now and instance.failures == 0
 
 
+def allowed(
+    instances: list[directory.Instance], regions: frozenset[str] | None
+) -> list[directory.Instance]:
+    """Return the instances in `regions`, or all if that is none."""
+    if regions is None:
+        return instances
+    return [instance for instance in instances if instance.row.place.region in regions]
+
+
 def choose(
     own: directory.Location,
     instances: typing.Sequence[directory.Instance],
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/node.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/node.py
@@ -36,6 +36,9 @@
 QUARANTINE_RETRY_S = 30.0
 """Delay after which a client may retry a quarantined request, one that crashes endpoints."""
 
+REGION_RETRY_S = 0.3
+"""Delay after which a request that may not run in the region of a node may be retried."""
+
 FIRST_CHECK_TIMEOUT_S = 0.3
 """Longest wait for the first health check; the first row then says whether the endpoint serves.
 
@@ -220,6 +223,11 @@
             return table.version == self.table.version
         first = self.table is None
         self.table = table
+        for finding in routes.unknown_regions(table, self.config.regions or {self.config.region}):
+            log.warning(
+                "region not known; nothing runs there",
+                extra={"place": finding.place, "finding": finding.text},
+            )
         self.counts.configuration_version = table.version
         log.info(
             "configuration in force",
@@ -280,8 +288,28 @@
         if self.handing_over.is_set():
             retry_at = self.clocks.monotonic() + STOPPING_RETRY_S
             return local.Refused(reasons.Refusal.NODE_STOPPING, retry_at)
+        if not self.is_region_allowed(call):
+            retry_at = self.clocks.monotonic() + REGION_RETRY_S
+            return local.Refused(reasons.Refusal.REGION_NOT_ALLOWED, retry_at)
         return None
 
+    def is_region_allowed(self, call: requests.Call) -> bool:
+        """Return whether a request may run in the region of this node.
+
+        The request may have been queued, or on its way, when a configuration narrowed its regions.
+        """
+        region = self.config.region
+        if call.allowed_regions is not None and region not in call.allowed_regions:
+            return False
+        if self.table is None:
+            return True
+        route = routes.find(self.table, call.host, call.target)
+        if route is None:
+            return True
+        workspace = self.table.workspaces.get(call.workspace)
+        regions = routes.allowed_regions(route, workspace)
+        return regions is None or region in regions
+
     def on_call_broken(self, call: requests.Call, reason: reasons.Uncertainty) -> None:
         """Check whether the endpoint crashed after it gave no complete answer to a request."""
         current = self.own.current
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/settings.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/settings.py
@@ -39,6 +39,24 @@
     resend_ratio: float
     resend_slack: float
     resend_window_s: float
+    regions: frozenset[str]
+    """Regions of the deployment; empty if they are not known."""
+    link_mbps: float
+    """Bandwidth of the instance's link in megabits a second; 0 if it is not known."""
+    warm_up_overage: float
+    """Factor by which the requests of a cold endpoint may exceed its warm-up rate in a second."""
+    warm_up_slack: float
+    """Further requests that a cold endpoint may get in a second."""
+    quota_window_s: float
+    """Time over which the requests of a workspace are compared with its quota."""
+    quota_overage: float
+    """Share by which a quota may be exceeded in a window."""
+    quota_slack: float
+    """Further requests of a workspace that a window may hold."""
+    revocation_s: float
+    """Age of its configuration from which a node can't tell whether a key was withdrawn."""
+    refuse_when_outdated: bool
+    """Whether requests with keys are refused beyond that age."""
 
 
 class Field(typing.NamedTuple):
@@ -75,6 +93,18 @@
     return float(value)
 
 
+def _flag(value: typing.Any) -> bool:
+    if not isinstance(value, bool):
+        raise ValueError(f"must be true or false, not {value!r}")
+    return value
+
+
+def _names(value: typing.Any) -> frozenset[str]:
+    if not isinstance(value, list | frozenset):
+        raise ValueError(f"must be a list of names, not {value!r}")
+    return frozenset(_text(name) for name in value)
+
+
 FIELDS: typing.Mapping[str, Field] = {
     "node_id": Field(_text),
     "host": Field(_host),
@@ -92,6 +122,15 @@
     "resend_ratio": Field(_number, 0.2),
     "resend_slack": Field(_number, 10.0),
     "resend_window_s": Field(durations.parse_seconds, 10.0),
+    "regions": Field(_names, frozenset()),
+    "link_mbps": Field(_number, 0.0),
+    "warm_up_overage": Field(_number, 1.0),
+    "warm_up_slack": Field(_number, 0.0),
+    "quota_window_s": Field(durations.parse_seconds, 5.0),
+    "quota_overage": Field(_number, 0.0),
+    "quota_slack": Field(_number, 0.0),
+    "revocation_s": Field(durations.parse_seconds, 5.0),
+    "refuse_when_outdated": Field(_flag, False),
 }
 """How each setting is read; the defaults suit a small deployment."""
 
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/transport/dialect.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/transport/dialect.py
@@ -28,6 +28,14 @@
     """Requests a second that the endpoint takes from all nodes together; a decimal number."""
     leaving: str
     """`1` in all answers of an endpoint that will end soon."""
+    workspace: str
+    """Name of the workspace on whose behalf a request is made."""
+    authorization: str
+    """Key of the client, after the scheme."""
+    authorization_scheme: str
+    """Word before the key in that header."""
+    warm_up_left: str
+    """Milliseconds for which an endpoint stays cold, in answers to health checks."""
 
     @property
     def set_by_node(self) -> frozenset[str]:
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/transport/requests.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/transport/requests.py
@@ -37,6 +37,12 @@
     """Whether it may be admitted although it is expected to miss its latency target."""
     report: signals.Report | None = None
     """Signals of the endpoint that the request is sent to, as the entry node last received them."""
+    workspace: str = ""
+    """Workspace on whose behalf the request is made; empty if there is none."""
+    allowed_regions: frozenset[str] | None = None
+    """Regions in which it may run; none if it may run in any."""
+    large_body: bool = False
+    """Whether the transfer of its body counts in the choice of an endpoint."""
 
     def admission_request(self) -> admission.Request:
         """Return what the admission controller of an endpoint needs to evaluate the request."""
@@ -69,6 +75,7 @@
     message: Message,
     now: instants.Instant,
     client_timeout_s: float,
+    workspace: routes.Workspace | None = None,
 ) -> Call:
     """Return the call for a request that matched `route`; its client waits `client_timeout_s`."""
     return Call(
@@ -76,7 +83,7 @@
         route=route.name,
         service=service,
         run_once=route.run_once,
-        priority=route.priority,
+        priority=route.priority if workspace is None else workspace.priority,
         caller=caller,
         method=message.method,
         target=message.target,
@@ -85,6 +92,9 @@
         body=message.body,
         target_at=now + route.latency_target_s,
         deadline=now + min(route.timeout_s, client_timeout_s),
+        workspace="" if workspace is None else workspace.name,
+        allowed_regions=routes.allowed_regions(route, workspace),
+        large_body=route.large_bodies,
     )
 
 
@@ -114,6 +124,10 @@
     late: bool
     report: typing.NotRequired[ReportDocument]
     """Signals of the endpoint as the sending node last received them; left out if none."""
+    workspace: typing.NotRequired[str]
+    regions: typing.NotRequired[list[str]]
+    """Regions in which the request may run; left out if it may run in any."""
+    large: typing.NotRequired[bool]
 
 
 class ReportDocument(typing.TypedDict):
@@ -141,6 +155,12 @@
         document["report"] = ReportDocument(
             endpoint=call_.report.endpoint_id, rate=latest.rate_limit, leaving=latest.leaving
         )
+    if call_.workspace:
+        document["workspace"] = call_.workspace
+    if call_.allowed_regions is not None:
+        document["regions"] = sorted(call_.allowed_regions)
+    if call_.large_body:
+        document["large"] = True
     return orjson.dumps(document).decode()
 
 
@@ -164,6 +184,9 @@
             deadline=now + document["left_ms"] / 1000,
             late_allowed=document["late"],
             report=_decode_report(document.get("report")),
+            workspace=document.get("workspace", ""),
+            allowed_regions=frozenset(document["regions"]) if "regions" in document else None,
+            large_body=document.get("large", False),
         )
     except (orjson.JSONDecodeError, KeyError, TypeError):
         return None
--- a/packages/goldcrestgrade-node/tests/mesh/test_dispatch.py
+++ b/packages/goldcrestgrade-node/tests/mesh/test_dispatch.py
@@ -67,10 +67,11 @@
         await asyncio.sleep(0)
         return self.results.pop(0)
 
-    async def run(self, once=False, attempts=2):
+    async def run(self, once=False, attempts=2, regions=None):
         call = requests.Call(
             "try", "r", "s", once, 1, "c", "GET", "/", "h", (), b"", self.now + 0.4, self.now + 0.8
         )
+        call = call._replace(allowed_regions=regions)
         return await self.dispatcher.run(call, attempts)
 
 
@@ -128,6 +129,13 @@
     assert len(scripted.tried) == dispatch.MAX_REJECTIONS
 
 
+async def test_request_is_sent_to_no_instance_outside_its_allowed_regions():
+    scripted = ScriptedInstances([])
+    outcome = await scripted.run(regions=frozenset({"elsewhere"}))
+    assert outcome.reason == reasons.Refusal.REGION_NOT_ALLOWED and outcome.retry_at
+    assert scripted.tried == []
+
+
 async def test_service_without_instances_is_refused_at_once():
     scripted = ScriptedInstances([], instances=0)
     outcome = await scripted.run()
--- /dev/null
+++ b/packages/goldcrestgrade-node/tests/mesh/test_entry.py
@@ -0,0 +1,93 @@
+"""Workspaces of requests at the entry node."""
+
+import random
+
+import pytest
+
+from goldcrestgrade import counters, instants, outcomes, routes
+from goldcrestgrade_node.mesh.entry import app
+from goldcrestgrade_node.mesh.transport import dialect
+
+NAMES = dialect.Dialect(**{name: f"x-{name}" for name in dialect.Dialect._fields})._replace(
+    authorization="authorization", authorization_scheme="Token"
+)
+WORKSPACE = routes.Workspace("w", (routes.key_digest("k1"),), 0)
+
+
+def table(workspaces=(WORKSPACE,)):
+    keyed = routes.Route("r", "h", "/a/", False, 0.4, 0.8, 1, 2, (routes.Part("s", 1.0),))
+    anonymous = keyed._replace(name="q", prefix="/b/", anonymous=True)
+    service = routes.Service("s", "/health", 10)
+    return routes.build(1, routes.Limits(), [service], [keyed, anonymous], workspaces)
+
+
+async def serve(route_table, path, **sent_headers):
+    """Return the status of the answer and the request that was run, if any."""
+    calls = []
+
+    async def run(call, _attempts):
+        calls.append(call)
+        return outcomes.Ran(outcomes.Answer(200, (), b""))
+
+    application = app.EntryApp(
+        run,
+        lambda: route_table,
+        "c",
+        NAMES,
+        lambda: False,
+        instants.system_clocks(),
+        counters.Counts(),
+        random.Random(1),
+    )
+    fields = {"host": "h", **{name.replace("_", "-"): text for name, text in sent_headers.items()}}
+    scope = {
+        "method": "GET",
+        "raw_path": path.encode(),
+        "query_string": b"",
+        "headers": [(name.encode(), text.encode()) for name, text in fields.items()],
+    }
+    sent = []
+
+    async def receive():
+        return {"type": "http.request", "body": b"", "more_body": False}
+
+    async def send(message):
+        sent.append(message)
+
+    await application(scope, receive, send)
+    return sent[0]["status"], calls[0] if calls else None
+
+
+@pytest.mark.parametrize(
+    ("path", "text", "status"),
+    [
+        ("/a/1", "Token k1", 200),
+        ("/a/1", "Token k2", 401),
+        ("/a/1", "Basic k1", 401),
+        ("/a/1", "Token", 401),
+        ("/a/1", "Token " + "k" * 500, 401),
+        ("/none/", "Token k2", 401),
+        ("/none/", "Token k1", 404),
+        ("/b/1", "Token k2", 401),
+        ("/b/1", "Token k1", 200),
+    ],
+)
+async def test_request_with_a_key_runs_only_if_a_workspace_holds_it(path, text, status):
+    assert (await serve(table(), path, authorization=text))[0] == status
+
+
+async def test_only_anonymous_routes_need_no_key():
+    assert (await serve(table(), "/a/1"))[0] == 401
+    status, call = await serve(table(), "/b/1", x_workspace="forged")
+    assert status == 200 and call.workspace == "" and call.headers == ()
+
+
+async def test_endpoint_gets_the_workspace_instead_of_the_key():
+    _, call = await serve(table(), "/a/1", authorization="Token k1", x_workspace="forged")
+    assert call.workspace == "w" and call.headers == ()
+    assert call.priority == WORKSPACE.priority
+
+
+async def test_authorization_is_passed_on_without_workspaces():
+    _, call = await serve(table(()), "/a/1", authorization="Basic user")
+    assert call.workspace == "" and call.headers == (("authorization", "Basic user"),)
--- a/packages/goldcrestgrade-node/tests/mesh/test_requests.py
+++ b/packages/goldcrestgrade-node/tests/mesh/test_requests.py
@@ -37,6 +37,12 @@
     assert requests.decode(text, "try-1", MESSAGE, 100.0) == call
 
 
+def test_workspace_and_allowed_regions_are_relayed_even_if_no_region_is_left():
+    call = CALL._replace(workspace="w", allowed_regions=frozenset(), large_body=True)
+    text = requests.encode(call, 100.0)
+    assert requests.decode(text, "try-1", MESSAGE, 100.0) == call
+
+
 def test_report_that_says_nothing_is_not_passed_on():
     silent = CALL._replace(report=signals.Report("e1", signals.NONE))
     assert requests.encode(silent, 100.0) == requests.encode(CALL, 100.0)
--- a/packages/goldcrestgrade-operator/goldcrestgrade_operator/explanations.py
+++ b/packages/goldcrestgrade-operator/goldcrestgrade_operator/explanations.py
@@ -111,6 +111,34 @@
         "The endpoint's node was stopping.",
         "None; the request may go to another instance at once.",
     ),
+    reasons.Refusal.REGION_NOT_ALLOWED: Explanation(
+        "No endpoint in a region where the request may run is known.",
+        "Check the allowed regions of its route and workspace, and the endpoints there.",
+    ),
+    reasons.Refusal.EVACUATED: Explanation(
+        "The failure domains that could run the request are evacuated.",
+        "End an evacuation, or have the service run in another failure domain.",
+    ),
+    reasons.Refusal.WARMING_UP: Explanation(
+        "The endpoint is cold and gets as many requests as it takes while it warms up.",
+        "None; it ends with the warm-up. Start endpoints in smaller groups if this persists.",
+    ),
+    reasons.Refusal.UNAUTHORIZED: Explanation(
+        "The request carries no key that a workspace holds, and its route needs one.",
+        "Check the key of the client; keys are withdrawn by a new configuration.",
+    ),
+    reasons.Refusal.CONFIGURATION_OUTDATED: Explanation(
+        "The node's configuration is too old to tell whether a key is still valid.",
+        "Find out why the node reaches neither the store nor a peer.",
+    ),
+    reasons.Refusal.QUOTA_EXCEEDED: Explanation(
+        "The workspace has used its quota of requests over all nodes.",
+        "None; clients retry after `Retry-After`. Raise the quota if the load is wanted.",
+    ),
+    reasons.Refusal.FAIR_SHARE_EXCEEDED: Explanation(
+        "The endpoint is saturated, and the workspace holds more than its share of the queue.",
+        "Add endpoints if this persists; other workspaces are served meanwhile.",
+    ),
 }
 """Explanation of each refusal; a refused request has not run and will not run."""
 
--- a/packages/goldcrestgrade-testing/tests/fleet_platform/test_adapter.py
+++ b/packages/goldcrestgrade-testing/tests/fleet_platform/test_adapter.py
@@ -8,7 +8,7 @@
 import pytest
 from goldcrestgrade_adapter import configuration, heartbeats, names, store
 
-from goldcrestgrade import durations, exceptions
+from goldcrestgrade import durations, exceptions, routes
 from goldcrestgrade.storage import tables
 from goldcrestgrade_node.mesh.endpoint import endpoints
 from goldcrestgrade_node.mesh.state import replica
@@ -104,6 +104,29 @@
     assert route.parts[0].weight == 90.0
 
 
+def test_workspaces_regions_and_warm_up_are_translated():
+    action = {**RULE["action"], "allowed_regions": ["luzon"]}
+    body = document(action=action, route_type="upload", anonymous=True)
+    body["clusters"][0] |= {"warmup": "3s", "warmup_per_s": 6.0}
+    body["tenants"] = [
+        {"name": "w", "api_keys": ["k"], "priority": 1, "rate_per_s": 138, "burst_size": 140}
+    ]
+    table = configuration.decode(body)
+    (route,) = table.by_host["letters.example"]
+    assert route.allowed_regions == {"luzon"} and route.anonymous
+    assert route.run_once and route.large_bodies
+    assert table.services["archive"][-2:] == (3.0, 6.0)
+    assert table.workspace_by_key == {routes.key_digest("k"): "w"}
+    assert table.workspaces["w"][2:5] == (1, 138.0, 140.0)
+
+
+def test_unreadable_route_is_named_with_its_host():
+    with pytest.raises(exceptions.InvalidDocument) as raised:
+        configuration.decode(document(route_type="sometimes"))
+    (fault,) = raised.value.faults
+    assert "route 'r' of host 'Letters.example'" in fault.text and "sometimes" in fault.text
+
+
 @pytest.mark.parametrize(
     "change",
     [
--- a/packages/goldcrestgrade/goldcrestgrade/outcomes.py
+++ b/packages/goldcrestgrade/goldcrestgrade/outcomes.py
@@ -89,6 +89,8 @@
     reasons.Refusal.KEY_EXPIRED: 410,
     reasons.Refusal.DEADLINE_PASSED: 504,
     reasons.Refusal.QUARANTINED: 422,
+    reasons.Refusal.UNAUTHORIZED: 401,
+    reasons.Refusal.QUOTA_EXCEEDED: 429,
 }
 """HTTP status of each refusal; any other is 503."""
 
--- a/packages/goldcrestgrade/goldcrestgrade/reasons.py
+++ b/packages/goldcrestgrade/goldcrestgrade/reasons.py
@@ -32,6 +32,13 @@
     EXPIRED_WAITING = "expired_waiting"
     CRASHES_ENDPOINTS = "crashes_endpoints"
     NODE_STOPPING = "node_stopping"
+    REGION_NOT_ALLOWED = "region_not_allowed"
+    EVACUATED = "evacuated"
+    WARMING_UP = "warming_up"
+    UNAUTHORIZED = "unauthorized"
+    CONFIGURATION_OUTDATED = "configuration_outdated"
+    QUOTA_EXCEEDED = "quota_exceeded"
+    FAIR_SHARE_EXCEEDED = "fair_share_exceeded"
 
 
 class Uncertainty(enum.StrEnum):
--- a/packages/goldcrestgrade/goldcrestgrade/routes.py
+++ b/packages/goldcrestgrade/goldcrestgrade/routes.py
@@ -2,7 +2,10 @@
 
 from __future__ import annotations
 
+import collections
+import hashlib
 import itertools
+import types
 import typing
 
 from goldcrestgrade import findings
@@ -39,6 +42,12 @@
     attempts: int
     """Largest number of endpoints that one request is sent to."""
     parts: tuple[Part, ...]
+    allowed_regions: frozenset[str] = frozenset()
+    """Regions in which its requests may run; empty if they may run in any."""
+    anonymous: bool = False
+    """Whether its requests need no key of a workspace."""
+    large_bodies: bool = False
+    """Whether bodies are so large that their transfer counts in the choice of an endpoint."""
 
 
 class Limits(typing.NamedTuple):
@@ -54,6 +63,25 @@
     name: str
     health_path: str
     max_connections: int
+    warm_up_s: float = 0.0
+    """Time for which an endpoint is cold after its start, in seconds."""
+    warm_up_rate: float = 0.0
+    """Requests a second that a cold endpoint takes from all nodes; 0 if it has no limit."""
+
+
+class Workspace(typing.NamedTuple):
+    """A customer of the deployment, who identifies its requests by keys."""
+
+    name: str
+    key_digests: tuple[bytes, ...]
+    priority: int
+    """Priority of its requests, which replaces that of their route; 0 is the highest."""
+    rate: float = 0.0
+    """Requests a second over all nodes together; 0 if there is no quota."""
+    burst: float = 0.0
+    """Further requests that may come at once."""
+    allowed_regions: frozenset[str] = frozenset()
+    """Regions in which its requests may run; empty if they may run in any."""
 
 
 class RouteTable(typing.NamedTuple):
@@ -64,6 +92,10 @@
     services: typing.Mapping[str, Service]
     by_host: typing.Mapping[str, tuple[Route, ...]]
     """Routes of each host, the longest prefix first."""
+    workspaces: typing.Mapping[str, Workspace] = types.MappingProxyType({})
+    """Workspaces by name; without any, requests carry no keys."""
+    workspace_by_key: typing.Mapping[bytes, str] = types.MappingProxyType({})
+    """Name of the workspace that holds a key, by the digest of the key."""
 
 
 def build(
@@ -71,8 +103,10 @@
     limits: Limits,
     services: typing.Iterable[Service],
     routes: typing.Iterable[Route],
+    workspaces: typing.Iterable[Workspace] = (),
 ) -> RouteTable:
     """Return the table of `routes`."""
+    by_name = {workspace.name: workspace for workspace in workspaces}
     ordered = sorted(routes, key=lambda route: (route.host, -len(route.prefix)))
     return RouteTable(
         version,
@@ -82,16 +116,55 @@
             host: tuple(group)
             for host, group in itertools.groupby(ordered, key=lambda route: route.host)
         },
+        by_name,
+        {
+            digest: workspace.name
+            for workspace in by_name.values()
+            for digest in workspace.key_digests
+        },
+    )
+
+
+def key_digest(key: str) -> bytes:
+    """Return the digest by which a key is looked up, so that no table holds the key itself."""
+    return hashlib.blake2b(key.encode("utf-8", "surrogateescape"), digest_size=16).digest()
+
+
+def allowed_regions(route: Route, workspace: Workspace | None) -> frozenset[str] | None:
+    """Return the regions in which a request may run, none if it may run in any.
+
+    If route and workspace both name regions, both bind, so the result may be empty.
+    """
+    named = [
+        regions
+        for regions in (route.allowed_regions, workspace.allowed_regions if workspace else None)
+        if regions
+    ]
+    return frozenset.intersection(*named) if named else None
+
+
+def unknown_regions(table: RouteTable, known: typing.Container[str]) -> list[findings.Finding]:
+    """Return a finding for each allowed region that is not in `known`."""
+    named = itertools.chain(
+        (("route", r.name, r.allowed_regions) for r in itertools.chain(*table.by_host.values())),
+        (("workspace", w.name, w.allowed_regions) for w in table.workspaces.values()),
     )
+    return [
+        findings.Finding(
+            f"version-{table.version}:{kind}:{name}", f"region {region!r} has no failure domain"
+        )
+        for kind, name, regions in named
+        for region in sorted(regions)
+        if region not in known
+    ]
 
 
 def check(table: RouteTable) -> list[findings.Finding]:
     """Return the errors of all routes of `table`."""
-    return list(
-        itertools.chain.from_iterable(
-            _route_faults(table, route) for route in itertools.chain(*table.by_host.values())
-        )
+    route_faults = itertools.chain.from_iterable(
+        _route_faults(table, route) for route in itertools.chain(*table.by_host.values())
     )
+    return [*route_faults, *_shared_keys(table)]
 
 
 def find(table: RouteTable, host: str, path: str) -> Route | None:
@@ -105,6 +178,20 @@
     )
 
 
+def _shared_keys(table: RouteTable) -> typing.Iterator[findings.Finding]:
+    """Return a finding for each key of several workspaces; it names them and not the key."""
+    holders: dict[bytes, list[str]] = collections.defaultdict(list)
+    for workspace in table.workspaces.values():
+        for digest in set(workspace.key_digests):
+            holders[digest].append(workspace.name)
+    for names in holders.values():
+        if len(names) > 1:
+            places = " and ".join(sorted(names))
+            yield findings.Finding(
+                f"version-{table.version}:workspaces", f"{places} hold the same key"
+            )
+
+
 def _route_faults(table: RouteTable, route: Route) -> typing.Iterator[findings.Finding]:
     place = f"version-{table.version}:{route.name}"
     checks = (
--- a/packages/goldcrestgrade/tests/test_routes.py
+++ b/packages/goldcrestgrade/tests/test_routes.py
@@ -43,3 +43,31 @@
         "version-7:c: no service has a positive weight",
     ]
     assert routes.check(table(route("a", "/a/"))) == []
+
+
+def test_regions_of_route_and_workspace_both_bind():
+    anywhere, here = route("a", "/a/"), route("b", "/b/", allowed_regions=frozenset({"x", "y"}))
+    free, bound = (
+        routes.Workspace("w", (), 1, allowed_regions=frozenset(r)) for r in ((), ("y", "z"))
+    )
+    assert routes.allowed_regions(anywhere, None) is None
+    assert routes.allowed_regions(anywhere, free) is None
+    assert routes.allowed_regions(here, free) == {"x", "y"}
+    assert routes.allowed_regions(here, bound) == {"y"}
+    apart = route("c", "/c/", allowed_regions=frozenset({"x"}))
+    assert routes.allowed_regions(apart, bound) == frozenset()
+
+
+def test_region_that_is_not_known_is_found_with_its_place():
+    faulty = table(route("a", "/a/", allowed_regions=frozenset({"x", "q"})))
+    assert [str(finding) for finding in routes.unknown_regions(faulty, {"x"})] == [
+        "version-7:route:a: region 'q' has no failure domain"
+    ]
+
+
+def test_key_of_two_workspaces_is_found_without_being_shown():
+    shared = [routes.Workspace(name, (routes.key_digest("secret"),), 1) for name in ("v", "w")]
+    faulty = routes.build(7, routes.Limits(), [SERVICE], [route("a", "/a/")], shared)
+    assert [str(fault) for fault in routes.check(faulty)] == [
+        "version-7:workspaces: v and w hold the same key"
+    ]
