Take the distance of a region from the requests that are relayed there

Cause: placement assumed 18 ms between regions and 2 ms within one. Where regions are 20 ms apart it sent requests that could only be late, and the endpoint's node believed that it had 40 ms more than it had, because the time on the way was not taken off the target and the deadline. Change: the answer to a relayed request says how long the node had it; the shortest rest in a window is the round trip. Placement uses it, and the relay header states target and deadline without it.

--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/entry/dispatch.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/entry/dispatch.py
@@ -8,7 +8,7 @@
 import typing
 
 from goldcrestgrade import counters, instants, outcomes, reasons, routes
-from goldcrestgrade_node.mesh.entry import placement, retry_budget
+from goldcrestgrade_node.mesh.entry import distances, placement, retry_budget
 from goldcrestgrade_node.mesh.state import directory
 from goldcrestgrade_node.mesh.transport import requests
 
@@ -91,6 +91,7 @@
         self.rng = rng
         self.service_times_s: dict[str, float] = {}
         """Moving average of latency divided by the endpoint's pace, by service and route."""
+        self.round_trips = distances.RoundTrips()
         self.budgets: dict[str, retry_budget.RetryBudget] = {}
 
     def set_terms(self, terms: retry_budget.Terms) -> None:
@@ -134,7 +135,9 @@
         if progress.rejections >= MAX_REJECTIONS:
             return None
         service_time_s = self.service_times_s.get(_service_time_key(call), INITIAL_SERVICE_TIME_S)
-        requirements = placement.Requirements(call.target_at, call.deadline, service_time_s)
+        requirements = placement.Requirements(
+            call.target_at, call.deadline, service_time_s, self.round_trips
+        )
         return placement.choose(
             self.location,
             self._allowed(call),
@@ -160,7 +163,12 @@
         try:
             report = self.instances.reports.get(instance.row.node_id)
             served = await self.serve(
-                instance, call._replace(late_allowed=not choice.in_time, report=report)
+                instance,
+                call._replace(
+                    late_allowed=not choice.in_time,
+                    report=report,
+                    round_trip_s=self.round_trips.known_s(instance.row.place) or 0.0,
+                ),
             )
         finally:
             instance.in_flight -= 1
@@ -193,6 +201,8 @@
         started: instants.Instant,
         now: instants.Instant,
     ) -> None:
+        if served.served_s is not None:
+            self.round_trips.record(instance.row.place, now - started, served.served_s, now)
         if served.load is not None:
             instance.load, instance.load_at = served.load, now
             instance.in_flight_at_load = instance.in_flight
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/entry/placement.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/entry/placement.py
@@ -15,16 +15,17 @@
 import typing
 
 from goldcrestgrade import instants
+from goldcrestgrade_node.mesh.entry import distances
 from goldcrestgrade_node.mesh.state import directory
 
 MAX_LOAD_AGE_S = 0.5
 """Staleness limit of a load report; the usual length of a degraded period."""
 
 SAME_REGION_ROUND_TRIP_S = 0.002
-"""Expected network time of a request and its answer within a region."""
+"""Round trip within a region that is assumed until one is known."""
 
 CROSS_REGION_ROUND_TRIP_S = 0.018
-"""Expected network time of a request and its answer between regions."""
+"""Round trip between regions that is assumed until one is known."""
 
 IN_TIME_SHARE = 0.8
 """Share of the time to the latency target that the expected latency may take."""
@@ -44,6 +45,8 @@
     deadline: instants.Instant
     service_time_s: float
     """Service time estimate at a normal endpoint."""
+    round_trips: distances.RoundTrips | None = None
+    """Round trips that are known; without any, they are assumed by region."""
 
 
 class Choice(typing.NamedTuple):
@@ -69,7 +72,10 @@
 ) -> float:
     """Return the expected time in seconds until `instance`'s answer arrives."""
     load = instance.load
-    round_trip_s = CROSS_REGION_ROUND_TRIP_S if cross_region else SAME_REGION_ROUND_TRIP_S
+    round_trips = requirements.round_trips
+    known_s = None if round_trips is None else round_trips.known_s(instance.row.place)
+    assumed_s = CROSS_REGION_ROUND_TRIP_S if cross_region else SAME_REGION_ROUND_TRIP_S
+    round_trip_s = assumed_s if known_s is None else known_s
     if load is None:
         return round_trip_s + requirements.service_time_s * (1 + instance.in_flight / 8)
     weight = max(0.0, 1 - (now - instance.load_at) / MAX_LOAD_AGE_S)
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/transport/relay.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/transport/relay.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import typing
 
 from goldcrestgrade import headers, instants, outcomes, reasons
@@ -53,6 +54,7 @@
 
     async def __call__(self, scope: asgi.Scope, receive: asgi.Receive, send: asgi.Send) -> None:
         """Serve one relayed request."""
+        started = self.clocks.monotonic()
         try:
             body = await asgi.read_body(receive, self.max_body_bytes())
         except asgi.Disconnected:
@@ -70,11 +72,12 @@
         call = requests.decode(text, attempt_id, message, self.clocks.monotonic())
         if call is None or body is None:
             refused = outcomes.NotRun(reasons.Refusal.INVALID_REQUEST)
-            await self._answer(send, requests.Served(refused, None, arrived=False), attempt_id)
+            served = requests.Served(refused, None, arrived=False)
+            await self._answer(send, served, attempt_id, started)
             return
-        served = await self._serve_watched(call, receive)
-        if served is not None:
-            await self._answer(send, served, attempt_id)
+        outcome = await self._serve_watched(call, receive)
+        if outcome is not None:
+            await self._answer(send, outcome, attempt_id, started)
 
     async def _serve_watched(
         self, call: requests.Call, receive: asgi.Receive
@@ -92,9 +95,18 @@
         finally:
             watch.stop()
 
-    async def _answer(self, send: asgi.Send, served: requests.Served, attempt_id: str) -> None:
+    async def _answer(
+        self,
+        send: asgi.Send,
+        served: requests.Served,
+        attempt_id: str,
+        started: instants.Instant,
+    ) -> None:
         now = self.clocks.monotonic()
-        relay_headers = [(headers.ATTEMPT_ID, attempt_id)]
+        relay_headers = [
+            (headers.ATTEMPT_ID, attempt_id),
+            (headers.SERVED_IN, f"{now - started:.5f}"),
+        ]
         if served.load is not None:
             relay_headers.append((headers.NODE_LOAD, loads.encode(served.load)))
         if served.arrived:
@@ -142,7 +154,9 @@
                 pool.close_idle()
                 return requests.Served(outcomes.Unknown(reason), None, arrived=True)
             case results.Answered(answer=answer):
-                return self._served(answer, transferred.fields)
+                served = self._served(answer, transferred.fields)
+                served_s = _parse_seconds(transferred.fields.get(headers.SERVED_IN))
+                return served._replace(served_s=served_s)
 
     def _prepare(self, call: requests.Call) -> exchanges.PreparedRequest:
         fields = [*call.headers, (headers.RELAY, requests.encode(call, self.clocks.monotonic()))]
@@ -179,6 +193,15 @@
                 )
 
 
+def _parse_seconds(text: str | None) -> float | None:
+    """Return the seconds in a header, or none if it is missing or malformed."""
+    try:
+        seconds = float(text or "")
+    except ValueError:
+        return None
+    return seconds if math.isfinite(seconds) and seconds >= 0 else None
+
+
 T = typing.TypeVar("T", reasons.Refusal, reasons.Uncertainty)
 
 
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/transport/requests.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/transport/requests.py
@@ -43,6 +43,8 @@
     """Regions in which it may run; none if it may run in any."""
     large_body: bool = False
     """Whether the transfer of its body counts in the choice of an endpoint."""
+    round_trip_s: float = 0.0
+    """Time on the way to the other node and back, which that node does not have."""
 
     def admission_request(self) -> admission.Request:
         """Return what the admission controller of an endpoint needs to evaluate the request."""
@@ -65,6 +67,8 @@
     """Whether the endpoint has received the request."""
     report: signals.Report | None = None
     """Signals in the answer of the endpoint, if it answered."""
+    served_s: float | None = None
+    """Time for which another node had the request; none if it was served here."""
 
 
 def call(
@@ -146,8 +150,8 @@
         once=call_.run_once,
         rank=call_.priority,
         caller=call_.caller,
-        target_ms=round(1000 * (call_.target_at - now)),
-        left_ms=round(1000 * (call_.deadline - now)),
+        target_ms=round(1000 * (call_.target_at - call_.round_trip_s - now)),
+        left_ms=round(1000 * (call_.deadline - call_.round_trip_s - now)),
         late=call_.late_allowed,
     )
     if call_.report is not None and call_.report.signals != signals.NONE:
--- a/packages/goldcrestgrade/goldcrestgrade/headers.py
+++ b/packages/goldcrestgrade/goldcrestgrade/headers.py
@@ -62,6 +62,9 @@
 RETRY_IN = "goldcrestgrade-retry-in"
 """Seconds after which a node that sent a request back may be sent requests again."""
 
+SERVED_IN = "goldcrestgrade-served-in"
+"""Seconds for which a node had a relayed request, from its head to its answer."""
+
 ARRIVED = "goldcrestgrade-arrived"
 """Set if the request reached the endpoint itself."""
 
@@ -82,6 +85,7 @@
         RELAY,
         REQUEST_ID,
         RETRY_IN,
+        SERVED_IN,
     }
 )
 """Headers used only between nodes and endpoints; removed in both directions."""
