Keep the warm-up rate of the own endpoint

Cause: an endpoint that returns cold, or becomes cold while it is busy, got requests at full rate and crashed. Change: a module of its own knows whether the endpoint is warm, from heartbeats, health checks and lost connections. Health checks count. The named rate limit and the warm-up apply together, the lower one binds. Services without a warm-up rate see no limit and no further health checks.

--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/endpoint/admission.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/endpoint/admission.py
@@ -17,7 +17,7 @@
 import typing
 
 from goldcrestgrade import instants
-from goldcrestgrade_node.mesh.endpoint import concurrency, rates
+from goldcrestgrade_node.mesh.endpoint import concurrency, start_limits
 from goldcrestgrade_node.mesh.transport import loads
 
 log = logging.getLogger(__name__)
@@ -194,7 +194,7 @@
     def __init__(self, clocks: instants.Clocks) -> None:
         self.clocks = clocks
         self.slots = 1
-        self.rate = rates.RateLimiter(clocks)
+        self.rate = start_limits.StartLimits(clocks)
         self.slowdowns = concurrency.Slowdowns()
         self.limit = 1
         """Concurrency limit: the slots, or fewer if the endpoint then completes more requests."""
@@ -221,9 +221,10 @@
     def load(self) -> loads.Load:
         """Return the load that is reported to other nodes."""
         slots = self.limit
-        if self.rate.rate is not None:
+        rate = self.rate.lowest()
+        if rate is not None:
             # By Little's law, as many requests as this keep the endpoint at its rate.
-            slots = min(slots, max(1, math.ceil(self.rate.rate * self.mean_service_time_s)))
+            slots = min(slots, max(1, math.ceil(rate * self.mean_service_time_s)))
         return loads.Load(self.in_flight, len(self.queue), slots, self.current_pace())
 
     def load_snapshot(self) -> LoadSnapshot:
@@ -527,7 +528,7 @@
         now = self.clocks.monotonic()
         if rate_wait_s <= retry_delay_s:
             return Rejected("saturated", now + retry_delay_s)
-        return Rejected("rate_limited", now + min(rate_wait_s, MAX_RATE_RETRY_DELAY_S))
+        return Rejected(self.rate.reason(), now + min(rate_wait_s, MAX_RATE_RETRY_DELAY_S))
 
     def _resolve(self, queued: QueuedRequest, result: Rejected | None) -> None:
         if not queued.admitted.done():
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/endpoint/endpoints.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/endpoint/endpoints.py
@@ -7,6 +7,7 @@
 import typing
 
 from goldcrestgrade import instants
+from goldcrestgrade_node.mesh.endpoint import coldness
 from goldcrestgrade_node.mesh.transport import signals
 
 log = logging.getLogger(__name__)
@@ -74,6 +75,7 @@
         """Whether the endpoint has answered a request of this node."""
         self.known_to_stay = False
         """Whether a health check has shown that the endpoint does not leave."""
+        self.coldness = coldness.Coldness(clocks)
         self.on_signals: typing.Callable[[signals.Signals], None] = lambda _: None
 
     def record_answer(self, report: signals.Report) -> None:
@@ -156,6 +158,7 @@
                 heartbeat.draining,
             )
         )
+        self.coldness.record_heartbeat(heartbeat.warm_in_s)
         return "taken" if known is not None else "first"
 
     def record_departure(self, endpoint_id: str, born_ms: int | None) -> str:
@@ -195,6 +198,7 @@
 
     def record_refused_connection(self) -> None:
         """Record that the endpoint's address refused a connection."""
+        self.coldness.record_doubt("refused connection")
         if not self.unreachable:
             self.unreachable = True
             self.on_change()
@@ -219,6 +223,7 @@
         self.current = endpoint
         if not _is_same_incarnation(before, endpoint):
             self.answered = self.known_to_stay = False
+            self.coldness.record_doubt("new incarnation", new_incarnation=True)
             self._set_signals(signals.NONE)
         if _visible(before) != _visible(endpoint):
             log.info(
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/endpoint/health.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/endpoint/health.py
@@ -66,14 +66,21 @@
         self.check_requested.set()
 
     def request_pace_check(self) -> None:
-        """Request a check for the endpoint's pace, because admission depends on an old report."""
-        self.pace_check_requested.set()
+        """Request a check for the endpoint's pace, because admission depends on an old report.
+
+        Not while the endpoint is known to be cold, since checks count in its warm-up rate.
+        """
+        if not self.own.coldness.is_known_cold():
+            self.pace_check_requested.set()
 
     async def refresh_pace(self) -> None:
         """Wait until the endpoint has reported its pace, `MAX_PACE_WAIT_S` at most.
 
-        Requests that wait at the same time share one check.
+        Requests that wait at the same time share one check. While the endpoint is known to be cold
+        they don't wait, since checks count in its warm-up rate.
         """
+        if self.own.coldness.is_known_cold():
+            return
         if self.pace_check is None or self.pace_check.done():
             self.pace_check = asyncio.create_task(self.check())
         await asyncio.wait({self.pace_check}, timeout=MAX_PACE_WAIT_S)
@@ -105,6 +112,7 @@
         service = None if table is None else table.services.get(self.own.configured.service)
         if service is None:
             return
+        begun = self.own.coldness.begin_check()
         try:
             async with self.session.get(
                 f"http://{self.own.configured.address}{service.health_path}",
@@ -116,6 +124,7 @@
                 healthy = response.status == 200
                 fields = {name.lower(): value for name, value in response.headers.items()}
                 latest = signals.parse(fields, self.names)
+                cold_s = signals.parse_warm_up_left(fields, self.names)
         except (TimeoutError, aiohttp.ClientError, OSError) as error:
             log.info(
                 "health check failed; the endpoint keeps its previous state",
@@ -132,6 +141,12 @@
         else:
             self.on_missing_load()
         if endpoint_id is not None:
+            # An incarnation that this check makes known is the one that it describes.
+            up_to_date = begun.doubts == self.own.coldness.doubts
             self.own.apply_health_check(endpoint_id, None if load is None else load.slots, healthy)
             self.own.record_health_answer(signals.Report(endpoint_id, latest), healthy)
+            if self.own.current is not None and self.own.current.endpoint_id == endpoint_id:
+                if up_to_date:
+                    begun = begun._replace(doubts=self.own.coldness.doubts)
+                self.own.coldness.record_check(begun, cold_s)
         self.first_check_done.set()
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/endpoint/local.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/endpoint/local.py
@@ -67,6 +67,8 @@
     """Called when a request was sent and no valid answer came back, except after a time-out."""
     on_answered: typing.Callable[[requests.Call], None]
     """Called when the endpoint answered a request."""
+    on_rejected: typing.Callable[[reasons.Refusal], None] = lambda _: None
+    """Called with the reason of a request that is not sent to the endpoint."""
 
 
 class LocalRunner:
@@ -100,7 +102,7 @@
         refused = self._find_refusal(call)
         if refused is not None:
             return self._rejected(call, refused.reason, refused.retry_at)
-        if self.controller.is_pace_outdated():
+        if self.controller.is_pace_outdated() or self.own.coldness.is_check_awaited():
             await self.hooks.refresh_pace()
         elif self.controller.is_health_check_due():
             self.hooks.request_pace_check()
@@ -264,6 +266,7 @@
         retry_at: instants.Instant,
         arrived: bool = False,
     ) -> requests.Served:
+        self.hooks.on_rejected(reason)
         load = self.controller.load()
         log.info(
             "call sent back",
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/endpoint/rates.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/endpoint/rates.py
@@ -27,6 +27,8 @@
         """Requests a second; none if there is no limit."""
         self.tokens = 0.0
         self.updated_at: instants.Instant = 0.0
+        self.burst_s = BURST_S
+        """Time for which an unused part of the rate is kept."""
 
     def set_rate(self, rate: float | None) -> bool:
         """Set the rate in requests a second, and return whether it has changed.
@@ -58,9 +60,17 @@
             self._accrue()
             self.tokens -= 1
 
+    def capacity(self) -> float:
+        """Return the largest number of tokens."""
+        return max(1.0, self.burst_s * (self.rate or 0.0))
+
+    def set_tokens(self, tokens: float) -> None:
+        """Set the number of tokens, below 0 for requests that started without one."""
+        self.tokens, self.updated_at = tokens, self.clocks.monotonic()
+
     def _accrue(self) -> None:
         assert self.rate is not None
         now = self.clocks.monotonic()
         gained = (now - self.updated_at) * self.rate
-        self.tokens = min(max(1.0, BURST_S * self.rate), self.tokens + gained)
+        self.tokens = min(self.capacity(), self.tokens + gained)
         self.updated_at = now
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/node.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/node.py
@@ -16,7 +16,7 @@
 from goldcrestgrade_node import asgi
 from goldcrestgrade_node.attempts import liveness
 from goldcrestgrade_node.mesh import settings
-from goldcrestgrade_node.mesh.endpoint import admission, endpoints, health, local
+from goldcrestgrade_node.mesh.endpoint import admission, coldness, endpoints, health, local
 from goldcrestgrade_node.mesh.entry import app, dispatch, retry_budget
 from goldcrestgrade_node.mesh.state import (
     directory,
@@ -39,6 +39,12 @@
 REGION_RETRY_S = 0.3
 """Delay after which a request that may not run in the region of a node may be retried."""
 
+UNKNOWN_WARM_UP_RETRY_S = 0.1
+"""Delay after which a node that has no configuration yet may be retried."""
+
+COLD_END_MARGIN_S = 0.005
+"""Delay of the health check after a cold time; timers may run early by the clock's resolution."""
+
 FIRST_CHECK_TIMEOUT_S = 0.3
 """Longest wait for the first health check; the first row then says whether the endpoint serves.
 
@@ -130,10 +136,17 @@
             self.on_endpoint_changed,
         )
         self.controller = admission.AdmissionController(self.clocks)
+        self.controller.rate.coldness = self.own.coldness
+        self.own.coldness.on_warm = self.controller.start_queued
+        self.own.coldness.on_cold = self.on_endpoint_cold
+        self.own.coldness.on_change = self.on_warm_up_state
+        self.cold_end: asyncio.TimerHandle | None = None
+        """Health check at the end of a known cold time."""
         self.own.on_signals = self.on_signals
         self.health = health.HealthChecks(
             self.own, lambda: self.table, session, platform.header_names, self.clocks, self.rng
         )
+        self.own.coldness.on_doubt = self.health.request_pace_check
         self.health.on_load = self.controller.apply_load_report
         self.health.on_missing_load = self.controller.record_missing_load
         self.local = local.LocalRunner(
@@ -148,6 +161,7 @@
                 self.health.refresh_pace,
                 self.on_call_broken,
                 self.on_call_answered,
+                self.on_call_rejected,
             ),
             self.clocks,
         )
@@ -183,6 +197,7 @@
         """Apply changed settings; the node listens at changed addresses only after a restart."""
         self.config = config
         self.dispatcher.set_terms(_terms(config))
+        self._apply_warm_up()
 
     # State
 
@@ -228,6 +243,7 @@
                 "region not known; nothing runs there",
                 extra={"place": finding.place, "finding": finding.text},
             )
+        self._apply_warm_up()
         self.counts.configuration_version = table.version
         log.info(
             "configuration in force",
@@ -241,6 +257,31 @@
             self.health.request_check()
         return True
 
+    def _apply_warm_up(self) -> None:
+        """Apply the warm-up of the own endpoint's service."""
+        if self.table is not None:
+            service = self.table.services.get(self.config.service)
+            self.own.coldness.set_terms(
+                coldness.terms(service, self.config.warm_up_overage, self.config.warm_up_slack)
+            )
+
+    def on_endpoint_cold(self, until: instants.Instant) -> None:
+        """Check the endpoint at the end of a cold time, so that its full rate begins at once."""
+        if self.cold_end is not None:
+            self.cold_end.cancel()
+        loop = asyncio.get_running_loop()
+        self.cold_end = loop.call_at(until + COLD_END_MARGIN_S, self.health.request_pace_check)
+
+    def on_warm_up_state(self, state: str) -> None:
+        """Count a change of the own endpoint's warm-up state."""
+        if state == "cold":
+            self.counts.events[reasons.Event.ENDPOINT_COLD] += 1
+
+    def on_call_rejected(self, reason: reasons.Refusal) -> None:
+        """Count a request that the warm-up rate keeps from the own endpoint."""
+        if reason == reasons.Refusal.WARMING_UP:
+            self.counts.events[reasons.Event.WARM_UP_REJECTED] += 1
+
     def on_endpoint_changed(self) -> None:
         """Apply a change of the own endpoint: it started, left, drains or refused a connection."""
         current = self.own.current
@@ -285,6 +326,10 @@
         if self.quarantine.crashes and self.quarantine.is_quarantined(requests.digest(call)):
             retry_at = self.clocks.monotonic() + QUARANTINE_RETRY_S
             return local.Refused(reasons.Refusal.CRASHES_ENDPOINTS, retry_at)
+        if self.table is None and self.config.warm_up_slack > 0:
+            # The warm-up of the service is not known yet.
+            retry_at = self.clocks.monotonic() + UNKNOWN_WARM_UP_RETRY_S
+            return local.Refused(reasons.Refusal.WARMING_UP, retry_at)
         if self.handing_over.is_set():
             retry_at = self.clocks.monotonic() + STOPPING_RETRY_S
             return local.Refused(reasons.Refusal.NODE_STOPPING, retry_at)
@@ -315,6 +360,7 @@
         current = self.own.current
         if reason not in LOST_CONNECTION_REASONS or current is None:
             return
+        self.own.coldness.record_doubt("lost connection")
         task = asyncio.create_task(self._check_for_crash(call, current))
         self.crash_checks.add(task)
         task.add_done_callback(self.crash_checks.discard)
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/transport/signals.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/transport/signals.py
@@ -36,6 +36,12 @@
     return Signals(_parse_rate(fields.get(names.rate_limit)), fields.get(names.leaving) == "1")
 
 
+def parse_warm_up_left(fields: typing.Mapping[str, str], names: dialect.Dialect) -> float | None:
+    """Return the seconds for which an endpoint stays cold, or none if its answer doesn't say."""
+    left_ms = _parse_rate(fields.get(names.warm_up_left))
+    return None if left_ms is None else left_ms / 1000
+
+
 def _parse_rate(text: str | None) -> float | None:
     if text is None or len(text) > MAX_TEXT_CHARS:
         return None
--- a/packages/goldcrestgrade-operator/goldcrestgrade_operator/explanations.py
+++ b/packages/goldcrestgrade-operator/goldcrestgrade_operator/explanations.py
@@ -282,6 +282,14 @@
         "This process was paused for so long that it discarded its entries of other nodes.",
         "Look for a stopped or overloaded instance.",
     ),
+    reasons.Event.ENDPOINT_COLD: Explanation(
+        "The endpoint on this instance became cold, after a start or while it ran.",
+        "None after a start; else look in its log for the reason.",
+    ),
+    reasons.Event.WARM_UP_REJECTED: Explanation(
+        "This node sent a request back since its endpoint is cold and gets its warm-up rate.",
+        "None; the request may go to another instance at once.",
+    ),
 }
 """Explanation of each event that is neither refusal, unknown outcome nor retry."""
 
--- a/packages/goldcrestgrade/goldcrestgrade/reasons.py
+++ b/packages/goldcrestgrade/goldcrestgrade/reasons.py
@@ -87,3 +87,5 @@
     SUSPICION_REFUTED = "suspicion_refuted"
     NODE_ID_REPLACED = "node_id_replaced"
     PAUSED = "paused"
+    ENDPOINT_COLD = "endpoint_cold"
+    WARM_UP_REJECTED = "warm_up_rejected"
