Give the stand-in endpoint a warm-up, and test cold endpoints in a small real fleet

Cause: nothing showed that a cold endpoint gets its warm-up rate only. Change: the stand-in says its cold time in heartbeats and health checks, and crashes above the rule.

--- a/packages/goldcrestgrade-testing/goldcrestgrade_testing/fleet_platform/endpoint.py
+++ b/packages/goldcrestgrade-testing/goldcrestgrade_testing/fleet_platform/endpoint.py
@@ -6,6 +6,8 @@
 import collections
 import contextlib
 import dataclasses
+import itertools
+import math
 import time
 import typing
 
@@ -62,6 +64,18 @@
 
     The endpoint then stops listening and drops its connections.
     """
+    warm_up: WarmUp | None = None
+
+
+class WarmUp(typing.NamedTuple):
+    """How an endpoint behaves while it is cold."""
+
+    seconds: float
+    """Time for which it is cold."""
+    rate: float
+    """Requests a second that it names in the configuration."""
+    crash_above: float = math.inf
+    """Requests in a second, health checks included, above which it crashes."""
 
 
 class Endpoint:
@@ -87,6 +101,12 @@
         """Attempt id, endpoint id and monotonic instant of each request, health checks excluded."""
         self.rate_limits: list[tuple[float, float | None]] = []
         """Monotonic instant and rate of each change of the rate limit; no rate if it ended."""
+        self.cold_until = 0.0
+        """Monotonic instant until which it is cold."""
+        self.cold_arrivals: list[float] = []
+        """Monotonic instants of requests and health checks while cold, without those with 421."""
+        self.crashed_cold = False
+        """Whether it crashed since it got too many requests while cold."""
         self.drain_acknowledged_at: float | None = None
         """Monotonic instant at which the node first answered a heartbeat that reports a drain."""
         self.calling_services: dict[str, str | None] = {}
@@ -120,6 +140,27 @@
         finally:
             self.writers.discard(writer)
 
+    def become_cold(self) -> None:
+        """Begin a warm-up now, as after a start; does nothing without a warm-up."""
+        if self.behaviour.warm_up is not None:
+            self.cold_until = time.monotonic() + self.behaviour.warm_up.seconds
+
+    def _cold_left_ms(self) -> int:
+        return max(0, math.ceil(1000 * (self.cold_until - time.monotonic())))
+
+    async def _crashes_cold(self) -> bool:
+        """Count a request or health check; crash if a cold endpoint got too many in a second."""
+        warm_up, now = self.behaviour.warm_up, time.monotonic()
+        if warm_up is None or now >= self.cold_until:
+            return False
+        self.cold_arrivals.append(now)
+        recent = itertools.takewhile(lambda at: at > now - 1.0, reversed(self.cold_arrivals))
+        if sum(1 for _ in recent) <= warm_up.crash_above:
+            return False
+        self.crashed_cold = True
+        await self.stop()
+        return True
+
     def set_rate_limit(self, rate: float | None) -> None:
         """Name `rate` as the limit in all answers from now on, or no limit if it is none."""
         self.behaviour.rate_limit = rate
@@ -144,7 +185,7 @@
             "status": {
                 "state": "draining" if self.behaviour.draining else "ready",
                 "sequence": self.sequence,
-                "warmup_left": "0ms",
+                "warmup_left": f"{self._cold_left_ms()}ms",
             },
         }
 
@@ -158,7 +199,11 @@
         if request.target == "/healthz":
             ending = self.behaviour.draining or self.behaviour.leaving
             status = "503 Service Unavailable" if ending else "200 OK"
-            self._write(writer, self._encode_answer(b"", status, ""))
+            if await self._crashes_cold():
+                return
+            left_ms = self._cold_left_ms()
+            field = "" if self.behaviour.warm_up is None else f"x-warmup-ms: {left_ms}\r\n"
+            self._write(writer, self._encode_answer(b"", status, "", field))
             return
         self.arrivals.append((attempt_id, self.endpoint_id, time.monotonic()))
         expected = request.field("x-expected-instance")
@@ -166,6 +211,8 @@
         if expected not in (None, self.endpoint_id):
             self._write(writer, self._encode_answer(b"", "421 Misdirected Request", attempt_id))
             return
+        if await self._crashes_cold():
+            return
         if self.in_flight + self.queued >= self.behaviour.slots + self.behaviour.max_queued:
             self._write(
                 writer, self._encode_answer(b"", "503 Busy", attempt_id, "x-not-executed: 1\r\n")
--- a/packages/goldcrestgrade-testing/goldcrestgrade_testing/fleet_platform/fleet.py
+++ b/packages/goldcrestgrade-testing/goldcrestgrade_testing/fleet_platform/fleet.py
@@ -39,6 +39,9 @@
 POLL_INTERVAL_S = 0.05
 """Time between two checks while waiting."""
 
+WARM_UP_SETTINGS = {"warm_up_overage": 1.5, "warm_up_slack": 8}
+"""Settings of nodes in a fleet with a warm-up."""
+
 OPERATOR_DELAY_S = 0.3
 """Time after which the operator notices that the store lacks a configuration."""
 
@@ -99,9 +102,15 @@
     """A deployment on loopback; owned by one event loop."""
 
     def __init__(
-        self, folder: pathlib.Path, proxied: bool = False, start_command: StartCommand | None = None
+        self,
+        folder: pathlib.Path,
+        proxied: bool = False,
+        start_command: StartCommand | None = None,
+        warm_up: endpoint.WarmUp | None = None,
     ) -> None:
         self.folder = folder
+        self.warm_up = warm_up
+        """Warm-up of all services; endpoints are warm when the fleet starts."""
         self.proxied = proxied
         self.start_command = start_command or (sys.executable, str(START_PROGRAM))
         self.rules: list[dict[str, typing.Any]] = []
@@ -200,6 +209,7 @@
                 )
             },
             "resend_slack": 56,
+            **({} if self.warm_up is None else WARM_UP_SETTINGS),
         }
 
     def start_heartbeats(self, instance: Instance) -> None:
@@ -223,9 +233,10 @@
         new_endpoint = endpoint.Endpoint(
             endpoint_id,
             instance.placement.service,
-            endpoint.Behaviour(service_time_s=0.02),
+            endpoint.Behaviour(service_time_s=0.02, warm_up=self.warm_up),
             instance.name,
         )
+        new_endpoint.become_cold()
         await new_endpoint.start(instance.endpoint_port)
         instance.endpoint = new_endpoint
         self.start_heartbeats(instance)
@@ -235,12 +246,13 @@
         self.config_version += 2
         self.rules = list(routes)
         services = sorted({instance.placement.service for instance in self.instances})
+        warm_up = {} if self.warm_up is None else warm_up_fields(self.warm_up)
         self.configuration = {
             "version": self.config_version,
             "limits": {"max_body_bytes": 65536, "idle_timeout": "15000ms"},
             "listeners": [{"hostname": ROUTE_HOSTNAME, "rules": list(routes)}],
             "clusters": [
-                {"name": name, "health_path": "/healthz", "max_connections": 220}
+                {"name": name, "health_path": "/healthz", "max_connections": 220, **warm_up}
                 for name in services
             ],
         }
@@ -370,6 +382,11 @@
         await self.stack.aclose()
 
 
+def warm_up_fields(warm_up: endpoint.WarmUp) -> dict[str, typing.Any]:
+    """Return the fields of a service in a configuration."""
+    return {"warmup": f"{round(1000 * warm_up.seconds)}ms", "warmup_per_s": warm_up.rate}
+
+
 def route(
     name: str, prefix: str, weights: dict[str, int], run_once: bool = False, **action: typing.Any
 ) -> dict[str, typing.Any]:
@@ -392,6 +409,7 @@
     service_time_s: float = 0.02,
     proxied: bool = False,
     start_command: StartCommand | None = None,
+    warm_up: endpoint.WarmUp | None = None,
 ) -> typing.AsyncIterator[Fleet]:
     """Run a fleet with one named instance for each of `placements`, and an initial configuration.
 
@@ -400,11 +418,13 @@
     `FleetNotReady` if the nodes do not serve in time.
     """
     with tempfile.TemporaryDirectory() as folder:
-        fleet = Fleet(pathlib.Path(folder), proxied, start_command)
+        fleet = Fleet(pathlib.Path(folder), proxied, start_command, warm_up)
         try:
             for name, placement in placements.items():
                 await fleet.add_instance(
-                    name, placement, endpoint.Behaviour(service_time_s=service_time_s)
+                    name,
+                    placement,
+                    endpoint.Behaviour(service_time_s=service_time_s, warm_up=warm_up),
                 )
             services = sorted({placement.service for placement in placements.values()})
             fleet.configure(
