Offer few requests to instances that may be cold

Cause: an unknown load looks like an idle instance, so all nodes sent their requests to a failure domain that had just returned cold; most were rejected after a hop, and after three such hops refused. Change: an entry node offers an instance without a load report since its last failure, or with a report of a cold endpoint, requests at a share of the warm-up rate, as long as it may be cold. The share rises while its requests run and falls when they are rejected. Only services that name a warm-up are concerned.

--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/entry/dispatch.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/entry/dispatch.py
@@ -8,9 +8,9 @@
 import typing
 
 from goldcrestgrade import counters, instants, outcomes, reasons, routes
-from goldcrestgrade_node.mesh.entry import placement, retry_budget
+from goldcrestgrade_node.mesh.entry import placement, retry_budget, warming
 from goldcrestgrade_node.mesh.state import directory
-from goldcrestgrade_node.mesh.transport import requests
+from goldcrestgrade_node.mesh.transport import loads, requests
 
 log = logging.getLogger(__name__)
 
@@ -65,6 +65,8 @@
     """Nodes that accepted no request at all."""
     retry_at: instants.Instant = 0.0
     """Earliest instant at which a node that rejected the request may accept it."""
+    withheld: bool = False
+    """Whether it was not offered to an instance that may be cold."""
     last_outcome: outcomes.Outcome | None = None
     """Outcome that is returned if the request can't be sent again."""
 
@@ -92,6 +94,12 @@
         self.service_times_s: dict[str, float] = {}
         """Moving average of latency divided by the endpoint's pace, by service and route."""
         self.budgets: dict[str, retry_budget.RetryBudget] = {}
+        self.own_id = ""
+        """Id of this node, which knows the state of its own endpoint."""
+        self.find_service: typing.Callable[[str], routes.Service | None] = lambda _: None
+        """Returns the service of a name."""
+        self.full_slots: dict[str, int] = {}
+        """Most slots that an endpoint has reported, by services with a warm-up."""
 
     def set_terms(self, terms: retry_budget.Terms) -> None:
         """Set the terms of all retry budgets, present and future ones."""
@@ -135,13 +143,82 @@
             return None
         service_time_s = self.service_times_s.get(_service_time_key(call), INITIAL_SERVICE_TIME_S)
         requirements = placement.Requirements(call.target_at, call.deadline, service_time_s)
+        instances = self._allowed(call)
+        service = self._warm_up(call.service)
+        if service is not None:
+            return self._choose_with_warm_up(instances, service, progress, requirements, now)
         return placement.choose(
-            self.location,
-            self._allowed(call),
-            progress.tried,
-            requirements,
+            self.location, instances, progress.tried, requirements, now, self.rng
+        )
+
+    def _warm_up(self, name: str) -> routes.Service | None:
+        """Return a service if it names a warm-up."""
+        service = self.find_service(name)
+        return service if service is not None and service.warm_up_rate > 0 else None
+
+    def _choose_with_warm_up(
+        self,
+        instances: list[directory.Instance],
+        service: routes.Service,
+        progress: Progress,
+        requirements: placement.Requirements,
+        now: instants.Instant,
+    ) -> placement.Choice | None:
+        """Return the choice among instances that are not cold, or that may get an offer now.
+
+        Without any, one that may be cold is asked if nothing is known of it and no request of this
+        node is there: at most one hop for each node and instance.
+        """
+        nodes = len(self.instances.by_id)
+        left = list(instances)
+        unknown: list[directory.Instance] = []
+        while True:
+            choice = placement.choose(
+                self.location, left, progress.tried, requirements, now, self.rng
+            )
+            if choice is None:
+                progress.withheld = progress.withheld or len(left) < len(instances)
+                return placement.choose(
+                    self.location, unknown, progress.tried, requirements, now, self.rng
+                )
+            instance = choice.instance
+            instance.warming = warming.consider(instance.warming, service, now)
+            if instance.row.node_id == self.own_id or now >= instance.warming.cold_until:
+                return choice
+            offered, instance.warming = warming.draw(
+                instance.warming, service, nodes, now, self.rng.random()
+            )
+            if offered:
+                return choice
+            left.remove(instance)
+            if instance.warming.unproven and not instance.in_flight:
+                unknown.append(instance)
+
+    def _learn_warm_up(
+        self,
+        call: requests.Call,
+        instance: directory.Instance,
+        load: loads.Load,
+        outcome: outcomes.Outcome,
+        now: instants.Instant,
+    ) -> None:
+        service = self._warm_up(call.service)
+        if service is None:
+            return
+        full_slots = max(load.slots, self.full_slots.get(service.name, 0))
+        self.full_slots[service.name] = full_slots
+        service_time_s = self.service_times_s.get(_service_time_key(call), INITIAL_SERVICE_TIME_S)
+        rejected = (
+            isinstance(outcome, outcomes.NotRun) and outcome.reason == reasons.Refusal.WARMING_UP
+        )
+        instance.warming = warming.learn(
+            instance.warming,
+            service,
+            len(self.instances.by_id),
             now,
-            self.rng,
+            warming.shows_cold(load, full_slots, service, service_time_s),
+            rejected,
+            load.waiting > 0,
         )
 
     def _allowed(self, call: requests.Call) -> list[directory.Instance]:
@@ -196,6 +273,7 @@
         if served.load is not None:
             instance.load, instance.load_at = served.load, now
             instance.in_flight_at_load = instance.in_flight
+            self._learn_warm_up(call, instance, served.load, served.outcome, now)
         if served.report is not None:
             self.instances.record_report(instance.row.node_id, served.report)
         match served.outcome:
@@ -241,12 +319,16 @@
         self, call: requests.Call, progress: Progress, now: instants.Instant
     ) -> outcomes.NotRun:
         if progress.rejections or progress.unavailable:
+            if progress.withheld:
+                return outcomes.NotRun(reasons.Refusal.WARMING_UP, progress.retry_at)
             none_saturated = not progress.rejections
             refusal = reasons.Refusal.NO_ENDPOINT if none_saturated else reasons.Refusal.SATURATED
             return outcomes.NotRun(refusal, progress.retry_at)
         instances = self._allowed(call)
         if not instances and call.allowed_regions is not None:
             return outcomes.NotRun(reasons.Refusal.REGION_NOT_ALLOWED, now + NO_INSTANCE_RETRY_S)
+        if progress.withheld:
+            return outcomes.NotRun(reasons.Refusal.WARMING_UP, now + NO_INSTANCE_RETRY_S)
         earliest = min((i.backoff_until for i in instances if not i.failures), default=0.0)
         retry_at = earliest if earliest > now else now + NO_INSTANCE_RETRY_S
         reason = reasons.Refusal.SATURATED if earliest > now else reasons.Refusal.NO_ENDPOINT
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/node.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/node.py
@@ -180,6 +180,12 @@
             self.counts,
             self.rng,
         )
+        self.dispatcher.own_id = config.node_id
+        self.dispatcher.find_service = self.find_service
+
+    def find_service(self, name: str) -> routes.Service | None:
+        """Return the service of a name in the configuration in force."""
+        return None if self.table is None else self.table.services.get(name)
 
     def _initial_row(self, now: instants.WallInstant) -> directory.InstanceRow:
         host, _, port = self.config.relay.rpartition(":")
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/state/directory.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/state/directory.py
@@ -47,6 +47,19 @@
     """Wall clock of the node's start, in milliseconds."""
 
 
+class Warming(typing.NamedTuple):
+    """What an entry node knows of one instance's warm-up."""
+
+    unproven: bool = True
+    """Whether no load was reported since the instance appeared, failed or served again."""
+    cold_until: instants.Instant = 0.0
+    """Latest instant until which it may be cold, as far as is known."""
+    considered_at: instants.Instant = 0.0
+    """When this node last considered offering it a request while it may be cold."""
+    offer_rate: float = 0.0
+    """Requests a second that this node offers it meanwhile; 0 if that was not set yet."""
+
+
 @dataclasses.dataclass(slots=True)
 class Instance:
     """An instance with its observed load and failures; owned by the node's event loop."""
@@ -67,6 +80,7 @@
     """Its node rejected a request; no others are sent there until then."""
     next_probe_at: instants.Instant = 0.0
     """After a failure it is not probed before then, and not used until a probe succeeds."""
+    warming: Warming = dataclasses.field(default_factory=Warming)
 
     @property
     def address(self) -> str:
@@ -121,6 +135,8 @@
             known.position = change.position
             return
         else:
+            if row.serving and not known.row.serving:
+                known.warming = Warming()
             known.row, known.position = row, change.position
         log.info(
             "instance known" if row else "instance removed",
@@ -139,6 +155,7 @@
     def record_unreachable(self, instance: Instance, now: instants.Instant) -> None:
         """Record that an instance was unreachable, and set its backoff."""
         instance.failures += 1
+        instance.warming = Warming()
         backoff_s = min(BACKOFF_LIMIT_S, BACKOFF_BASE_S * 2 ** (instance.failures - 1))
         instance.next_probe_at = now + backoff_s
         log.warning(
