Add cold returns to the fault soak, with a check that a seeded defect fails

Cause: the soak never made an endpoint cold, so nothing showed that the warm-up rate holds under faults. Change: faults of the kind `cold`: an endpoint becomes cold while it runs, or returns cold, with or without a restart of its node. The soak's services name a warm-up, and a check counts the requests and health checks of cold endpoints in each second, except while their link was disturbed.

--- a/packages/goldcrestgrade-testing/goldcrestgrade_testing/fault_soak/checks.py
+++ b/packages/goldcrestgrade-testing/goldcrestgrade_testing/fault_soak/checks.py
@@ -49,6 +49,15 @@
 KNOWN_DELAY_S = 0.5
 """Time after an instance has passed on an answer from which it is bound by what the answer says."""
 
+WARM_UP_WINDOW_S = 1.0
+"""Length of the windows in which the requests at a cold endpoint are counted."""
+
+MAX_COLD_REQUESTS = 17
+"""Requests and health checks that a cold endpoint may get in a window: 6 x 1.5 + 8.
+
+These are the warm-up rate of the soak, and the overage and the slack in `fleet.WARM_UP_SETTINGS`.
+"""
+
 EXCUSING_KINDS = frozenset({"kill", "stop", "pause"})
 """Kinds of fault after which an instance is bound by new answers only."""
 
@@ -182,6 +191,19 @@
                 )
 
 
+def over_warm_up_rate(observed: history.History) -> typing.Iterator[str]:
+    """Find cold endpoints that got more requests and health checks than their warm-up allows.
+
+    Windows in which the link to the endpoint held requests up are left out.
+    """
+    for endpoint_id, arrivals in observed.cold_arrivals.items():
+        for last, at in enumerate(arrivals):
+            window = history.Span(at - WARM_UP_WINDOW_S, at)
+            counted = last + 1 - bisect.bisect_right(arrivals, window.begin)
+            if counted > MAX_COLD_REQUESTS and not _was_held_up(observed, endpoint_id, window):
+                yield f"{endpoint_id} got {counted} requests in a second while it was cold"
+
+
 def sent_after_leaving(observed: history.History) -> typing.Iterator[str]:
     """Find requests that reached a leaving endpoint although their instance knew that it leaves.
 
@@ -301,6 +323,7 @@
         route_forgotten,
         lost_at_planned_stop,
         over_rate_limit,
+        over_warm_up_rate,
         sent_after_leaving,
         not_recovered,
     )
--- a/packages/goldcrestgrade-testing/goldcrestgrade_testing/fault_soak/history.py
+++ b/packages/goldcrestgrade-testing/goldcrestgrade_testing/fault_soak/history.py
@@ -97,3 +97,5 @@
     """Changes of its rate limit by endpoint id, in order."""
     hosts: typing.Mapping[str, str] = {}
     """Name of the instance that runs an endpoint, by endpoint id."""
+    cold_arrivals: typing.Mapping[str, typing.Sequence[Instant]] = {}
+    """When cold endpoints got requests and health checks, by endpoint id, in order."""
--- a/packages/goldcrestgrade-testing/goldcrestgrade_testing/fault_soak/injection.py
+++ b/packages/goldcrestgrade-testing/goldcrestgrade_testing/fault_soak/injection.py
@@ -65,6 +65,8 @@
             return _leave(running_fleet, instance, fault.variant)
         case "crash":
             await _replace_endpoint(running_fleet, instance)
+        case "cold":
+            return await _make_cold(running_fleet, instance, fault.variant)
         case "configure":
             running_fleet.add_route()
         case "reload":
@@ -128,6 +130,19 @@
     return lambda: _replace_endpoint(running_fleet, instance)
 
 
+async def _make_cold(
+    running_fleet: fleet.Fleet, instance: fleet.Instance, variant: int
+) -> EndFault:
+    """Have an endpoint become cold while it runs, or return cold, and restart its node or not."""
+    if variant % 3 == 0:
+        instance.endpoint.become_cold()
+        return _no_op
+    await _replace_endpoint(running_fleet, instance)
+    if variant % 3 == 1:
+        return _no_op
+    return await _end_process(running_fleet, instance, kill=True)
+
+
 def _set_mode(link: proxy.Proxy, mode: proxy.Mode, delay_s: float = 0.0) -> EndFault:
     link.set_mode(mode, delay_s)
 
--- a/packages/goldcrestgrade-testing/goldcrestgrade_testing/fault_soak/plan.py
+++ b/packages/goldcrestgrade-testing/goldcrestgrade_testing/fault_soak/plan.py
@@ -30,6 +30,7 @@
     "limit",
     "leave",
     "crash",
+    "cold",
     "configure",
     "reload",
 )
@@ -73,7 +74,8 @@
 
     It gives the answer fault and its count for the kind `answers`, the age of the copy and the time
     away for the kind `store_restore`, the rates for the kind `limit`, and for the
-    kind `leave` whether the heartbeats say so too.
+    kind `leave` whether the heartbeats say so too. For the kind `cold` it selects whether the
+    endpoint becomes cold while it runs, or returns cold after its node has restarted or not.
     """
 
 
--- a/packages/goldcrestgrade-testing/goldcrestgrade_testing/fault_soak/soak.py
+++ b/packages/goldcrestgrade-testing/goldcrestgrade_testing/fault_soak/soak.py
@@ -9,7 +9,7 @@
 import typing
 
 from goldcrestgrade_testing.fault_soak import checks, history, injection, plan
-from goldcrestgrade_testing.fleet_platform import fleet
+from goldcrestgrade_testing.fleet_platform import endpoint, fleet
 
 REGIONS = {"khomas-a": "khomas", "khomas-b": "khomas", "oshana-a": "oshana"}
 """Region of each failure domain."""
@@ -41,6 +41,9 @@
 SERVICE_TIME_S = 0.05
 """Time that an endpoint at normal pace works on a request."""
 
+WARM_UP = endpoint.WarmUp(seconds=2.0, rate=6.0)
+"""Warm-up of all services. Cold endpoints don't crash, so that a check can count their requests."""
+
 RECOVERY_TIMEOUT_S = 15.0
 """Documented time within which all instances serve again after the last fault."""
 
@@ -158,12 +161,12 @@
         all_endpoints = [*self.fleet.former_endpoints, *(i.endpoint for i in self.fleet.instances)]
         return history.History(
             self.requests,
-            [history.Run(*run) for endpoint in all_endpoints for run in endpoint.started_runs],
+            [history.Run(*run) for one in all_endpoints for run in one.started_runs],
             [history.Route(*route) for route in self.fleet.added_routes],
             {
-                endpoint.endpoint_id: endpoint.drain_acknowledged_at
-                for endpoint in all_endpoints
-                if endpoint.drain_acknowledged_at is not None
+                one.endpoint_id: one.drain_acknowledged_at
+                for one in all_endpoints
+                if one.drain_acknowledged_at is not None
             },
             self.injected_faults,
             self.stalls,
@@ -175,6 +178,7 @@
                 if one.rate_limits
             },
             {one.endpoint_id: one.instance for one in all_endpoints},
+            {one.endpoint_id: one.cold_arrivals for one in all_endpoints if one.cold_arrivals},
         )
 
 
@@ -208,7 +212,11 @@
     Raises `fleet.FleetNotReady` if the nodes do not serve before the first fault.
     """
     async with fleet.running(
-        placements(size), SERVICE_TIME_S, proxied=True, start_command=start_command
+        placements(size),
+        SERVICE_TIME_S,
+        proxied=True,
+        start_command=start_command,
+        warm_up=WARM_UP,
     ) as running_fleet:
         observed = await Soak(running_fleet, rng).play(faults)
         logs = {
--- a/packages/goldcrestgrade-testing/tests/fault_soak/test_checks.py
+++ b/packages/goldcrestgrade-testing/tests/fault_soak/test_checks.py
@@ -65,6 +65,7 @@
         ANSWERED._replace(status=0), injected_faults=[injected("stop")]
     ),
     "over_rate_limit": limited([(9.0, 2.0)], evenly(18, 11.0, 14.9)),
+    "over_warm_up_rate": observed(ANSWERED, cold_arrivals={"e1": evenly(18, 11.0, 11.9)}),
     "sent_after_leaving": leaving(),
     "not_recovered": EMPTY._replace(recovered={"n1": False}),
 }
@@ -126,6 +127,13 @@
         limited(
             [(9.0, 2.0)], evenly(18, 11.0, 14.9), injected_faults=[injected("link_delay", "n2")]
         ),
+        observed(ANSWERED, cold_arrivals={"e1": [*evenly(17, 11.0, 11.9), 12.0]}),
+        observed(
+            ANSWERED,
+            cold_arrivals={"e1": evenly(18, 11.0, 11.9)},
+            hosts={"e1": "n2"},
+            injected_faults=[injected("link_requests", "n2")],
+        ),
     ],
 )
 def test_allowed_history_violates_nothing(allowed):
--- a/packages/goldcrestgrade-testing/tests/fault_soak/test_mutations.py
+++ b/packages/goldcrestgrade-testing/tests/fault_soak/test_mutations.py
@@ -176,6 +176,17 @@
 """,
         [plan.Fault("limit", 0, 1.0, 10.0, 0)],
     ),
+    "over_warm_up_rate": Mutation(
+        """
+from goldcrestgrade_node.mesh.endpoint import coldness
+coldness.MAX_STATEMENT_AGE_S = 60.0
+coldness.Coldness.is_check_due = lambda self: False
+coldness.Coldness.record_heartbeat = lambda self, left_s: None
+terms = coldness.terms
+coldness.terms = lambda *of: (found := terms(*of)) and found._replace(max_unverified=10**9)
+""",
+        [plan.Fault("cold", 0, 1.0 + n * 2.5, 3.0 + n * 2.5, 0) for n in range(3)],
+    ),
     "sent_after_leaving": Mutation(
         """
 from goldcrestgrade_node.mesh.transport import signals
--- a/packages/goldcrestgrade-testing/tests/fault_soak/test_soak.py
+++ b/packages/goldcrestgrade-testing/tests/fault_soak/test_soak.py
@@ -54,6 +54,19 @@
     assert limited
 
 
+COLD = [plan.Fault("cold", 0, at, at + 1.5, variant) for at, variant in ((3.0, 0), (6.0, 1))]
+"""The endpoint of the first instance becomes cold while it runs, and then returns cold."""
+
+
+@pytest.mark.parametrize("name", DISTURBANCES)
+async def test_cold_endpoint_gets_no_more_than_its_warm_up_allows(name):
+    """Guards against nodes that lose or miss the cold time of an endpoint under a disturbance."""
+    faults = sorted([*COLD, *DISTURBANCES[name]], key=lambda fault: fault.begin_s)
+    result = await soak.play(faults, random.Random(1))
+    assert result.violations == []
+    assert any(result.observed.cold_arrivals.values())
+
+
 @pytest.mark.parametrize("name", DISTURBANCES)
 async def test_leaving_endpoint_gets_no_more_requests(name):
     faults = sorted([LEAVE, *DISTURBANCES[name]], key=lambda fault: fault.begin_s)
