Test the warm-up state of an endpoint against lagging and outdated statements

Cause: the bounds on how long and for how many requests a health check counts had no test of their own. Change: tests of the state, and of the lower one of two limits. Result: they pass.

--- /dev/null
+++ b/packages/goldcrestgrade-node/tests/mesh/test_coldness.py
@@ -0,0 +1,99 @@
+"""What a node knows of its endpoint's warm-up, and how fast requests start meanwhile."""
+
+import pytest
+
+from goldcrestgrade import instants, reasons, routes
+from goldcrestgrade_node.mesh.endpoint import coldness, start_limits
+
+SERVICE = routes.Service("archive", "/healthz", 9, 3.0, 6.0)
+TERMS = coldness.terms(SERVICE, 1.5, 8)
+
+
+class Clock:
+    """A clock that tests advance."""
+
+    now = 50.0
+
+    def clocks(self):
+        return instants.Clocks(lambda: self.now, lambda: self.now)
+
+
+@pytest.fixture
+def clock():
+    return Clock()
+
+
+@pytest.fixture
+def cold(clock):
+    state = coldness.Coldness(clock.clocks())
+    state.set_terms(TERMS)
+    return state
+
+
+def start_all(limiter):
+    """Return how many requests start at once."""
+    count = 0
+    while limiter.wait_s() == 0 and count < 100:
+        limiter.acquire()
+        count += 1
+    return count
+
+
+def test_service_without_a_warm_up_has_no_limit(clock):
+    state = coldness.Coldness(clock.clocks())
+    state.set_terms(coldness.terms(SERVICE._replace(warm_up_rate=0.0), 1.5, 8))
+    assert start_all(state) == 100
+
+
+def test_health_check_allows_a_bounded_number_of_requests_for_a_bounded_time(cold, clock):
+    """Guards against a full rate at an endpoint that becomes cold after it was checked."""
+    cold.record_check(cold.begin_check(), 0.0)
+    assert start_all(cold) == TERMS.max_unverified - 1
+    cold.record_check(cold.begin_check(), 0.0)
+    clock.now += coldness.MAX_STATEMENT_AGE_S + 0.01
+    assert start_all(cold) <= TERMS.rate * TERMS.burst_s
+
+
+def test_requests_after_a_health_check_count_once_the_endpoint_is_cold(cold, clock):
+    """Guards against a burst on top of the requests that a warm endpoint got just before."""
+    cold.record_check(cold.begin_check(), 0.0)
+    started = start_all(cold)
+    cold.record_check(cold.begin_check(), 3.0)
+    clock.now += 1.0
+    assert started + start_all(cold) <= 13
+
+
+def test_check_from_before_an_event_or_a_later_check_shows_no_warm_endpoint(cold):
+    """Guards against answers that describe an earlier state of the endpoint."""
+    before_reset, later = cold.begin_check(), cold.begin_check()
+    cold.record_doubt("lost connection")
+    cold.record_check(later, 0.0)
+    assert cold.state() == "unknown"
+    cold.record_check(cold.begin_check(), 2.0)
+    cold.record_check(before_reset, 0.0)
+    assert cold.state() == "cold"
+
+
+def test_lagging_heartbeats_neither_shorten_a_cold_time_nor_end_a_warm_one(cold, clock):
+    """Guards against heartbeats that were sent before a health check was answered."""
+    cold.record_check(cold.begin_check(), 2.0)
+    cold.record_heartbeat(0.0)
+    cold.record_heartbeat(0.5)
+    clock.now += 1.9
+    assert cold.state() == "cold"
+    clock.now += 0.2
+    cold.record_check(cold.begin_check(), 0.0)
+    cold.record_heartbeat(1.0)
+    assert cold.state() == "unknown"
+    cold.record_check(cold.begin_check(), 0.0)
+    assert cold.state() == "warm"
+
+
+def test_lower_one_of_rate_limit_and_warm_up_applies(clock):
+    """Guards against a named rate limit that hides the warm-up rate, or the reverse."""
+    limits = start_limits.StartLimits(clock.clocks())
+    limits.coldness.set_terms(TERMS)
+    assert (limits.lowest(), limits.reason()) == (6.0, reasons.Refusal.WARMING_UP)
+    limits.set_rate(2.0)
+    assert (limits.lowest(), limits.reason()) == (2.0, reasons.Refusal.RATE_LIMITED)
+    assert limits.wait_s() == pytest.approx(0.5)
