Evacuate failure domains, and skip domains that are cut off

Operators can evacuate a failure domain by a row beside the configuration, and a domain that is cut off cost each request several connection time-outs.

Evacuation rows reach all nodes with the configuration, ordered by position. Entry nodes skip evacuated domains, the endpoint's node refuses with `evacuated`, and requests return over 6 s after the end. A domain with three silent instances and no response in between is not offered requests until it responds, and requests that wait for a connection there go on. A restarted node reads the configuration from the store if a peer's is older than 1.1 s.

The stub of a peer in test_watch now records the age that a peer states, as the real poll does; its assertion is unchanged, and an old answer has its own case.

--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/endpoint/local.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/endpoint/local.py
@@ -146,13 +146,20 @@
             self._prepare(call, endpoint.endpoint_id, started),
             call.deadline,
             RUN_ONCE_MAX_IDLE_S if call.run_once else IDEMPOTENT_MAX_IDLE_S,
-            lambda: self.own.usable() == endpoint and self.clocks.monotonic() < call.deadline,
+            lambda: (
+                self.own.usable() == endpoint
+                and self.clocks.monotonic() < call.deadline
+                and self.hooks.refusal_for(call) is None
+            ),
         )
         load = loads.parse(transferred.fields.get(self.header_names.load))
         if load is not None:
             self.controller.apply_load_report(load)
         match transferred.result:
             case results.Unreachable(text=text):
+                refused = None if text == transfer.REFUSED else self.hooks.refusal_for(call)
+                if refused is not None:
+                    return self._rejected(call, refused.reason, refused.retry_at)
                 return self._unreachable(call, text)
             case results.Broken(reason=reason):
                 return self._broken(call, reason, started)
@@ -230,7 +237,7 @@
             "endpoint unreachable; request rejected",
             extra={"request_id": call.attempt_id, "error": text},
         )
-        if text == "refused":
+        if text == transfer.REFUSED:
             self.own.record_refused_connection()
             self.pool.close_idle()
         self.hooks.request_health_check()
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/entry/dispatch.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/entry/dispatch.py
@@ -8,8 +8,8 @@
 import typing
 
 from goldcrestgrade import counters, instants, outcomes, reasons, routes
-from goldcrestgrade_node.mesh.entry import placement, retry_budget
-from goldcrestgrade_node.mesh.state import directory
+from goldcrestgrade_node.mesh.entry import evacuation_ramp, placement, reachability, retry_budget
+from goldcrestgrade_node.mesh.state import directory, evacuations
 from goldcrestgrade_node.mesh.transport import requests
 
 log = logging.getLogger(__name__)
@@ -29,6 +29,15 @@
 NO_INSTANCE_RETRY_S = 0.3
 """Delay after which a client may retry if no instance is usable or the retry budget is spent."""
 
+EVACUATED_RETRY_S = 1.0
+"""Delay after which a client may retry if all failure domains for its request are evacuated.
+
+Operators end evacuations; they last much longer than a client waits.
+"""
+
+DOMAIN_UNREACHABLE_RETRY_S = 0.5
+"""Delay after which a client may retry if no failure domain with the service responds."""
+
 UNAVAILABLE_REASONS = frozenset(
     {
         reasons.Refusal.NO_ENDPOINT,
@@ -81,7 +90,13 @@
         clocks: instants.Clocks,
         counts: counters.Counts,
         rng: random.Random,
+        evacuated: evacuations.Evacuations | None = None,
+        reached: reachability.Reachability | None = None,
     ) -> None:
+        self.evacuations = evacuated or evacuations.Evacuations(clocks, counts)
+        self.reachability = reached or reachability.Reachability(
+            "", location.failure_domain, instances.failure_domains, counts
+        )
         self.location = location
         self.instances = instances
         self.serve = serve
@@ -135,16 +150,46 @@
             return None
         service_time_s = self.service_times_s.get(_service_time_key(call), INITIAL_SERVICE_TIME_S)
         requirements = placement.Requirements(call.target_at, call.deadline, service_time_s)
-        return placement.choose(
-            self.location,
-            self._allowed(call),
-            progress.tried,
-            requirements,
-            now,
-            self.rng,
-        )
+
+        def choose_of(offered: list[directory.Instance]) -> placement.Choice | None:
+            return placement.choose(
+                self.location, offered, progress.tried, requirements, now, self.rng
+            )
+
+        instances = self._allowed(call)
+        held_back = self._held_back(now)
+        if not held_back:
+            return choose_of(instances)
+        others = [i for i in instances if i.row.place.failure_domain not in held_back]
+        return choose_of(others) or choose_of(instances)
+
+    def _held_back(self, now: instants.Instant) -> set[str]:
+        """Draw the failure domains that get no part of an attempt after their evacuation."""
+        held_back = set()
+        for domain, ended_at in list(self.evacuations.ended_at.items()):
+            share = evacuation_ramp.share(now - ended_at)
+            if share >= 1.0:
+                del self.evacuations.ended_at[domain]
+            elif self.rng.random() >= share:
+                held_back.add(domain)
+        return held_back
 
     def _allowed(self, call: requests.Call) -> list[directory.Instance]:
+        """Return the instances of the service to which the request may be offered."""
+        found = self._not_evacuated(call)
+        if self.reachability.unreachable:
+            found = [instance for instance in found if self.reachability.is_offered(instance)]
+        return found
+
+    def _not_evacuated(self, call: requests.Call) -> list[directory.Instance]:
+        """Return the instances of the service that are not evacuated, in the allowed regions."""
+        found = self._in_regions(call)
+        if self.evacuations.domains:
+            evacuated = self.evacuations.domains
+            found = [i for i in found if i.row.place.failure_domain not in evacuated]
+        return found
+
+    def _in_regions(self, call: requests.Call) -> list[directory.Instance]:
         """Return the instances of the service in regions where the request may run."""
         return placement.allowed(self.instances.of_service(call.service), call.allowed_regions)
 
@@ -240,11 +285,17 @@
     def _no_instance_left(
         self, call: requests.Call, progress: Progress, now: instants.Instant
     ) -> outcomes.NotRun:
+        instances = self._allowed(call)
+        if not instances and self._in_regions(call):
+            if not self._not_evacuated(call):
+                return outcomes.NotRun(reasons.Refusal.EVACUATED, now + EVACUATED_RETRY_S)
+            return outcomes.NotRun(
+                reasons.Refusal.DOMAIN_UNREACHABLE, now + DOMAIN_UNREACHABLE_RETRY_S
+            )
         if progress.rejections or progress.unavailable:
             none_saturated = not progress.rejections
             refusal = reasons.Refusal.NO_ENDPOINT if none_saturated else reasons.Refusal.SATURATED
             return outcomes.NotRun(refusal, progress.retry_at)
-        instances = self._allowed(call)
         if not instances and call.allowed_regions is not None:
             return outcomes.NotRun(reasons.Refusal.REGION_NOT_ALLOWED, now + NO_INSTANCE_RETRY_S)
         earliest = min((i.backoff_until for i in instances if not i.failures), default=0.0)
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/node.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/node.py
@@ -17,16 +17,25 @@
 from goldcrestgrade_node.attempts import liveness
 from goldcrestgrade_node.mesh import settings
 from goldcrestgrade_node.mesh.endpoint import admission, endpoints, health, local
-from goldcrestgrade_node.mesh.entry import app, dispatch, retry_budget
+from goldcrestgrade_node.mesh.entry import app, dispatch, reachability, retry_budget
 from goldcrestgrade_node.mesh.state import (
     directory,
+    evacuations,
     quarantine,
     registration,
     replica,
     restoration,
     watch,
 )
-from goldcrestgrade_node.mesh.transport import connections, dialect, peers, relay, requests, signals
+from goldcrestgrade_node.mesh.transport import (
+    connections,
+    dialect,
+    peers,
+    relay,
+    requests,
+    signals,
+    transfer,
+)
 
 log = logging.getLogger(__name__)
 
@@ -39,6 +48,9 @@
 REGION_RETRY_S = 0.3
 """Delay after which a request that may not run in the region of a node may be retried."""
 
+EVACUATED_RETRY_S = 0.3
+"""Delay after which a request that an evacuated endpoint rejected may be sent there again."""
+
 FIRST_CHECK_TIMEOUT_S = 0.3
 """Longest wait for the first health check; the first row then says whether the endpoint serves.
 
@@ -100,6 +112,8 @@
         self.table: routes.RouteTable | None = None
         self.location = directory.Location(config.failure_domain, config.region)
         self.instances = directory.Directory()
+        self.evacuations = evacuations.Evacuations(self.clocks, self.counts)
+        self.evacuations.on_started = self.on_evacuation_started
         self.replica = replica.Replica(self.on_row_changed, self.clocks)
         self.sync = watch.Sync(
             config.node_id,
@@ -154,8 +168,19 @@
         self.quarantine = quarantine.Quarantine(platform.store, self.clocks)
         self.crash_checks: set[asyncio.Task[None]] = set()
         self.relay = relay.RelayClient(platform.header_names, self.clocks)
+        self.relay.on_unreachable = self.on_node_unreachable
+        self.reachability = reachability.Reachability(
+            config.node_id, config.failure_domain, self.instances.failure_domains, self.counts
+        )
+        self.reachability.on_unreachable = self.on_domain_unreachable
+        self.reachability.on_reached = self.on_domain_reached
         self.prober = peers.Prober(
-            config.node_id, self.instances, session, platform.store, self.clocks
+            config.node_id,
+            self.instances,
+            session,
+            platform.store,
+            self.clocks,
+            self.reachability,
         )
         self.dispatcher = dispatch.Dispatcher(
             self.location,
@@ -165,6 +190,8 @@
             self.clocks,
             self.counts,
             self.rng,
+            self.evacuations,
+            self.reachability,
         )
 
     def _initial_row(self, now: instants.WallInstant) -> directory.InstanceRow:
@@ -189,6 +216,9 @@
     def on_row_changed(self, change: tables.Change) -> bool:
         """Apply a change of a shared row, and return whether the replica keeps it."""
         if change.table == replica.CONFIGURATION:
+            if change.key.startswith(evacuations.KEY_PREFIX):
+                self.evacuations.apply_change(change)
+                return True
             if change.key != replica.CURRENT or change.value is None:
                 return change.key != replica.CURRENT
             return self._apply_configuration(change.value, change.position)
@@ -200,6 +230,11 @@
                 self.registration.on_own_row_change(change)
         return True
 
+    def on_evacuation_started(self, failure_domain: str) -> None:
+        """Hand the queued requests back at once if the own failure domain is evacuated."""
+        if failure_domain == self.config.failure_domain:
+            self.controller.reject_queued(reasons.Refusal.EVACUATED)
+
     def on_store_era(self, era: int) -> None:
         """Record that the store is in a new era."""
         self.counts.store_era = era
@@ -271,7 +306,31 @@
         """Have the node of `instance` serve a request; return none if the node was unreachable."""
         if instance.row.node_id == self.config.node_id:
             return await self.local.serve(call)
-        return await self.relay.serve(instance.address, call)
+        served = await self.relay.serve(instance.address, call)
+        if served is not None and served.load is not None:
+            # Only an answer of the node states a load.
+            self.reachability.record_response(instance.row.place.failure_domain)
+        return served
+
+    def on_node_unreachable(self, address: str, text: str) -> None:
+        """Record what an unsuccessful connection attempt says of a failure domain."""
+        for instance in self.instances.by_id.values():
+            if instance.address == address:
+                domain = instance.row.place.failure_domain
+                if text == transfer.SILENT:
+                    self.reachability.record_silence(domain, instance.row.node_id)
+                elif text == transfer.REFUSED:
+                    self.reachability.record_response(domain)
+
+    def on_domain_unreachable(self, failure_domain: str) -> None:
+        """Have requests that wait for a connection to a failure domain go on to others."""
+        for instance in self.instances.of_failure_domain(failure_domain):
+            self.relay.abandon_connecting(instance.address)
+
+    def on_domain_reached(self, failure_domain: str) -> None:
+        """Probe all instances of a failure domain that were not reached."""
+        for instance in self.instances.of_failure_domain(failure_domain):
+            instance.next_probe_at = 0.0
 
     async def run_call(self, call: requests.Call, attempts: int) -> outcomes.Outcome:
         """Run a request of a client, unless it is quarantined since it crashes endpoints."""
@@ -288,6 +347,9 @@
         if self.handing_over.is_set():
             retry_at = self.clocks.monotonic() + STOPPING_RETRY_S
             return local.Refused(reasons.Refusal.NODE_STOPPING, retry_at)
+        if self.config.failure_domain in self.evacuations.domains:
+            retry_at = self.clocks.monotonic() + EVACUATED_RETRY_S
+            return local.Refused(reasons.Refusal.EVACUATED, retry_at)
         if not self.is_region_allowed(call):
             retry_at = self.clocks.monotonic() + REGION_RETRY_S
             return local.Refused(reasons.Refusal.REGION_NOT_ALLOWED, retry_at)
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/state/directory.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/state/directory.py
@@ -136,6 +136,14 @@
         """Return the instances whose endpoint serves `service`."""
         return self.by_service.get(service, [])
 
+    def failure_domains(self) -> set[str]:
+        """Return the failure domains of all instances."""
+        return {instance.row.place.failure_domain for instance in self.by_id.values()}
+
+    def of_failure_domain(self, failure_domain: str) -> list[Instance]:
+        """Return the instances of a failure domain."""
+        return [i for i in self.by_id.values() if i.row.place.failure_domain == failure_domain]
+
     def record_unreachable(self, instance: Instance, now: instants.Instant) -> None:
         """Record that an instance was unreachable, and set its backoff."""
         instance.failures += 1
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/state/replica.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/state/replica.py
@@ -12,9 +12,10 @@
 
 from goldcrestgrade import instants
 from goldcrestgrade.storage import tables
+from goldcrestgrade_node.mesh.state import evacuations
 
 CONFIGURATION = "configuration"
-"""Table that holds the configuration in force."""
+"""Table of the operator: the configuration in force, and the rows of evacuations."""
 
 CURRENT = "current"
 """Key of the configuration in force."""
@@ -28,6 +29,9 @@
 MAX_TOMBSTONES = 4096
 """Largest number of tombstones of removed rows, from which peers learn of the removals."""
 
+MAX_KNOWN_VERSIONS = 16
+"""Largest number of versions of an operator's row that are remembered."""
+
 LOST_ROW_LIFETIME_S = 2.0
 """Time from the first snapshot of an era for which a row that the store has lost stays in use."""
 
@@ -48,6 +52,8 @@
         """State in use of each row; one of an earlier era than its table's is lost in the store."""
         self.store_rows: dict[RowKey, tables.Change] = {}
         """State in the store of each lost row; missing if the store has no such row."""
+        self.known_versions: dict[RowKey, set[int]] = {}
+        """Versions at which a row of the operator, other than the configuration, was known."""
         self.positions = dict.fromkeys(TABLES, tables.START)
         """Position up to which each table is complete."""
         self.latest_changes = dict.fromkeys(TABLES, tables.START)
@@ -114,7 +120,7 @@
     def drop_lost_rows(self) -> None:
         """Replace each lost row by its state in the store, since nobody has written it again.
 
-        The configuration stays, because it never goes back.
+        The configuration and evacuations stay, because they never go back.
         """
         self.lost_rows_end_at = instants.NEVER
         lost = [row for row in self.lost_rows() if row.table == MESH]
@@ -147,8 +153,8 @@
     def changes_since(self, table: str, after: tables.Position) -> tables.Changes:
         """Return the changes of a table in the store after `after`.
 
-        If `after` is of an earlier era, these are all its rows. A configuration in use that the
-        store has lost is always included.
+        If `after` is of an earlier era, these are all its rows. Rows and removals of the operator
+        that are in use and that the store has lost are always included.
         """
         in_store = (
             row if self._is_in_store(row) else self.store_rows.get(row_key)
@@ -177,8 +183,9 @@
             self.store_rows.pop(row_key, None)
             if row.key in in_store:
                 self.store_rows[row_key] = in_store[row.key]
-            elif row.value is None:
-                # The row is missing from the store, as it should be.
+            elif row.value is None and table == MESH:
+                # The row is missing from the store, as it should be. Removals of operator's rows
+                # stay, so that a peer that missed one does not bring the row back.
                 del self.rows[row_key]
         if table == MESH and known:
             self.lost_rows_end_at = self.clocks.monotonic() + LOST_ROW_LIFETIME_S
@@ -190,6 +197,8 @@
             row_key = change.table, change.key
             before = self.rows.get(row_key)
             self.rows[row_key] = change
+            if change.table == CONFIGURATION and change.value is not None:
+                self._record_version(change)
             if self._is_in_store(change):
                 self.store_rows.pop(row_key, None)
                 self.latest_changes[change.table] = max(
@@ -214,8 +223,7 @@
         known = self.rows.get((change.table, change.key))
         if known is None or change.position > known.position:
             return True
-        # Of configurations, the listener knows the order, in which eras do not matter.
-        return change.table == CONFIGURATION and change.value != known.value
+        return _is_ordered_by_listener(change) and change.value != known.value
 
     def _replaces(self, change: tables.Change) -> bool:
         """Return whether a row of a snapshot replaces the state in use.
@@ -225,15 +233,35 @@
         known = self.rows.get((change.table, change.key))
         if known is None or self._is_in_store(known):
             return self._is_newer(change)
+        if change.table == CONFIGURATION and not _is_ordered_by_listener(change):
+            versions = self.known_versions.get((change.table, change.key), set())
+            return evacuations.replaces_lost(known, change, versions)
         return (
-            change.table == CONFIGURATION  # the listener knows which one is newer
+            _is_ordered_by_listener(change)
             or known.value == change.value
             or known.position.version <= change.position.version
         )
 
+    def _record_version(self, row: tables.Change) -> None:
+        if not _is_ordered_by_listener(row):
+            versions = self.known_versions.setdefault((row.table, row.key), set())
+            versions.add(row.position.version)
+            if len(versions) > MAX_KNOWN_VERSIONS:
+                versions.remove(min(versions))
+
     def _evict_tombstones(self) -> None:
         removed = sorted(
-            (row.position, row_key) for row_key, row in self.rows.items() if row.value is None
+            (row.position, row_key)
+            for row_key, row in self.rows.items()
+            if row.value is None and row.table == MESH
         )
         for _, row_key in removed[: max(0, len(removed) - MAX_TOMBSTONES)]:
             del self.rows[row_key]
+
+
+def _is_ordered_by_listener(change: tables.Change) -> bool:
+    """Return whether the listener knows the order of two states of a row, whatever their eras.
+
+    It does so for the configuration, which has a version of its own.
+    """
+    return change.table == CONFIGURATION and change.key == CURRENT
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/state/watch.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/state/watch.py
@@ -115,6 +115,9 @@
 MAX_SOURCE_ANSWER_AGE_S = PEER_LONG_POLL_S + RESPONSE_MARGIN_S
 """Time after the last answer of its source for which a node counts as connected to the store."""
 
+FIRST_ERA = 1
+"""Era of a store that has never come back from a copy."""
+
 STORE = "store"
 """Name of the store as a source of changes in log lines."""
 
@@ -266,11 +269,12 @@
         """Read the instances from the store, and the configuration from a peer if there is one.
 
         A peer's configuration may be newer, since the store may come back from a copy of its past.
+        That of a peer that is cut off may be older, so then the store's is read too.
         """
         while not self.complete.is_set():
             try:
                 await self._read(replica.MESH)
-                if not await self._ask_for_configuration():
+                if not await self._ask_for_configuration() or self.age_s() > MAX_AGE_S:
                     await self._read(replica.CONFIGURATION)
                 self.complete.set()
             except tables.ReadError as error:
@@ -284,10 +288,12 @@
             for peer in self._usable_peers()
             if peer.row.place.failure_domain == self.location.failure_domain
         ]
-        if not near:
+        # After the first era, the store may have lost rows that only peers know.
+        candidates = near or (self._usable_peers() if self.known_era > FIRST_ERA else [])
+        if not candidates:
             return False
         with contextlib.suppress(PeerError):
-            await self._poll_peer(self.rng.choice(near), 0.0)
+            await self._poll_peer(self.rng.choice(candidates), 0.0)
         return (replica.CONFIGURATION, replica.CURRENT) in self.replica.rows
 
     async def _read(self, table: str) -> None:
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/transport/connections.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/transport/connections.py
@@ -35,6 +35,10 @@
 """Time before the server's own limit at which an idle connection is no longer used."""
 
 
+class ConnectTimeout(TimeoutError):
+    """Nothing answered a connection attempt within `CONNECT_TIMEOUT_S`."""
+
+
 class Protocol(client_proto.ResponseHandler):
     """Client side of a connection that drops answers to other requests and detects resets."""
 
@@ -91,6 +95,8 @@
         """Connections opened so far."""
         self.loop = asyncio.get_running_loop()
         self.force_close = False
+        self.connecting: set[asyncio.Timeout] = set()
+        """Time-outs of the connection attempts under way."""
 
     def with_max_idle(self, max_idle_s: float) -> PoolView:
         """Return a view of the pool that reuses no connection idle for longer than `max_idle_s`."""
@@ -117,6 +123,14 @@
             protocol.close()
         return len(idle)
 
+    def abandon_connecting(self) -> int:
+        """End all connection attempts under way with `TimeoutError` and return their number."""
+        pending = [timeout for timeout in self.connecting if not timeout.expired()]
+        for timeout in pending:
+            self.connecting.discard(timeout)
+            timeout.reschedule(self.loop.time())
+        return len(pending)
+
     def _pop_idle(self, max_idle_s: float) -> Protocol | None:
         now = self.loop.time()
         while self.idle:
@@ -133,10 +147,19 @@
         return None
 
     async def _connect(self) -> Protocol:
-        async with asyncio.timeout(CONNECT_TIMEOUT_S):
-            transport, protocol = await self.loop.create_connection(
-                lambda: Protocol(self.loop), self.host, self.port
-            )
+        timeout = asyncio.timeout(CONNECT_TIMEOUT_S)
+        self.connecting.add(timeout)
+        try:
+            async with timeout:
+                transport, protocol = await self.loop.create_connection(
+                    lambda: Protocol(self.loop), self.host, self.port
+                )
+        except TimeoutError as error:
+            if timeout.expired() and timeout in self.connecting:
+                raise ConnectTimeout from error
+            raise
+        finally:
+            self.connecting.discard(timeout)
         self.opened_count += 1
         set_tcp_timeouts(transport.get_extra_info("socket"))
         return protocol
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/transport/peers.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/transport/peers.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+import random
 import urllib.parse
 
 import aiohttp
@@ -11,6 +12,7 @@
 from goldcrestgrade import headers, instants, outcomes
 from goldcrestgrade.storage import tables
 from goldcrestgrade_node import asgi
+from goldcrestgrade_node.mesh.entry import reachability
 from goldcrestgrade_node.mesh.state import directory, replica, watch
 from goldcrestgrade_node.mesh.transport import relay
 
@@ -28,6 +30,9 @@
 PROBE_SCAN_INTERVAL_S = 0.2
 """Time between scans for instances that are due for a probe."""
 
+DOMAIN_PROBE_INTERVAL_S = 1.0
+"""Shortest time between two probes of an unreachable failure domain, at one instance in turn."""
+
 MAX_FAILED_PROBES = 10
 """Consecutive failures after which the row of an instance is removed; about half a minute."""
 
@@ -78,7 +83,11 @@
         session: aiohttp.ClientSession,
         store: tables.TableService,
         clocks: instants.Clocks,
+        reached: reachability.Reachability,
     ) -> None:
+        self.reachability = reached
+        self.domain_probe_at: dict[str, instants.Instant] = {}
+        """When an unreachable failure domain is due for a probe."""
         self.own_id = own_id
         self.instances = instances
         self.session = session
@@ -95,25 +104,50 @@
                 for instance in self.instances.by_id.values()
                 if instance.failures and instance.next_probe_at <= now
             ]
-            await asyncio.gather(*(self.probe(instance) for instance in due))
+            domain_probes = (self._probe_domain(instance) for instance in self._domain_probes(now))
+            await asyncio.gather(*map(self.probe, due), *domain_probes)
+
+    def _domain_probes(self, now: instants.Instant) -> list[directory.Instance]:
+        """Return an instance of each unreachable failure domain that is due for a probe.
+
+        An instance that was not found silent is preferred, since it may show that only others are.
+        """
+        found = []
+        for domain in self.reachability.unreachable:
+            instances = self.instances.of_failure_domain(domain)
+            others = [instance for instance in instances if instance.row.node_id != self.own_id]
+            if others and self.domain_probe_at.get(domain, 0.0) <= now:
+                self.domain_probe_at[domain] = now + DOMAIN_PROBE_INTERVAL_S
+                fewest = min(instance.failures for instance in others)
+                found.append(random.choice([i for i in others if i.failures == fewest]))
+        return found
+
+    async def _probe_domain(self, instance: directory.Instance) -> None:
+        if await self._is_alive(instance):
+            self.instances.record_reachable(instance)
+            self.reachability.record_response(instance.row.place.failure_domain)
 
     async def probe(self, instance: directory.Instance) -> None:
         """Probe one instance, record the result, and remove its row after too many failures."""
+        if await self._is_alive(instance):
+            self.instances.record_reachable(instance)
+            self.reachability.record_response(instance.row.place.failure_domain)
+            return
+        self.instances.record_unreachable(instance, self.clocks.monotonic())
+        if instance.failures >= MAX_FAILED_PROBES and self._has_lowest_reachable_id():
+            await self._remove(instance)
+
+    async def _is_alive(self, instance: directory.Instance) -> bool:
+        """Return whether an instance answers a probe."""
         try:
             async with self.session.get(
                 f"http://{instance.address}{PROBE_PATH}",
                 timeout=aiohttp.ClientTimeout(total=PROBE_TIMEOUT_S),
             ) as response:
-                alive = response.headers.get(NODE_ID_HEADER) == instance.row.node_id
+                return response.headers.get(NODE_ID_HEADER) == instance.row.node_id
         except (TimeoutError, aiohttp.ClientError, OSError) as error:
             log.debug("probe failed", extra={"error": repr(error)})
-            alive = False
-        if alive:
-            self.instances.record_reachable(instance)
-            return
-        self.instances.record_unreachable(instance, self.clocks.monotonic())
-        if instance.failures >= MAX_FAILED_PROBES and self._has_lowest_reachable_id():
-            await self._remove(instance)
+            return False
 
     def _has_lowest_reachable_id(self) -> bool:
         """Return whether this node has the lowest id of the reachable nodes."""
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/transport/relay.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/transport/relay.py
@@ -122,6 +122,14 @@
         self.header_names = header_names
         self.clocks = clocks
         self.pools: dict[str, connections.ConnectionPool] = {}
+        self.on_unreachable: typing.Callable[[str, str], None] = lambda _address, _text: None
+        """Called with an address that was unreachable and the text of the result."""
+
+    def abandon_connecting(self, address: str) -> None:
+        """End the connection attempts to an address; their requests count as not sent there."""
+        pool = self.pools.get(address)
+        if pool is not None:
+            pool.abandon_connecting()
 
     async def serve(self, address: str, call: requests.Call) -> requests.Served | None:
         """Have the node at `address` serve a request; return none if the node was unreachable."""
@@ -136,7 +144,8 @@
             lambda: self.clocks.monotonic() < call.deadline,
         )
         match transferred.result:
-            case results.Unreachable():
+            case results.Unreachable(text=text):
+                self.on_unreachable(address, text)
                 return None
             case results.Broken(reason=reason):
                 pool.close_idle()
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/transport/transfer.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/transport/transfer.py
@@ -11,6 +11,12 @@
 from goldcrestgrade_node.attempts import exchanges, results
 from goldcrestgrade_node.mesh.transport import connections
 
+REFUSED = "refused"
+"""Text of the result if the connection was refused."""
+
+SILENT = "silent"
+"""Text of the result if nothing answered the connection attempt within its time-out."""
+
 
 class TransferResult(typing.NamedTuple):
     """The result of a transfer, with all headers of the answer."""
@@ -65,8 +71,10 @@
     exchange: exchanges.Exchange, error: Exception
 ) -> results.Unreachable | results.Broken:
     if not exchange.sent:
+        if isinstance(error, connections.ConnectTimeout):
+            return results.Unreachable(SILENT)
         refused = isinstance(error, ConnectionRefusedError)
-        return results.Unreachable("refused" if refused else repr(error))
+        return results.Unreachable(REFUSED if refused else repr(error))
     if isinstance(error, TimeoutError):
         return results.Broken(reasons.Uncertainty.TIMED_OUT, exchange.reused)
     if isinstance(error, aiohttp.ClientPayloadError):
--- a/packages/goldcrestgrade-node/tests/mesh/test_watch.py
+++ b/packages/goldcrestgrade-node/tests/mesh/test_watch.py
@@ -241,7 +241,12 @@
     assert sync._lower_peers() == []
 
 
-async def test_starting_node_gets_the_configuration_from_a_peer_instead_of_the_store():
+# A node that is ready with what a peer knew 10 s ago would send requests to a failure domain that
+# was evacuated meanwhile.
+@pytest.mark.parametrize(("age_s", "snapshots"), [(0.0, 1), (10.0, len(replica.TABLES))])
+async def test_starting_node_gets_the_configuration_from_a_peer_and_an_old_one_from_the_store(
+    age_s, snapshots
+):
     sync = make_sync("n5")
     add(sync.instances, "n1", 1)
     position = tables.Position(1, 7)
@@ -249,13 +254,14 @@
 
     async def poll(_peer, _wait_s):
         sync.replica.apply_snapshot(replica.CONFIGURATION, tables.Changes((row,), position))
+        sync._record_current(sync.clocks.monotonic() - age_s)
         return True
 
     sync._poll_peer = poll
     await sync._load()
     assert sync.complete.is_set()
     assert sync.replica.rows[replica.CONFIGURATION, replica.CURRENT].value == {"version": 3}
-    assert sync.store.snapshots == 1
+    assert sync.store.snapshots == snapshots
 
 
 async def test_starting_node_whose_peers_are_silent_reads_the_configuration_from_the_store():
--- a/packages/goldcrestgrade-operator/goldcrestgrade_operator/explanations.py
+++ b/packages/goldcrestgrade-operator/goldcrestgrade_operator/explanations.py
@@ -119,6 +119,10 @@
         "The failure domains that could run the request are evacuated.",
         "End an evacuation, or have the service run in another failure domain.",
     ),
+    reasons.Refusal.DOMAIN_UNREACHABLE: Explanation(
+        "The failure domains that could run the request do not respond to this node.",
+        "Check the network between the failure domains that `goldcrestgrade_unreachable` lists.",
+    ),
     reasons.Refusal.WARMING_UP: Explanation(
         "The endpoint is cold and gets as many requests as it takes while it warms up.",
         "None; it ends with the warm-up. Start endpoints in smaller groups if this persists.",
@@ -282,6 +286,22 @@
         "This process was paused for so long that it discarded its entries of other nodes.",
         "Look for a stopped or overloaded instance.",
     ),
+    reasons.Event.EVACUATION_STARTED: Explanation(
+        "The operator evacuated a failure domain; its endpoints get no more requests.",
+        "None; the gauge `goldcrestgrade_evacuated` lists the domains.",
+    ),
+    reasons.Event.EVACUATION_ENDED: Explanation(
+        "The evacuation of a failure domain ended; its endpoints get requests again.",
+        "None; the requests return over 6 s.",
+    ),
+    reasons.Event.DOMAIN_UNREACHABLE: Explanation(
+        "Several instances of a failure domain were silent, and none of it responded.",
+        "Check the network between this node and the failure domain that the log names.",
+    ),
+    reasons.Event.DOMAIN_REACHED: Explanation(
+        "A failure domain that was unreachable responds again.",
+        "None; compare with the times in the log of the other nodes.",
+    ),
 }
 """Explanation of each event that is neither refusal, unknown outcome nor retry."""
 
--- a/packages/goldcrestgrade/goldcrestgrade/counters.py
+++ b/packages/goldcrestgrade/goldcrestgrade/counters.py
@@ -24,6 +24,10 @@
         """Latest era of the store that this process has seen."""
         self.configuration_version = 0
         """Version of the configuration in force; 0 if there is none."""
+        self.evacuated: frozenset[str] = frozenset()
+        """Failure domains that are evacuated."""
+        self.unreachable: frozenset[str] = frozenset()
+        """Failure domains that do not respond to this node."""
         self.latency_buckets = [0] * (len(LATENCY_BOUNDS_S) + 1)
         """Requests by latency: one count for each bound, and one for those above the last."""
         self.latency_sum_s = 0.0
--- a/packages/goldcrestgrade/goldcrestgrade/telemetry.py
+++ b/packages/goldcrestgrade/goldcrestgrade/telemetry.py
@@ -69,6 +69,16 @@
         callbacks=[lambda _: [metrics.Observation(counts.configuration_version)]],
         description="Version of the configuration in force.",
     )
+    domain_gauges: tuple[tuple[str, typing.Callable[[], frozenset[str]], str], ...] = (
+        ("evacuated", lambda: counts.evacuated, "Failure domains that are evacuated."),
+        ("unreachable", lambda: counts.unreachable, "Failure domains that do not respond."),
+    )
+    for name, domains, description in domain_gauges:
+        meter.create_observable_gauge(
+            f"goldcrestgrade.{name}",
+            callbacks=[_domain_observer(domains)],
+            description=description,
+        )
     collectors.register(_LatencyCollector(counts))
     return Registry(provider, collectors)
 
@@ -140,3 +150,20 @@
         return [metrics.Observation(counter[name], {label: name}) for name in names]
 
     return observe
+
+
+def _domain_observer(
+    domains: typing.Callable[[], frozenset[str]],
+) -> typing.Callable[[metrics.CallbackOptions], list[metrics.Observation]]:
+    """Return a callback that reports 1 for each present domain, and 0 for each former one."""
+    seen: set[str] = set()
+
+    def observe(_: metrics.CallbackOptions) -> list[metrics.Observation]:
+        present = domains()
+        seen.update(present)
+        return [
+            metrics.Observation(int(domain in present), {"failure_domain": domain})
+            for domain in sorted(seen)
+        ]
+
+    return observe
