--- a/packages/goldcrestgrade-node/tests/mesh/test_dispatch.py
+++ b/packages/goldcrestgrade-node/tests/mesh/test_dispatch.py
@@ -11,8 +11,8 @@
 from goldcrestgrade import counters, instants, outcomes, reasons, routes
 from goldcrestgrade.storage import tables
 from goldcrestgrade_node.mesh.endpoint import admission
-from goldcrestgrade_node.mesh.entry import dispatch, retry_budget
-from goldcrestgrade_node.mesh.state import directory, replica
+from goldcrestgrade_node.mesh.entry import dispatch, reachability, retry_budget
+from goldcrestgrade_node.mesh.state import directory, evacuations, replica
 from goldcrestgrade_node.mesh.transport import loads, requests
 from goldcrestgrade_testing import virtual_time
 
@@ -236,3 +236,48 @@
     former, former_rejections = virtual_time.run(play(False))
     assert rejections < 0.5 * former_rejections
     assert current.count(("ran", True)) >= former.count(("ran", True))
+
+
+def evacuate(scripted, domain, present=True):
+    position = tables.Position(1, 9 if present else 10)
+    key = evacuations.KEY_PREFIX + domain
+    value = {} if present else None
+    scripted.dispatcher.evacuations.apply_change(
+        tables.Change(replica.CONFIGURATION, key, position, value)
+    )
+
+
+async def test_request_is_refused_at_once_if_its_failure_domains_are_evacuated():
+    """Guards against attempts at endpoints that refuse, and a refusal without a time."""
+    scripted = ScriptedInstances([])
+    evacuate(scripted, PLACE.failure_domain)
+    outcome = await scripted.run()
+    assert outcome.reason == reasons.Refusal.EVACUATED
+    assert outcome.retry_at >= scripted.now + dispatch.EVACUATED_RETRY_S
+    assert scripted.tried == []
+
+
+async def test_request_handed_back_by_an_evacuated_endpoint_goes_on_to_others():
+    now = instants.system_clocks().monotonic()
+    handed_back = rejected(now, reason=reasons.Refusal.EVACUATED)
+    scripted = ScriptedInstances([handed_back] * 3 + [ran()])
+    assert isinstance(await scripted.run(once=True), outcomes.Ran)
+
+
+async def test_request_runs_in_a_domain_that_ramps_up_if_no_other_can_run_it():
+    """Guards against refusals by the ramp itself."""
+    scripted = ScriptedInstances([ran()] * 20)
+    evacuate(scripted, PLACE.failure_domain)
+    evacuate(scripted, PLACE.failure_domain, present=False)
+    assert all([isinstance(await scripted.run(), outcomes.Ran) for _ in range(20)])
+
+
+async def test_request_is_refused_at_once_if_its_failure_domains_are_unreachable():
+    scripted = ScriptedInstances([])
+    reached = scripted.dispatcher.reachability
+    for number in range(reachability.MIN_SILENT_INSTANCES):
+        reached.record_silence(PLACE.failure_domain, f"n{number}")
+    outcome = await scripted.run()
+    assert outcome.reason == reasons.Refusal.DOMAIN_UNREACHABLE
+    assert outcome.retry_at > scripted.now
+    assert scripted.tried == []
--- a/packages/goldcrestgrade-node/tests/mesh/test_evacuations.py
+++ b/packages/goldcrestgrade-node/tests/mesh/test_evacuations.py
@@ -1,16 +1,19 @@
 """Evacuations: order of their rows, eras of the store, and refusals."""
 
+import asyncio
 import itertools
+import types
 
 import pytest
 
 from goldcrestgrade import counters, instants, reasons, telemetry
 from goldcrestgrade.storage import tables
+from goldcrestgrade_node.mesh import node as mesh_node
+from goldcrestgrade_node.mesh.endpoint import admission, local
 from goldcrestgrade_node.mesh.entry import evacuation_ramp
 from goldcrestgrade_node.mesh.state import evacuations, replica, watch
 
 KEY = evacuations.KEY_PREFIX + "khomas-a"
-OTHER = "khomas-b"
 
 
 class Node:
@@ -181,3 +184,33 @@
     steps = [later - earlier for earlier, later in itertools.pairwise(shares)]
     assert min(steps) >= 0.0
     assert max(steps) <= 0.03
+
+
+async def test_endpoints_node_hands_queued_requests_back_at_once_and_refuses_new_ones(node):
+    """Guards against requests that wait in a queue and reach the endpoint after the bound."""
+    controller = admission.AdmissionController(instants.loop_clocks())
+    controller.set_slots(1)
+    now = asyncio.get_running_loop().time()
+    request = admission.Request("s r", 1, now + 0.4, now + 1.0, True)
+    assert await controller.admit(request) is None
+    queued = asyncio.create_task(controller.admit(request))
+    await asyncio.sleep(0)
+    stub = types.SimpleNamespace(
+        config=types.SimpleNamespace(failure_domain="khomas-a"),
+        controller=controller,
+        evacuations=node.evacuations,
+        quarantine=types.SimpleNamespace(crashes={}),
+        handing_over=asyncio.Event(),
+        is_region_allowed=lambda _: True,
+        clocks=node.evacuations.clocks,
+    )
+    node.evacuations.on_started = lambda domain: mesh_node.MeshNode.on_evacuation_started(
+        stub, domain
+    )
+    assert mesh_node.MeshNode.refusal_for(stub, None) is None
+    node.receive(row(5))
+    assert (await queued).reason == reasons.Refusal.EVACUATED
+    refused = mesh_node.MeshNode.refusal_for(stub, None)
+    assert refused == local.Refused(reasons.Refusal.EVACUATED, mesh_node.EVACUATED_RETRY_S)
+    # The request at the endpoint completes.
+    assert controller.in_flight == 1
