Draw evacuations in the soak, and prove their bound on a small fleet

The stand-in fleet had no evacuations. Its operator now writes and removes their rows, the soak evacuates failure domains and takes two of three back early, and a check finds requests that reach an endpoint over 5 s after the row.

--- a/packages/goldcrestgrade-testing/goldcrestgrade_testing/fault_soak/checks.py
+++ b/packages/goldcrestgrade-testing/goldcrestgrade_testing/fault_soak/checks.py
@@ -16,6 +16,9 @@
 CONFIG_APPLY_S = 2.0
 """Documented time within which a written configuration is in force."""
 
+EVACUATION_S = 5.0
+"""Documented time within which the endpoints of an evacuated domain get no more requests."""
+
 DRAIN_S = 2.0
 """Documented time after an acknowledged drain within which an endpoint may still get requests."""
 
@@ -210,6 +213,35 @@
             )
 
 
+def sent_while_evacuated(observed: history.History) -> typing.Iterator[str]:
+    """Find requests that reached an endpoint over `EVACUATION_S` after its domain was evacuated.
+
+    Stalls of the soak do not count. Endpoints are exempt during a fault that cuts off their
+    instance or the store, and for `GUARANTEE_DELAY_S` after it.
+    """
+    for evacuation, arrival in itertools.product(observed.evacuations, observed.arrivals):
+        began, ended = evacuation.span
+        if arrival.endpoint_id not in evacuation.endpoint_ids or not began < arrival.at < ended:
+            continue
+        due_at = began + EVACUATION_S + _stalled_s(observed, began, arrival.at)
+        host = observed.hosts.get(arrival.endpoint_id, "")
+        if arrival.at > due_at and _is_instance_undisturbed(observed, host, arrival.at):
+            yield (
+                f"{arrival.attempt_id} reached {arrival.endpoint_id}, whose failure domain was "
+                f"evacuated {arrival.at - began:.2f} s"
+            )
+
+
+def _is_instance_undisturbed(observed: history.History, instance: str, at: float) -> bool:
+    """Return whether no fault cut off an instance or the store at an instant or shortly before."""
+    return not any(
+        fault.span.begin <= at <= fault.span.end + GUARANTEE_DELAY_S
+        for fault in observed.injected_faults
+        if fault.kind.startswith(ISOLATING_KINDS)
+        and (fault.instance in ("", instance) or fault.kind.startswith("store"))
+    )
+
+
 def _was_interrupted(observed: history.History, instance: str, span: history.Span) -> bool:
     """Return whether the node of an instance restarted or stood still in a span."""
     return any(
@@ -302,6 +334,7 @@
         lost_at_planned_stop,
         over_rate_limit,
         sent_after_leaving,
+        sent_while_evacuated,
         not_recovered,
     )
 }
--- a/packages/goldcrestgrade-testing/goldcrestgrade_testing/fault_soak/history.py
+++ b/packages/goldcrestgrade-testing/goldcrestgrade_testing/fault_soak/history.py
@@ -70,6 +70,15 @@
     written_at: Instant
 
 
+class Evacuation(typing.NamedTuple):
+    """An evacuation of a failure domain by the operator."""
+
+    endpoint_ids: frozenset[str]
+    """Endpoints of the failure domain."""
+    span: Span
+    """From the acknowledgement of the row to that of its removal."""
+
+
 class InjectedFault(typing.NamedTuple):
     """A fault that was injected, and when it was active."""
 
@@ -97,3 +106,4 @@
     """Changes of its rate limit by endpoint id, in order."""
     hosts: typing.Mapping[str, str] = {}
     """Name of the instance that runs an endpoint, by endpoint id."""
+    evacuations: typing.Sequence[Evacuation] = ()
--- a/packages/goldcrestgrade-testing/goldcrestgrade_testing/fault_soak/injection.py
+++ b/packages/goldcrestgrade-testing/goldcrestgrade_testing/fault_soak/injection.py
@@ -21,6 +21,12 @@
 
 ANSWER_FAULTS = ("cut", "reset", "spoiled", "doubled", "late", "unframed", "lost", "mute")
 
+EARLY_ENDS_S = (0.05, 0.4, 1.0, 2.5)
+"""Times after which an evacuation is taken back early, before or after nodes know of it."""
+
+EVACUATION_PAUSE_S = 0.5
+"""Time after which a failure domain is evacuated again."""
+
 STOP_TIMEOUT_S = 6.0
 """Time that the platform allows a node between SIGTERM and SIGKILL."""
 
@@ -69,6 +75,8 @@
             running_fleet.add_route()
         case "reload":
             running_fleet.reload_settings(instance)
+        case "evacuate":
+            return _evacuate(running_fleet, instance.placement.failure_domain, fault)
         case _ if family == "link":
             return _inject_link_fault(instance.proxies["endpoint"], mode)
         case _ if family == "store":
@@ -118,6 +126,26 @@
     return end
 
 
+def _evacuate(running_fleet: fleet.Fleet, domain: str, fault: plan.Fault) -> EndFault:
+    """Evacuate a failure domain; two of three evacuations are taken back early and repeated."""
+    running_fleet.evacuate(domain)
+
+    async def take_back() -> None:
+        await asyncio.sleep(EARLY_ENDS_S[fault.variant % len(EARLY_ENDS_S)])
+        running_fleet.end_evacuation(domain)
+        await asyncio.sleep(EVACUATION_PAUSE_S)
+        running_fleet.evacuate(domain)
+
+    taking_back = asyncio.create_task(take_back()) if fault.variant % 3 else None
+
+    async def end() -> None:
+        if taking_back is not None:
+            taking_back.cancel()
+        running_fleet.end_evacuation(domain)
+
+    return end
+
+
 def _leave(running_fleet: fleet.Fleet, instance: fleet.Instance, variant: int) -> EndFault:
     """Have an endpoint say in its answers that it leaves, and in its heartbeats or in none."""
     instance.endpoint.behaviour.leaving = True
--- a/packages/goldcrestgrade-testing/goldcrestgrade_testing/fault_soak/plan.py
+++ b/packages/goldcrestgrade-testing/goldcrestgrade_testing/fault_soak/plan.py
@@ -32,6 +32,7 @@
     "crash",
     "configure",
     "reload",
+    "evacuate",
 )
 """Kinds of fault; `injection.inject` implements them.
 
@@ -47,7 +48,7 @@
 MAX_FAULT_S = 3.0
 """Longest duration of one fault, equal to `checks.GUARANTEE_DELAY_S`."""
 
-LONG_KINDS = frozenset({"limit", "leave"})
+LONG_KINDS = frozenset({"limit", "leave", "evacuate"})
 """Kinds whose effect is judged over several seconds."""
 
 MIN_LONG_FAULT_S = 8.0
@@ -73,7 +74,8 @@
 
     It gives the answer fault and its count for the kind `answers`, the age of the copy and the time
     away for the kind `store_restore`, the rates for the kind `limit`, and for the
-    kind `leave` whether the heartbeats say so too.
+    kind `leave` whether the heartbeats say so too. For the kind `evacuate` it says when the
+    evacuation is taken back early, if it is.
     """
 
 
--- a/packages/goldcrestgrade-testing/goldcrestgrade_testing/fault_soak/soak.py
+++ b/packages/goldcrestgrade-testing/goldcrestgrade_testing/fault_soak/soak.py
@@ -154,6 +154,19 @@
         not_served = {name for name, _ in pending}
         return {name: name not in not_served for name in by_name}
 
+    def _evacuation(self, evacuation: fleet.Evacuation) -> history.Evacuation:
+        domains = {i.name: i.placement.failure_domain for i in self.fleet.instances}
+        all_endpoints = [*self.fleet.former_endpoints, *(i.endpoint for i in self.fleet.instances)]
+        ended_at = time.monotonic() if evacuation.ended_at is None else evacuation.ended_at
+        return history.Evacuation(
+            frozenset(
+                one.endpoint_id
+                for one in all_endpoints
+                if domains[one.instance] == evacuation.failure_domain
+            ),
+            history.Span(evacuation.started_at, ended_at),
+        )
+
     def _history(self, recovered: dict[str, bool]) -> history.History:
         all_endpoints = [*self.fleet.former_endpoints, *(i.endpoint for i in self.fleet.instances)]
         return history.History(
@@ -175,6 +188,7 @@
                 if one.rate_limits
             },
             {one.endpoint_id: one.instance for one in all_endpoints},
+            [self._evacuation(one) for one in self.fleet.evacuations],
         )
 
 
--- a/packages/goldcrestgrade-testing/goldcrestgrade_testing/fleet_platform/fleet.py
+++ b/packages/goldcrestgrade-testing/goldcrestgrade_testing/fleet_platform/fleet.py
@@ -80,6 +80,16 @@
         return f"{HOST}:{self.ports[name]}"
 
 
+@dataclasses.dataclass
+class Evacuation:
+    """An evacuation by the operator, with monotonic instants of its acknowledgements."""
+
+    failure_domain: str
+    started_at: float
+    ended_at: float | None = None
+    """None while it is in force."""
+
+
 class Answer(typing.NamedTuple):
     """The answer that a client received."""
 
@@ -114,6 +124,7 @@
         self.instances: list[Instance] = []
         self.former_endpoints: list[endpoint.Endpoint] = []
         """Crashed endpoints, in the order of their replacement."""
+        self.evacuations: list[Evacuation] = []
         self.config_version = 0
         self.configuration: dict[str, typing.Any] = {}
         """Last configuration that the operator wrote."""
@@ -246,14 +257,41 @@
         }
         self.store.write("op", "config", self.configuration)
 
+    def evacuate(self, failure_domain: str) -> None:
+        """Evacuate a failure domain, as the operator does."""
+        if not self.is_evacuated(failure_domain):
+            self.store.write("op", f"evacuate/{failure_domain}", {})
+            self.evacuations.append(Evacuation(failure_domain, time.monotonic()))
+
+    def end_evacuation(self, failure_domain: str) -> None:
+        """End the evacuation of a failure domain if there is one, as the operator does."""
+        for evacuation in self.evacuations:
+            if evacuation.failure_domain == failure_domain and evacuation.ended_at is None:
+                evacuation.ended_at = time.monotonic()
+                self.store.remove("op", f"evacuate/{failure_domain}")
+
+    def is_evacuated(self, failure_domain: str) -> bool:
+        """Return whether the operator evacuates a failure domain."""
+        return any(
+            evacuation.failure_domain == failure_domain and evacuation.ended_at is None
+            for evacuation in self.evacuations
+        )
+
     async def restore_store(self, age_s: float, away_s: float) -> None:
-        """Have the store come back from a copy; the operator then writes the configuration again.
+        """Have the store come back from a copy; the operator then writes its rows again.
+
+        A row of an ended evacuation is written before it is removed, so that all nodes learn of the
+        removal, also those that know an acknowledged row that the store has lost.
 
         `age_s` is the age of the copy and `away_s` the time for which the store is away.
         """
         await self.store.restore(age_s, away_s)
         await asyncio.sleep(OPERATOR_DELAY_S)
         self.store.write("op", "config", self.configuration)
+        for domain in sorted({evacuation.failure_domain for evacuation in self.evacuations}):
+            self.store.write("op", f"evacuate/{domain}", {})
+            if not self.is_evacuated(domain):
+                self.store.remove("op", f"evacuate/{domain}")
 
     async def wait_ready(self, instances: typing.Sequence[Instance] = ()) -> None:
         """Wait until nodes report readiness, all nodes if `instances` is empty.
--- a/packages/goldcrestgrade-testing/goldcrestgrade_testing/fleet_platform/store.py
+++ b/packages/goldcrestgrade-testing/goldcrestgrade_testing/fleet_platform/store.py
@@ -99,6 +99,10 @@
         text = base64.b64encode(orjson.dumps(value)).decode()
         self._apply({"writes": [{"table": table, "part": "", "key": key, "value": text}]})
 
+    def remove(self, table: str, key: str) -> None:
+        """Remove a row without a condition, as the operator does; nothing happens without a row."""
+        self._apply({"remove": [{"table": table, "part": "", "key": key}]})
+
     def drop_history(self) -> None:
         """Drop the history: requests for changes after a version below the present one get 410."""
         self.history.clear()
--- a/packages/goldcrestgrade-testing/tests/fault_soak/test_checks.py
+++ b/packages/goldcrestgrade-testing/tests/fault_soak/test_checks.py
@@ -49,6 +49,20 @@
     return observed(LEAVING, AFTER_LEAVING, arrivals=[arrival], **others)
 
 
+AFTER_EVACUATION = ANSWERED._replace(sent_at=14.9, answered_at=15.3)
+
+
+def evacuated(begin, end, at=15.2, **others):
+    """Return a history in which a request reaches e1, on n2, whose domain was evacuated."""
+    return observed(
+        AFTER_EVACUATION,
+        arrivals=[history.Arrival("a", "e1", at)],
+        hosts={"e1": "n2"},
+        evacuations=[history.Evacuation(frozenset({"e1"}), history.Span(begin, end))],
+        **others,
+    )
+
+
 VIOLATING = {
     "run_twice": observed(ANSWERED, runs=[RUN, RUN]),
     "refused_but_run": observed(ANSWERED._replace(status=503, has_retry_after=True)),
@@ -66,6 +80,7 @@
     ),
     "over_rate_limit": limited([(9.0, 2.0)], evenly(18, 11.0, 14.9)),
     "sent_after_leaving": leaving(),
+    "sent_while_evacuated": evacuated(10.1, 20.0),
     "not_recovered": EMPTY._replace(recovered={"n1": False}),
 }
 
@@ -116,6 +131,11 @@
             AFTER_LEAVING._replace(sent_at=12.0),
             arrivals=[history.Arrival("a", "e1", 12.25)],
         ),
+        evacuated(10.3, 20.0),
+        evacuated(10.1, 15.1),
+        evacuated(10.1, 20.0, stalls=[history.Span(12.0, 12.3)]),
+        evacuated(10.1, 20.0, injected_faults=[injected("pause", "n2", 11.0, 12.5)]),
+        evacuated(10.1, 20.0, injected_faults=[injected("store_silent", "n1", 11.0, 12.5)]),
         limited([(9.0, 2.0)], evenly(17, 11.0, 14.9)),
         limited([(9.0, 2.0)], evenly(18, 10.2, 10.6)),
         limited([(9.0, 2.0)], evenly(40, 11.0, 11.9)),
@@ -149,6 +169,11 @@
     assert checks.violations(leaving(injected_faults=[restarted])) != []
 
 
+def test_fault_of_another_instance_excuses_no_request_to_an_evacuated_endpoint():
+    restarted = injected("kill", "n1", begin=12.0, end=14.0)
+    assert checks.violations(evacuated(10.1, 20.0, injected_faults=[restarted])) != []
+
+
 @pytest.mark.parametrize("kind", ["configure", "reload", "answers", "slow_endpoint", "drain"])
 def test_late_answer_is_a_violation_under_planned_operations_and_endpoint_faults(kind):
     late = observed(ANSWERED._replace(answered_at=11.6), injected_faults=[injected(kind)])
--- a/packages/goldcrestgrade-testing/tests/fault_soak/test_mutations.py
+++ b/packages/goldcrestgrade-testing/tests/fault_soak/test_mutations.py
@@ -183,6 +183,17 @@
 """,
         [plan.Fault("leave", 0, 1.0, 10.0, 0)],
     ),
+    "sent_while_evacuated": Mutation(
+        """
+from goldcrestgrade_node.mesh.state import evacuations
+apply_change = evacuations.Evacuations.apply_change
+def forget_evacuations(self, change):
+    apply_change(self, change)
+    self.domains.clear()
+evacuations.Evacuations.apply_change = forget_evacuations
+""",
+        [plan.Fault("evacuate", 0, 1.0, 9.0, 0)],
+    ),
     "not_recovered": Mutation(
         """
 import time
