--- a/packages/goldcrestgrade-testing/goldcrestgrade_testing/fault_soak/history.py
+++ b/packages/goldcrestgrade-testing/goldcrestgrade_testing/fault_soak/history.py
@@ -70,6 +70,15 @@
     written_at: Instant
 
 
+class Evacuation(typing.NamedTuple):
+    """An evacuation of a failure domain by the operator."""
+
+    endpoint_ids: frozenset[str]
+    """Endpoints of the failure domain."""
+    span: Span
+    """From the acknowledgement of the row to that of its removal."""
+
+
 class InjectedFault(typing.NamedTuple):
     """A fault that was injected, and when it was active."""
 
@@ -99,3 +108,4 @@
     """Name of the instance that runs an endpoint, by endpoint id."""
     cold_arrivals: typing.Mapping[str, typing.Sequence[Instant]] = {}
     """When cold endpoints got requests and health checks, by endpoint id, in order."""
+    evacuations: typing.Sequence[Evacuation] = ()
