Give the stub of a node in a test the fields that the warm-up reads

Cause: the merge of warm-up and evacuations made the refusal of a node depend on its table and settings. Result: the test passes again, its checks unchanged.

--- a/packages/goldcrestgrade-node/tests/mesh/test_evacuations.py
+++ b/packages/goldcrestgrade-node/tests/mesh/test_evacuations.py
@@ -196,7 +196,8 @@
     queued = asyncio.create_task(controller.admit(request))
     await asyncio.sleep(0)
     stub = types.SimpleNamespace(
-        config=types.SimpleNamespace(failure_domain="khomas-a"),
+        config=types.SimpleNamespace(failure_domain="khomas-a", warm_up_slack=0.0),
+        table=None,
         controller=controller,
         evacuations=node.evacuations,
         quarantine=types.SimpleNamespace(crashes={}),
