--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/entry/dispatch.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/entry/dispatch.py
@@ -165,7 +165,9 @@
 
     def _held_back(self, now: instants.Instant) -> set[str]:
         """Draw the failure domains that get no part of an attempt after their evacuation."""
-        held_back = set()
+        held_back: set[str] = set()
+        if not self.evacuations.ended_at:
+            return held_back
         for domain, ended_at in list(self.evacuations.ended_at.items()):
             share = evacuation_ramp.share(now - ended_at)
             if share >= 1.0:
