Split the admission controller into estimate, queue, decision and controller

Change: estimates says when a request ends, queueing in which order requests start, decision whether a request may wait; all are pure functions. admission keeps the controller that owns the state. The lines that set and ask the rate limiter stay as they were. Result: no change of behaviour; the tests of admission, dispatch and the replays pass with the names of the moved constants and types.

--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/endpoint/local.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/endpoint/local.py
@@ -8,7 +8,7 @@
 
 from goldcrestgrade import instants, outcomes, reasons
 from goldcrestgrade_node.attempts import exchanges, results
-from goldcrestgrade_node.mesh.endpoint import admission, endpoints
+from goldcrestgrade_node.mesh.endpoint import admission, endpoints, estimates
 from goldcrestgrade_node.mesh.transport import (
     connections,
     dialect,
@@ -168,7 +168,7 @@
         answer: outcomes.Answer,
         fields: typing.Mapping[str, str],
         started: instants.Instant,
-        start_load: admission.LoadSnapshot,
+        start_load: estimates.LoadSnapshot,
     ) -> requests.Served:
         now = self.clocks.monotonic()
         if answer.status == MISDIRECTED_STATUS:
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/transport/requests.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/transport/requests.py
@@ -8,7 +8,7 @@
 import xxhash
 
 from goldcrestgrade import instants, outcomes, routes
-from goldcrestgrade_node.mesh.endpoint import admission
+from goldcrestgrade_node.mesh.endpoint import decision
 from goldcrestgrade_node.mesh.transport import loads, signals
 
 
@@ -44,9 +44,9 @@
     large_body: bool = False
     """Whether the transfer of its body counts in the choice of an endpoint."""
 
-    def admission_request(self) -> admission.Request:
+    def admission_request(self) -> decision.Request:
         """Return what the admission controller of an endpoint needs to evaluate the request."""
-        return admission.Request(
+        return decision.Request(
             f"{self.service} {self.route}",
             self.priority,
             self.target_at,
--- a/packages/goldcrestgrade-node/tests/mesh/test_admission.py
+++ b/packages/goldcrestgrade-node/tests/mesh/test_admission.py
@@ -5,7 +5,7 @@
 import pytest
 
 from goldcrestgrade import instants
-from goldcrestgrade_node.mesh.endpoint import admission
+from goldcrestgrade_node.mesh.endpoint import admission, decision, estimates
 from goldcrestgrade_node.mesh.transport import loads
 
 SERVICE_TIME_S = 0.1
@@ -35,7 +35,7 @@
 
 
 def request(clock, target_s=0.4, deadline_s=0.8, priority=1, late_allowed=False):
-    return admission.Request(
+    return decision.Request(
         "route", priority, clock.now + target_s, clock.now + deadline_s, late_allowed
     )
 
@@ -84,8 +84,8 @@
     controller.apply_load_report(loads.Load(1, 0, 2, 7.0))
     assert (
         await controller.admit(request(clock))
-    ).retry_at >= clock.now + admission.DEGRADED_RETRY_DELAY_S
-    clock.now += admission.MAX_PACE_AGE_S
+    ).retry_at >= clock.now + decision.DEGRADED_RETRY_DELAY_S
+    clock.now += estimates.MAX_PACE_AGE_S
     assert await controller.admit(request(clock)) is None
 
 
@@ -94,14 +94,14 @@
     for _ in range(5):
         await controller.admit(request(clock))
     threshold_s = (
-        admission.STALL_THRESHOLD * admission.INITIAL_SERVICE_TIME_S / controller.in_flight
+        estimates.STALL_THRESHOLD * estimates.INITIAL_SERVICE_TIME_S / controller.in_flight
     )
     clock.now += 0.9 * threshold_s
     assert controller.current_pace() == 1.0
     clock.now += 0.2 * threshold_s
-    assert controller.current_pace() == pytest.approx(1.1 * admission.STALLED_PACE)
+    assert controller.current_pace() == pytest.approx(1.1 * estimates.STALLED_PACE)
     clock.now += 1.1 * threshold_s
-    assert controller.current_pace() == pytest.approx(2.2 * admission.STALLED_PACE)
+    assert controller.current_pace() == pytest.approx(2.2 * estimates.STALLED_PACE)
     assert controller.is_health_check_due()
     assert await controller.admit(request(clock, target_s=0.3)) is not None
 
@@ -219,7 +219,7 @@
     controller, clock
 ):
     controller.apply_load_report(loads.Load(0, 0, 2, 7.0))
-    service_time_s = 7.0 * admission.INITIAL_SERVICE_TIME_S
+    service_time_s = 7.0 * estimates.INITIAL_SERVICE_TIME_S
     late = request(clock, target_s=0.2, deadline_s=1.1 * service_time_s, late_allowed=True)
     assert await controller.admit(late) is None
     too_late = request(clock, target_s=0.2, deadline_s=0.9 * service_time_s, late_allowed=True)
@@ -243,7 +243,7 @@
 async def test_rate_limit_is_reported_as_the_slots_that_keep_the_endpoint_at_its_rate(controller):
     controller.set_slots(9)
     assert controller.load().slots == 9
-    controller.set_rate_limit(2.5 / admission.INITIAL_SERVICE_TIME_S)
+    controller.set_rate_limit(2.5 / estimates.INITIAL_SERVICE_TIME_S)
     assert controller.load().slots == 3
     controller.set_rate_limit(0.1)
     assert controller.load().slots == 1
@@ -256,7 +256,7 @@
 ):
     controller.set_rate_limit(1.0)
     rejected = await controller.admit(request(clock))
-    assert rejected == admission.Rejected("rate_limited", clock.now + 1.0)
+    assert rejected == decision.Rejected("rate_limited", clock.now + 1.0)
     clock.now += 1.0
     assert await controller.admit(request(clock)) is None
 
--- a/packages/goldcrestgrade-node/tests/mesh/test_replayed_loads.py
+++ b/packages/goldcrestgrade-node/tests/mesh/test_replayed_loads.py
@@ -7,7 +7,7 @@
 import typing
 
 from goldcrestgrade import instants
-from goldcrestgrade_node.mesh.endpoint import admission, health
+from goldcrestgrade_node.mesh.endpoint import admission, decision, estimates, health
 from goldcrestgrade_node.mesh.transport import loads
 from goldcrestgrade_testing import virtual_time
 from goldcrestgrade_testing.fault_soak import checks, history
@@ -82,9 +82,7 @@
         if controller.is_health_check_due():
             checks.request_check()
         target_at = loop.time() + TARGET_S
-        admission_request = admission.Request(
-            "route", 1, target_at, loop.time() + DEADLINE_S, False
-        )
+        admission_request = decision.Request("route", 1, target_at, loop.time() + DEADLINE_S, False)
         if await controller.admit(admission_request) is not None:
             completed.append("rejected")
             return
@@ -147,7 +145,7 @@
     arrivals = list(burst(random.Random(1), 60.0, 20.0))
     degraded = degraded_periods(random.Random(2), 20.0)
     completed = virtual_time.run(replay(arrivals, Endpoint(degraded=degraded)))
-    monkeypatch.setattr(admission, "STALL_THRESHOLD", 2.5)
+    monkeypatch.setattr(estimates, "STALL_THRESHOLD", 2.5)
     baseline = virtual_time.run(replay(arrivals, Endpoint(degraded=degraded)))
     assert completed.in_time > 1.05 * baseline.in_time
 
@@ -165,7 +163,7 @@
     async def request():
         target_at, deadline = loop.time() + 0.4, loop.time() + 1.0
         started = loop.time()
-        if await controller.admit(admission.Request("route", 1, target_at, deadline, False)):
+        if await controller.admit(decision.Request("route", 1, target_at, deadline, False)):
             waits_s.append(loop.time() - started)
             return
         await asyncio.sleep(0.3)
@@ -215,7 +213,7 @@
             elif controller.is_health_check_due():
                 loop.call_later(0.006, report)
             if await controller.admit(
-                admission.Request("route", 1, target_at, loop.time() + 4.0, False)
+                decision.Request("route", 1, target_at, loop.time() + 4.0, False)
             ):
                 outcomes.append("rejected")
                 return
@@ -258,7 +256,7 @@
 def test_lasting_overload_completes_more_in_time_with_a_service_time_margin(monkeypatch):
     arrivals_by_seed = [list(burst(random.Random(seed), 180.0, 20.0)) for seed in range(1, 5)]
     completed = [virtual_time.run(replay(arrivals, Endpoint())) for arrivals in arrivals_by_seed]
-    monkeypatch.setattr(admission, "SERVICE_TIME_MARGIN", 1.0)
+    monkeypatch.setattr(estimates, "SERVICE_TIME_MARGIN", 1.0)
     baseline = [virtual_time.run(replay(arrivals, Endpoint())) for arrivals in arrivals_by_seed]
     assert sum(one.in_time for one in completed) > 1.05 * sum(one.in_time for one in baseline)
     assert sum(one.late for one in completed) < 0.5 * sum(one.late for one in baseline)
@@ -295,7 +293,7 @@
         if limited and reported and not node.answered:
             controller.set_rate_limit(reported[-1])
         target_at = loop.time() + TARGET_S
-        admitted = admission.Request("route", 1, target_at, loop.time() + DEADLINE_S, False)
+        admitted = decision.Request("route", 1, target_at, loop.time() + DEADLINE_S, False)
         if await controller.admit(admitted) is not None:
             ended.append("rejected")
             return
