Share the queue of an endpoint among workspaces

Cause: the queue knew only priority and arrival, so that one workspace at several times its load filled it and the requests of all others were rejected alike. Change: queued requests of a priority start by start-time fair queueing among workspaces. If not all can end in time, the workspace with the largest share of the queue gives up its last ones, with the reason fair_share_exceeded. An entry node doesn't back off from an instance for that reason. Requests without a workspace are one class, for which order and rejections stay as they were.

--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/endpoint/admission.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/endpoint/admission.py
@@ -15,6 +15,7 @@
 import itertools
 import logging
 import math
+import typing
 
 from goldcrestgrade import instants
 from goldcrestgrade_node.mesh.endpoint import concurrency, decision, estimates, queueing, rates
@@ -53,6 +54,8 @@
         self.in_flight = 0
         self.queue: list[queueing.QueuedRequest] = []
         self.arrivals = itertools.count()
+        self.virtual_times: dict[queueing.Lane, queueing.VirtualTime] = {}
+        """Shares of the workspaces while several of them have queued requests."""
         self.service_times_s: dict[str, float] = {}
         self.uncontended_at: dict[str, instants.Instant] = {}
         """End of the last request of each route key that ran with few others in flight."""
@@ -121,17 +124,21 @@
 
     async def admit(self, request: decision.Request) -> decision.Rejected | None:
         """Wait until the request may start; return a rejection if it may not."""
-        rejected = self._evaluate(request)
+        admitted: queueing.Admitted = asyncio.get_running_loop().create_future()
+        queued = queueing.QueuedRequest(
+            request.priority,
+            not self._is_short(request),
+            next(self.arrivals),
+            request,
+            admitted,
+            self._service_time_s(request),
+        )
+        rejected = self._evaluate(queued)
         if rejected is not None:
             return rejected
         if self._may_start() and not self.queue:
             self._start()
             return None
-        admitted: queueing.Admitted = asyncio.get_running_loop().create_future()
-        long = not self._is_short(request)
-        queued = queueing.QueuedRequest(
-            request.priority, long, next(self.arrivals), request, admitted
-        )
         heapq.heappush(self.queue, queued)
         self._schedule_stall_review()
         self._schedule_start()
@@ -284,13 +291,19 @@
 
     def _reevaluate_queue(self) -> None:
         """Reject queued requests that can no longer end in time behind those that stay queued."""
+        self.queue = queueing.waiting(self.queue)
+        if self._is_shared():
+            for queued, rejected in self._evictions(self.queue, margin_for=None):
+                self._resolve(queued, rejected)
+            self.queue = queueing.waiting(self.queue)
+            return
         queue, self.queue = sorted(self.queue), []
         for queued in queue:
-            rejected = self._rejection(queued.request, len(self.queue))
-            if rejected is None:
+            late = self._rejection(queued.request, len(self.queue))
+            if late is None:
                 self.queue.append(queued)
             else:
-                self._resolve(queued, rejected)
+                self._resolve(queued, late)
 
     def reject_queued(self, reason: str) -> None:
         """Reject all queued requests with `reason`."""
@@ -301,15 +314,37 @@
     def start_queued(self) -> None:
         """Start queued requests up to the limits, and reject those that would end too late."""
         while self.queue and self._may_start():
-            queued = heapq.heappop(self.queue)
+            queued = self._pop_queued()
             if queued.admitted.done():
                 continue
             rejected = self._rejection(queued.request, 0)
             if rejected is None:
                 self._start()
+                self._record_start(queued)
             self._resolve(queued, rejected)
         self._schedule_start()
 
+    def _is_shared(self) -> bool:
+        """Return whether requests of several workspaces are queued."""
+        return bool(self.queue) and queueing.is_shared(self.queue, self.queue[0].request.workspace)
+
+    def _pop_queued(self) -> queueing.QueuedRequest:
+        """Remove and return the queued request that starts next."""
+        if self._is_shared():
+            self.queue = queueing.waiting(self.queue) or self.queue
+            next_ = queueing.in_order(self.queue, self.virtual_times)[0]
+            self.queue.remove(next_)
+            heapq.heapify(self.queue)
+            return next_
+        self.virtual_times.clear()
+        return heapq.heappop(self.queue)
+
+    def _record_start(self, queued: queueing.QueuedRequest) -> None:
+        """Count a started request in the share of its workspace while others wait."""
+        if queueing.is_shared(self.queue, queued.request.workspace):
+            virtual_time = self.virtual_times.setdefault(queued.lane, queueing.VirtualTime())
+            virtual_time.record_start(queued.request.workspace, queued.service_time_s)
+
     def _schedule_start(self) -> None:
         """Start queued requests again once the rate limit allows it."""
         if self.next_start is not None:
@@ -320,13 +355,75 @@
             loop = asyncio.get_running_loop()
             self.next_start = loop.call_later(wait_s, self.start_queued)
 
-    def _evaluate(self, request: decision.Request) -> decision.Rejected | None:
+    def _evaluate(self, arriving: queueing.QueuedRequest) -> decision.Rejected | None:
+        """Return why an arriving request is rejected; reject queued ones that give way to it."""
+        self.queue = queueing.waiting(self.queue)
+        request = arriving.request
+        if not queueing.is_shared(self.queue, request.workspace):
+            ahead = queueing.count_ahead(self.queue, arriving.priority, arriving.long)
+            rejected = self._rejection(request, ahead)
+            if rejected is None or not request.workspace:
+                return rejected
+            return self._explained(arriving, rejected, self.queue)
+        evicted = self._evictions([*self.queue, arriving], margin_for=arriving)
+        for queued, rejected in evicted:
+            if queued is not arriving:
+                self._resolve(queued, rejected)
         self.queue = queueing.waiting(self.queue)
-        ahead = queueing.count_ahead(self.queue, request.priority, not self._is_short(request))
-        return self._rejection(request, ahead)
+        return next((rejected for queued, rejected in evicted if queued is arriving), None)
+
+    def _evictions(
+        self,
+        queue: typing.Sequence[queueing.QueuedRequest],
+        margin_for: queueing.QueuedRequest | None,
+    ) -> list[tuple[queueing.QueuedRequest, decision.Rejected]]:
+        """Return the requests of several workspaces to reject so that the others end in time.
 
-    def _rejection(self, request: decision.Request, ahead: int) -> decision.Rejected | None:
-        state = decision.State(
+        Only `margin_for`, or each request if it is none, is given a margin on its service time.
+        """
+        state = self._state()
+
+        def is_late(queued: queueing.QueuedRequest, ahead: int) -> bool:
+            with_margin = margin_for is None or queued is margin_for
+            return self._rejection(queued.request, ahead, state, not with_margin) is not None
+
+        ordered = queueing.in_order(queue, self.virtual_times)
+        return [
+            (
+                queued,
+                self._explained(
+                    queued,
+                    self._rejection(queued.request, len(queue) - 1, state)
+                    or decision.rejected(state.now, decision.MIN_RETRY_DELAY_S, 0.0),
+                    queue,
+                ),
+            )
+            for queued in queueing.evictions(ordered, is_late)
+        ]
+
+    def _explained(
+        self,
+        queued: queueing.QueuedRequest,
+        rejected: decision.Rejected,
+        queue: typing.Sequence[queueing.QueuedRequest],
+    ) -> decision.Rejected:
+        """Return a rejection with its reason: the share of the workspace, or the whole load.
+
+        It is the share if a request of a workspace without queued ones would have been admitted.
+        """
+        workspace = queued.request.workspace
+        alone = not any(
+            other.request.workspace == workspace for other in queue if other is not queued
+        )
+        ahead = queueing.count_ahead_of_new(queue, queued.lane, self.virtual_times)
+        state = self._state()
+        if alone or self._rejection(queued.request, ahead, state) is not None:
+            return rejected
+        excess_s = queueing.excess_s(queue, queued.priority, workspace)
+        return decision.beyond_share(rejected, excess_s, state)
+
+    def _state(self) -> decision.State:
+        return decision.State(
             now=self.clocks.monotonic(),
             in_flight=self.in_flight,
             queued=len(self.queue),
@@ -335,8 +432,21 @@
             slowdown=self._slowdown(min(self.in_flight + 1, self.limit)),
             mean_service_time_s=self.mean_service_time_s,
         )
+
+    def _rejection(
+        self,
+        request: decision.Request,
+        ahead: int,
+        state: decision.State | None = None,
+        queued: bool = False,
+    ) -> decision.Rejected | None:
         return decision.rejection(
-            state, request, self._service_time_s(request), ahead, self.rate.wait_s(ahead)
+            state or self._state(),
+            request,
+            self._service_time_s(request),
+            ahead,
+            self.rate.wait_s(ahead),
+            queued,
         )
 
     def _resolve(self, queued: queueing.QueuedRequest, result: decision.Rejected | None) -> None:
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/endpoint/decision.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/endpoint/decision.py
@@ -29,8 +29,14 @@
 The limit may rise or end at any time.
 """
 
+MAX_SHARE_RETRY_DELAY_S = 1.0
+"""Longest time after which a request beyond the share of its workspace may be retried."""
+
+FAIR_SHARE_EXCEEDED = "fair_share_exceeded"
+"""Reason of a rejection while other workspaces would be served."""
+
 DEGRADED_RETRY_DELAY_S = 0.1
-"""The same while the endpoint is degraded; a fraction of the usual length of a degraded period."""
+"""`MIN_RETRY_DELAY_S` of a degraded endpoint; a fraction of the usual length of that state."""
 
 
 class Request(typing.NamedTuple):
@@ -43,6 +49,8 @@
     deadline: instants.Instant
     late_allowed: bool
     """Whether it may be admitted although it is expected to miss its latency target."""
+    workspace: str = ""
+    """Workspace among which the capacity is shared; empty if it has none."""
 
 
 class Rejected(typing.NamedTuple):
@@ -89,11 +97,17 @@
 
 
 def rejection(
-    state: State, request: Request, service_time_s: float, ahead: int, rate_wait_s: float
+    state: State,
+    request: Request,
+    service_time_s: float,
+    ahead: int,
+    rate_wait_s: float,
+    queued: bool = False,
 ) -> Rejected | None:
     """Return why a request may not wait behind `ahead` queued ones, or none if it may.
 
-    `rate_wait_s` is the time for which the rate limit delays it there.
+    `rate_wait_s` is the time for which the rate limit delays it there. A request that is `queued`
+    already is given the mean service time, since its rejection wastes the time that it has waited.
     """
     now = state.now
     idle = state.in_flight == 0 and not state.queued
@@ -110,7 +124,8 @@
     )
     rate_delay_s = max(0.0, rate_wait_s - expected.start_s)
     short = is_short(service_time_s, state.mean_service_time_s)
-    in_time = now + expected.end_s + rate_delay_s <= latest_end(request, short, now)
+    end_s = expected.mean_end_s if queued else expected.end_s
+    in_time = now + end_s + rate_delay_s <= latest_end(request, short, now)
     if in_time or (
         request.late_allowed
         and rate_wait_s == 0
@@ -129,3 +144,14 @@
     if rate_wait_s <= retry_delay_s:
         return Rejected("saturated", now + retry_delay_s)
     return Rejected("rate_limited", now + min(rate_wait_s, MAX_RATE_RETRY_DELAY_S))
+
+
+def beyond_share(rejection_: Rejected, excess_s: float, state: State) -> Rejected:
+    """Return the rejection of a request because its workspace holds more than its share.
+
+    It may come back when the endpoint has done the queued work of its workspace beyond an equal
+    share, which takes `excess_s` of service time.
+    """
+    delay_s = excess_s * state.pace * state.slowdown / max(1, state.limit)
+    delay_s = min(max(delay_s, MIN_RETRY_DELAY_S), MAX_SHARE_RETRY_DELAY_S)
+    return Rejected(FAIR_SHARE_EXCEEDED, max(rejection_.retry_at, state.now + delay_s))
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/entry/dispatch.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/entry/dispatch.py
@@ -40,6 +40,9 @@
 )
 """Reasons with which a node rejects every request; they don't show that others are saturated."""
 
+SHARE_REASONS = frozenset({reasons.Refusal.FAIR_SHARE_EXCEEDED})
+"""Reasons with which a node rejects requests of one workspace; it accepts those of others."""
+
 MIN_FAILED_STATUS = 500
 """Lowest status of an answer that counts as a failure of the endpoint."""
 
@@ -206,7 +209,7 @@
                 self.service_times_s[_service_time_key(call)] = estimate_s + SERVICE_TIME_WEIGHT * (
                     sample_s - estimate_s
                 )
-            case outcomes.NotRun(retry_at=retry_at):
+            case outcomes.NotRun(reason=reason, retry_at=retry_at) if reason not in SHARE_REASONS:
                 instance.backoff_until = min(retry_at or now, now + REJECTION_BACKOFF_LIMIT_S)
 
     def _final_outcome(
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/transport/requests.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/transport/requests.py
@@ -52,6 +52,7 @@
             self.target_at,
             self.deadline,
             self.late_allowed,
+            self.workspace,
         )
 
 
--- /dev/null
+++ b/packages/goldcrestgrade-node/tests/mesh/test_replayed_workspaces.py
@@ -0,0 +1,225 @@
+"""Replays of workspaces that share endpoints, compared with one queue in order of arrival."""
+
+import asyncio
+import collections
+import itertools
+import random
+import typing
+
+from goldcrestgrade import counters, instants, outcomes, reasons
+from goldcrestgrade.storage import tables
+from goldcrestgrade_node.mesh.endpoint import admission
+from goldcrestgrade_node.mesh.entry import dispatch, retry_budget
+from goldcrestgrade_node.mesh.state import directory, replica
+from goldcrestgrade_node.mesh.transport import loads, requests
+from goldcrestgrade_testing import virtual_time
+
+ENDPOINTS = 6
+SLOTS = 7
+ONE_WAY_S = 0.0009
+WORKSPACES = 87
+SKEW = 1.2
+SECONDS = 14.0
+HOT = 1
+"""Rank of the hot workspace; the second largest."""
+SIGMA = 0.3
+
+
+class Kind(typing.NamedTuple):
+    """A kind of requests."""
+
+    route: str
+    service_time_s: float
+    target_s: float
+    deadline_s: float
+
+
+PLAY = Kind("play", 0.226, 0.93, 3.0)
+UPLOAD = Kind("upload", 0.269, 2.3, 6.0)
+
+
+class Arrival(typing.NamedTuple):
+    """A request of a client."""
+
+    at: float
+    workspace: str
+    kind: Kind
+
+
+class Ended(typing.NamedTuple):
+    """How a request ended for its client."""
+
+    arrival: Arrival
+    result: str
+    hops: int
+
+
+def weights():
+    """Return the share of each workspace in the usual load."""
+    raw = [rank**-SKEW for rank in range(1, WORKSPACES + 1)]
+    return [weight / sum(raw) for weight in raw]
+
+
+def arrivals(rng, kind, rate, factor_at):
+    """Yield the requests of all workspaces; `factor_at` scales the load of one at an instant."""
+    for rank, weight in enumerate(weights()):
+        at = 0.0
+        while at < SECONDS:
+            peak = 7.5
+            at += rng.expovariate(rate * weight * peak)
+            if rng.random() < factor_at(rank, at) / peak:
+                yield Arrival(at, f"w{rank:02}", kind)
+
+
+def capacity(kind):
+    return ENDPOINTS * SLOTS / kind.service_time_s
+
+
+class Fleet:
+    """Endpoints whose nodes are also the entry nodes of their clients."""
+
+    def __init__(self, seed, shared):
+        loop = asyncio.get_running_loop()
+        self.clocks = instants.Clocks(loop.time, loop.time)
+        self.rng = random.Random(seed)
+        self.shared = shared
+        self.controllers = {}
+        self.hops = collections.Counter()
+        self.ended = []
+        self.numbers = itertools.count()
+        self.locations = [
+            directory.Location(f"domain-{number % 4}", "region") for number in range(ENDPOINTS)
+        ]
+        for number in range(ENDPOINTS):
+            controller = admission.AdmissionController(self.clocks)
+            controller.set_slots(SLOTS)
+            controller.mean_service_time_s = PLAY.service_time_s
+            controller.apply_load_report(loads.Load(0, 0, SLOTS, 1.0))
+            self.controllers[f"n{number}"] = controller
+        self.dispatchers = [self.dispatcher(location) for location in self.locations]
+
+    def dispatcher(self, own):
+        instances = directory.Directory()
+        for number, location in enumerate(self.locations):
+            name = f"n{number}"
+            row = directory.InstanceRow(name, name, number + 1, location, "s", True, 1)
+            key = directory.INSTANCE_PREFIX + name
+            position = tables.Position(1, number + 1)
+            instances.apply_change(
+                tables.Change(replica.MESH, key, position, directory.encode(row))
+            )
+        terms = retry_budget.Terms(0.2, 60, 10.0)
+        counts = counters.Counts()
+        return dispatch.Dispatcher(own, instances, self.serve, terms, self.clocks, counts, self.rng)
+
+    async def serve(self, instance, call):
+        self.hops[call.attempt_id] += 1
+        await asyncio.sleep(ONE_WAY_S)
+        controller = self.controllers[instance.row.node_id]
+        admitted = call.admission_request()
+        rejected = await controller.admit(
+            admitted if self.shared else admitted._replace(workspace="")
+        )
+        if rejected is None:
+            started, at_start = self.clocks.monotonic(), controller.load_snapshot()
+            mean_s = {PLAY.route: PLAY, UPLOAD.route: UPLOAD}[call.route].service_time_s
+            await asyncio.sleep(mean_s * self.rng.lognormvariate(-(SIGMA**2) / 2, SIGMA))
+            controller.apply_load_report(loads.Load(controller.in_flight, 0, SLOTS, 1.0))
+            elapsed_s = self.clocks.monotonic() - started
+            controller.record_service_time(admitted.route_key, elapsed_s, at_start)
+            controller.release()
+            outcome = outcomes.Ran(outcomes.Answer(200, (), b""))
+        else:
+            outcome = outcomes.NotRun(reasons.Refusal(rejected.reason), rejected.retry_at)
+        load = controller.load()
+        await asyncio.sleep(ONE_WAY_S)
+        return requests.Served(outcome, load, rejected is None)
+
+    async def request(self, arrival, repeats):
+        await asyncio.sleep(arrival.at)
+        kind, now = arrival.kind, self.clocks.monotonic()
+        target_at, deadline = now + kind.target_s, now + kind.deadline_s
+        attempt_id = str(next(self.numbers))
+        for attempt in range(1 + repeats):
+            call = requests.Call(
+                attempt_id, kind.route, "s", False, 1, "c", "GET", "/", "", (), b"",
+                target_at, deadline, workspace=arrival.workspace,
+            )  # fmt: skip
+            outcome = await self.rng.choice(self.dispatchers).run(call, 2)
+            if isinstance(outcome, outcomes.Ran):
+                break
+        in_time = self.clocks.monotonic() <= target_at
+        ran = isinstance(outcome, outcomes.Ran)
+        result = ("in_time" if in_time else "late") if ran else "rejected"
+        self.ended.append(Ended(arrival, result, self.hops[attempt_id]))
+
+    async def play(self, requested, repeats):
+        await asyncio.gather(*(self.request(arrival, repeats) for arrival in requested))
+        return self.ended
+
+
+def replay(requested, shared, repeats=0, seed=7):
+    async def play():
+        return await Fleet(seed, shared).play(requested, repeats)
+
+    return virtual_time.run(play())
+
+
+class Result(typing.NamedTuple):
+    """Share of the requests that were answered in time, and other counts."""
+
+    goodput: int
+    rejected: int
+    late: int
+    large: float
+    """Share in time of the five largest workspaces other than the hot one."""
+    others: float
+    """Share in time of all workspaces other than the hot one."""
+    worst_tenth: float
+    hot: float
+    hops: int
+
+
+def summary(ended, begin=4.0, end=10.0):
+    """Return the result of the requests that arrived between two instants."""
+    of = [each for each in ended if begin <= each.arrival.at < end]
+    total, in_time = collections.Counter(), collections.Counter()
+    for each in of:
+        total[each.arrival.workspace] += 1
+        in_time[each.arrival.workspace] += each.result == "in_time"
+    hot = f"w{HOT:02}"
+
+    def share(names):
+        return sum(in_time[n] for n in names) / max(1, sum(total[n] for n in names))
+
+    others = sorted(name for name in total if name != hot)
+    # Workspaces with a handful of requests are ranked with those of the same share.
+    worst = sorted(others, key=lambda name: in_time[name] / total[name])[: len(others) // 10]
+    return Result(
+        sum(in_time.values()),
+        sum(each.result == "rejected" for each in of),
+        sum(each.result == "late" for each in of),
+        share(others[:5]),
+        share(others),
+        share(worst),
+        share([hot]),
+        sum(each.hops for each in of),
+    )
+
+
+def hot_workspace(rank, at):
+    return 7.5 if rank == HOT and 4.0 <= at < 10.0 else 1.0
+
+
+def hot_load(seed):
+    return list(arrivals(random.Random(seed), PLAY, 0.95 * capacity(PLAY), hot_workspace))
+
+
+def upload_load(seed):
+    """Uploads at 2.5 times their usual load beside plays, each half of the usual load."""
+    rng = random.Random(seed)
+    burst = arrivals(
+        rng, UPLOAD, 0.45 * capacity(UPLOAD), lambda rank, at: 2.5 if 4.0 <= at < 10.0 else 1.0
+    )
+    plays = arrivals(rng, PLAY, 0.45 * capacity(PLAY), lambda rank, at: 1.0)
+    return [*burst, *plays]
