Keep a workspace beyond its share from endpoints that rejected it for a moment

Cause: an entry node that learns that a workspace holds more than its share of a queue backed off from the endpoint for all workspaces, or asked again with each request. Change: the reason and the time of the rejection, which the relay answer carries already, start a backoff for the workspace at this endpoint alone. The reason is decided for a request as if it came now, so that requests that time out in the queue of their own workspace carry it as well.

--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/endpoint/admission.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/endpoint/admission.py
@@ -132,6 +132,7 @@
             request,
             admitted,
             self._service_time_s(request),
+            self.clocks.monotonic(),
         )
         rejected = self._evaluate(queued)
         if rejected is not None:
@@ -149,7 +150,9 @@
             if queueing.was_started(admitted):
                 return None
             now, rate_wait_s = self.clocks.monotonic(), self.rate.wait_s()
-            return decision.rejected(now, decision.MIN_RETRY_DELAY_S, rate_wait_s)
+            rejected = decision.rejected(now, decision.MIN_RETRY_DELAY_S, rate_wait_s)
+            self.queue = queueing.waiting(self.queue)
+            return self._explained(queued, rejected, self.queue)
         except asyncio.CancelledError:
             if queueing.was_started(admitted):
                 self.release()
@@ -321,6 +324,8 @@
             if rejected is None:
                 self._start()
                 self._record_start(queued)
+            else:
+                rejected = self._explained(queued, rejected, self.queue)
             self._resolve(queued, rejected)
         self._schedule_start()
 
@@ -362,9 +367,7 @@
         if not queueing.is_shared(self.queue, request.workspace):
             ahead = queueing.count_ahead(self.queue, arriving.priority, arriving.long)
             rejected = self._rejection(request, ahead)
-            if rejected is None or not request.workspace:
-                return rejected
-            return self._explained(arriving, rejected, self.queue)
+            return rejected and self._explained(arriving, rejected, self.queue)
         evicted = self._evictions([*self.queue, arriving], margin_for=arriving)
         for queued, rejected in evicted:
             if queued is not arriving:
@@ -412,12 +415,15 @@
         It is the share if a request of a workspace without queued ones would have been admitted.
         """
         workspace = queued.request.workspace
+        if not workspace and not queueing.is_shared(queue, workspace):
+            return rejected
         alone = not any(
             other.request.workspace == workspace for other in queue if other is not queued
         )
         ahead = queueing.count_ahead_of_new(queue, queued.lane, self.virtual_times)
         state = self._state()
-        if alone or self._rejection(queued.request, ahead, state) is not None:
+        renewed = decision.renewed(queued.request, queued.arrived_at, state.now)
+        if alone or self._rejection(renewed, ahead, state) is not None:
             return rejected
         excess_s = queueing.excess_s(queue, queued.priority, workspace)
         return decision.beyond_share(rejected, excess_s, state)
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/endpoint/decision.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/endpoint/decision.py
@@ -146,6 +146,14 @@
     return Rejected("rate_limited", now + min(rate_wait_s, MAX_RATE_RETRY_DELAY_S))
 
 
+def renewed(request: Request, arrived_at: instants.Instant, now: instants.Instant) -> Request:
+    """Return the request as if it arrived now."""
+    waited_s = now - arrived_at
+    return request._replace(
+        target_at=request.target_at + waited_s, deadline=request.deadline + waited_s
+    )
+
+
 def beyond_share(rejection_: Rejected, excess_s: float, state: State) -> Rejected:
     """Return the rejection of a request because its workspace holds more than its share.
 
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/endpoint/queueing.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/endpoint/queueing.py
@@ -16,6 +16,7 @@
 import heapq
 import typing
 
+from goldcrestgrade import instants
 from goldcrestgrade_node.mesh.endpoint import decision
 
 MAX_FINISH_TAGS = 2048
@@ -42,6 +43,7 @@
     admitted: Admitted
     service_time_s: float
     """Expected service time at its arrival, by which it counts in the share of its workspace."""
+    arrived_at: instants.Instant
 
     @property
     def lane(self) -> Lane:
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/entry/dispatch.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/entry/dispatch.py
@@ -8,7 +8,7 @@
 import typing
 
 from goldcrestgrade import counters, instants, outcomes, reasons, routes
-from goldcrestgrade_node.mesh.entry import placement, retry_budget
+from goldcrestgrade_node.mesh.entry import placement, retry_budget, share_backoffs
 from goldcrestgrade_node.mesh.state import directory
 from goldcrestgrade_node.mesh.transport import requests
 
@@ -64,6 +64,8 @@
     """Whether the retry budget has granted one more arrival that has not happened yet."""
     rejections: int = 0
     """Nodes that rejected this request but accept others."""
+    beyond_share: int = 0
+    """Those of them that accept requests of other workspaces."""
     unavailable: int = 0
     """Nodes that accepted no request at all."""
     retry_at: instants.Instant = 0.0
@@ -95,6 +97,7 @@
         self.service_times_s: dict[str, float] = {}
         """Moving average of latency divided by the endpoint's pace, by service and route."""
         self.budgets: dict[str, retry_budget.RetryBudget] = {}
+        self.share_backoffs = share_backoffs.ShareBackoffs()
 
     def set_terms(self, terms: retry_budget.Terms) -> None:
         """Set the terms of all retry budgets, present and future ones."""
@@ -141,7 +144,7 @@
         return placement.choose(
             self.location,
             self._allowed(call),
-            progress.tried,
+            progress.tried | self.share_backoffs.of(call.workspace, now),
             requirements,
             now,
             self.rng,
@@ -209,8 +212,14 @@
                 self.service_times_s[_service_time_key(call)] = estimate_s + SERVICE_TIME_WEIGHT * (
                     sample_s - estimate_s
                 )
-            case outcomes.NotRun(reason=reason, retry_at=retry_at) if reason not in SHARE_REASONS:
-                instance.backoff_until = min(retry_at or now, now + REJECTION_BACKOFF_LIMIT_S)
+            case outcomes.NotRun(reason=reason, retry_at=retry_at):
+                backoff_until = min(retry_at or now, now + REJECTION_BACKOFF_LIMIT_S)
+                if reason in SHARE_REASONS:
+                    self.share_backoffs.record(
+                        call.workspace, instance.row.node_id, backoff_until, now
+                    )
+                else:
+                    instance.backoff_until = backoff_until
 
     def _final_outcome(
         self, call: requests.Call, served: requests.Served, progress: Progress, attempts: int
@@ -226,6 +235,7 @@
                     progress.unavailable += 1
                 else:
                     progress.rejections += 1
+                    progress.beyond_share += reason in SHARE_REASONS
                 again_at = retry_at or self.clocks.monotonic()
                 progress.retry_at = min(progress.retry_at or again_at, again_at)
                 if reason == reasons.Refusal.CRASHES_ENDPOINTS or attempts_used:
@@ -243,11 +253,16 @@
     def _no_instance_left(
         self, call: requests.Call, progress: Progress, now: instants.Instant
     ) -> outcomes.NotRun:
+        if progress.rejections and progress.rejections == progress.beyond_share:
+            return outcomes.NotRun(reasons.Refusal.FAIR_SHARE_EXCEEDED, progress.retry_at)
         if progress.rejections or progress.unavailable:
             none_saturated = not progress.rejections
             refusal = reasons.Refusal.NO_ENDPOINT if none_saturated else reasons.Refusal.SATURATED
             return outcomes.NotRun(refusal, progress.retry_at)
         instances = self._allowed(call)
+        share_until = self.share_backoffs.earliest(call.workspace, now)
+        if share_until is not None:
+            return outcomes.NotRun(reasons.Refusal.FAIR_SHARE_EXCEEDED, share_until)
         if not instances and call.allowed_regions is not None:
             return outcomes.NotRun(reasons.Refusal.REGION_NOT_ALLOWED, now + NO_INSTANCE_RETRY_S)
         earliest = min((i.backoff_until for i in instances if not i.failures), default=0.0)
--- a/packages/goldcrestgrade-node/tests/mesh/test_replayed_workspaces.py
+++ b/packages/goldcrestgrade-node/tests/mesh/test_replayed_workspaces.py
@@ -140,7 +140,7 @@
         kind, now = arrival.kind, self.clocks.monotonic()
         target_at, deadline = now + kind.target_s, now + kind.deadline_s
         attempt_id = str(next(self.numbers))
-        for attempt in range(1 + repeats):
+        for _ in range(1 + repeats):
             call = requests.Call(
                 attempt_id, kind.route, "s", False, 1, "c", "GET", "/", "", (), b"",
                 target_at, deadline, workspace=arrival.workspace,
