Refuse requests with keys at a node whose configuration may be too old, and test withdrawn keys

Cause: a node that reached neither the store nor a peer accepted withdrawn keys for ever, whatever the settings asked for. Keys given as one text made each of its characters a key. Change: with refuse_when_outdated, a request with a key is refused with configuration_outdated once the configuration may be older than revocation_s. The adapter takes keys only as a list of texts. The stand-in fleet configures workspaces and sends keys.

--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/entry/app.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/entry/app.py
@@ -19,6 +19,12 @@
 NOT_READY_RETRY_S = 0.3
 """Delay after which a client may retry at a node that has no configuration yet."""
 
+OUTDATED_RETRY_S = 0.5
+"""Delay after which a request with a key may be retried at a node that lost its sources.
+
+Nodes that find a source again are up to date within a second.
+"""
+
 MAX_CLIENT_TIMEOUT_MS = 3_600_000
 """Longest timeout that a client may ask for."""
 
@@ -47,6 +53,7 @@
         clocks: instants.Clocks,
         counts: counters.Counts,
         rng: random.Random,
+        is_outdated: typing.Callable[[], bool] = lambda: False,
     ) -> None:
         self.run = run
         self.table = table
@@ -56,6 +63,8 @@
         self.clocks = clocks
         self.counts = counts
         self.rng = rng
+        self.is_outdated = is_outdated
+        """Returns whether the configuration is too old to accept keys by it."""
 
     async def __call__(self, scope: asgi.Scope, receive: asgi.Receive, send: asgi.Send) -> None:
         """Serve one request."""
@@ -112,6 +121,10 @@
                 reasons.Refusal.NO_SHEET, self.clocks.monotonic() + NOT_READY_RETRY_S
             )
         text = by_name.get(self.header_names.authorization.encode())
+        if text is not None and table.workspaces and self.is_outdated():
+            return outcomes.NotRun(
+                reasons.Refusal.CONFIGURATION_OUTDATED, self.clocks.monotonic() + OUTDATED_RETRY_S
+            )
         holder = workspaces.holder(table, text, self.header_names.authorization_scheme)
         if text is not None and table.workspaces and holder is None:
             return outcomes.NotRun(reasons.Refusal.UNAUTHORIZED)
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/node.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/node.py
@@ -263,6 +263,10 @@
         """Return whether clients may send requests to this node."""
         return self.table is not None and self.sync.complete.is_set() and not self.stopping.is_set()
 
+    def is_configuration_outdated(self) -> bool:
+        """Return whether a key may have been withdrawn longer ago than the settings allow."""
+        return self.config.refuse_when_outdated and self.sync.age_s() >= self.config.revocation_s
+
     # Requests
 
     async def serve_at(
@@ -346,6 +350,7 @@
             self.clocks,
             self.counts,
             self.rng,
+            self.is_configuration_outdated,
         )
 
     def peers(self) -> asgi.App:
--- a/packages/goldcrestgrade-testing/goldcrestgrade_testing/fleet_platform/endpoint.py
+++ b/packages/goldcrestgrade-testing/goldcrestgrade_testing/fleet_platform/endpoint.py
@@ -91,6 +91,8 @@
         """Monotonic instant at which the node first answered a heartbeat that reports a drain."""
         self.calling_services: dict[str, str | None] = {}
         """Service of the client, from `x-caller-service`, by attempt id."""
+        self.workspaces: dict[str, str | None] = {}
+        """Workspace that `x-tenant-id` names, by attempt id."""
         self.deadlines_ms: dict[str, int] = {}
         """Value of `x-deadline-ms` by attempt id; -1 if the header was missing."""
         self.expected_instances: set[str | None] = set()
@@ -184,6 +186,7 @@
         self.run_counts[attempt_id] += 1
         self.started_runs.append((attempt_id, self.endpoint_id, time.monotonic()))
         self.calling_services[attempt_id] = request.field("x-caller-service")
+        self.workspaces[attempt_id] = request.field("x-tenant-id")
         self.deadlines_ms[attempt_id] = int(request.field("x-deadline-ms") or -1)
         try:
             marker = self.behaviour.crash_marker
--- a/packages/goldcrestgrade-testing/goldcrestgrade_testing/fleet_platform/fleet.py
+++ b/packages/goldcrestgrade-testing/goldcrestgrade_testing/fleet_platform/fleet.py
@@ -106,6 +106,10 @@
         self.start_command = start_command or (sys.executable, str(START_PROGRAM))
         self.rules: list[dict[str, typing.Any]] = []
         """Rules of the last configuration written."""
+        self.workspaces: list[dict[str, typing.Any]] = []
+        """Workspaces of the last configuration written, as the platform encodes them."""
+        self.further_settings: dict[str, typing.Any] = {}
+        """Settings that are added to those of each node as it starts."""
         self.added_routes: list[tuple[str, float]] = []
         """Prefix of each route from `add_route` and the monotonic instant when it was written."""
         self.replacement_count = 0
@@ -200,6 +204,7 @@
                 )
             },
             "resend_slack": 56,
+            **self.further_settings,
         }
 
     def start_heartbeats(self, instance: Instance) -> None:
@@ -230,9 +235,18 @@
         instance.endpoint = new_endpoint
         self.start_heartbeats(instance)
 
-    def configure(self, *routes: dict[str, typing.Any]) -> None:
-        """Write a configuration with the rules `routes` to the store, as the operator does."""
+    def configure(
+        self,
+        *routes: dict[str, typing.Any],
+        workspaces: typing.Sequence[dict[str, typing.Any]] | None = None,
+    ) -> None:
+        """Write a configuration with the rules `routes` to the store, as the operator does.
+
+        Without `workspaces`, those of the last configuration stay.
+        """
         self.config_version += 2
+        if workspaces is not None:
+            self.workspaces = list(workspaces)
         self.rules = list(routes)
         services = sorted({instance.placement.service for instance in self.instances})
         self.configuration = {
@@ -244,6 +258,8 @@
                 for name in services
             ],
         }
+        if self.workspaces:
+            self.configuration["tenants"] = self.workspaces
         self.store.write("op", "config", self.configuration)
 
     async def restore_store(self, age_s: float, away_s: float) -> None:
@@ -313,11 +329,14 @@
         method: str = "GET",
         deadline_ms: int = 2000,
         attempt_id: str | None = None,
+        key: str | None = None,
     ) -> Answer:
         """Send one request to the node of `instance`, as a client on that instance does.
 
-        The `x-caller-service` header is forged: the node must replace it by its own service.
+        The `x-caller-service` header is forged: the node must replace it by its own service. With a
+        `key` of a workspace, the header that names the workspace is forged too.
         """
+        identity = {} if key is None else {"authorization": f"Token {key}", "x-tenant-id": "forged"}
         self.sent_requests += 1
         attempt_id = attempt_id or f"try-{self.sent_requests}"
         started = time.monotonic()
@@ -330,6 +349,7 @@
                     "x-attempt-id": attempt_id,
                     "x-deadline-ms": str(deadline_ms),
                     "x-caller-service": "forged",
+                    **identity,
                 },
                 data=b"request" if method == "POST" else None,
                 timeout=aiohttp.ClientTimeout(total=deadline_ms / 1000 + 1),
@@ -386,6 +406,11 @@
     }
 
 
+def workspace(name: str, *keys: str, **further: typing.Any) -> dict[str, typing.Any]:
+    """Return a workspace of a configuration that holds `keys`."""
+    return {"name": name, "api_keys": list(keys), "priority": 1, **further}
+
+
 @contextlib.asynccontextmanager
 async def running(
     placements: typing.Mapping[str, Placement],
--- a/packages/goldcrestgrade-testing/tests/fleet_platform/test_adapter.py
+++ b/packages/goldcrestgrade-testing/tests/fleet_platform/test_adapter.py
@@ -334,3 +334,11 @@
     assert store_setup.client._observe_era(None) == 7
     assert store_setup.client._observe_era("6") == 6
     assert store_setup.client.era == 7
+
+
+@pytest.mark.parametrize("keys", ["secret-key", [""], [5], {"secret-key": 1}])
+def test_keys_that_are_no_list_of_texts_are_refused_without_showing_them(keys):
+    with pytest.raises(exceptions.InvalidDocument) as raised:
+        configuration.decode(document() | {"tenants": [{"name": "w", "api_keys": keys}]})
+    (fault,) = raised.value.faults
+    assert "'w'" in fault.text and "secret" not in fault.text
