--- a/packages/goldcrestgrade-node/tests/mesh/test_entry.py
+++ b/packages/goldcrestgrade-node/tests/mesh/test_entry.py
@@ -1,12 +1,17 @@
 """Workspaces of requests at the entry node."""
 
+import asyncio
 import random
+import types
 
+import hypothesis
 import pytest
+from hypothesis import strategies
 
 from goldcrestgrade import counters, instants, outcomes, routes
+from goldcrestgrade_node.mesh import node
 from goldcrestgrade_node.mesh.entry import app
-from goldcrestgrade_node.mesh.transport import dialect
+from goldcrestgrade_node.mesh.transport import dialect, requests
 
 NAMES = dialect.Dialect(**{name: f"x-{name}" for name in dialect.Dialect._fields})._replace(
     authorization="authorization", authorization_scheme="Token"
@@ -21,8 +26,13 @@
     return routes.build(1, routes.Limits(), [service], [keyed, anonymous], workspaces)
 
 
-async def serve(route_table, path, **sent_headers):
+async def serve(route_table, path, outdated=False, **sent_headers):
     """Return the status of the answer and the request that was run, if any."""
+    fields = [(name.replace("_", "-"), text) for name, text in sent_headers.items()]
+    return await serve_fields(route_table, path, fields, outdated)
+
+
+async def serve_fields(route_table, path, fields, outdated=False):
     calls = []
 
     async def run(call, _attempts):
@@ -38,13 +48,15 @@
         instants.system_clocks(),
         counters.Counts(),
         random.Random(1),
+        lambda: outdated,
     )
-    fields = {"host": "h", **{name.replace("_", "-"): text for name, text in sent_headers.items()}}
     scope = {
         "method": "GET",
         "raw_path": path.encode(),
         "query_string": b"",
-        "headers": [(name.encode(), text.encode()) for name, text in fields.items()],
+        "headers": [
+            (name.encode(), text.encode("latin-1")) for name, text in [("host", "h"), *fields]
+        ],
     }
     sent = []
 
@@ -91,3 +103,45 @@
 async def test_authorization_is_passed_on_without_workspaces():
     _, call = await serve(table(()), "/a/1", authorization="Basic user")
     assert call.workspace == "" and call.headers == (("authorization", "Basic user"),)
+
+
+@hypothesis.settings(max_examples=200, deadline=None, derandomize=True)
+@hypothesis.given(
+    text=strategies.one_of(
+        strategies.text(strategies.characters(max_codepoint=255), max_size=300),
+        strategies.lists(
+            strategies.sampled_from(["Token", "token", "Basic", "k1", " ", "\t", ",", "=", "k"]),
+            max_size=6,
+        ).map("".join),
+    ),
+    forged=strategies.lists(strategies.sampled_from(["w", "v", ""]), max_size=3),
+)
+def test_no_malformed_key_or_forged_workspace_gains_an_identity(text, forged):
+    """Guards against a parser that accepts more than the scheme, blanks and one known key."""
+    fields = [("authorization", text), *(("x-workspace", name) for name in forged)]
+    status, call = asyncio.run(serve_fields(table(), "/a/1", fields))
+    scheme, _, key = text.strip().partition(" ")
+    known = scheme.lower() == "token" and key.strip() == "k1"
+    assert status == (200 if known else 401)
+    if call is not None:
+        assert call.workspace == "w" and call.headers == ()
+        assert "k1" not in requests.encode(call, 0.0)
+
+
+async def test_node_whose_configuration_may_be_too_old_refuses_each_request_with_a_key():
+    """Guards against a cut-off node that accepts withdrawn keys although it must not."""
+    for text in ("Token k1", "Token k2"):
+        answer, call = await serve(table(), "/a/1", outdated=True, authorization=text)
+        assert answer == 503 and call is None
+    assert (await serve(table(), "/b/1", outdated=True))[0] == 200
+    assert (await serve(table(()), "/a/1", outdated=True, authorization="Basic user"))[0] == 200
+
+
+@pytest.mark.parametrize(
+    ("refuses", "age_s", "outdated"), [(True, 5.0, True), (True, 4.9, False), (False, 60.0, False)]
+)
+def test_configuration_is_outdated_only_if_the_settings_ask_for_it(refuses, age_s, outdated):
+    config = types.SimpleNamespace(refuse_when_outdated=refuses, revocation_s=5.0)
+    sync = types.SimpleNamespace(age_s=lambda: age_s)
+    stub = types.SimpleNamespace(config=config, sync=sync)
+    assert node.MeshNode.is_configuration_outdated(stub) == outdated
