Draw withdrawn keys in the fault soak and check them at the endpoints

Cause: no run under faults showed that a withdrawn key stays withdrawn, or that endpoints get the right workspace. Change: clients of the soak carry keys, and the fault withdraw replaces one. run_with_withdrawn_key finds runs later than 5 s after the withdrawal, wrong_workspace requests that endpoints got under another name; each finds a defect seeded in the product. A refusal of the key says nothing of the route, so route_forgotten doesn't count it as knowledge of the route.

--- a/packages/goldcrestgrade-node/tests/mesh/test_replayed_workspaces.py
+++ b/packages/goldcrestgrade-node/tests/mesh/test_replayed_workspaces.py
@@ -44,6 +44,8 @@
     at: float
     workspace: str
     kind: Kind
+    work_s: float
+    """Service time, the same whatever the policy."""
 
 
 class Ended(typing.NamedTuple):
@@ -52,6 +54,7 @@
     arrival: Arrival
     result: str
     hops: int
+    at: float
 
 
 def weights():
@@ -68,7 +71,8 @@
             peak = 7.5
             at += rng.expovariate(rate * weight * peak)
             if rng.random() < factor_at(rank, at) / peak:
-                yield Arrival(at, f"w{rank:02}", kind)
+                work_s = kind.service_time_s * rng.lognormvariate(-(SIGMA**2) / 2, SIGMA)
+                yield Arrival(at, f"w{rank:02}", kind, work_s)
 
 
 def capacity(kind):
@@ -86,6 +90,7 @@
         self.controllers = {}
         self.hops = collections.Counter()
         self.ended = []
+        self.work_s = {}
         self.numbers = itertools.count()
         self.locations = [
             directory.Location(f"domain-{number % 4}", "region") for number in range(ENDPOINTS)
@@ -122,8 +127,7 @@
         )
         if rejected is None:
             started, at_start = self.clocks.monotonic(), controller.load_snapshot()
-            mean_s = {PLAY.route: PLAY, UPLOAD.route: UPLOAD}[call.route].service_time_s
-            await asyncio.sleep(mean_s * self.rng.lognormvariate(-(SIGMA**2) / 2, SIGMA))
+            await asyncio.sleep(self.work_s[call.attempt_id])
             controller.apply_load_report(loads.Load(controller.in_flight, 0, SLOTS, 1.0))
             elapsed_s = self.clocks.monotonic() - started
             controller.record_service_time(admitted.route_key, elapsed_s, at_start)
@@ -140,6 +144,7 @@
         kind, now = arrival.kind, self.clocks.monotonic()
         target_at, deadline = now + kind.target_s, now + kind.deadline_s
         attempt_id = str(next(self.numbers))
+        self.work_s[attempt_id] = arrival.work_s
         for _ in range(1 + repeats):
             call = requests.Call(
                 attempt_id, kind.route, "s", False, 1, "c", "GET", "/", "", (), b"",
@@ -151,7 +156,7 @@
         in_time = self.clocks.monotonic() <= target_at
         ran = isinstance(outcome, outcomes.Ran)
         result = ("in_time" if in_time else "late") if ran else "rejected"
-        self.ended.append(Ended(arrival, result, self.hops[attempt_id]))
+        self.ended.append(Ended(arrival, result, self.hops[attempt_id], self.clocks.monotonic()))
 
     async def play(self, requested, repeats):
         await asyncio.gather(*(self.request(arrival, repeats) for arrival in requested))
@@ -169,6 +174,8 @@
     """Share of the requests that were answered in time, and other counts."""
 
     goodput: int
+    answered: int
+    """Requests answered in time between the two instants, whenever they arrived."""
     rejected: int
     late: int
     large: float
@@ -197,6 +204,7 @@
     worst = sorted(others, key=lambda name: in_time[name] / total[name])[: len(others) // 10]
     return Result(
         sum(in_time.values()),
+        sum(each.result == "in_time" and begin <= each.at < end for each in ended),
         sum(each.result == "rejected" for each in of),
         sum(each.result == "late" for each in of),
         share(others[:5]),
--- a/packages/goldcrestgrade-testing/goldcrestgrade_testing/fault_soak/checks.py
+++ b/packages/goldcrestgrade-testing/goldcrestgrade_testing/fault_soak/checks.py
@@ -16,6 +16,9 @@
 CONFIG_APPLY_S = 2.0
 """Documented time within which a written configuration is in force."""
 
+REVOKE_S = 5.0
+"""Documented time after which a withdrawn key is accepted by no node that is in contact."""
+
 DRAIN_S = 2.0
 """Documented time after an acknowledged drain within which an endpoint may still get requests."""
 
@@ -144,7 +147,7 @@
         _requests_on_added_routes(observed), key=lambda pair: pair[0].sent_at
     ):
         key = request.instance, request.node_pid, route.prefix
-        if request.status not in (0, 404):
+        if request.status not in (0, 401, 404):
             known[key] = min(known.get(key, request.answered_at), request.answered_at)
         elif request.status == 404 and request.sent_at > known.get(key, request.sent_at):
             yield f"{request.instance} forgot {route.prefix} without a restart"
@@ -280,6 +283,34 @@
     )
 
 
+def run_with_withdrawn_key(observed: history.History) -> typing.Iterator[str]:
+    """Find runs that began over `REVOKE_S` after the key of their request was withdrawn.
+
+    Requests are exempt while a fault cuts off their instance, as in `too_late`.
+    """
+    requests = {request.attempt_id: request for request in observed.requests}
+    for run in observed.runs:
+        request = requests.get(run.attempt_id)
+        withdrawn_at = None if request is None else observed.withdrawn_at.get(request.key)
+        if request is None or withdrawn_at is None:
+            continue
+        bound_s = REVOKE_S + _stalled_s(observed, withdrawn_at, run.began_at)
+        if run.began_at > withdrawn_at + bound_s and _is_undisturbed(observed, request):
+            yield (
+                f"{run.attempt_id} ran {run.began_at - withdrawn_at:.2f} s after its key was "
+                f"withdrawn, sent to {request.instance}"
+            )
+
+
+def wrong_workspace(observed: history.History) -> typing.Iterator[str]:
+    """Find requests that an endpoint got with another workspace than that of their key."""
+    requests = {request.attempt_id: request for request in observed.requests}
+    for attempt_id, named in observed.run_workspaces:
+        request = requests.get(attempt_id)
+        if request is not None and (named or "") != request.workspace:
+            yield f"{attempt_id} of {request.workspace!r} was sent to an endpoint as {named!r}"
+
+
 def not_recovered(observed: history.History) -> typing.Iterator[str]:
     """Find instances that did not serve all services again after the last fault."""
     for instance, recovered in observed.recovered.items():
@@ -302,6 +333,8 @@
         lost_at_planned_stop,
         over_rate_limit,
         sent_after_leaving,
+        run_with_withdrawn_key,
+        wrong_workspace,
         not_recovered,
     )
 }
--- a/packages/goldcrestgrade-testing/goldcrestgrade_testing/fault_soak/history.py
+++ b/packages/goldcrestgrade-testing/goldcrestgrade_testing/fault_soak/history.py
@@ -37,6 +37,10 @@
     """Whether the answer names a rate limit of the endpoint."""
     says_leaving: bool = False
     """Whether the answer says that the endpoint leaves."""
+    workspace: str = ""
+    """Workspace whose key the request carried; empty if it carried none."""
+    key: str = ""
+    """That key."""
 
 
 class Run(typing.NamedTuple):
@@ -97,3 +101,7 @@
     """Changes of its rate limit by endpoint id, in order."""
     hosts: typing.Mapping[str, str] = {}
     """Name of the instance that runs an endpoint, by endpoint id."""
+    withdrawn_at: typing.Mapping[str, Instant] = {}
+    """Instant at which a key was withdrawn, by key."""
+    run_workspaces: typing.Sequence[tuple[str, str | None]] = ()
+    """Attempt id of each attempt that ran at an endpoint, and the workspace that it named there."""
--- a/packages/goldcrestgrade-testing/goldcrestgrade_testing/fault_soak/injection.py
+++ b/packages/goldcrestgrade-testing/goldcrestgrade_testing/fault_soak/injection.py
@@ -67,6 +67,8 @@
             await _replace_endpoint(running_fleet, instance)
         case "configure":
             running_fleet.add_route()
+        case "withdraw":
+            running_fleet.withdraw_key()
         case "reload":
             running_fleet.reload_settings(instance)
         case _ if family == "link":
--- a/packages/goldcrestgrade-testing/goldcrestgrade_testing/fault_soak/plan.py
+++ b/packages/goldcrestgrade-testing/goldcrestgrade_testing/fault_soak/plan.py
@@ -31,6 +31,7 @@
     "leave",
     "crash",
     "configure",
+    "withdraw",
     "reload",
 )
 """Kinds of fault; `injection.inject` implements them.
@@ -38,7 +39,7 @@
 Planned operations such as `stop`, `drain`, `configure` and `reload` count as faults.
 """
 
-FLEET_WIDE_KINDS = frozenset({"store_forget", "store_restore", "configure"})
+FLEET_WIDE_KINDS = frozenset({"store_forget", "store_restore", "configure", "withdraw"})
 """Kinds that affect the whole fleet rather than one instance."""
 
 MAX_SERIES_LENGTH = 3
--- a/packages/goldcrestgrade-testing/goldcrestgrade_testing/fault_soak/soak.py
+++ b/packages/goldcrestgrade-testing/goldcrestgrade_testing/fault_soak/soak.py
@@ -35,6 +35,9 @@
 PLACEMENTS = placements(1)
 """Placements of the smallest fleet."""
 
+ROTATING_SHARE = 0.25
+"""Share of the requests whose key may have been withdrawn."""
+
 PAUSE_S = 0.02
 """Pause of a client between an answer and its next request."""
 
@@ -109,7 +112,8 @@
     async def _send_request(self, instance: fleet.Instance, path: str, run_once: bool) -> None:
         node_pid = 0 if instance.process is None else instance.process.pid
         sent_at = time.monotonic()
-        answer = await self.fleet.call(instance, path, "POST" if run_once else "GET")
+        key = self._draw_key()
+        answer = await self.fleet.call(instance, path, "POST" if run_once else "GET", key=key)
         is_own_answer = (
             answer.body == b"body of " + answer.attempt_id.encode()
             and answer.fields.get("x-attempt-id") == answer.attempt_id
@@ -130,9 +134,20 @@
                 answer.fields.get("x-upstream-signature", "").partition(".")[0],
                 "server-limit" in answer.fields,
                 "server-leaving" in answer.fields,
+                fleet.STEADY_WORKSPACE
+                if key == self.fleet.default_key
+                else fleet.ROTATING_WORKSPACE,
+                key,
             )
         )
 
+    def _draw_key(self) -> str:
+        """Return the key of the next request, often one that is new or withdrawn."""
+        assert self.fleet.default_key is not None
+        if self.rng.random() >= ROTATING_SHARE:
+            return self.fleet.default_key
+        return self.rng.choice(self.fleet.keys[-2:]).text
+
     async def _record_stalls(self) -> None:
         while True:
             before = time.monotonic()
@@ -175,6 +190,8 @@
                 if one.rate_limits
             },
             {one.endpoint_id: one.instance for one in all_endpoints},
+            {key.text: key.withdrawn_at for key in self.fleet.keys if key.withdrawn_at is not None},
+            [pair for one in all_endpoints for pair in one.workspaces.items()],
         )
 
 
@@ -210,6 +227,9 @@
     async with fleet.running(
         placements(size), SERVICE_TIME_S, proxied=True, start_command=start_command
     ) as running_fleet:
+        running_fleet.withdraw_key()
+        # Until then, requests need no key, and endpoints are told no workspace.
+        await running_fleet.wait_keys_required()
         observed = await Soak(running_fleet, rng).play(faults)
         logs = {
             instance.name: running_fleet.node_log(instance) for instance in running_fleet.instances
--- a/packages/goldcrestgrade-testing/goldcrestgrade_testing/fleet_platform/fleet.py
+++ b/packages/goldcrestgrade-testing/goldcrestgrade_testing/fleet_platform/fleet.py
@@ -46,6 +46,10 @@
 """Host name under which the routes are configured."""
 
 
+STEADY_WORKSPACE, ROTATING_WORKSPACE = "steady", "rotating"
+"""Workspaces of the fault soak: one whose key stays, and one whose key is withdrawn."""
+
+
 class FleetNotReady(Exception):
     """A fleet did not serve within `READY_TIMEOUT_S`; the message contains its node logs."""
 
@@ -80,6 +84,15 @@
         return f"{HOST}:{self.ports[name]}"
 
 
+@dataclasses.dataclass
+class Key:
+    """A key of a workspace."""
+
+    text: str
+    withdrawn_at: float | None = None
+    """Monotonic instant at which a configuration without it was written, none if it is held."""
+
+
 class Answer(typing.NamedTuple):
     """The answer that a client received."""
 
@@ -108,6 +121,10 @@
         """Rules of the last configuration written."""
         self.workspaces: list[dict[str, typing.Any]] = []
         """Workspaces of the last configuration written, as the platform encodes them."""
+        self.keys: list[Key] = []
+        """Keys of the workspace whose key the fault soak withdraws, the latest last."""
+        self.default_key: str | None = None
+        """Key of requests for which `call` is given none."""
         self.further_settings: dict[str, typing.Any] = {}
         """Settings that are added to those of each node as it starts."""
         self.added_routes: list[tuple[str, float]] = []
@@ -163,6 +180,21 @@
         self.configure(*self.rules, rule)
         self.added_routes.append((prefix, time.monotonic()))
 
+    def withdraw_key(self) -> None:
+        """Write a configuration in which a new key takes the place of the latest one."""
+        key = f"key-{len(self.keys) + 1}-of-{ROTATING_WORKSPACE}"
+        self.keys.append(Key(key))
+        self.default_key = f"key-of-{STEADY_WORKSPACE}"
+        self.configure(
+            *self.rules,
+            workspaces=[
+                workspace(STEADY_WORKSPACE, self.default_key),
+                workspace(ROTATING_WORKSPACE, key),
+            ],
+        )
+        if len(self.keys) > 1:
+            self.keys[-2].withdrawn_at = time.monotonic()
+
     def reload_settings(self, instance: Instance) -> None:
         """Change the settings file of a node and send the node SIGHUP if it runs."""
         settings = self.settings(instance)
@@ -292,6 +324,13 @@
                 while (await self.call(instance, f"/{service}/")).status != 200:
                     await asyncio.sleep(POLL_INTERVAL_S)
 
+    async def wait_keys_required(self) -> None:
+        """Wait until each node refuses unknown keys; raises `TimeoutError` in time."""
+        async with asyncio.timeout(READY_TIMEOUT_S):
+            for instance in self.instances:
+                while (await self.call(instance, "/", key="unknown")).status != 401:
+                    await asyncio.sleep(POLL_INTERVAL_S)
+
     async def wait_known(self) -> None:
         """Wait until each node knows that the endpoint of each instance serves.
 
@@ -336,6 +375,7 @@
         The `x-caller-service` header is forged: the node must replace it by its own service. With a
         `key` of a workspace, the header that names the workspace is forged too.
         """
+        key = self.default_key if key is None else key
         identity = {} if key is None else {"authorization": f"Token {key}", "x-tenant-id": "forged"}
         self.sent_requests += 1
         attempt_id = attempt_id or f"try-{self.sent_requests}"
--- a/packages/goldcrestgrade-testing/tests/fault_soak/test_mutations.py
+++ b/packages/goldcrestgrade-testing/tests/fault_soak/test_mutations.py
@@ -183,6 +183,27 @@
 """,
         [plan.Fault("leave", 0, 1.0, 10.0, 0)],
     ),
+    "run_with_withdrawn_key": Mutation(
+        """
+from goldcrestgrade_node.mesh.entry import workspaces
+holder, known = workspaces.holder, {}
+def accept_as_before(table, text, scheme):
+    found = holder(table, text, scheme)
+    known.setdefault(text, found)
+    return found or known[text]
+workspaces.holder = accept_as_before
+""",
+        [plan.Fault("withdraw", 0, 2.0, 10.0, 0)],
+    ),
+    "wrong_workspace": Mutation(
+        """
+make_call = requests.call
+def without_workspace(*arguments):
+    return make_call(*arguments)._replace(workspace="")
+requests.call = without_workspace
+""",
+        [plan.Fault("withdraw", 0, 1.0, 3.0, 0)],
+    ),
     "not_recovered": Mutation(
         """
 import time
@@ -209,11 +230,18 @@
     assert name.split()[0] in {text.partition(":")[0] for text in result.violations}
 
 
-async def test_unchanged_product_violates_no_guarantee_under_the_faults_of_four_mutations():
+async def test_unchanged_product_violates_no_guarantee_under_the_faults_of_five_mutations():
     faults = [
         fault
         for name, mutation in MUTATIONS.items()
-        if name in ("run_twice", "too_late", "run_while_draining", "route_missing")
+        if name
+        in (
+            "run_twice",
+            "too_late",
+            "run_while_draining",
+            "route_missing",
+            "run_with_withdrawn_key",
+        )
         for fault in mutation.faults
     ]
     result = await soak.play(sorted(faults, key=lambda planned: planned.begin_s), random.Random(1))
