Refuse queued requests whose key was withdrawn while they waited

Cause: a request with a deadline of several seconds could wait at an endpoint's node and run later than the bound after its key was withdrawn. Change: the relay header carries the version of the configuration by which the key was accepted.

--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/entry/app.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/entry/app.py
@@ -100,6 +100,8 @@
             _client_timeout_s(by_name.get(self.header_names.remaining_ms.encode())),
             workspace,
         )
+        if workspace is not None and (in_force := self.table()) is not None:
+            call = call._replace(configuration=in_force.version)
         await self._run_watched(call, route, receive, send, started)
 
     def _forwarded_headers(self, scope: asgi.Scope) -> outcomes.Headers:
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/entry/dispatch.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/entry/dispatch.py
@@ -40,6 +40,11 @@
 )
 """Reasons with which a node rejects every request; they don't show that others are saturated."""
 
+FINAL_REASONS = frozenset(
+    {reasons.Refusal.CRASHES_ENDPOINTS, reasons.Refusal.CONFIGURATION_OUTDATED}
+)
+"""Reasons that concern a request and which every node would give."""
+
 SHARE_REASONS = frozenset({reasons.Refusal.FAIR_SHARE_EXCEEDED})
 """Reasons with which a node rejects requests of one workspace; it accepts those of others."""
 
@@ -218,7 +223,7 @@
                     self.share_backoffs.record(
                         call.workspace, instance.row.node_id, backoff_until, now
                     )
-                else:
+                elif reason != reasons.Refusal.CONFIGURATION_OUTDATED:
                     instance.backoff_until = backoff_until
 
     def _final_outcome(
@@ -238,7 +243,7 @@
                     progress.beyond_share += reason in SHARE_REASONS
                 again_at = retry_at or self.clocks.monotonic()
                 progress.retry_at = min(progress.retry_at or again_at, again_at)
-                if reason == reasons.Refusal.CRASHES_ENDPOINTS or attempts_used:
+                if reason in FINAL_REASONS or attempts_used:
                     return progress.last_outcome or served.outcome
                 return None
             case outcomes.Ran(answer=answer) if answer.status < MIN_FAILED_STATUS:
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/node.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/node.py
@@ -25,6 +25,7 @@
     replica,
     restoration,
     watch,
+    withdrawals,
 )
 from goldcrestgrade_node.mesh.transport import connections, dialect, peers, relay, requests, signals
 
@@ -39,6 +40,9 @@
 REGION_RETRY_S = 0.3
 """Delay after which a request that may not run in the region of a node may be retried."""
 
+WITHDRAWAL_RETRY_S = 0.1
+"""Delay after which a client may retry a request that was accepted before a withdrawal."""
+
 FIRST_CHECK_TIMEOUT_S = 0.3
 """Longest wait for the first health check; the first row then says whether the endpoint serves.
 
@@ -152,6 +156,7 @@
             self.clocks,
         )
         self.quarantine = quarantine.Quarantine(platform.store, self.clocks)
+        self.withdrawals = withdrawals.Withdrawals()
         self.crash_checks: set[asyncio.Task[None]] = set()
         self.relay = relay.RelayClient(platform.header_names, self.clocks)
         self.prober = peers.Prober(
@@ -222,6 +227,8 @@
                 )
             return table.version == self.table.version
         first = self.table is None
+        if self.table is not None:
+            self.withdrawals.record(self.table, table, self.clocks.monotonic())
         self.table = table
         for finding in routes.unknown_regions(table, self.config.regions or {self.config.region}):
             log.warning(
@@ -292,6 +299,9 @@
         if self.handing_over.is_set():
             retry_at = self.clocks.monotonic() + STOPPING_RETRY_S
             return local.Refused(reasons.Refusal.NODE_STOPPING, retry_at)
+        now = self.clocks.monotonic()
+        if self.withdrawals.concerns(call.workspace, call.configuration, now):
+            return local.Refused(reasons.Refusal.CONFIGURATION_OUTDATED, now + WITHDRAWAL_RETRY_S)
         if not self.is_region_allowed(call):
             retry_at = self.clocks.monotonic() + REGION_RETRY_S
             return local.Refused(reasons.Refusal.REGION_NOT_ALLOWED, retry_at)
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/transport/requests.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/transport/requests.py
@@ -43,6 +43,8 @@
     """Regions in which it may run; none if it may run in any."""
     large_body: bool = False
     """Whether the transfer of its body counts in the choice of an endpoint."""
+    configuration: int = 0
+    """Version of the configuration by which the key of its workspace was accepted."""
 
     def admission_request(self) -> decision.Request:
         """Return what the admission controller of an endpoint needs to evaluate the request."""
@@ -129,6 +131,8 @@
     regions: typing.NotRequired[list[str]]
     """Regions in which the request may run; left out if it may run in any."""
     large: typing.NotRequired[bool]
+    configuration: typing.NotRequired[int]
+    """Version by which the key of the workspace was accepted; left out without a workspace."""
 
 
 class ReportDocument(typing.TypedDict):
@@ -158,6 +162,7 @@
         )
     if call_.workspace:
         document["workspace"] = call_.workspace
+        document["configuration"] = call_.configuration
     if call_.allowed_regions is not None:
         document["regions"] = sorted(call_.allowed_regions)
     if call_.large_body:
@@ -188,6 +193,7 @@
             workspace=document.get("workspace", ""),
             allowed_regions=frozenset(document["regions"]) if "regions" in document else None,
             large_body=document.get("large", False),
+            configuration=document.get("configuration", 0),
         )
     except (orjson.JSONDecodeError, KeyError, TypeError):
         return None
--- a/packages/goldcrestgrade-operator/goldcrestgrade_operator/explanations.py
+++ b/packages/goldcrestgrade-operator/goldcrestgrade_operator/explanations.py
@@ -129,7 +129,7 @@
     ),
     reasons.Refusal.CONFIGURATION_OUTDATED: Explanation(
         "The node's configuration is too old to tell whether a key is still valid.",
-        "Find out why the node reaches neither the store nor a peer.",
+        "If it lasts, find out why the node reaches neither the store nor a peer.",
     ),
     reasons.Refusal.QUOTA_EXCEEDED: Explanation(
         "The workspace has used its quota of requests over all nodes.",
