--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/entry/dispatch.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/entry/dispatch.py
@@ -14,6 +14,7 @@
     placement,
     reachability,
     retry_budget,
+    share_backoffs,
     warming,
 )
 from goldcrestgrade_node.mesh.state import directory, evacuations
@@ -56,6 +57,14 @@
 )
 """Reasons with which a node rejects every request; they don't show that others are saturated."""
 
+FINAL_REASONS = frozenset(
+    {reasons.Refusal.CRASHES_ENDPOINTS, reasons.Refusal.CONFIGURATION_OUTDATED}
+)
+"""Reasons that concern a request and which every node would give."""
+
+SHARE_REASONS = frozenset({reasons.Refusal.FAIR_SHARE_EXCEEDED})
+"""Reasons with which a node rejects requests of one workspace; it accepts those of others."""
+
 MIN_FAILED_STATUS = 500
 """Lowest status of an answer that counts as a failure of the endpoint."""
 
@@ -77,6 +86,8 @@
     """Whether the retry budget has granted one more arrival that has not happened yet."""
     rejections: int = 0
     """Nodes that rejected this request but accept others."""
+    beyond_share: int = 0
+    """Those of them that accept requests of other workspaces."""
     unavailable: int = 0
     """Nodes that accepted no request at all."""
     retry_at: instants.Instant = 0.0
@@ -123,6 +134,7 @@
         """Returns the service of a name."""
         self.full_slots: dict[str, int] = {}
         """Most slots that an endpoint has reported, by services with a warm-up."""
+        self.share_backoffs = share_backoffs.ShareBackoffs()
 
     def set_terms(self, terms: retry_budget.Terms) -> None:
         """Set the terms of all retry budgets, present and future ones."""
@@ -169,13 +181,14 @@
             call.target_at, call.deadline, service_time_s, self.round_trips
         )
         service = self._warm_up(call.service)
+        skipped = progress.tried | self.share_backoffs.of(call.workspace, now)
 
         def choose_of(offered: list[directory.Instance]) -> placement.Choice | None:
             if service is not None:
-                return self._choose_with_warm_up(offered, service, progress, requirements, now)
-            return placement.choose(
-                self.location, offered, progress.tried, requirements, now, self.rng
-            )
+                return self._choose_with_warm_up(
+                    offered, service, progress, skipped, requirements, now
+                )
+            return placement.choose(self.location, offered, skipped, requirements, now, self.rng)
 
         instances = self._allowed(call)
         held_back = self._held_back(now)
@@ -207,6 +220,7 @@
         instances: list[directory.Instance],
         service: routes.Service,
         progress: Progress,
+        skipped: typing.Container[str],
         requirements: placement.Requirements,
         now: instants.Instant,
     ) -> placement.Choice | None:
@@ -219,13 +233,11 @@
         left = list(instances)
         unknown: list[directory.Instance] = []
         while True:
-            choice = placement.choose(
-                self.location, left, progress.tried, requirements, now, self.rng
-            )
+            choice = placement.choose(self.location, left, skipped, requirements, now, self.rng)
             if choice is None:
                 progress.withheld = progress.withheld or len(left) < len(instances)
                 return placement.choose(
-                    self.location, unknown, progress.tried, requirements, now, self.rng
+                    self.location, unknown, skipped, requirements, now, self.rng
                 )
             instance = choice.instance
             instance.warming = warming.consider(instance.warming, service, now)
@@ -352,8 +364,14 @@
                 self.service_times_s[_service_time_key(call)] = estimate_s + SERVICE_TIME_WEIGHT * (
                     sample_s - estimate_s
                 )
-            case outcomes.NotRun(retry_at=retry_at):
-                instance.backoff_until = min(retry_at or now, now + REJECTION_BACKOFF_LIMIT_S)
+            case outcomes.NotRun(reason=reason, retry_at=retry_at):
+                backoff_until = min(retry_at or now, now + REJECTION_BACKOFF_LIMIT_S)
+                if reason in SHARE_REASONS:
+                    self.share_backoffs.record(
+                        call.workspace, instance.row.node_id, backoff_until, now
+                    )
+                elif reason != reasons.Refusal.CONFIGURATION_OUTDATED:
+                    instance.backoff_until = backoff_until
 
     def _final_outcome(
         self, call: requests.Call, served: requests.Served, progress: Progress, attempts: int
@@ -369,9 +387,10 @@
                     progress.unavailable += 1
                 else:
                     progress.rejections += 1
+                    progress.beyond_share += reason in SHARE_REASONS
                 again_at = retry_at or self.clocks.monotonic()
                 progress.retry_at = min(progress.retry_at or again_at, again_at)
-                if reason == reasons.Refusal.CRASHES_ENDPOINTS or attempts_used:
+                if reason in FINAL_REASONS or attempts_used:
                     return progress.last_outcome or served.outcome
                 return None
             case outcomes.Ran(answer=answer) if answer.status < MIN_FAILED_STATUS:
@@ -393,12 +412,17 @@
             return outcomes.NotRun(
                 reasons.Refusal.DOMAIN_UNREACHABLE, now + DOMAIN_UNREACHABLE_RETRY_S
             )
+        if progress.rejections and progress.rejections == progress.beyond_share:
+            return outcomes.NotRun(reasons.Refusal.FAIR_SHARE_EXCEEDED, progress.retry_at)
         if progress.rejections or progress.unavailable:
             if progress.withheld:
                 return outcomes.NotRun(reasons.Refusal.WARMING_UP, progress.retry_at)
             none_saturated = not progress.rejections
             refusal = reasons.Refusal.NO_ENDPOINT if none_saturated else reasons.Refusal.SATURATED
             return outcomes.NotRun(refusal, progress.retry_at)
+        share_until = self.share_backoffs.earliest(call.workspace, now)
+        if share_until is not None:
+            return outcomes.NotRun(reasons.Refusal.FAIR_SHARE_EXCEEDED, share_until)
         if not instances and call.allowed_regions is not None:
             return outcomes.NotRun(reasons.Refusal.REGION_NOT_ALLOWED, now + NO_INSTANCE_RETRY_S)
         if progress.withheld:
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/node.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/node.py
@@ -26,6 +26,7 @@
     replica,
     restoration,
     watch,
+    withdrawals,
 )
 from goldcrestgrade_node.mesh.transport import (
     connections,
@@ -55,6 +56,8 @@
 """Delay of the health check after a cold time; timers may run early by the clock's resolution."""
 EVACUATED_RETRY_S = 0.3
 """Delay after which a request that an evacuated endpoint rejected may be sent there again."""
+WITHDRAWAL_RETRY_S = 0.1
+"""Delay after which a client may retry a request that was accepted before a withdrawal."""
 
 FIRST_CHECK_TIMEOUT_S = 0.3
 """Longest wait for the first health check; the first row then says whether the endpoint serves.
@@ -179,6 +182,7 @@
             self.clocks,
         )
         self.quarantine = quarantine.Quarantine(platform.store, self.clocks)
+        self.withdrawals = withdrawals.Withdrawals()
         self.crash_checks: set[asyncio.Task[None]] = set()
         self.relay = relay.RelayClient(platform.header_names, self.clocks)
         self.relay.on_unreachable = self.on_node_unreachable
@@ -277,6 +281,8 @@
                 )
             return table.version == self.table.version
         first = self.table is None
+        if self.table is not None:
+            self.withdrawals.record(self.table, table, self.clocks.monotonic())
         self.table = table
         for finding in routes.unknown_regions(table, self.config.regions or {self.config.region}):
             log.warning(
@@ -344,6 +350,10 @@
         """Return whether clients may send requests to this node."""
         return self.table is not None and self.sync.complete.is_set() and not self.stopping.is_set()
 
+    def is_configuration_outdated(self) -> bool:
+        """Return whether a key may have been withdrawn longer ago than the settings allow."""
+        return self.config.refuse_when_outdated and self.sync.age_s() >= self.config.revocation_s
+
     # Requests
 
     async def serve_at(
@@ -400,6 +410,9 @@
         if self.config.failure_domain in self.evacuations.domains:
             retry_at = self.clocks.monotonic() + EVACUATED_RETRY_S
             return local.Refused(reasons.Refusal.EVACUATED, retry_at)
+        now = self.clocks.monotonic()
+        if self.withdrawals.concerns(call.workspace, call.configuration, now):
+            return local.Refused(reasons.Refusal.CONFIGURATION_OUTDATED, now + WITHDRAWAL_RETRY_S)
         if not self.is_region_allowed(call):
             retry_at = self.clocks.monotonic() + REGION_RETRY_S
             return local.Refused(reasons.Refusal.REGION_NOT_ALLOWED, retry_at)
@@ -459,6 +472,7 @@
             self.clocks,
             self.counts,
             self.rng,
+            self.is_configuration_outdated,
         )
 
     def peers(self) -> asgi.App:
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/transport/requests.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/transport/requests.py
@@ -8,7 +8,7 @@
 import xxhash
 
 from goldcrestgrade import instants, outcomes, routes
-from goldcrestgrade_node.mesh.endpoint import admission
+from goldcrestgrade_node.mesh.endpoint import decision
 from goldcrestgrade_node.mesh.transport import loads, signals
 
 
@@ -45,15 +45,18 @@
     """Whether the transfer of its body counts in the choice of an endpoint."""
     round_trip_s: float = 0.0
     """Time on the way to the other node and back, which that node does not have."""
+    configuration: int = 0
+    """Version of the configuration by which the key of its workspace was accepted."""
 
-    def admission_request(self) -> admission.Request:
+    def admission_request(self) -> decision.Request:
         """Return what the admission controller of an endpoint needs to evaluate the request."""
-        return admission.Request(
+        return decision.Request(
             f"{self.service} {self.route}",
             self.priority,
             self.target_at,
             self.deadline,
             self.late_allowed,
+            self.workspace,
         )
 
 
@@ -132,6 +135,8 @@
     regions: typing.NotRequired[list[str]]
     """Regions in which the request may run; left out if it may run in any."""
     large: typing.NotRequired[bool]
+    configuration: typing.NotRequired[int]
+    """Version by which the key of the workspace was accepted; left out without a workspace."""
 
 
 class ReportDocument(typing.TypedDict):
@@ -161,6 +166,7 @@
         )
     if call_.workspace:
         document["workspace"] = call_.workspace
+        document["configuration"] = call_.configuration
     if call_.allowed_regions is not None:
         document["regions"] = sorted(call_.allowed_regions)
     if call_.large_body:
@@ -191,6 +197,7 @@
             workspace=document.get("workspace", ""),
             allowed_regions=frozenset(document["regions"]) if "regions" in document else None,
             large_body=document.get("large", False),
+            configuration=document.get("configuration", 0),
         )
     except (orjson.JSONDecodeError, KeyError, TypeError):
         return None
--- a/packages/goldcrestgrade-testing/goldcrestgrade_testing/fault_soak/history.py
+++ b/packages/goldcrestgrade-testing/goldcrestgrade_testing/fault_soak/history.py
@@ -37,6 +37,10 @@
     """Whether the answer names a rate limit of the endpoint."""
     says_leaving: bool = False
     """Whether the answer says that the endpoint leaves."""
+    workspace: str = ""
+    """Workspace whose key the request carried; empty if it carried none."""
+    key: str = ""
+    """That key."""
 
 
 class Run(typing.NamedTuple):
@@ -109,3 +113,7 @@
     cold_arrivals: typing.Mapping[str, typing.Sequence[Instant]] = {}
     """When cold endpoints got requests and health checks, by endpoint id, in order."""
     evacuations: typing.Sequence[Evacuation] = ()
+    withdrawn_at: typing.Mapping[str, Instant] = {}
+    """Instant at which a key was withdrawn, by key."""
+    run_workspaces: typing.Sequence[tuple[str, str | None]] = ()
+    """Attempt id of each attempt that ran at an endpoint, and the workspace that it named there."""
--- a/packages/goldcrestgrade-testing/goldcrestgrade_testing/fault_soak/injection.py
+++ b/packages/goldcrestgrade-testing/goldcrestgrade_testing/fault_soak/injection.py
@@ -75,6 +75,8 @@
             return await _make_cold(running_fleet, instance, fault.variant)
         case "configure":
             running_fleet.add_route()
+        case "withdraw":
+            running_fleet.withdraw_key()
         case "reload":
             running_fleet.reload_settings(instance)
         case "evacuate":
--- a/packages/goldcrestgrade-testing/goldcrestgrade_testing/fault_soak/plan.py
+++ b/packages/goldcrestgrade-testing/goldcrestgrade_testing/fault_soak/plan.py
@@ -32,6 +32,7 @@
     "crash",
     "cold",
     "configure",
+    "withdraw",
     "reload",
     "evacuate",
 )
@@ -40,7 +41,7 @@
 Planned operations such as `stop`, `drain`, `configure` and `reload` count as faults.
 """
 
-FLEET_WIDE_KINDS = frozenset({"store_forget", "store_restore", "configure"})
+FLEET_WIDE_KINDS = frozenset({"store_forget", "store_restore", "configure", "withdraw"})
 """Kinds that affect the whole fleet rather than one instance."""
 
 MAX_SERIES_LENGTH = 3
--- a/packages/goldcrestgrade-testing/goldcrestgrade_testing/fleet_platform/fleet.py
+++ b/packages/goldcrestgrade-testing/goldcrestgrade_testing/fleet_platform/fleet.py
@@ -49,6 +49,10 @@
 """Host name under which the routes are configured."""
 
 
+STEADY_WORKSPACE, ROTATING_WORKSPACE = "steady", "rotating"
+"""Workspaces of the fault soak: one whose key stays, and one whose key is withdrawn."""
+
+
 class FleetNotReady(Exception):
     """A fleet did not serve within `READY_TIMEOUT_S`; the message contains its node logs."""
 
@@ -93,6 +97,15 @@
     """None while it is in force."""
 
 
+@dataclasses.dataclass
+class Key:
+    """A key of a workspace."""
+
+    text: str
+    withdrawn_at: float | None = None
+    """Monotonic instant at which a configuration without it was written, none if it is held."""
+
+
 class Answer(typing.NamedTuple):
     """The answer that a client received."""
 
@@ -125,6 +138,14 @@
         self.start_command = start_command or (sys.executable, str(START_PROGRAM))
         self.rules: list[dict[str, typing.Any]] = []
         """Rules of the last configuration written."""
+        self.workspaces: list[dict[str, typing.Any]] = []
+        """Workspaces of the last configuration written, as the platform encodes them."""
+        self.keys: list[Key] = []
+        """Keys of the workspace whose key the fault soak withdraws, the latest last."""
+        self.default_key: str | None = None
+        """Key of requests for which `call` is given none."""
+        self.further_settings: dict[str, typing.Any] = {}
+        """Settings that are added to those of each node as it starts."""
         self.added_routes: list[tuple[str, float]] = []
         """Prefix of each route from `add_route` and the monotonic instant when it was written."""
         self.replacement_count = 0
@@ -179,6 +200,21 @@
         self.configure(*self.rules, rule)
         self.added_routes.append((prefix, time.monotonic()))
 
+    def withdraw_key(self) -> None:
+        """Write a configuration in which a new key takes the place of the latest one."""
+        key = f"key-{len(self.keys) + 1}-of-{ROTATING_WORKSPACE}"
+        self.keys.append(Key(key))
+        self.default_key = f"key-of-{STEADY_WORKSPACE}"
+        self.configure(
+            *self.rules,
+            workspaces=[
+                workspace(STEADY_WORKSPACE, self.default_key),
+                workspace(ROTATING_WORKSPACE, key),
+            ],
+        )
+        if len(self.keys) > 1:
+            self.keys[-2].withdrawn_at = time.monotonic()
+
     def reload_settings(self, instance: Instance) -> None:
         """Change the settings file of a node and send the node SIGHUP if it runs."""
         settings = self.settings(instance)
@@ -221,6 +257,7 @@
             },
             "resend_slack": 56,
             **({} if self.warm_up is None else WARM_UP_SETTINGS),
+            **self.further_settings,
         }
 
     def start_heartbeats(self, instance: Instance) -> None:
@@ -252,9 +289,18 @@
         instance.endpoint = new_endpoint
         self.start_heartbeats(instance)
 
-    def configure(self, *routes: dict[str, typing.Any]) -> None:
-        """Write a configuration with the rules `routes` to the store, as the operator does."""
+    def configure(
+        self,
+        *routes: dict[str, typing.Any],
+        workspaces: typing.Sequence[dict[str, typing.Any]] | None = None,
+    ) -> None:
+        """Write a configuration with the rules `routes` to the store, as the operator does.
+
+        Without `workspaces`, those of the last configuration stay.
+        """
         self.config_version += 2
+        if workspaces is not None:
+            self.workspaces = list(workspaces)
         self.rules = list(routes)
         services = sorted({instance.placement.service for instance in self.instances})
         warm_up = {} if self.warm_up is None else warm_up_fields(self.warm_up)
@@ -267,6 +313,8 @@
                 for name in services
             ],
         }
+        if self.workspaces:
+            self.configuration["tenants"] = self.workspaces
         self.store.write("op", "config", self.configuration)
 
     def evacuate(self, failure_domain: str) -> None:
@@ -326,6 +374,13 @@
                 while (await self.call(instance, f"/{service}/")).status != 200:
                     await asyncio.sleep(POLL_INTERVAL_S)
 
+    async def wait_keys_required(self) -> None:
+        """Wait until each node refuses unknown keys; raises `TimeoutError` in time."""
+        async with asyncio.timeout(READY_TIMEOUT_S):
+            for instance in self.instances:
+                while (await self.call(instance, "/", key="unknown")).status != 401:
+                    await asyncio.sleep(POLL_INTERVAL_S)
+
     async def wait_known(self) -> None:
         """Wait until each node knows that the endpoint of each instance serves.
 
@@ -363,11 +418,15 @@
         method: str = "GET",
         deadline_ms: int = 2000,
         attempt_id: str | None = None,
+        key: str | None = None,
     ) -> Answer:
         """Send one request to the node of `instance`, as a client on that instance does.
 
-        The `x-caller-service` header is forged: the node must replace it by its own service.
+        The `x-caller-service` header is forged: the node must replace it by its own service. With a
+        `key` of a workspace, the header that names the workspace is forged too.
         """
+        key = self.default_key if key is None else key
+        identity = {} if key is None else {"authorization": f"Token {key}", "x-tenant-id": "forged"}
         self.sent_requests += 1
         attempt_id = attempt_id or f"try-{self.sent_requests}"
         started = time.monotonic()
@@ -380,6 +439,7 @@
                     "x-attempt-id": attempt_id,
                     "x-deadline-ms": str(deadline_ms),
                     "x-caller-service": "forged",
+                    **identity,
                 },
                 data=b"request" if method == "POST" else None,
                 timeout=aiohttp.ClientTimeout(total=deadline_ms / 1000 + 1),
@@ -441,6 +501,11 @@
     }
 
 
+def workspace(name: str, *keys: str, **further: typing.Any) -> dict[str, typing.Any]:
+    """Return a workspace of a configuration that holds `keys`."""
+    return {"name": name, "api_keys": list(keys), "priority": 1, **further}
+
+
 @contextlib.asynccontextmanager
 async def running(
     placements: typing.Mapping[str, Placement],
