--- a/packages/goldcrestgrade-node/tests/mesh/test_evacuations.py
+++ b/packages/goldcrestgrade-node/tests/mesh/test_evacuations.py
@@ -203,15 +203,17 @@
         quarantine=types.SimpleNamespace(crashes={}),
         handing_over=asyncio.Event(),
         is_region_allowed=lambda _: True,
+        withdrawals=types.SimpleNamespace(concerns=lambda *_: False),
         clocks=node.evacuations.clocks,
     )
+    call = types.SimpleNamespace(workspace="", configuration=0)
     node.evacuations.on_started = lambda domain: mesh_node.MeshNode.on_evacuation_started(
         stub, domain
     )
-    assert mesh_node.MeshNode.refusal_for(stub, None) is None
+    assert mesh_node.MeshNode.refusal_for(stub, call) is None
     node.receive(row(5))
     assert (await queued).reason == reasons.Refusal.EVACUATED
-    refused = mesh_node.MeshNode.refusal_for(stub, None)
+    refused = mesh_node.MeshNode.refusal_for(stub, call)
     assert refused == local.Refused(reasons.Refusal.EVACUATED, mesh_node.EVACUATED_RETRY_S)
     # The request at the endpoint completes.
     assert controller.in_flight == 1
