Ask the endpoint's node for admission before a large body is sent

Cause: a relayed request was sent in full before the other node rejected it. Over a link of 5 Mbit/s, 360 KB cost 0.6 s for each rejection.

Change: bodies from 16 KB on are sent with 'Expect: 100-continue' to nodes that say in their answers that they admit a request by its head. The endpoint's node admits it, holds the slot for a time that follows from the length, and fetches the body. The wait counts neither as service time nor as a stall. A connection that breaks before the last part of the body was written means not run. Placement counts the transfer of a large body over both links; a row carries a thin link. Bodies are held up to 16 MiB in one process. An early answer is passed on, also if the endpoint resets the connection, which is not reused. Bytes that come while a connection is idle prevent its reuse, and a dropped answer is read up to a limit.

--- a/packages/goldcrestgrade-node/goldcrestgrade_node/attempts/exchanges.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/attempts/exchanges.py
@@ -6,6 +6,7 @@
 import typing
 
 import aiohttp
+import aiohttp.payload
 import yarl
 
 from goldcrestgrade import headers, http_client, instants, outcomes, reasons
@@ -62,6 +63,7 @@
         prepared: PreparedRequest,
         deadline: instants.Instant,
         may_send: typing.Callable[[], bool],
+        payload: aiohttp.payload.Payload | None = None,
     ) -> None:
         self.pool = pool
         self.prepared = prepared
@@ -71,7 +73,7 @@
             prepared.method,
             yarl.URL(pool.origin + prepared.target, encoded=True),
             headers=[("Host", prepared.host or pool.authority), *prepared.fields],
-            data=prepared.body or None,
+            data=payload or prepared.body or None,
             loop=asyncio.get_running_loop(),
         )
         self.opened: pools.OpenConnection | None = None
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/endpoint/admission.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/endpoint/admission.py
@@ -201,6 +201,8 @@
         self.limit_fixed_until: instants.Instant = 0.0
         """Samples do not change the limit before then, so that the concurrency stays constant."""
         self.in_flight = 0
+        self.held = 0
+        """Slots in `in_flight` of admitted requests whose body has not been received yet."""
         self.queue: list[QueuedRequest] = []
         self.arrivals = itertools.count()
         self.service_times_s: dict[str, float] = {}
@@ -229,7 +231,13 @@
     def load_snapshot(self) -> LoadSnapshot:
         """Return the current load, with the pace as reported instead of the one to expect now."""
         age_s = self.clocks.monotonic() - self.pace_reported_at
-        return LoadSnapshot(self.load()._replace(pace=self.pace), min(age_s, 999.0))
+        load = self.load()._replace(running=self.at_endpoint, pace=self.pace)
+        return LoadSnapshot(load, min(age_s, 999.0))
+
+    @property
+    def at_endpoint(self) -> int:
+        """Number of requests that the endpoint works on, without those that wait for a body."""
+        return self.in_flight - self.held
 
     def current_pace(self) -> float:
         """Return the pace to expect now.
@@ -253,7 +261,7 @@
         A pace report counts as progress too.
         """
         since_progress_s = self.clocks.monotonic() - max(self.progress_at, self.pace_reported_at)
-        return since_progress_s * self.in_flight / self.mean_service_time_s
+        return since_progress_s * self.at_endpoint / self.mean_service_time_s
 
     def is_health_check_due(self) -> bool:
         """Return whether requests are evaluated by a degraded pace whose report is old."""
@@ -327,17 +335,32 @@
         return self.in_flight < self.limit and self.rate.wait_s() == 0
 
     def _start(self) -> None:
-        if self.in_flight == 0:
+        if self.at_endpoint == 0:
             self.progress_at = self.clocks.monotonic()
         self.in_flight += 1
         self.rate.acquire()
 
-    def release(self) -> None:
+    def release(self, completed: bool = True) -> None:
         """Release the slot of a request that ended, and start queued requests."""
         self.in_flight -= 1
-        self.progress_at = self.clocks.monotonic()
+        if completed:
+            self.progress_at = self.clocks.monotonic()
         self.start_queued()
 
+    def begin_hold(self) -> None:
+        """Record that an admitted request waits for its body.
+
+        The endpoint does not work on it, so the wait is neither service time nor a missing
+        completion.
+        """
+        self.held += 1
+
+    def end_hold(self) -> None:
+        """Record that an admitted request no longer waits for its body."""
+        if self.at_endpoint == 0:
+            self.progress_at = self.clocks.monotonic()
+        self.held -= 1
+
     def record_service_time(self, route_key: str, elapsed_s: float, at_start: LoadSnapshot) -> None:
         """Record that a request took the endpoint `elapsed_s`.
 
@@ -352,7 +375,7 @@
         if route_key in self.service_times_s and pace_now > MAX_SAMPLE_PACE:
             # The endpoint may have been normal for a while between two degraded periods.
             return
-        in_flight_at_start, in_flight = at_start.load.running, self.in_flight
+        in_flight_at_start, in_flight = at_start.load.running, self.at_endpoint
         sample_s = elapsed_s / pace_now
         estimate_s = self.service_times_s.get(route_key, sample_s)
         sample_s = min(sample_s, MAX_SAMPLE_RATIO * estimate_s)
@@ -435,7 +458,7 @@
         if self.stall_review is not None or not self.queue:
             return
         missing = STALL_THRESHOLD - self._overdue_completions()
-        wait_s = missing * self.mean_service_time_s / max(1, self.in_flight)
+        wait_s = missing * self.mean_service_time_s / max(1, self.at_endpoint)
         self.stall_review = asyncio.get_running_loop().call_later(
             max(STALL_REVIEW_INTERVAL_S, wait_s), self._review_stall
         )
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/endpoint/local.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/endpoint/local.py
@@ -10,6 +10,7 @@
 from goldcrestgrade_node.attempts import exchanges, results
 from goldcrestgrade_node.mesh.endpoint import admission, endpoints
 from goldcrestgrade_node.mesh.transport import (
+    bodies,
     connections,
     dialect,
     loads,
@@ -89,10 +90,13 @@
         self.clocks = clocks
         self.in_flight_tasks: set[asyncio.Task[requests.Served]] = set()
 
-    async def serve(self, call: requests.Call) -> requests.Served:
+    async def serve(
+        self, call: requests.Call, fetch_body: bodies.FetchBody | None = None
+    ) -> requests.Served:
         """Admit a request, send it to the endpoint and return how it ended.
 
-        A run-once request that was admitted continues when the task that awaits it is cancelled.
+        With `fetch_body`, the body of the request is fetched once it was admitted. A run-once
+        request that was admitted continues when the task that awaits it is cancelled.
         """
         if call.report is not None and not self.own.answered:
             self.own.adopt_report(call.report)
@@ -108,7 +112,7 @@
         if rejected is not None:
             reason = reasons.Refusal(rejected.reason)
             return self._rejected(call, reason, rejected.retry_at)
-        task = asyncio.create_task(self._run(call))
+        task = asyncio.create_task(self._run(call, fetch_body))
         self.in_flight_tasks.add(task)
         task.add_done_callback(self.in_flight_tasks.discard)
         if call.run_once:
@@ -123,8 +127,17 @@
         """Reject the queued requests, since the endpoint accepts no new requests."""
         self.controller.reject_queued(reasons.Refusal.NO_ENDPOINT)
 
-    async def _run(self, call: requests.Call) -> requests.Served:
+    async def _run(
+        self, call: requests.Call, fetch_body: bodies.FetchBody | None
+    ) -> requests.Served:
+        offered = False
         try:
+            if fetch_body is not None:
+                fetched = await self._fetch(fetch_body)
+                if isinstance(fetched, reasons.Refusal):
+                    retry_at = self.clocks.monotonic() + SHED_RETRY_S
+                    return self._rejected(call, fetched, retry_at)
+                call = call._replace(body=fetched)
             refused = self._find_refusal(call)
             if refused is not None:
                 return self._rejected(call, refused.reason, refused.retry_at)
@@ -132,9 +145,18 @@
                 return self._rejected(
                     call, reasons.Refusal.EXPIRED_WAITING, self.clocks.monotonic()
                 )
+            offered = True
             return await self._exchange(call)
         finally:
-            self.controller.release()
+            self.controller.release(completed=offered or fetch_body is None)
+
+    async def _fetch(self, fetch_body: bodies.FetchBody) -> bytes | reasons.Refusal:
+        """Hold the slot until the body of an admitted request was received or is given up."""
+        self.controller.begin_hold()
+        try:
+            return await fetch_body()
+        finally:
+            self.controller.end_hold()
 
     async def _exchange(self, call: requests.Call) -> requests.Served:
         endpoint = self.own.usable()
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/entry/app.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/entry/app.py
@@ -12,7 +12,7 @@
 from goldcrestgrade_node import asgi
 from goldcrestgrade_node.entry import disconnects
 from goldcrestgrade_node.mesh.entry import dispatch, workspaces
-from goldcrestgrade_node.mesh.transport import dialect, requests, transfer
+from goldcrestgrade_node.mesh.transport import bodies, dialect, requests, transfer
 
 log = logging.getLogger(__name__)
 
@@ -47,6 +47,7 @@
         clocks: instants.Clocks,
         counts: counters.Counts,
         rng: random.Random,
+        body_memory: bodies.BodyMemory | None = None,
     ) -> None:
         self.run = run
         self.table = table
@@ -56,20 +57,39 @@
         self.clocks = clocks
         self.counts = counts
         self.rng = rng
+        self.body_memory = body_memory or bodies.BodyMemory()
 
     async def __call__(self, scope: asgi.Scope, receive: asgi.Receive, send: asgi.Send) -> None:
         """Serve one request."""
+        reservation = bodies.Reservation(self.body_memory)
+        try:
+            await self._serve(scope, receive, send, reservation)
+        finally:
+            reservation.release()
+
+    async def _serve(
+        self,
+        scope: asgi.Scope,
+        receive: asgi.Receive,
+        send: asgi.Send,
+        reservation: bodies.Reservation,
+    ) -> None:
         started = self.clocks.monotonic()
         table = self.table()
         limit = routes.DEFAULT_MAX_BODY_BYTES if table is None else table.limits.max_body_bytes
+        by_name = {name: value.decode("latin-1") for name, value in scope["headers"]}
         try:
-            body = await asgi.read_body(receive, limit)
+            received = await bodies.read(receive, limit, reservation, bodies.length_of(by_name))
         except asgi.Disconnected:
             log.info("client disconnected before its request was complete")
             return
-        by_name = {name: value.decode("latin-1") for name, value in scope["headers"]}
+        body = received if isinstance(received, bytes) else None
         attempt_id = by_name.get(self.header_names.attempt_id.encode(), "")
-        match_ = self._match(scope, by_name, body)
+        match_ = self._match(scope, by_name, b"" if received == reasons.Refusal.SATURATED else body)
+        if isinstance(match_, Match) and received == reasons.Refusal.SATURATED:
+            self.counts.events[reasons.Event.BODY_MEMORY_FULL] += 1
+            retry_at = self.clocks.monotonic() + bodies.MEMORY_RETRY_S
+            match_ = outcomes.NotRun(reasons.Refusal.SATURATED, retry_at)
         if isinstance(match_, outcomes.NotRun):
             await self._answer(send, match_, attempt_id, started, None)
             return
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/entry/dispatch.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/entry/dispatch.py
@@ -26,6 +26,9 @@
 SERVICE_TIME_WEIGHT = 0.05
 """Weight of a new sample in the moving average of the service time."""
 
+MIN_SERVICE_SHARE = 0.1
+"""Smallest share of the latency that counts as service time beside the transfer of the body."""
+
 NO_INSTANCE_RETRY_S = 0.3
 """Delay after which a client may retry if no instance is usable or the retry budget is spent."""
 
@@ -89,6 +92,10 @@
         self.clocks = clocks
         self.counts = counts
         self.rng = rng
+        self.own_id = ""
+        """Id of this node."""
+        self.link_mbps = 0.0
+        """Bandwidth of this node's link in megabits a second; 0 if it is not known."""
         self.service_times_s: dict[str, float] = {}
         """Moving average of latency divided by the endpoint's pace, by service and route."""
         self.budgets: dict[str, retry_budget.RetryBudget] = {}
@@ -134,16 +141,25 @@
         if progress.rejections >= MAX_REJECTIONS:
             return None
         service_time_s = self.service_times_s.get(_service_time_key(call), INITIAL_SERVICE_TIME_S)
-        requirements = placement.Requirements(call.target_at, call.deadline, service_time_s)
         return placement.choose(
             self.location,
             self._allowed(call),
             progress.tried,
-            requirements,
+            self._requirements(call, service_time_s),
             now,
             self.rng,
         )
 
+    def _requirements(self, call: requests.Call, service_time_s: float) -> placement.Requirements:
+        return placement.Requirements(
+            call.target_at,
+            call.deadline,
+            service_time_s,
+            len(call.body) if call.large_body else 0,
+            self.own_id,
+            self.link_mbps,
+        )
+
     def _allowed(self, call: requests.Call) -> list[directory.Instance]:
         """Return the instances of the service in regions where the request may run."""
         return placement.allowed(self.instances.of_service(call.service), call.allowed_regions)
@@ -201,7 +217,11 @@
         match served.outcome:
             case outcomes.Ran(answer=answer) if answer.status < MIN_FAILED_STATUS:
                 pace = served.load.pace if served.load is not None else 1.0
-                sample_s = (now - started) / max(1.0, pace)
+                # The transfer of a large body is added per instance and is no service time.
+                elapsed_s = now - started
+                transfer_s = placement.transfer_s(instance, self._requirements(call, 0.0))
+                sample_s = max(MIN_SERVICE_SHARE * elapsed_s, elapsed_s - transfer_s)
+                sample_s /= max(1.0, pace)
                 estimate_s = self.service_times_s.get(_service_time_key(call), sample_s)
                 self.service_times_s[_service_time_key(call)] = estimate_s + SERVICE_TIME_WEIGHT * (
                     sample_s - estimate_s
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/entry/placement.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/entry/placement.py
@@ -4,6 +4,10 @@
 instance is therefore used while it is expected to answer in time, and a more distant one, which
 costs traffic between regions, only if all nearer ones would be late.
 
+Load pattern: uploads, while half of the instances have links of 5 Mbit/s, over which a body takes
+up to 0.6 s. The transfer counts as part of the latency, so that thin links are used for small
+bodies and a node with a thin link prefers its own endpoint.
+
 Load pattern: all regions are saturated. A request that is expected to be late in another region too
 is not sent there while the own region has a reachable instance: most of these requests would be
 rejected, and the others would take capacity from requests that would be in time.
@@ -16,6 +20,7 @@
 
 from goldcrestgrade import instants
 from goldcrestgrade_node.mesh.state import directory
+from goldcrestgrade_node.mesh.transport import bodies
 
 MAX_LOAD_AGE_S = 0.5
 """Staleness limit of a load report; the usual length of a degraded period."""
@@ -44,6 +49,12 @@
     deadline: instants.Instant
     service_time_s: float
     """Service time estimate at a normal endpoint."""
+    body_bytes: int = 0
+    """Size of a body whose transfer counts; 0 if the transfer takes no time worth counting."""
+    own_id: str = ""
+    """Id of this node, to whose endpoint the body needs no transfer."""
+    link_mbps: float = 0.0
+    """Bandwidth of this node's link in megabits a second; 0 if it is not known."""
 
 
 class Choice(typing.NamedTuple):
@@ -80,6 +91,15 @@
     return round_trip_s + requirements.service_time_s * pace * (1 + queued)
 
 
+def transfer_s(instance: directory.Instance, requirements: Requirements) -> float:
+    """Return the seconds that the body takes to `instance` over both links."""
+    if not requirements.body_bytes or instance.row.node_id == requirements.own_id:
+        return 0.0
+    return bodies.transfer_s(
+        requirements.body_bytes, requirements.link_mbps, instance.row.link_mbps
+    )
+
+
 def is_usable(instance: directory.Instance, now: instants.Instant) -> bool:
     """Return whether a request may be sent to `instance`."""
     return instance.backoff_until <= now and instance.failures == 0
@@ -119,6 +139,7 @@
         distance_rank = distance(own, instance.row.place)
         in_other_region = distance_rank == OTHER_REGION
         latency_s = expected_latency_s(instance, requirements, in_other_region, now)
+        latency_s += transfer_s(instance, requirements)
         in_time = latency_s <= time_budget_s
         if in_other_region and region_reachable and not in_time:
             continue
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/node.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/node.py
@@ -26,7 +26,15 @@
     restoration,
     watch,
 )
-from goldcrestgrade_node.mesh.transport import connections, dialect, peers, relay, requests, signals
+from goldcrestgrade_node.mesh.transport import (
+    bodies,
+    connections,
+    dialect,
+    peers,
+    relay,
+    requests,
+    signals,
+)
 
 log = logging.getLogger(__name__)
 
@@ -153,7 +161,8 @@
         )
         self.quarantine = quarantine.Quarantine(platform.store, self.clocks)
         self.crash_checks: set[asyncio.Task[None]] = set()
-        self.relay = relay.RelayClient(platform.header_names, self.clocks)
+        self.body_memory = bodies.BodyMemory()
+        self.relay = relay.RelayClient(platform.header_names, self.clocks, self.counts)
         self.prober = peers.Prober(
             config.node_id, self.instances, session, platform.store, self.clocks
         )
@@ -166,6 +175,8 @@
             self.counts,
             self.rng,
         )
+        self.dispatcher.own_id = config.node_id
+        self.dispatcher.link_mbps = config.link_mbps
 
     def _initial_row(self, now: instants.WallInstant) -> directory.InstanceRow:
         host, _, port = self.config.relay.rpartition(":")
@@ -177,12 +188,14 @@
             self.config.service,
             serving=False,
             started_ms=int(now * 1000),
+            link_mbps=_published_link_mbps(self.config),
         )
 
     def apply_settings(self, config: settings.Settings) -> None:
         """Apply changed settings; the node listens at changed addresses only after a restart."""
         self.config = config
         self.dispatcher.set_terms(_terms(config))
+        self.dispatcher.link_mbps = config.link_mbps
 
     # State
 
@@ -346,6 +359,7 @@
             self.clocks,
             self.counts,
             self.rng,
+            self.body_memory,
         )
 
     def peers(self) -> asgi.App:
@@ -356,6 +370,7 @@
             lambda: routes.DEFAULT_MAX_BODY_BYTES,
             self.handing_over.is_set,
             self.clocks,
+            relay.BodyTerms(self.body_memory, lambda: self.config.link_mbps, self.counts),
         )
         return peers.app(relay_app, self.sync)
 
@@ -427,5 +442,10 @@
         return deadline
 
 
+def _published_link_mbps(config: settings.Settings) -> float:
+    """Return the bandwidth that the row of this node carries: only that of a thin link."""
+    return config.link_mbps if 0 < config.link_mbps < bodies.THIN_LINK_MBPS else 0.0
+
+
 def _terms(config: settings.Settings) -> retry_budget.Terms:
     return retry_budget.Terms(config.resend_ratio, config.resend_slack, config.resend_window_s)
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/state/directory.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/state/directory.py
@@ -5,6 +5,7 @@
 import collections
 import dataclasses
 import logging
+import math
 import typing
 
 from goldcrestgrade import instants
@@ -45,6 +46,8 @@
     """False until its endpoint is known, and again once the endpoint drains or leaves."""
     started_ms: int
     """Wall clock of the node's start, in milliseconds."""
+    link_mbps: float = 0.0
+    """Bandwidth of the instance's link in megabits a second; 0 if it is not known or not thin."""
 
 
 @dataclasses.dataclass(slots=True)
@@ -173,6 +176,9 @@
     """Return the row in the form that the table stores."""
     document = row._asdict()
     del document["node_id"]
+    if not row.link_mbps:
+        # Rows of instances without a thin link stay readable for nodes of earlier builds.
+        del document["link_mbps"]
     return {**document, "place": row.place._asdict()}
 
 
@@ -191,4 +197,6 @@
         (row.serving, bool),
         (row.started_ms, int),
     )
+    if type(row.link_mbps) not in (int, float) or not 0 <= row.link_mbps < math.inf:
+        return None
     return row if all(type(field) is kind for field, kind in kinds) else None
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/transport/connections.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/transport/connections.py
@@ -3,14 +3,19 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
+import fcntl
+import os
 import socket
+import struct
+import termios
 import typing
 
 import aiohttp
 from aiohttp import client_proto, connector
 
 from goldcrestgrade import http_client, instants
-from goldcrestgrade_node.attempts import pools
+from goldcrestgrade_node.attempts import exchanges, pools
 
 CONNECT_TIMEOUT_S = 0.4
 """Longest wait for a new connection, several round trips between regions."""
@@ -31,6 +36,12 @@
 DEFAULT_KEEPALIVE_S = 8.0
 """Time for which an idle connection may be reused if the server states no limit of its own."""
 
+READ_BYTES = 64 * 1024
+"""Number of bytes read at once from a connection that was reset."""
+
+TCP_NOTSENT_LOWAT = 25
+"""Socket option of Linux that limits the bytes that the kernel takes ahead of sending them."""
+
 KEEPALIVE_MARGIN_S = 1.0
 """Time before the server's own limit at which an idle connection is no longer used."""
 
@@ -49,6 +60,19 @@
         self.keepalive_s = DEFAULT_KEEPALIVE_S
         self.used = False
         """Whether the connection has served a request before."""
+        self.idle = False
+        """Whether the connection is in the pool and belongs to no request."""
+
+    def data_received(self, data: bytes) -> None:
+        """Parse bytes; those that come while the connection is idle prevent its reuse.
+
+        A late copy of an answer would otherwise be parsed as the answer to the next request. A part
+        of its head shows nowhere else.
+        """
+        if self.idle and data:
+            self.force_close()
+            return
+        super().data_received(data)
 
     async def read(self) -> typing.Any:
         """Return the head and the body of the next answer that belongs to the current request."""
@@ -59,15 +83,66 @@
                 return message, payload
             self.skipped += 1
             self.force_close()
-            await payload.read()
+            await self._discard(payload)
+
+    async def _discard(self, payload: aiohttp.StreamReader) -> None:
+        """Read the body of a dropped answer in parts; raises `ClientPayloadError` beyond the limit.
+
+        Such a body may have no end.
+        """
+        size = 0
+        while part := await payload.readany():
+            size += len(part)
+            if size > exchanges.MAX_BUFFERED_BYTES:
+                raise aiohttp.ClientPayloadError("answer to another request is too large")
 
     def connection_lost(self, exc: BaseException | None) -> None:
         """Fail an answer that a reset cut short, even one without a length."""
+        if isinstance(exc, ConnectionError):
+            self._read_before_reset()
         payload = self._payload
         if exc is not None and payload is not None and not payload.is_eof():
             payload.set_exception(aiohttp.ClientPayloadError("connection reset"))
         super().connection_lost(exc)
 
+    def _read_before_reset(self) -> None:
+        """Parse what the kernel has received before a write failed.
+
+        An endpoint that answers early and closes the connection resets it. The event loop then
+        reads no more, although the answer is there.
+        """
+        sock = None if self.transport is None else self.transport.get_extra_info("socket")
+        if sock is None or sock.fileno() < 0:
+            return
+        received = 0
+        with contextlib.suppress(OSError), socket.socket(fileno=os.dup(sock.fileno())) as copy:
+            while received <= exchanges.MAX_BUFFERED_BYTES and (data := copy.recv(READ_BYTES)):
+                received += len(data)
+                self.data_received(data)
+
+    def limit_unsent_bytes(self, limit_bytes: int) -> None:
+        """Have the process and the kernel each hold at most `limit_bytes` that are not yet sent.
+
+        What was written is then a measure of what the other side may have.
+        """
+        if self.transport is None:
+            return
+        self.transport.set_write_buffer_limits(limit_bytes)
+        sock = self.transport.get_extra_info("socket")
+        if sock is not None:
+            sock.setsockopt(socket.IPPROTO_TCP, TCP_NOTSENT_LOWAT, limit_bytes)
+
+    def unacknowledged_bytes(self) -> int:
+        """Return how many written bytes the other side's kernel has not acknowledged."""
+        if self.transport is None:
+            return 0
+        buffered = self.transport.get_write_buffer_size()
+        sock = self.transport.get_extra_info("socket")
+        if sock is None or sock.fileno() < 0:
+            return buffered
+        queued = fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, b"\0" * struct.calcsize("i"))
+        return buffered + int(struct.unpack("i", queued)[0])
+
 
 class UnlimitedSlots:
     """Replaces `pools.Slots` if another part of the node limits the requests."""
@@ -102,6 +177,7 @@
         if protocol is None:
             protocol = await self._connect()
         reused, protocol.used = protocol.used, True
+        protocol.idle = False
         connection = connector.Connection(
             typing.cast(connector.BaseConnector, self),
             typing.cast(typing.Any, None),
@@ -154,6 +230,7 @@
             return
         now = self.loop.time()
         protocol.idle_since = now
+        protocol.idle = True
         while self.idle and now - self.idle[0].idle_since > self.idle[0].keepalive_s:
             self.idle.pop(0).close()
         self.idle.append(protocol)
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/transport/relay.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/transport/relay.py
@@ -3,13 +3,15 @@
 from __future__ import annotations
 
 import asyncio
+import logging
 import typing
 
-from goldcrestgrade import headers, instants, outcomes, reasons
+from goldcrestgrade import counters, headers, instants, outcomes, reasons
 from goldcrestgrade_node import asgi
 from goldcrestgrade_node.attempts import exchanges, results
 from goldcrestgrade_node.entry import disconnects
 from goldcrestgrade_node.mesh.transport import (
+    bodies,
     connections,
     dialect,
     loads,
@@ -18,6 +20,8 @@
     transfer,
 )
 
+log = logging.getLogger(__name__)
+
 RUN_ONCE_MAX_IDLE_S = 10.0
 """Longest idle time after which a connection to a node is reused for a run-once request."""
 
@@ -30,8 +34,17 @@
 NOT_RUN_STATUS = 503
 """Status of a relay answer for a request that did not run."""
 
-Serve = typing.Callable[[requests.Call], typing.Awaitable[requests.Served]]
-"""Serves a request at the own endpoint."""
+Serve = typing.Callable[[requests.Call, bodies.FetchBody | None], typing.Awaitable[requests.Served]]
+"""Serves a request at the own endpoint; its body may have to be fetched."""
+
+
+class BodyTerms(typing.NamedTuple):
+    """What bounds the bodies that other nodes send."""
+
+    memory: bodies.BodyMemory
+    link_mbps: typing.Callable[[], float]
+    """Bandwidth of this node's link in megabits a second; 0 if it is not known."""
+    counts: counters.Counts
 
 
 class RelayApp:
@@ -44,35 +57,68 @@
         max_body_bytes: typing.Callable[[], int],
         is_closing: typing.Callable[[], bool],
         clocks: instants.Clocks,
+        terms: BodyTerms,
     ) -> None:
         self.serve = serve
         self.header_names = header_names
         self.max_body_bytes = max_body_bytes
         self.is_closing = is_closing
         self.clocks = clocks
+        self.terms = terms
 
     async def __call__(self, scope: asgi.Scope, receive: asgi.Receive, send: asgi.Send) -> None:
         """Serve one relayed request."""
+        reservation = bodies.Reservation(self.terms.memory)
         try:
-            body = await asgi.read_body(receive, self.max_body_bytes())
+            await self._serve(scope, receive, send, reservation)
         except asgi.Disconnected:
             return
+        finally:
+            reservation.release()
+
+    async def _serve(
+        self,
+        scope: asgi.Scope,
+        receive: asgi.Receive,
+        send: asgi.Send,
+        reservation: bodies.Reservation,
+    ) -> None:
         by_name = {name: value.decode("latin-1") for name, value in scope["headers"]}
+        length = bodies.length_of(by_name)
+        limit = self.max_body_bytes()
+        asked = by_name.get(b"expect", "").lower() == bodies.EXPECTATION and length is not None
+        body: bytes | reasons.Refusal = b""
+        if not asked:
+            body = await bodies.read(receive, limit, reservation, length)
+        elif length is not None and length > limit:
+            body = reasons.Refusal.BODY_TOO_LARGE
+        elif length is not None and not reservation.grow_to(length):
+            body = reasons.Refusal.SATURATED
         message = requests.Message(
             method=scope["method"],
             target=asgi.target_of(scope),
             host=by_name.get(b"host", ""),
             headers=headers.end_to_end(headers.from_bytes(scope["headers"])),
-            body=body or b"",
+            body=body if isinstance(body, bytes) else b"",
         )
         attempt_id = by_name.get(self.header_names.attempt_id.encode(), "")
         text = by_name.get(headers.RELAY.encode(), "")
         call = requests.decode(text, attempt_id, message, self.clocks.monotonic())
-        if call is None or body is None:
+        if call is None or body == reasons.Refusal.BODY_TOO_LARGE:
             refused = outcomes.NotRun(reasons.Refusal.INVALID_REQUEST)
             await self._answer(send, requests.Served(refused, None, arrived=False), attempt_id)
             return
-        served = await self._serve_watched(call, receive)
+        if body == reasons.Refusal.SATURATED:
+            self.terms.counts.events[reasons.Event.BODY_MEMORY_FULL] += 1
+            retry_at = self.clocks.monotonic() + bodies.MEMORY_RETRY_S
+            refused = outcomes.NotRun(reasons.Refusal.SATURATED, retry_at)
+            await self._answer(send, requests.Served(refused, None, arrived=False), attempt_id)
+            return
+        if asked:
+            assert length is not None
+            served = await self._serve_asked(call, receive, length, reservation)
+        else:
+            served = await self._serve_watched(call, receive)
         if served is not None:
             await self._answer(send, served, attempt_id)
 
@@ -83,7 +129,7 @@
         assert worker is not None
         watch = disconnects.Watch(receive, worker)
         try:
-            return await self.serve(call)
+            return await self.serve(call, None)
         except asyncio.CancelledError:
             if not watch.disconnected:
                 raise
@@ -92,9 +138,56 @@
         finally:
             watch.stop()
 
+    async def _serve_asked(
+        self,
+        call: requests.Call,
+        receive: asgi.Receive,
+        length: int,
+        reservation: bodies.Reservation,
+    ) -> requests.Served | None:
+        """Serve a request whose sender waits for admission before it sends the body.
+
+        The first `receive` asks for the body, so the sender is watched only after the body.
+        """
+        worker = asyncio.current_task()
+        assert worker is not None
+        watches: list[disconnects.Watch] = []
+
+        async def fetch() -> bytes | reasons.Refusal:
+            now = self.clocks.monotonic()
+            until = bodies.body_deadline(length, self.terms.link_mbps(), call.deadline, now)
+            try:
+                async with asyncio.timeout_at(until):
+                    body = await bodies.read(receive, length, reservation, length)
+            except (TimeoutError, asgi.Disconnected) as error:
+                self.terms.counts.events[reasons.Event.BODY_NOT_RECEIVED] += 1
+                log.warning(
+                    "body of an admitted request not received; its slot is given back",
+                    extra={
+                        "request_id": call.attempt_id,
+                        "bytes": length,
+                        "waited_s": round(self.clocks.monotonic() - now, 3),
+                        "error": repr(error),
+                    },
+                )
+                return reasons.Refusal.BODY_NOT_RECEIVED
+            watches.append(disconnects.Watch(receive, worker))
+            return body
+
+        try:
+            return await self.serve(call, fetch)
+        except asyncio.CancelledError:
+            if not any(watch.disconnected for watch in watches):
+                raise
+            worker.uncancel()
+            return None
+        finally:
+            for watch in watches:
+                watch.stop()
+
     async def _answer(self, send: asgi.Send, served: requests.Served, attempt_id: str) -> None:
         now = self.clocks.monotonic()
-        relay_headers = [(headers.ATTEMPT_ID, attempt_id)]
+        relay_headers = [(headers.ATTEMPT_ID, attempt_id), (headers.ASKS, "1")]
         if served.load is not None:
             relay_headers.append((headers.NODE_LOAD, loads.encode(served.load)))
         if served.arrived:
@@ -118,9 +211,14 @@
 class RelayClient:
     """Relays requests to other nodes; owns the connections to them."""
 
-    def __init__(self, header_names: dialect.Dialect, clocks: instants.Clocks) -> None:
+    def __init__(
+        self, header_names: dialect.Dialect, clocks: instants.Clocks, counts: counters.Counts
+    ) -> None:
         self.header_names = header_names
         self.clocks = clocks
+        self.counts = counts
+        self.asking: set[str] = set()
+        """Addresses of nodes that are known to admit a request by its head."""
         self.pools: dict[str, connections.ConnectionPool] = {}
 
     async def serve(self, address: str, call: requests.Call) -> requests.Served | None:
@@ -128,24 +226,54 @@
         pool = self.pools.get(address)
         if pool is None:
             pool = self.pools[address] = connections.ConnectionPool(address)
-        transferred = await transfer.send(
-            pool,
-            self._prepare(call),
-            call.deadline,
-            RUN_ONCE_MAX_IDLE_S if call.run_once else IDEMPOTENT_MAX_IDLE_S,
-            lambda: self.clocks.monotonic() < call.deadline,
-        )
+        transferred = await self._transfer(pool, address, call)
+        if _is_stale_connection(transferred):
+            # The other node has closed the idle connection; nothing has run there.
+            pool.close_idle()
+            transferred = await self._transfer(pool, address, call)
+        if headers.ASKS in transferred.fields:
+            self.asking.add(address)
         match transferred.result:
-            case results.Unreachable():
-                return None
+            case results.Unreachable(text=text):
+                self.asking.discard(address)
+                log.info(
+                    "node not reached",
+                    extra={"request_id": call.attempt_id, "address": address, "error": text},
+                )
+                now = self.clocks.monotonic()
+                if now < call.deadline:
+                    return None
+                expired = outcomes.NotRun(reasons.Refusal.EXPIRED_WAITING, now)
+                return requests.Served(expired, None, arrived=False)
             case results.Broken(reason=reason):
                 pool.close_idle()
                 return requests.Served(outcomes.Unknown(reason), None, arrived=True)
             case results.Answered(answer=answer):
                 return self._served(answer, transferred.fields)
 
-    def _prepare(self, call: requests.Call) -> exchanges.PreparedRequest:
+    async def _transfer(
+        self, pool: connections.ConnectionPool, address: str, call: requests.Call
+    ) -> transfer.TransferResult:
+        """Send a request to a node; ask for admission first if its body is large."""
+        now = self.clocks.monotonic()
+        asked = len(call.body) >= bodies.ASK_MIN_BYTES and address in self.asking
+        transferred = await transfer.send(
+            pool,
+            self._prepare(call, asked),
+            call.deadline,
+            RUN_ONCE_MAX_IDLE_S if call.run_once else IDEMPOTENT_MAX_IDLE_S,
+            lambda: self.clocks.monotonic() < call.deadline,
+            bodies.admission_deadline(call.target_at, call.deadline, now) if asked else None,
+        )
+        if asked:
+            self.counts.events[reasons.Event.BODY_ASKED] += 1
+            self.counts.events[reasons.Event.BODY_SAVED] += not transferred.body_sent
+        return transferred
+
+    def _prepare(self, call: requests.Call, asked: bool) -> exchanges.PreparedRequest:
         fields = [*call.headers, (headers.RELAY, requests.encode(call, self.clocks.monotonic()))]
+        if asked:
+            fields.append(("Expect", bodies.EXPECTATION))
         return exchanges.PreparedRequest(
             call.method,
             call.target,
@@ -179,6 +307,12 @@
                 )
 
 
+def _is_stale_connection(transferred: transfer.TransferResult) -> bool:
+    """Return whether a request that asked for admission failed on a connection closed before."""
+    lost = results.Unreachable(reasons.Uncertainty.ANSWER_LOST)
+    return transferred.reused and transferred.result == lost
+
+
 T = typing.TypeVar("T", reasons.Refusal, reasons.Uncertainty)
 
 
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/transport/transfer.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/transport/transfer.py
@@ -9,7 +9,7 @@
 
 from goldcrestgrade import headers, instants, outcomes, reasons
 from goldcrestgrade_node.attempts import exchanges, results
-from goldcrestgrade_node.mesh.transport import connections
+from goldcrestgrade_node.mesh.transport import bodies, connections
 
 
 class TransferResult(typing.NamedTuple):
@@ -20,6 +20,10 @@
     """Headers by lower-case name, including those meant for nodes only."""
     skipped: int
     """Answers to other requests that arrived before this answer and were dropped."""
+    reused: bool = False
+    """Whether the connection had served a request before."""
+    body_sent: bool = True
+    """Whether the other side may have the whole body."""
 
 
 async def send(
@@ -28,25 +32,42 @@
     deadline: instants.Instant,
     max_idle_s: float,
     may_send: typing.Callable[[], bool],
+    admitted_by: instants.Instant | None = None,
 ) -> TransferResult:
-    """Send `prepared` and return the result, at `deadline` at the latest."""
+    """Send `prepared` and return the result, at `deadline` at the latest.
+
+    With `admitted_by`, the request has an expectation, and its body is sent only if the other side
+    asks for it until then. A failure before the other side can have the whole body is reported as
+    unreachable.
+    """
+    body: bodies.PartedBody | None = None
+    if admitted_by is not None or len(prepared.body) >= bodies.ASK_MIN_BYTES:
+        body = bodies.PartedBody(prepared.body, lambda: _allow_until(limit, deadline))
     exchange = exchanges.Exchange(
-        typing.cast(typing.Any, pool.with_max_idle(max_idle_s)), prepared, deadline, may_send
+        typing.cast(typing.Any, pool.with_max_idle(max_idle_s)), prepared, deadline, may_send, body
     )
     complete = False
     fields: dict[str, str] = {}
     result: results.Answered | results.Unreachable | results.Broken
     try:
-        async with asyncio.timeout_at(deadline):
+        async with asyncio.timeout_at(deadline) as limit:
             await exchange.connect(None)
             assert exchange.opened is not None
             protocol = typing.cast(connections.Protocol, exchange.opened.protocol)
+            if admitted_by is not None:
+                protocol.limit_unsent_bytes(bodies.PART_BYTES)
+                limit.reschedule(min(deadline, admitted_by))
             protocol.echo_header = prepared.echo_header
             protocol.attempt_id = prepared.attempt_id or None
             response = await exchange.send()
+            early = not exchange.request.body_written or (
+                body is not None and protocol.unacknowledged_bytes() > 0
+            )
             fields = dict(headers.from_bytes(response.raw_headers))
             answer = await exchange.answer(response)
-        complete = True
+        # The other side may answer before it has read the body. It may then take the rest of the
+        # body, or the next request, for anything.
+        complete = not early
         protocol.keepalive_s = _keepalive_s(fields.get("keep-alive"))
         result = results.Answered(answer, None)
     except exchanges.InvalidAnswer as invalid:
@@ -55,10 +76,21 @@
         result = _failure_result(exchange, error)
     finally:
         exchange.close(complete)
+    if admitted_by is not None and isinstance(result, results.Broken):
+        assert body is not None
+        if not body.last_part_begun:
+            result = results.Unreachable(result.reason)
     skipped = 0
     if exchange.opened is not None:
         skipped = typing.cast(connections.Protocol, exchange.opened.protocol).skipped
-    return TransferResult(result, fields, skipped)
+    return TransferResult(
+        result, fields, skipped, exchange.reused, body is None or body.last_part_begun
+    )
+
+
+def _allow_until(limit: asyncio.Timeout, deadline: instants.Instant) -> None:
+    if not limit.expired():
+        limit.reschedule(deadline)
 
 
 def _failure_result(
--- a/packages/goldcrestgrade-operator/goldcrestgrade_operator/explanations.py
+++ b/packages/goldcrestgrade-operator/goldcrestgrade_operator/explanations.py
@@ -139,6 +139,10 @@
         "The endpoint is saturated, and the workspace holds more than its share of the queue.",
         "Add endpoints if this persists; other workspaces are served meanwhile.",
     ),
+    reasons.Refusal.BODY_NOT_RECEIVED: Explanation(
+        "The body of an admitted request did not come in time over the link of a node.",
+        "Check the bandwidth of the entry node and of the endpoint's node.",
+    ),
 }
 """Explanation of each refusal; a refused request has not run and will not run."""
 
@@ -282,6 +286,22 @@
         "This process was paused for so long that it discarded its entries of other nodes.",
         "Look for a stopped or overloaded instance.",
     ),
+    reasons.Event.BODY_ASKED: Explanation(
+        "A request with a large body asked another node for admission before it sent the body.",
+        "None; it is usual for uploads.",
+    ),
+    reasons.Event.BODY_SAVED: Explanation(
+        "Another node rejected such a request, and the body was not sent to it.",
+        "Add endpoints if this is a large share of those that asked.",
+    ),
+    reasons.Event.BODY_NOT_RECEIVED: Explanation(
+        "The body of an admitted request did not come in time, or its sender left.",
+        "Check the links of the instances; the slot at the endpoint was given back.",
+    ),
+    reasons.Event.BODY_MEMORY_FULL: Explanation(
+        "A request was refused since this node holds as many bytes of bodies as it may.",
+        "Spread clients over more nodes; look for clients that send slowly.",
+    ),
 }
 """Explanation of each event that is neither refusal, unknown outcome nor retry."""
 
--- a/packages/goldcrestgrade/goldcrestgrade/headers.py
+++ b/packages/goldcrestgrade/goldcrestgrade/headers.py
@@ -65,8 +65,12 @@
 ARRIVED = "goldcrestgrade-arrived"
 """Set if the request reached the endpoint itself."""
 
+ASKS = "goldcrestgrade-asks"
+"""Set by a node that admits a request by its head if the sender expects `100-continue`."""
+
 INTERNAL = frozenset(
     {
+        ASKS,
         ARRIVED,
         ATTEMPT_ID,
         CALLER_REGION,
--- a/packages/goldcrestgrade/goldcrestgrade/http_client.py
+++ b/packages/goldcrestgrade/goldcrestgrade/http_client.py
@@ -13,6 +13,9 @@
 
     _skip_auto_headers = multidict.CIMultiDict({"Content-Type": None})
 
+    body_written = True
+    """Whether the body, if there is one, was passed to the connection as a whole."""
+
     def update_headers(self, headers: typing.Any) -> None:
         """Set `headers` unchanged; they include `Host`."""
         self.headers = multidict.CIMultiDict(headers)
@@ -20,6 +23,12 @@
     def update_auto_headers(self, skip_auto_headers: typing.Iterable[str] | None) -> None:
         """Add no headers."""
 
+    async def write_bytes(self, *args: typing.Any, **kwargs: typing.Any) -> None:
+        """Write the body, and record that it was written."""
+        self.body_written = False
+        await super().write_bytes(*args, **kwargs)
+        self.body_written = True
+
 
 class NoResolver(aiohttp.abc.AbstractResolver):
     """Resolves no names: processes are addressed by IP address."""
--- a/packages/goldcrestgrade/goldcrestgrade/reasons.py
+++ b/packages/goldcrestgrade/goldcrestgrade/reasons.py
@@ -39,6 +39,7 @@
     CONFIGURATION_OUTDATED = "configuration_outdated"
     QUOTA_EXCEEDED = "quota_exceeded"
     FAIR_SHARE_EXCEEDED = "fair_share_exceeded"
+    BODY_NOT_RECEIVED = "body_not_received"
 
 
 class Uncertainty(enum.StrEnum):
@@ -87,3 +88,7 @@
     SUSPICION_REFUTED = "suspicion_refuted"
     NODE_ID_REPLACED = "node_id_replaced"
     PAUSED = "paused"
+    BODY_ASKED = "body_asked"
+    BODY_SAVED = "body_saved"
+    BODY_NOT_RECEIVED = "body_not_received"
+    BODY_MEMORY_FULL = "body_memory_full"
