--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/entry/dispatch.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/entry/dispatch.py
@@ -96,6 +96,8 @@
         """Id of this node."""
         self.link_mbps = 0.0
         """Bandwidth of this node's link in megabits a second; 0 if it is not known."""
+        self.outgoing_bytes = 0
+        """Bytes of large bodies in requests that were sent to other nodes and have not ended."""
         self.service_times_s: dict[str, float] = {}
         """Moving average of latency divided by the endpoint's pace, by service and route."""
         self.budgets: dict[str, retry_budget.RetryBudget] = {}
@@ -158,6 +160,7 @@
             len(call.body) if call.large_body else 0,
             self.own_id,
             self.link_mbps,
+            self.outgoing_bytes,
         )
 
     def _allowed(self, call: requests.Call) -> list[directory.Instance]:
@@ -170,6 +173,9 @@
         instance = choice.instance
         progress.tried.add(instance.row.node_id)
         instance.in_flight += 1
+        is_remote = instance.row.node_id != self.own_id
+        outgoing_bytes = len(call.body) if call.large_body and is_remote else 0
+        self.outgoing_bytes += outgoing_bytes
         started = self.clocks.monotonic()
         load_age_s = min(999.0, started - instance.load_at)
         served: requests.Served | None = None
@@ -180,6 +186,7 @@
             )
         finally:
             instance.in_flight -= 1
+            self.outgoing_bytes -= outgoing_bytes
         now = self.clocks.monotonic()
         log.info(
             "call placed",
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/entry/placement.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/entry/placement.py
@@ -55,6 +55,8 @@
     """Id of this node, to whose endpoint the body needs no transfer."""
     link_mbps: float = 0.0
     """Bandwidth of this node's link in megabits a second; 0 if it is not known."""
+    outgoing_bytes: int = 0
+    """Bytes of bodies that this node is sending to other nodes."""
 
 
 class Choice(typing.NamedTuple):
@@ -95,8 +97,10 @@
     """Return the seconds that the body takes to `instance` over both links."""
     if not requirements.body_bytes or instance.row.node_id == requirements.own_id:
         return 0.0
-    return bodies.transfer_s(
-        requirements.body_bytes, requirements.link_mbps, instance.row.link_mbps
+    outgoing_bytes = requirements.outgoing_bytes + requirements.body_bytes
+    return max(
+        bodies.transfer_s(outgoing_bytes, requirements.link_mbps),
+        bodies.transfer_s(requirements.body_bytes, instance.row.link_mbps),
     )
 
 
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/transport/bodies.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/transport/bodies.py
@@ -72,6 +72,21 @@
     return body_bytes * 8 / (min(known) * 1e6) if known else 0.0
 
 
+def is_link_full(
+    incoming_bytes: int,
+    body_bytes: int,
+    link_mbps: float,
+    target_at: instants.Instant,
+    now: instants.Instant,
+) -> bool:
+    """Return whether a body would reach the target only after `incoming_bytes` on the own link.
+
+    Load pattern: many entry nodes send uploads to one node with a thin link. Each further body
+    slows all others down, and their slots are held meanwhile.
+    """
+    return now + transfer_s(incoming_bytes + body_bytes, link_mbps) > target_at
+
+
 def body_deadline(
     body_bytes: int, link_mbps: float, deadline: instants.Instant, now: instants.Instant
 ) -> instants.Instant:
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/transport/relay.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/transport/relay.py
@@ -65,6 +65,8 @@
         self.is_closing = is_closing
         self.clocks = clocks
         self.terms = terms
+        self.incoming_bytes = 0
+        """Bytes of bodies of admitted requests that other nodes are sending."""
 
     async def __call__(self, scope: asgi.Scope, receive: asgi.Receive, send: asgi.Send) -> None:
         """Serve one relayed request."""
@@ -108,8 +110,20 @@
             refused = outcomes.NotRun(reasons.Refusal.INVALID_REQUEST)
             await self._answer(send, requests.Served(refused, None, arrived=False), attempt_id)
             return
-        if body == reasons.Refusal.SATURATED:
+        if asked and isinstance(body, bytes) and self._is_link_full(call, length or 0):
+            body = reasons.Refusal.SATURATED
+        elif body == reasons.Refusal.SATURATED:
             self.terms.counts.events[reasons.Event.BODY_MEMORY_FULL] += 1
+        if body == reasons.Refusal.SATURATED:
+            log.info(
+                "body refused before it was read",
+                extra={
+                    "request_id": attempt_id,
+                    "bytes": length,
+                    "held_bytes": self.terms.memory.held_bytes,
+                    "incoming_bytes": self.incoming_bytes,
+                },
+            )
             retry_at = self.clocks.monotonic() + bodies.MEMORY_RETRY_S
             refused = outcomes.NotRun(reasons.Refusal.SATURATED, retry_at)
             await self._answer(send, requests.Served(refused, None, arrived=False), attempt_id)
@@ -122,6 +136,15 @@
         if served is not None:
             await self._answer(send, served, attempt_id)
 
+    def _is_link_full(self, call: requests.Call, length: int) -> bool:
+        return bodies.is_link_full(
+            self.incoming_bytes,
+            length,
+            self.terms.link_mbps(),
+            call.deadline if call.late_allowed else call.target_at,
+            self.clocks.monotonic(),
+        )
+
     async def _serve_watched(
         self, call: requests.Call, receive: asgi.Receive
     ) -> requests.Served | None:
@@ -156,6 +179,7 @@
         async def fetch() -> bytes | reasons.Refusal:
             now = self.clocks.monotonic()
             until = bodies.body_deadline(length, self.terms.link_mbps(), call.deadline, now)
+            self.incoming_bytes += length
             try:
                 async with asyncio.timeout_at(until):
                     body = await bodies.read(receive, length, reservation, length)
@@ -171,6 +195,8 @@
                     },
                 )
                 return reasons.Refusal.BODY_NOT_RECEIVED
+            finally:
+                self.incoming_bytes -= length
             watches.append(disconnects.Watch(receive, worker))
             return body
 
--- a/packages/goldcrestgrade-node/tests/mesh/test_directory.py
+++ b/packages/goldcrestgrade-node/tests/mesh/test_directory.py
@@ -87,3 +87,13 @@
     other = signals.Report("e2", signals.Signals(rate_limit=3.0))
     known.record_report("a", other)
     assert known.reports["a"] == other
+
+
+def test_row_carries_the_link_only_if_it_is_known():
+    """Guards against rows that nodes of an earlier build can't read, and rows of such builds."""
+    plain = directory.InstanceRow("a", "h", 1, directory.Location("d", "r"), "s", True, 1)
+    assert "link_mbps" not in directory.encode(plain)
+    assert directory.decode("a", directory.encode(plain)) == plain
+    thin = plain._replace(link_mbps=5.0)
+    assert directory.decode("a", directory.encode(thin)) == thin
+    assert directory.decode("a", {**directory.encode(plain), "link_mbps": "5"}) is None
--- a/packages/goldcrestgrade-node/tests/mesh/test_entry.py
+++ b/packages/goldcrestgrade-node/tests/mesh/test_entry.py
@@ -6,7 +6,7 @@
 
 from goldcrestgrade import counters, instants, outcomes, routes
 from goldcrestgrade_node.mesh.entry import app
-from goldcrestgrade_node.mesh.transport import dialect
+from goldcrestgrade_node.mesh.transport import bodies, dialect
 
 NAMES = dialect.Dialect(**{name: f"x-{name}" for name in dialect.Dialect._fields})._replace(
     authorization="authorization", authorization_scheme="Token"
@@ -91,3 +91,31 @@
 async def test_authorization_is_passed_on_without_workspaces():
     _, call = await serve(table(()), "/a/1", authorization="Basic user")
     assert call.workspace == "" and call.headers == (("authorization", "Basic user"),)
+
+
+async def test_body_without_memory_is_refused_unread_unless_the_request_is_invalid_anyway():
+    """Guards against a process that runs out of memory, and against keys that are not checked."""
+    reads = []
+    memory = bodies.BodyMemory(10)
+    for path, key, status in (("/a/x", "Token k1", "503"), ("/a/x", "Token no", "401")):
+        application = app.EntryApp(
+            None, lambda: table(), "c", NAMES, lambda: False, instants.system_clocks(),
+            counters.Counts(), random.Random(1), memory,
+        )  # fmt: skip
+        fields = {"host": "h", "authorization": key, "content-length": "11"}
+        scope = {"method": "POST", "raw_path": path.encode(), "query_string": b""}
+        scope["headers"] = [(name.encode(), text.encode()) for name, text in fields.items()]
+        sent = []
+
+        async def send(message, sent=sent):
+            sent.append(message)
+
+        async def receive():
+            reads.append(1)
+
+        await application(scope, receive, send)
+        assert str(sent[0]["status"]) == status
+        if status == "503":
+            assert b"retry-after" in dict(sent[0]["headers"])
+    assert reads == []
+    assert memory.held_bytes == 0
--- a/packages/goldcrestgrade-node/tests/mesh/test_large_bodies.py
+++ b/packages/goldcrestgrade-node/tests/mesh/test_large_bodies.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import socket
 
 import pytest
 
@@ -285,6 +286,26 @@
         await served.wait()
 
 
+async def test_answer_that_the_kernel_holds_is_read_when_a_write_meets_a_reset():
+    """Guards against an early answer that is lost since the write fails before it was read."""
+    loop = asyncio.get_running_loop()
+    with socket.create_server(("127.0.0.1", 0)) as listening:
+        transport, protocol = await loop.create_connection(
+            lambda: connections.Protocol(loop), *listening.getsockname()
+        )
+        protocol.set_response_params()
+        other, _ = listening.accept()
+        transport.write(b"unread")
+        # Nothing runs on the event loop until the write below.
+        other.sendall(raw_endpoint.answer(b"early"))
+        other.close()
+        for _ in range(2):
+            transport.write(b"more")
+        message, payload = await protocol.read()
+        assert message.code == 200
+        assert await payload.read() == b"early"
+
+
 async def endless(head, part):
     """Return the result, the bytes taken and whether the connection was closed."""
     taken, closed = 0, asyncio.Event()
--- a/packages/goldcrestgrade-node/tests/mesh/test_placement.py
+++ b/packages/goldcrestgrade-node/tests/mesh/test_placement.py
@@ -83,3 +83,21 @@
     near.failures = 1
     assert chosen(near, far) == FAR
     assert chosen(far) == FAR
+
+
+def test_large_body_is_sent_over_a_thin_link_only_if_it_is_in_time_there():
+    """Guards against an upload that takes longer on the way than its latency target allows."""
+    thin = instance(OWN)
+    thin.row = thin.row._replace(link_mbps=5.0)
+    near = [thin, instance(NEXT_DOMAIN)]
+    large = REQUIREMENTS._replace(body_bytes=360_000, own_id="n0")
+    assert chosen(*near, requirements=large) == NEXT_DOMAIN
+    assert chosen(*near, requirements=large._replace(body_bytes=60_000)) == OWN
+    assert chosen(*near, requirements=REQUIREMENTS) == OWN
+
+
+def test_node_with_a_thin_link_keeps_a_large_body_at_its_own_endpoint():
+    """Guards against a transfer that the own instance does not need."""
+    busy = instance(OWN, name="n0", load=loads.Load(9, 4, 9, 1.0))
+    large = REQUIREMENTS._replace(body_bytes=360_000, own_id="n0", link_mbps=5.0)
+    assert chosen(busy, instance(NEXT_DOMAIN), requirements=large) == OWN
