Run pipelined requests of clients side by side

Cause: uvicorn runs the pipelined requests of a connection one after the other, so a slow one delayed all behind it. A bad request was refused before the answers to the good ones ahead of it.

Change: a subclass of the protocol for the clients' address starts up to 8 bodyless requests of idempotent routes at once and writes answers in request order. Requests with a body or of run-once routes wait until all before them were answered. At most 32 answers of a connection wait, and none start beside others while 4 MiB of finished answers are held in the process. A client that leaves cancels all its requests; what follows a closing answer is not run.

--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/entry/app.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/entry/app.py
@@ -67,6 +67,18 @@
         finally:
             reservation.release()
 
+    def may_run_beside(self, scope: asgi.Scope) -> bool:
+        """Return whether a bodyless request may run beside earlier ones of its connection.
+
+        A run-once request waits for them, as its effects may depend on theirs.
+        """
+        table = self.table()
+        if table is None:
+            return False
+        host = next((value for name, value in scope["headers"] if name == b"host"), b"")
+        route = routes.find(table, host.decode("latin-1"), scope["raw_path"].decode("latin-1"))
+        return route is not None and not route.run_once
+
     async def _serve(
         self,
         scope: asgi.Scope,
--- /dev/null
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/entry/pipelining.py
@@ -0,0 +1,333 @@
+"""Pipelined requests of one connection, run side by side and answered in request order.
+
+Load pattern: clients send further idempotent requests before the first answer. Run one after the
+other, a slow request delays all behind it by its own time, although endpoints are free.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import collections
+import functools
+import typing
+
+from goldcrestgrade import counters, reasons
+from goldcrestgrade_node import asgi, servers
+
+MAX_SIDE_BY_SIDE = 8
+"""Largest number of requests of one connection that run at once."""
+
+MAX_UNANSWERED = 32
+"""Largest number of requests of one connection that were started and whose answers wait."""
+
+MAX_AHEAD_BYTES = 64 * 1024
+"""Bytes that are read behind a request that may not start yet.
+
+Reading goes on until then, since a client that leaves is noticed only while its connection is read.
+"""
+
+MAX_FINISHED_BYTES = 4 << 20
+"""Bytes of finished answers, over all connections, from which no more requests run side by side.
+
+Answers of requests that run already come on top.
+"""
+
+
+class Terms(typing.NamedTuple):
+    """What bounds the pipelined requests of all connections of one process."""
+
+    may_run_beside: typing.Callable[[asgi.Scope], bool]
+    """Returns whether a request without a body may run beside others of its connection."""
+    counts: counters.Counts
+    finished: FinishedAnswers
+
+
+class FinishedAnswers:
+    """Size of the answers that wait for an earlier one; owned by the event loop of the process."""
+
+    def __init__(self, limit_bytes: int = MAX_FINISHED_BYTES) -> None:
+        self.limit_bytes = limit_bytes
+        self.held_bytes = 0
+
+
+class Pending:
+    """A request whose answer was not written completely, or a refusal that follows the others.
+
+    It is the transport of its answer, which it holds back until all earlier ones were written.
+    """
+
+    def __init__(self, protocol: PipeliningProtocol, cycle: typing.Any, beside: bool) -> None:
+        self.protocol = protocol
+        self.cycle = cycle
+        """State of the request in uvicorn; none for a refusal."""
+        self.beside = beside
+        """Whether it may run beside others."""
+        self.started = False
+        self.complete = False
+        self.closes = False
+        """Whether the connection is closed after the answer."""
+        self.held: list[bytes] = []
+        self.held_bytes = 0
+
+    @property
+    def is_next(self) -> bool:
+        """Whether its answer is the next one of the connection."""
+        return bool(self.protocol.pending) and self.protocol.pending[0] is self
+
+    @property
+    def keeps_alive(self) -> bool:
+        """Whether requests behind it may be answered."""
+        return not self.closes and (self.cycle is None or bool(self.cycle.keep_alive))
+
+    def cycle_body(self) -> bytes:
+        """Return the part of the body that was received and not read."""
+        return b"" if self.cycle is None else self.cycle.body
+
+    def write(self, data: bytes) -> None:
+        """Write a part of the answer, or hold it back."""
+        if self.is_next:
+            self.protocol.transport.write(data)
+        elif self in self.protocol.pending:
+            self.held.append(data)
+            self.held_bytes += len(data)
+            self.protocol.terms.finished.held_bytes += len(data)
+
+    def close(self) -> None:
+        """Close the connection once the answer was written."""
+        self.closes = True
+        if self.is_next:
+            self.protocol.transport.close()
+        else:
+            self.complete = True
+
+    def is_closing(self) -> bool:
+        """Return whether the connection is closing."""
+        return self.protocol.transport.is_closing()
+
+    def write_held(self) -> None:
+        """Write what was held back, as the next answer of the connection."""
+        held = b"".join(self.held)
+        self.drop_held()
+        if held:
+            self.protocol.transport.write(held)
+
+    def drop_held(self) -> None:
+        """Forget what was held back."""
+        self.protocol.terms.finished.held_bytes -= self.held_bytes
+        self.held, self.held_bytes = [], 0
+
+
+class Flow:
+    """Flow control of one request; only a request that is read may resume reading."""
+
+    def __init__(self, protocol: PipeliningProtocol, pending: Pending) -> None:
+        self.protocol = protocol
+        self.pending = pending
+
+    @property
+    def write_paused(self) -> bool:
+        """Whether the answer has to wait for the client to read."""
+        return self.pending.is_next and self.protocol.flow.write_paused
+
+    async def drain(self) -> None:
+        """Wait until the client has read enough."""
+        await self.protocol.flow.drain()
+
+    def pause_reading(self) -> None:
+        """Pause reading."""
+        self.protocol.flow.pause_reading()
+
+    def resume_reading(self) -> None:
+        """Resume reading if the rest of this request, or another one, may be read."""
+        if self.pending.cycle.more_body or self.protocol.may_read():
+            self.protocol.flow.resume_reading()
+
+
+class PipeliningProtocol(servers.NodeProtocol):
+    """HTTP connection that runs pipelined requests side by side, up to a bound."""
+
+    def __init__(self, *args: typing.Any, terms: Terms, **kwargs: typing.Any) -> None:
+        super().__init__(*args, **kwargs)
+        self.terms = terms
+        self.pending: collections.deque[Pending] = collections.deque()
+        """Requests in the order in which they were received."""
+        self.is_read_to_end = False
+        """Whether what follows on the connection is discarded."""
+        self.ahead_bytes = 0
+        """Bytes received since all requests had started."""
+
+    # Reading
+
+    def data_received(self, data: bytes) -> None:
+        """Parse `data` unless an earlier request or error ends the connection."""
+        if self.is_read_to_end:
+            return
+        self.ahead_bytes += len(data)
+        super().data_received(data)
+        self._regulate_reading()
+
+    def on_headers_complete(self) -> None:
+        """Add the request to those of the connection, and start it if it may run now."""
+        if self.is_read_to_end:
+            return
+        before = self.cycle
+        super().on_headers_complete()
+        cycle = self.cycle
+        if cycle is before:
+            return
+        self.pipeline.clear()
+        pending = Pending(self, cycle, self._may_run_beside())
+        cycle.flow = typing.cast(typing.Any, Flow(self, pending))
+        cycle.on_response = functools.partial(self._on_answer_complete, pending)
+        transport = typing.cast(asyncio.Transport, pending)
+        if self.scope["method"] != "HEAD":
+            transport = typing.cast(asyncio.Transport, servers.AnswerWriter(transport))
+        cycle.transport = transport
+        self.pending.append(pending)
+        self._start_allowed()
+
+    def on_message_complete(self) -> None:
+        """End the request that was read; read none behind one that ends the connection."""
+        if self.is_read_to_end:
+            return
+        super().on_message_complete()
+        self.is_read_to_end = bool(self.pending) and not self.pending[-1].keeps_alive
+
+    def on_body(self, body: bytes) -> None:
+        """Pass on a part of a body."""
+        if not self.is_read_to_end:
+            super().on_body(body)
+
+    def _may_run_beside(self) -> bool:
+        bodyless = all(
+            name != b"transfer-encoding" and (name != b"content-length" or value == b"0")
+            for name, value in self.headers
+        )
+        return bodyless and self.terms.may_run_beside(self.scope)  # type: ignore[arg-type]
+
+    def send_400_response(self, msg: str) -> None:
+        """Refuse what can't be parsed, after the answers to all requests before it."""
+        if self.is_read_to_end:
+            return
+        self.is_read_to_end = True
+        if self.pending and self.pending[-1].cycle.more_body:
+            # The error is in the body of this request.
+            if self.pending[-1].is_next:
+                super().send_400_response(msg)
+                return
+            self._drop(self.pending.pop())
+        if not self.pending:
+            super().send_400_response(msg)
+            return
+        refusal = Pending(self, None, beside=False)
+        self.pending.append(refusal)
+        transport = self.transport
+        self.transport = typing.cast(asyncio.Transport, refusal)
+        try:
+            super().send_400_response(msg)
+        finally:
+            self.transport = transport
+
+    # Running
+
+    def may_read(self) -> bool:
+        """Return whether more may be read from the connection."""
+        if self.is_read_to_end or all(pending.started for pending in self.pending):
+            self.ahead_bytes = 0
+        return self.ahead_bytes <= MAX_AHEAD_BYTES
+
+    def _regulate_reading(self) -> None:
+        if not self.may_read():
+            self.flow.pause_reading()
+        elif not self.pending or len(self.pending[-1].cycle_body()) <= MAX_AHEAD_BYTES:
+            self.flow.resume_reading()
+
+    def _start_asgi_task(self, cycle: typing.Any, app: typing.Any) -> None:
+        """Start nothing yet; `_start_allowed` starts requests in their order."""
+
+    def _start_allowed(self) -> None:
+        """Start the requests that may run now: the first, and others beside it up to the bounds."""
+        running = 0
+        finished = self.terms.finished
+        for number, pending in enumerate(self.pending):
+            if pending.cycle is None:
+                break
+            if not pending.started:
+                is_first = pending.is_next
+                if not is_first and (
+                    not pending.beside
+                    or running >= MAX_SIDE_BY_SIDE
+                    or number >= MAX_UNANSWERED
+                    or finished.held_bytes >= finished.limit_bytes
+                ):
+                    break
+                if not is_first:
+                    self.terms.counts.events[reasons.Event.PIPELINED] += 1
+                pending.started = True
+                super()._start_asgi_task(pending.cycle, self.app)
+            running += not pending.complete
+            if not pending.beside or not pending.keeps_alive:
+                break
+        self._regulate_reading()
+
+    def _on_answer_complete(self, pending: Pending) -> None:
+        pending.complete = True
+        self.server_state.total_requests += 1
+        if pending in self.pending:
+            self._write_complete()
+
+    def _write_complete(self) -> None:
+        """Write the answers that are complete up to the first that is not."""
+        while self.pending and self.pending[0].complete and not self.transport.is_closing():
+            first = self.pending[0]
+            first.write_held()
+            if first.closes or not first.keeps_alive:
+                self.transport.close()
+                break
+            self.pending.popleft()
+            if self.pending:
+                self.pending[0].write_held()
+        if self.transport.is_closing():
+            self._drop_all()
+        elif self.pending:
+            self._start_allowed()
+        else:
+            self._regulate_reading()
+            self._unset_keepalive_if_required()
+            self.timeout_keep_alive_task = self.loop.call_later(
+                self.timeout_keep_alive, self.timeout_keep_alive_handler
+            )
+
+    # Ending
+
+    def _drop(self, pending: Pending) -> None:
+        """Cancel a request; its application sees a disconnect."""
+        pending.drop_held()
+        if pending.cycle is not None:
+            pending.cycle.disconnected = True
+            pending.cycle.message_event.set()
+
+    def _drop_all(self) -> None:
+        self.is_read_to_end = True
+        while self.pending:
+            self._drop(self.pending.popleft())
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Cancel all requests of the client that left."""
+        super().connection_lost(exc)
+        self._drop_all()
+
+    def shutdown(self) -> None:
+        """Close the connection after the answers to the requests that were started."""
+        while self.pending and not self.pending[-1].started and self.pending[-1].cycle is not None:
+            self._drop(self.pending.pop())
+        if not self.pending:
+            self.transport.close()
+            return
+        last = self.pending[-1]
+        # The body of the last request is still read.
+        self.is_read_to_end = last.cycle is None or not last.cycle.more_body
+        if last.cycle is not None and not last.cycle.response_started:
+            last.cycle.keep_alive = False
+        else:
+            last.closes = True
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/node.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/node.py
@@ -348,7 +348,7 @@
 
     # Applications
 
-    def entry(self) -> asgi.App:
+    def entry(self) -> app.EntryApp:
         """Return the application that receives requests of clients."""
         return app.EntryApp(
             self.run_call,
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/run.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/run.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import functools
 import gc
 import itertools
 import logging
@@ -15,6 +16,7 @@
 from goldcrestgrade import http_client
 from goldcrestgrade_node import asgi, servers
 from goldcrestgrade_node.mesh import node, reload, settings
+from goldcrestgrade_node.mesh.entry import pipelining
 
 log = logging.getLogger(__name__)
 
@@ -87,7 +89,7 @@
     reloader: reload.SettingsReloader,
 ) -> None:
     http_servers = [
-        _create_server(mesh_node.entry(), config.calls, CLIENT_KEEPALIVE_S),
+        _create_client_server(mesh_node, config.calls),
         _create_server(mesh_node.peers(), config.relay, RELAY_KEEPALIVE_S),
         *(_create_server(app, address, RELAY_KEEPALIVE_S) for address, app in extra_apps.items()),
     ]
@@ -108,6 +110,20 @@
     log.info("node stopped")
 
 
+def _create_client_server(mesh_node: node.MeshNode, address: str) -> servers.Server:
+    """Return the server of clients, whose pipelined requests run side by side."""
+    entry = mesh_node.entry()
+    terms = pipelining.Terms(entry.may_run_beside, mesh_node.counts, pipelining.FinishedAnswers())
+    protocol = functools.partial(pipelining.PipeliningProtocol, terms=terms)
+    host, _, port = address.rpartition(":")
+    return servers.create(
+        entry,
+        {"host": host, "port": int(port)},
+        typing.cast(typing.Any, protocol),
+        CLIENT_KEEPALIVE_S,
+    )
+
+
 def _create_server(app: asgi.App, address: str, keepalive_s: int) -> servers.Server:
     host, _, port = address.rpartition(":")
     return servers.create(app, {"host": host, "port": int(port)}, keepalive_s=keepalive_s)
--- /dev/null
+++ b/packages/goldcrestgrade-node/tests/mesh/test_pipelining.py
@@ -0,0 +1,259 @@
+"""Pipelined requests of one connection, on real sockets."""
+
+import asyncio
+import contextlib
+import functools
+import socket
+
+import pytest
+
+from goldcrestgrade import counters
+from goldcrestgrade_node import asgi, servers
+from goldcrestgrade_node.mesh.entry import pipelining
+
+
+class App:
+    """Answers each request with its path, in the time and with the ending that its path names."""
+
+    def __init__(self):
+        self.began = []
+        self.running = set()
+        self.most_running = 0
+        self.cancelled = []
+        self.gates = {}
+        self.body_bytes = 0
+
+    def gate(self, path):
+        return self.gates.setdefault(path, asyncio.Event())
+
+    async def __call__(self, scope, receive, send):
+        path = scope["path"]
+        try:
+            body = await asgi.read_body(receive)
+        except asgi.Disconnected:
+            self.cancelled.append(path)
+            return
+        self.began.append(path)
+        self.running.add(path)
+        self.most_running = max(self.most_running, len(self.running))
+        watch = asyncio.create_task(asgi.wait_disconnected(receive))
+        opened = asyncio.create_task(self.gate(path).wait() if "slow" in path else asyncio.sleep(0))
+        await asyncio.wait({watch, opened}, return_when=asyncio.FIRST_COMPLETED)
+        self.running.discard(path)
+        if not opened.done():
+            opened.cancel()
+            self.cancelled.append(path)
+            return
+        watch.cancel()
+        if "raise" in path:
+            raise RuntimeError("fails before its answer")
+        answer = (path.encode() + body) * (self.body_bytes or 1)
+        fields = [(b"content-length", b"%d" % len(answer))]
+        if "close" in path:
+            fields.append((b"connection", b"close"))
+        await send({"type": "http.response.start", "status": 200, "headers": fields})
+        await send({"type": "http.response.body", "body": answer})
+
+
+@contextlib.asynccontextmanager
+async def connected(app, limit_bytes=pipelining.MAX_FINISHED_BYTES):
+    finished = pipelining.FinishedAnswers(limit_bytes)
+    terms = pipelining.Terms(lambda scope: scope["method"] == "GET", counters.Counts(), finished)
+    protocol = functools.partial(pipelining.PipeliningProtocol, terms=terms)
+    with socket.socket() as listening:
+        listening.bind(("127.0.0.1", 0))
+        server = servers.create(app, {"host": "127.0.0.1", "port": 0}, protocol)
+        task = asyncio.create_task(server.serve(sockets=[listening]))
+        while not server.started:
+            await asyncio.sleep(0.01)
+        reader, writer = await asyncio.open_connection(*listening.getsockname())
+        try:
+            yield reader, writer, server
+        finally:
+            writer.close()
+            server.should_exit = server.force_exit = True
+            await task
+            assert finished.held_bytes == 0
+
+
+def get(path, fields=""):
+    return f"GET {path} HTTP/1.1\r\nhost: h\r\n{fields}\r\n".encode()
+
+
+def post(path, body=b"x"):
+    return f"POST {path} HTTP/1.1\r\nhost: h\r\ncontent-length: {len(body)}\r\n\r\n".encode() + body
+
+
+async def answer(reader):
+    """Return the status and body of the next answer; raises `IncompleteReadError` at the end."""
+    async with asyncio.timeout(3.0):
+        head = await reader.readuntil(b"\r\n\r\n")
+        length = int(head.lower().partition(b"content-length: ")[2].partition(b"\r\n")[0])
+        return int(head.split()[1]), (await reader.readexactly(length)).decode()
+
+
+async def bodies(reader, number):
+    return [(await answer(reader))[1] for _ in range(number)]
+
+
+async def until(condition):
+    async with asyncio.timeout(3.0):
+        while not condition():
+            await asyncio.sleep(0.005)
+
+
+async def test_fast_request_behind_a_slow_one_runs_beside_it_and_is_answered_after_it():
+    """Guards against answers out of order, and requests that run one after the other."""
+    app = App()
+    async with connected(app) as (reader, writer, _):
+        writer.write(get("/slow") + get("/fast"))
+        await until(lambda: app.began == ["/slow", "/fast"])
+        await asyncio.sleep(0.05)
+        assert reader._buffer == b""
+        app.gate("/slow").set()
+        assert await bodies(reader, 2) == ["/slow", "/fast"]
+
+
+async def test_hundred_requests_in_one_segment_are_answered_in_order_within_the_bound():
+    """Guards against lost or mixed answers, and a connection that takes more than its share."""
+    app = App()
+    paths = [f"/{n}{'-slow' if n % 7 == 0 else ''}" for n in range(100)]
+    async with connected(app) as (reader, writer, _):
+        writer.write(b"".join(get(path) for path in paths))
+        await until(lambda: len(app.running) == pipelining.MAX_SIDE_BY_SIDE or len(app.began) >= 32)
+        await asyncio.sleep(0.05)
+        assert len(app.began) <= pipelining.MAX_UNANSWERED
+        for path in paths:
+            app.gate(path).set()
+        assert await bodies(reader, 100) == paths
+        assert app.most_running <= pipelining.MAX_SIDE_BY_SIDE
+        writer.write(get("/after"))
+        assert await bodies(reader, 1) == ["/after"]
+
+
+async def test_request_with_a_body_waits_until_all_before_it_were_answered():
+    """Guards against a run-once request that overtakes one that it depends on."""
+    app = App()
+    async with connected(app) as (reader, writer, _):
+        writer.write(get("/slow") + post("/post", b"y" * 200_000) + get("/behind"))
+        await until(lambda: app.began == ["/slow"])
+        await asyncio.sleep(0.05)
+        assert app.began == ["/slow"]
+        app.gate("/slow").set()
+        answers = await bodies(reader, 3)
+        assert answers == ["/slow", "/post" + "y" * 200_000, "/behind"]
+        assert app.began == ["/slow", "/post", "/behind"]
+
+
+async def test_no_more_requests_run_beside_while_finished_answers_fill_the_memory():
+    """Guards against a client that makes the node hold many large answers."""
+    app = App()
+    app.body_bytes = 1000
+    async with connected(app, limit_bytes=10_000) as (reader, writer, _):
+        writer.write(get("/slow") + b"".join(get(f"/{n}") for n in range(20)))
+        await until(lambda: len(app.began) >= 4)
+        await asyncio.sleep(0.05)
+        assert len(app.began) <= 1 + 10 + pipelining.MAX_SIDE_BY_SIDE
+        app.gate("/slow").set()
+        assert len(await bodies(reader, 21)) == 21
+
+
+@pytest.mark.parametrize("part", [b"", get("/more")[:20], get("/more") * 3000])
+async def test_client_that_leaves_cancels_all_its_requests(part):
+    """Guards against work for a client that is gone, also one that sent much ahead."""
+    app = App()
+    paths = [f"/slow{n}" for n in range(5)]
+    async with connected(app) as (_, writer, _):
+        writer.write(b"".join(get(path) for path in paths) + part)
+        await until(lambda: len(app.running) >= 5)
+        writer.transport.abort()
+        await until(lambda: set(paths) <= set(app.cancelled))
+        assert app.running == set()
+
+
+async def test_requests_behind_an_answer_that_closes_are_not_run_after_it():
+    """Guards against requests that run although their client has to send them again."""
+    app = App()
+    async with connected(app) as (reader, writer, _):
+        writer.write(get("/a") + post("/close") + get("/behind"))
+        assert await bodies(reader, 2) == ["/a", "/closex"]
+        assert await reader.read() == b""
+        assert app.began == ["/a", "/close"]
+
+
+async def test_answer_that_closes_in_the_midst_comes_after_those_before_it_and_ends_the_rest():
+    """Guards against a close that cuts earlier answers, or answers behind it."""
+    app = App()
+    async with connected(app) as (reader, writer, _):
+        writer.write(get("/slow1") + get("/close") + get("/slow2"))
+        await until(lambda: len(app.began) == 3)
+        writer.write(get("/late"))
+        await asyncio.sleep(0.05)
+        app.gate("/slow1").set()
+        assert await bodies(reader, 2) == ["/slow1", "/close"]
+        assert await reader.read() == b""
+        await until(lambda: app.cancelled == ["/slow2"])
+        assert "/late" not in app.began
+
+
+async def test_request_that_asks_to_close_is_the_last_one_read():
+    """Guards against requests behind the last one, and errors in bytes behind it."""
+    app = App()
+    async with connected(app) as (reader, writer, _):
+        writer.write(get("/slow") + get("/last", "connection: close\r\n") + get("/x") + b"\0\0\r\n")
+        await until(lambda: len(app.began) == 2)
+        app.gate("/slow").set()
+        assert await bodies(reader, 2) == ["/slow", "/last"]
+        assert await reader.read() == b""
+        assert app.began == ["/slow", "/last"]
+
+
+async def test_bad_request_is_refused_after_the_answers_to_good_ones():
+    """Guards against a refusal that is taken for the answer to the first request."""
+    app = App()
+    async with connected(app) as (reader, writer, _):
+        writer.write(get("/slow") + get("/b") + b"\0 nothing\r\n\r\n" + get("/c"))
+        await until(lambda: len(app.began) == 2)
+        app.gate("/slow").set()
+        assert await bodies(reader, 2) == ["/slow", "/b"]
+        assert (await answer(reader))[0] == 400
+        assert await reader.read() == b""
+
+
+async def test_failure_of_one_request_ends_the_connection_in_its_place():
+    """Guards against an exception that cuts or moves the answers before it."""
+    app = App()
+    async with connected(app) as (reader, writer, _):
+        writer.write(get("/slow") + get("/raise") + get("/c"))
+        await until(lambda: len(app.began) >= 2)
+        app.gate("/slow").set()
+        assert await answer(reader) == (200, "/slow")
+        assert (await answer(reader))[0] == 500
+        assert await reader.read() == b""
+
+
+@pytest.mark.parametrize("cut", range(1, len(get("/a") + post("/b") + get("/c")), 5))
+async def test_requests_split_at_any_point_are_answered_alike(cut):
+    """Guards against state that is lost between two segments."""
+    app = App()
+    sent = get("/a") + post("/b") + get("/c")
+    async with connected(app) as (reader, writer, _):
+        writer.write(sent[:cut])
+        await asyncio.sleep(0.01)
+        writer.write(sent[cut:])
+        assert await bodies(reader, 3) == ["/a", "/bx", "/c"]
+
+
+async def test_stop_answers_what_was_started_and_closes():
+    """Guards against a stopping node that cuts answers or waits for requests not begun."""
+    app = App()
+    async with connected(app) as (reader, writer, server):
+        writer.write(get("/slow1") + get("/slow2") + post("/post"))
+        await until(lambda: len(app.began) == 2)
+        for protocol in list(server.server_state.connections):
+            protocol.shutdown()
+        app.gate("/slow2").set()
+        app.gate("/slow1").set()
+        assert await bodies(reader, 2) == ["/slow1", "/slow2"]
+        assert await reader.read() == b""
+        assert app.began == ["/slow1", "/slow2"]
--- a/packages/goldcrestgrade-operator/goldcrestgrade_operator/explanations.py
+++ b/packages/goldcrestgrade-operator/goldcrestgrade_operator/explanations.py
@@ -298,6 +298,10 @@
         "The body of an admitted request did not come in time, or its sender left.",
         "Check the links of the instances; the slot at the endpoint was given back.",
     ),
+    reasons.Event.PIPELINED: Explanation(
+        "A pipelined request ran beside an earlier one of its connection.",
+        "None; it shows that clients send requests ahead of answers.",
+    ),
     reasons.Event.BODY_MEMORY_FULL: Explanation(
         "A request was refused since this node holds as many bytes of bodies as it may.",
         "Spread clients over more nodes; look for clients that send slowly.",
--- a/packages/goldcrestgrade/goldcrestgrade/reasons.py
+++ b/packages/goldcrestgrade/goldcrestgrade/reasons.py
@@ -91,4 +91,5 @@
     BODY_ASKED = "body_asked"
     BODY_SAVED = "body_saved"
     BODY_NOT_RECEIVED = "body_not_received"
+    PIPELINED = "pipelined"
     BODY_MEMORY_FULL = "body_memory_full"
