--- /dev/null
+++ b/packages/goldcrestgrade-node/tests/mesh/test_held_slots.py
@@ -0,0 +1,124 @@
+"""Slots at the own endpoint that are held for a body."""
+
+import asyncio
+import contextlib
+import types
+
+import pytest
+
+from goldcrestgrade import instants, outcomes, reasons
+from goldcrestgrade_node.mesh.endpoint import admission, local
+from goldcrestgrade_node.mesh.transport import connections, dialect, requests
+from goldcrestgrade_testing import raw_endpoint
+
+NAMES = dialect.Dialect(**{name: f"x-{name}" for name in dialect.Dialect._fields})
+
+
+async def respond(_, writer):
+    writer.write(
+        raw_endpoint.answer(b"ok", fields=f"{NAMES.attempt_id}: 1\r\n{NAMES.signature}: s\r\n")
+    )
+
+
+@contextlib.asynccontextmanager
+async def runner():
+    """Yield the runner of an endpoint, the endpoint, and the refusals that the node returns."""
+    refusals = []
+    clocks = instants.system_clocks()
+    known = types.SimpleNamespace(endpoint_id="e")
+    own = types.SimpleNamespace(
+        answered=True,
+        configured=types.SimpleNamespace(service="s"),
+        usable=lambda: known,
+        record_answer=lambda _: None,
+    )
+    hooks = local.Hooks(
+        lambda _: refusals[0] if refusals else None,
+        *[lambda *_: None] * 2,
+        None,
+        *[lambda *_: None] * 2,
+    )
+    controller = admission.AdmissionController(clocks)
+    controller.set_slots(1)
+    controller.reports_pace = False
+    async with raw_endpoint.serving(respond) as endpoint:
+        pool = connections.ConnectionPool(f"127.0.0.1:{endpoint.port}")
+        yield local.LocalRunner(own, controller, pool, NAMES, hooks, clocks), endpoint, refusals
+        pool.close_idle()
+
+
+def call():
+    now = instants.system_clocks().monotonic()
+    return requests.Call(
+        "1",
+        "r",
+        "s",
+        True,
+        1,
+        "c",
+        "POST",
+        "/",
+        "h",
+        ((NAMES.attempt_id, "1"),),
+        b"",
+        now + 1,
+        now + 2,
+    )
+
+
+async def test_body_is_fetched_after_admission_and_its_wait_is_no_service_time():
+    """Guards against service times that include the transfer of bodies."""
+    async with runner() as (local_runner, endpoint, _):
+        controller = local_runner.controller
+
+        async def fetch():
+            assert (controller.in_flight, controller.at_endpoint) == (1, 0)
+            await asyncio.sleep(0.3)
+            return b"body"
+
+        served = await local_runner.serve(call(), fetch)
+        assert isinstance(served.outcome, outcomes.Ran)
+        assert [request.body for request in endpoint.requests] == [b"body"]
+        assert controller.service_times_s["s r"] < 0.2
+        assert (controller.in_flight, controller.held) == (0, 0)
+
+
+async def test_request_without_its_body_is_not_run_and_gives_back_its_slot():
+    """Guards against a slot that is lost, and a request that runs with a part of its body."""
+    async with runner() as (local_runner, endpoint, _):
+
+        async def fetch():
+            return reasons.Refusal.BODY_NOT_RECEIVED
+
+        served = await local_runner.serve(call(), fetch)
+        assert served.outcome.reason == reasons.Refusal.BODY_NOT_RECEIVED
+        assert not served.arrived
+        assert (local_runner.controller.in_flight, local_runner.controller.held) == (0, 0)
+        assert endpoint.requests == []
+
+
+async def test_refusal_that_began_while_the_body_came_is_applied():
+    """Guards against a request that reaches an endpoint after its node stopped sending any."""
+    async with runner() as (local_runner, endpoint, refusals):
+
+        async def fetch():
+            refusals.append(local.Refused(reasons.Refusal.NODE_STOPPING, 0.0))
+            return b"body"
+
+        served = await local_runner.serve(call(), fetch)
+        assert served.outcome.reason == reasons.Refusal.NODE_STOPPING
+        assert endpoint.requests == []
+        assert local_runner.controller.in_flight == 0
+
+
+@pytest.mark.parametrize("failure", [asyncio.CancelledError, OSError])
+async def test_fetch_that_fails_gives_back_the_slot(failure):
+    """Guards against a slot that stays held after an error."""
+    async with runner() as (local_runner, _, _):
+
+        async def fetch():
+            raise failure
+
+        with pytest.raises(failure):
+            await local_runner.serve(call(), fetch)
+        assert (local_runner.controller.in_flight, local_runner.controller.held) == (0, 0)
--- a/packages/goldcrestgrade-node/tests/mesh/test_pipelining.py
+++ b/packages/goldcrestgrade-node/tests/mesh/test_pipelining.py
@@ -257,3 +257,27 @@
         assert await bodies(reader, 2) == ["/slow1", "/slow2"]
         assert await reader.read() == b""
         assert app.began == ["/slow1", "/slow2"]
+
+
+STOPPED = get("/slow") + post("/b", b"xyz") + get("/c")
+
+
+@pytest.mark.parametrize("received", range(0, len(STOPPED) + 1, 6))
+async def test_stop_at_any_point_answers_just_the_requests_that_began(received):
+    """Guards against requests that run without an answer, and answers that are cut by a stop."""
+    app = App()
+    async with connected(app) as (reader, writer, server):
+        await until(lambda: server.server_state.connections)
+        writer.write(STOPPED[:received])
+        await asyncio.sleep(0.03)
+        for protocol in list(server.server_state.connections):
+            protocol.shutdown()
+        with contextlib.suppress(ConnectionError):
+            writer.write(STOPPED[received:])
+            app.gate("/slow").set()
+            answered = []
+            with contextlib.suppress(asyncio.IncompleteReadError):
+                while True:
+                    answered.append((await answer(reader))[1])
+        assert answered == (["/slow"] if received >= len(get("/slow")) else [])
+        assert app.began == answered
