Count transfers only for large bodies, and saved bodies only for rejections

Cause: the choice of an instance called the transfer estimate for requests without a body, a link of unknown bandwidth could refuse late requests that admission takes, and a body that was not sent to an unreachable node counted as saved.

Change: the estimate is made for large bodies only, a link of unknown bandwidth refuses nothing, and only rejections count.

--- a/packages/goldcrestgrade-node/goldcrestgrade_node/attempts/results.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/attempts/results.py
@@ -28,7 +28,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Unreachable:
-    """No byte of the request reached the endpoint."""
+    """No byte of the request reached the endpoint, or too few for it to run."""
 
     text: str
     tag: typing.Literal["unreached"] = "unreached"
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/entry/dispatch.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/entry/dispatch.py
@@ -224,11 +224,11 @@
         match served.outcome:
             case outcomes.Ran(answer=answer) if answer.status < MIN_FAILED_STATUS:
                 pace = served.load.pace if served.load is not None else 1.0
-                # The transfer of a large body is added per instance and is no service time.
-                elapsed_s = now - started
-                transfer_s = placement.transfer_s(instance, self._requirements(call, 0.0))
-                sample_s = max(MIN_SERVICE_SHARE * elapsed_s, elapsed_s - transfer_s)
-                sample_s /= max(1.0, pace)
+                sample_s = (now - started) / max(1.0, pace)
+                if call.large_body:
+                    # The transfer of a large body is added per instance and is no service time.
+                    transfer_s = placement.transfer_s(instance, self._requirements(call, 0.0))
+                    sample_s = max(MIN_SERVICE_SHARE * sample_s, sample_s - transfer_s)
                 estimate_s = self.service_times_s.get(_service_time_key(call), sample_s)
                 self.service_times_s[_service_time_key(call)] = estimate_s + SERVICE_TIME_WEIGHT * (
                     sample_s - estimate_s
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/entry/placement.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/entry/placement.py
@@ -95,7 +95,7 @@
 
 def transfer_s(instance: directory.Instance, requirements: Requirements) -> float:
     """Return the seconds that the body takes to `instance` over both links."""
-    if not requirements.body_bytes or instance.row.node_id == requirements.own_id:
+    if instance.row.node_id == requirements.own_id:
         return 0.0
     outgoing_bytes = requirements.outgoing_bytes + requirements.body_bytes
     return max(
@@ -143,7 +143,8 @@
         distance_rank = distance(own, instance.row.place)
         in_other_region = distance_rank == OTHER_REGION
         latency_s = expected_latency_s(instance, requirements, in_other_region, now)
-        latency_s += transfer_s(instance, requirements)
+        if requirements.body_bytes:
+            latency_s += transfer_s(instance, requirements)
         in_time = latency_s <= time_budget_s
         if in_other_region and region_reachable and not in_time:
             continue
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/transport/bodies.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/transport/bodies.py
@@ -84,7 +84,8 @@
     Load pattern: many entry nodes send uploads to one node with a thin link. Each further body
     slows all others down, and their slots are held meanwhile.
     """
-    return now + transfer_s(incoming_bytes + body_bytes, link_mbps) > target_at
+    expected_s = transfer_s(incoming_bytes + body_bytes, link_mbps)
+    return expected_s > 0 and now + expected_s > target_at
 
 
 def body_deadline(
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/transport/relay.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/transport/relay.py
@@ -293,7 +293,8 @@
         )
         if asked:
             self.counts.events[reasons.Event.BODY_ASKED] += 1
-            self.counts.events[reasons.Event.BODY_SAVED] += not transferred.body_sent
+            answered = isinstance(transferred.result, results.Answered)
+            self.counts.events[reasons.Event.BODY_SAVED] += answered and not transferred.body_sent
         return transferred
 
     def _prepare(self, call: requests.Call, asked: bool) -> exchanges.PreparedRequest:
