--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/entry/dispatch.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/entry/dispatch.py
@@ -34,6 +34,9 @@
 SERVICE_TIME_WEIGHT = 0.05
 """Weight of a new sample in the moving average of the service time."""
 
+MIN_SERVICE_SHARE = 0.1
+"""Smallest share of the latency that counts as service time beside the transfer of the body."""
+
 NO_INSTANCE_RETRY_S = 0.3
 """Delay after which a client may retry if no instance is usable or the retry budget is spent."""
 
@@ -124,6 +127,10 @@
         self.clocks = clocks
         self.counts = counts
         self.rng = rng
+        self.link_mbps = 0.0
+        """Bandwidth of this node's link in megabits a second; 0 if it is not known."""
+        self.outgoing_bytes = 0
+        """Bytes of large bodies in requests that were sent to other nodes and have not ended."""
         self.service_times_s: dict[str, float] = {}
         """Moving average of latency divided by the endpoint's pace, by service and route."""
         self.round_trips = distances.RoundTrips()
@@ -177,9 +184,7 @@
         if progress.rejections >= MAX_REJECTIONS:
             return None
         service_time_s = self.service_times_s.get(_service_time_key(call), INITIAL_SERVICE_TIME_S)
-        requirements = placement.Requirements(
-            call.target_at, call.deadline, service_time_s, self.round_trips
-        )
+        requirements = self._requirements(call, service_time_s)
         service = self._warm_up(call.service)
         skipped = progress.tried | self.share_backoffs.of(call.workspace, now)
 
@@ -279,6 +284,18 @@
             load.waiting > 0,
         )
 
+    def _requirements(self, call: requests.Call, service_time_s: float) -> placement.Requirements:
+        return placement.Requirements(
+            call.target_at,
+            call.deadline,
+            service_time_s,
+            self.round_trips,
+            len(call.body) if call.large_body else 0,
+            self.own_id,
+            self.link_mbps,
+            self.outgoing_bytes,
+        )
+
     def _allowed(self, call: requests.Call) -> list[directory.Instance]:
         """Return the instances of the service to which the request may be offered."""
         found = self._not_evacuated(call)
@@ -304,6 +321,9 @@
         instance = choice.instance
         progress.tried.add(instance.row.node_id)
         instance.in_flight += 1
+        is_remote = instance.row.node_id != self.own_id
+        outgoing_bytes = len(call.body) if call.large_body and is_remote else 0
+        self.outgoing_bytes += outgoing_bytes
         started = self.clocks.monotonic()
         load_age_s = min(999.0, started - instance.load_at)
         served: requests.Served | None = None
@@ -319,6 +339,7 @@
             )
         finally:
             instance.in_flight -= 1
+            self.outgoing_bytes -= outgoing_bytes
         now = self.clocks.monotonic()
         log.info(
             "call placed",
@@ -360,6 +381,10 @@
             case outcomes.Ran(answer=answer) if answer.status < MIN_FAILED_STATUS:
                 pace = served.load.pace if served.load is not None else 1.0
                 sample_s = (now - started) / max(1.0, pace)
+                if call.large_body:
+                    # The transfer of a large body is added per instance and is no service time.
+                    transfer_s = placement.transfer_s(instance, self._requirements(call, 0.0))
+                    sample_s = max(MIN_SERVICE_SHARE * sample_s, sample_s - transfer_s)
                 estimate_s = self.service_times_s.get(_service_time_key(call), sample_s)
                 self.service_times_s[_service_time_key(call)] = estimate_s + SERVICE_TIME_WEIGHT * (
                     sample_s - estimate_s
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/node.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/node.py
@@ -29,6 +29,7 @@
     withdrawals,
 )
 from goldcrestgrade_node.mesh.transport import (
+    bodies,
     connections,
     dialect,
     peers,
@@ -184,7 +185,8 @@
         self.quarantine = quarantine.Quarantine(platform.store, self.clocks)
         self.withdrawals = withdrawals.Withdrawals()
         self.crash_checks: set[asyncio.Task[None]] = set()
-        self.relay = relay.RelayClient(platform.header_names, self.clocks)
+        self.body_memory = bodies.BodyMemory()
+        self.relay = relay.RelayClient(platform.header_names, self.clocks, self.counts)
         self.relay.on_unreachable = self.on_node_unreachable
         self.reachability = reachability.Reachability(
             config.node_id, config.failure_domain, self.instances.failure_domains, self.counts
@@ -211,6 +213,7 @@
             self.reachability,
         )
         self.dispatcher.own_id = config.node_id
+        self.dispatcher.link_mbps = config.link_mbps
         self.dispatcher.find_service = self.find_service
 
     def find_service(self, name: str) -> routes.Service | None:
@@ -227,6 +230,7 @@
             self.config.service,
             serving=False,
             started_ms=int(now * 1000),
+            link_mbps=_published_link_mbps(self.config),
         )
 
     def apply_settings(self, config: settings.Settings) -> None:
@@ -234,6 +238,7 @@
         self.config = config
         self.dispatcher.set_terms(_terms(config))
         self._apply_warm_up()
+        self.dispatcher.link_mbps = config.link_mbps
 
     # State
 
@@ -461,7 +466,7 @@
 
     # Applications
 
-    def entry(self) -> asgi.App:
+    def entry(self) -> app.EntryApp:
         """Return the application that receives requests of clients."""
         return app.EntryApp(
             self.run_call,
@@ -473,6 +478,7 @@
             self.counts,
             self.rng,
             self.is_configuration_outdated,
+            self.body_memory,
         )
 
     def peers(self) -> asgi.App:
@@ -483,6 +489,7 @@
             lambda: routes.DEFAULT_MAX_BODY_BYTES,
             self.handing_over.is_set,
             self.clocks,
+            relay.BodyTerms(self.body_memory, lambda: self.config.link_mbps, self.counts),
         )
         return peers.app(relay_app, self.sync)
 
@@ -554,5 +561,10 @@
         return deadline
 
 
+def _published_link_mbps(config: settings.Settings) -> float:
+    """Return the bandwidth that the row of this node carries: only that of a thin link."""
+    return config.link_mbps if 0 < config.link_mbps < bodies.THIN_LINK_MBPS else 0.0
+
+
 def _terms(config: settings.Settings) -> retry_budget.Terms:
     return retry_budget.Terms(config.resend_ratio, config.resend_slack, config.resend_window_s)
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/transport/relay.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/transport/relay.py
@@ -3,14 +3,16 @@
 from __future__ import annotations
 
 import asyncio
+import logging
 import math
 import typing
 
-from goldcrestgrade import headers, instants, outcomes, reasons
+from goldcrestgrade import counters, headers, instants, outcomes, reasons
 from goldcrestgrade_node import asgi
 from goldcrestgrade_node.attempts import exchanges, results
 from goldcrestgrade_node.entry import disconnects
 from goldcrestgrade_node.mesh.transport import (
+    bodies,
     connections,
     dialect,
     loads,
@@ -19,6 +21,8 @@
     transfer,
 )
 
+log = logging.getLogger(__name__)
+
 RUN_ONCE_MAX_IDLE_S = 10.0
 """Longest idle time after which a connection to a node is reused for a run-once request."""
 
@@ -31,8 +35,17 @@
 NOT_RUN_STATUS = 503
 """Status of a relay answer for a request that did not run."""
 
-Serve = typing.Callable[[requests.Call], typing.Awaitable[requests.Served]]
-"""Serves a request at the own endpoint."""
+Serve = typing.Callable[[requests.Call, bodies.FetchBody | None], typing.Awaitable[requests.Served]]
+"""Serves a request at the own endpoint; its body may have to be fetched."""
+
+
+class BodyTerms(typing.NamedTuple):
+    """What bounds the bodies that other nodes send."""
+
+    memory: bodies.BodyMemory
+    link_mbps: typing.Callable[[], float]
+    """Bandwidth of this node's link in megabits a second; 0 if it is not known."""
+    counts: counters.Counts
 
 
 class RelayApp:
@@ -45,39 +58,96 @@
         max_body_bytes: typing.Callable[[], int],
         is_closing: typing.Callable[[], bool],
         clocks: instants.Clocks,
+        terms: BodyTerms,
     ) -> None:
         self.serve = serve
         self.header_names = header_names
         self.max_body_bytes = max_body_bytes
         self.is_closing = is_closing
         self.clocks = clocks
+        self.terms = terms
+        self.incoming_bytes = 0
+        """Bytes of bodies of admitted requests that other nodes are sending."""
 
     async def __call__(self, scope: asgi.Scope, receive: asgi.Receive, send: asgi.Send) -> None:
         """Serve one relayed request."""
-        started = self.clocks.monotonic()
+        reservation = bodies.Reservation(self.terms.memory)
         try:
-            body = await asgi.read_body(receive, self.max_body_bytes())
+            await self._serve(scope, receive, send, reservation)
         except asgi.Disconnected:
             return
+        finally:
+            reservation.release()
+
+    async def _serve(
+        self,
+        scope: asgi.Scope,
+        receive: asgi.Receive,
+        send: asgi.Send,
+        reservation: bodies.Reservation,
+    ) -> None:
+        started = self.clocks.monotonic()
         by_name = {name: value.decode("latin-1") for name, value in scope["headers"]}
+        length = bodies.length_of(by_name)
+        limit = self.max_body_bytes()
+        asked = by_name.get(b"expect", "").lower() == bodies.EXPECTATION and length is not None
+        body: bytes | reasons.Refusal = b""
+        if not asked:
+            body = await bodies.read(receive, limit, reservation, length)
+        elif length is not None and length > limit:
+            body = reasons.Refusal.BODY_TOO_LARGE
+        elif length is not None and not reservation.grow_to(length):
+            body = reasons.Refusal.SATURATED
         message = requests.Message(
             method=scope["method"],
             target=asgi.target_of(scope),
             host=by_name.get(b"host", ""),
             headers=headers.end_to_end(headers.from_bytes(scope["headers"])),
-            body=body or b"",
+            body=body if isinstance(body, bytes) else b"",
         )
         attempt_id = by_name.get(self.header_names.attempt_id.encode(), "")
         text = by_name.get(headers.RELAY.encode(), "")
         call = requests.decode(text, attempt_id, message, self.clocks.monotonic())
-        if call is None or body is None:
+        if call is None or body == reasons.Refusal.BODY_TOO_LARGE:
             refused = outcomes.NotRun(reasons.Refusal.INVALID_REQUEST)
             served = requests.Served(refused, None, arrived=False)
             await self._answer(send, served, attempt_id, started)
             return
-        outcome = await self._serve_watched(call, receive)
-        if outcome is not None:
-            await self._answer(send, outcome, attempt_id, started)
+        if asked and isinstance(body, bytes) and self._is_link_full(call, length or 0):
+            body = reasons.Refusal.SATURATED
+        elif body == reasons.Refusal.SATURATED:
+            self.terms.counts.events[reasons.Event.BODY_MEMORY_FULL] += 1
+        if body == reasons.Refusal.SATURATED:
+            log.info(
+                "body refused before it was read",
+                extra={
+                    "request_id": attempt_id,
+                    "bytes": length,
+                    "held_bytes": self.terms.memory.held_bytes,
+                    "incoming_bytes": self.incoming_bytes,
+                },
+            )
+            retry_at = self.clocks.monotonic() + bodies.MEMORY_RETRY_S
+            refused = outcomes.NotRun(reasons.Refusal.SATURATED, retry_at)
+            unserved = requests.Served(refused, None, arrived=False)
+            await self._answer(send, unserved, attempt_id, started)
+            return
+        if asked:
+            assert length is not None
+            ended = await self._serve_asked(call, receive, length, reservation)
+        else:
+            ended = await self._serve_watched(call, receive)
+        if ended is not None:
+            await self._answer(send, ended, attempt_id, started)
+
+    def _is_link_full(self, call: requests.Call, length: int) -> bool:
+        return bodies.is_link_full(
+            self.incoming_bytes,
+            length,
+            self.terms.link_mbps(),
+            call.deadline if call.late_allowed else call.target_at,
+            self.clocks.monotonic(),
+        )
 
     async def _serve_watched(
         self, call: requests.Call, receive: asgi.Receive
@@ -86,7 +156,7 @@
         assert worker is not None
         watch = disconnects.Watch(receive, worker)
         try:
-            return await self.serve(call)
+            return await self.serve(call, None)
         except asyncio.CancelledError:
             if not watch.disconnected:
                 raise
@@ -95,6 +165,56 @@
         finally:
             watch.stop()
 
+    async def _serve_asked(
+        self,
+        call: requests.Call,
+        receive: asgi.Receive,
+        length: int,
+        reservation: bodies.Reservation,
+    ) -> requests.Served | None:
+        """Serve a request whose sender waits for admission before it sends the body.
+
+        The first `receive` asks for the body, so the sender is watched only after the body.
+        """
+        worker = asyncio.current_task()
+        assert worker is not None
+        watches: list[disconnects.Watch] = []
+
+        async def fetch() -> bytes | reasons.Refusal:
+            now = self.clocks.monotonic()
+            until = bodies.body_deadline(length, self.terms.link_mbps(), call.deadline, now)
+            self.incoming_bytes += length
+            try:
+                async with asyncio.timeout_at(until):
+                    body = await bodies.read(receive, length, reservation, length)
+            except (TimeoutError, asgi.Disconnected) as error:
+                self.terms.counts.events[reasons.Event.BODY_NOT_RECEIVED] += 1
+                log.warning(
+                    "body of an admitted request not received; its slot is given back",
+                    extra={
+                        "request_id": call.attempt_id,
+                        "bytes": length,
+                        "waited_s": round(self.clocks.monotonic() - now, 3),
+                        "error": repr(error),
+                    },
+                )
+                return reasons.Refusal.BODY_NOT_RECEIVED
+            finally:
+                self.incoming_bytes -= length
+            watches.append(disconnects.Watch(receive, worker))
+            return body
+
+        try:
+            return await self.serve(call, fetch)
+        except asyncio.CancelledError:
+            if not any(watch.disconnected for watch in watches):
+                raise
+            worker.uncancel()
+            return None
+        finally:
+            for watch in watches:
+                watch.stop()
+
     async def _answer(
         self,
         send: asgi.Send,
@@ -105,6 +225,7 @@
         now = self.clocks.monotonic()
         relay_headers = [
             (headers.ATTEMPT_ID, attempt_id),
+            (headers.ASKS, "1"),
             (headers.SERVED_IN, f"{now - started:.5f}"),
         ]
         if served.load is not None:
@@ -130,9 +251,14 @@
 class RelayClient:
     """Relays requests to other nodes; owns the connections to them."""
 
-    def __init__(self, header_names: dialect.Dialect, clocks: instants.Clocks) -> None:
+    def __init__(
+        self, header_names: dialect.Dialect, clocks: instants.Clocks, counts: counters.Counts
+    ) -> None:
         self.header_names = header_names
         self.clocks = clocks
+        self.counts = counts
+        self.asking: set[str] = set()
+        """Addresses of nodes that are known to admit a request by its head."""
         self.pools: dict[str, connections.ConnectionPool] = {}
         self.on_unreachable: typing.Callable[[str, str], None] = lambda _address, _text: None
         """Called with an address that was unreachable and the text of the result."""
@@ -148,17 +274,26 @@
         pool = self.pools.get(address)
         if pool is None:
             pool = self.pools[address] = connections.ConnectionPool(address)
-        transferred = await transfer.send(
-            pool,
-            self._prepare(call),
-            call.deadline,
-            RUN_ONCE_MAX_IDLE_S if call.run_once else IDEMPOTENT_MAX_IDLE_S,
-            lambda: self.clocks.monotonic() < call.deadline,
-        )
+        transferred = await self._transfer(pool, address, call)
+        if _is_stale_connection(transferred):
+            # The other node has closed the idle connection; nothing has run there.
+            pool.close_idle()
+            transferred = await self._transfer(pool, address, call)
+        if headers.ASKS in transferred.fields:
+            self.asking.add(address)
         match transferred.result:
             case results.Unreachable(text=text):
+                self.asking.discard(address)
                 self.on_unreachable(address, text)
-                return None
+                log.info(
+                    "node not reached",
+                    extra={"request_id": call.attempt_id, "address": address, "error": text},
+                )
+                now = self.clocks.monotonic()
+                if now < call.deadline:
+                    return None
+                expired = outcomes.NotRun(reasons.Refusal.EXPIRED_WAITING, now)
+                return requests.Served(expired, None, arrived=False)
             case results.Broken(reason=reason):
                 pool.close_idle()
                 return requests.Served(outcomes.Unknown(reason), None, arrived=True)
@@ -167,8 +302,30 @@
                 served_s = _parse_seconds(transferred.fields.get(headers.SERVED_IN))
                 return served._replace(served_s=served_s)
 
-    def _prepare(self, call: requests.Call) -> exchanges.PreparedRequest:
+    async def _transfer(
+        self, pool: connections.ConnectionPool, address: str, call: requests.Call
+    ) -> transfer.TransferResult:
+        """Send a request to a node; ask for admission first if its body is large."""
+        now = self.clocks.monotonic()
+        asked = len(call.body) >= bodies.ASK_MIN_BYTES and address in self.asking
+        transferred = await transfer.send(
+            pool,
+            self._prepare(call, asked),
+            call.deadline,
+            RUN_ONCE_MAX_IDLE_S if call.run_once else IDEMPOTENT_MAX_IDLE_S,
+            lambda: self.clocks.monotonic() < call.deadline,
+            bodies.admission_deadline(call.target_at, call.deadline, now) if asked else None,
+        )
+        if asked:
+            self.counts.events[reasons.Event.BODY_ASKED] += 1
+            answered = isinstance(transferred.result, results.Answered)
+            self.counts.events[reasons.Event.BODY_SAVED] += answered and not transferred.body_sent
+        return transferred
+
+    def _prepare(self, call: requests.Call, asked: bool) -> exchanges.PreparedRequest:
         fields = [*call.headers, (headers.RELAY, requests.encode(call, self.clocks.monotonic()))]
+        if asked:
+            fields.append(("Expect", bodies.EXPECTATION))
         return exchanges.PreparedRequest(
             call.method,
             call.target,
@@ -211,6 +368,12 @@
     return seconds if math.isfinite(seconds) and seconds >= 0 else None
 
 
+def _is_stale_connection(transferred: transfer.TransferResult) -> bool:
+    """Return whether a request that asked for admission failed on a connection closed before."""
+    lost = results.Unreachable(reasons.Uncertainty.ANSWER_LOST)
+    return transferred.reused and transferred.result == lost
+
+
 T = typing.TypeVar("T", reasons.Refusal, reasons.Uncertainty)
 
 
--- a/packages/goldcrestgrade-node/tests/mesh/test_evacuations.py
+++ b/packages/goldcrestgrade-node/tests/mesh/test_evacuations.py
@@ -9,7 +9,7 @@
 from goldcrestgrade import counters, instants, reasons, telemetry
 from goldcrestgrade.storage import tables
 from goldcrestgrade_node.mesh import node as mesh_node
-from goldcrestgrade_node.mesh.endpoint import admission, local
+from goldcrestgrade_node.mesh.endpoint import admission, decision, local
 from goldcrestgrade_node.mesh.entry import evacuation_ramp
 from goldcrestgrade_node.mesh.state import evacuations, replica, watch
 
@@ -191,7 +191,7 @@
     controller = admission.AdmissionController(instants.loop_clocks())
     controller.set_slots(1)
     now = asyncio.get_running_loop().time()
-    request = admission.Request("s r", 1, now + 0.4, now + 1.0, True)
+    request = decision.Request("s r", 1, now + 0.4, now + 1.0, True)
     assert await controller.admit(request) is None
     queued = asyncio.create_task(controller.admit(request))
     await asyncio.sleep(0)
@@ -206,14 +206,14 @@
         withdrawals=types.SimpleNamespace(concerns=lambda *_: False),
         clocks=node.evacuations.clocks,
     )
-    call = types.SimpleNamespace(workspace="", configuration=0)
+    forwarded = types.SimpleNamespace(workspace="", configuration=0)
     node.evacuations.on_started = lambda domain: mesh_node.MeshNode.on_evacuation_started(
         stub, domain
     )
-    assert mesh_node.MeshNode.refusal_for(stub, call) is None
+    assert mesh_node.MeshNode.refusal_for(stub, forwarded) is None
     node.receive(row(5))
     assert (await queued).reason == reasons.Refusal.EVACUATED
-    refused = mesh_node.MeshNode.refusal_for(stub, call)
+    refused = mesh_node.MeshNode.refusal_for(stub, forwarded)
     assert refused == local.Refused(reasons.Refusal.EVACUATED, mesh_node.EVACUATED_RETRY_S)
     # The request at the endpoint completes.
     assert controller.in_flight == 1
--- a/packages/goldcrestgrade/goldcrestgrade/reasons.py
+++ b/packages/goldcrestgrade/goldcrestgrade/reasons.py
@@ -40,6 +40,7 @@
     CONFIGURATION_OUTDATED = "configuration_outdated"
     QUOTA_EXCEEDED = "quota_exceeded"
     FAIR_SHARE_EXCEEDED = "fair_share_exceeded"
+    BODY_NOT_RECEIVED = "body_not_received"
 
 
 class Uncertainty(enum.StrEnum):
@@ -94,3 +95,8 @@
     EVACUATION_ENDED = "evacuation_ended"
     DOMAIN_UNREACHABLE = "domain_unreachable"
     DOMAIN_REACHED = "domain_reached"
+    BODY_ASKED = "body_asked"
+    BODY_SAVED = "body_saved"
+    BODY_NOT_RECEIVED = "body_not_received"
+    PIPELINED = "pipelined"
+    BODY_MEMORY_FULL = "body_memory_full"
