Return the token of a health check that the endpoint's address refused

Cause: each check of an endpoint that is down took a token, although the endpoint never got it. Change: a refused connection returns it. Result: the new test, the tests of the fleet and of cold endpoints pass.

--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/endpoint/coldness.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/endpoint/coldness.py
@@ -166,6 +166,13 @@
         self._count()
         return check
 
+    def record_refused_check(self) -> None:
+        """Return the token of a health check that the endpoint's address refused.
+
+        Checks of an endpoint that is down for long would leave no tokens for its return.
+        """
+        self.bucket.release()
+
     def record_check(self, check: Check, left_s: float | None) -> None:
         """Record the answer of a health check: the seconds for which the endpoint stays cold.
 
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/endpoint/health.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/endpoint/health.py
@@ -126,6 +126,8 @@
                 latest = signals.parse(fields, self.names)
                 cold_s = signals.parse_warm_up_left(fields, self.names)
         except (TimeoutError, aiohttp.ClientError, OSError) as error:
+            if isinstance(error, aiohttp.ClientConnectorError):
+                self.own.coldness.record_refused_check()
             log.info(
                 "health check failed; the endpoint keeps its previous state",
                 extra={"error": repr(error)},
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/endpoint/rates.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/endpoint/rates.py
@@ -60,6 +60,12 @@
             self._accrue()
             self.tokens -= 1
 
+    def release(self) -> None:
+        """Return the token of a request that was not sent."""
+        if self.rate is not None:
+            self._accrue()
+            self.tokens = min(self.capacity(), self.tokens + 1)
+
     def capacity(self) -> float:
         """Return the largest number of tokens."""
         return max(1.0, self.burst_s * (self.rate or 0.0))
--- a/packages/goldcrestgrade-node/tests/mesh/test_coldness.py
+++ b/packages/goldcrestgrade-node/tests/mesh/test_coldness.py
@@ -89,6 +89,15 @@
     assert cold.state() == "warm"
 
 
+def test_refused_health_checks_leave_tokens_for_the_return_of_the_endpoint(cold, clock):
+    """Guards against an endpoint that returns to a bucket emptied by checks it never got."""
+    clock.now += 1.0
+    for _ in range(20):
+        cold.begin_check()
+        cold.record_refused_check()
+    assert start_all(cold) == TERMS.rate * TERMS.burst_s
+
+
 def test_lower_one_of_rate_limit_and_warm_up_applies(clock):
     """Guards against a named rate limit that hides the warm-up rate, or the reverse."""
     limits = start_limits.StartLimits(clock.clocks())
