--- a/packages/goldcrestgrade-node/tests/mesh/test_watch.py
+++ b/packages/goldcrestgrade-node/tests/mesh/test_watch.py
@@ -273,6 +273,23 @@
     assert sync.store.snapshots == len(replica.TABLES)
 
 
+@pytest.mark.parametrize(("era", "asked"), [(1, []), (2, ["n1"])])
+async def test_node_alone_in_its_domain_asks_others_what_the_store_may_have_lost(era, asked):
+    """Guards against evacuations that only peers know once the store came back from a copy."""
+    sync = make_sync("n5")
+    add(sync.instances, "n1", 1, directory.Location("khomas-b", "khomas"))
+    sync.known_era = era
+    polled = []
+
+    async def poll(peer, _wait_s):
+        polled.append(peer.row.node_id)
+        return True
+
+    sync._poll_peer = poll
+    await sync._load()
+    assert polled == asked
+
+
 async def test_changing_rows_are_polled_after_a_pause_and_the_configuration_at_once(sync):
     await sync._read_all()
     polled_at = {table: [] for table in replica.TABLES}
--- a/packages/goldcrestgrade-testing/tests/fleet_platform/test_adapter.py
+++ b/packages/goldcrestgrade-testing/tests/fleet_platform/test_adapter.py
@@ -11,7 +11,7 @@
 from goldcrestgrade import durations, exceptions, routes
 from goldcrestgrade.storage import tables
 from goldcrestgrade_node.mesh.endpoint import endpoints
-from goldcrestgrade_node.mesh.state import replica
+from goldcrestgrade_node.mesh.state import evacuations, replica
 from goldcrestgrade_testing import reference, serving
 from goldcrestgrade_testing.fleet_platform import store as stand_in
 
@@ -334,3 +334,16 @@
     assert store_setup.client._observe_era(None) == 7
     assert store_setup.client._observe_era("6") == 6
     assert store_setup.client.era == 7
+
+
+async def test_evacuation_rows_are_translated_in_both_directions(store_setup):
+    """Guards against rows of the operator that no node recognizes."""
+    stand_in_store, client = store_setup.store, store_setup.client
+    key = evacuations.KEY_PREFIX + "khomas-a"
+    stand_in_store.write("op", "evacuate/khomas-a", {})
+    snapshot = await client.snapshot(replica.CONFIGURATION)
+    assert [(change.key, change.value) for change in snapshot.changes] == [(key, {})]
+    assert (await client.read(replica.CONFIGURATION, key)).key == key
+    stand_in_store.remove("op", "evacuate/khomas-a")
+    received = await client.changes(replica.CONFIGURATION, snapshot.position, 0.0)
+    assert [(change.key, change.value) for change in received.changes] == [(key, None)]
