--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/node.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/node.py
@@ -18,6 +18,7 @@
 from goldcrestgrade_node.mesh import settings
 from goldcrestgrade_node.mesh.endpoint import admission, endpoints, health, local
 from goldcrestgrade_node.mesh.entry import app, dispatch, retry_budget
+from goldcrestgrade_node.mesh.quota import exchange, limited, members, terms
 from goldcrestgrade_node.mesh.state import (
     directory,
     quarantine,
@@ -157,6 +158,22 @@
         self.prober = peers.Prober(
             config.node_id, self.instances, session, platform.store, self.clocks
         )
+        self.quotas = exchange.Quotas(
+            exchange.Site(config.node_id, config.region),
+            _quota_rules(config),
+            self.instances,
+            members.Members(
+                config.node_id,
+                self.initial_row.started_ms,
+                self.instances,
+                self.sync.age_s,
+                self.clocks,
+            ),
+            peers.post_tokens(self.instances, session),
+            self.clocks,
+            self.counts,
+            self.rng,
+        )
         self.dispatcher = dispatch.Dispatcher(
             self.location,
             self.instances,
@@ -183,6 +200,8 @@
         """Apply changed settings; the node listens at changed addresses only after a restart."""
         self.config = config
         self.dispatcher.set_terms(_terms(config))
+        if self.table is not None:
+            self.quotas.apply(self.table, _quota_rules(config))
 
     # State
 
@@ -223,6 +242,7 @@
             return table.version == self.table.version
         first = self.table is None
         self.table = table
+        self.quotas.apply(table, _quota_rules(self.config))
         for finding in routes.unknown_regions(table, self.config.regions or {self.config.region}):
             log.warning(
                 "region not known; nothing runs there",
@@ -338,7 +358,7 @@
     def entry(self) -> asgi.App:
         """Return the application that receives requests of clients."""
         return app.EntryApp(
-            self.run_call,
+            limited.limited(self.run_call, self.quotas),
             lambda: self.table,
             self.config.service,
             self.platform.header_names,
@@ -357,7 +377,7 @@
             self.handing_over.is_set,
             self.clocks,
         )
-        return peers.app(relay_app, self.sync)
+        return peers.app(relay_app, self.sync, self.quotas)
 
     # Lifecycle
 
@@ -372,6 +392,7 @@
             self.health.run_pace_checks(),
             self.prober.run(),
             self.quarantine.run(),
+            self.quotas.run(),
         ]
 
     async def _register(self) -> None:
@@ -429,3 +450,7 @@
 
 def _terms(config: settings.Settings) -> retry_budget.Terms:
     return retry_budget.Terms(config.resend_ratio, config.resend_slack, config.resend_window_s)
+
+
+def _quota_rules(config: settings.Settings) -> terms.Rules:
+    return terms.Rules(config.quota_window_s, config.quota_overage, config.quota_slack)
--- /dev/null
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/quota/exchange.py
@@ -0,0 +1,454 @@
+"""Charges requests to the quota of their workspace, and exchanges tokens with other nodes.
+
+Load pattern: requests of a workspace arrive at any node, and most workspaces stay below their
+quota. A node that has a token uses it without a message. One that lacks tokens asks the accounting
+node of its region, which collects what the nodes of the region do not need and borrows from the
+accounting nodes of other regions, at most every half second each. Without such a node, no message
+is sent.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+import logging
+import random
+import typing
+import zlib
+
+from goldcrestgrade import counters, instants, outcomes, reasons, routes
+from goldcrestgrade_node.mesh.quota import bucket, demand, ledger, members, messages, terms
+from goldcrestgrade_node.mesh.state import directory
+
+log = logging.getLogger(__name__)
+
+WAIT_S = 0.05
+"""Longest time that a request waits for a token."""
+
+PROCURE_S = 0.04
+"""Time in which the accounting node answers, so that a request that waits still gets its token."""
+
+TIMEOUT_S = 0.3
+"""Timeout of a message; several round trips between regions."""
+
+AVOID_S = 2.0
+"""Time for which a node that did not answer is not asked again."""
+
+SHARDS = 8
+"""Number of groups of workspaces, each with an accounting node of its own in each region.
+
+One node for all would serve the messages of its whole region on 0.43 of a core; one for each
+workspace would collect from the region for each workspace anew.
+"""
+
+ROUND_INTERVAL_S = 0.5
+"""Time between two rounds of collecting, or of borrowing, for a workspace."""
+
+LONGEST_ROUND_INTERVAL_S = 2.0
+"""The same after rounds that brought nothing, since all nodes use their tokens themselves."""
+
+COLLECT_PER_S = 40.0
+"""Messages a second by which an accounting node collects; some 5% of the smallest host."""
+
+COLLECT_BURST = 80.0
+"""Messages that may be sent at once; in three regions, each has some 32 accruing nodes."""
+
+TICK_S = 0.5
+"""Time between looks at the members and at the workspaces that are limited."""
+
+MAX_NAMED = 100
+"""Largest number of workspaces with counters of their own; others are counted together."""
+
+OTHERS = "other"
+"""Label of the counters of these other workspaces."""
+
+Post = typing.Callable[[str, bytes], typing.Awaitable[bytes]]
+"""Sends a message to the node with an id and returns the answer; raises `Unanswered`."""
+
+
+class Unanswered(Exception):
+    """A node did not answer a message."""
+
+
+class Round(typing.NamedTuple):
+    """One round of collecting or borrowing for a workspace."""
+
+    task: asyncio.Task[None]
+    next_at: instants.Instant
+    """When the next round may begin."""
+    interval_s: float
+    total: float
+    """Tokens before the round."""
+
+
+class Site(typing.NamedTuple):
+    """The node itself."""
+
+    node_id: str
+    region: str
+
+
+class Quotas:
+    """The quotas at one node; owned by its event loop."""
+
+    def __init__(
+        self,
+        site: Site,
+        rules: terms.Rules,
+        instances: directory.Directory,
+        fleet: members.Members,
+        post: Post,
+        clocks: instants.Clocks,
+        counts: counters.Counts,
+        rng: random.Random,
+    ) -> None:
+        self.site = site
+        self.rules = rules
+        self.instances = instances
+        self.fleet = fleet
+        self.post = post
+        self.clocks = clocks
+        self.counts = counts
+        self.rng = rng
+        self.ledger = ledger.Ledger(fleet.accrual)
+        self.demands: dict[str, demand.Demand] = {}
+        self.avoid_until: dict[str, instants.Instant] = {}
+        self.needed: dict[str, dict[str, asyncio.Future[None]]] = {}
+        """Workspaces to ask an accounting node for, and what their requests wait for."""
+        self.asking: dict[str, asyncio.Task[None]] = {}
+        self.rounds: dict[tuple[messages.Kind, str], Round] = {}
+        """Latest round of collecting and of borrowing by workspace."""
+        self.collect_budget = COLLECT_BURST
+        self.collect_budget_at: instants.Instant = 0.0
+        self.accounting: dict[tuple[int, str], str | None] = {}
+        """Accounting node by shard and region, remembered for `TICK_S`."""
+        self.lacking: dict[str, tuple[float, instants.Instant]] = {}
+        """Tokens that this accounting node lacked, and when it was last asked for them."""
+        self.served_at: dict[tuple[str, str], instants.Instant] = {}
+        """When a node last withdrew tokens of a workspace here, so that it has none to spare."""
+
+    def apply(self, table: routes.RouteTable, rules: terms.Rules) -> None:
+        """Put the quotas of a configuration in force."""
+        self.rules = rules
+        self.ledger.apply(table, rules, self.clocks.monotonic())
+        self.demands = {n: d for n, d in self.demands.items() if n in self.ledger.quotas}
+        self.lacking = {n: pair for n, pair in self.lacking.items() if n in self.ledger.quotas}
+
+    # Requests of clients
+
+    async def charge(self, workspace: str) -> list[bucket.Lot] | outcomes.NotRun:
+        """Take the token of a request of a workspace with a quota, or refuse the request."""
+        now = self.clocks.monotonic()
+        use = self._demand(workspace)
+        use.requests.record(now)
+        waits_until = now + WAIT_S
+        while True:
+            lots = self.ledger.spend(workspace, now) if workspace in self.ledger.quotas else []
+            if lots is not None:
+                use.charged.record(now)
+                self.counts.quota_charges[self._label(workspace)] += 1
+                return lots
+            if now >= waits_until or now < use.ask_at:
+                return self._refuse(workspace, use, now)
+            use.waiting += 1
+            try:
+                async with asyncio.timeout_at(waits_until):
+                    await asyncio.shield(self._need(workspace))
+            except TimeoutError:
+                pass
+            finally:
+                use.waiting -= 1
+            now = self.clocks.monotonic()
+
+    def _refuse(self, workspace: str, use: demand.Demand, now: instants.Instant) -> outcomes.NotRun:
+        quota = self.ledger.quotas[workspace]
+        if not use.refused:
+            log.info(
+                "workspace begins to be limited by its quota",
+                extra={"workspace": workspace, "rate": quota.rate},
+            )
+        use.refused += 1
+        use.refused_at = now
+        self.counts.quota_refusals[self._label(workspace)] += 1
+        own_rate = quota.flow * self.fleet.accrual(workspace, now).share
+        retry_at = use.retry_at(now, own_rate, now + self.rules.window_s, self.rng)
+        return outcomes.NotRun(reasons.Refusal.QUOTA_EXCEEDED, retry_at)
+
+    def _demand(self, workspace: str) -> demand.Demand:
+        known = self.demands.get(workspace)
+        if known is None:
+            known = self.demands[workspace] = demand.Demand()
+        return known
+
+    def _label(self, workspace: str) -> str:
+        named = self.counts.quota_charges.keys() | self.counts.quota_refusals.keys()
+        return workspace if workspace in named or len(named) < MAX_NAMED else OTHERS
+
+    def _need(self, workspace: str) -> asyncio.Future[None]:
+        """Have tokens of a workspace asked for; the result is done after the answer."""
+        target = self._accounting_node(workspace, self.site.region) or self.site.node_id
+        needed = self.needed.setdefault(target, {})
+        if workspace not in needed:
+            needed[workspace] = asyncio.get_running_loop().create_future()
+        waited_for = needed[workspace]
+        if target not in self.asking:
+            self.asking[target] = asyncio.create_task(self._ask(target))
+        return waited_for
+
+    async def _ask(self, target: str) -> None:
+        """Ask one accounting node for all that is needed, message after message."""
+        try:
+            while self.needed.get(target):
+                needed = self.needed.pop(target)
+                try:
+                    await self._withdraw(target, [n for n in needed if n in self.ledger.quotas])
+                finally:
+                    for waited_for in needed.values():
+                        if not waited_for.done():
+                            waited_for.set_result(None)
+        finally:
+            del self.asking[target]
+
+    async def _withdraw(self, target: str, workspaces: typing.Sequence[str]) -> None:
+        now = self.clocks.monotonic()
+        before = {name: self.ledger.total(name, now) for name in workspaces}
+        wanted = {name: self._demand(name).wanted(before[name], now) for name in workspaces}
+        if target == self.site.node_id:
+            await self._procure({n: before[n] + tokens for n, tokens in wanted.items()}, True)
+        elif not await self._ask_node(target, messages.Kind.WITHDRAW, wanted):
+            # The next accounting node is asked at once.
+            return
+        now = self.clocks.monotonic()
+        for name in workspaces:
+            if name in self.ledger.quotas:
+                use, total = self._demand(name), self.ledger.total(name, now)
+                lacking = use.wanted(total, now) > bucket.EPSILON
+                use.record_answer(lacking, total < before[name] + 0.5, now)
+
+    # Exchange with other nodes
+
+    def _accounting_node(self, workspace: str, region: str) -> str | None:
+        """Return the accounting node of a workspace in a region, none if no node is reachable."""
+        shard = zlib.crc32(workspace.encode()) % SHARDS
+        key = shard, region
+        if key not in self.accounting:
+            self.accounting[key] = max(
+                self._reachable(region),
+                key=lambda name: members.score(f"shard-{shard}", name),
+                default=None,
+            )
+        return self.accounting[key]
+
+    def _reachable(self, region: str) -> list[str]:
+        now = self.clocks.monotonic()
+        return [
+            name
+            for name, instance in self.instances.by_id.items()
+            if instance.row.place.region == region
+            and (name == self.site.node_id or not instance.failures)
+            and self.avoid_until.get(name, 0.0) <= now
+        ]
+
+    async def _ask_node(self, node_id: str, kind: messages.Kind, wanted: dict[str, float]) -> bool:
+        """Ask a node for tokens and add those in its answer; return whether it answered."""
+        asked_at = self.clocks.monotonic()
+        ask = messages.Ask(kind, self.site.node_id, wanted)
+        self.counts.events[EVENTS[kind]] += 1
+        try:
+            body = await self.post(node_id, messages.encode_ask(ask))
+            offers = messages.decode_answer(body)
+        except (Unanswered, ValueError) as error:
+            self.counts.events[reasons.Event.QUOTA_UNANSWERED] += 1
+            log.info(
+                "message about quotas not answered",
+                extra={"peer": node_id, "kind": kind, "error": str(error)},
+            )
+            self.avoid_until[node_id] = self.clocks.monotonic() + AVOID_S
+            self.accounting.clear()
+            return False
+        for workspace, offer in offers.items():
+            if workspace in wanted:
+                self.ledger.receive(workspace, offer, asked_at)
+        return True
+
+    async def answer(self, body: bytes) -> bytes:
+        """Return the answer to a message of another node; raises `ValueError`."""
+        ask = messages.decode_ask(body)
+        wanted = {n: tokens for n, tokens in ask.wanted.items() if n in self.ledger.quotas}
+        now = self.clocks.monotonic()
+        if ask.kind is messages.Kind.COLLECT:
+            wanted = {name: self._spare(name, now) for name in wanted}
+        else:
+            if ask.kind is messages.Kind.WITHDRAW:
+                self.served_at.update(((ask.node_id, name), now) for name in wanted)
+            await self._procure(wanted, ask.kind is messages.Kind.WITHDRAW)
+            now = self.clocks.monotonic()
+            if ask.kind is messages.Kind.BORROW:
+                wanted = {name: min(n, self._spare(name, now)) for name, n in wanted.items()}
+        offers = {
+            name: self.ledger.offer(name, tokens, now)
+            for name, tokens in wanted.items()
+            if name in self.ledger.quotas
+        }
+        return messages.encode_answer(offers)
+
+    def _spare(self, workspace: str, now: instants.Instant) -> float:
+        """Return the tokens that this node needs neither for its clients nor for its region."""
+        if workspace not in self.ledger.quotas:
+            return 0.0
+        lacked, asked_at = self.lacking.get(workspace, (0.0, -instants.NEVER))
+        promised = lacked if asked_at > now - ROUND_INTERVAL_S else 0.0
+        use = self.demands.get(workspace)
+        kept = promised + (use.kept(now) if use is not None else 0.0)
+        return max(0.0, self.ledger.total(workspace, now) - kept)
+
+    async def _procure(self, wanted: typing.Mapping[str, float], borrow: bool) -> None:
+        """Have at least the wanted tokens in the buckets of this accounting node, if there are any.
+
+        With `borrow`, other regions are asked too; a message of such a region must not cause that.
+        """
+        now = self.clocks.monotonic()
+        short = [n for n, tokens in wanted.items() if self.ledger.total(n, now) < tokens]
+        if not short:
+            return
+        if borrow:
+            for name in short:
+                self._record_lacking(name, wanted[name] - self.ledger.total(name, now), now)
+        due = self._due(messages.Kind.COLLECT, short, now)
+        if due:
+            self._begin_round(messages.Kind.COLLECT, due, self._collect(due, now), now)
+        due = self._due(messages.Kind.BORROW, short, now) if borrow else []
+        if due:
+            self._begin_round(messages.Kind.BORROW, due, self._borrow(due), now)
+        running = {
+            self.rounds[kind, name].task
+            for kind in (messages.Kind.COLLECT, messages.Kind.BORROW)
+            for name in short
+            if (kind, name) in self.rounds and not self.rounds[kind, name].task.done()
+        }
+        if running:
+            await asyncio.wait(running, timeout=PROCURE_S)
+
+    def _record_lacking(self, workspace: str, lacked: float, now: instants.Instant) -> None:
+        """Add up what was lacking within a round, up to what all buckets together may hold."""
+        before, asked_at = self.lacking.get(workspace, (0.0, now))
+        if asked_at <= now - ROUND_INTERVAL_S:
+            before = 0.0
+        quota = self.ledger.quotas[workspace]
+        self.lacking[workspace] = min(before + lacked, quota.flow * quota.lifetime_s), now
+
+    def _due(
+        self, kind: messages.Kind, short: typing.Sequence[str], now: instants.Instant
+    ) -> list[str]:
+        """Return the workspaces for which a round may begin.
+
+        If one of `short` is due, others that lacked tokens lately join its messages.
+        """
+
+        def is_due(name: str) -> bool:
+            latest = self.rounds.get((kind, name))
+            return latest is None or (latest.task.done() and latest.next_at <= now)
+
+        if not any(map(is_due, short)):
+            return []
+        recent = (n for n, (_, at) in self.lacking.items() if at > now - ROUND_INTERVAL_S)
+        return sorted(filter(is_due, {*short, *recent} & self.ledger.quotas.keys()))
+
+    def _begin_round(
+        self,
+        kind: messages.Kind,
+        names: typing.Sequence[str],
+        work: typing.Coroutine[typing.Any, typing.Any, None],
+        now: instants.Instant,
+    ) -> None:
+        task = asyncio.create_task(work)
+        for name in names:
+            latest, total = self.rounds.get((kind, name)), self.ledger.total(name, now)
+            interval_s = ROUND_INTERVAL_S
+            if latest is not None and total < latest.total + 1.0:
+                interval_s = min(LONGEST_ROUND_INTERVAL_S, 2 * latest.interval_s)
+            self.rounds[kind, name] = Round(task, now + interval_s, interval_s, total)
+
+    async def _collect(self, names: typing.Sequence[str], now: instants.Instant) -> None:
+        """Ask the nodes of the region for the tokens that they do not need."""
+        by_node = {
+            node_id: {
+                name: 0.0
+                for name in names
+                if (node_id, name) not in self.served_at and self.fleet.accrues(name, node_id)
+            }
+            for node_id in self._reachable(self.site.region)
+            if node_id != self.site.node_id
+        }
+        chosen = [(node_id, wanted) for node_id, wanted in by_node.items() if wanted]
+        self.rng.shuffle(chosen)
+        del chosen[self._acquire_collecting(len(chosen), now) :]
+        await asyncio.gather(
+            *(self._ask_node(node_id, messages.Kind.COLLECT, wanted) for node_id, wanted in chosen)
+        )
+
+    def _acquire_collecting(self, count: int, now: instants.Instant) -> int:
+        """Return how many of `count` messages may be sent now."""
+        accrued = COLLECT_PER_S * (now - self.collect_budget_at)
+        self.collect_budget = min(COLLECT_BURST, self.collect_budget + accrued)
+        self.collect_budget_at = now
+        acquired = min(count, int(self.collect_budget))
+        self.collect_budget -= acquired
+        return acquired
+
+    async def _borrow(self, names: typing.Sequence[str]) -> None:
+        """Ask the accounting nodes of the other regions for what is lacking."""
+        regions = {instance.row.place.region for instance in self.instances.by_id.values()}
+        by_target: dict[str, dict[str, float]] = {}
+        for region, name in itertools.product(sorted(regions - {self.site.region}), names):
+            target = self._accounting_node(name, region)
+            if target is not None:
+                by_target.setdefault(target, {})[name] = self.lacking[name][0]
+        await asyncio.gather(
+            *(
+                self._ask_node(target, messages.Kind.BORROW, wanted)
+                for target, wanted in by_target.items()
+            )
+        )
+
+    # Lifecycle
+
+    async def run(self) -> None:
+        """Follow the members, and log workspaces that are no longer limited, until cancelled."""
+        while True:
+            await asyncio.sleep(TICK_S)
+            if self.ledger.quotas:
+                self.tick()
+
+    def tick(self) -> None:
+        """Follow the members and drop what is no longer needed."""
+        now = self.clocks.monotonic()
+        self.fleet.refresh(now)
+        for name, use in self.demands.items():
+            if use.refused and use.refused_at <= now - self.rules.window_s:
+                log.info(
+                    "workspace is no longer limited by its quota",
+                    extra={"workspace": name, "refused": use.refused},
+                )
+                use.refused = 0
+        self.served_at = {
+            key: at for key, at in self.served_at.items() if at > now - 2 * ROUND_INTERVAL_S
+        }
+        self.lacking = {
+            n: pair for n, pair in self.lacking.items() if pair[1] > now - LONGEST_ROUND_INTERVAL_S
+        }
+        self.accounting.clear()
+        self.rounds = {
+            key: latest
+            for key, latest in self.rounds.items()
+            if not latest.task.done() or latest.next_at > now - LONGEST_ROUND_INTERVAL_S
+        }
+        self.avoid_until = {n: until for n, until in self.avoid_until.items() if until > now}
+
+
+EVENTS = {
+    messages.Kind.WITHDRAW: reasons.Event.QUOTA_WITHDRAWN,
+    messages.Kind.COLLECT: reasons.Event.QUOTA_COLLECTED,
+    messages.Kind.BORROW: reasons.Event.QUOTA_BORROWED,
+}
+"""Event that counts the messages of a kind."""
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/transport/peers.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/transport/peers.py
@@ -1,4 +1,4 @@
-"""Requests between nodes that no client sent: polls for changes of shared rows, and probes."""
+"""Requests between nodes that no client sent: polls for changes, probes, and tokens of quotas."""
 
 from __future__ import annotations
 
@@ -11,6 +11,8 @@
 from goldcrestgrade import headers, instants, outcomes
 from goldcrestgrade.storage import tables
 from goldcrestgrade_node import asgi
+from goldcrestgrade_node.mesh.quota import exchange
+from goldcrestgrade_node.mesh.quota import messages as quota_messages
 from goldcrestgrade_node.mesh.state import directory, replica, watch
 from goldcrestgrade_node.mesh.transport import relay
 
@@ -32,7 +34,9 @@
 """Consecutive failures after which the row of an instance is removed; about half a minute."""
 
 
-def app(relay_app: relay.RelayApp, sync: watch.Sync) -> asgi.App:
+def app(
+    relay_app: relay.RelayApp, sync: watch.Sync, quotas: exchange.Quotas | None = None
+) -> asgi.App:
     """Return the ASGI application of the relay address."""
     relay_header = headers.RELAY.encode()
 
@@ -45,6 +49,8 @@
             answer = outcomes.Answer(200, ((NODE_ID_HEADER, sync.own_id),), b"")
         elif scope["path"] == watch.CHANGES_PATH:
             answer = await _changes(scope, sync)
+        elif quotas is not None and scope["path"] == quota_messages.PATH:
+            answer = await _tokens(receive, quotas)
         await asgi.send_plain(send, answer, close=False)
 
     return serve
@@ -68,6 +74,45 @@
     return outcomes.Answer(200, (("content-type", "application/octet-stream"),), body)
 
 
+async def _tokens(receive: asgi.Receive, quotas: exchange.Quotas) -> outcomes.Answer:
+    try:
+        body = await asgi.read_body(receive)
+        return outcomes.Answer(
+            200, (("content-type", "application/json"),), await quotas.answer(body or b"")
+        )
+    except (asgi.Disconnected, ValueError) as error:
+        log.warning(
+            "message about quotas is malformed; answered with status 400",
+            extra={"error": repr(error)},
+        )
+        return outcomes.Answer(400, (), b"")
+
+
+def post_tokens(instances: directory.Directory, session: aiohttp.ClientSession) -> exchange.Post:
+    """Return the function that sends a message about quotas to a node."""
+    timeout = aiohttp.ClientTimeout(total=exchange.TIMEOUT_S)
+
+    async def post(node_id: str, body: bytes) -> bytes:
+        instance = instances.by_id.get(node_id)
+        if instance is None:
+            raise exchange.Unanswered("the instance is not known")
+        try:
+            async with session.post(
+                f"http://{instance.address}{quota_messages.PATH}",
+                data=body,
+                timeout=timeout,
+                allow_redirects=False,
+            ) as response:
+                answer = await response.read()
+                if response.status != 200:
+                    raise exchange.Unanswered(f"status {response.status}")
+                return answer
+        except (TimeoutError, aiohttp.ClientError, OSError) as error:
+            raise exchange.Unanswered(repr(error)) from error
+
+    return post
+
+
 class Prober:
     """Probes unreachable instances, outside the path of requests."""
 
--- a/packages/goldcrestgrade/goldcrestgrade/counters.py
+++ b/packages/goldcrestgrade/goldcrestgrade/counters.py
@@ -19,6 +19,10 @@
         self.broken_attempts: collections.Counter[str] = collections.Counter()
         self.retries: collections.Counter[str] = collections.Counter()
         self.events: collections.Counter[str] = collections.Counter()
+        self.quota_charges: collections.Counter[str] = collections.Counter()
+        """Requests charged to the quota of their workspace, by workspace."""
+        self.quota_refusals: collections.Counter[str] = collections.Counter()
+        """Requests refused for the quota of their workspace, by workspace."""
         self.in_flight = 0
         self.store_era = 0
         """Latest era of the store that this process has seen."""
--- a/packages/goldcrestgrade/goldcrestgrade/reasons.py
+++ b/packages/goldcrestgrade/goldcrestgrade/reasons.py
@@ -87,3 +87,7 @@
     SUSPICION_REFUTED = "suspicion_refuted"
     NODE_ID_REPLACED = "node_id_replaced"
     PAUSED = "paused"
+    QUOTA_WITHDRAWN = "quota_withdrawn"
+    QUOTA_COLLECTED = "quota_collected"
+    QUOTA_BORROWED = "quota_borrowed"
+    QUOTA_UNANSWERED = "quota_unanswered"
--- a/packages/goldcrestgrade/goldcrestgrade/telemetry.py
+++ b/packages/goldcrestgrade/goldcrestgrade/telemetry.py
@@ -108,6 +108,20 @@
         _Family(
             "events", counts.events, "event", tuple(reasons.Event), "Other events worth a look."
         ),
+        _Family(
+            "quota_charges",
+            counts.quota_charges,
+            "workspace",
+            (),
+            "Calls that were charged to the quota of their workspace.",
+        ),
+        _Family(
+            "quota_refusals",
+            counts.quota_refusals,
+            "workspace",
+            (),
+            "Calls that were refused for the quota of their workspace.",
+        ),
     )
 
 
