Test quotas on real node processes and in the fault soak

The soak draws hot workspaces; the check over_quota finds tokens that are copied instead of transferred.

--- a/packages/goldcrestgrade-testing/goldcrestgrade_testing/fault_soak/checks.py
+++ b/packages/goldcrestgrade-testing/goldcrestgrade_testing/fault_soak/checks.py
@@ -46,6 +46,15 @@
 RATE_SLACK = 5
 """Requests that an endpoint may get in a window in addition."""
 
+QUOTA_WINDOW_S = 5.0
+"""Length of the windows in which the requests of a workspace are compared with its quota."""
+
+QUOTA_OVERAGE = 0.1
+"""Share by which a quota may be exceeded in a window."""
+
+QUOTA_SLACK = 20
+"""Further requests of a workspace that a window may hold."""
+
 KNOWN_DELAY_S = 0.5
 """Time after an instance has passed on an answer from which it is bound by what the answer says."""
 
@@ -182,6 +191,31 @@
                 )
 
 
+def over_quota(observed: history.History) -> typing.Iterator[str]:
+    """Find windows in which more requests of a workspace were sent and began than its quota allows.
+
+    No fault excuses that. A request that ran at several endpoints counts once.
+    """
+    began_at: dict[str, float] = {}
+    for run in observed.runs:
+        began_at[run.attempt_id] = min(run.began_at, began_at.get(run.attempt_id, math.inf))
+    for name, quota in observed.quotas.items():
+        spans = sorted(
+            (began_at[request.attempt_id], request.sent_at)
+            for request in observed.requests
+            if request.workspace == name and request.attempt_id in began_at
+        )
+        allowed = (quota.rate * QUOTA_WINDOW_S + quota.burst) * (1 + QUOTA_OVERAGE) + QUOTA_SLACK
+        for last, (end, _) in enumerate(spans):
+            sent_at = (sent for _, sent in itertools.islice(spans, last + 1))
+            counted = sum(at > end - QUOTA_WINDOW_S for at in sent_at)
+            if counted > allowed:
+                yield (
+                    f"{name} had {counted} requests in {QUOTA_WINDOW_S:.0f} s, "
+                    f"{allowed:.0f} allowed"
+                )
+
+
 def sent_after_leaving(observed: history.History) -> typing.Iterator[str]:
     """Find requests that reached a leaving endpoint although their instance knew that it leaves.
 
@@ -301,6 +335,7 @@
         route_forgotten,
         lost_at_planned_stop,
         over_rate_limit,
+        over_quota,
         sent_after_leaving,
         not_recovered,
     )
--- a/packages/goldcrestgrade-testing/goldcrestgrade_testing/fault_soak/history.py
+++ b/packages/goldcrestgrade-testing/goldcrestgrade_testing/fault_soak/history.py
@@ -37,6 +37,8 @@
     """Whether the answer names a rate limit of the endpoint."""
     says_leaving: bool = False
     """Whether the answer says that the endpoint leaves."""
+    workspace: str = ""
+    """Workspace whose key it carried."""
 
 
 class Run(typing.NamedTuple):
@@ -63,6 +65,13 @@
     """Requests a second; none if the endpoint names no limit any more."""
 
 
+class Quota(typing.NamedTuple):
+    """The quota of a workspace."""
+
+    rate: float
+    burst: float
+
+
 class Route(typing.NamedTuple):
     """A route that was added to the configuration during the run."""
 
@@ -97,3 +106,5 @@
     """Changes of its rate limit by endpoint id, in order."""
     hosts: typing.Mapping[str, str] = {}
     """Name of the instance that runs an endpoint, by endpoint id."""
+    quotas: typing.Mapping[str, Quota] = {}
+    """Quota by workspace, in force from the start."""
--- a/packages/goldcrestgrade-testing/goldcrestgrade_testing/fault_soak/injection.py
+++ b/packages/goldcrestgrade-testing/goldcrestgrade_testing/fault_soak/injection.py
@@ -69,6 +69,8 @@
             running_fleet.add_route()
         case "reload":
             running_fleet.reload_settings(instance)
+        case "hot":
+            return _heat(running_fleet)
         case _ if family == "link":
             return _inject_link_fault(instance.proxies["endpoint"], mode)
         case _ if family == "store":
@@ -118,6 +120,16 @@
     return end
 
 
+def _heat(running_fleet: fleet.Fleet) -> EndFault:
+    """Have clients of the workspace send far more than its quota; such faults may overlap."""
+    running_fleet.hot_count += 1
+
+    async def end() -> None:
+        running_fleet.hot_count -= 1
+
+    return end
+
+
 def _leave(running_fleet: fleet.Fleet, instance: fleet.Instance, variant: int) -> EndFault:
     """Have an endpoint say in its answers that it leaves, and in its heartbeats or in none."""
     instance.endpoint.behaviour.leaving = True
--- a/packages/goldcrestgrade-testing/goldcrestgrade_testing/fault_soak/plan.py
+++ b/packages/goldcrestgrade-testing/goldcrestgrade_testing/fault_soak/plan.py
@@ -32,13 +32,14 @@
     "crash",
     "configure",
     "reload",
+    "hot",
 )
 """Kinds of fault; `injection.inject` implements them.
 
 Planned operations such as `stop`, `drain`, `configure` and `reload` count as faults.
 """
 
-FLEET_WIDE_KINDS = frozenset({"store_forget", "store_restore", "configure"})
+FLEET_WIDE_KINDS = frozenset({"store_forget", "store_restore", "configure", "hot"})
 """Kinds that affect the whole fleet rather than one instance."""
 
 MAX_SERIES_LENGTH = 3
@@ -47,7 +48,7 @@
 MAX_FAULT_S = 3.0
 """Longest duration of one fault, equal to `checks.GUARANTEE_DELAY_S`."""
 
-LONG_KINDS = frozenset({"limit", "leave"})
+LONG_KINDS = frozenset({"limit", "leave", "hot"})
 """Kinds whose effect is judged over several seconds."""
 
 MIN_LONG_FAULT_S = 8.0
--- a/packages/goldcrestgrade-testing/goldcrestgrade_testing/fault_soak/soak.py
+++ b/packages/goldcrestgrade-testing/goldcrestgrade_testing/fault_soak/soak.py
@@ -35,6 +35,19 @@
 PLACEMENTS = placements(1)
 """Placements of the smallest fleet."""
 
+WORKSPACE = "workspace"
+
+KEY = "key-of-the-workspace"
+
+TENANTS = [{"name": WORKSPACE, "api_keys": [KEY], "priority": 1, "rate_per_s": 4, "burst_size": 2}]
+"""The workspace with a quota; a window may hold 44 of its requests."""
+
+HOT_CLIENTS = 6
+"""Number of clients of a hot workspace."""
+
+HOT_PAUSE_S = 0.08
+"""Pause of such a client; some 40 requests a second in all, which the endpoints can serve."""
+
 PAUSE_S = 0.02
 """Pause of a client between an answer and its next request."""
 
@@ -70,6 +83,7 @@
         size = len(self.fleet.instances) // len(PLACEMENTS)
         count = min(CLIENTS * size, MAX_CLIENTS)
         clients = [asyncio.create_task(self._run_client(number)) for number in range(count)]
+        clients += [asyncio.create_task(self._run_hot_client()) for _ in range(HOT_CLIENTS)]
         stall_recorder = asyncio.create_task(self._record_stalls())
         started = time.monotonic()
         try:
@@ -106,10 +120,24 @@
             await self._send_request(instance, path, run_once)
             await asyncio.sleep(PAUSE_S)
 
-    async def _send_request(self, instance: fleet.Instance, path: str, run_once: bool) -> None:
+    async def _run_hot_client(self) -> None:
+        for count in itertools.count():
+            if self.finished:
+                return
+            if self.fleet.hot_count:
+                instance = self.rng.choice(self.fleet.instances)
+                path = f"/{self.rng.choice(SERVICES)}/hot-{count}"
+                await self._send_request(instance, path, False, WORKSPACE)
+            await asyncio.sleep(HOT_PAUSE_S)
+
+    async def _send_request(
+        self, instance: fleet.Instance, path: str, run_once: bool, workspace: str = ""
+    ) -> None:
         node_pid = 0 if instance.process is None else instance.process.pid
         sent_at = time.monotonic()
-        answer = await self.fleet.call(instance, path, "POST" if run_once else "GET")
+        answer = await self.fleet.call(
+            instance, path, "POST" if run_once else "GET", key=KEY if workspace else None
+        )
         is_own_answer = (
             answer.body == b"body of " + answer.attempt_id.encode()
             and answer.fields.get("x-attempt-id") == answer.attempt_id
@@ -130,6 +158,7 @@
                 answer.fields.get("x-upstream-signature", "").partition(".")[0],
                 "server-limit" in answer.fields,
                 "server-leaving" in answer.fields,
+                workspace,
             )
         )
 
@@ -175,6 +204,10 @@
                 if one.rate_limits
             },
             {one.endpoint_id: one.instance for one in all_endpoints},
+            {
+                tenant["name"]: history.Quota(tenant["rate_per_s"], tenant["burst_size"])
+                for tenant in self.fleet.tenants
+            },
         )
 
 
@@ -208,7 +241,11 @@
     Raises `fleet.FleetNotReady` if the nodes do not serve before the first fault.
     """
     async with fleet.running(
-        placements(size), SERVICE_TIME_S, proxied=True, start_command=start_command
+        placements(size),
+        SERVICE_TIME_S,
+        proxied=True,
+        start_command=start_command,
+        tenants=TENANTS,
     ) as running_fleet:
         observed = await Soak(running_fleet, rng).play(faults)
         logs = {
--- a/packages/goldcrestgrade-testing/goldcrestgrade_testing/fleet_platform/fleet.py
+++ b/packages/goldcrestgrade-testing/goldcrestgrade_testing/fleet_platform/fleet.py
@@ -30,6 +30,12 @@
 START_PROGRAM = ROOT / "platform" / "start.py"
 """Program with which the platform starts a node."""
 
+QUOTA_OVERAGE = 0.1
+"""Share by which the requests of a workspace may exceed its quota in a window."""
+
+QUOTA_SLACK = 20
+"""Further requests that a window may hold."""
+
 HEARTBEAT_INTERVAL_S = 0.5
 """Time between the heartbeats of the stand-in endpoints."""
 
@@ -106,8 +112,12 @@
         self.start_command = start_command or (sys.executable, str(START_PROGRAM))
         self.rules: list[dict[str, typing.Any]] = []
         """Rules of the last configuration written."""
+        self.tenants: list[dict[str, typing.Any]] = []
+        """Workspaces of the last configuration written."""
         self.added_routes: list[tuple[str, float]] = []
         """Prefix of each route from `add_route` and the monotonic instant when it was written."""
+        self.hot_count = 0
+        """Number of faults during which the workspace of the fault soak sends above its quota."""
         self.replacement_count = 0
         """Number of endpoints that the fault soak replaced; it numbers the ids of new endpoints."""
         self.store = store.Store()
@@ -155,7 +165,12 @@
         """Write a configuration with one more route to the first service."""
         prefix = f"/added-{len(self.added_routes) + 1}/"
         service = min(instance.placement.service for instance in self.instances)
-        rule = route(f"added-{len(self.added_routes) + 1}", prefix, {service: 1})
+        rule = route(
+            f"added-{len(self.added_routes) + 1}",
+            prefix,
+            {service: 1},
+            anonymous=bool(self.tenants),
+        )
         self.configure(*self.rules, rule)
         self.added_routes.append((prefix, time.monotonic()))
 
@@ -200,6 +215,8 @@
                 )
             },
             "resend_slack": 56,
+            "quota_overage": QUOTA_OVERAGE,
+            "quota_slack": QUOTA_SLACK,
         }
 
     def start_heartbeats(self, instance: Instance) -> None:
@@ -230,8 +247,17 @@
         instance.endpoint = new_endpoint
         self.start_heartbeats(instance)
 
-    def configure(self, *routes: dict[str, typing.Any]) -> None:
-        """Write a configuration with the rules `routes` to the store, as the operator does."""
+    def configure(
+        self,
+        *routes: dict[str, typing.Any],
+        tenants: typing.Sequence[dict[str, typing.Any]] | None = None,
+    ) -> None:
+        """Write a configuration with the rules `routes` to the store, as the operator does.
+
+        Its workspaces are `tenants`, or those of the last configuration if none are given.
+        """
+        if tenants is not None:
+            self.tenants = list(tenants)
         self.config_version += 2
         self.rules = list(routes)
         services = sorted({instance.placement.service for instance in self.instances})
@@ -244,6 +270,8 @@
                 for name in services
             ],
         }
+        if self.tenants:
+            self.configuration["tenants"] = self.tenants
         self.store.write("op", "config", self.configuration)
 
     async def restore_store(self, age_s: float, away_s: float) -> None:
@@ -313,10 +341,12 @@
         method: str = "GET",
         deadline_ms: int = 2000,
         attempt_id: str | None = None,
+        key: str | None = None,
     ) -> Answer:
         """Send one request to the node of `instance`, as a client on that instance does.
 
-        The `x-caller-service` header is forged: the node must replace it by its own service.
+        The `x-caller-service` header is forged: the node must replace it by its own service. The
+        request carries the `key` of a workspace if one is given.
         """
         self.sent_requests += 1
         attempt_id = attempt_id or f"try-{self.sent_requests}"
@@ -330,6 +360,7 @@
                     "x-attempt-id": attempt_id,
                     "x-deadline-ms": str(deadline_ms),
                     "x-caller-service": "forged",
+                    **({} if key is None else {"authorization": f"Token {key}"}),
                 },
                 data=b"request" if method == "POST" else None,
                 timeout=aiohttp.ClientTimeout(total=deadline_ms / 1000 + 1),
@@ -371,7 +402,12 @@
 
 
 def route(
-    name: str, prefix: str, weights: dict[str, int], run_once: bool = False, **action: typing.Any
+    name: str,
+    prefix: str,
+    weights: dict[str, int],
+    run_once: bool = False,
+    anonymous: bool = False,
+    **action: typing.Any,
 ) -> dict[str, typing.Any]:
     """Return a rule of a configuration, with the weight of each service in `weights`."""
     split = [{"service": service, "weight": weight} for service, weight in weights.items()]
@@ -383,6 +419,7 @@
         "priority": 1,
         "match": {"prefix": prefix},
         "action": {**target, "timeout": "1000ms", "attempts": 2, **action},
+        **({"anonymous": True} if anonymous else {}),
     }
 
 
@@ -392,12 +429,13 @@
     service_time_s: float = 0.02,
     proxied: bool = False,
     start_command: StartCommand | None = None,
+    tenants: typing.Sequence[dict[str, typing.Any]] = (),
 ) -> typing.AsyncIterator[Fleet]:
     """Run a fleet with one named instance for each of `placements`, and an initial configuration.
 
     The configuration gives each service an idempotent route, and a run-once route under `file/`.
-    With `proxied`, nodes reach their endpoint and the store through proxies. Raises
-    `FleetNotReady` if the nodes do not serve in time.
+    With workspaces, `tenants`, these routes need no key. With `proxied`, nodes reach their endpoint
+    and the store through proxies. Raises `FleetNotReady` if the nodes do not serve in time.
     """
     with tempfile.TemporaryDirectory() as folder:
         fleet = Fleet(pathlib.Path(folder), proxied, start_command)
@@ -407,9 +445,14 @@
                     name, placement, endpoint.Behaviour(service_time_s=service_time_s)
                 )
             services = sorted({placement.service for placement in placements.values()})
+            keyless = bool(tenants)
             fleet.configure(
-                *(route(f"read-{s}", f"/{s}/", {s: 1}) for s in services),
-                *(route(f"file-{s}", f"/{s}/file/", {s: 1}, run_once=True) for s in services),
+                *(route(f"read-{s}", f"/{s}/", {s: 1}, anonymous=keyless) for s in services),
+                *(
+                    route(f"file-{s}", f"/{s}/file/", {s: 1}, run_once=True, anonymous=keyless)
+                    for s in services
+                ),
+                tenants=tenants,
             )
             try:
                 await fleet.wait_ready()
--- a/packages/goldcrestgrade-testing/goldcrestgrade_testing/quota_replay.py
+++ b/packages/goldcrestgrade-testing/goldcrestgrade_testing/quota_replay.py
@@ -402,10 +402,13 @@
     ]
     if scenario.kill_at:
         background.append(asyncio.create_task(kill()))
-    running = []
+    running: set[asyncio.Task[None]] = set()
     for arrival in arrivals(scenario, rng):
         await asyncio.sleep(max(0.0, arrival.at - loop.time()))
-        running.append(asyncio.create_task(request(arrival)))
+        task = asyncio.create_task(request(arrival))
+        # The loop in virtual time goes through all tasks that exist, also through ended ones.
+        running.add(task)
+        task.add_done_callback(running.discard)
     await asyncio.gather(*running)
     for task in background:
         task.cancel()
--- a/packages/goldcrestgrade-testing/tests/fault_soak/test_mutations.py
+++ b/packages/goldcrestgrade-testing/tests/fault_soak/test_mutations.py
@@ -176,6 +176,19 @@
 """,
         [plan.Fault("limit", 0, 1.0, 10.0, 0)],
     ),
+    "over_quota": Mutation(
+        """
+from goldcrestgrade_node.mesh.quota import bucket
+take = bucket.Bucket.take
+def copy_instead_of_transfer(self, wanted, now):
+    received, own_from = dict(self.received), self.own_from
+    taken = take(self, wanted, now)
+    self.received, self.own_from = received, own_from
+    return taken
+bucket.Bucket.take = bucket.Bucket.take_for_transfer = copy_instead_of_transfer
+""",
+        [plan.Fault("hot", 0, 4.0, 12.0, 0)],
+    ),
     "sent_after_leaving": Mutation(
         """
 from goldcrestgrade_node.mesh.transport import signals
