--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/quota/exchange.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/quota/exchange.py
@@ -51,9 +51,6 @@
 MAX_NAMED = 100
 """Largest number of workspaces with counters of their own; others are counted together."""
 
-OTHERS = "other"
-"""Label of the counters of these other workspaces."""
-
 Post = typing.Callable[[str, bytes], typing.Awaitable[bytes]]
 """Sends a message to the node with an id and returns the answer; raises `Unanswered`."""
 
@@ -174,7 +171,9 @@
 
     def _label(self, workspace: str) -> str:
         named = self.counts.quota_charges.keys() | self.counts.quota_refusals.keys()
-        return workspace if workspace in named or len(named) < MAX_NAMED else OTHERS
+        return (
+            workspace if workspace in named or len(named) < MAX_NAMED else counters.OTHER_WORKSPACES
+        )
 
     def _need(self, workspace: str) -> asyncio.Future[None]:
         """Have tokens of a workspace asked for; the result is done after the answer."""
--- a/packages/goldcrestgrade-operator/goldcrestgrade_operator/explanations.py
+++ b/packages/goldcrestgrade-operator/goldcrestgrade_operator/explanations.py
@@ -282,6 +282,22 @@
         "This process was paused for so long that it discarded its entries of other nodes.",
         "Look for a stopped or overloaded instance.",
     ),
+    reasons.Event.QUOTA_WITHDRAWN: Explanation(
+        "This node asked the accounting node of its region for tokens of quotas.",
+        "None; expected while workspaces come near their quota.",
+    ),
+    reasons.Event.QUOTA_COLLECTED: Explanation(
+        "This node accounts for workspaces and asked another node for tokens that it can spare.",
+        "None; expected while workspaces come near their quota.",
+    ),
+    reasons.Event.QUOTA_BORROWED: Explanation(
+        "This node accounts for workspaces and asked another region for tokens.",
+        "None; expected while a workspace is used in one region more than in others.",
+    ),
+    reasons.Event.QUOTA_UNANSWERED: Explanation(
+        "A node did not answer a message about quotas; the tokens in its answer are lost.",
+        "Check the nodes in the log lines; workspaces may get less than their quota meanwhile.",
+    ),
 }
 """Explanation of each event that is neither refusal, unknown outcome nor retry."""
 
--- a/packages/goldcrestgrade-testing/goldcrestgrade_testing/quota_replay.py
+++ b/packages/goldcrestgrade-testing/goldcrestgrade_testing/quota_replay.py
@@ -45,17 +45,17 @@
     quota_ratio: float = 1.18
     """Rate of each quota as a multiple of the usual load; the largest is about 138."""
     hot_factor: float = 7.5
-    hot: tuple[float, float] = (10.0, 30.0)
+    hot: tuple[float, float] = (4.0, 17.0)
     """When the largest workspace sends `hot_factor` times its usual load."""
     cut_off: float = 0.15
     """Share of the nodes that are partitioned from the others, and the same share is frozen."""
-    fault: tuple[float, float] = (15.0, 25.0)
-    restarts: tuple[float, ...] = (12.0, 14.0, 18.0, 24.0, 28.0)
-    lowered_at: float = 21.0
+    fault: tuple[float, float] = (6.0, 14.0)
+    restarts: tuple[float, ...] = (5.0, 7.0, 9.0, 13.0, 15.0)
+    lowered_at: float = 10.0
     """When the rate and burst of the largest workspace are halved."""
     kill_at: float = 0.0
     """When the accounting node of the largest workspace in the first region dies; 0 if never."""
-    seconds: float = 40.0
+    seconds: float = 22.0
     one_way_s: float = 0.0009
     between_regions_s: float = 0.008
     entry_skew: float = 1.0
@@ -165,6 +165,13 @@
         same = self.region(source) == self.region(target)
         return self.scenario.one_way_s if same else self.scenario.between_regions_s
 
+    def postponed(self, arrival: Arrival) -> Arrival:
+        """Return an arrival at a frozen node as the node reads it, soon after it runs again."""
+        if not self.is_frozen(arrival.node, arrival.at):
+            return arrival
+        begin, end = self.scenario.fault
+        return arrival._replace(at=end + 0.1 * (arrival.at - begin) / (end - begin))
+
     async def until_awake(self, node: int) -> None:
         """Wait until a node is not frozen."""
         now = asyncio.get_running_loop().time()
@@ -367,7 +374,6 @@
     loop = asyncio.get_running_loop()
 
     async def request(arrival: Arrival) -> None:
-        await network.until_awake(arrival.node)
         if arrival.node in network.dead:
             return
         arrived_at = loop.time()
@@ -403,7 +409,7 @@
     if scenario.kill_at:
         background.append(asyncio.create_task(kill()))
     running: set[asyncio.Task[None]] = set()
-    for arrival in arrivals(scenario, rng):
+    for arrival in sorted(map(network.postponed, arrivals(scenario, rng))):
         await asyncio.sleep(max(0.0, arrival.at - loop.time()))
         task = asyncio.create_task(request(arrival))
         # The loop in virtual time goes through all tasks that exist, also through ended ones.
@@ -462,14 +468,14 @@
 
 def takeover_s(seed: int) -> float:
     """Return the time from the death of an accounting node until the next one passes on tokens."""
-    scenario = Scenario(restarts=(), cut_off=0.0, lowered_at=39.0, kill_at=20.0, seconds=24.0)
+    scenario = Scenario(restarts=(), cut_off=0.0, lowered_at=21.0, kill_at=8.0, seconds=10.0)
     observed = virtual_time.run(replay(scenario, "transfer of tokens", seed))
     regions = scenario.regions
-    before = [n for at, n, _ in observed.withdrawn if at < 20.0 and int(n[1:]) % regions == 0]
+    before = [n for at, n, _ in observed.withdrawn if at < 8.0 and int(n[1:]) % regions == 0]
     return next(
-        at - 20.0
+        at - 8.0
         for at, name, tokens in observed.withdrawn
-        if at > 20.0 and name != before[-1] and int(name[1:]) % regions == 0 and tokens >= 1
+        if at > 8.0 and name != before[-1] and int(name[1:]) % regions == 0 and tokens >= 1
     )
 
 
--- a/packages/goldcrestgrade-testing/tests/fault_soak/test_checks.py
+++ b/packages/goldcrestgrade-testing/tests/fault_soak/test_checks.py
@@ -49,6 +49,19 @@
     return observed(LEAVING, AFTER_LEAVING, arrivals=[arrival], **others)
 
 
+def quota_used(count, span_s=4.0):
+    """Return a history in which `count` requests of a workspace run; 44 may in 5 s."""
+    sent = [
+        ANSWERED._replace(attempt_id=f"q{n}", run_once=False, sent_at=at, answered_at=at + 0.1)
+        for n, at in enumerate(evenly(count, 11.0, 11.0 + span_s))
+    ]
+    return observed(
+        *(request._replace(workspace="w") for request in sent),
+        runs=[history.Run(request.attempt_id, "e1", request.sent_at + 0.05) for request in sent],
+        quotas={"w": history.Quota(4.0, 2.0)},
+    )
+
+
 VIOLATING = {
     "run_twice": observed(ANSWERED, runs=[RUN, RUN]),
     "refused_but_run": observed(ANSWERED._replace(status=503, has_retry_after=True)),
@@ -65,6 +78,7 @@
         ANSWERED._replace(status=0), injected_faults=[injected("stop")]
     ),
     "over_rate_limit": limited([(9.0, 2.0)], evenly(18, 11.0, 14.9)),
+    "over_quota": quota_used(45),
     "sent_after_leaving": leaving(),
     "not_recovered": EMPTY._replace(recovered={"n1": False}),
 }
@@ -117,6 +131,8 @@
             arrivals=[history.Arrival("a", "e1", 12.25)],
         ),
         limited([(9.0, 2.0)], evenly(17, 11.0, 14.9)),
+        quota_used(44),
+        quota_used(80, span_s=10.0),
         limited([(9.0, 2.0)], evenly(18, 10.2, 10.6)),
         limited([(9.0, 2.0)], evenly(40, 11.0, 11.9)),
         limited([(9.0, 2.0), (13.0, None)], evenly(18, 11.0, 14.9)),
--- a/packages/goldcrestgrade/goldcrestgrade/counters.py
+++ b/packages/goldcrestgrade/goldcrestgrade/counters.py
@@ -9,6 +9,10 @@
 """Upper bounds of the buckets of the latency histogram, in seconds."""
 
 
+OTHER_WORKSPACES = "other"
+"""Label under which workspaces without counters of their own are counted."""
+
+
 class Counts:
     """The counters of one process, by name and reason."""
 
--- a/packages/goldcrestgrade/goldcrestgrade/telemetry.py
+++ b/packages/goldcrestgrade/goldcrestgrade/telemetry.py
@@ -112,14 +112,14 @@
             "quota_charges",
             counts.quota_charges,
             "workspace",
-            (),
+            (counters.OTHER_WORKSPACES,),
             "Calls that were charged to the quota of their workspace.",
         ),
         _Family(
             "quota_refusals",
             counts.quota_refusals,
             "workspace",
-            (),
+            (counters.OTHER_WORKSPACES,),
             "Calls that were refused for the quota of their workspace.",
         ),
     )
