--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/quota/exchange.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/quota/exchange.py
@@ -143,11 +143,12 @@
             try:
                 async with asyncio.timeout_at(waits_until):
                     await asyncio.shield(self._need(workspace))
+                now = self.clocks.monotonic()
             except TimeoutError:
-                pass
+                # The timer may fire just before its instant.
+                now = max(waits_until, self.clocks.monotonic())
             finally:
                 use.waiting -= 1
-            now = self.clocks.monotonic()
 
     def _refuse(self, workspace: str, use: demand.Demand, now: instants.Instant) -> outcomes.NotRun:
         quota = self.ledger.quotas[workspace]
