--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/node.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/node.py
@@ -18,6 +18,7 @@
 from goldcrestgrade_node.mesh import settings
 from goldcrestgrade_node.mesh.endpoint import admission, coldness, endpoints, health, local
 from goldcrestgrade_node.mesh.entry import app, dispatch, reachability, retry_budget
+from goldcrestgrade_node.mesh.quota import exchange, limited, members, terms
 from goldcrestgrade_node.mesh.state import (
     directory,
     evacuations,
@@ -201,6 +202,22 @@
             self.clocks,
             self.reachability,
         )
+        self.quotas = exchange.Quotas(
+            exchange.Site(config.node_id, config.region),
+            _quota_rules(config),
+            self.instances,
+            members.Members(
+                config.node_id,
+                self.initial_row.started_ms,
+                self.instances,
+                self.sync.age_s,
+                self.clocks,
+            ),
+            peers.post_tokens(self.instances, session),
+            self.clocks,
+            self.counts,
+            self.rng,
+        )
         self.dispatcher = dispatch.Dispatcher(
             self.location,
             self.instances,
@@ -239,6 +256,8 @@
         self.dispatcher.set_terms(_terms(config))
         self._apply_warm_up()
         self.dispatcher.link_mbps = config.link_mbps
+        if self.table is not None:
+            self.quotas.apply(self.table, _quota_rules(config))
 
     # State
 
@@ -289,6 +308,7 @@
         if self.table is not None:
             self.withdrawals.record(self.table, table, self.clocks.monotonic())
         self.table = table
+        self.quotas.apply(table, _quota_rules(self.config))
         for finding in routes.unknown_regions(table, self.config.regions or {self.config.region}):
             log.warning(
                 "region not known; nothing runs there",
@@ -469,7 +489,7 @@
     def entry(self) -> app.EntryApp:
         """Return the application that receives requests of clients."""
         return app.EntryApp(
-            self.run_call,
+            limited.limited(self.run_call, self.quotas),
             lambda: self.table,
             self.config.service,
             self.platform.header_names,
@@ -491,7 +511,7 @@
             self.clocks,
             relay.BodyTerms(self.body_memory, lambda: self.config.link_mbps, self.counts),
         )
-        return peers.app(relay_app, self.sync)
+        return peers.app(relay_app, self.sync, self.quotas)
 
     # Lifecycle
 
@@ -506,6 +526,7 @@
             self.health.run_pace_checks(),
             self.prober.run(),
             self.quarantine.run(),
+            self.quotas.run(),
         ]
 
     async def _register(self) -> None:
@@ -568,3 +589,7 @@
 
 def _terms(config: settings.Settings) -> retry_budget.Terms:
     return retry_budget.Terms(config.resend_ratio, config.resend_slack, config.resend_window_s)
+
+
+def _quota_rules(config: settings.Settings) -> terms.Rules:
+    return terms.Rules(config.quota_window_s, config.quota_overage, config.quota_slack)
--- a/packages/goldcrestgrade-testing/goldcrestgrade_testing/fault_soak/history.py
+++ b/packages/goldcrestgrade-testing/goldcrestgrade_testing/fault_soak/history.py
@@ -67,6 +67,13 @@
     """Requests a second; none if the endpoint names no limit any more."""
 
 
+class Quota(typing.NamedTuple):
+    """The quota of a workspace."""
+
+    rate: float
+    burst: float
+
+
 class Route(typing.NamedTuple):
     """A route that was added to the configuration during the run."""
 
@@ -117,3 +124,5 @@
     """Instant at which a key was withdrawn, by key."""
     run_workspaces: typing.Sequence[tuple[str, str | None]] = ()
     """Attempt id of each attempt that ran at an endpoint, and the workspace that it named there."""
+    quotas: typing.Mapping[str, Quota] = {}
+    """Quota by workspace, in force from the start."""
--- a/packages/goldcrestgrade-testing/goldcrestgrade_testing/fault_soak/soak.py
+++ b/packages/goldcrestgrade-testing/goldcrestgrade_testing/fault_soak/soak.py
@@ -38,6 +38,12 @@
 ROTATING_SHARE = 0.25
 """Share of the requests whose key may have been withdrawn."""
 
+HOT_CLIENTS = 6
+"""Number of clients of a hot workspace."""
+
+HOT_PAUSE_S = 0.08
+"""Pause of such a client; some 40 requests a second in all, which the endpoints can serve."""
+
 PAUSE_S = 0.02
 """Pause of a client between an answer and its next request."""
 
@@ -76,6 +82,7 @@
         size = len(self.fleet.instances) // len(PLACEMENTS)
         count = min(CLIENTS * size, MAX_CLIENTS)
         clients = [asyncio.create_task(self._run_client(number)) for number in range(count)]
+        clients += [asyncio.create_task(self._run_hot_client()) for _ in range(HOT_CLIENTS)]
         stall_recorder = asyncio.create_task(self._record_stalls())
         started = time.monotonic()
         try:
@@ -112,10 +119,22 @@
             await self._send_request(instance, path, run_once)
             await asyncio.sleep(PAUSE_S)
 
-    async def _send_request(self, instance: fleet.Instance, path: str, run_once: bool) -> None:
+    async def _run_hot_client(self) -> None:
+        for count in itertools.count():
+            if self.finished:
+                return
+            if self.fleet.hot_count:
+                instance = self.rng.choice(self.fleet.instances)
+                path = f"/{self.rng.choice(SERVICES)}/hot-{count}"
+                await self._send_request(instance, path, False, fleet.HOT_WORKSPACE)
+            await asyncio.sleep(HOT_PAUSE_S)
+
+    async def _send_request(
+        self, instance: fleet.Instance, path: str, run_once: bool, workspace: str = ""
+    ) -> None:
         node_pid = 0 if instance.process is None else instance.process.pid
         sent_at = time.monotonic()
-        key = self._draw_key()
+        key = fleet.HOT_KEY if workspace else self._draw_key()
         answer = await self.fleet.call(instance, path, "POST" if run_once else "GET", key=key)
         is_own_answer = (
             answer.body == b"body of " + answer.attempt_id.encode()
@@ -137,13 +156,15 @@
                 answer.fields.get("x-upstream-signature", "").partition(".")[0],
                 "server-limit" in answer.fields,
                 "server-leaving" in answer.fields,
-                fleet.STEADY_WORKSPACE
-                if key == self.fleet.default_key
-                else fleet.ROTATING_WORKSPACE,
+                workspace or self._workspace_of(key),
                 key,
             )
         )
 
+    def _workspace_of(self, key: str) -> str:
+        steady = key == self.fleet.default_key
+        return fleet.STEADY_WORKSPACE if steady else fleet.ROTATING_WORKSPACE
+
     def _draw_key(self) -> str:
         """Return the key of the next request, often one that is new or withdrawn."""
         assert self.fleet.default_key is not None
@@ -210,6 +231,7 @@
             [self._evacuation(one) for one in self.fleet.evacuations],
             {key.text: key.withdrawn_at for key in self.fleet.keys if key.withdrawn_at is not None},
             [pair for one in all_endpoints for pair in one.workspaces.items()],
+            {fleet.HOT_WORKSPACE: history.Quota(*fleet.HOT_QUOTA)},
         )
 
 
--- a/packages/goldcrestgrade-testing/goldcrestgrade_testing/fleet_platform/fleet.py
+++ b/packages/goldcrestgrade-testing/goldcrestgrade_testing/fleet_platform/fleet.py
@@ -30,6 +30,12 @@
 START_PROGRAM = ROOT / "platform" / "start.py"
 """Program with which the platform starts a node."""
 
+QUOTA_OVERAGE = 0.1
+"""Share by which the requests of a workspace may exceed its quota in a window."""
+
+QUOTA_SLACK = 20
+"""Further requests that a window may hold."""
+
 HEARTBEAT_INTERVAL_S = 0.5
 """Time between the heartbeats of the stand-in endpoints."""
 
@@ -49,8 +55,15 @@
 """Host name under which the routes are configured."""
 
 
-STEADY_WORKSPACE, ROTATING_WORKSPACE = "steady", "rotating"
-"""Workspaces of the fault soak: one whose key stays, and one whose key is withdrawn."""
+STEADY_WORKSPACE, ROTATING_WORKSPACE, HOT_WORKSPACE = "steady", "rotating", "hot"
+"""Workspaces of the fault soak: one whose key stays, one whose key is withdrawn, one with a quota.
+"""
+
+HOT_KEY = f"key-of-{HOT_WORKSPACE}"
+"""Key of the workspace with a quota."""
+
+HOT_QUOTA = (4, 2)
+"""Requests a second and burst of that workspace; a window may hold 44 of its requests."""
 
 
 class FleetNotReady(Exception):
@@ -148,6 +161,8 @@
         """Settings that are added to those of each node as it starts."""
         self.added_routes: list[tuple[str, float]] = []
         """Prefix of each route from `add_route` and the monotonic instant when it was written."""
+        self.hot_count = 0
+        """Number of faults during which the workspace of the fault soak sends above its quota."""
         self.replacement_count = 0
         """Number of endpoints that the fault soak replaced; it numbers the ids of new endpoints."""
         self.store = store.Store()
@@ -196,7 +211,11 @@
         """Write a configuration with one more route to the first service."""
         prefix = f"/added-{len(self.added_routes) + 1}/"
         service = min(instance.placement.service for instance in self.instances)
-        rule = route(f"added-{len(self.added_routes) + 1}", prefix, {service: 1})
+        rule = route(
+            f"added-{len(self.added_routes) + 1}",
+            prefix,
+            {service: 1},
+        )
         self.configure(*self.rules, rule)
         self.added_routes.append((prefix, time.monotonic()))
 
@@ -210,6 +229,7 @@
             workspaces=[
                 workspace(STEADY_WORKSPACE, self.default_key),
                 workspace(ROTATING_WORKSPACE, key),
+                workspace(HOT_WORKSPACE, HOT_KEY, rate_per_s=HOT_QUOTA[0], burst_size=HOT_QUOTA[1]),
             ],
         )
         if len(self.keys) > 1:
@@ -258,6 +278,8 @@
             "resend_slack": 56,
             **({} if self.warm_up is None else WARM_UP_SETTINGS),
             **self.further_settings,
+            "quota_overage": QUOTA_OVERAGE,
+            "quota_slack": QUOTA_SLACK,
         }
 
     def start_heartbeats(self, instance: Instance) -> None:
@@ -486,7 +508,12 @@
 
 
 def route(
-    name: str, prefix: str, weights: dict[str, int], run_once: bool = False, **action: typing.Any
+    name: str,
+    prefix: str,
+    weights: dict[str, int],
+    run_once: bool = False,
+    anonymous: bool = False,
+    **action: typing.Any,
 ) -> dict[str, typing.Any]:
     """Return a rule of a configuration, with the weight of each service in `weights`."""
     split = [{"service": service, "weight": weight} for service, weight in weights.items()]
@@ -498,6 +525,7 @@
         "priority": 1,
         "match": {"prefix": prefix},
         "action": {**target, "timeout": "1000ms", "attempts": 2, **action},
+        **({"anonymous": True} if anonymous else {}),
     }
 
 
@@ -513,12 +541,13 @@
     proxied: bool = False,
     start_command: StartCommand | None = None,
     warm_up: endpoint.WarmUp | None = None,
+    tenants: typing.Sequence[dict[str, typing.Any]] = (),
 ) -> typing.AsyncIterator[Fleet]:
     """Run a fleet with one named instance for each of `placements`, and an initial configuration.
 
     The configuration gives each service an idempotent route, and a run-once route under `file/`.
-    With `proxied`, nodes reach their endpoint and the store through proxies. Raises
-    `FleetNotReady` if the nodes do not serve in time.
+    With workspaces, `tenants`, these routes need no key. With `proxied`, nodes reach their endpoint
+    and the store through proxies. Raises `FleetNotReady` if the nodes do not serve in time.
     """
     with tempfile.TemporaryDirectory() as folder:
         fleet = Fleet(pathlib.Path(folder), proxied, start_command, warm_up)
@@ -530,9 +559,14 @@
                     endpoint.Behaviour(service_time_s=service_time_s, warm_up=warm_up),
                 )
             services = sorted({placement.service for placement in placements.values()})
+            keyless = bool(tenants)
             fleet.configure(
-                *(route(f"read-{s}", f"/{s}/", {s: 1}) for s in services),
-                *(route(f"file-{s}", f"/{s}/file/", {s: 1}, run_once=True) for s in services),
+                *(route(f"read-{s}", f"/{s}/", {s: 1}, anonymous=keyless) for s in services),
+                *(
+                    route(f"file-{s}", f"/{s}/file/", {s: 1}, run_once=True, anonymous=keyless)
+                    for s in services
+                ),
+                workspaces=tenants or None,
             )
             try:
                 await fleet.wait_ready()
--- a/packages/goldcrestgrade-testing/tests/fault_soak/test_checks.py
+++ b/packages/goldcrestgrade-testing/tests/fault_soak/test_checks.py
@@ -63,6 +63,19 @@
     )
 
 
+def quota_used(count, span_s=4.0):
+    """Return a history in which `count` requests of a workspace run; 44 may in 5 s."""
+    sent = [
+        ANSWERED._replace(attempt_id=f"q{n}", run_once=False, sent_at=at, answered_at=at + 0.1)
+        for n, at in enumerate(evenly(count, 11.0, 11.0 + span_s))
+    ]
+    return observed(
+        *(request._replace(workspace="w") for request in sent),
+        runs=[history.Run(request.attempt_id, "e1", request.sent_at + 0.05) for request in sent],
+        quotas={"w": history.Quota(4.0, 2.0)},
+    )
+
+
 VIOLATING = {
     "run_twice": observed(ANSWERED, runs=[RUN, RUN]),
     "refused_but_run": observed(ANSWERED._replace(status=503, has_retry_after=True)),
@@ -80,6 +93,7 @@
     ),
     "over_rate_limit": limited([(9.0, 2.0)], evenly(18, 11.0, 14.9)),
     "over_warm_up_rate": observed(ANSWERED, cold_arrivals={"e1": evenly(18, 11.0, 11.9)}),
+    "over_quota": quota_used(45),
     "sent_after_leaving": leaving(),
     "sent_while_evacuated": evacuated(10.1, 20.0),
     "not_recovered": EMPTY._replace(recovered={"n1": False}),
@@ -138,6 +152,8 @@
         evacuated(10.1, 20.0, injected_faults=[injected("pause", "n2", 11.0, 12.5)]),
         evacuated(10.1, 20.0, injected_faults=[injected("store_silent", "n1", 11.0, 12.5)]),
         limited([(9.0, 2.0)], evenly(17, 11.0, 14.9)),
+        quota_used(44),
+        quota_used(80, span_s=10.0),
         limited([(9.0, 2.0)], evenly(18, 10.2, 10.6)),
         limited([(9.0, 2.0)], evenly(40, 11.0, 11.9)),
         limited([(9.0, 2.0), (13.0, None)], evenly(18, 11.0, 14.9)),
--- a/packages/goldcrestgrade-testing/tests/fault_soak/test_mutations.py
+++ b/packages/goldcrestgrade-testing/tests/fault_soak/test_mutations.py
@@ -187,6 +187,19 @@
 """,
         [plan.Fault("cold", 0, 1.0 + n * 2.5, 3.0 + n * 2.5, 0) for n in range(3)],
     ),
+    "over_quota": Mutation(
+        """
+from goldcrestgrade_node.mesh.quota import bucket
+take = bucket.Bucket.take
+def copy_instead_of_transfer(self, wanted, now):
+    received, own_from = dict(self.received), self.own_from
+    taken = take(self, wanted, now)
+    self.received, self.own_from = received, own_from
+    return taken
+bucket.Bucket.take = bucket.Bucket.take_for_transfer = copy_instead_of_transfer
+""",
+        [plan.Fault("hot", 0, 4.0, 12.0, 0)],
+    ),
     "sent_after_leaving": Mutation(
         """
 from goldcrestgrade_node.mesh.transport import signals
--- a/packages/goldcrestgrade/goldcrestgrade/counters.py
+++ b/packages/goldcrestgrade/goldcrestgrade/counters.py
@@ -9,6 +9,10 @@
 """Upper bounds of the buckets of the latency histogram, in seconds."""
 
 
+OTHER_WORKSPACES = "other"
+"""Label under which workspaces without counters of their own are counted."""
+
+
 class Counts:
     """The counters of one process, by name and reason."""
 
@@ -19,6 +23,10 @@
         self.broken_attempts: collections.Counter[str] = collections.Counter()
         self.retries: collections.Counter[str] = collections.Counter()
         self.events: collections.Counter[str] = collections.Counter()
+        self.quota_charges: collections.Counter[str] = collections.Counter()
+        """Requests charged to the quota of their workspace, by workspace."""
+        self.quota_refusals: collections.Counter[str] = collections.Counter()
+        """Requests refused for the quota of their workspace, by workspace."""
         self.in_flight = 0
         self.store_era = 0
         """Latest era of the store that this process has seen."""
--- a/packages/goldcrestgrade/goldcrestgrade/reasons.py
+++ b/packages/goldcrestgrade/goldcrestgrade/reasons.py
@@ -100,3 +100,7 @@
     BODY_NOT_RECEIVED = "body_not_received"
     PIPELINED = "pipelined"
     BODY_MEMORY_FULL = "body_memory_full"
+    QUOTA_WITHDRAWN = "quota_withdrawn"
+    QUOTA_COLLECTED = "quota_collected"
+    QUOTA_BORROWED = "quota_borrowed"
+    QUOTA_UNANSWERED = "quota_unanswered"
