--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/entry/pipelining.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/entry/pipelining.py
@@ -21,8 +21,9 @@
 """Largest number of requests of one connection that were started and whose answers wait."""
 
 MAX_AHEAD_BYTES = 64 * 1024
-"""Bytes that are read behind a request that may not start yet.
+"""Bytes behind a request that may not start yet from which reading pauses.
 
+One read of the event loop, up to 256 KB, may come on top.
 Reading goes on until then, since a client that leaves is noticed only while its connection is read.
 """
 
--- a/packages/goldcrestgrade-node/tests/mesh/test_large_bodies.py
+++ b/packages/goldcrestgrade-node/tests/mesh/test_large_bodies.py
@@ -286,6 +286,30 @@
         await served.wait()
 
 
+async def test_connection_is_not_reused_while_the_other_side_has_not_taken_the_body():
+    """Guards against a next request behind a body that nobody reads.
+
+    The body is with the kernel of this side as a whole, so that its writing has ended.
+    """
+    served = asyncio.Event()
+
+    async def respond(reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(raw_endpoint.answer(b"no", "413 Too Large", "x-try: 1\r\n"))
+        await served.wait()
+        writer.close()
+
+    with socket.socket() as listening:
+        listening.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        listening.bind(("127.0.0.1", 0))
+        async with await asyncio.start_server(respond, sock=listening, limit=1024):
+            pool, sending = sender(listening.getsockname()[1], b"b" * 200_000)
+            transferred = await sending
+            assert transferred.result.answer.status == 413
+            assert not any(protocol.is_connected() for protocol in pool.idle)
+            served.set()
+
+
 async def test_answer_that_the_kernel_holds_is_read_when_a_write_meets_a_reset():
     """Guards against an early answer that is lost since the write fails before it was read."""
     loop = asyncio.get_running_loop()
