--- a/packages/goldcrestgrade-testing/tests/fault_soak/test_checks.py
+++ b/packages/goldcrestgrade-testing/tests/fault_soak/test_checks.py
@@ -41,6 +41,7 @@
 
 LEAVING = ANSWERED._replace(attempt_id="t", endpoint_id="e1", says_leaving=True)
 AFTER_LEAVING = ANSWERED._replace(sent_at=12.2, answered_at=12.3)
+KEYED = ANSWERED._replace(workspace="w", key="k1")
 
 
 def leaving(**others):
@@ -66,6 +67,8 @@
     ),
     "over_rate_limit": limited([(9.0, 2.0)], evenly(18, 11.0, 14.9)),
     "sent_after_leaving": leaving(),
+    "run_with_withdrawn_key": observed(KEYED, withdrawn_at={"k1": 5.0}),
+    "wrong_workspace": observed(KEYED, run_workspaces=[("a", None)]),
     "not_recovered": EMPTY._replace(recovered={"n1": False}),
 }
 
@@ -109,6 +112,10 @@
         ),
         observed(ANSWERED._replace(status=0), injected_faults=[injected("kill")]),
         observed(ANSWERED._replace(status=0), runs=[]),
+        observed(KEYED, withdrawn_at={"k1": 5.1}),
+        observed(KEYED, withdrawn_at={"k2": 1.0}, run_workspaces=[("a", "w"), ("other", None)]),
+        observed(KEYED, withdrawn_at={"k1": 5.0}, injected_faults=[injected("store_slow", "n2")]),
+        observed(KEYED, withdrawn_at={"k1": 5.0}, stalls=[history.Span(6.0, 6.2)]),
         leaving(injected_faults=[injected("pause", begin=11.0, end=11.5)]),
         leaving(injected_faults=[injected("kill", begin=10.0, end=10.2)]),
         observed(
