--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/quota/members.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/quota/members.py
@@ -56,7 +56,7 @@
 MAX_ACCRUING = 24
 """Largest number of nodes that accrue the flow of one shard.
 
-With 91 accruing nodes, collecting took six times the messages in the replay of 87 workspaces; with
+With 91 accruing nodes, collecting took over twice the messages in a replay of 87 workspaces; with
 fewer nodes, the loss of one would stop more of the flow.
 """
 
