--- a/packages/goldcrestgrade-node/tests/mesh/test_entry.py
+++ b/packages/goldcrestgrade-node/tests/mesh/test_entry.py
@@ -154,7 +154,7 @@
     for path, key, status in (("/a/x", "Token k1", "503"), ("/a/x", "Token no", "401")):
         application = app.EntryApp(
             None, lambda: table(), "c", NAMES, lambda: False, instants.system_clocks(),
-            counters.Counts(), random.Random(1), memory,
+            counters.Counts(), random.Random(1), body_memory=memory,
         )  # fmt: skip
         fields = {"host": "h", "authorization": key, "content-length": "11"}
         scope = {"method": "POST", "raw_path": path.encode(), "query_string": b""}
--- a/packages/goldcrestgrade-node/tests/mesh/test_held_slots.py
+++ b/packages/goldcrestgrade-node/tests/mesh/test_held_slots.py
@@ -31,6 +31,7 @@
         configured=types.SimpleNamespace(service="s"),
         usable=lambda: known,
         record_answer=lambda _: None,
+        coldness=types.SimpleNamespace(is_check_awaited=lambda: False),
     )
     hooks = local.Hooks(
         lambda _: refusals[0] if refusals else None,
