Spread the first reads of the store in a new fleet

Cause: the nodes of a new fleet start within 0.3 s and know of nobody, so each of them watches the store, reads the configuration there and writes its row twice, once before its endpoint is known. In the log of a start of the address registry (83 nodes) 166 rows were written. Change: on the first start of a deployment, which its settings state, nodes spread their first read over 1.5 s. Those that start later find a node to follow. Nothing changes after the first start.

--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/node.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/node.py
@@ -135,6 +135,8 @@
             self.clocks,
             self.rng,
         )
+        if config.first_start:
+            self.sync.spread_start()
         self.initial_row = self._initial_row(time.time())
         self.registration = registration.Registration(
             self.initial_row, self.replica, platform.store, self.clocks, self.rng
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/settings.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/settings.py
@@ -55,6 +55,8 @@
     """Further requests of a workspace that a window may hold."""
     revocation_s: float
     """Age of its configuration from which a node can't tell whether a key was withdrawn."""
+    first_start: bool
+    """Whether the whole deployment starts for the first time."""
     refuse_when_outdated: bool
     """Whether requests with keys are refused beyond that age."""
 
@@ -130,6 +132,7 @@
     "quota_overage": Field(_number, 0.0),
     "quota_slack": Field(_number, 0.0),
     "revocation_s": Field(durations.parse_seconds, 5.0),
+    "first_start": Field(_flag, False),
     "refuse_when_outdated": Field(_flag, False),
 }
 """How each setting is read; the defaults suit a small deployment."""
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/state/watch.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/state/watch.py
@@ -115,6 +115,13 @@
 MAX_SOURCE_ANSWER_AGE_S = PEER_LONG_POLL_S + RESPONSE_MARGIN_S
 """Time after the last answer of its source for which a node counts as connected to the store."""
 
+START_SPREAD_S = 1.5
+"""Time over which the nodes of a new fleet spread their first read of the store.
+
+Until a row of another node is known, each node watches the store itself, and writes its row before
+its endpoint is known. Nodes that start a little later find a node to follow instead.
+"""
+
 FIRST_ERA = 1
 """Era of a store that has never come back from a copy."""
 
@@ -176,6 +183,8 @@
         self.watches_store = False
         self.answered_by = STORE
         """Id of the peer that sent the latest answer, or `STORE`."""
+        self.load_at: instants.Instant = clocks.monotonic()
+        """When this node first reads the store."""
         self.known_era = 0
         """Latest era of the store that any answer has shown."""
         self.encoded_changes: dict[tuple[tables.Position, ...], bytes] = {}
@@ -207,8 +216,16 @@
             for task in self.pending_polls.values():
                 task.cancel()
 
+    def spread_start(self) -> None:
+        """Delay the first read, since all nodes of a new fleet start at once.
+
+        Load pattern: hundreds of nodes start within 0.3 s, and none knows of another.
+        """
+        self.load_at = self.clocks.monotonic() + self.rng.uniform(0.0, START_SPREAD_S)
+
     async def run(self) -> None:
         """Read both tables in full, then watch them until cancelled."""
+        await asyncio.sleep(max(0.0, self.load_at - self.clocks.monotonic()))
         await self._load()
         while True:
             source = self.instances.by_id.get(self.source_id or "")
--- a/packages/goldcrestgrade-node/tests/mesh/test_watch_fleet.py
+++ b/packages/goldcrestgrade-node/tests/mesh/test_watch_fleet.py
@@ -3,6 +3,7 @@
 import asyncio
 import itertools
 import random
+import sys
 import typing
 
 import pytest
@@ -281,3 +282,66 @@
     bound = 11.0 + CONFIG_APPLY_S + MAX_STRETCH_S
     late = [node_id for node_id in denied if fleet.known_at[node_id, 2] > bound]
     assert late == []
+
+
+class NewFleet(Fleet):
+    """A fleet without rows, whose nodes write theirs as `MeshNode` does."""
+
+    ENDPOINT_KNOWN_AT = 2.5
+    FIRST_CHECK_S = 0.05
+
+    def __init__(self, seed, spread):
+        super().__init__([], seed)
+        self.store.instances = []
+        self.written = 0
+        if spread:
+            for sync in self.nodes.values():
+                sync.spread_start()
+
+    async def register(self, sync):
+        await sync.complete.wait()
+        await asyncio.sleep(self.FIRST_CHECK_S)
+        if sync.source_id is None:
+            self.write_row(sync)
+        await asyncio.sleep(self.ENDPOINT_KNOWN_AT - asyncio.get_running_loop().time())
+        self.write_row(sync)
+
+    def write_row(self, sync):
+        self.written += 1
+        self.store.version += 1
+        row = directory.InstanceRow(sync.own_id, sync.own_id, 1, sync.location, "s", True, 1)
+        key = directory.INSTANCE_PREFIX + sync.own_id
+        position = tables.Position(0, self.store.version)
+        self.store.instances.append(
+            tables.Change(replica.MESH, key, position, directory.encode(row))
+        )
+        self.store.changed.set()
+        self.store.changed = asyncio.Event()
+
+    async def run(self, commits_at):
+        registering = [asyncio.create_task(self.register(sync)) for sync in self.nodes.values()]
+        await super().run(commits_at)
+        await asyncio.gather(*registering)
+
+
+def count_start_calls(seed, spread):
+    async def main():
+        fleet = NewFleet(seed, spread)
+        await fleet.run([6.0])
+        assert fleet.late() == []
+        return fleet.written + sum(at < 3.0 for _, at in fleet.asked_store_at)
+
+    return virtual_time.run(main())
+
+
+LARGE_FLEET = {
+    f"{domain}-{number}": directory.Location(domain, domain.partition("-")[0])
+    for domain, number in itertools.product(("r1-a", "r2-a", "r1-b", "r2-b"), range(14))
+}
+
+
+@pytest.mark.parametrize("seed", range(2))
+def test_spread_start_of_a_new_fleet_makes_a_third_fewer_calls_to_the_store(monkeypatch, seed):
+    """Guards against nodes that all watch the store until they know of each other."""
+    monkeypatch.setattr(sys.modules[__name__], "LOCATIONS", LARGE_FLEET)
+    assert count_start_calls(seed, spread=True) < 0.67 * count_start_calls(seed, spread=False)
