Lengthen rounds of collecting only after those that brought nothing

Cause: a round counted as one that brought nothing if the pool held no more before the next round than before it. Tokens that arrive and are used at once leave the pool as low as it was, so rounds backed off to 2 s under steady use, and tokens became void at the accruing nodes. Change: count the tokens that the answers of a round bring. The new test fails without the change.

--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/quota/exchange.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/quota/exchange.py
@@ -42,6 +42,9 @@
 LONGEST_ROUND_INTERVAL_S = 2.0
 """The same after rounds that brought nothing, since all nodes use their tokens themselves."""
 
+MIN_BROUGHT = 1.0
+"""Tokens that a round brings at least to count as one that brought some."""
+
 LOW_PART = 0.5
 """Part of the tokens expected to be needed until a round below which the next one begins."""
 
@@ -72,8 +75,6 @@
     next_at: instants.Instant
     """When the next round may begin."""
     interval_s: float
-    total: float
-    """Tokens before the round."""
 
 
 class Site(typing.NamedTuple):
@@ -113,6 +114,8 @@
         self.asking: dict[str, asyncio.Task[None]] = {}
         self.rounds: dict[tuple[messages.Kind, str], Round] = {}
         """Latest round of collecting and of borrowing by workspace."""
+        self.brought: dict[tuple[messages.Kind, str], float] = {}
+        """Tokens that the latest round of a workspace has brought."""
         self.shard_round_at: dict[tuple[messages.Kind, int], instants.Instant] = {}
         """When the latest round for a shard began."""
         self.accounting: dict[tuple[int, str], str | None] = {}
@@ -267,6 +270,8 @@
         for workspace, offer in offers.items():
             if workspace in wanted:
                 self.ledger.receive(workspace, offer, asked_at)
+                if (kind, workspace) in self.brought:
+                    self.brought[kind, workspace] += sum(tokens for _, tokens in offer.lots)
         return True
 
     async def answer(self, body: bytes) -> bytes:
@@ -361,11 +366,12 @@
         work = self._collect(shard, names) if kind is messages.Kind.COLLECT else self._borrow(names)
         task = asyncio.create_task(work)
         for name in names:
-            latest, total = self.rounds.get((kind, name)), self.ledger.total(name, now)
+            latest, brought = self.rounds.get((kind, name)), self.brought.get((kind, name), 0.0)
             interval_s = ROUND_INTERVAL_S
-            if latest is not None and total < latest.total + 1.0:
+            if latest is not None and brought < MIN_BROUGHT:
                 interval_s = min(LONGEST_ROUND_INTERVAL_S, 2 * latest.interval_s)
-            self.rounds[kind, name] = Round(task, now + interval_s, interval_s, total)
+            self.rounds[kind, name] = Round(task, now + interval_s, interval_s)
+            self.brought[kind, name] = 0.0
 
     async def _collect(self, shard: int, names: typing.Sequence[str]) -> None:
         """Ask the accruing nodes of the region for the tokens that they do not need."""
@@ -434,6 +440,7 @@
             for key, latest in self.rounds.items()
             if not latest.task.done() or latest.next_at > now - LONGEST_ROUND_INTERVAL_S
         }
+        self.brought = {key: n for key, n in self.brought.items() if key in self.rounds}
         self.avoid_until = {n: until for n, until in self.avoid_until.items() if until > now}
 
 
--- a/packages/goldcrestgrade-node/tests/mesh/quota/test_quota_exchange.py
+++ b/packages/goldcrestgrade-node/tests/mesh/quota/test_quota_exchange.py
@@ -88,6 +88,19 @@
     assert 0.75 * held <= run(check, table(w=60.0)) <= held + 60
 
 
+def test_steady_use_below_the_quota_at_one_node_is_not_refused():
+    """Guards against rounds of collecting that back off although each brings what is then used."""
+
+    async def check(fleet):
+        admitted = 0
+        for _ in range(1000):
+            admitted += len(await charged(fleet.nodes["n0"], 1))
+            await asyncio.sleep(0.02)
+        return admitted
+
+    assert run(check, table(w=60.0)) >= 990
+
+
 @pytest.mark.parametrize("kind", ["refused", "silent"])
 def test_another_node_accounts_once_the_accounting_node_is_gone(kind):
     """Guards against a workspace that is refused for good because one node is gone."""
