Shrink tokens given back after the quota was lowered

Cause: the token of a request that did not run went back at its full amount, also if the quota had been lowered while the request was under way. Tokens of a small quota live up to 27 s, so the returned ones could exceed the lower quota in windows long after it was in force. Change: a charge carries the rate for which its token was accrued, and give_back scales it. Result: after a change from 70 to 0.7 a second, 50 returned tokens count as 0.5; the new test fails without the change.

--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/quota/exchange.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/quota/exchange.py
@@ -134,18 +134,21 @@
 
     # Requests of clients
 
-    async def charge(self, workspace: str) -> list[bucket.Lot] | outcomes.NotRun:
+    async def charge(self, workspace: str) -> ledger.Charge | outcomes.NotRun:
         """Take the token of a request of a workspace with a quota, or refuse the request."""
         now = self.clocks.monotonic()
         use = self._demand(workspace)
         use.requests.record(now)
         waits_until = now + WAIT_S
         while True:
-            lots = self.ledger.spend(workspace, now) if workspace in self.ledger.quotas else []
-            if lots is not None:
+            if workspace not in self.ledger.quotas:
+                # Its quota was removed while the request waited.
+                return ledger.Charge(0.0, [])
+            charge = self.ledger.spend(workspace, now)
+            if charge is not None:
                 use.charged.record(now)
                 self.counts.quota_charges[self._label(workspace)] += 1
-                return lots
+                return charge
             if now >= waits_until or now < use.ask_at:
                 return self._refuse(workspace, use, now)
             use.waiting += 1
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/quota/ledger.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/quota/ledger.py
@@ -12,6 +12,14 @@
 """Returns what this node may accrue for a workspace at an instant."""
 
 
+class Charge(typing.NamedTuple):
+    """The token that a request took."""
+
+    rate: float
+    """Rate for which it was accrued; 0 if the workspace had no quota."""
+    lots: list[bucket.Lot]
+
+
 class Offer(typing.NamedTuple):
     """Tokens of one workspace in an answer to another node."""
 
@@ -66,15 +74,21 @@
         """Return the number of tokens of a workspace."""
         return self.settled(workspace, now).total(now)
 
-    def spend(self, workspace: str, now: instants.Instant) -> list[bucket.Lot] | None:
+    def spend(self, workspace: str, now: instants.Instant) -> Charge | None:
         """Take the token of one request, or none if there is not a whole one."""
         known = self.settled(workspace, now)
-        return known.take(1.0, now) if known.total(now) >= 1.0 - bucket.EPSILON else None
+        if known.total(now) < 1.0 - bucket.EPSILON:
+            return None
+        return Charge(known.quota.rate, known.take(1.0, now))
 
-    def give_back(self, workspace: str, lots: typing.Iterable[bucket.Lot]) -> None:
-        """Return the token of a request that did not run; it stays as old as it is."""
-        if workspace in self.buckets:
-            self.buckets[workspace].add(lots)
+    def give_back(self, workspace: str, charge: Charge) -> None:
+        """Return the token of a request that did not run; it stays as old as it is.
+
+        If the quota was lowered meanwhile, it shrinks like the tokens that were in the bucket.
+        """
+        known = self.buckets.get(workspace)
+        if known is not None:
+            known.add(bucket.scaled(charge.lots, charge.rate, known.quota.rate))
 
     def offer(self, workspace: str, wanted: float, now: instants.Instant) -> Offer:
         """Take up to `wanted` tokens for another node."""
--- a/packages/goldcrestgrade-node/tests/mesh/quota/test_quota_exchange.py
+++ b/packages/goldcrestgrade-node/tests/mesh/quota/test_quota_exchange.py
@@ -183,6 +183,23 @@
     assert after <= lower.flow * lower.lifetime_s / 3 + 1e-6 < before
 
 
+def test_tokens_given_back_after_the_quota_was_lowered_shrink_too():
+    """Guards against a lower quota that is exceeded by returned tokens, which live up to 27 s."""
+
+    async def check(fleet):
+        node = fleet.nodes["n0"]
+        charges = await charged(node, 50)
+        node.apply(table(w=0.7), RULES)
+        now = fleet.clocks.monotonic()
+        before = node.ledger.total("w", now)
+        for charge in charges:
+            node.ledger.give_back("w", charge)
+        return len(charges), node.ledger.total("w", now) - before
+
+    count, returned = run(check, table(w=70.0))
+    assert returned <= count * 0.7 / 70.0 + 1e-6
+
+
 def test_counters_are_kept_for_a_bounded_number_of_workspaces():
     async def check(fleet):
         node = fleet.nodes["n0"]
