Accrue like a new node after an absence in which the own row may have been replaced

Cause: only a charge or a message noticed that a node's knowledge was older than 20 s, and a frozen process noticed nothing. If the own row had been removed and was back before the node looked, it accrued at once and for the whole lifetime of tokens before (up to 27 s), while others had its share. Change: each look at the members follows the age of the knowledge and gaps between looks. What was accrued before is void, and a node whose row has another position than before waits 3.5 s.

--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/quota/members.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/quota/members.py
@@ -7,7 +7,8 @@
 - A node that appears counts at once, and accrues only after `JOIN_DELAY_S`, when those in contact
   know of it. One whose knowledge is older assumes that the fleet has grown by `ASSUMED_GROWTH`.
 - A node that disappears counts for `HOLD_S` longer. A node whose knowledge is older than
-  `MAX_AGE_S`, and may thus miss that its own row is gone, accrues nothing.
+  `MAX_AGE_S`, and may thus miss that its own row is gone, accrues nothing. The row may be gone and
+  written anew by the time it looks again, also after a freeze; it then accrues like a new node.
 
 Workspaces are grouped into shards. The flow of a shard is accrued by `MAX_ACCRUING` nodes at most,
 the first by rendezvous hashing, so that collecting it takes few messages in a fleet of any size.
@@ -21,6 +22,7 @@
 import zlib
 
 from goldcrestgrade import instants
+from goldcrestgrade.storage import tables
 from goldcrestgrade_node.mesh.quota import bucket
 from goldcrestgrade_node.mesh.state import directory
 
@@ -82,6 +84,10 @@
         """Nodes that count, and the instant when each was last known."""
         self.accrues_from: instants.Instant = instants.NEVER
         """Instant from which this node may accrue; `NEVER` while its row is unknown."""
+        self.own_position: tables.Position | None = None
+        """Position of the own row when it was last looked at with young knowledge."""
+        self.was_outdated = False
+        """Whether the knowledge was older than `MAX_AGE_S` at the last look."""
         self.share_rose_at: instants.Instant = -instants.NEVER
         """Instant at which the share last rose, as a removed node ceased to count."""
         self.is_first_look = True
@@ -93,10 +99,9 @@
         """Return what this node may accrue for a workspace."""
         age_s = self.age_s()
         if age_s > MAX_AGE_S:
-            # What it accrued before may have passed to others meanwhile.
-            self.accrues_from = max(now, self.accrues_from)
+            self._follow_age(now)
             return bucket.Accrual(0.0, now)
-        if now >= self.refreshed_at + REFRESH_S:
+        if self.was_outdated or now >= self.refreshed_at + REFRESH_S:
             self.refresh(now)
         if self.is_out_of_contact != (age_s > CONTACT_S):
             self.is_out_of_contact = not self.is_out_of_contact
@@ -116,6 +121,7 @@
     def refresh(self, now: instants.Instant) -> None:
         """Compare the nodes that count with those that are known."""
         known = self.instances.by_id
+        self._follow_age(now)
         self._follow_own_row(now)
         before = len(self.held)
         self.held.update(dict.fromkeys(known, now))
@@ -129,6 +135,20 @@
             self.accruing.clear()
         self.refreshed_at = now
 
+    def _follow_age(self, now: instants.Instant) -> None:
+        """Void what was accrued while others may have ceased to count this node."""
+        own = self.instances.by_id.get(self.own_id)
+        position = None if own is None else own.position
+        is_outdated = not self.is_first_look and self.age_s() > MAX_AGE_S
+        was_frozen = not self.is_first_look and now > self.refreshed_at + MAX_AGE_S
+        if is_outdated or self.was_outdated or was_frozen:
+            # What it accrued before may have passed to others meanwhile.
+            since = now if position == self.own_position else now + JOIN_DELAY_S
+            self.accrues_from = max(since, self.accrues_from)
+        self.was_outdated = is_outdated
+        if not is_outdated:
+            self.own_position = position
+
     def accruing_nodes(self, of_shard: int) -> list[str]:
         """Return the nodes that accrue the flow of a shard as far as this node knows."""
         names = self.accruing.get(of_shard)
--- a/packages/goldcrestgrade-node/tests/mesh/quota/test_quota_bound.py
+++ b/packages/goldcrestgrade-node/tests/mesh/quota/test_quota_bound.py
@@ -245,3 +245,45 @@
     assert max(totals) <= 1 + terms.MEMBERSHIP_RESERVE
     assert totals[20] > 0.99
     assert totals[-1] > 0.99
+
+
+@pytest.mark.parametrize("looks_meanwhile", [False, True])
+def test_a_node_whose_row_was_gone_unnoticed_accrues_like_a_new_one(looks_meanwhile):
+    """Guards against a frozen or isolated node that accrues for the time in which others have had
+    its share, because its row is back before it looks."""
+    fleet = Fleet(1, 3)
+    view = fleet.views["n0"]
+    view.share()
+    fleet.now += 5.0
+    assert view.share() > 0
+    view.cut_off_at = fleet.now
+    for _ in range(120):
+        fleet.now += 0.5
+        if looks_meanwhile:
+            view.members.refresh(fleet.now)
+    view.cut_off_at = instants.NEVER
+    view.lag_s = 0.1
+    row = view.instances.by_id["n0"].row
+    view.instances.by_id["n0"] = directory.Instance(row, tables.parse_position("1.2"))
+    returned_at = fleet.now
+    accrual = view.members.accrual("w", fleet.now)
+    assert accrual.share == 0.0
+    fleet.now += members.JOIN_DELAY_S + members.REFRESH_S
+    accrual = view.members.accrual("w", fleet.now)
+    assert accrual.share > 0
+    assert accrual.since >= returned_at + members.JOIN_DELAY_S
+
+
+def test_a_node_whose_row_stayed_while_the_store_was_away_accrues_at_once_but_not_for_the_past():
+    """Guards against a stop of several seconds of all quotas after the store was away."""
+    fleet = Fleet(1, 3)
+    view = fleet.views["n0"]
+    view.share()
+    view.cut_off_at = fleet.now
+    for _ in range(120):
+        fleet.now += 0.5
+        view.members.refresh(fleet.now)
+    view.cut_off_at = instants.NEVER
+    accrual = view.members.accrual("w", fleet.now)
+    assert accrual.share > 0
+    assert accrual.since == fleet.now
