Pause asking for tokens only while waiting requests lack them

Cause: an answer that brought the token of the waiting request, but not all that was asked for ahead, paused the node's messages for 0.1 s. Requests in that time were refused although the accounting node had tokens again. Change: the pause depends on the requests that wait.

--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/quota/demand.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/quota/demand.py
@@ -79,7 +79,10 @@
         return max(0.0, 1.001 * self.waiting + self.kept(now) - total)
 
     def record_answer(self, lacking: bool, empty: bool, now: instants.Instant) -> None:
-        """Set the pause after an answer: none if it brought all, longer if it brought nothing."""
+        """Set the pause after an answer: longer if it brought nothing.
+
+        There is none unless requests that wait are `lacking` tokens.
+        """
         if not lacking:
             self.ask_at, self.pause_s = now, FIRST_PAUSE_S
             return
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/quota/exchange.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/quota/exchange.py
@@ -226,7 +226,8 @@
         for name in workspaces:
             if name in self.ledger.quotas:
                 use, total = self._demand(name), self.ledger.total(name, now)
-                lacking = use.wanted(total, now) > bucket.EPSILON
+                # A node that only lacks tokens ahead may ask again for its next request.
+                lacking = total < use.waiting - bucket.EPSILON
                 use.record_answer(lacking, total < before[name] + 0.5, now)
 
     # Exchange with other nodes
--- a/packages/goldcrestgrade-node/tests/mesh/quota/test_quota_exchange.py
+++ b/packages/goldcrestgrade-node/tests/mesh/quota/test_quota_exchange.py
@@ -8,7 +8,7 @@
 
 from goldcrestgrade import counters, instants, outcomes, reasons, routes
 from goldcrestgrade.storage import tables
-from goldcrestgrade_node.mesh.quota import exchange, limited, members, messages, terms
+from goldcrestgrade_node.mesh.quota import bucket, exchange, limited, members, messages, terms
 from goldcrestgrade_node.mesh.state import directory
 from goldcrestgrade_testing import quota_replay, virtual_time
 
@@ -101,6 +101,28 @@
     assert run(check, table(w=60.0)) >= 990
 
 
+def test_a_node_that_only_lacks_tokens_ahead_asks_for_its_next_request():
+    """Guards against refusals while the accounting node has got tokens again."""
+
+    async def check(fleet):
+        shard = members.shard("w")
+        accounting, *others = sorted(NAMES, key=lambda n: members.score(shard, n), reverse=True)
+        asking = fleet.nodes[others[-1]]
+        use = asking._demand("w")
+        for node in fleet.nodes.values():
+            now = fleet.clocks.monotonic()
+            node.ledger.offer("w", 1e6, now)
+            node.ledger.settled("w", now).own_from = instants.NEVER
+        stock = fleet.nodes[accounting].ledger.settled("w", now)
+        stock.received = {}
+        for _ in range(3):
+            use.requests.record(now, 10.0)
+            stock.add([bucket.Lot(fleet.clocks.monotonic(), 1.5)])
+            assert len(await charged(asking, 1)) == 1
+
+    run(check, table(w=10.0))
+
+
 @pytest.mark.parametrize("kind", ["refused", "silent"])
 def test_another_node_accounts_once_the_accounting_node_is_gone(kind):
     """Guards against a workspace that is refused for good because one node is gone."""
