Skip workspaces whose quota was removed as a round of borrowing begins

Cause: a round begins one turn of the loop after its workspaces were chosen. A configuration put in force in between, without the quota of one of them, ended the round with a KeyError. Change: leave such workspaces out. Result: the new test fails with the KeyError without the change.

--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/quota/exchange.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/quota/exchange.py
@@ -396,7 +396,9 @@
     async def _borrow(self, names: typing.Sequence[str]) -> None:
         """Ask the accounting nodes of the other regions for what is expected to be lacking."""
         now = self.clocks.monotonic()
-        lacking = {n: 1.0 + self._expected(n, now) - self.ledger.total(n, now) for n in names}
+        # A quota may have been removed since the round began.
+        limited = [n for n in names if n in self.ledger.quotas]
+        lacking = {n: 1.0 + self._expected(n, now) - self.ledger.total(n, now) for n in limited}
         regions = {instance.row.place.region for instance in self.instances.by_id.values()}
         by_target: dict[str, dict[str, float]] = {}
         for region, (name, tokens) in itertools.product(
--- a/packages/goldcrestgrade-node/tests/mesh/quota/test_quota_exchange.py
+++ b/packages/goldcrestgrade-node/tests/mesh/quota/test_quota_exchange.py
@@ -222,6 +222,18 @@
     assert returned <= count * 0.7 / 70.0 + 1e-6
 
 
+def test_quota_removed_as_a_round_begins_does_not_end_the_round_of_others():
+    """Guards against a round that fails for all workspaces of a shard."""
+
+    async def check(fleet):
+        node = fleet.nodes["n0"]
+        borrowing = asyncio.create_task(node._borrow(["v", "w"]))
+        node.apply(table(w=10.0), RULES)
+        await borrowing
+
+    run(check, table(v=10.0, w=10.0))
+
+
 def test_counters_are_kept_for_a_bounded_number_of_workspaces():
     async def check(fleet):
         node = fleet.nodes["n0"]
