--- a/packages/goldcrestgrade-node/tests/mesh/quota/test_quota_exchange.py
+++ b/packages/goldcrestgrade-node/tests/mesh/quota/test_quota_exchange.py
@@ -8,7 +8,7 @@
 
 from goldcrestgrade import counters, instants, outcomes, reasons, routes
 from goldcrestgrade.storage import tables
-from goldcrestgrade_node.mesh.quota import exchange, limited, members, messages, terms
+from goldcrestgrade_node.mesh.quota import bucket, exchange, limited, members, messages, terms
 from goldcrestgrade_node.mesh.state import directory
 from goldcrestgrade_testing import quota_replay, virtual_time
 
@@ -88,6 +88,41 @@
     assert 0.75 * held <= run(check, table(w=60.0)) <= held + 60
 
 
+def test_steady_use_below_the_quota_at_one_node_is_not_refused():
+    """Guards against rounds of collecting that back off although each brings what is then used."""
+
+    async def check(fleet):
+        admitted = 0
+        for _ in range(1000):
+            admitted += len(await charged(fleet.nodes["n0"], 1))
+            await asyncio.sleep(0.02)
+        return admitted
+
+    assert run(check, table(w=60.0)) >= 990
+
+
+def test_a_node_that_only_lacks_tokens_ahead_asks_for_its_next_request():
+    """Guards against refusals while the accounting node has got tokens again."""
+
+    async def check(fleet):
+        shard = members.shard("w")
+        accounting, *others = sorted(NAMES, key=lambda n: members.score(shard, n), reverse=True)
+        asking = fleet.nodes[others[-1]]
+        use = asking._demand("w")
+        for node in fleet.nodes.values():
+            now = fleet.clocks.monotonic()
+            node.ledger.offer("w", 1e6, now)
+            node.ledger.settled("w", now).own_from = instants.NEVER
+        stock = fleet.nodes[accounting].ledger.settled("w", now)
+        stock.received = {}
+        for _ in range(3):
+            use.requests.record(now, 10.0)
+            stock.add([bucket.Lot(fleet.clocks.monotonic(), 1.5)])
+            assert len(await charged(asking, 1)) == 1
+
+    run(check, table(w=10.0))
+
+
 @pytest.mark.parametrize("kind", ["refused", "silent"])
 def test_another_node_accounts_once_the_accounting_node_is_gone(kind):
     """Guards against a workspace that is refused for good because one node is gone."""
@@ -170,6 +205,35 @@
     assert after <= lower.flow * lower.lifetime_s / 3 + 1e-6 < before
 
 
+def test_tokens_given_back_after_the_quota_was_lowered_shrink_too():
+    """Guards against a lower quota that is exceeded by returned tokens, which live up to 27 s."""
+
+    async def check(fleet):
+        node = fleet.nodes["n0"]
+        charges = await charged(node, 50)
+        node.apply(table(w=0.7), RULES)
+        now = fleet.clocks.monotonic()
+        before = node.ledger.total("w", now)
+        for charge in charges:
+            node.ledger.give_back("w", charge)
+        return len(charges), node.ledger.total("w", now) - before
+
+    count, returned = run(check, table(w=70.0))
+    assert returned <= count * 0.7 / 70.0 + 1e-6
+
+
+def test_quota_removed_as_a_round_begins_does_not_end_the_round_of_others():
+    """Guards against a round that fails for all workspaces of a shard."""
+
+    async def check(fleet):
+        node = fleet.nodes["n0"]
+        borrowing = asyncio.create_task(node._borrow(["v", "w"]))
+        node.apply(table(w=10.0), RULES)
+        await borrowing
+
+    run(check, table(v=10.0, w=10.0))
+
+
 def test_counters_are_kept_for_a_bounded_number_of_workspaces():
     async def check(fleet):
         node = fleet.nodes["n0"]
