Separate the choice of instances from the attempts of a request

Change: entry.offers decides which instance a request may be offered to now, and why none. Behaviour is the same.

--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/entry/reachability.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/entry/reachability.py
@@ -20,7 +20,6 @@
 import typing
 
 from goldcrestgrade import counters, reasons
-from goldcrestgrade_node.mesh.state import directory
 
 log = logging.getLogger(__name__)
 
@@ -74,11 +73,6 @@
         self.on_reached: typing.Callable[[str], None] = lambda _: None
         """Called with each failure domain that responds again."""
 
-    def is_offered(self, instance: directory.Instance) -> bool:
-        """Return whether requests may be offered to an instance."""
-        row = instance.row
-        return row.place.failure_domain not in self.unreachable or row.node_id == self.own_id
-
     def record_silence(self, domain: str, node_id: str) -> None:
         """Record a connection attempt to a node that timed out."""
         self.silent.setdefault(domain, set()).add(node_id)
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/node.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/node.py
@@ -229,9 +229,9 @@
             self.evacuations,
             self.reachability,
         )
-        self.dispatcher.own_id = config.node_id
+        self.dispatcher.offers.own_id = config.node_id
         self.dispatcher.link_mbps = config.link_mbps
-        self.dispatcher.find_service = self.find_service
+        self.dispatcher.offers.find_service = self.find_service
 
     def find_service(self, name: str) -> routes.Service | None:
         """Return the service of a name in the configuration in force."""
--- a/packages/goldcrestgrade-node/tests/mesh/test_dispatch.py
+++ b/packages/goldcrestgrade-node/tests/mesh/test_dispatch.py
@@ -11,7 +11,7 @@
 from goldcrestgrade import counters, instants, outcomes, reasons, routes
 from goldcrestgrade.storage import tables
 from goldcrestgrade_node.mesh.endpoint import admission
-from goldcrestgrade_node.mesh.entry import dispatch, reachability, retry_budget
+from goldcrestgrade_node.mesh.entry import dispatch, offers, reachability, retry_budget
 from goldcrestgrade_node.mesh.state import directory, evacuations, replica
 from goldcrestgrade_node.mesh.transport import loads, requests
 from goldcrestgrade_testing import virtual_time
@@ -126,7 +126,7 @@
     outcome = await scripted.run()
     assert outcome.reason == reasons.Refusal.SATURATED
     assert outcome.retry_at == pytest.approx(now + 0.1)
-    assert len(scripted.tried) == dispatch.MAX_REJECTIONS
+    assert len(scripted.tried) == offers.MAX_REJECTIONS
 
 
 async def test_request_is_sent_to_no_instance_outside_its_allowed_regions():
@@ -242,7 +242,7 @@
     position = tables.Position(1, 9 if present else 10)
     key = evacuations.KEY_PREFIX + domain
     value = {} if present else None
-    scripted.dispatcher.evacuations.apply_change(
+    scripted.dispatcher.offers.evacuations.apply_change(
         tables.Change(replica.CONFIGURATION, key, position, value)
     )
 
@@ -253,7 +253,7 @@
     evacuate(scripted, PLACE.failure_domain)
     outcome = await scripted.run()
     assert outcome.reason == reasons.Refusal.EVACUATED
-    assert outcome.retry_at >= scripted.now + dispatch.EVACUATED_RETRY_S
+    assert outcome.retry_at >= scripted.now + offers.EVACUATED_RETRY_S
     assert scripted.tried == []
 
 
@@ -274,7 +274,7 @@
 
 async def test_request_is_refused_at_once_if_its_failure_domains_are_unreachable():
     scripted = ScriptedInstances([])
-    reached = scripted.dispatcher.reachability
+    reached = scripted.dispatcher.offers.reachability
     for number in range(reachability.MIN_SILENT_INSTANCES):
         reached.record_silence(PLACE.failure_domain, f"n{number}")
     outcome = await scripted.run()
--- a/packages/goldcrestgrade-node/tests/mesh/test_replayed_cold_return.py
+++ b/packages/goldcrestgrade-node/tests/mesh/test_replayed_cold_return.py
@@ -147,7 +147,10 @@
             self.rng,
         )
         if probing:
-            dispatcher.own_id, dispatcher.find_service = own.node_id, self.services.get
+            dispatcher.offers.own_id, dispatcher.offers.find_service = (
+                own.node_id,
+                self.services.get,
+            )
         for number, row in enumerate(self.rows, 1):
             serving = row.place.failure_domain != COLD_DOMAIN
             publish(dispatcher.instances, row._replace(serving=serving), number)
--- a/packages/goldcrestgrade-node/tests/mesh/test_replayed_uploads.py
+++ b/packages/goldcrestgrade-node/tests/mesh/test_replayed_uploads.py
@@ -83,7 +83,7 @@
             self.rng,
         )
         if self.asks:
-            dispatcher.own_id, dispatcher.link_mbps = str(own), LINKS_MBPS[own]
+            dispatcher.offers.own_id, dispatcher.link_mbps = str(own), LINKS_MBPS[own]
         return dispatcher
 
     async def transfer(self, source, target, size):
