Count requests held for bodies as sent after a health check

Cause: a request takes its token at admission, but one whose body is fetched reaches the endpoint up to 2 s later. A health check in between reset the count, so 7 held uploads could arrive at an endpoint that has just become cold on top of the 13 requests that the check allows.

Change: a check notes how many requests are held when it begins, and these count as sent after it.

--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/endpoint/admission.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/endpoint/admission.py
@@ -213,12 +213,14 @@
         completion.
         """
         self.held += 1
+        self.rate.coldness.held = self.held
 
     def end_hold(self) -> None:
         """Record that an admitted request no longer waits for its body."""
         if self.at_endpoint == 0:
             self.progress_at = self.clocks.monotonic()
         self.held -= 1
+        self.rate.coldness.held = self.held
 
     def record_service_time(
         self, route_key: str, elapsed_s: float, at_start: estimates.LoadSnapshot
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/endpoint/coldness.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/endpoint/coldness.py
@@ -56,6 +56,8 @@
     """Requests and health checks that had started before."""
     doubts: int
     """Number of events before it that made the state unknown."""
+    held: int = 0
+    """Requests that had started but were not sent yet, since they waited for their bodies."""
 
 
 def terms(service: routes.Service | None, overage: float, slack: float) -> Terms | None:
@@ -88,6 +90,8 @@
         """`Check.started` of the latest check that was answered; earlier ones are ignored."""
         self.started = 0
         """Requests and health checks that have started."""
+        self.held = 0
+        """Requests that have started and are not sent before their bodies are received."""
         self.doubts = 0
         self.logged = ""
         """State in the latest log line."""
@@ -162,7 +166,7 @@
 
     def begin_check(self) -> Check:
         """Count a health check that starts."""
-        check = Check(self.clocks.monotonic(), self.started, self.doubts)
+        check = Check(self.clocks.monotonic(), self.started, self.doubts, self.held)
         self._count()
         return check
 
@@ -188,8 +192,7 @@
             self._set_cold(self.clocks.monotonic() + left_s)
         elif check.doubts == self.doubts:
             self.warm, self.cold_until = check, 0.0
-            unverified = self.started - check.started
-            self.bucket.set_tokens(self.bucket.capacity() - unverified)
+            self.bucket.set_tokens(self.bucket.capacity() - self._unverified(check))
             self.on_warm()
         self._note("health check")
 
@@ -230,7 +233,14 @@
         """Return how many requests may start by the latest health check."""
         if self.terms is None or self.warm is None or self._age_s() >= MAX_STATEMENT_AGE_S:
             return 0
-        return self.terms.max_unverified - (self.started - self.warm.started)
+        return self.terms.max_unverified - self._unverified(self.warm)
+
+    def _unverified(self, check: Check) -> int:
+        """Return how many requests may have reached the endpoint after a check began.
+
+        A request that was held for its body reaches it later than it started.
+        """
+        return self.started - check.started + check.held
 
     def _set_cold(self, until: instants.Instant) -> None:
         self.cold_until = until
--- a/packages/goldcrestgrade-node/tests/mesh/test_coldness.py
+++ b/packages/goldcrestgrade-node/tests/mesh/test_coldness.py
@@ -3,7 +3,7 @@
 import pytest
 
 from goldcrestgrade import instants, reasons, routes
-from goldcrestgrade_node.mesh.endpoint import coldness, start_limits
+from goldcrestgrade_node.mesh.endpoint import admission, coldness, start_limits
 
 SERVICE = routes.Service("archive", "/healthz", 9, 3.0, 6.0)
 TERMS = coldness.terms(SERVICE, 1.5, 8)
@@ -63,6 +63,24 @@
     assert started + start_all(cold) <= 13
 
 
+def test_requests_held_for_bodies_count_as_sent_after_a_check_that_began_meanwhile(clock):
+    """Guards against uploads that reach a cold endpoint on top of the requests of its last check.
+
+    Seven slots were held when the check began, and the endpoint is cold from then on.
+    """
+    controller = admission.AdmissionController(clock.clocks())
+    cold = controller.rate.coldness
+    cold.set_terms(TERMS)
+    cold.record_check(cold.begin_check(), 0.0)
+    for _ in range(7):
+        cold.acquire()
+        controller.begin_hold()
+    cold.record_check(cold.begin_check(), 0.0)
+    for _ in range(7):
+        controller.end_hold()
+    assert 7 + start_all(cold) <= TERMS.max_unverified
+
+
 def test_check_from_before_an_event_or_a_later_check_shows_no_warm_endpoint(cold):
     """Guards against answers that describe an earlier state of the endpoint."""
     before_reset, later = cold.begin_check(), cold.begin_check()
