Keep a longer burst of an endpoint that was warm when last checked

Cause: endpoints with a warm-up get about as many requests as their warm-up rate. The bucket held half a second of the rate, so it was empty often, and each time a health check was needed.

Change: after a check that shows a warm endpoint, the bucket holds as many tokens as give `max_unverified` requests in a second together with the rate, 7 instead of 3 for a bound of 17. Any doubt and any statement of a cold time drop those beyond the shorter burst.

A test looks for more than 13 requests in a second after 0 to 9 s without requests.

--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/endpoint/coldness.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/endpoint/coldness.py
@@ -5,7 +5,9 @@
 node, so one bucket here holds the rate for all nodes together.
 
 An endpoint is warm only for a short time and a bounded number of requests after a health check
-that says so; otherwise its requests start at the warm-up rate. The answer of a health check
+that says so; otherwise its requests start at the warm-up rate. After such a check the bucket keeps
+more unused tokens, so that an endpoint whose requests vary about the warm-up rate is rarely
+checked: each check has a price and holds a slot. The answer of a health check
 describes the endpoint at an instant after the check began, so requests that started since then
 count as if they had reached a cold endpoint. Heartbeats may lag: they can only show that an
 endpoint is cold.
@@ -46,6 +48,12 @@
     """Time for which an unused part of the rate is kept."""
     max_unverified: int
     """Requests that may start after a health check has begun that shows a warm endpoint."""
+    warm_burst_s: float
+    """The same as `burst_s` while the endpoint was warm at its latest health check.
+
+    With all of the burst and the rate, `max_unverified` requests start in a second. Requests at
+    about the warm-up rate then need a health check only when the burst is used up.
+    """
 
 
 class Check(typing.NamedTuple):
@@ -70,7 +78,8 @@
     rate = service.warm_up_rate
     allowed = rate * overage + slack
     burst_s = min(rates.BURST_S, max(0.0, (allowed - rate - 1) / rate))
-    return Terms(rate, burst_s, max(1, int(allowed) - MARGIN))
+    max_unverified = max(1, int(allowed) - MARGIN)
+    return Terms(rate, burst_s, max_unverified, max(burst_s, max_unverified / rate - 1.0))
 
 
 class Coldness:
@@ -109,9 +118,8 @@
         if latest == self.terms:
             return
         self.terms = latest
-        if latest is not None:
-            self.bucket.burst_s = latest.burst_s
         self.bucket.set_rate(None if latest is None else latest.rate)
+        self._set_burst()
         self._note("configuration")
         if latest is not None and self.state() == "unknown":
             self.on_doubt()
@@ -189,9 +197,11 @@
         self.latest_started = check.started
         if left_s:
             self.warm = None
+            self._set_burst()
             self._set_cold(self.clocks.monotonic() + left_s)
         elif check.doubts == self.doubts:
             self.warm, self.cold_until = check, 0.0
+            self._set_burst()
             self.bucket.set_tokens(self.bucket.capacity() - self._unverified(check))
             self.on_warm()
         self._note("health check")
@@ -213,6 +223,7 @@
         """Record an event after which the endpoint may be another one or cold."""
         self.doubts += 1
         self.warm = None
+        self._set_burst()
         if new_incarnation:
             self.cold_until = 0.0
         self._note(cause)
@@ -242,6 +253,12 @@
         """
         return self.started - check.started + check.held
 
+    def _set_burst(self) -> None:
+        """Set how many unused tokens are kept, by whether the latest check showed a warm state."""
+        if self.terms is not None:
+            is_warm = self.warm is not None
+            self.bucket.set_burst(self.terms.warm_burst_s if is_warm else self.terms.burst_s)
+
     def _set_cold(self, until: instants.Instant) -> None:
         self.cold_until = until
         if self.terms is not None:
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/endpoint/rates.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/endpoint/rates.py
@@ -70,6 +70,13 @@
         """Return the largest number of tokens."""
         return max(1.0, self.burst_s * (self.rate or 0.0))
 
+    def set_burst(self, burst_s: float) -> None:
+        """Set the time for which an unused part of the rate is kept; tokens beyond it are lost."""
+        if self.rate is not None:
+            self._accrue()
+        self.burst_s = burst_s
+        self.tokens = min(self.capacity(), self.tokens)
+
     def set_tokens(self, tokens: float) -> None:
         """Set the number of tokens, below 0 for requests that started without one."""
         self.tokens, self.updated_at = tokens, self.clocks.monotonic()
--- a/packages/goldcrestgrade-node/tests/mesh/test_coldness.py
+++ b/packages/goldcrestgrade-node/tests/mesh/test_coldness.py
@@ -1,5 +1,7 @@
 """What a node knows of its endpoint's warm-up, and how fast requests start meanwhile."""
 
+import random
+
 import pytest
 
 from goldcrestgrade import instants, reasons, routes
@@ -51,7 +53,7 @@
     assert start_all(cold) == TERMS.max_unverified - 1
     cold.record_check(cold.begin_check(), 0.0)
     clock.now += coldness.MAX_STATEMENT_AGE_S + 0.01
-    assert start_all(cold) <= TERMS.rate * TERMS.burst_s
+    assert start_all(cold) <= TERMS.max_unverified - TERMS.rate
 
 
 def test_requests_after_a_health_check_count_once_the_endpoint_is_cold(cold, clock):
@@ -81,6 +83,49 @@
     assert 7 + start_all(cold) <= TERMS.max_unverified
 
 
+def checks_of(cold, clock, rate, seconds=300.0):
+    """Return the starts of Poisson requests, and the number of health checks that they need."""
+    requested = []
+    cold.on_doubt = lambda: requested.append(True)
+    rng = random.Random(1)
+    starts, checks = [], 0
+    cold.record_check(cold.begin_check(), 0.0)
+    end = clock.now + seconds
+    while clock.now < end:
+        clock.now += rng.expovariate(rate)
+        if cold.is_check_awaited() or requested:
+            checks += 1
+            cold.record_check(cold.begin_check(), 0.0)
+            requested.clear()
+        if cold.wait_s() == 0:
+            cold.acquire()
+            starts.append(clock.now)
+    return starts, checks
+
+
+@pytest.mark.parametrize(("rate", "most"), [(3.0, 0.02), (6.0, 0.1), (10.0, 0.2)])
+def test_requests_about_the_warm_up_rate_rarely_need_a_health_check(cold, clock, rate, most):
+    """Guards against a price and a slot of the endpoint for every other request."""
+    starts, checks = checks_of(cold, clock, rate)
+    assert len(starts) == pytest.approx(300 * rate, rel=0.1)
+    assert checks <= most * len(starts)
+
+
+@pytest.mark.parametrize("idle_s", [0.0, 0.2, 0.5, 1.5, 9.0])
+def test_unused_tokens_of_a_warm_endpoint_keep_the_bound_once_it_is_cold(cold, clock, idle_s):
+    """Guards against a kept burst that comes on top of the rate, or is kept while cold."""
+    cold.record_check(cold.begin_check(), 0.0)
+    clock.now += idle_s
+    before, starts = clock.now, 0
+    while clock.now < before + 1.0:
+        starts += start_all(cold)
+        clock.now += 0.01
+    assert starts <= TERMS.max_unverified
+    clock.now += 9.0
+    cold.record_doubt("lost connection")
+    assert start_all(cold) <= TERMS.rate * TERMS.burst_s
+
+
 def test_check_from_before_an_event_or_a_later_check_shows_no_warm_endpoint(cold):
     """Guards against answers that describe an earlier state of the endpoint."""
     before_reset, later = cold.begin_check(), cold.begin_check()
