Ask several peers for the configuration when a node starts in a later era

Cause: after the store came back from a copy, evacuations that it has lost are known to nodes only. A starting node asked one peer, of its own failure domain if there was one. If that peer was silent, or had just started as well, the node began with the store's rows and could serve in an evacuated domain until its source told it.

Change: after the first era it asks up to two peers of its own domain and two of others in turn. In the first era one, as before.

Result: the test, in which the peers of the own domain are silent, fails without the change and passes with it.

--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/state/watch.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/state/watch.py
@@ -94,6 +94,9 @@
 SEARCH_WIDTH = 4
 """Number of peers that a node without a source asks at once."""
 
+STARTING_WIDTH = 2
+"""Peers of the own and of other failure domains that a starting node asks after the first era."""
+
 SEARCH_INTERVAL_S = 0.25
 """Time between two rounds of a search; a new watcher has read the changes by then."""
 
@@ -269,7 +272,8 @@
         """Read the instances from the store, and the configuration from a peer if there is one.
 
         A peer's configuration may be newer, since the store may come back from a copy of its past.
-        That of a peer that is cut off may be older, so then the store's is read too.
+        That of a peer that is cut off may be older, so then the store's is read too. One silent
+        peer must not decide for the store, which may have lost evacuations and withdrawn keys.
         """
         while not self.complete.is_set():
             try:
@@ -282,19 +286,31 @@
                 await self._back_off()
 
     async def _ask_for_configuration(self) -> bool:
-        """Ask a peer for its configuration and return whether it had one."""
-        near = [
+        """Ask peers for their configuration until one has it; return whether one had."""
+        for peer in self._configuration_peers():
+            with contextlib.suppress(PeerError):
+                await self._poll_peer(peer, 0.0)
+            if (replica.CONFIGURATION, replica.CURRENT) in self.replica.rows:
+                return True
+        return False
+
+    def _configuration_peers(self) -> list[directory.Instance]:
+        """Return the peers that a starting node asks in turn for the configuration.
+
+        After the first era, the store may have lost rows that only peers know, and all peers of the
+        own failure domain may start at the same time. Then several are asked, also in others.
+        """
+        own_domain = self.location.failure_domain
+        peers = self._usable_peers()
+        near = [peer for peer in peers if peer.row.place.failure_domain == own_domain]
+        if self.known_era <= FIRST_ERA:
+            return self.rng.sample(near, min(1, len(near)))
+        others = [peer for peer in peers if peer.row.place.failure_domain != own_domain]
+        return [
             peer
-            for peer in self._usable_peers()
-            if peer.row.place.failure_domain == self.location.failure_domain
+            for group in (near, others)
+            for peer in self.rng.sample(group, min(STARTING_WIDTH, len(group)))
         ]
-        # After the first era, the store may have lost rows that only peers know.
-        candidates = near or (self._usable_peers() if self.known_era > FIRST_ERA else [])
-        if not candidates:
-            return False
-        with contextlib.suppress(PeerError):
-            await self._poll_peer(self.rng.choice(candidates), 0.0)
-        return (replica.CONFIGURATION, replica.CURRENT) in self.replica.rows
 
     async def _read(self, table: str) -> None:
         received = await self.store.snapshot(table)
--- a/packages/goldcrestgrade-node/tests/mesh/test_watch.py
+++ b/packages/goldcrestgrade-node/tests/mesh/test_watch.py
@@ -241,6 +241,33 @@
     assert sync._lower_peers() == []
 
 
+async def test_starting_node_asks_peers_of_other_failure_domains_if_its_own_are_silent():
+    """Guards against an evacuation that a restored store has lost, and only live peers know."""
+    sync = make_sync("n9")
+    sync.store.position = position = tables.Position(2, 3)
+    sync.observe_era(2)
+    for number, name in enumerate(NAMES[:4], 1):
+        other = directory.Location("khomas-b", "khomas")
+        add(sync.instances, name, number, LOCATION if number < 4 else other)
+    row = tables.Change(replica.CONFIGURATION, replica.CURRENT, position, {"version": 3})
+    key = "evacuation/khomas-b"
+    lost = tables.Change(replica.CONFIGURATION, key, tables.Position(1, 9), {})
+    asked = []
+
+    async def poll(peer, _wait_s):
+        asked.append(peer.row.node_id)
+        if peer.row.place == LOCATION:
+            raise watch.PeerError("silent")
+        sync.replica.apply_snapshot(replica.CONFIGURATION, tables.Changes((row, lost), position))
+        sync._record_current(sync.clocks.monotonic())
+        return True
+
+    sync._poll_peer = poll
+    await sync._load()
+    assert len(set(asked)) == 3 and asked[-1] == NAMES[3]
+    assert (replica.CONFIGURATION, key) in sync.replica.rows
+
+
 # A node that is ready with what a peer knew 10 s ago would send requests to a failure domain that
 # was evacuated meanwhile.
 @pytest.mark.parametrize(("age_s", "snapshots"), [(0.0, 1), (10.0, len(replica.TABLES))])
