Send an endpoint nothing before its node has read the shared rows

Cause: a starting node takes its first configuration from a peer. If the peer is cut off, the node reads the store as well, but meanwhile it sent requests to its endpoint by the peer's rows, which may lack an evacuation.

Change: where a deployment has warm-ups, requests are refused until all rows were read, as before until a configuration was known.

--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/node.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/node.py
@@ -373,7 +373,14 @@
 
     def is_ready(self) -> bool:
         """Return whether clients may send requests to this node."""
-        return self.table is not None and self.sync.complete.is_set() and not self.stopping.is_set()
+        return self.is_state_read() and not self.stopping.is_set()
+
+    def is_state_read(self) -> bool:
+        """Return whether the shared rows were read in full since the start of this process.
+
+        The first table may come from a peer that is cut off and knows no later evacuation.
+        """
+        return self.table is not None and self.sync.complete.is_set()
 
     def is_configuration_outdated(self) -> bool:
         """Return whether a key may have been withdrawn longer ago than the settings allow."""
@@ -425,8 +432,8 @@
         if self.quarantine.crashes and self.quarantine.is_quarantined(requests.digest(call)):
             retry_at = self.clocks.monotonic() + QUARANTINE_RETRY_S
             return local.Refused(reasons.Refusal.CRASHES_ENDPOINTS, retry_at)
-        if self.table is None and self.config.warm_up_slack > 0:
-            # The warm-up of the service is not known yet.
+        if self.config.warm_up_slack > 0 and not self.is_state_read():
+            # The warm-up of the service, or an evacuation that began lately, is not known yet.
             retry_at = self.clocks.monotonic() + UNKNOWN_WARM_UP_RETRY_S
             return local.Refused(reasons.Refusal.WARMING_UP, retry_at)
         if self.handing_over.is_set():
