Ask no endpoint with a warm-up and a steady pace for its pace

Cause: a request waits for a health check if the last report of the pace is 0.1 s old. At 6 requests a second of 0.1 s each, that is a check for about every other request, and each check takes a token of the warm-up rate as well.

Change: where the service names a warm-up, no such check is made once no degraded pace was reported for 10 s. Answers still report the pace, and the first degraded one begins the checks again. Services without a warm-up are asked as before.

--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/endpoint/admission.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/endpoint/admission.py
@@ -45,6 +45,14 @@
 """Age of a pace report from which a health check is worth its cost while requests depend on it."""
 
 
+STEADY_PACE_S = 10.0
+"""Time without a degraded pace after which an endpoint with a warm-up is not asked for its pace.
+
+Each health check takes a token of the warm-up rate. With a check whenever the last report is 0.1 s
+old, 6 requests a second of 0.1 s each cost one for every two requests.
+"""
+
+
 class AdmissionController:
     """In-flight and queued requests of the own endpoint; owned by the node's event loop."""
 
@@ -72,6 +80,8 @@
         self.pace_reported_at: instants.Instant = -instants.NEVER
         self.reports_pace = True
         """Whether the endpoint reports its pace; assumed until a health check shows otherwise."""
+        self.degraded_at = clocks.monotonic()
+        """When a degraded pace was last reported, or this controller began."""
         self.progress_at: instants.Instant = 0.0
         """When the endpoint last became busy or completed a request."""
         self.stall_review: asyncio.TimerHandle | None = None
@@ -132,11 +142,16 @@
         Load pattern: the endpoint gets so few requests that its pace changes between two reports,
         as in a large fleet. A request that it starts while degraded takes several times as long.
         """
-        if not self.reports_pace or not self._may_start():
+        if not self.reports_pace or self._is_pace_steady() or not self._may_start():
             # A request that is queued is evaluated again after an answer, which reports the pace.
             return False
         return self.clocks.monotonic() - self.pace_reported_at >= MAX_ADMISSION_PACE_AGE_S
 
+    def _is_pace_steady(self) -> bool:
+        """Return whether a new report of the pace isn't worth a token of the warm-up rate."""
+        steady_s = self.clocks.monotonic() - self.degraded_at
+        return self.rate.coldness.terms is not None and steady_s >= STEADY_PACE_S
+
     async def admit(self, request: decision.Request) -> decision.Rejected | None:
         """Wait until the request may start; return a rejection if it may not."""
         admitted: queueing.Admitted = asyncio.get_running_loop().create_future()
@@ -289,6 +304,8 @@
         self.reports_pace = True
         degraded = load.pace >= estimates.DEGRADED_PACE and load.pace > self.current_pace()
         self.pace, self.pace_reported_at = load.pace, self.clocks.monotonic()
+        if load.pace >= estimates.DEGRADED_PACE:
+            self.degraded_at = self.pace_reported_at
         if load.slots != self.slots:
             self.set_slots(load.slots)
         if degraded:
--- a/packages/goldcrestgrade-node/tests/mesh/test_admission.py
+++ b/packages/goldcrestgrade-node/tests/mesh/test_admission.py
@@ -4,8 +4,8 @@
 
 import pytest
 
-from goldcrestgrade import instants
-from goldcrestgrade_node.mesh.endpoint import admission, decision, estimates
+from goldcrestgrade import instants, routes
+from goldcrestgrade_node.mesh.endpoint import admission, coldness, decision, estimates
 from goldcrestgrade_node.mesh.transport import loads
 
 SERVICE_TIME_S = 0.1
@@ -54,6 +54,23 @@
     assert not controller.is_pace_outdated()
 
 
+@pytest.mark.parametrize(("rate", "asked"), [(0.0, True), (6.0, False)])
+def test_endpoint_with_a_warm_up_and_a_steady_pace_is_not_asked_for_it(clock, rate, asked):
+    """Guards against a health check for every other request, and against one too few elsewhere."""
+    controller = admission.AdmissionController(clock.clocks())
+    controller.set_slots(2)
+    service = routes.Service("archive", "/healthz", 9, 3.0, rate)
+    controller.rate.coldness.set_terms(coldness.terms(service, 1.5, 8))
+    controller.apply_load_report(loads.Load(0, 0, 2, 1.0))
+    clock.now += admission.STEADY_PACE_S - 0.1
+    assert controller.is_pace_outdated()
+    clock.now += 0.2
+    assert controller.is_pace_outdated() == asked
+    controller.apply_load_report(loads.Load(0, 0, 2, estimates.DEGRADED_PACE))
+    clock.now += admission.MAX_ADMISSION_PACE_AGE_S
+    assert controller.is_pace_outdated()
+
+
 async def test_request_starts_at_once_when_a_slot_is_free(controller, clock):
     assert await controller.admit(request(clock)) is None
     assert controller.in_flight == 1
