Don't count a node with a long queue as unreachable

Cause: the sender of a large body waits for admission until the target. If the request was still queued then, the node counted as unreachable, and its instance got nothing from this entry node until a probe, at least 0.5 s later. Under a burst of uploads that takes room away.

Change: if the node has answered another request since, this one ends as not run, with the reason of a full queue. Its body was never sent. A node that answered nothing meanwhile is unreachable as before.

Result: the test with other answers meanwhile fails without the change.

--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/transport/relay.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/transport/relay.py
@@ -35,6 +35,9 @@
 NOT_RUN_STATUS = 503
 """Status of a relay answer for a request that did not run."""
 
+QUEUE_RETRY_S = 0.3
+"""Delay after which a request that waited too long for its admission may be sent there again."""
+
 Serve = typing.Callable[[requests.Call, bodies.FetchBody | None], typing.Awaitable[requests.Served]]
 """Serves a request at the own endpoint; its body may have to be fetched."""
 
@@ -260,6 +263,8 @@
         self.asking: set[str] = set()
         """Addresses of nodes that are known to admit a request by its head."""
         self.pools: dict[str, connections.ConnectionPool] = {}
+        self.answered_at: dict[str, instants.Instant] = {}
+        """When a node last answered a request, by address."""
         self.on_unreachable: typing.Callable[[str, str], None] = lambda _address, _text: None
         """Called with an address that was unreachable and the text of the result."""
 
@@ -274,6 +279,7 @@
         pool = self.pools.get(address)
         if pool is None:
             pool = self.pools[address] = connections.ConnectionPool(address)
+        started = self.clocks.monotonic()
         transferred = await self._transfer(pool, address, call)
         if _is_stale_connection(transferred):
             # The other node has closed the idle connection; nothing has run there.
@@ -282,6 +288,13 @@
         if headers.ASKS in transferred.fields:
             self.asking.add(address)
         match transferred.result:
+            case results.Unreachable(text=reasons.Uncertainty.TIMED_OUT) if (
+                self.answered_at.get(address, -instants.NEVER) > started
+            ):
+                # The node answers others, so the request waits in its queue. It has no body there.
+                retry_at = self.clocks.monotonic() + QUEUE_RETRY_S
+                queued = outcomes.NotRun(reasons.Refusal.SATURATED, retry_at)
+                return requests.Served(queued, None, arrived=False)
             case results.Unreachable(text=text):
                 self.asking.discard(address)
                 self.on_unreachable(address, text)
@@ -298,6 +311,7 @@
                 pool.close_idle()
                 return requests.Served(outcomes.Unknown(reason), None, arrived=True)
             case results.Answered(answer=answer):
+                self.answered_at[address] = self.clocks.monotonic()
                 served = self._served(answer, transferred.fields)
                 served_s = _parse_seconds(transferred.fields.get(headers.SERVED_IN))
                 return served._replace(served_s=served_s)
--- a/packages/goldcrestgrade-node/tests/mesh/test_large_bodies.py
+++ b/packages/goldcrestgrade-node/tests/mesh/test_large_bodies.py
@@ -106,6 +106,38 @@
         assert client.counts.events[reasons.Event.BODY_ASKED] == 1
 
 
+@pytest.mark.parametrize("answers_others", [True, False])
+async def test_node_whose_queue_is_longer_than_the_wait_for_admission_is_no_unreachable_one(
+    answers_others,
+):
+    """Guards against an endpoint that gets no requests since an upload waited long in its queue.
+
+    A node that answers nothing meanwhile is unreachable.
+    """
+    admitted = asyncio.Event()
+
+    async def admit():
+        await admitted.wait()
+
+    async with relaying(admit) as (node, client, address):
+        unreached = []
+        client.on_unreachable = lambda *arguments: unreached.append(arguments)
+        upload = asyncio.create_task(client.serve(address, call(BODY[:20_000], 0.4)))
+        if answers_others:
+            await asyncio.sleep(0.05)
+            node.app.serve = lambda *_: asyncio.sleep(0, RAN)
+            await client.serve(address, call(b"small"))
+        served = await upload
+        if answers_others:
+            assert served.outcome.reason == reasons.Refusal.SATURATED
+            assert not served.arrived and unreached == []
+        else:
+            assert served is None and len(unreached) == 1
+        admitted.set()
+        await asyncio.sleep(0.05)
+        assert not any(isinstance(body, bytes) for body in node.fetched)
+
+
 async def test_rejection_costs_no_body():
     """Guards against a body that is sent to a node that rejects the request."""
     sent = []
