Close the connection when an expected body is refused unread

Cause: without memory for a body, the entry node answers before it has read it. A client that sent `Expect: 100-continue` then need not send the body, and the server took its next request on the connection for it: that request was lost without an answer.

Change: such a refusal closes the connection.

Result: the test fails without the change. Other refusals keep their connections.

--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/entry/app.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/entry/app.py
@@ -112,7 +112,9 @@
             retry_at = self.clocks.monotonic() + bodies.MEMORY_RETRY_S
             match_ = outcomes.NotRun(reasons.Refusal.SATURATED, retry_at)
         if isinstance(match_, outcomes.NotRun):
-            await self._answer(send, match_, attempt_id, started, None)
+            # A client that waits for `100 Continue` may send its next request in place of the body.
+            unread = b"expect" in by_name and not isinstance(received, bytes)
+            await self._answer(send, match_, attempt_id, started, None, closes=unread)
             return
         route, workspace = match_
         message = requests.Message(
@@ -211,6 +213,7 @@
         attempt_id: str,
         started: instants.Instant,
         call: requests.Call | None,
+        closes: bool = False,
     ) -> None:
         now = self.clocks.monotonic()
         self._record_outcome(outcome, attempt_id, now - started, call)
@@ -219,7 +222,7 @@
             answer = answer._replace(
                 headers=(*answer.headers, (self.header_names.attempt_id, attempt_id))
             )
-        await asgi.send_plain(send, answer, self.is_closing())
+        await asgi.send_plain(send, answer, closes or self.is_closing())
 
     def _record_outcome(
         self,
--- a/packages/goldcrestgrade-node/tests/mesh/test_entry.py
+++ b/packages/goldcrestgrade-node/tests/mesh/test_entry.py
@@ -12,6 +12,7 @@
 from goldcrestgrade_node.mesh import node
 from goldcrestgrade_node.mesh.entry import app
 from goldcrestgrade_node.mesh.transport import bodies, dialect, requests
+from goldcrestgrade_testing import serving
 
 NAMES = dialect.Dialect(**{name: f"x-{name}" for name in dialect.Dialect._fields})._replace(
     authorization="authorization", authorization_scheme="Token"
@@ -173,3 +174,27 @@
             assert b"retry-after" in dict(sent[0]["headers"])
     assert reads == []
     assert memory.held_bytes == 0
+
+
+@pytest.mark.parametrize("fields", [b"", b"expect: 100-continue\r\n"])
+async def test_refusal_of_an_unread_body_hides_no_further_request_of_the_connection(fields):
+    """Guards against a request that is taken for the body that an expecting client did not send."""
+    application = app.EntryApp(
+        None, lambda: table(), "c", NAMES, lambda: False, instants.system_clocks(),
+        counters.Counts(), random.Random(1), body_memory=bodies.BodyMemory(10),
+    )  # fmt: skip
+    head = (
+        b"POST /a/x HTTP/1.1\r\nhost: h\r\nauthorization: Token k1\r\ncontent-length: 500\r\n"
+        + fields
+        + b"\r\n"
+    )
+    async with serving.serving(application) as port, asyncio.timeout(3.0):
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        writer.write(head if fields else head + b"b" * 500)
+        refusal = await reader.readuntil(b"\r\n\r\n")
+        assert refusal.startswith(b"HTTP/1.1 503 ")
+        assert (b"connection: close" in refusal) == bool(fields)
+        if fields:
+            # The connection ends, so that the next request goes to another one.
+            await reader.read()
+        writer.close()
