Don't reject a request since a heartbeat came while its connection opened

Cause: right before the write, the endpoint was compared with the one at admission as a whole, with the sequence of its latest heartbeat. A heartbeat in between rejected the request as unreachable and asked for a health check.

Change: the incarnations are compared.

Result: the test with a heartbeat fails without the change. One with a later start passes before and after: nothing is sent to a replacement.

--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/endpoint/endpoints.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/endpoint/endpoints.py
@@ -221,7 +221,7 @@
     def _set_current(self, endpoint: Endpoint | None) -> None:
         before = self.current
         self.current = endpoint
-        if not _is_same_incarnation(before, endpoint):
+        if not is_same_incarnation(before, endpoint):
             self.answered = self.known_to_stay = False
             self.coldness.record_doubt("new incarnation", new_incarnation=True)
             self._set_signals(signals.NONE)
@@ -233,7 +233,8 @@
             self.on_change()
 
 
-def _is_same_incarnation(before: Endpoint | None, after: Endpoint | None) -> bool:
+def is_same_incarnation(before: Endpoint | None, after: Endpoint | None) -> bool:
+    """Return whether both are known and describe one incarnation, perhaps at different times."""
     if before is None or after is None or before.endpoint_id != after.endpoint_id:
         return False
     return before.born_ms == after.born_ms or 0 in (before.born_ms, after.born_ms)
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/endpoint/local.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/endpoint/local.py
@@ -171,7 +171,7 @@
             call.deadline,
             RUN_ONCE_MAX_IDLE_S if call.run_once else IDEMPOTENT_MAX_IDLE_S,
             lambda: (
-                self.own.usable() == endpoint
+                endpoints.is_same_incarnation(self.own.usable(), endpoint)
                 and self.clocks.monotonic() < call.deadline
                 and self.hooks.refusal_for(call) is None
             ),
--- a/packages/goldcrestgrade-node/tests/mesh/test_held_slots.py
+++ b/packages/goldcrestgrade-node/tests/mesh/test_held_slots.py
@@ -2,12 +2,13 @@
 
 import asyncio
 import contextlib
+import itertools
 import types
 
 import pytest
 
 from goldcrestgrade import instants, outcomes, reasons
-from goldcrestgrade_node.mesh.endpoint import admission, local
+from goldcrestgrade_node.mesh.endpoint import admission, endpoints, local
 from goldcrestgrade_node.mesh.transport import connections, dialect, requests
 from goldcrestgrade_testing import raw_endpoint
 
@@ -25,7 +26,7 @@
     """Yield the runner of an endpoint, the endpoint, and the refusals that the node returns."""
     refusals = []
     clocks = instants.system_clocks()
-    known = types.SimpleNamespace(endpoint_id="e")
+    known = endpoints.Endpoint("e", 100, 1, 1, draining=False)
     own = types.SimpleNamespace(
         answered=True,
         configured=types.SimpleNamespace(service="s"),
@@ -123,3 +124,23 @@
         with pytest.raises(failure):
             await local_runner.serve(call(), fetch)
         assert (local_runner.controller.in_flight, local_runner.controller.held) == (0, 0)
+
+
+async def test_heartbeat_while_the_connection_is_opened_costs_no_request():
+    """Guards against a request rejected as unreachable since a heartbeat has another sequence."""
+    async with runner() as (local_runner, endpoint, _):
+        beats = itertools.count(1)
+        local_runner.own.usable = lambda: endpoints.Endpoint("e", 100, next(beats), 1, False)
+        served = await local_runner.serve(call())
+        assert isinstance(served.outcome, outcomes.Ran)
+        assert len(endpoint.requests) == 1
+
+
+async def test_replacement_while_the_connection_is_opened_keeps_the_request_from_it():
+    """Guards against a request at an incarnation that it was not admitted for."""
+    async with runner() as (local_runner, endpoint, _):
+        starts = itertools.count(100)
+        local_runner.own.usable = lambda: endpoints.Endpoint("e", next(starts), 1, 1, False)
+        served = await local_runner.serve(call())
+        assert served.outcome.reason == reasons.Refusal.ENDPOINT_UNREACHED
+        assert endpoint.requests == []
