--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/endpoint/coldness.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/endpoint/coldness.py
@@ -5,7 +5,9 @@
 node, so one bucket here holds the rate for all nodes together.
 
 An endpoint is warm only for a short time and a bounded number of requests after a health check
-that says so; otherwise its requests start at the warm-up rate. The answer of a health check
+that says so; otherwise its requests start at the warm-up rate. After such a check the bucket keeps
+more unused tokens, so that an endpoint whose requests vary about the warm-up rate is rarely
+checked: each check has a price and holds a slot. The answer of a health check
 describes the endpoint at an instant after the check began, so requests that started since then
 count as if they had reached a cold endpoint. Heartbeats may lag: they can only show that an
 endpoint is cold.
@@ -46,6 +48,12 @@
     """Time for which an unused part of the rate is kept."""
     max_unverified: int
     """Requests that may start after a health check has begun that shows a warm endpoint."""
+    warm_burst_s: float
+    """The same as `burst_s` while the endpoint was warm at its latest health check.
+
+    With all of the burst and the rate, `max_unverified` requests start in a second. Requests at
+    about the warm-up rate then need a health check only when the burst is used up.
+    """
 
 
 class Check(typing.NamedTuple):
@@ -56,6 +64,8 @@
     """Requests and health checks that had started before."""
     doubts: int
     """Number of events before it that made the state unknown."""
+    held: int = 0
+    """Requests that had started but were not sent yet, since they waited for their bodies."""
 
 
 def terms(service: routes.Service | None, overage: float, slack: float) -> Terms | None:
@@ -68,7 +78,8 @@
     rate = service.warm_up_rate
     allowed = rate * overage + slack
     burst_s = min(rates.BURST_S, max(0.0, (allowed - rate - 1) / rate))
-    return Terms(rate, burst_s, max(1, int(allowed) - MARGIN))
+    max_unverified = max(1, int(allowed) - MARGIN)
+    return Terms(rate, burst_s, max_unverified, max(burst_s, max_unverified / rate - 1.0))
 
 
 class Coldness:
@@ -88,6 +99,8 @@
         """`Check.started` of the latest check that was answered; earlier ones are ignored."""
         self.started = 0
         """Requests and health checks that have started."""
+        self.held = 0
+        """Requests that have started and are not sent before their bodies are received."""
         self.doubts = 0
         self.logged = ""
         """State in the latest log line."""
@@ -105,9 +118,8 @@
         if latest == self.terms:
             return
         self.terms = latest
-        if latest is not None:
-            self.bucket.burst_s = latest.burst_s
         self.bucket.set_rate(None if latest is None else latest.rate)
+        self._set_burst()
         self._note("configuration")
         if latest is not None and self.state() == "unknown":
             self.on_doubt()
@@ -162,7 +174,7 @@
 
     def begin_check(self) -> Check:
         """Count a health check that starts."""
-        check = Check(self.clocks.monotonic(), self.started, self.doubts)
+        check = Check(self.clocks.monotonic(), self.started, self.doubts, self.held)
         self._count()
         return check
 
@@ -185,11 +197,12 @@
         self.latest_started = check.started
         if left_s:
             self.warm = None
+            self._set_burst()
             self._set_cold(self.clocks.monotonic() + left_s)
         elif check.doubts == self.doubts:
             self.warm, self.cold_until = check, 0.0
-            unverified = self.started - check.started
-            self.bucket.set_tokens(self.bucket.capacity() - unverified)
+            self._set_burst()
+            self.bucket.set_tokens(self.bucket.capacity() - self._unverified(check))
             self.on_warm()
         self._note("health check")
 
@@ -210,6 +223,7 @@
         """Record an event after which the endpoint may be another one or cold."""
         self.doubts += 1
         self.warm = None
+        self._set_burst()
         if new_incarnation:
             self.cold_until = 0.0
         self._note(cause)
@@ -230,7 +244,20 @@
         """Return how many requests may start by the latest health check."""
         if self.terms is None or self.warm is None or self._age_s() >= MAX_STATEMENT_AGE_S:
             return 0
-        return self.terms.max_unverified - (self.started - self.warm.started)
+        return self.terms.max_unverified - self._unverified(self.warm)
+
+    def _unverified(self, check: Check) -> int:
+        """Return how many requests may have reached the endpoint after a check began.
+
+        A request that was held for its body reaches it later than it started.
+        """
+        return self.started - check.started + check.held
+
+    def _set_burst(self) -> None:
+        """Set how many unused tokens are kept, by whether the latest check showed a warm state."""
+        if self.terms is not None:
+            is_warm = self.warm is not None
+            self.bucket.set_burst(self.terms.warm_burst_s if is_warm else self.terms.burst_s)
 
     def _set_cold(self, until: instants.Instant) -> None:
         self.cold_until = until
