Look up routes at the endpoint's node only where regions can exclude a request

Cause: refusal_for looks up the route of a request two or three times, to learn whether a new configuration keeps the request out of the region of the node, also where no route names regions.

Change: routes.excluded lists, once per configuration, the hosts and workspaces with a request that may not run in the region. All other requests are admitted without a look-up; the rest are looked up as before.

--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/node.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/node.py
@@ -120,6 +120,8 @@
         self.endpoint_known = asyncio.Event()
         """Set once an endpoint was found on this instance."""
         self.table: routes.RouteTable | None = None
+        self.excluded = routes.Excluded(frozenset(), frozenset())
+        """Hosts and workspaces with requests that may not run in the region of this node."""
         self.location = directory.Location(config.failure_domain, config.region)
         self.instances = directory.Directory()
         self.evacuations = evacuations.Evacuations(self.clocks, self.counts)
@@ -257,6 +259,7 @@
         self._apply_warm_up()
         self.dispatcher.link_mbps = config.link_mbps
         if self.table is not None:
+            self.excluded = routes.excluded(self.table, config.region)
             self.quotas.apply(self.table, _quota_rules(config))
 
     # State
@@ -308,6 +311,7 @@
         if self.table is not None:
             self.withdrawals.record(self.table, table, self.clocks.monotonic())
         self.table = table
+        self.excluded = routes.excluded(table, self.config.region)
         self.quotas.apply(table, _quota_rules(self.config))
         for finding in routes.unknown_regions(table, self.config.regions or {self.config.region}):
             log.warning(
@@ -451,6 +455,11 @@
         region = self.config.region
         if call.allowed_regions is not None and region not in call.allowed_regions:
             return False
+        hosts, workspaces = self.excluded
+        if call.workspace not in workspaces and (
+            not hosts or routes.host_name(call.host) not in hosts
+        ):
+            return True
         if self.table is None:
             return True
         route = routes.find(self.table, call.host, call.target)
--- a/packages/goldcrestgrade/goldcrestgrade/routes.py
+++ b/packages/goldcrestgrade/goldcrestgrade/routes.py
@@ -143,6 +143,35 @@
     return frozenset.intersection(*named) if named else None
 
 
+class Excluded(typing.NamedTuple):
+    """Whose requests may not all run in a region."""
+
+    hosts: frozenset[str]
+    """Hosts with a route whose requests may not run there."""
+    workspaces: frozenset[str]
+
+
+def excluded(table: RouteTable, region: str) -> Excluded:
+    """Return the hosts and workspaces of which some request may not run in `region`.
+
+    All other requests may run there, so that they need no look-up of their route.
+    """
+    return Excluded(
+        frozenset(
+            host
+            for host, routes in table.by_host.items()
+            if any(
+                route.allowed_regions and region not in route.allowed_regions for route in routes
+            )
+        ),
+        frozenset(
+            workspace.name
+            for workspace in table.workspaces.values()
+            if workspace.allowed_regions and region not in workspace.allowed_regions
+        ),
+    )
+
+
 def unknown_regions(table: RouteTable, known: typing.Container[str]) -> list[findings.Finding]:
     """Return a finding for each allowed region that is not in `known`."""
     named = itertools.chain(
@@ -172,12 +201,16 @@
 
     Case and port of `host` are ignored.
     """
-    name = host.lower().partition(":")[0]
     return next(
-        (route for route in table.by_host.get(name, ()) if path.startswith(route.prefix)), None
+        (r for r in table.by_host.get(host_name(host), ()) if path.startswith(r.prefix)), None
     )
 
 
+def host_name(host: str) -> str:
+    """Return the name by which a table has the routes of a `Host` header."""
+    return host.lower().partition(":")[0]
+
+
 def _shared_keys(table: RouteTable) -> typing.Iterator[findings.Finding]:
     """Return a finding for each key of several workspaces; it names them and not the key."""
     holders: dict[bytes, list[str]] = collections.defaultdict(list)
--- a/packages/goldcrestgrade/tests/test_routes.py
+++ b/packages/goldcrestgrade/tests/test_routes.py
@@ -58,6 +58,30 @@
     assert routes.allowed_regions(apart, bound) == frozenset()
 
 
+def test_request_of_no_excluded_host_or_workspace_may_run_in_the_region():
+    """Guards against a request that runs outside its regions since its look-up was left out."""
+    given = [
+        route("any", "/a/", "one"),
+        route("here", "/b/", "one", allowed_regions=frozenset({"x", "y"})),
+        route("mixed", "/a/", "two", allowed_regions=frozenset({"x"})),
+        route("elsewhere", "/b/", "two", allowed_regions=frozenset({"y"})),
+    ]
+    workspaces = [
+        routes.Workspace("free", (), 1),
+        routes.Workspace("here", (), 1, allowed_regions=frozenset({"x"})),
+        routes.Workspace("elsewhere", (), 1, allowed_regions=frozenset({"y"})),
+    ]
+    excluded = routes.excluded(routes.build(7, routes.Limits(), [SERVICE], given, workspaces), "x")
+    assert excluded == (frozenset({"two"}), frozenset({"elsewhere"}))
+    for each in given:
+        for workspace in [None, *workspaces]:
+            regions = routes.allowed_regions(each, workspace)
+            if each.host not in excluded.hosts and (
+                workspace is None or workspace.name not in excluded.workspaces
+            ):
+                assert regions is None or "x" in regions
+
+
 def test_region_that_is_not_known_is_found_with_its_place():
     faulty = table(route("a", "/a/", allowed_regions=frozenset({"x", "q"})))
     assert [str(finding) for finding in routes.unknown_regions(faulty, {"x"})] == [
