Admit a request that need not wait without a queue entry

Cause: each request got a future, a queue entry and two service time look-ups before it was known whether it waits, and the warm-up was asked several times for services that have none.

Change: a request that may start while nothing is queued is evaluated alone. StartLimits returns at once without a named rate and a warm-up, and the relay application encodes its header names once. The decisions are the same. The changed lines of start_limits.py leave coldness.py as it is.

--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/endpoint/admission.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/endpoint/admission.py
@@ -139,6 +139,10 @@
 
     async def admit(self, request: decision.Request) -> decision.Rejected | None:
         """Wait until the request may start; return a rejection if it may not."""
+        if not self.queue and self._may_start() and self._rejection(request, 0) is None:
+            # Nothing that concerns the queue has to be known of this request.
+            self._start()
+            return None
         admitted: queueing.Admitted = asyncio.get_running_loop().create_future()
         queued = queueing.QueuedRequest(
             request.priority,
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/endpoint/start_limits.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/endpoint/start_limits.py
@@ -19,11 +19,15 @@
 
     def lowest(self) -> float | None:
         """Return the rate in requests a second that applies now; none if there is none."""
+        if self.named.rate is None and self.coldness.terms is None:
+            return None
         applied = [r for r in (self.named.rate, self.coldness.limit()) if r is not None]
         return min(applied, default=None)
 
     def wait_s(self, ahead: int = 0) -> float:
         """Return the seconds until a request may start behind `ahead` others."""
+        if self.named.rate is None and self.coldness.terms is None:
+            return 0.0
         return max(self.named.wait_s(ahead), self.coldness.wait_s(ahead))
 
     def acquire(self) -> None:
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/transport/relay.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/transport/relay.py
@@ -35,6 +35,9 @@
 NOT_RUN_STATUS = 503
 """Status of a relay answer for a request that did not run."""
 
+RELAY_HEADER = headers.RELAY.encode()
+"""Header with the description of a request, as in a scope."""
+
 Serve = typing.Callable[[requests.Call, bodies.FetchBody | None], typing.Awaitable[requests.Served]]
 """Serves a request at the own endpoint; its body may have to be fetched."""
 
@@ -61,7 +64,7 @@
         terms: BodyTerms,
     ) -> None:
         self.serve = serve
-        self.header_names = header_names
+        self.attempt_id_header = header_names.attempt_id.encode()
         self.max_body_bytes = max_body_bytes
         self.is_closing = is_closing
         self.clocks = clocks
@@ -105,8 +108,8 @@
             headers=headers.end_to_end(headers.from_bytes(scope["headers"])),
             body=body if isinstance(body, bytes) else b"",
         )
-        attempt_id = by_name.get(self.header_names.attempt_id.encode(), "")
-        text = by_name.get(headers.RELAY.encode(), "")
+        attempt_id = by_name.get(self.attempt_id_header, "")
+        text = by_name.get(RELAY_HEADER, "")
         call = requests.decode(text, attempt_id, message, self.clocks.monotonic())
         if call is None or body == reasons.Refusal.BODY_TOO_LARGE:
             refused = outcomes.NotRun(reasons.Refusal.INVALID_REQUEST)
