Look up the route of a client's request once

Cause: the entry application looked up the route a second time after the check whether a request may run beside others, encoded header names for each request and read the authorization header where no workspaces exist.

Change: the check leaves its result in the scope; it is used if the table and the host are the same, as a request with several Host headers may differ. Names are encoded once, and keys are read only with workspaces.

--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/entry/app.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/entry/app.py
@@ -28,10 +28,21 @@
 MAX_CLIENT_TIMEOUT_MS = 3_600_000
 """Longest timeout that a client may ask for."""
 
+FOUND_ROUTE = "goldcrestgrade.route"
+"""Key in the scope of a request for its `FoundRoute`."""
+
 Run = typing.Callable[[requests.Call, int], typing.Awaitable[outcomes.Outcome]]
 """Runs a request at the given number of endpoints at most."""
 
 
+class FoundRoute(typing.NamedTuple):
+    """Result of a look-up of the route of a request."""
+
+    table: routes.RouteTable
+    host: str
+    route: routes.Route | None
+
+
 class Match(typing.NamedTuple):
     """What the configuration says of a request."""
 
@@ -60,6 +71,11 @@
         self.table = table
         self.caller = caller
         self.header_names = header_names
+        self.attempt_id_header = header_names.attempt_id.encode()
+        self.remaining_ms_header = header_names.remaining_ms.encode()
+        self.authorization_header = header_names.authorization.encode()
+        self.identity_headers = frozenset({header_names.authorization, header_names.workspace})
+        """Headers that are not passed on if there are workspaces."""
         self.is_closing = is_closing
         self.clocks = clocks
         self.counts = counts
@@ -84,8 +100,10 @@
         table = self.table()
         if table is None:
             return False
-        host = next((value for name, value in scope["headers"] if name == b"host"), b"")
-        route = routes.find(table, host.decode("latin-1"), scope["raw_path"].decode("latin-1"))
+        value = next((value for name, value in scope["headers"] if name == b"host"), b"")
+        host = value.decode("latin-1")
+        route = routes.find(table, host, scope["raw_path"].decode("latin-1"))
+        scope[FOUND_ROUTE] = FoundRoute(table, host, route)
         return route is not None and not route.run_once
 
     async def _serve(
@@ -105,7 +123,7 @@
             log.info("client disconnected before its request was complete")
             return
         body = received if isinstance(received, bytes) else None
-        attempt_id = by_name.get(self.header_names.attempt_id.encode(), "")
+        attempt_id = by_name.get(self.attempt_id_header, "")
         match_ = self._match(scope, by_name, b"" if received == reasons.Refusal.SATURATED else body)
         if isinstance(match_, Match) and received == reasons.Refusal.SATURATED:
             self.counts.events[reasons.Event.BODY_MEMORY_FULL] += 1
@@ -129,7 +147,7 @@
             attempt_id,
             message,
             started,
-            _client_timeout_s(by_name.get(self.header_names.remaining_ms.encode())),
+            _client_timeout_s(by_name.get(self.remaining_ms_header)),
             workspace,
         )
         if workspace is not None and (in_force := self.table()) is not None:
@@ -142,8 +160,7 @@
         table = self.table()
         if table is None or not table.workspaces:
             return fields
-        dropped = {self.header_names.authorization, self.header_names.workspace}
-        return tuple(pair for pair in fields if pair[0] not in dropped)
+        return tuple(pair for pair in fields if pair[0] not in self.identity_headers)
 
     def _match(
         self, scope: asgi.Scope, by_name: dict[bytes, str], body: bytes | None
@@ -154,16 +171,18 @@
             return outcomes.NotRun(
                 reasons.Refusal.NO_SHEET, self.clocks.monotonic() + NOT_READY_RETRY_S
             )
-        text = by_name.get(self.header_names.authorization.encode())
-        if text is not None and table.workspaces and self.is_outdated():
-            return outcomes.NotRun(
-                reasons.Refusal.CONFIGURATION_OUTDATED, self.clocks.monotonic() + OUTDATED_RETRY_S
-            )
-        holder = workspaces.holder(table, text, self.header_names.authorization_scheme)
-        if text is not None and table.workspaces and holder is None:
-            return outcomes.NotRun(reasons.Refusal.UNAUTHORIZED)
-        path = scope["raw_path"].decode("latin-1")
-        route = routes.find(table, by_name.get(b"host", ""), path)
+        text = by_name.get(self.authorization_header) if table.workspaces else None
+        holder: routes.Workspace | None = None
+        if text is not None:
+            if self.is_outdated():
+                return outcomes.NotRun(
+                    reasons.Refusal.CONFIGURATION_OUTDATED,
+                    self.clocks.monotonic() + OUTDATED_RETRY_S,
+                )
+            holder = workspaces.holder(table, text, self.header_names.authorization_scheme)
+            if holder is None:
+                return outcomes.NotRun(reasons.Refusal.UNAUTHORIZED)
+        route = _find_route(table, scope, by_name)
         if route is None:
             return outcomes.NotRun(reasons.Refusal.NO_ROUTE)
         if table.workspaces and holder is None and not route.anonymous:
@@ -249,6 +268,18 @@
                 log.warning("call unknown", extra={**fields, "reason": uncertainty})
 
 
+def _find_route(
+    table: routes.RouteTable, scope: asgi.Scope, by_name: dict[bytes, str]
+) -> routes.Route | None:
+    """Return the route of a request, as `may_run_beside` found it if it looked for the same."""
+    host = by_name.get(b"host", "")
+    found: FoundRoute | None = scope.get(FOUND_ROUTE)
+    # A request with several `Host` headers may have been looked up by another one.
+    if found is not None and found.table is table and found.host == host:
+        return found.route
+    return routes.find(table, host, scope["raw_path"].decode("latin-1"))
+
+
 def _client_timeout_s(text: str | None) -> float:
     """Return the client's timeout in seconds, infinite if its header is missing or malformed.
 
