Do less work for each instance in the choice of one

Cause: with round trips per failure domain, each of 48 instances cost two more look-ups and a comparison of windows for each request. The check whether the own region has a reachable instance scanned all of them, also if no instance of another region was late.

Change: RoundTrips keeps the result for a place until a sample changes one. The scan runs when it is first needed, and the parts of the expected latency that a stale load cancels are left out. All choices are the same.

--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/entry/distances.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/entry/distances.py
@@ -41,6 +41,11 @@
     def __init__(self) -> None:
         self.by_domain: dict[directory.Location, Shortest] = {}
         self.by_region: dict[str, Shortest] = {}
+        self.looked_up_s: dict[directory.Location, float | None] = {}
+        """Results of `known_s` since the last sample that may have changed one.
+
+        It is called for each instance of a service for each request.
+        """
 
     def record(
         self, place: directory.Location, elapsed_s: float, served_s: float, now: instants.Instant
@@ -49,13 +54,27 @@
         sample_s = elapsed_s - served_s
         if not 0 <= sample_s <= MAX_SAMPLE_S:
             return
-        self.by_domain[place] = with_sample(self.by_domain.get(place), sample_s, now)
-        self.by_region[place.region] = with_sample(self.by_region.get(place.region), sample_s, now)
+        of_domain = self.by_domain.get(place)
+        of_region = self.by_region.get(place.region)
+        self.by_domain[place] = with_sample(of_domain, sample_s, now)
+        self.by_region[place.region] = with_sample(of_region, sample_s, now)
+        if (
+            of_domain is None
+            or of_region is None
+            or self.by_domain[place].value_s() != of_domain.value_s()
+            or self.by_region[place.region].value_s() != of_region.value_s()
+        ):
+            self.looked_up_s.clear()
 
     def known_s(self, place: directory.Location) -> float | None:
         """Return the round trip to `place`, to its region if no other is known, or none."""
-        known = self.by_domain.get(place) or self.by_region.get(place.region)
-        return None if known is None else known.value_s()
+        try:
+            return self.looked_up_s[place]
+        except KeyError:
+            known = self.by_domain.get(place) or self.by_region.get(place.region)
+            found_s = None if known is None else known.value_s()
+            self.looked_up_s[place] = found_s
+            return found_s
 
 
 def with_sample(known: Shortest | None, sample_s: float, now: instants.Instant) -> Shortest:
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/entry/placement.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/entry/placement.py
@@ -91,11 +91,14 @@
     round_trip_s = assumed_s if known_s is None else known_s
     if load is None:
         return round_trip_s + requirements.service_time_s * (1 + instance.in_flight / 8)
-    weight = max(0.0, 1 - (now - instance.load_at) / MAX_LOAD_AGE_S)
-    other_requests = max(0, load.running + load.waiting - instance.in_flight_at_load)
-    in_flight = instance.in_flight + other_requests * weight
-    pace = 1 + (load.pace - 1) * weight
-    queued = max(0.0, in_flight + 1 - load.slots) / load.slots
+    in_flight: float = instance.in_flight
+    pace = 1.0
+    weight = 1 - (now - instance.load_at) / MAX_LOAD_AGE_S
+    if weight > 0:
+        in_flight += max(0, load.running + load.waiting - instance.in_flight_at_load) * weight
+        pace += (load.pace - 1) * weight
+    slots = load.slots
+    queued = (in_flight + 1 - slots) / slots if in_flight + 1 > slots else 0.0
     return round_trip_s + requirements.service_time_s * pace * (1 + queued)
 
 
@@ -139,10 +142,7 @@
     """
     best: tuple[tuple[int, float], Choice] | None = None
     time_budget_s = (requirements.target_at - now) * IN_TIME_SHARE
-    region_reachable = any(
-        distance(own, instance.row.place) < OTHER_REGION and instance.failures == 0
-        for instance in instances
-    )
+    region_reachable: bool | None = None
     for instance in instances:
         if instance.row.node_id in tried or not is_usable(instance, now):
             continue
@@ -152,8 +152,11 @@
         if requirements.body_bytes:
             latency_s += transfer_s(instance, requirements)
         in_time = latency_s <= time_budget_s
-        if in_other_region and region_reachable and not in_time:
-            continue
+        if in_other_region and not in_time:
+            if region_reachable is None:
+                region_reachable = _is_region_reachable(own, instances)
+            if region_reachable:
+                continue
         rank = (
             distance_rank if in_time else LATE_RANK,
             latency_s * rng.uniform(0.95, 1.05),
@@ -161,3 +164,12 @@
         if best is None or rank < best[0]:
             best = rank, Choice(instance, latency_s, in_time)
     return None if best is None else best[1]
+
+
+def _is_region_reachable(
+    own: directory.Location, instances: typing.Iterable[directory.Instance]
+) -> bool:
+    """Return whether one of `instances` in the own region was reached last."""
+    return any(
+        instance.row.place.region == own.region and instance.failures == 0 for instance in instances
+    )
