Remove a cold instance from the candidates by identity

Cause: list.remove compares instances field by field.

Change: one line of dispatch.Dispatcher._choose_with_warm_up filters the list by identity instead; node ids are unique, so the result is the same. coldness.py is unchanged.

--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/entry/dispatch.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/entry/dispatch.py
@@ -253,7 +253,7 @@
             )
             if offered:
                 return choice
-            left.remove(instance)
+            left = [other for other in left if other is not instance]
             if instance.warming.unproven and not instance.in_flight:
                 unknown.append(instance)
 
