Do less for a request that is not pipelined

Cause: each request of a client scanned its connection's requests and its own headers with generators, joined an empty list, and made objects with dicts.

Change: requests start in their order, so the last one shows whether all have started. The header check is a loop, the two objects of a request have slots, and casts at run time are left out.

--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/entry/pipelining.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/entry/pipelining.py
@@ -57,6 +57,17 @@
     It is the transport of its answer, which it holds back until all earlier ones were written.
     """
 
+    __slots__ = (
+        "beside",
+        "closes",
+        "complete",
+        "cycle",
+        "held",
+        "held_bytes",
+        "protocol",
+        "started",
+    )
+
     def __init__(self, protocol: PipeliningProtocol, cycle: typing.Any, beside: bool) -> None:
         self.protocol = protocol
         self.cycle = cycle
@@ -73,7 +84,8 @@
     @property
     def is_next(self) -> bool:
         """Whether its answer is the next one of the connection."""
-        return bool(self.protocol.pending) and self.protocol.pending[0] is self
+        pending = self.protocol.pending
+        return bool(pending) and pending[0] is self
 
     @property
     def keeps_alive(self) -> bool:
@@ -107,6 +119,8 @@
 
     def write_held(self) -> None:
         """Write what was held back, as the next answer of the connection."""
+        if not self.held:
+            return
         held = b"".join(self.held)
         self.drop_held()
         if held:
@@ -121,6 +135,8 @@
 class Flow:
     """Flow control of one request; only a request that is read may resume reading."""
 
+    __slots__ = ("pending", "protocol")
+
     def __init__(self, protocol: PipeliningProtocol, pending: Pending) -> None:
         self.protocol = protocol
         self.pending = pending
@@ -173,17 +189,16 @@
             return
         before = self.cycle
         super().on_headers_complete()
-        cycle = self.cycle
+        cycle: typing.Any = self.cycle
         if cycle is before:
             return
         self.pipeline.clear()
         pending = Pending(self, cycle, self._may_run_beside())
-        cycle.flow = typing.cast(typing.Any, Flow(self, pending))
+        cycle.flow = Flow(self, pending)
         cycle.on_response = functools.partial(self._on_answer_complete, pending)
-        transport = typing.cast(asyncio.Transport, pending)
-        if self.scope["method"] != "HEAD":
-            transport = typing.cast(asyncio.Transport, servers.AnswerWriter(transport))
-        cycle.transport = transport
+        is_head = self.scope["method"] == "HEAD"
+        transport: typing.Any = pending
+        cycle.transport = transport if is_head else servers.AnswerWriter(transport)
         self.pending.append(pending)
         self._start_allowed()
 
@@ -200,11 +215,10 @@
             super().on_body(body)
 
     def _may_run_beside(self) -> bool:
-        bodyless = all(
-            name != b"transfer-encoding" and (name != b"content-length" or value == b"0")
-            for name, value in self.headers
-        )
-        return bodyless and self.terms.may_run_beside(self.scope)  # type: ignore[arg-type]
+        for name, value in self.headers:
+            if name == b"transfer-encoding" or (name == b"content-length" and value != b"0"):
+                return False
+        return self.terms.may_run_beside(self.scope)  # type: ignore[arg-type]
 
     def send_400_response(self, msg: str) -> None:
         """Refuse what can't be parsed, after the answers to all requests before it."""
@@ -233,7 +247,8 @@
 
     def may_read(self) -> bool:
         """Return whether more may be read from the connection."""
-        if self.is_read_to_end or all(pending.started for pending in self.pending):
+        # Requests start in their order, so that all have started if the last one has.
+        if self.is_read_to_end or not self.pending or self.pending[-1].started:
             self.ahead_bytes = 0
         return self.ahead_bytes <= MAX_AHEAD_BYTES
 
