Leave out the draw among one service and the intersection of no regions

Cause: each request of a client built a list of weights and drew from it, also if its route has one service, and built a list of the regions that bind it, also if there are none.

Change: both cases return at once. One service no longer takes a number from the random generator, which shifts its later draws.

--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/entry/dispatch.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/entry/dispatch.py
@@ -469,6 +469,8 @@
 
 def draw_service(route: routes.Route, rng: random.Random) -> str:
     """Return the service of one request, drawn by the weights of the route's parts."""
+    if len(route.parts) == 1:
+        return route.parts[0].service
     weights = [part.weight for part in route.parts]
     return rng.choices(route.parts, weights)[0].service
 
--- a/packages/goldcrestgrade/goldcrestgrade/routes.py
+++ b/packages/goldcrestgrade/goldcrestgrade/routes.py
@@ -135,12 +135,14 @@
 
     If route and workspace both name regions, both bind, so the result may be empty.
     """
+    if not route.allowed_regions and (workspace is None or not workspace.allowed_regions):
+        return None
     named = [
         regions
         for regions in (route.allowed_regions, workspace.allowed_regions if workspace else None)
         if regions
     ]
-    return frozenset.intersection(*named) if named else None
+    return frozenset.intersection(*named)
 
 
 class Excluded(typing.NamedTuple):
