Read the clock and build an admission request only where they are needed

Cause: the check whether a request may reach the endpoint runs twice for each request and read the clock for the instant of a refusal that rarely follows. An admission request was built again for its route key.

Change: the clock is read for a refusal only, and Call has the route key.

--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/endpoint/local.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/endpoint/local.py
@@ -234,9 +234,7 @@
             },
         )
         if answer.status < 500:
-            self.controller.record_service_time(
-                call.admission_request().route_key, now - started, start_load
-            )
+            self.controller.record_service_time(call.route_key, now - started, start_load)
         dropped = {self.header_names.load, self.header_names.endpoint_id}
         forwarded = tuple(pair for pair in answer.headers if pair[0] not in dropped)
         ran = outcomes.Ran(answer._replace(headers=forwarded))
@@ -281,11 +279,11 @@
         return self._served(outcomes.Unknown(reason), arrived=True)
 
     def _find_refusal(self, call: requests.Call) -> Refused | None:
-        now = self.clocks.monotonic()
         if call.service != self.own.configured.service:
-            return Refused(reasons.Refusal.UNKNOWN_SERVICE, now)
+            return Refused(reasons.Refusal.UNKNOWN_SERVICE, self.clocks.monotonic())
         if self.own.usable() is None:
-            return Refused(reasons.Refusal.NO_ENDPOINT, now + NO_ENDPOINT_RETRY_S)
+            retry_at = self.clocks.monotonic() + NO_ENDPOINT_RETRY_S
+            return Refused(reasons.Refusal.NO_ENDPOINT, retry_at)
         return self.hooks.refusal_for(call)
 
     def _rejected(
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/transport/requests.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/transport/requests.py
@@ -48,10 +48,15 @@
     configuration: int = 0
     """Version of the configuration by which the key of its workspace was accepted."""
 
+    @property
+    def route_key(self) -> str:
+        """Service and route; each such key has its own service time estimate."""
+        return f"{self.service} {self.route}"
+
     def admission_request(self) -> decision.Request:
         """Return what the admission controller of an endpoint needs to evaluate the request."""
         return decision.Request(
-            f"{self.service} {self.route}",
+            self.route_key,
             self.priority,
             self.target_at,
             self.deadline,
