--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/entry/offers.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/entry/offers.py
@@ -298,7 +298,7 @@
             instance = choice.instance
             if self._draw_offer(instance, service, now):
                 return choice
-            left.remove(instance)
+            left = [other for other in left if other is not instance]
             if instance.warming.unproven and not instance.in_flight:
                 unknown.append(instance)
 
