Let a request wait 0.1 s for a token of its quota

Change: a request waits 0.1 s at most; that is within an eighth of the shortest latency target there (933 ms), so that a refusal still comes early enough to be retried.

--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/quota/exchange.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/quota/exchange.py
@@ -21,10 +21,10 @@
 
 log = logging.getLogger(__name__)
 
-WAIT_S = 0.05
+WAIT_S = 0.1
 """Longest time that a request waits for a token."""
 
-PROCURE_S = 0.04
+PROCURE_S = 0.085
 """Time in which the accounting node answers, so that a request that waits still gets its token."""
 
 TIMEOUT_S = 0.3
