--- a/packages/goldcrestgrade-testing/goldcrestgrade_testing/fault_soak/soak.py
+++ b/packages/goldcrestgrade-testing/goldcrestgrade_testing/fault_soak/soak.py
@@ -272,7 +272,7 @@
         warm_up=WARM_UP,
     ) as running_fleet:
         running_fleet.withdraw_key()
-        # Until then, requests need no key, and endpoints are told no workspace.
+        # Until then, requests need no key, and endpoints get no workspace header.
         await running_fleet.wait_keys_required()
         observed = await Soak(running_fleet, rng).play(faults)
         logs = {
