Model a large fleet with warm-ups, allowed regions and slow starts

Change: workloads of 60 instances with few slots that are degraded a quarter of the time, orders that may run in one region only, endpoints with a warm-up rate, and nodes that start one after the other.

--- a/packages/goldcrestgrade-testing/goldcrestgrade_testing/fleet_model/fleet.py
+++ b/packages/goldcrestgrade-testing/goldcrestgrade_testing/fleet_model/fleet.py
@@ -14,9 +14,9 @@
 import random
 import typing
 
-from goldcrestgrade import counters, instants, outcomes, reasons
+from goldcrestgrade import counters, instants, outcomes, reasons, routes
 from goldcrestgrade.storage import tables
-from goldcrestgrade_node.mesh.endpoint import admission, health
+from goldcrestgrade_node.mesh.endpoint import admission, coldness, health
 from goldcrestgrade_node.mesh.entry import dispatch, retry_budget, returning
 from goldcrestgrade_node.mesh.state import directory, replica
 from goldcrestgrade_node.mesh.transport import loads, requests
@@ -36,6 +36,12 @@
 
 COLD_PACE = 2.0
 
+COLD_END_MARGIN_S = 0.005
+"""Delay of the health check after a cold time."""
+
+WARM_UP_OVERAGE, WARM_UP_SLACK = 1.5, 8.0
+"""Factor on the warm-up rate, and further requests, that an endpoint tolerates in a second."""
+
 
 class Lost(Exception):
     """The node or the endpoint was lost while it had the request."""
@@ -71,7 +77,12 @@
         now = asyncio.get_running_loop().time()
         period = int(now / self.terms.degraded_s) % len(self.degraded)
         pace = self.terms.degraded_pace if self.degraded[period] else 1.0
-        return pace * (COLD_PACE if now < self.up_at + self.terms.cold_s else 1.0)
+        return pace * (COLD_PACE if self.cold_left_s() else 1.0)
+
+    def cold_left_s(self) -> float:
+        """Return the seconds for which the endpoint stays cold."""
+        now = asyncio.get_running_loop().time()
+        return max(0.0, self.up_at + self.terms.cold_s - now)
 
     def contention(self) -> float:
         """Return the factor on the time of a request that is the last one to start."""
@@ -134,11 +145,33 @@
             random.Random(f"{self.fleet.workload.seed} {self.row.node_id}"),
         )
         self.dispatcher.offers.own_id = self.row.node_id
+        if self.endpoint.terms.warm_up_rate:
+            self.dispatcher.offers.find_service = self.fleet.services.get
+            self.start_warm_up(self.controller.rate.coldness)
+
+    def start_warm_up(self, cold: coldness.Coldness) -> None:
+        """Connect the warm-up of the endpoint, as the node of the product does."""
+        cold.on_doubt = self.request_check
+        cold.on_warm = self.controller.start_queued
+        cold.on_cold = lambda until: asyncio.get_running_loop().call_at(
+            until + COLD_END_MARGIN_S, self.request_check
+        )
+        service = self.fleet.services[self.row.service]
+        cold.set_terms(coldness.terms(service, WARM_UP_OVERAGE, WARM_UP_SLACK))
+
+    def request_check(self) -> None:
+        """Ask the endpoint for its state unless that is under way or known."""
+        known_cold = self.controller.rate.coldness.is_known_cold()
+        if self.up and not known_cold and (self.checked is None or self.checked.done()):
+            self.checked = asyncio.get_running_loop().create_task(self.check())
 
     async def check(self) -> None:
         """Ask the endpoint for its pace."""
+        cold = self.controller.rate.coldness
+        begun = cold.begin_check()
         await asyncio.sleep(HEALTH_CHECK_S)
         self.report()
+        cold.record_check(begun, self.endpoint.cold_left_s())
 
     def report(self) -> None:
         """Apply the load that the endpoint reports with each of its answers."""
@@ -169,12 +202,12 @@
         controller, lives = self.controller, self.endpoint.up_at
         if not self.up:
             raise Lost
-        if controller.is_pace_outdated():
-            if self.checked is None or self.checked.done():
-                self.checked = asyncio.create_task(self.check())
-            await asyncio.wait({self.checked}, timeout=health.MAX_PACE_WAIT_S)
-        elif controller.is_health_check_due() and (self.checked is None or self.checked.done()):
-            self.checked = asyncio.create_task(self.check())
+        if controller.is_pace_outdated() or controller.rate.coldness.is_check_awaited():
+            self.request_check()
+            if self.checked is not None:
+                await asyncio.wait({self.checked}, timeout=health.MAX_PACE_WAIT_S)
+        elif controller.is_health_check_due():
+            self.request_check()
         rejected = await controller.admit(call.admission_request())
         if rejected is not None:
             reason = reasons.Refusal(rejected.reason)
@@ -227,6 +260,16 @@
         self.hops: collections.Counter[str] = collections.Counter()
         self.call_failures = 0
         services = sorted({kind.service for kind in workload.kinds})
+        self.services = {
+            name: routes.Service(
+                name,
+                "/healthz",
+                9,
+                workload.endpoints.cold_s,
+                workload.endpoints.warm_up_rate,
+            )
+            for name in services
+        }
         places = [
             (service, directory.Location(*workloads.DOMAINS[number % len(workloads.DOMAINS)]))
             for service in services
@@ -258,6 +301,7 @@
         return requests.Call(
             attempt_id, kind.name, kind.service, kind.run_once, kind.priority, node.row.service,
             "GET", "/", "", (), b"", now + kind.target_s - elapsed_s, now + left_s,
+            allowed_regions=kind.regions,
         )  # fmt: skip
 
     async def call(self, node: Node, kind: workloads.Kind, parent: requests.Call) -> bool:
@@ -332,8 +376,14 @@
             node.up = False
         await asyncio.sleep(workloads.RESTART_S)
         for node in self.nodes.values():
-            node.start()
-            node.up, node.endpoint.up_at = True, self.clocks.monotonic()
+            node.endpoint.up_at = self.clocks.monotonic()
+        await asyncio.gather(*map(self._start, self.nodes.values()))
+
+    async def _start(self, node: Node) -> None:
+        """Start a node after a part of the longest time of a start."""
+        await asyncio.sleep(self.workload.start_s * random.Random(node.number).uniform(0.2, 1.0))
+        node.up = True
+        node.start()
 
     async def play(self) -> None:
         """Play the day until all requests have ended."""
--- a/packages/goldcrestgrade-testing/goldcrestgrade_testing/fleet_model/workload.py
+++ b/packages/goldcrestgrade-testing/goldcrestgrade_testing/fleet_model/workload.py
@@ -32,6 +32,8 @@
     """Kind of the request that its endpoint makes of another one halfway; empty if none."""
     call_share: float = 0.7
     """Share of the requests that make this call."""
+    regions: frozenset[str] | None = None
+    """Regions in which it may run; none if it may run in any."""
 
 
 class Endpoints(typing.NamedTuple):
@@ -50,6 +52,8 @@
     """Length of a degraded period."""
     cold_s: float
     """Time after a start in which an endpoint has a pace of 2."""
+    warm_up_rate: float = 0.0
+    """Requests a second that an endpoint may get in that time; 0 if it names no limit."""
 
 
 class Workload(typing.NamedTuple):
@@ -75,6 +79,8 @@
     """Time from one region to the other, one way."""
     domain_s: float
     """Time from one failure domain to another in the same region, one way."""
+    start_s: float = 0.0
+    """Longest time that a node takes to start after a loss; each draws a part of it."""
 
 
 RESTART_S = 1.0
@@ -84,14 +90,18 @@
 """Time from a client to its node, one way."""
 
 
-def kinds(rng: random.Random) -> tuple[Kind, ...]:
-    """Return four kinds: reads, orders that call a third service, payments, and that call."""
+def kinds(rng: random.Random, regions: frozenset[str] | None = None) -> tuple[Kind, ...]:
+    """Return four kinds: reads, orders that call a third service, payments, and that call.
+
+    Orders may run in `regions` only.
+    """
     work_s = rng.uniform(0.06, 0.2)
     target_s = rng.uniform(3.0, 4.0) * work_s
     return (
         Kind("read", "pages", 1.0, work_s, target_s, 4 * target_s, 2, False, 1.0),
         Kind(
-            "order", "orders", 1.0, 1.2 * work_s, 1.2 * target_s, 5 * target_s, 1, True, 2.0, "look"
+            "order", "orders", 1.0, 1.2 * work_s, 1.2 * target_s, 5 * target_s, 1, True, 2.0, "look",
+            regions=regions,
         ),
         Kind("pay", "payments", 0.6, 0.7 * work_s, 0.6 * target_s, 3 * target_s, 0, True, 3.0),
         Kind("look", "payments", 0.0, 0.25 * work_s, 0.4 * target_s, target_s, 2, False, 0.0),
@@ -128,6 +138,29 @@
     return drawn._replace(**fixed)
 
 
+def draw_large(name: str, seed: int, **fixed: typing.Any) -> Workload:
+    """Return a workload of 60 instances whose endpoints have few slots and are often degraded.
+
+    Half of the clients are in the region in which no order may run, so orders have half of their
+    share of the load.
+    """
+    endpoints = Endpoints(
+        number=20,
+        slots=6,
+        knee=1.0,
+        contention=1.0,
+        degraded_share=0.25,
+        degraded_pace=7.0,
+        degraded_s=0.5,
+        cold_s=3.0,
+        warm_up_rate=15.0,
+    )
+    found = list(kinds(random.Random(f"{name} {seed}"), frozenset({"a"})))
+    found[1] = found[1]._replace(share=0.5 * found[1].share)
+    drawn = draw(name, seed, endpoints=endpoints, kinds=tuple(found), start_s=1.2)
+    return drawn._replace(**fixed)
+
+
 STANDARD = {
     "calm": {"load": 0.5, "burst": 1.0},
     "full": {"load": 0.8, "burst": 1.0},
@@ -138,9 +171,17 @@
 }
 """Loads of the standard comparison: the parameters that each of them fixes."""
 
+LARGE = {
+    "large": {"load": 0.8, "burst": 1.4},
+    "large_restart": {"load": 0.7, "burst": 1.0, "restart_at": 8.0},
+}
+"""Loads of a large fleet: the parameters that each of them fixes."""
+
 
 def standard(name: str, seed: int) -> Workload:
-    """Return one of the `STANDARD` loads."""
+    """Return one of the `STANDARD` or `LARGE` loads."""
+    if name in LARGE:
+        return draw_large(name, seed, **LARGE[name])
     return draw(name, seed, **STANDARD[name])
 
 
