Report slots by the present pace of a rate-limited endpoint

Cause: a cold endpoint takes twice as long, but its slots were derived from its rate by the service time at a normal pace, so entry nodes expected a queue where there was room. Change: Little's law with the pace of the moment.

--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/endpoint/admission.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/endpoint/admission.py
@@ -86,12 +86,12 @@
 
     def load(self) -> loads.Load:
         """Return the load that is reported to other nodes."""
-        slots = self.limit
+        slots, pace = self.limit, self.current_pace()
         rate = self.rate.lowest()
         if rate is not None:
             # By Little's law, as many requests as this keep the endpoint at its rate.
-            slots = min(slots, max(1, math.ceil(rate * self.mean_service_time_s)))
-        return loads.Load(self.in_flight, len(self.queue), slots, self.current_pace())
+            slots = min(slots, max(1, math.ceil(rate * self.mean_service_time_s * pace)))
+        return loads.Load(self.in_flight, len(self.queue), slots, pace)
 
     def load_snapshot(self) -> estimates.LoadSnapshot:
         """Return the current load, with the pace as reported instead of the one to expect now."""
--- a/packages/goldcrestgrade-node/tests/mesh/test_admission.py
+++ b/packages/goldcrestgrade-node/tests/mesh/test_admission.py
@@ -274,6 +274,14 @@
     assert controller.load().slots == 9
 
 
+async def test_slow_endpoint_reports_the_slots_that_keep_it_at_its_rate_limit(controller):
+    """Guards against slots reported for a normal pace while cold endpoints take twice as long."""
+    controller.set_slots(9)
+    controller.set_rate_limit(2.5 / estimates.INITIAL_SERVICE_TIME_S)
+    controller.apply_load_report(loads.Load(0, 0, 9, 2.0))
+    assert controller.load().slots == 5
+
+
 async def test_request_that_the_rate_limit_delays_too_long_is_rejected_until_it_may_start(
     controller, clock
 ):
