Send late requests to another region while no node of the own one accepts any

Cause: a node that is stopping, or has no endpoint, counted as an available instance of the own region. A request that was expected late in the other region was therefore refused, though an endpoint there would have answered. Change: an instance whose node rejected a request as it would any other is not available until it may be asked again.

--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/entry/dispatch.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/entry/dispatch.py
@@ -236,6 +236,8 @@
                     )
                 elif reason != reasons.Refusal.CONFIGURATION_OUTDATED:
                     instance.backoff_until = backoff_until
+                    if reason in offers.UNAVAILABLE_REASONS:
+                        instance.unavailable_until = backoff_until
 
     def _final_outcome(
         self, call: requests.Call, served: requests.Served, progress: Progress, attempts: int
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/entry/placement.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/entry/placement.py
@@ -9,8 +9,9 @@
 bodies and a node with a thin link prefers its own endpoint.
 
 Load pattern: all regions are saturated. A request that is expected to be late in another region too
-is not sent there while the own region has a reachable instance: most of these requests would be
-rejected, and the others would take capacity from requests that would be in time.
+is not sent there while the own region has an available instance: most of these requests would be
+rejected, and the others would take capacity from requests that would be in time. An instance whose
+node is stopping, or has no endpoint, is not available.
 """
 
 from __future__ import annotations
@@ -138,11 +139,11 @@
     """Return the nearest of `instances` that is expected in time, or none if none may be used.
 
     Instances whose node ids are in `tried` are not used. If all would be late, return the one with
-    the lowest expected latency in the own region, or in another one if the own has none to reach.
+    the lowest expected latency in the own region, or in another one if the own has none available.
     """
     best: tuple[tuple[int, float], Choice] | None = None
     time_budget_s = (requirements.target_at - now) * IN_TIME_SHARE
-    region_reachable: bool | None = None
+    region_available: bool | None = None
     for instance in instances:
         if instance.row.node_id in tried or not is_usable(instance, now):
             continue
@@ -153,9 +154,9 @@
             latency_s += transfer_s(instance, requirements)
         in_time = latency_s <= time_budget_s
         if in_other_region and not in_time:
-            if region_reachable is None:
-                region_reachable = _is_region_reachable(own, instances)
-            if region_reachable:
+            if region_available is None:
+                region_available = _is_region_available(own, instances, now)
+            if region_available:
                 continue
         rank = (
             distance_rank if in_time else LATE_RANK,
@@ -166,10 +167,15 @@
     return None if best is None else best[1]
 
 
-def _is_region_reachable(
-    own: directory.Location, instances: typing.Iterable[directory.Instance]
+def _is_region_available(
+    own: directory.Location,
+    instances: typing.Iterable[directory.Instance],
+    now: instants.Instant,
 ) -> bool:
-    """Return whether one of `instances` in the own region was reached last."""
+    """Return whether an instance in the own region was reached last and accepts requests at all."""
     return any(
-        instance.row.place.region == own.region and instance.failures == 0 for instance in instances
+        instance.row.place.region == own.region
+        and instance.failures == 0
+        and instance.unavailable_until <= now
+        for instance in instances
     )
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/state/directory.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/state/directory.py
@@ -81,6 +81,8 @@
     """Consecutive failed attempts to reach it."""
     backoff_until: instants.Instant = 0.0
     """Its node rejected a request; no others are sent there until then."""
+    unavailable_until: instants.Instant = 0.0
+    """Its node said that it accepts no requests at all; assumed until then."""
     next_probe_at: instants.Instant = 0.0
     """After a failure it is not probed before then, and not used until a probe succeeds."""
     warming: Warming = dataclasses.field(default_factory=Warming)
--- a/packages/goldcrestgrade-node/tests/mesh/test_dispatch.py
+++ b/packages/goldcrestgrade-node/tests/mesh/test_dispatch.py
@@ -162,6 +162,16 @@
     assert outcome.retry_at == pytest.approx(now + 0.1)
 
 
+@pytest.mark.parametrize("reason", [reasons.Refusal.NODE_STOPPING, reasons.Refusal.SATURATED])
+async def test_node_that_accepts_no_requests_is_told_from_a_saturated_one(reason):
+    now = instants.system_clocks().monotonic()
+    scripted = ScriptedInstances([rejected(now, reason=reason)], instances=1)
+    await scripted.run(once=True)
+    instance = scripted.directory.by_id["n0"]
+    is_unavailable = instance.unavailable_until == instance.backoff_until
+    assert is_unavailable == (reason == reasons.Refusal.NODE_STOPPING)
+
+
 class LimitedFleet:
     """Five instances in virtual time with their real admission, two of them with a rate limit."""
 
--- a/packages/goldcrestgrade-node/tests/mesh/test_placement.py
+++ b/packages/goldcrestgrade-node/tests/mesh/test_placement.py
@@ -85,6 +85,16 @@
     assert chosen(far) == FAR
 
 
+def test_late_request_goes_to_another_region_while_all_nodes_of_the_own_one_are_stopping():
+    """Guards against a refusal at once although an endpoint in another region would answer."""
+    slow = loads.Load(9, 40, 9, 1.0)
+    near, far = instance(NEXT_DOMAIN), instance(FAR, load=slow)
+    near.backoff_until = near.unavailable_until = NOW + 0.05
+    assert chosen(near, far) == FAR
+    near.unavailable_until = NOW
+    assert chosen(near, far) is None
+
+
 def test_large_body_is_sent_over_a_thin_link_only_if_it_is_in_time_there():
     """Guards against an upload that takes longer on the way than its latency target allows."""
     thin = instance(OWN)
