Trial: give cold endpoints the sustained rate that the overage allows

Change: the bucket gains the rate with the overage and keeps the slack beyond the margin. Entry nodes offer by the same rate, and tell a cold endpoint by its slots at its pace.

--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/endpoint/coldness.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/endpoint/coldness.py
@@ -43,7 +43,7 @@
     """How many requests a cold endpoint of a service may get."""
 
     rate: float
-    """Requests a second, health checks included."""
+    """Requests a second, health checks included, for any length of time."""
     burst_s: float
     """Time for which an unused part of the rate is kept."""
     max_unverified: int
@@ -68,17 +68,22 @@
     """Requests that had started but were not sent yet, since they waited for their bodies."""
 
 
+def sustained_rate(service: routes.Service, overage: float) -> float:
+    """Return the requests a second that a cold endpoint of a service may get for any time."""
+    return service.warm_up_rate * max(1.0, overage)
+
+
 def terms(service: routes.Service | None, overage: float, slack: float) -> Terms | None:
     """Return the terms of a service, or none if it names no warm-up rate.
 
-    In any second a cold endpoint may get `warm_up_rate * overage + slack` requests.
+    In any second a cold endpoint may get `warm_up_rate * overage + slack` requests. The first part
+    is its rate, and the slack beyond the margin covers requests that arrive together.
     """
     if service is None or service.warm_up_rate <= 0:
         return None
-    rate = service.warm_up_rate
-    allowed = rate * overage + slack
-    burst_s = min(rates.BURST_S, max(0.0, (allowed - rate - 1) / rate))
-    max_unverified = max(1, int(allowed) - MARGIN)
+    rate = sustained_rate(service, overage)
+    burst_s = min(rates.BURST_S, max(0.0, slack - MARGIN) / rate)
+    max_unverified = max(1, int(service.warm_up_rate * overage + slack) - MARGIN)
     return Terms(rate, burst_s, max_unverified, max(burst_s, max_unverified / rate - 1.0))
 
 
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/entry/warming.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/entry/warming.py
@@ -58,7 +58,7 @@
     load: loads.Load, full_slots: int, service: routes.Service, service_time_s: float
 ) -> bool:
     """Return whether a report has as few slots as a cold endpoint's, and others have more."""
-    cold_slots = max(1, math.ceil(service.warm_up_rate * service_time_s))
+    cold_slots = max(1, math.ceil(service.warm_up_rate * service_time_s * load.pace))
     return load.slots <= cold_slots and load.slots < full_slots
 
 
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/node.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/node.py
@@ -239,8 +239,12 @@
         self.dispatcher.offers.find_service = self.find_service
 
     def find_service(self, name: str) -> routes.Service | None:
-        """Return the service of a name in the configuration in force."""
-        return None if self.table is None else self.table.services.get(name)
+        """Return a service in the configuration in force, with the warm-up rate that it may use."""
+        service = None if self.table is None else self.table.services.get(name)
+        if service is None or not service.warm_up_rate:
+            return service
+        rate = coldness.sustained_rate(service, self.config.warm_up_overage)
+        return service._replace(warm_up_rate=rate)
 
     def _initial_row(self, now: instants.WallInstant) -> directory.InstanceRow:
         host, _, port = self.config.relay.rpartition(":")
--- a/packages/goldcrestgrade-node/tests/mesh/test_coldness.py
+++ b/packages/goldcrestgrade-node/tests/mesh/test_coldness.py
@@ -164,11 +164,29 @@
     assert start_all(cold) == TERMS.rate * TERMS.burst_s
 
 
+@pytest.mark.parametrize(
+    ("rate", "overage", "slack"), [(6.0, 1.5, 8), (15.0, 1.2, 5), (6.0, 1.0, 0)]
+)
+def test_busy_cold_endpoint_gets_its_rate_with_the_overage_and_no_more(clock, rate, overage, slack):
+    """Guards against requests refused all through a cold time that the endpoint could take."""
+    service = SERVICE._replace(warm_up_rate=rate)
+    cold = coldness.Coldness(clock.clocks())
+    cold.set_terms(coldness.terms(service, overage, slack))
+    cold.record_check(cold.begin_check(), service.warm_up_s)
+    starts = []
+    for step in range(300):
+        clock.now += 0.01
+        starts += [clock.now] * start_all(cold)
+        recent = [at for at in starts if at > clock.now - 1.0]
+        assert len(recent) <= rate * overage + max(1.0, slack - coldness.MARGIN), step
+    assert len(starts) >= 0.85 * rate * overage * service.warm_up_s
+
+
 def test_lower_one_of_rate_limit_and_warm_up_applies(clock):
     """Guards against a named rate limit that hides the warm-up rate, or the reverse."""
     limits = start_limits.StartLimits(clock.clocks())
     limits.coldness.set_terms(TERMS)
-    assert (limits.lowest(), limits.reason()) == (6.0, reasons.Refusal.WARMING_UP)
+    assert (limits.lowest(), limits.reason()) == (TERMS.rate, reasons.Refusal.WARMING_UP)
     limits.set_rate(2.0)
     assert (limits.lowest(), limits.reason()) == (2.0, reasons.Refusal.RATE_LIMITED)
     assert limits.wait_s() == pytest.approx(0.5)
--- a/packages/goldcrestgrade-testing/goldcrestgrade_testing/fleet_model/fleet.py
+++ b/packages/goldcrestgrade-testing/goldcrestgrade_testing/fleet_model/fleet.py
@@ -147,7 +147,7 @@
         self.dispatcher.offers.own_id = self.row.node_id
         self.dispatcher.offers.own_load = self.controller.load
         if self.endpoint.terms.warm_up_rate:
-            self.dispatcher.offers.find_service = self.fleet.services.get
+            self.dispatcher.offers.find_service = self.fleet.find_service
             self.start_warm_up(self.controller.rate.coldness)
 
     def start_warm_up(self, cold: coldness.Coldness) -> None:
@@ -282,6 +282,12 @@
         ]
         self.nodes = {row.node_id: Node(self, row, number) for number, row in enumerate(self.rows)}
 
+    def find_service(self, name: str) -> routes.Service:
+        """Return a service with the warm-up rate that its endpoints may get."""
+        service = self.services[name]
+        rate = coldness.sustained_rate(service, WARM_UP_OVERAGE)
+        return service._replace(warm_up_rate=rate)
+
     def delay_s(self, here: directory.Location, there: directory.Location) -> float:
         """Return the time that a message takes from one place to another."""
         if here.region != there.region:
--- a/packages/goldcrestgrade-testing/goldcrestgrade_testing/fleet_model/workload.py
+++ b/packages/goldcrestgrade-testing/goldcrestgrade_testing/fleet_model/workload.py
@@ -100,7 +100,16 @@
     return (
         Kind("read", "pages", 1.0, work_s, target_s, 4 * target_s, 2, False, 1.0),
         Kind(
-            "order", "orders", 1.0, 1.2 * work_s, 1.2 * target_s, 5 * target_s, 1, True, 2.0, "look",
+            "order",
+            "orders",
+            1.0,
+            1.2 * work_s,
+            1.2 * target_s,
+            5 * target_s,
+            1,
+            True,
+            2.0,
+            "look",
             regions=regions,
         ),
         Kind("pay", "payments", 0.6, 0.7 * work_s, 0.6 * target_s, 3 * target_s, 0, True, 3.0),
