Check a new endpoint once instead of twice

Cause: a node that starts makes one health check to find its endpoint and one for its warm-up, at the same instant. Each takes a token of a cold endpoint: after a loss of all machines, the first request started 0.4 s after the configuration. Change: a check for the pace of an unknown endpoint is left to the check that makes it known.

--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/endpoint/health.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/endpoint/health.py
@@ -89,7 +89,11 @@
         """Check for the pace whenever that is requested, until cancelled."""
         while True:
             await self.pace_check_requested.wait()
-            await self.check()
+            if self.own.current is None:
+                # The check that makes the endpoint known reports its pace too.
+                self.request_check()
+            else:
+                await self.check()
             await asyncio.sleep(PACE_INTERVAL_S)
             self.pace_check_requested.clear()
 
