Trial: forward requests of other regions within the region

Cause: letters may run in one region only, and half of their clients are in the other. Each rejection cost 16 ms, a body between regions, and one of three attempts. Change: a node that rejects such a request offers it to two more instances of its region where it is expected in time, and to one endpoint at most.

--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/entry/dispatch.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/entry/dispatch.py
@@ -37,6 +37,16 @@
 )
 """Reasons that concern a request and which every node would give."""
 
+FORWARDED_REASONS = frozenset(
+    {
+        reasons.Refusal.SATURATED,
+        reasons.Refusal.WARMING_UP,
+        reasons.Refusal.RATE_LIMITED,
+        reasons.Refusal.NO_ENDPOINT,
+    }
+)
+"""Reasons of the own endpoint's node after which another instance of the region is asked."""
+
 MIN_FAILED_STATUS = 500
 """Lowest status of an answer that counts as a failure of the endpoint."""
 
@@ -109,9 +119,52 @@
 
     async def run(self, call: requests.Call, attempts: int) -> outcomes.Outcome:
         """Send a request until it is answered, refused or may not be sent again."""
+        self._budget(call.service).record_request(self.clocks.monotonic())
+        return await self._run(call, attempts, Progress())
+
+    async def forward(self, call: requests.Call, rejected: requests.Served) -> requests.Served:
+        """Send a request of another region, which the own endpoint's node `rejected`, to others.
+
+        It goes to instances of this region that are expected in time, and to one endpoint at most.
+
+        Load pattern: a quarter of the endpoints are degraded for half a second at a time, and
+        requests that may run in one region only enter in another one. The entry node learns of each
+        endpoint once in several seconds; a node beside them knows more of them, and each further
+        attempt takes a tenth of the time and no traffic between regions.
+        """
+        refused = rejected.outcome
+        if (
+            not isinstance(refused, outcomes.NotRun)
+            or refused.reason not in FORWARDED_REASONS
+            or rejected.arrived
+        ):
+            return rejected
         progress = Progress()
+        progress.offered.tried.add(self.offers.own_id)
+        progress.offered.record(refused.reason, refused.retry_at or self.clocks.monotonic())
+        near = call._replace(
+            allowed_regions=frozenset({self.location.region}), forward_allowed=False
+        )
+        outcome = await self._run(near, 1, progress, in_time_only=True)
+        if len(progress.offered.tried) == 1:
+            return rejected
+        self.counts.events[reasons.Event.FORWARDED] += 1
+        if isinstance(outcome, outcomes.NotRun) and not progress.arrivals:
+            return rejected._replace(forwarded=True)
+        return rejected._replace(outcome=outcome, arrived=progress.arrivals > 0, forwarded=True)
+
+    async def _run(
+        self,
+        call: requests.Call,
+        attempts: int,
+        progress: Progress,
+        in_time_only: bool = False,
+    ) -> outcomes.Outcome:
+        """Send a request until it is answered, refused or may not be sent again.
+
+        With `in_time_only`, it is sent only where it is expected to be answered in time.
+        """
         budget = self._budget(call.service)
-        budget.record_request(self.clocks.monotonic())
         while True:
             now = self.clocks.monotonic()
             if now >= call.deadline:
@@ -120,7 +173,7 @@
                 )
             requirements = self._requirements(call, self._service_time_s(call))
             choice = self.offers.choose(call, progress.offered, requirements, now)
-            if choice is None:
+            if choice is None or (in_time_only and not choice.in_time):
                 return progress.last_outcome or self.offers.refusal(call, progress.offered, now)
             progress.resend_acquired = progress.resend_acquired or (
                 progress.arrivals > 0 and budget.try_acquire(now)
@@ -159,6 +212,7 @@
         progress.offered.tried.add(instance.row.node_id)
         instance.in_flight += 1
         is_remote = instance.row.node_id != self.offers.own_id
+        crosses = placement.distance(self.location, instance.row.place) == placement.OTHER_REGION
         outgoing_bytes = len(call.body) if call.large_body and is_remote else 0
         self.outgoing_bytes += outgoing_bytes
         started = self.clocks.monotonic()
@@ -172,6 +226,7 @@
                     late_allowed=not choice.in_time,
                     report=report,
                     round_trip_s=self.round_trips.known_s(instance.row.place) or 0.0,
+                    forward_allowed=crosses and choice.in_time,
                 ),
             )
         finally:
@@ -218,7 +273,9 @@
             self.instances.record_report(instance.row.node_id, served.report)
         match served.outcome:
             case outcomes.Ran(answer=answer) if answer.status < MIN_FAILED_STATUS:
-                pace = served.load.pace if served.load is not None else 1.0
+                # The load is that of the endpoint's node that forwarded the request.
+                is_pace_known = served.load is not None and not served.forwarded
+                pace = served.load.pace if is_pace_known and served.load else 1.0
                 sample_s = (now - started) / max(1.0, pace)
                 if call.large_body:
                     # The transfer of a large body is added per instance and is no service time.
@@ -250,7 +307,7 @@
             case outcomes.NotRun(reason=reason, retry_at=retry_at):
                 self.counts.retries[reasons.Retry.REFUSED] += 1
                 again_at = retry_at or self.clocks.monotonic()
-                progress.offered.record(reason, again_at)
+                progress.offered.record(reason, again_at, served.forwarded)
                 if reason in FINAL_REASONS or attempts_used:
                     return progress.last_outcome or served.outcome
                 return None
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/entry/offers.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/entry/offers.py
@@ -69,12 +69,17 @@
     withheld: bool = False
     """Whether it was not offered to an instance that may be cold."""
 
-    def record(self, reason: reasons.Refusal, again_at: instants.Instant) -> None:
-        """Record that a node rejected the request, and when it may accept it."""
+    def record(
+        self, reason: reasons.Refusal, again_at: instants.Instant, forwarded: bool = False
+    ) -> None:
+        """Record that a node rejected the request, and when it may accept it.
+
+        If the node has `forwarded` it to others, they rejected it too.
+        """
         if reason in UNAVAILABLE_REASONS:
             self.unavailable += 1
         else:
-            self.rejections += 1
+            self.rejections += 2 if forwarded else 1
             self.beyond_share += reason in SHARE_REASONS
         self.retry_at = min(self.retry_at or again_at, again_at)
 
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/node.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/node.py
@@ -411,6 +411,15 @@
             self.reachability.record_response(instance.row.place.failure_domain)
         return served
 
+    async def serve_relayed(
+        self, call: requests.Call, fetch_body: bodies.FetchBody | None
+    ) -> requests.Served:
+        """Serve a request of another node; forward it if it may and the endpoint can't run it."""
+        served = await self.local.serve(call, fetch_body)
+        if not call.forward_allowed or fetch_body is not None or not self.is_ready():
+            return served
+        return await self.dispatcher.forward(call, served)
+
     def on_node_unreachable(self, address: str, text: str) -> None:
         """Record what an unsuccessful connection attempt says of a failure domain."""
         for instance in self.instances.by_id.values():
@@ -527,7 +536,7 @@
     def peers(self) -> asgi.App:
         """Return the application that receives requests of other nodes."""
         relay_app = relay.RelayApp(
-            self.local.serve,
+            self.serve_relayed,
             self.platform.header_names,
             lambda: routes.DEFAULT_MAX_BODY_BYTES,
             self.handing_over.is_set,
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/transport/relay.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/transport/relay.py
@@ -238,6 +238,8 @@
             relay_headers.append((headers.NODE_LOAD, loads.encode(served.load)))
         if served.arrived:
             relay_headers.append((headers.ARRIVED, "1"))
+        if served.forwarded:
+            relay_headers.append((headers.FORWARDED, "1"))
         if served.report is not None and served.report.signals != signals.NONE:
             relay_headers.append((headers.ENDPOINT_ID, served.report.endpoint_id))
         match served.outcome:
@@ -316,8 +318,10 @@
             case results.Answered(answer=answer):
                 self.answered_at[address] = self.clocks.monotonic()
                 served = self._served(answer, transferred.fields)
-                served_s = _parse_seconds(transferred.fields.get(headers.SERVED_IN))
-                return served._replace(served_s=served_s)
+                return served._replace(
+                    served_s=_parse_seconds(transferred.fields.get(headers.SERVED_IN)),
+                    forwarded=headers.FORWARDED in transferred.fields,
+                )
 
     async def _transfer(
         self, pool: connections.ConnectionPool, address: str, call: requests.Call
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/transport/requests.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/transport/requests.py
@@ -47,6 +47,8 @@
     """Time on the way to the other node and back, which that node does not have."""
     configuration: int = 0
     """Version of the configuration by which the key of its workspace was accepted."""
+    forward_allowed: bool = False
+    """Whether the node that receives it may forward it within its region if it rejects it."""
 
     @property
     def route_key(self) -> str:
@@ -77,6 +79,8 @@
     """Signals in the answer of the endpoint, if it answered."""
     served_s: float | None = None
     """Time for which another node had the request; none if it was served here."""
+    forwarded: bool = False
+    """Whether that node sent it on to others, which then ran or rejected it; `load` is its own."""
 
 
 def call(
@@ -146,6 +150,8 @@
     large: typing.NotRequired[bool]
     configuration: typing.NotRequired[int]
     """Version by which the key of the workspace was accepted; left out without a workspace."""
+    forward: typing.NotRequired[bool]
+    """Whether the receiving node may forward it in its region; nodes of earlier builds do not."""
 
 
 class ReportDocument(typing.TypedDict):
@@ -180,6 +186,8 @@
         document["regions"] = sorted(call_.allowed_regions)
     if call_.large_body:
         document["large"] = True
+    if call_.forward_allowed:
+        document["forward"] = True
     return orjson.dumps(document).decode()
 
 
@@ -207,6 +215,7 @@
             allowed_regions=frozenset(document["regions"]) if "regions" in document else None,
             large_body=document.get("large", False),
             configuration=document.get("configuration", 0),
+            forward_allowed=document.get("forward", False),
         )
     except (orjson.JSONDecodeError, KeyError, TypeError):
         return None
--- a/packages/goldcrestgrade-node/tests/mesh/test_dispatch.py
+++ b/packages/goldcrestgrade-node/tests/mesh/test_dispatch.py
@@ -172,6 +172,61 @@
     assert is_unavailable == (reason == reasons.Refusal.NODE_STOPPING)
 
 
+FORWARDED_CALL = requests.Call(
+    "try", "r", "s", True, 1, "c", "GET", "/", "h", (), b"", 0.0, 0.0, forward_allowed=True
+)
+
+
+async def forward(scripted, served):
+    scripted.dispatcher.offers.own_id = "n0"
+    call = FORWARDED_CALL._replace(target_at=scripted.now + 0.4, deadline=scripted.now + 0.8)
+    return await scripted.dispatcher.forward(call, served)
+
+
+async def test_request_of_another_region_that_is_rejected_here_goes_to_another_instance():
+    """Guards against a trip between regions for each endpoint that is slow for a moment."""
+    now = instants.system_clocks().monotonic()
+    scripted = ScriptedInstances([rejected(now), ran()])
+    served = await forward(scripted, rejected(now))
+    assert isinstance(served.outcome, outcomes.Ran)
+    assert served.arrived and served.forwarded
+    assert len(scripted.tried) == 2 and "n0" not in scripted.tried
+
+
+async def test_forwarded_request_reaches_one_endpoint_at_most():
+    """Guards against a request that runs at more endpoints than its route and entry node allow."""
+    now = instants.system_clocks().monotonic()
+    scripted = ScriptedInstances([ran(500), ran()])
+    served = await forward(scripted, rejected(now))
+    assert served.outcome.answer.status == 500
+    assert len(scripted.tried) == 1
+
+
+async def test_request_that_all_instances_of_the_region_reject_did_not_run():
+    now = instants.system_clocks().monotonic()
+    scripted = ScriptedInstances([rejected(now)] * 3)
+    served = await forward(scripted, rejected(now))
+    assert isinstance(served.outcome, outcomes.NotRun)
+    assert served.forwarded and not served.arrived
+    assert len(scripted.tried) == offers.MAX_REJECTIONS - 1
+
+
+@pytest.mark.parametrize(
+    "served",
+    [
+        ran(500),
+        unknown(),
+        rejected(0.0, arrived=True, reason=reasons.Refusal.ENDPOINT_REFUSED),
+        rejected(0.0, reason=reasons.Refusal.REGION_NOT_ALLOWED),
+        rejected(0.0, reason=reasons.Refusal.EVACUATED),
+    ],
+)
+async def test_request_that_may_have_run_or_may_not_run_here_is_not_forwarded(served):
+    scripted = ScriptedInstances([ran()])
+    assert await forward(scripted, served) == served
+    assert scripted.tried == []
+
+
 class LimitedFleet:
     """Five instances in virtual time with their real admission, two of them with a rate limit."""
 
--- a/packages/goldcrestgrade-node/tests/mesh/test_requests.py
+++ b/packages/goldcrestgrade-node/tests/mesh/test_requests.py
@@ -43,6 +43,13 @@
     assert requests.decode(text, "try-1", MESSAGE, 100.0) == call
 
 
+def test_request_from_another_region_may_be_forwarded_only_if_its_sender_says_so():
+    """Guards against forwarding for a node of an earlier build, which does not expect it."""
+    call = CALL._replace(forward_allowed=True)
+    assert requests.decode(requests.encode(call, 100.0), "try-1", MESSAGE, 100.0) == call
+    assert "forward" not in requests.encode(CALL, 100.0)
+
+
 def test_report_that_says_nothing_is_not_passed_on():
     silent = CALL._replace(report=signals.Report("e1", signals.NONE))
     assert requests.encode(silent, 100.0) == requests.encode(CALL, 100.0)
--- a/packages/goldcrestgrade-operator/goldcrestgrade_operator/explanations.py
+++ b/packages/goldcrestgrade-operator/goldcrestgrade_operator/explanations.py
@@ -330,6 +330,10 @@
         "A pipelined request ran beside an earlier one of its connection.",
         "None; it shows that clients send requests ahead of answers.",
     ),
+    reasons.Event.FORWARDED: Explanation(
+        "A request of another region that the endpoint here could not run went to another one.",
+        "Add endpoints in the regions in which such requests may run if it is a large share.",
+    ),
     reasons.Event.BODY_MEMORY_FULL: Explanation(
         "A request was refused since this node holds as many bytes of bodies as it may.",
         "Spread clients over more nodes; look for clients that send slowly.",
--- a/packages/goldcrestgrade-testing/goldcrestgrade_testing/fleet_model/fleet.py
+++ b/packages/goldcrestgrade-testing/goldcrestgrade_testing/fleet_model/fleet.py
@@ -154,12 +154,15 @@
         """Connect the warm-up of the endpoint, as the node of the product does."""
         cold.on_doubt = self.request_check
         cold.on_warm = self.controller.start_queued
-        cold.on_cold = lambda until: asyncio.get_running_loop().call_at(
-            until + COLD_END_MARGIN_S, self.request_check
-        )
+        cold.on_cold = self.check_when_warm
         service = self.fleet.services[self.row.service]
         cold.set_terms(coldness.terms(service, WARM_UP_OVERAGE, WARM_UP_SLACK))
 
+    def check_when_warm(self, until: float) -> None:
+        """Ask the endpoint for its state once its cold time has ended."""
+        loop = asyncio.get_running_loop()
+        loop.call_at(until + COLD_END_MARGIN_S, self.request_check)
+
     def request_check(self) -> None:
         """Ask the endpoint for its state unless that is under way or known."""
         known_cold = self.controller.rate.coldness.is_known_cold()
@@ -193,11 +196,16 @@
             return None
         await asyncio.sleep(one_way_s + remote * self.fleet.workload.hop_s)
         received = self.fleet.clocks.monotonic()
-        served = await other.serve(call)
+        served = await (other.serve_relayed(call) if remote else other.serve(call))
         now = self.fleet.clocks.monotonic()
         await asyncio.sleep(one_way_s + remote * self.fleet.workload.hop_s)
         return served._replace(served_s=now - received) if remote else served
 
+    async def serve_relayed(self, call: requests.Call) -> requests.Served:
+        """Serve a request of another node, and forward it if it may and is rejected here."""
+        served = await self.serve(call)
+        return await self.dispatcher.forward(call, served) if call.forward_allowed else served
+
     async def serve(self, call: requests.Call) -> requests.Served:
         """Admit a request and have the endpoint run it, as `local.LocalRunner` does."""
         controller, lives = self.controller, self.endpoint.up_at
--- a/packages/goldcrestgrade-testing/goldcrestgrade_testing/fleet_model/policies.py
+++ b/packages/goldcrestgrade-testing/goldcrestgrade_testing/fleet_model/policies.py
@@ -8,8 +8,9 @@
 from unittest import mock
 
 from goldcrestgrade_node.mesh.endpoint import admission, concurrency, decision, estimates
-from goldcrestgrade_node.mesh.entry import dispatch, distances, placement, returning
+from goldcrestgrade_node.mesh.entry import dispatch, distances, offers, placement, returning
 from goldcrestgrade_node.mesh.state import directory
+from goldcrestgrade_node.mesh.transport import requests
 
 Policy = typing.Callable[[], contextlib.AbstractContextManager[object]]
 """Puts a policy in force while its context is entered."""
@@ -32,6 +33,17 @@
     return mock.patch.object(decision, "rejection", rejection)
 
 
+def no_forwarding() -> contextlib.AbstractContextManager[object]:
+    """Return each request that an endpoint's node rejects to its entry node."""
+
+    async def forward(
+        _dispatcher: dispatch.Dispatcher, _call: requests.Call, rejected: requests.Served
+    ) -> requests.Served:
+        return rejected
+
+    return mock.patch.object(dispatch.Dispatcher, "forward", forward)
+
+
 def own_region_only() -> contextlib.AbstractContextManager[object]:
     """Offer no request to another region."""
     choose = placement.choose
@@ -59,6 +71,10 @@
     "no pace by silence": replaced(estimates, "STALL_THRESHOLD", math.inf),
     "no service time margin": replaced(estimates, "SERVICE_TIME_MARGIN", 1.0),
     "own region only": own_region_only,
+    "no forwarding": no_forwarding,
+    "reported load of the own endpoint": replaced(
+        offers.Offers, "_refresh_own_load", lambda *_: None
+    ),
     "assumed distances": replaced(distances.RoundTrips, "known_s", lambda *_: None),
 }
 """Policies by name."""
--- a/packages/goldcrestgrade/goldcrestgrade/headers.py
+++ b/packages/goldcrestgrade/goldcrestgrade/headers.py
@@ -68,6 +68,9 @@
 ARRIVED = "goldcrestgrade-arrived"
 """Set if the request reached the endpoint itself."""
 
+FORWARDED = "goldcrestgrade-forwarded"
+"""Set if the node sent a request of another region on to other nodes of its own."""
+
 ASKS = "goldcrestgrade-asks"
 """Set by a node that admits a request by its head if the sender expects `100-continue`."""
 
@@ -80,6 +83,7 @@
         CONTROL_KEY,
         DEADLINE,
         ENDPOINT_ID,
+        FORWARDED,
         LOAD,
         NODE_LOAD,
         NO_RETRY,
--- a/packages/goldcrestgrade/goldcrestgrade/reasons.py
+++ b/packages/goldcrestgrade/goldcrestgrade/reasons.py
@@ -99,6 +99,7 @@
     BODY_SAVED = "body_saved"
     BODY_NOT_RECEIVED = "body_not_received"
     PIPELINED = "pipelined"
+    FORWARDED = "forwarded"
     BODY_MEMORY_FULL = "body_memory_full"
     QUOTA_WITHDRAWN = "quota_withdrawn"
     QUOTA_COLLECTED = "quota_collected"
