Trial: ask up to six instances while a further one is expected in time

Change: three rejections end a request only if no further instance is expected in time; six always do.

--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/entry/dispatch.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/entry/dispatch.py
@@ -37,6 +37,9 @@
 )
 """Reasons that concern a request and which every node would give."""
 
+MAX_FORWARDS = 2
+"""Instances of the own region that a request of another one is forwarded to at most."""
+
 FORWARDED_REASONS = frozenset(
     {
         reasons.Refusal.SATURATED,
@@ -141,7 +144,7 @@
             return rejected
         progress = Progress()
         progress.offered.tried.add(self.offers.own_id)
-        progress.offered.record(refused.reason, refused.retry_at or self.clocks.monotonic())
+        progress.offered.rejections = offers.MAX_REJECTIONS - MAX_FORWARDS
         near = call._replace(
             allowed_regions=frozenset({self.location.region}), forward_allowed=False
         )
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/entry/offers.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/entry/offers.py
@@ -22,9 +22,12 @@
 from goldcrestgrade_node.mesh.state import directory, evacuations
 from goldcrestgrade_node.mesh.transport import loads, requests
 
-MAX_REJECTIONS = 3
+MAX_REJECTIONS = 6
 """Rejections by nodes after which a request is refused; those of unavailable nodes don't count."""
 
+MAX_LATE_REJECTIONS = 3
+"""The same if no further instance is expected in time."""
+
 NO_INSTANCE_RETRY_S = 0.3
 """Delay after which a client may retry if no instance is usable or the retry budget is spent."""
 
@@ -210,9 +213,11 @@
 
         found = self._candidates(call).reachable
         held_back = self._held_back(now)
-        if not held_back:
-            return choose_of(found)
-        return choose_of(_outside(found, held_back)) or choose_of(found)
+        choice = choose_of(_outside(found, held_back)) if held_back else None
+        choice = choice or choose_of(found)
+        if choice and not choice.in_time and offered.rejections >= MAX_LATE_REJECTIONS:
+            return None
+        return choice
 
     def _refresh_own_load(self, now: instants.Instant) -> None:
         """Take the load of the own endpoint from its admission, which is in this process."""
