--- a/packages/goldcrestgrade-node/tests/mesh/test_placement.py
+++ b/packages/goldcrestgrade-node/tests/mesh/test_placement.py
@@ -47,6 +47,32 @@
     assert chosen(near[0], instance(NEXT_DOMAIN), instance(FAR)) == NEXT_DOMAIN
 
 
+def test_instance_known_to_have_room_is_preferred_to_one_of_unknown_load_at_the_same_distance():
+    """Guards against choices of endpoints that are degraded for a moment, as a quarter are."""
+    busy = loads.Load(3, 0, 9, 1.0)
+    known = instance(NEXT_DOMAIN, "known", load=busy, age_s=0.1)
+    unknown, stale = instance(NEXT_DOMAIN, "unknown"), instance(NEXT_DOMAIN, "stale", busy, 0.4)
+    choice = placement.choose(OWN, [unknown, known, stale], (), REQUIREMENTS, NOW, random.Random(1))
+    assert choice.instance is known
+    assert chosen(known, instance(OWN)) == OWN
+
+
+def test_endpoint_beside_the_node_comes_first_while_it_has_room():
+    """Guards against a hop to another endpoint while the state of the own one is known exactly."""
+    own = instance(OWN, "own", load=loads.Load(3, 0, 4, 1.0))
+    other = instance(OWN, "other", load=loads.Load(0, 0, 9, 1.0))
+    requirements = REQUIREMENTS._replace(own_id="own")
+
+    def choose():
+        return placement.choose(OWN, [own, other], (), requirements, NOW, random.Random(1))
+
+    assert choose().instance is own
+    own.load = loads.Load(3, 1, 4, 1.0)
+    assert choose().instance is other
+    own.load = loads.Load(0, 0, 4, 1.5)
+    assert choose().instance is other
+
+
 def test_lowest_expected_latency_is_chosen_when_all_would_be_late():
     slow, slower = loads.Load(9, 40, 9, 1.0), loads.Load(9, 90, 9, 1.0)
     choice = placement.choose(
