Run the garbage collector only once a node has started

Cause: a collection at the end of the start took 25 ms, and others run during the imports, while all instances restart and nothing is served. Change: the start program disables the collector; the node freezes what the imports have left, then enables it.

--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/run.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/run.py
@@ -76,9 +76,9 @@
             loop.add_signal_handler(signum, mesh_node.stopping.set)
         reloader = reload.SettingsReloader(path, config, mesh_node.apply_settings)
         loop.add_signal_handler(signal.SIGHUP, reloader.requested.set)
-        gc.collect()
         gc.freeze()
         gc.set_threshold(GC_THRESHOLD)
+        gc.enable()
         await _serve(config, mesh_node, make_apps(mesh_node), reloader)
 
 
