--- a/Makefile
+++ b/Makefile
@@ -11,7 +11,7 @@
 SIZE ?= 1
 LANDING ?= HEAD
 
-.PHONY: help install test lint format demo capacity soak bench-costs reference latency bench model soak-faults regression
+.PHONY: help install test lint format demo capacity soak bench-costs reference latency bench model soak-faults regression losses
 
 help: ## List the targets
 	@grep -hE '^[a-z-]+:.*##' $(MAKEFILE_LIST) | sed 's/:.*##/:/'
@@ -69,6 +69,9 @@
 regression: install ## Compare the latest scores in the journal with those of LANDING, the last landing's commit
 	$(BIN)/python -m goldcrestgrade_testing.regression --landing=$(LANDING)
 
+losses: install ## Print where the latest score of each site in the journal lost worth
+	$(BIN)/python -m goldcrestgrade_testing.regression.losses
+
 soak-faults: install ## Run the real programs under injected faults: MINUTES=1, SEED=1, SIZE=1; SEED=0 draws a random seed
 	$(BIN)/python -m goldcrestgrade_testing.fault_soak --seed=$(SEED) --minutes=$(MINUTES) --size=$(SIZE) --logs=soak-logs
 	@echo "lines of the soak, and of all code:"; cat packages/goldcrestgrade-testing/goldcrestgrade_testing/fault_soak/*.py | wc -l; cat $$(git ls-files 'packages/*.py' 'platform/*.py') | wc -l
