--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/endpoint/decision.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/endpoint/decision.py
@@ -20,6 +20,12 @@
 LATE_QUEUE_FACTOR = 0.0
 """Longest queue ahead of a late request that is admitted, in multiples of the limit."""
 
+MAX_LATE_PACE = 3.0
+"""Largest pace at which a late request is admitted; a cold endpoint has a pace of 2.
+
+A request that a degraded endpoint starts keeps its slot long after the endpoint is normal again.
+"""
+
 MIN_RETRY_DELAY_S = 0.02
 """Shortest time after which a rejected request may be retried at this node."""
 
@@ -131,6 +137,7 @@
     if in_time or (
         request.late_allowed
         and rate_wait_s == 0
+        and state.pace <= MAX_LATE_PACE
         and now + expected.mean_end_s <= request.deadline
         and ahead <= LATE_QUEUE_FACTOR * state.limit
         and state.in_flight < state.limit
