Trial: offer withheld requests instead of refusing them, and judge lateness by the target

Cause: in the 2 s after a loss of all machines, 34 of 134 calls at corrections were refused without any offer, since 59 entry nodes draw offers at a 59th of the warm-up rate each while 12 of them have all the demand. Endpoints that take twice as long counted as late by the margin for placement, so a request was refused after three rejections though others had room. Change: instances that were withheld are asked if nothing else is left; the limit of rejections and the forwarding go by the latency target itself.

--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/entry/dispatch.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/entry/dispatch.py
@@ -178,7 +178,8 @@
                 )
             requirements = self._requirements(call, self._service_time_s(call))
             choice = self.offers.choose(call, progress.offered, requirements, now)
-            if choice is None or (in_time_only and not choice.in_time):
+            is_late = choice is not None and now + choice.expected_s > call.target_at
+            if choice is None or (in_time_only and is_late):
                 return progress.last_outcome or self.offers.refusal(call, progress.offered, now)
             progress.resend_acquired = progress.resend_acquired or (
                 progress.arrivals > 0 and budget.try_acquire(now)
@@ -231,7 +232,7 @@
                     late_allowed=not choice.in_time,
                     report=report,
                     round_trip_s=self.round_trips.known_s(instance.row.place) or 0.0,
-                    forward_allowed=crosses and choice.in_time,
+                    forward_allowed=crosses and started + choice.expected_s <= call.target_at,
                     hints_wanted=is_remote and not crosses,
                 ),
             )
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/entry/offers.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/entry/offers.py
@@ -27,7 +27,7 @@
 """Rejections by nodes after which a request is refused; those of unavailable nodes don't count."""
 
 MAX_LATE_REJECTIONS = 3
-"""The same if no further instance is expected in time."""
+"""The same if a further instance is expected to answer after the latency target."""
 
 NO_INSTANCE_RETRY_S = 0.3
 """Delay after which a client may retry if no instance is usable or the retry budget is spent."""
@@ -218,9 +218,9 @@
         held_back = self._held_back(now)
         choice = choose_of(_outside(found, held_back)) if held_back else None
         choice = choice or choose_of(found)
-        if choice and not choice.in_time and offered.rejections >= MAX_LATE_REJECTIONS:
-            return None
-        return choice
+        if choice is None or offered.rejections < MAX_LATE_REJECTIONS:
+            return choice
+        return choice if now + choice.expected_s <= requirements.target_at else None
 
     def _refresh_own_load(self, now: instants.Instant) -> None:
         """Take the load of the own endpoint from its admission, which is in this process."""
@@ -314,24 +314,23 @@
     ) -> placement.Choice | None:
         """Return the choice among instances that are not cold, or that may get an offer now.
 
-        Without any, one that may be cold is asked if nothing is known of it and no request of this
-        node is there: at most one hop for each node and instance.
+        Without any, the others are asked too: the alternative is a refusal, and the node of a cold
+        endpoint that has no room rejects a request until it has.
         """
         left = list(found)
-        unknown: list[directory.Instance] = []
+        withheld: list[directory.Instance] = []
         while True:
             choice = placement.choose(self.location, left, skipped, requirements, now, self.rng)
             if choice is None:
-                offered.withheld = offered.withheld or len(left) < len(found)
+                offered.withheld = offered.withheld or bool(withheld)
                 return placement.choose(
-                    self.location, unknown, skipped, requirements, now, self.rng
+                    self.location, withheld, skipped, requirements, now, self.rng
                 )
             instance = choice.instance
             if self._draw_offer(instance, service, now):
                 return choice
             left = [other for other in left if other is not instance]
-            if instance.warming.unproven and not instance.in_flight:
-                unknown.append(instance)
+            withheld.append(instance)
 
     def _draw_offer(
         self, instance: directory.Instance, service: routes.Service, now: instants.Instant
