Read the configuration of a starting region once over the link to the store

The 30 nodes of the region away from the store all read it at once over 30 Mbit/s; each read timed out after 0.8 s and began anew. Change: the node with the lowest id of a region reads the configuration, the others ask it and a random peer of their failure domain, and one more reads it after each 0.3 s.

--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/state/watch.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/state/watch.py
@@ -13,6 +13,10 @@
 is, and a node whose own may be older than `MAX_AGE_S` reads the configuration from the store,
 whatever its sources do.
 
+Load pattern: all nodes of a region start at once, and a configuration of 1,400 routes is in a store
+behind a link of 30 Mbit/s. If each node read it there, none would have it in time. The node with
+the lowest id reads it, others ask peers, and one more reads it after each `LOAD_STAGGER_S`.
+
 Load pattern: many nodes of a failure domain are lost or cut off at once, the watcher among them.
 Each round of the search takes as long as one silent peer, however many are silent. While no peer
 has the store, the number of nodes that try it themselves doubles with each round.
@@ -21,7 +25,6 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 import itertools
 import logging
 import random
@@ -125,6 +128,15 @@
 its endpoint is known. Nodes that start a little later find a node to follow instead.
 """
 
+LOAD_STAGGER_S = 0.3
+"""Time after which one more starting node of a region reads the configuration from the store."""
+
+LOAD_INTERVAL_S = 0.1
+"""Time between two rounds in which a starting node asks peers for the configuration."""
+
+MAX_LOAD_DELAY_S = 2.0
+"""Longest time for which a starting node leaves that to others of its region."""
+
 FIRST_ERA = 1
 """Era of a store that has never come back from a copy."""
 
@@ -292,21 +304,39 @@
         That of a peer that is cut off may be older, so then the store's is read too. One silent
         peer must not decide for the store, which may have lost evacuations and withdrawn keys.
         """
+        begun_at, instances_read = self.clocks.monotonic(), False
         while not self.complete.is_set():
             try:
-                await self._read(replica.MESH)
+                if not instances_read:
+                    await self._read(replica.MESH)
+                    instances_read = True
                 if not await self._ask_for_configuration() or self.age_s() > MAX_AGE_S:
+                    left_s = begun_at + self._load_delay_s() - self.clocks.monotonic()
+                    if left_s > 0:
+                        await asyncio.sleep(min(LOAD_INTERVAL_S, left_s))
+                        continue
                     await self._read(replica.CONFIGURATION)
                 self.complete.set()
             except tables.ReadError as error:
                 self._store_failed(error)
                 await self._back_off()
 
+    def _load_delay_s(self) -> float:
+        """Return the time for which a starting node leaves a read of the store to lower ids."""
+        region = self.location.region
+        rank = sum(
+            peer.row.place.region == region and peer.row.node_id < self.own_id
+            for peer in self._usable_peers()
+        )
+        return min(rank * LOAD_STAGGER_S, MAX_LOAD_DELAY_S)
+
     async def _ask_for_configuration(self) -> bool:
         """Ask peers for their configuration until one has it; return whether one had."""
         for peer in self._configuration_peers():
-            with contextlib.suppress(PeerError):
+            try:
                 await self._poll_peer(peer, 0.0)
+            except PeerError:
+                self._back_off_from([peer], DISCONNECTED_PEER_BACKOFF_S)
             if (replica.CONFIGURATION, replica.CURRENT) in self.replica.rows:
                 return True
         return False
@@ -314,6 +344,8 @@
     def _configuration_peers(self) -> list[directory.Instance]:
         """Return the peers that a starting node asks in turn for the configuration.
 
+        The one with the lowest id in the region has it first if all start at once.
+
         After the first era, the store may have lost rows that only peers know, and all peers of the
         own failure domain may start at the same time. Then several are asked, also in others.
         """
@@ -321,7 +353,10 @@
         peers = self._usable_peers()
         near = [peer for peer in peers if peer.row.place.failure_domain == own_domain]
         if self.known_era <= FIRST_ERA:
-            return self.rng.sample(near, min(1, len(near)))
+            in_region = (p for p in peers if p.row.place.region == self.location.region)
+            lowest = min(in_region, key=lambda peer: peer.row.node_id, default=None)
+            asked = self.rng.sample(near, min(1, len(near)))
+            return asked if lowest is None or lowest in asked else [*asked, lowest]
         others = [peer for peer in peers if peer.row.place.failure_domain != own_domain]
         return [
             peer
--- a/packages/goldcrestgrade-node/tests/mesh/test_watch_fleet.py
+++ b/packages/goldcrestgrade-node/tests/mesh/test_watch_fleet.py
@@ -284,6 +284,49 @@
     assert late == []
 
 
+class ThinLinkClient(Client):
+    """Reads of the configuration share a link between the regions; the store stands in the east."""
+
+    LINK_SHARE_PER_S = 4.0
+    """Configurations that the link carries in a second."""
+    TIMEOUT_S = 0.8
+    STEP_S = 0.01
+    reading = 0
+
+    async def snapshot(self, table):
+        if table == replica.CONFIGURATION and self.node_id.startswith("west"):
+            await self._transfer()
+        return await super().snapshot(table)
+
+    async def _transfer(self):
+        left, until = 1.0, asyncio.get_running_loop().time() + self.TIMEOUT_S
+        ThinLinkClient.reading += 1
+        try:
+            while left > 0:
+                await asyncio.sleep(self.STEP_S)
+                left -= self.LINK_SHARE_PER_S * self.STEP_S / ThinLinkClient.reading
+                if asyncio.get_running_loop().time() > until:
+                    raise tables.ReadError("timed out")
+        finally:
+            ThinLinkClient.reading -= 1
+
+
+def test_region_that_starts_at_once_reads_a_large_configuration_over_a_thin_link():
+    """Guards against nodes that all read it, each of which times out and begins again."""
+
+    async def main():
+        fleet = Fleet([], 1)
+        for node_id, sync in fleet.nodes.items():
+            sync.store = ThinLinkClient(fleet, node_id)
+        await fleet.run([5.0])
+        return fleet
+
+    fleet = virtual_time.run(main())
+    known_at = {node_id: fleet.known_at.get((node_id, 1)) for node_id in LOCATIONS}
+    assert None not in known_at.values()
+    assert max(known_at.values()) < 1.0
+
+
 class NewFleet(Fleet):
     """A fleet without rows, whose nodes write theirs as `MeshNode` does."""
 
