--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/entry/retry_budget.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/entry/retry_budget.py
@@ -11,10 +11,16 @@
 
 from goldcrestgrade import instants
 
-USED_SHARE = 0.5
-"""Share of the allowed retries that is used.
+RATIO_SHARE = 0.75
+"""Share of the retries that requests earn which is used.
 
-The rest is a margin for uneven load between nodes and for arrivals counted in a later window.
+The rest is a margin for calls of repeated requests, which count as retries at the service called.
+"""
+
+SLACK_SHARE = 0.5
+"""Share of the further retries that is used.
+
+A window may hold those that nodes have saved before it, and as many again that they get in it.
 """
 
 
@@ -34,13 +40,13 @@
     def __init__(self, terms: Terms, nodes: int, now: instants.Instant) -> None:
         self.terms = terms
         self.nodes = nodes
-        self.tokens = min(1.0, USED_SHARE * terms.slack / nodes)
+        self.tokens = min(1.0, SLACK_SHARE * terms.slack / nodes)
         self.updated_at = now
 
     def record_request(self, now: instants.Instant) -> None:
         """Add the share of a retry that one request earns."""
         self._accrue(now)
-        self.tokens = min(self.tokens + USED_SHARE * self.terms.ratio, self._max_tokens())
+        self.tokens = min(self.tokens + RATIO_SHARE * self.terms.ratio, self._max_tokens())
 
     def try_acquire(self, now: instants.Instant) -> bool:
         """Spend one retry and return true, or return false if none is left."""
@@ -51,9 +57,9 @@
         return True
 
     def _accrue(self, now: instants.Instant) -> None:
-        per_s = USED_SHARE * self.terms.slack / self.nodes / self.terms.window_s
+        per_s = SLACK_SHARE * self.terms.slack / self.nodes / self.terms.window_s
         self.tokens = min(self._max_tokens(), self.tokens + per_s * (now - self.updated_at))
         self.updated_at = now
 
     def _max_tokens(self) -> float:
-        return max(1.0, USED_SHARE * self.terms.slack / self.nodes)
+        return max(1.0, SLACK_SHARE * self.terms.slack / self.nodes)
