--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/entry/dispatch.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/entry/dispatch.py
@@ -10,7 +10,6 @@
 from goldcrestgrade import counters, instants, outcomes, reasons, routes
 from goldcrestgrade_node.mesh.entry import (
     distances,
-    load_hints,
     offers,
     placement,
     reachability,
@@ -97,7 +96,6 @@
             or reachability.Reachability(
                 "", location.failure_domain, instances.failure_domains, counts
             ),
-            clocks,
             rng,
         )
         self.location = location
@@ -233,7 +231,6 @@
                     report=report,
                     round_trip_s=self.round_trips.known_s(instance.row.place) or 0.0,
                     forward_allowed=crosses and started + choice.expected_s <= call.target_at,
-                    hints_wanted=is_remote and not crosses,
                 ),
             )
         finally:
@@ -276,9 +273,6 @@
             self.offers.learn_warm_up(
                 call.service, instance, served, self._service_time_s(call), now
             )
-        if served.load_hints:
-            hints = load_hints.decode(served.load_hints)
-            load_hints.apply(hints, self.instances.by_id, self.offers.own_id, now)
         if served.report is not None:
             self.instances.record_report(instance.row.node_id, served.report)
         match served.outcome:
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/entry/offers.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/entry/offers.py
@@ -14,7 +14,6 @@
 from goldcrestgrade import instants, outcomes, reasons, routes
 from goldcrestgrade_node.mesh.entry import (
     evacuation_ramp,
-    load_hints,
     placement,
     reachability,
     share_backoffs,
@@ -176,14 +175,12 @@
         instances: directory.Directory,
         evacuated: evacuations.Evacuations,
         reached: reachability.Reachability,
-        clocks: instants.Clocks,
         rng: random.Random,
     ) -> None:
         self.location = location
         self.instances = instances
         self.evacuations = evacuated
         self.reachability = reached
-        self.clocks = clocks
         self.rng = rng
         self.own_id = ""
         """Id of this node, which knows the state of its own endpoint."""
@@ -229,14 +226,6 @@
             own.load, own.load_at = self.own_load(), now
             own.in_flight_at_load = own.in_flight
 
-    def load_hints(self, service: str) -> str:
-        """Return the latest loads of a service in the own region, for another node."""
-        now = self.clocks.monotonic()
-        hints = load_hints.latest(
-            self.instances.of_service(service), self.own_id, self.location.region, now
-        )
-        return load_hints.encode(hints) if hints else ""
-
     def refusal(
         self, call: requests.Call, offered: Offered, now: instants.Instant
     ) -> outcomes.NotRun:
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/node.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/node.py
@@ -416,11 +416,9 @@
     ) -> requests.Served:
         """Serve a request of another node; forward it if it may and the endpoint can't run it."""
         served = await self.local.serve(call, fetch_body)
-        if call.forward_allowed and fetch_body is None and self.is_ready():
-            served = await self.dispatcher.forward(call, served)
-        if call.hints_wanted:
-            served = served._replace(load_hints=self.dispatcher.offers.load_hints(call.service))
-        return served
+        if not call.forward_allowed or fetch_body is not None or not self.is_ready():
+            return served
+        return await self.dispatcher.forward(call, served)
 
     def on_node_unreachable(self, address: str, text: str) -> None:
         """Record what an unsuccessful connection attempt says of a failure domain."""
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/transport/relay.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/transport/relay.py
@@ -240,8 +240,6 @@
             relay_headers.append((headers.ARRIVED, "1"))
         if served.forwarded:
             relay_headers.append((headers.FORWARDED, "1"))
-        if served.load_hints:
-            relay_headers.append((headers.LOAD_HINTS, served.load_hints))
         if served.report is not None and served.report.signals != signals.NONE:
             relay_headers.append((headers.ENDPOINT_ID, served.report.endpoint_id))
         match served.outcome:
@@ -323,7 +321,6 @@
                 return served._replace(
                     served_s=_parse_seconds(transferred.fields.get(headers.SERVED_IN)),
                     forwarded=headers.FORWARDED in transferred.fields,
-                    load_hints=transferred.fields.get(headers.LOAD_HINTS, ""),
                 )
 
     async def _transfer(
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/transport/requests.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/transport/requests.py
@@ -49,8 +49,6 @@
     """Version of the configuration by which the key of its workspace was accepted."""
     forward_allowed: bool = False
     """Whether the node that receives it may forward it within its region if it rejects it."""
-    hints_wanted: bool = False
-    """Whether the answer of the node that receives it may carry loads of other endpoints."""
 
     @property
     def route_key(self) -> str:
@@ -83,8 +81,6 @@
     """Time for which another node had the request; none if it was served here."""
     forwarded: bool = False
     """Whether that node sent it on to others, which then ran or rejected it; `load` is its own."""
-    load_hints: str = ""
-    """Loads of other endpoints that the other node knows, in the form of `load_hints.encode`."""
 
 
 def call(
@@ -156,8 +152,6 @@
     """Version by which the key of the workspace was accepted; left out without a workspace."""
     forward: typing.NotRequired[bool]
     """Whether the receiving node may forward it in its region; nodes of earlier builds do not."""
-    hints: typing.NotRequired[bool]
-    """Whether the answer may carry loads of other endpoints; left out between regions."""
 
 
 class ReportDocument(typing.TypedDict):
@@ -194,8 +188,6 @@
         document["large"] = True
     if call_.forward_allowed:
         document["forward"] = True
-    if call_.hints_wanted:
-        document["hints"] = True
     return orjson.dumps(document).decode()
 
 
@@ -224,7 +216,6 @@
             large_body=document.get("large", False),
             configuration=document.get("configuration", 0),
             forward_allowed=document.get("forward", False),
-            hints_wanted=document.get("hints", False),
         )
     except (orjson.JSONDecodeError, KeyError, TypeError):
         return None
--- a/packages/goldcrestgrade-testing/goldcrestgrade_testing/fleet_model/fleet.py
+++ b/packages/goldcrestgrade-testing/goldcrestgrade_testing/fleet_model/fleet.py
@@ -204,11 +204,7 @@
     async def serve_relayed(self, call: requests.Call) -> requests.Served:
         """Serve a request of another node, and forward it if it may and is rejected here."""
         served = await self.serve(call)
-        if call.forward_allowed:
-            served = await self.dispatcher.forward(call, served)
-        if call.hints_wanted:
-            served = served._replace(load_hints=self.dispatcher.offers.load_hints(call.service))
-        return served
+        return await self.dispatcher.forward(call, served) if call.forward_allowed else served
 
     async def serve(self, call: requests.Call) -> requests.Served:
         """Admit a request and have the endpoint run it, as `local.LocalRunner` does."""
--- a/packages/goldcrestgrade-testing/goldcrestgrade_testing/fleet_model/policies.py
+++ b/packages/goldcrestgrade-testing/goldcrestgrade_testing/fleet_model/policies.py
@@ -72,7 +72,6 @@
     "no service time margin": replaced(estimates, "SERVICE_TIME_MARGIN", 1.0),
     "own region only": own_region_only,
     "no forwarding": no_forwarding,
-    "no load hints": replaced(offers.Offers, "load_hints", lambda *_: ""),
     "reported load of the own endpoint": replaced(
         offers.Offers, "_refresh_own_load", lambda *_: None
     ),
--- a/packages/goldcrestgrade/goldcrestgrade/headers.py
+++ b/packages/goldcrestgrade/goldcrestgrade/headers.py
@@ -71,9 +71,6 @@
 FORWARDED = "goldcrestgrade-forwarded"
 """Set if the node sent a request of another region on to other nodes of its own."""
 
-LOAD_HINTS = "goldcrestgrade-load-hints"
-"""Latest loads of other endpoints that the answering node knows."""
-
 ASKS = "goldcrestgrade-asks"
 """Set by a node that admits a request by its head if the sender expects `100-continue`."""
 
@@ -88,7 +85,6 @@
         ENDPOINT_ID,
         FORWARDED,
         LOAD,
-        LOAD_HINTS,
         NODE_LOAD,
         NO_RETRY,
         NOT_RUN,
