--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/entry/dispatch.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/entry/dispatch.py
@@ -277,9 +277,10 @@
             self.instances.record_report(instance.row.node_id, served.report)
         match served.outcome:
             case outcomes.Ran(answer=answer) if answer.status < MIN_FAILED_STATUS:
-                # The load is that of the endpoint's node that forwarded the request.
-                is_pace_known = served.load is not None and not served.forwarded
-                pace = served.load.pace if is_pace_known and served.load else 1.0
+                pace = 1.0
+                if served.load is not None and not served.forwarded:
+                    # Of a forwarded request, the load is that of another endpoint.
+                    pace = served.load.pace
                 sample_s = (now - started) / max(1.0, pace)
                 if call.large_body:
                     # The transfer of a large body is added per instance and is no service time.
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/entry/offers.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/entry/offers.py
@@ -28,6 +28,9 @@
 MAX_LATE_REJECTIONS = 3
 """The same if a further instance is expected to answer after the latency target."""
 
+FORWARDED_REJECTIONS = 2
+"""Rejections for which one by a node counts that has sent the request on to others of its region."""
+
 NO_INSTANCE_RETRY_S = 0.3
 """Delay after which a client may retry if no instance is usable or the retry budget is spent."""
 
@@ -75,14 +78,14 @@
     def record(
         self, reason: reasons.Refusal, again_at: instants.Instant, forwarded: bool = False
     ) -> None:
-        """Record that a node rejected the request, and when it may accept it.
+        """Record that a node, and others if it has `forwarded` it, rejected the request.
 
-        If the node has `forwarded` it to others, they rejected it too.
+        `again_at` is when the node may accept it.
         """
         if reason in UNAVAILABLE_REASONS:
             self.unavailable += 1
         else:
-            self.rejections += 2 if forwarded else 1
+            self.rejections += FORWARDED_REJECTIONS if forwarded else 1
             self.beyond_share += reason in SHARE_REASONS
         self.retry_at = min(self.retry_at or again_at, again_at)
 
@@ -185,7 +188,7 @@
         self.own_id = ""
         """Id of this node, which knows the state of its own endpoint."""
         self.find_service: typing.Callable[[str], routes.Service | None] = lambda _: None
-        """Returns the service of a name."""
+        """Returns the service of a name, with the warm-up rate that all nodes together may use."""
         self.own_load: typing.Callable[[], loads.Load] | None = None
         """Returns the present load of the own endpoint; none if only its answers report it."""
         self.full_slots: dict[str, int] = {}
