--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/entry/offers.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/entry/offers.py
@@ -29,7 +29,7 @@
 """The same if a further instance is expected to answer after the latency target."""
 
 FORWARDED_REJECTIONS = 2
-"""Rejections for which one by a node counts that has sent the request on to others of its region."""
+"""Rejections for which one by a node counts that has forwarded the request in its region."""
 
 NO_INSTANCE_RETRY_S = 0.3
 """Delay after which a client may retry if no instance is usable or the retry budget is spent."""
