--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/endpoint/admission.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/endpoint/admission.py
@@ -39,6 +39,13 @@
 Endpoints change their pace several times a second, and it applies to a request as it starts.
 """
 
+MAX_COLD_PACE_AGE_S = 0.3
+"""The same while the endpoint is known to be cold.
+
+Each health check takes a token of the warm-up rate, but a request that begins at an endpoint which is
+cold and degraded holds its slot for seconds.
+"""
+
 PACE_CHECK_AGE_S = 0.08
 """Age of a pace report from which a health check is worth its cost while requests depend on it."""
 
@@ -145,7 +152,9 @@
         if not self.reports_pace or self._is_pace_steady() or not self._may_start():
             # A request that is queued is evaluated again after an answer, which reports the pace.
             return False
-        return self.clocks.monotonic() - self.pace_reported_at >= MAX_ADMISSION_PACE_AGE_S
+        is_cold = self.rate.coldness.is_known_cold()
+        max_age_s = MAX_COLD_PACE_AGE_S if is_cold else MAX_ADMISSION_PACE_AGE_S
+        return self.clocks.monotonic() - self.pace_reported_at >= max_age_s
 
     def _is_pace_steady(self) -> bool:
         """Return whether a new report of the pace isn't worth a token of the warm-up rate."""
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/endpoint/health.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/endpoint/health.py
@@ -76,11 +76,8 @@
     async def refresh_pace(self) -> None:
         """Wait until the endpoint has reported its pace, `MAX_PACE_WAIT_S` at most.
 
-        Requests that wait at the same time share one check. While the endpoint is known to be cold
-        they don't wait, since checks count in its warm-up rate.
+        Requests that wait at the same time share one check.
         """
-        if self.own.coldness.is_known_cold():
-            return
         if self.pace_check is None or self.pace_check.done():
             self.pace_check = asyncio.create_task(self.check())
         await asyncio.wait({self.pace_check}, timeout=MAX_PACE_WAIT_S)
