Stagger the reads of a starting region only once they take too long

Cause: with the reads staggered from the start, nodes waited for peers that were starting too. Change: each node reads the configuration at once, as before; whoever has not got it after 0.8 s leaves it to the node with the lowest id.

--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/endpoint/admission.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/endpoint/admission.py
@@ -42,8 +42,8 @@
 MAX_COLD_PACE_AGE_S = 0.3
 """The same while the endpoint is known to be cold.
 
-Each health check takes a token of the warm-up rate, but a request that begins at an endpoint which is
-cold and degraded holds its slot for seconds.
+Each health check takes a token of the warm-up rate, but a request that begins at an endpoint which
+is cold and degraded holds its slot for seconds.
 """
 
 PACE_CHECK_AGE_S = 0.08
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/state/watch.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/state/watch.py
@@ -14,8 +14,9 @@
 whatever its sources do.
 
 Load pattern: all nodes of a region start at once, and a configuration of 1,400 routes is in a store
-behind a link of 30 Mbit/s. If each node read it there, none would have it in time. The node with
-the lowest id reads it, others ask peers, and one more reads it after each `LOAD_STAGGER_S`.
+behind a link of 30 Mbit/s. If each node read it there, none would have it in time. Reads that take
+too long are therefore left to the node with the lowest id; the others ask peers, and one more of
+them reads it again after each `LOAD_STAGGER_S`.
 
 Load pattern: many nodes of a failure domain are lost or cut off at once, the watcher among them.
 Each round of the search takes as long as one silent peer, however many are silent. While no peer
@@ -128,6 +129,9 @@
 its endpoint is known. Nodes that start a little later find a node to follow instead.
 """
 
+QUICK_LOAD_S = 0.8
+"""Time after which a starting node leaves a read of the configuration to others of its region."""
+
 LOAD_STAGGER_S = 0.3
 """Time after which one more starting node of a region reads the configuration from the store."""
 
@@ -304,19 +308,27 @@
         That of a peer that is cut off may be older, so then the store's is read too. One silent
         peer must not decide for the store, which may have lost evacuations and withdrawn keys.
         """
-        begun_at, instances_read = self.clocks.monotonic(), False
+        instances_read = False
+        staggered_at: instants.Instant | None = None
         while not self.complete.is_set():
             try:
                 if not instances_read:
                     await self._read(replica.MESH)
                     instances_read = True
-                if not await self._ask_for_configuration() or self.age_s() > MAX_AGE_S:
-                    left_s = begun_at + self._load_delay_s() - self.clocks.monotonic()
+                is_first = staggered_at is None
+                if not await self._ask_for_configuration(is_first) or self.age_s() > MAX_AGE_S:
+                    delay_s = self._load_delay_s()
+                    left_s = 0.0
+                    if staggered_at is not None:
+                        left_s = staggered_at + delay_s - self.clocks.monotonic()
                     if left_s > 0:
                         await asyncio.sleep(min(LOAD_INTERVAL_S, left_s))
                         continue
-                    await self._read(replica.CONFIGURATION)
+                    async with asyncio.timeout(QUICK_LOAD_S if is_first and delay_s else None):
+                        await self._read(replica.CONFIGURATION)
                 self.complete.set()
+            except TimeoutError:
+                staggered_at = self.clocks.monotonic()
             except tables.ReadError as error:
                 self._store_failed(error)
                 await self._back_off()
@@ -330,9 +342,9 @@
         )
         return min(rank * LOAD_STAGGER_S, MAX_LOAD_DELAY_S)
 
-    async def _ask_for_configuration(self) -> bool:
+    async def _ask_for_configuration(self, is_first: bool) -> bool:
         """Ask peers for their configuration until one has it; return whether one had."""
-        for peer in self._configuration_peers():
+        for peer in self._configuration_peers(is_first):
             try:
                 await self._poll_peer(peer, 0.0)
             except PeerError:
@@ -341,10 +353,11 @@
                 return True
         return False
 
-    def _configuration_peers(self) -> list[directory.Instance]:
+    def _configuration_peers(self, is_first: bool) -> list[directory.Instance]:
         """Return the peers that a starting node asks in turn for the configuration.
 
-        The one with the lowest id in the region has it first if all start at once.
+        After the first round, these include the node with the lowest id in the region, which is the
+        first to have a configuration that takes long to read.
 
         After the first era, the store may have lost rows that only peers know, and all peers of the
         own failure domain may start at the same time. Then several are asked, also in others.
@@ -356,7 +369,7 @@
             in_region = (p for p in peers if p.row.place.region == self.location.region)
             lowest = min(in_region, key=lambda peer: peer.row.node_id, default=None)
             asked = self.rng.sample(near, min(1, len(near)))
-            return asked if lowest is None or lowest in asked else [*asked, lowest]
+            return asked if is_first or lowest in (None, *asked) else [*asked, lowest]
         others = [peer for peer in peers if peer.row.place.failure_domain != own_domain]
         return [
             peer
