--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/state/watch.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/state/watch.py
@@ -369,7 +369,9 @@
             in_region = (p for p in peers if p.row.place.region == self.location.region)
             lowest = min(in_region, key=lambda peer: peer.row.node_id, default=None)
             asked = self.rng.sample(near, min(1, len(near)))
-            return asked if is_first or lowest in (None, *asked) else [*asked, lowest]
+            if is_first or lowest is None or lowest in asked:
+                return asked
+            return [*asked, lowest]
         others = [peer for peer in peers if peer.row.place.failure_domain != own_domain]
         return [
             peer
