Prefer no instance by the age of its report, and treat uploads as before

The own endpoint comes first for requests without a large body only, and these alone are offered to more than three instances.

--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/entry/offers.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/entry/offers.py
@@ -220,6 +220,8 @@
         choice = choice or choose_of(found)
         if choice is None or offered.rejections < MAX_LATE_REJECTIONS:
             return choice
+        if requirements.body_bytes:
+            return None
         return choice if now + choice.expected_s <= requirements.target_at else None
 
     def _refresh_own_load(self, now: instants.Instant) -> None:
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/entry/placement.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/entry/placement.py
@@ -29,9 +29,6 @@
 MAX_LOAD_AGE_S = 0.5
 """Staleness limit of a load report; the usual length of a degraded period."""
 
-MAX_KNOWN_LOAD_AGE_S = 0.25
-"""Age of a load report up to which its instance is preferred to those of unknown load."""
-
 SAME_REGION_ROUND_TRIP_S = 0.002
 """Round trip within a region that is assumed until one is known."""
 
@@ -149,7 +146,7 @@
     Instances whose node ids are in `tried` are not used. If all would be late, return the one with
     the lowest expected latency in the own region, or in another one if the own has none available.
     """
-    best: tuple[tuple[int, bool, float], Choice] | None = None
+    best: tuple[tuple[int, float], Choice] | None = None
     time_budget_s = (requirements.target_at - now) * IN_TIME_SHARE
     region_available: bool | None = None
     for instance in instances:
@@ -166,11 +163,11 @@
                 region_available = _is_region_available(own, instances, now)
             if region_available:
                 continue
-        if instance.row.node_id == requirements.own_id and _has_room(instance.load):
+        is_own = instance.row.node_id == requirements.own_id
+        if is_own and not requirements.body_bytes and _has_room(instance.load):
             distance_rank = OWN_RANK
         rank = (
             distance_rank if in_time else LATE_RANK,
-            in_time and not _is_known(instance, now),
             latency_s * rng.uniform(0.95, 1.05),
         )
         if best is None or rank < best[0]:
@@ -185,11 +182,6 @@
     return load.running + load.waiting < load.slots
 
 
-def _is_known(instance: directory.Instance, now: instants.Instant) -> bool:
-    """Return whether the load of an instance was reported so recently that it probably holds."""
-    return instance.load is not None and now - instance.load_at <= MAX_KNOWN_LOAD_AGE_S
-
-
 def _is_region_available(
     own: directory.Location,
     instances: typing.Iterable[directory.Instance],
