--- a/packages/goldcrestgrade-testing/tests/test_regression.py
+++ b/packages/goldcrestgrade-testing/tests/test_regression.py
@@ -2,7 +2,7 @@
 
 import orjson
 
-from goldcrestgrade_testing.regression import scores
+from goldcrestgrade_testing.regression import losses, scores
 
 LANDED_AT = "2026-01-02T00:00:00Z"
 
@@ -72,3 +72,27 @@
     comparison = compared(tmp_path, light, whole)
     assert comparison.common_days() == ["quiet-1"]
     assert comparison.findings() == []
+
+
+def test_losses_of_the_latest_score_list_parts_by_weight_and_prices_that_count(tmp_path):
+    """Guards against figures of a page that come from another entry than the latest score."""
+    played = {
+        "parts": [["whole day", 0.25, 0.9], ["worst windows", 0.5, 0.5]],
+        "prices": [["machine-seconds", 900.0, 0.04], ["duties missed", 0.0, None]],
+    }
+    documents = [
+        entry("2026-01-03T00:00:00Z", 0.5, why="latest"),
+        entry("2026-01-01T00:00:00Z", 0.9, why="former"),
+        entry("2026-01-04T00:00:00Z", 0.1, cmd="run", why="a trial"),
+    ]
+    for number, document in enumerate(documents):
+        document["days"] = [{**document["days"][0], **played}]
+        (tmp_path / f"{number}.json").write_bytes(orjson.dumps(document))
+    latest = losses.latest(losses.read(tmp_path, ["score"]))["desk"]
+    assert latest.why == "latest"
+    assert [loss.name for loss in latest.days[0].losses] == [
+        "worst windows",
+        "whole day",
+        "machine-seconds",
+    ]
+    assert "| worst windows | 0.250 |" in list(losses.table(latest))
