--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/state/watch.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/state/watch.py
@@ -309,32 +309,30 @@
         peer must not decide for the store, which may have lost evacuations and withdrawn keys.
         """
         instances_read = False
-        staggered_at: instants.Instant | None = None
+        slow_at: instants.Instant | None = None
+        """When a first read of the configuration had taken too long."""
         while not self.complete.is_set():
             try:
                 if not instances_read:
                     await self._read(replica.MESH)
                     instances_read = True
-                is_first = staggered_at is None
+                is_first = slow_at is None
                 if not await self._ask_for_configuration(is_first) or self.age_s() > MAX_AGE_S:
                     delay_s = self._load_delay_s()
-                    left_s = 0.0
-                    if staggered_at is not None:
-                        left_s = staggered_at + delay_s - self.clocks.monotonic()
-                    if left_s > 0:
-                        await asyncio.sleep(min(LOAD_INTERVAL_S, left_s))
+                    if slow_at is not None and self.clocks.monotonic() < slow_at + delay_s:
+                        await asyncio.sleep(LOAD_INTERVAL_S)
                         continue
                     async with asyncio.timeout(QUICK_LOAD_S if is_first and delay_s else None):
                         await self._read(replica.CONFIGURATION)
                 self.complete.set()
             except TimeoutError:
-                staggered_at = self.clocks.monotonic()
+                slow_at = self.clocks.monotonic()
             except tables.ReadError as error:
                 self._store_failed(error)
                 await self._back_off()
 
     def _load_delay_s(self) -> float:
-        """Return the time for which a starting node leaves a read of the store to lower ids."""
+        """Return the time for which a slow read of the store is left to lower ids of the region."""
         region = self.location.region
         rank = sum(
             peer.row.place.region == region and peer.row.node_id < self.own_id
