--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/state/watch.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/state/watch.py
@@ -129,7 +129,7 @@
 its endpoint is known. Nodes that start a little later find a node to follow instead.
 """
 
-QUICK_LOAD_S = 0.8
+QUICK_LOAD_S = 0.7
 """Time after which a starting node leaves a read of the configuration to others of its region."""
 
 LOAD_STAGGER_S = 0.3
