Review case 3: large configuration never in force over thin links

Cause: each poll of the store has 0.4 s for its whole answer once one has timed out, and the small table's answers hide the failure of the large one.

--- a/review/support.py
+++ b/review/support.py
@@ -26,6 +26,7 @@
 import orjson  # noqa: E402
 
 from goldcrestgrade_testing import serving  # noqa: E402
+from goldcrestgrade_testing.fault_soak import proxy  # noqa: E402
 from goldcrestgrade_testing.fleet_platform import endpoint, store  # noqa: E402
 
 HELD, BROKEN, NOT_RUN = 0, 1, 2
@@ -102,6 +103,8 @@
     endpoint: endpoint.Endpoint
     process: subprocess.Popen[bytes] | None = None
     heartbeats: asyncio.Task[None] | None = None
+    store_link: proxy.Proxy | None = None
+    """Link to the store, if it has a bandwidth."""
 
     def address(self, name: str) -> str:
         """Return the address of the node, its endpoint or the store."""
@@ -118,6 +121,8 @@
         self.store_port = 0
         self.instances: list[Instance] = []
         self.session = aiohttp.ClientSession(auto_decompress=False)
+        self.store_link_mbps: float | None = None
+        """Bandwidth of the link between each node and the store; none if it is unlimited."""
 
     async def add(
         self, name: str, placement: Placement, new_endpoint: endpoint.Endpoint
@@ -128,6 +133,10 @@
         ports = dict(zip(names, free_ports(len(names)), strict=True))
         ports |= {"store": self.store_port, "endpoint": new_endpoint.raw.port}
         instance = Instance(name, placement, ports, new_endpoint)
+        if self.store_link_mbps is not None:
+            instance.store_link = proxy.Proxy(self.store_port, self.store_link_mbps * 1e6 / 8)
+            await instance.store_link.start()
+            ports["store"] = instance.store_link.port
         self.instances.append(instance)
         self.start_node(instance)
         instance.heartbeats = asyncio.create_task(
@@ -230,6 +239,8 @@
                 (pathlib.Path(kept) / f"{instance.name}.log").write_bytes(log)
         for instance in self.instances:
             await instance.endpoint.stop()
+            if instance.store_link is not None:
+                await instance.store_link.stop()
         self.store.close()
         await self.session.close()
 
@@ -240,11 +251,13 @@
     routes: typing.Sequence[dict[str, typing.Any]],
     make_endpoint: typing.Callable[[str, Placement], endpoint.Endpoint],
     settings: typing.Mapping[str, typing.Any] | None = None,
+    store_link_mbps: float | None = None,
 ) -> typing.AsyncIterator[Fleet]:
     """Run a fleet with one instance for each placement until the context ends."""
     async with contextlib.AsyncExitStack() as stack:
         folder = stack.enter_context(tempfile.TemporaryDirectory())
         fleet = Fleet(pathlib.Path(folder), settings or {})
+        fleet.store_link_mbps = store_link_mbps
         fleet.store_port = await stack.enter_async_context(
             serving.serving(fleet.store.app(store.AccessPoint()))
         )
