--- a/review/support.py
+++ b/review/support.py
@@ -43,6 +43,7 @@
 """Host name under which the routes are configured."""
 
 PORTS = range(20_000, 32_000)
+assigned_ports: set[int] = set()
 READY_TIMEOUT_S = 30.0
 HEARTBEAT_INTERVAL_S = 1.5
 
@@ -289,14 +290,21 @@
 
 
 def free_ports(count: int) -> list[int]:
-    """Return ports that are free now, below those that Linux gives to outgoing connections."""
+    """Return ports that are free now and were not returned before in this process.
+
+    They are below those that Linux gives to outgoing connections. A node binds its ports some time
+    after its start.
+    """
     found: list[int] = []
     for port in random.sample(PORTS, len(PORTS)):
+        if port in assigned_ports:
+            continue
         with contextlib.suppress(OSError), socket.socket() as probe:
             probe.bind((HOST, port))
             found.append(port)
         if len(found) == count:
             break
+    assigned_ports.update(found)
     return found
 
 
