--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/state/watch.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/state/watch.py
@@ -15,8 +15,13 @@
 
 Load pattern: all nodes of a region start at once, and a configuration of 1,400 routes is in a store
 behind a link of 30 Mbit/s. If each node read it there, none would have it in time. Reads that take
-too long are therefore left to the node with the lowest id; the others ask peers, and one more of
-them reads it again after each `LOAD_STAGGER_S`.
+too long are therefore left to the first node in the order of sources; the others ask peers, and
+one more of them reads it again after each `LOAD_STAGGER_S`.
+
+Load pattern: a configuration grows by 1,600 routes, and the link of the node that watches the store
+carries 5 Mbit/s. The node reads on for as long as parts of the answer arrive. When all nodes of a
+region have lost the store and regain it, they would fill the link between the regions that way for
+seconds, so all but one of them give a slow read up after `QUICK_POLL_TRANSFER_S`.
 
 Load pattern: many nodes of a failure domain are lost or cut off at once, the watcher among them.
 Each round of the search takes as long as one silent peer, however many are silent. While no peer
@@ -83,11 +88,14 @@
 A silent peer must be noticed within seconds.
 """
 
+QUICK_POLL_TRANSFER_S = 0.4
+"""Time after which a node leaves a slow answer to a poll of the store to others of its region."""
+
 RESPONSE_MARGIN_S = 0.4
 """Time beyond the long poll without a byte after which a poll of a peer fails."""
 
 MAX_TRANSFER_S = 5.0
-"""Time after which a poll of a peer fails although bytes of its answer still arrive."""
+"""Time after which a read of a peer or the store fails although its answer is still arriving."""
 
 MIN_COMPRESSED_BYTES = 2048
 """Size from which changes are compressed; small answers are most of them."""
@@ -191,6 +199,11 @@
         self.complete = asyncio.Event()
         """Set once all watched tables were read in full."""
         self.failures = 0
+        """Failures of the store since all tables were last read."""
+        self.failed_tables: set[str] = set()
+        """Tables that the store has not returned since a poll of them failed."""
+        self.cut_at: instants.Instant | None = None
+        """When a read was first given up while its answer arrived; none once it is up to date."""
         self.source_id: str | None = None
         """Peer that this node polls; none while it watches the store or searches a peer."""
         self.source_answered_at: instants.Instant = -instants.NEVER
@@ -278,14 +291,20 @@
         table = replica.CONFIGURATION
         try:
             try:
-                received = await self.store.changes(table, self.replica.positions[table], 0.0)
+                received = await self.store.changes(
+                    table,
+                    self.replica.positions[table],
+                    0.0,
+                    self._transfer_s(QUICK_POLL_TRANSFER_S),
+                )
                 self.answered_by = STORE
                 self.replica.apply_changes(table, received)
             except tables.HistoryGone:
-                snapshot = await self.store.snapshot(table)
+                snapshot = await self.store.snapshot(table, self._transfer_s(QUICK_LOAD_S))
                 self.answered_by = STORE
                 self.replica.apply_snapshot(table, snapshot)
         except tables.ReadError as error:
+            self._record_cut(error)
             log.info("configuration not read from the store", extra={"error": str(error)})
             return False
         self._record_current(self.clocks.monotonic())
@@ -300,6 +319,8 @@
         if as_of > self.current_at:
             self.current_at = as_of
             self.replica.notify()
+        if self.age_s() < MAX_AGE_S:
+            self.cut_at = None
 
     async def _load(self) -> None:
         """Read the instances from the store, and the configuration from a peer if there is one.
@@ -314,7 +335,7 @@
         while not self.complete.is_set():
             try:
                 if not instances_read:
-                    await self._read(replica.MESH)
+                    await self._read(replica.MESH, MAX_TRANSFER_S)
                     instances_read = True
                 is_first = slow_at is None
                 if not await self._ask_for_configuration(is_first) or self.age_s() > MAX_AGE_S:
@@ -323,7 +344,7 @@
                         await asyncio.sleep(LOAD_INTERVAL_S)
                         continue
                     async with asyncio.timeout(QUICK_LOAD_S if is_first and delay_s else None):
-                        await self._read(replica.CONFIGURATION)
+                        await self._read(replica.CONFIGURATION, MAX_TRANSFER_S)
                 self.complete.set()
             except TimeoutError:
                 slow_at = self.clocks.monotonic()
@@ -332,13 +353,31 @@
                 await self._back_off()
 
     def _load_delay_s(self) -> float:
-        """Return the time for which a slow read of the store is left to lower ids of the region."""
-        region = self.location.region
-        rank = sum(
-            peer.row.place.region == region and peer.row.node_id < self.own_id
-            for peer in self._usable_peers()
-        )
-        return min(rank * LOAD_STAGGER_S, MAX_LOAD_DELAY_S)
+        """Return the time for which a slow read of the store is left to others of the region.
+
+        It grows with the number of nodes before this one in the order of sources, so it is 0 for
+        the node that watches the store.
+        """
+        own_rank = (self.location.failure_domain, self.own_id)
+        before = sum(_source_rank(peer) < own_rank for peer in self._peers_in_region())
+        return min(before * LOAD_STAGGER_S, MAX_LOAD_DELAY_S)
+
+    def _transfer_s(self, quick_s: float) -> float:
+        """Return how long an answer of the store may take to arrive.
+
+        That is `quick_s` while a slow read is left to other nodes of the region.
+        """
+        delay_s = self._load_delay_s()
+        if not delay_s:
+            return MAX_TRANSFER_S
+        if self.cut_at is not None and self.clocks.monotonic() >= self.cut_at + delay_s:
+            return MAX_TRANSFER_S
+        return quick_s
+
+    def _record_cut(self, error: tables.ReadError) -> None:
+        """Record when a read first took too long."""
+        if self.cut_at is None and isinstance(error, tables.ReadCut):
+            self.cut_at = self.clocks.monotonic()
 
     async def _ask_for_configuration(self, is_first: bool) -> bool:
         """Ask peers for their configuration until one has it; return whether one had."""
@@ -354,8 +393,8 @@
     def _configuration_peers(self, is_first: bool) -> list[directory.Instance]:
         """Return the peers that a starting node asks in turn for the configuration.
 
-        After the first round, these include the node with the lowest id in the region, which is the
-        first to have a configuration that takes long to read.
+        After the first round, these include the first node of the region in the order of sources,
+        which is the first to have a configuration that takes long to read.
 
         After the first era, the store may have lost rows that only peers know, and all peers of the
         own failure domain may start at the same time. Then several are asked, also in others.
@@ -364,12 +403,11 @@
         peers = self._usable_peers()
         near = [peer for peer in peers if peer.row.place.failure_domain == own_domain]
         if self.known_era <= FIRST_ERA:
-            in_region = (p for p in peers if p.row.place.region == self.location.region)
-            lowest = min(in_region, key=lambda peer: peer.row.node_id, default=None)
+            first = min(self._peers_in_region(), key=_source_rank, default=None)
             asked = self.rng.sample(near, min(1, len(near)))
-            if is_first or lowest is None or lowest in asked:
+            if is_first or first is None or first in asked:
                 return asked
-            return [*asked, lowest]
+            return [*asked, first]
         others = [peer for peer in peers if peer.row.place.failure_domain != own_domain]
         return [
             peer
@@ -377,9 +415,9 @@
             for peer in self.rng.sample(group, min(STARTING_WIDTH, len(group)))
         ]
 
-    async def _read(self, table: str) -> None:
-        received = await self.store.snapshot(table)
-        self._store_answered()
+    async def _read(self, table: str, transfer_s: float) -> None:
+        received = await self.store.snapshot(table, transfer_s)
+        self._store_answered(table)
         self.replica.apply_snapshot(table, received)
         if table == replica.CONFIGURATION:
             self._record_current(self.clocks.monotonic())
@@ -466,11 +504,15 @@
         between regions, so they begin once the peers of the own one have had nothing new.
         """
         peers = self._usable_peers()
-        near = [peer for peer in peers if peer.row.place.region == self.location.region]
+        near = self._peers_in_region()
         if not near or self.age_s() >= MAX_REGION_AGE_S:
             near = peers
         return self.rng.choice(near) if near else None
 
+    def _peers_in_region(self) -> list[directory.Instance]:
+        region = self.location.region
+        return [peer for peer in self._usable_peers() if peer.row.place.region == region]
+
     def _usable_peers(self) -> list[directory.Instance]:
         now = self.clocks.monotonic()
         return [
@@ -509,7 +551,7 @@
         """Read both tables in full, or back off if the store does not answer."""
         try:
             for table in replica.TABLES:
-                await self._read(table)
+                await self._read(table, self._transfer_s(QUICK_LOAD_S))
             self.known_era = max(position.era for position in self.replica.positions.values())
         except tables.ReadError as error:
             self._store_failed(error)
@@ -526,8 +568,12 @@
                 del self.pending_polls[table]
                 if task.cancelled():
                     raise tables.HistoryGone("a new era of the store began")
-                received = task.result()
-                self._store_answered()
+                try:
+                    received = task.result()
+                except tables.ReadError:
+                    self.failed_tables.add(table)
+                    raise
+                self._store_answered(table)
                 self.replica.apply_changes(table, received)
                 if table == replica.CONFIGURATION:
                     self._record_current(self.clocks.monotonic())
@@ -537,7 +583,12 @@
         due_at = self.polled_at.get(table, -instants.NEVER) + STORE_POLL_DELAYS_S[table]
         await asyncio.sleep(max(0.0, due_at - self.clocks.monotonic()))
         wait_s = 0.0 if self.failures else STORE_LONG_POLLS_S[table]
-        received = await self.store.changes(table, self.replica.positions[table], wait_s)
+        received = await self.store.changes(
+            table,
+            self.replica.positions[table],
+            wait_s,
+            self._transfer_s(QUICK_POLL_TRANSFER_S),
+        )
         self.polled_at[table] = self.clocks.monotonic()
         return received
 
@@ -652,15 +703,23 @@
             self.encoded_changes[after] = changes
         return self.encoded_changes[after]
 
-    def _store_answered(self) -> None:
+    def _store_answered(self, table: str) -> None:
+        """Record that the store returned a table; it is regained once no table is missing.
+
+        Otherwise the answers for a small table would hide that a large one can't be read.
+        """
+        self.failed_tables.discard(table)
+        if self.failed_tables:
+            return
         if self.failures:
             log.info("store regained", extra={"failures": self.failures})
         self.failures = 0
         self.answered_by = STORE
         self.store_answered_at = self.clocks.monotonic()
 
-    def _store_failed(self, error: Exception) -> None:
+    def _store_failed(self, error: tables.ReadError) -> None:
         self.failures += 1
+        self._record_cut(error)
         self.region_search_at = self.clocks.monotonic()
         if self.failures == 1:
             log.warning("store lost", extra={"error": str(error)})
@@ -671,6 +730,11 @@
         await asyncio.sleep(limit_s * self.rng.uniform(0.5, 1.0))
 
 
+def _source_rank(peer: directory.Instance) -> tuple[str, str]:
+    """Return the place of a node in the order of sources of its region."""
+    return peer.row.place.failure_domain, peer.row.node_id
+
+
 def parse_answer(body: bytes) -> dict[str, typing.Any]:
     """Return the document in an answer to a poll of a peer.
 
--- a/packages/goldcrestgrade-node/tests/mesh/test_watch.py
+++ b/packages/goldcrestgrade-node/tests/mesh/test_watch.py
@@ -26,11 +26,11 @@
     def on_era(self, _listener):
         """Ignore the listener."""
 
-    async def snapshot(self, table):
+    async def snapshot(self, table, _transfer_s):
         self.snapshots += 1
-        return await self.changes(table, self.position, 0.0)
+        return await self.changes(table, self.position, 0.0, 0.0)
 
-    async def changes(self, _table, after, _wait_s):
+    async def changes(self, _table, after, _wait_s, _transfer_s):
         if self.fails:
             raise tables.ReadError("refused")
         if after.era != self.position.era:
@@ -321,7 +321,7 @@
     await sync._read_all()
     polled_at = {table: [] for table in replica.TABLES}
 
-    async def changes(table, _after, _wait_s):
+    async def changes(table, _after, _wait_s, _transfer_s):
         polled_at[table].append(sync.clocks.monotonic())
         return tables.Changes((), sync.store.position)
 
--- a/packages/goldcrestgrade-node/tests/mesh/test_watch_fleet.py
+++ b/packages/goldcrestgrade-node/tests/mesh/test_watch_fleet.py
@@ -88,10 +88,10 @@
     def on_era(self, _listener):
         """Ignore the listener, since the store has one era."""
 
-    async def snapshot(self, table):
-        return await self.changes(table, tables.START, 0.0)
+    async def snapshot(self, table, transfer_s):
+        return await self.changes(table, tables.START, 0.0, transfer_s)
 
-    async def changes(self, table, after, wait_s):
+    async def changes(self, table, after, wait_s, _transfer_s):
         store = self.fleet.store
         self.fleet.asked_store_at.append((self.node_id, asyncio.get_running_loop().time()))
         async with self.fleet.exchange({self.node_id}, False, wait_s + CONNECT_TIMEOUT_S):
@@ -289,44 +289,61 @@
 
     LINK_SHARE_PER_S = 2.0
     """Configurations that the link carries in a second."""
-    TIMEOUT_S = 5.0
     STEP_S = 0.01
     reading = 0
 
-    async def snapshot(self, table):
-        if table == replica.CONFIGURATION and self.node_id.startswith("west"):
-            await self._transfer()
-        return await super().snapshot(table)
+    async def changes(self, table, after, wait_s, transfer_s):
+        received = await super().changes(table, after, wait_s, transfer_s)
+        is_read = table == replica.CONFIGURATION and received.changes
+        if is_read and self.node_id.startswith("west"):
+            await self._transfer(transfer_s)
+        return received
 
-    async def _transfer(self):
-        left, until = 1.0, asyncio.get_running_loop().time() + self.TIMEOUT_S
+    async def _transfer(self, transfer_s):
+        left, until = 1.0, asyncio.get_running_loop().time() + transfer_s
         ThinLinkClient.reading += 1
         try:
             while left > 0:
                 await asyncio.sleep(self.STEP_S)
                 left -= self.LINK_SHARE_PER_S * self.STEP_S / ThinLinkClient.reading
                 if asyncio.get_running_loop().time() > until:
-                    raise tables.ReadError("timed out")
+                    raise tables.ReadCut("slow")
         finally:
             ThinLinkClient.reading -= 1
 
 
-def test_region_that_starts_at_once_reads_a_large_configuration_over_a_thin_link():
-    """Guards against nodes that all read it at the same time."""
-
+def play_on_thin_link(silences, commits_at):
     async def main():
-        fleet = Fleet([], 1)
+        fleet = Fleet(silences, 1)
         for node_id, sync in fleet.nodes.items():
             sync.store = ThinLinkClient(fleet, node_id)
-        await fleet.run([5.0])
+        await fleet.run(commits_at)
         return fleet
 
-    fleet = virtual_time.run(main())
+    return virtual_time.run(main())
+
+
+def test_region_that_starts_at_once_reads_a_large_configuration_over_a_thin_link():
+    """Guards against nodes that all read it at the same time."""
+    fleet = play_on_thin_link([], [5.0])
     known_at = {node_id: fleet.known_at.get((node_id, 1)) for node_id in LOCATIONS}
     assert None not in known_at.values()
     assert max(known_at.values()) < CONFIG_APPLY_S
 
 
+@pytest.mark.parametrize("phase", range(8))
+def test_slow_reads_of_a_configuration_end_while_the_store_also_answers_for_other_rows(phase):
+    """Guards against polls that are cut off each time, which leave a node outdated for good."""
+    commits_at = [10.0 + 0.1 * phase + 2.5 * number for number in range(4)]
+    assert play_on_thin_link([], commits_at).late() == []
+
+
+def test_region_that_regains_the_store_reads_a_large_configuration_over_a_thin_link():
+    """Guards against slow reads by all nodes at the same time, which fill the link."""
+    cut = [Silence(node_id, 10.0, 14.0, True) for node_id in LOCATIONS if "west" in node_id]
+    assert play_on_thin_link(cut, [11.0]).late() == []
+
+
 class NewFleet(Fleet):
     """A fleet without rows, whose nodes write theirs as `MeshNode` does."""
 
--- a/packages/goldcrestgrade-testing/tests/fleet_platform/test_adapter.py
+++ b/packages/goldcrestgrade-testing/tests/fleet_platform/test_adapter.py
@@ -29,6 +29,9 @@
 )
 """Names of the platform that only the adapter and the stand-ins for the platform may use."""
 
+TRANSFER_S = 1.0
+"""Time that an answer of the store may take to arrive."""
+
 RULE = {
     "name": "r",
     "route_type": "non_idempotent",
@@ -219,8 +222,10 @@
 
 async def test_waiting_for_changes_returns_a_removal_when_it_happens(store_setup):
     await store_setup.client.transact(write("k"))
-    snapshot = await store_setup.client.snapshot(replica.MESH)
-    waiting = asyncio.create_task(store_setup.client.changes(replica.MESH, snapshot.position, 2.0))
+    snapshot = await store_setup.client.snapshot(replica.MESH, TRANSFER_S)
+    waiting = asyncio.create_task(
+        store_setup.client.changes(replica.MESH, snapshot.position, 2.0, TRANSFER_S)
+    )
     await asyncio.sleep(0.1)
     removal = tables.Transaction((), (tables.Write(replica.MESH, "k", None),))
     await store_setup.client.transact(removal)
@@ -231,7 +236,7 @@
 
 async def test_operator_configuration_row_is_read_under_the_product_names(store_setup):
     store_setup.store.write("op", "config", {"version": 3})
-    received = await store_setup.client.snapshot(replica.CONFIGURATION)
+    received = await store_setup.client.snapshot(replica.CONFIGURATION, TRANSFER_S)
     assert [(c.key, c.value) for c in received.changes] == [(replica.CURRENT, {"version": 3})]
 
 
@@ -239,7 +244,9 @@
     store_setup.store.write("op", "config", {"version": 3})
     store_setup.store.drop_history()
     with pytest.raises(tables.HistoryGone):
-        await store_setup.client.changes(replica.CONFIGURATION, tables.Position(1, 0), 0.1)
+        await store_setup.client.changes(
+            replica.CONFIGURATION, tables.Position(1, 0), 0.1, TRANSFER_S
+        )
 
 
 @pytest.mark.parametrize("outage", [stand_in.Outage.BUSY, stand_in.Outage.SILENT])
@@ -249,9 +256,9 @@
     store_setup.access.outage = outage
     with pytest.raises(tables.ReadError):
         async with asyncio.timeout(store.REQUEST_TIMEOUT_S + 0.3):
-            await store_setup.client.snapshot(replica.MESH)
+            await store_setup.client.snapshot(replica.MESH, TRANSFER_S)
     store_setup.access.outage = stand_in.Outage.NONE
-    assert (await store_setup.client.snapshot(replica.MESH)).changes == ()
+    assert (await store_setup.client.snapshot(replica.MESH, TRANSFER_S)).changes == ()
 
 
 async def test_busy_store_rejects_a_write_and_a_lost_answer_leaves_its_outcome_unknown(store_setup):
@@ -282,7 +289,7 @@
             ]
         }
     )
-    received = await store_setup.client.snapshot(replica.MESH)
+    received = await store_setup.client.snapshot(replica.MESH, TRANSFER_S)
     assert [change.key for change in received.changes] == ["good"]
 
 
@@ -299,19 +306,21 @@
 
 async def test_changes_after_a_position_of_an_earlier_era_are_gone(store_setup):
     await store_setup.client.transact(write("k"))
-    snapshot = await store_setup.client.snapshot(replica.MESH)
+    snapshot = await store_setup.client.snapshot(replica.MESH, TRANSFER_S)
     await store_setup.store.restore(age_s=60.0, away_s=0.0)
     for key in ("a", "b"):
         # The versions are given out again, so that the store itself knows the position.
         await store_setup.client.transact(write(key))
     with pytest.raises(tables.HistoryGone):
-        await store_setup.client.changes(replica.MESH, snapshot.position, 0.1)
+        await store_setup.client.changes(replica.MESH, snapshot.position, 0.1, TRANSFER_S)
 
 
 async def test_poll_that_is_open_while_the_store_comes_back_from_a_copy_ends(store_setup):
     await store_setup.client.transact(write("k"))
-    snapshot = await store_setup.client.snapshot(replica.MESH)
-    poll = asyncio.create_task(store_setup.client.changes(replica.MESH, snapshot.position, 2.0))
+    snapshot = await store_setup.client.snapshot(replica.MESH, TRANSFER_S)
+    poll = asyncio.create_task(
+        store_setup.client.changes(replica.MESH, snapshot.position, 2.0, TRANSFER_S)
+    )
     await asyncio.sleep(0.1)
     await store_setup.store.restore(age_s=60.0, away_s=0.2)
     with pytest.raises(tables.ReadError):
@@ -349,9 +358,9 @@
     stand_in_store, client = store_setup.store, store_setup.client
     key = evacuations.KEY_PREFIX + "khomas-a"
     stand_in_store.write("op", "evacuate/khomas-a", {})
-    snapshot = await client.snapshot(replica.CONFIGURATION)
+    snapshot = await client.snapshot(replica.CONFIGURATION, TRANSFER_S)
     assert [(change.key, change.value) for change in snapshot.changes] == [(key, {})]
     assert (await client.read(replica.CONFIGURATION, key)).key == key
     stand_in_store.remove("op", "evacuate/khomas-a")
-    received = await client.changes(replica.CONFIGURATION, snapshot.position, 0.0)
+    received = await client.changes(replica.CONFIGURATION, snapshot.position, 0.0, TRANSFER_S)
     assert [(change.key, change.value) for change in received.changes] == [(key, None)]
--- a/packages/goldcrestgrade-testing/tests/fleet_platform/test_restored_store.py
+++ b/packages/goldcrestgrade-testing/tests/fleet_platform/test_restored_store.py
@@ -122,7 +122,7 @@
         self._observe()
         return tables.Conflicted(tuple(failures)) if failures else tables.Committed(position)
 
-    async def snapshot(self, table):
+    async def snapshot(self, table, _transfer_s):
         await asyncio.sleep(0.004)
         if self.store.away:
             raise tables.ReadError("away")
@@ -130,7 +130,7 @@
         rows = [tables.Change(*row) for row in self.store.rows.values() if row.table == table]
         return tables.Changes(tuple(rows), tables.Position(self.store.era, self.store.version))
 
-    async def changes(self, table, after, wait_s):
+    async def changes(self, table, after, wait_s, _transfer_s):
         await asyncio.sleep(0.004)
         era = self.store.era
         try:
--- a/packages/goldcrestgrade-testing/tests/fleet_platform/test_thin_links.py
+++ b/packages/goldcrestgrade-testing/tests/fleet_platform/test_thin_links.py
@@ -5,12 +5,16 @@
 import random
 import types
 
+import pytest
+from goldcrestgrade_adapter import store as platform_store
+
 from goldcrestgrade import http_client, instants
 from goldcrestgrade.storage import tables
 from goldcrestgrade_node.mesh.state import directory, replica, watch
 from goldcrestgrade_node.mesh.transport import peers
 from goldcrestgrade_testing import serving
 from goldcrestgrade_testing.fault_soak import proxy
+from goldcrestgrade_testing.fleet_platform import store as stand_in
 
 CONFIG_APPLY_S = 2.0
 """Documented time within which a configuration is in force."""
@@ -27,6 +31,12 @@
 ROUTES = 1400
 """Routes of the largest configuration."""
 
+SLOW_LINK_RATE = 5e6 / 8
+"""Bytes a second of the slowest link of an instance, 5 Mbit/s."""
+
+CHANGES = 6
+"""Changes of the configuration, at any moment of the polls."""
+
 LOCATION = directory.Location("khomas-a", "khomas")
 SOURCE = "n00"
 
@@ -52,7 +62,7 @@
     return types.SimpleNamespace(on_era=lambda _: None)
 
 
-def make_sync(node_id, listener, session):
+def make_sync(node_id, listener, session=None):
     clocks = instants.system_clocks()
     return watch.Sync(
         node_id,
@@ -133,3 +143,54 @@
         carried_bytes = link.carried_bytes - before
     # The time on the link, so that the load of the machine does not matter.
     assert carried_bytes / LINK_RATE <= CONFIG_APPLY_S * len(versions)
+
+
+@contextlib.asynccontextmanager
+async def watching(known):
+    """Yield a store and its client of a node that watches it over the slowest link."""
+    async with contextlib.AsyncExitStack() as stack:
+        store = stand_in.Store()
+        port = await stack.enter_async_context(serving.serving(store.app(stand_in.AccessPoint())))
+        stack.callback(store.close)
+        link = proxy.Proxy(port, SLOW_LINK_RATE)
+        await link.start()
+        stack.push_async_callback(link.stop)
+        client = platform_store.PlatformTables(f"{proxy.HOST}:{link.port}")
+        stack.push_async_callback(client.close)
+        node = make_sync(SOURCE, lambda change: known.add(change.value["version"]) or True)
+        node.store = client
+        client.on_era(node.observe_era)
+        store.write("op", "config", configuration(1))
+        task = asyncio.create_task(node.run())
+
+        async def end():
+            task.cancel()
+            polls = list(node.pending_polls.values())
+            node._cancel_polls()
+            await asyncio.gather(task, *polls, return_exceptions=True)
+
+        stack.push_async_callback(end)
+        async with asyncio.timeout(WAIT_S):
+            while 1 not in known:
+                await asyncio.sleep(0.01)
+        yield store, client
+
+
+async def test_each_version_of_a_large_configuration_is_read_over_the_slowest_link():
+    """Guards against a time-out for a whole answer, which cuts off each read of a large one."""
+    known = set()
+    async with watching(known) as (store, _):
+        rng = random.Random(1)
+        for version in range(2, 2 + CHANGES):
+            await asyncio.sleep(rng.uniform(0.0, watch.STORE_LONG_POLLS_S[replica.CONFIGURATION]))
+            store.write("op", "config", configuration(version))
+            async with asyncio.timeout(WAIT_S):
+                while version not in known:
+                    await asyncio.sleep(0.01)
+
+
+async def test_read_that_takes_too_long_is_told_apart_from_a_silent_store():
+    async with watching(set()) as (_, client):
+        with pytest.raises(tables.ReadCut):
+            await client.snapshot(replica.CONFIGURATION, 0.1)
+        assert (await client.snapshot(replica.CONFIGURATION, WAIT_S)).changes
--- a/packages/goldcrestgrade/goldcrestgrade/storage/tables.py
+++ b/packages/goldcrestgrade/goldcrestgrade/storage/tables.py
@@ -123,6 +123,10 @@
     """The table service did not answer a read."""
 
 
+class ReadCut(ReadError):
+    """A read was given up while parts of its answer were arriving."""
+
+
 class TableService(typing.Protocol):
     """The operations of the table service that goldcrestgrade uses."""
 
@@ -181,15 +185,21 @@
 class WatchedTables(TableService, typing.Protocol):
     """A table service whose changes can be watched."""
 
-    async def snapshot(self, table: str) -> Changes:
-        """Return all rows of a table as of one position; raises `ReadError`."""
+    async def snapshot(self, table: str, transfer_s: float) -> Changes:
+        """Return all rows of a table as of one position; raises `ReadError`.
+
+        Raises `ReadCut` if an answer takes longer than `transfer_s` seconds to arrive.
+        """
         ...
 
-    async def changes(self, table: str, after: Position, wait_s: float) -> Changes:
+    async def changes(
+        self, table: str, after: Position, wait_s: float, transfer_s: float
+    ) -> Changes:
         """Wait up to `wait_s` seconds for changes later than `after`, and return them.
 
         Raises `HistoryGone` if the service no longer keeps these changes or is in a later era than
-        `after`, and `ReadError`.
+        `after`, `ReadCut` if the answer takes longer than `transfer_s` seconds to arrive, and
+        `ReadError`.
         """
         ...
 
