--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/node.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/node.py
@@ -106,7 +106,11 @@
     """All parts of a node; owned by its event loop."""
 
     def __init__(
-        self, config: settings.Settings, platform: Platform, session: aiohttp.ClientSession
+        self,
+        config: settings.Settings,
+        platform: Platform,
+        session: aiohttp.ClientSession,
+        health_session: aiohttp.ClientSession,
     ) -> None:
         self.config = config
         self.platform = platform
@@ -166,7 +170,12 @@
         """Health check at the end of a known cold time."""
         self.own.on_signals = self.on_signals
         self.health = health.HealthChecks(
-            self.own, lambda: self.table, session, platform.header_names, self.clocks, self.rng
+            self.own,
+            lambda: self.table,
+            health_session,
+            platform.header_names,
+            self.clocks,
+            self.rng,
         )
         self.own.coldness.on_doubt = self.health.request_pace_check
         self.health.on_load = self.controller.apply_load_report
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/run.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/run.py
@@ -21,10 +21,16 @@
 log = logging.getLogger(__name__)
 
 CONTROL_CONNECTIONS = 256
-"""Largest number of connections of a node for probes, health checks and polls of peers."""
+"""Largest number of connections of a node for probes and polls of peers."""
 
 CONTROL_KEEPALIVE_S = 15.0
-"""Idle time after which one of these connections is closed."""
+"""Idle time after which one of these connections, or one for health checks, is closed."""
+
+HEALTH_CONNECTIONS = 4
+"""Largest number of connections for health checks of the endpoint."""
+
+MAX_HEALTH_ANSWER_BYTES = 256 * 1024
+"""Most bytes of an answer to a health check; only its head is used."""
 
 CLIENT_KEEPALIVE_S = 300
 """Idle time after which a client's connection is closed; above any configured idle time."""
@@ -68,9 +74,14 @@
         session = await stack.enter_async_context(
             http_client.open_session(CONTROL_CONNECTIONS, CONTROL_KEEPALIVE_S)
         )
+        health_session = await stack.enter_async_context(
+            http_client.open_session(
+                HEALTH_CONNECTIONS, CONTROL_KEEPALIVE_S, MAX_HEALTH_ANSWER_BYTES
+            )
+        )
         platform = make_platform()
         stack.push_async_callback(platform.store.close)
-        mesh_node = node.MeshNode(config, platform, session)
+        mesh_node = node.MeshNode(config, platform, session, health_session)
         loop = asyncio.get_running_loop()
         for signum in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(signum, mesh_node.stopping.set)
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/transport/connections.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/transport/connections.py
@@ -12,7 +12,7 @@
 import typing
 
 import aiohttp
-from aiohttp import client_proto, connector
+from aiohttp import connector
 
 from goldcrestgrade import http_client, instants
 from goldcrestgrade_node.attempts import exchanges, pools
@@ -53,11 +53,11 @@
     """Nothing answered a connection attempt within `CONNECT_TIMEOUT_S`."""
 
 
-class Protocol(client_proto.ResponseHandler):
+class Protocol(http_client.GuardedProtocol):
     """Client side of a connection that drops answers to other requests and detects resets."""
 
     def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
-        super().__init__(loop)
+        super().__init__(loop, MAX_RECEIVED_BYTES)
         self.echo_header = ""
         self.attempt_id: str | None = None
         """Id that the next answer must echo, if it echoes any."""
@@ -67,27 +67,6 @@
         self.keepalive_s = DEFAULT_KEEPALIVE_S
         self.used = False
         """Whether the connection has served a request before."""
-        self.idle = False
-        """Whether the connection is in the pool and belongs to no request."""
-        self.received_bytes = 0
-        """Bytes that have come since the current request got the connection."""
-
-    def data_received(self, data: bytes) -> None:
-        """Parse bytes; those that come while the connection is idle prevent its reuse.
-
-        A late copy of an answer would otherwise be parsed as the answer to the next request. A part
-        of its head shows nowhere else. Bytes without end, such as those of a chunk extension, break
-        the connection.
-        """
-        if self.idle and data:
-            self.force_close()
-            return
-        self.received_bytes += len(data)
-        if self.received_bytes > MAX_RECEIVED_BYTES:
-            if self.transport is not None:
-                typing.cast(asyncio.WriteTransport, self.transport).abort()
-            return
-        super().data_received(data)
 
     async def read(self) -> typing.Any:
         """Return the head and the body of the next answer that belongs to the current request."""
@@ -194,7 +173,7 @@
         if protocol is None:
             protocol = await self._connect()
         reused, protocol.used = protocol.used, True
-        protocol.idle, protocol.received_bytes = False, 0
+        protocol.begin_request()
         connection = connector.Connection(
             typing.cast(connector.BaseConnector, self),
             typing.cast(typing.Any, None),
--- a/packages/goldcrestgrade-node/tests/mesh/test_health.py
+++ b/packages/goldcrestgrade-node/tests/mesh/test_health.py
@@ -5,9 +5,12 @@
 import random
 import types
 
-from goldcrestgrade import instants, routes
+import pytest
+
+from goldcrestgrade import http_client, instants, routes
 from goldcrestgrade_node.mesh.endpoint import coldness, endpoints, health
 from goldcrestgrade_node.mesh.transport import dialect
+from goldcrestgrade_testing import raw_endpoint
 
 NAMES = dialect.Dialect(**{name: f"x-{name}" for name in dialect.Dialect._fields})
 SERVICE = routes.Service("archive", "/healthz", 9, 3.0, 6.0)
@@ -52,3 +55,52 @@
         task.cancel()
     assert session.checks == 1
     assert own.coldness.is_known_cold()
+
+
+MAX_ANSWER_BYTES = 64 * 1024
+
+SOCKET_BUFFERS_BYTES = 16 << 20
+"""More than the kernel and the sender hold of bytes that nobody reads."""
+
+WAIT_S = 20.0
+"""Longest wait for a connection to close, on a busy machine."""
+
+
+def make_checks(port, session):
+    clocks = instants.system_clocks()
+    own = endpoints.OwnEndpoint(
+        endpoints.ConfiguredEndpoint(f"127.0.0.1:{port}", "archive", "khomas-a"),
+        clocks,
+        lambda: None,
+    )
+    table = types.SimpleNamespace(services={"archive": SERVICE})
+    return health.HealthChecks(own, lambda: table, session, NAMES, clocks, random.Random(1))
+
+
+@pytest.mark.parametrize(
+    ("head", "pause_s", "surplus"),
+    [
+        (raw_endpoint.answer(), 0.02, raw_endpoint.answer()),
+        (raw_endpoint.answer(), 0.02, b"x" * 1000),
+        (b"", 0.0, b"HTTP/1.1 100 Continue\r\n\r\n"),
+        (b"HTTP/1.1 200 OK\r\n\r\n", 0.0, b"x" * 1000),
+    ],
+    ids=["late answers", "late bytes", "interim answers", "body"],
+)
+async def test_bytes_without_end_from_a_checked_endpoint_close_the_connection(
+    head, pause_s, surplus
+):
+    """Guards against an idle connection whose bytes fill the memory of the node."""
+    written = asyncio.get_running_loop().create_future()
+
+    async def respond(_, writer):
+        writer.write(head)
+        await asyncio.sleep(pause_s)
+        written.set_result(await raw_endpoint.write_endlessly(writer, surplus * 100))
+
+    async with (
+        raw_endpoint.serving(respond) as endpoint,
+        http_client.open_session(4, 15.0, MAX_ANSWER_BYTES) as session,
+    ):
+        await make_checks(endpoint.port, session).check()
+        assert await asyncio.wait_for(written, WAIT_S) < SOCKET_BUFFERS_BYTES
--- a/packages/goldcrestgrade-node/tests/mesh/test_transfer.py
+++ b/packages/goldcrestgrade-node/tests/mesh/test_transfer.py
@@ -161,3 +161,19 @@
     async with asyncio.timeout(0.5):
         await closed.wait()
     server.close()
+
+
+async def test_bytes_without_end_close_an_idle_connection():
+    """Guards against an event loop that goes on to read a connection that nobody uses."""
+    written = asyncio.get_running_loop().create_future()
+
+    async def respond(request, writer):
+        await answer_each(request, writer)
+        await asyncio.sleep(0.02)
+        written.set_result(await raw_endpoint.write_endlessly(writer, b"x" * 1000))
+
+    async with raw_endpoint.serving(respond) as endpoint:
+        sender = Sender(endpoint.port)
+        assert isinstance((await sender.send()).result, results.Answered)
+        await asyncio.wait_for(written, 20.0)
+        sender.pool.close_idle()
--- a/packages/goldcrestgrade-testing/goldcrestgrade_testing/raw_endpoint.py
+++ b/packages/goldcrestgrade-testing/goldcrestgrade_testing/raw_endpoint.py
@@ -84,6 +84,17 @@
     return head.encode() + body
 
 
+async def write_endlessly(writer: asyncio.StreamWriter, data: bytes) -> int:
+    """Write `data` again and again until the other side closes; return the bytes written."""
+    written = 0
+    with contextlib.suppress(ConnectionError):
+        while not writer.is_closing():
+            writer.write(data)
+            written += len(data)
+            await writer.drain()
+    return written
+
+
 class _RequestParser:
     """Parses the requests of one connection; the `on_` methods are callbacks of the parser."""
 
