--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/endpoint/local.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/endpoint/local.py
@@ -72,6 +72,24 @@
     """Called with the reason of a request that is not sent to the endpoint."""
 
 
+class Slot:
+    """The slot of one admitted request, which is released once."""
+
+    def __init__(self, controller: admission.AdmissionController) -> None:
+        self.controller = controller
+        self.released = False
+
+    def release(self, completed: bool) -> None:
+        """Release the slot unless that has happened; `completed` if the endpoint had the request.
+
+        The task of a request releases its slot as it ends. A task that is cancelled before its
+        first step executes none of its code, so its done callback calls this as well.
+        """
+        if not self.released:
+            self.released = True
+            self.controller.release(completed)
+
+
 class LocalRunner:
     """Runs requests at the own endpoint; owned by the event loop of the node."""
 
@@ -114,8 +132,10 @@
         if rejected is not None:
             reason = reasons.Refusal(rejected.reason)
             return self._rejected(call, reason, rejected.retry_at)
-        task = asyncio.create_task(self._run(call, fetch_body))
+        slot = Slot(self.controller)
+        task = asyncio.create_task(self._run(call, fetch_body, slot))
         self.in_flight_tasks.add(task)
+        task.add_done_callback(lambda _: slot.release(completed=False))
         task.add_done_callback(self.in_flight_tasks.discard)
         if call.run_once:
             return await asyncio.shield(task)
@@ -130,7 +150,7 @@
         self.controller.reject_queued(reasons.Refusal.NO_ENDPOINT)
 
     async def _run(
-        self, call: requests.Call, fetch_body: bodies.FetchBody | None
+        self, call: requests.Call, fetch_body: bodies.FetchBody | None, slot: Slot
     ) -> requests.Served:
         offered = False
         try:
@@ -150,7 +170,7 @@
             offered = True
             return await self._exchange(call)
         finally:
-            self.controller.release(completed=offered or fetch_body is None)
+            slot.release(completed=offered or fetch_body is None)
 
     async def _fetch(self, fetch_body: bodies.FetchBody) -> bytes | reasons.Refusal:
         """Hold the slot until the body of an admitted request was received or is given up."""
--- a/packages/goldcrestgrade-node/tests/mesh/test_held_slots.py
+++ b/packages/goldcrestgrade-node/tests/mesh/test_held_slots.py
@@ -144,3 +144,26 @@
         served = await local_runner.serve(call())
         assert served.outcome.reason == reasons.Refusal.ENDPOINT_UNREACHED
         assert endpoint.requests == []
+
+
+@pytest.mark.parametrize("run_once", [False, True])
+@pytest.mark.parametrize("iterations", range(6))
+async def test_client_that_leaves_as_its_request_is_admitted_gives_back_the_slot(
+    iterations, run_once
+):
+    """Guards against a slot that is lost with a task that was cancelled before its first step."""
+    async with runner() as (local_runner, _, _):
+        controller = local_runner.controller
+        assert await controller.admit(call().admission_request()) is None
+        request = call()._replace(run_once=run_once)
+        leaving = asyncio.create_task(local_runner.serve(request))
+        while not controller.queue:
+            await asyncio.sleep(0)
+        controller.release()
+        for _ in range(iterations):
+            await asyncio.sleep(0)
+        leaving.cancel()
+        await asyncio.gather(leaving, *local_runner.in_flight_tasks, return_exceptions=True)
+        await asyncio.sleep(0)
+        assert controller.in_flight == 0
+        assert isinstance((await local_runner.serve(call())).outcome, outcomes.Ran)
