--- a/packages/goldcrestgrade-node/goldcrestgrade_node/asgi.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/asgi.py
@@ -22,6 +22,15 @@
 """Largest body of a request."""
 
 
+END_CONNECTION = "goldcrestgrade.end_connection"
+"""Key in the scope of a pipelined request for an `EndConnection`."""
+
+EndConnection = typing.Callable[[], bool]
+"""Ends a connection after the answers to the requests that were started on it.
+
+Returns whether the answer to this request is the last one, which has to say so.
+"""
+
 BODYLESS_STATUSES = frozenset({204, 304})
 """Statuses of answers that have neither a body nor a `content-length`."""
 
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/entry/app.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/entry/app.py
@@ -133,7 +133,8 @@
         if isinstance(match_, outcomes.NotRun):
             # A client that waits for `100 Continue` may send its next request in place of the body.
             unread = b"expect" in by_name and not isinstance(received, bytes)
-            await self._answer(send, match_, attempt_id, started, None, closes=unread)
+            closes = unread or self._ends_connection(scope)
+            await self._answer(send, match_, attempt_id, started, None, closes)
             return
         route, workspace = match_
         message = requests.Message(
@@ -157,7 +158,7 @@
         )
         if workspace is not None and (in_force := self.table()) is not None:
             call = call._replace(configuration=in_force.version)
-        await self._run_watched(call, route, receive, send, started)
+        await self._run_watched(call, route, scope, receive, send, started)
 
     def _forwarded_headers(self, scope: asgi.Scope) -> outcomes.Headers:
         """Return the headers that are passed on, without the client's key and its own identity."""
@@ -200,6 +201,7 @@
         self,
         call: requests.Call,
         route: routes.Route,
+        scope: asgi.Scope,
         receive: asgi.Receive,
         send: asgi.Send,
         started: instants.Instant,
@@ -211,7 +213,8 @@
         try:
             outcome = await self.run(call, route.attempts)
             watch.stop()
-            await self._answer(send, outcome, call.attempt_id, started, call)
+            closes = self._ends_connection(scope)
+            await self._answer(send, outcome, call.attempt_id, started, call, closes)
         except asyncio.CancelledError:
             if not watch.disconnected:
                 raise
@@ -235,7 +238,7 @@
         attempt_id: str,
         started: instants.Instant,
         call: requests.Call | None,
-        closes: bool = False,
+        closes: bool,
     ) -> None:
         now = self.clocks.monotonic()
         self._record_outcome(outcome, attempt_id, now - started, call)
@@ -244,7 +247,17 @@
             answer = answer._replace(
                 headers=(*answer.headers, (self.header_names.attempt_id, attempt_id))
             )
-        await asgi.send_plain(send, answer, closes or self.is_closing())
+        await asgi.send_plain(send, answer, closes)
+
+    def _ends_connection(self, scope: asgi.Scope) -> bool:
+        """Return whether the connection is closed after the answer to a request.
+
+        A stopping node closes it after the answers to all requests that endpoints have begun.
+        """
+        if not self.is_closing():
+            return False
+        end_connection: asgi.EndConnection | None = scope.get(asgi.END_CONNECTION)
+        return end_connection is None or end_connection()
 
     def _record_outcome(
         self,
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/entry/pipelining.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/entry/pipelining.py
@@ -195,6 +195,8 @@
         self.pipeline.clear()
         pending = Pending(self, cycle, self._may_run_beside())
         cycle.flow = Flow(self, pending)
+        scope = typing.cast(asgi.Scope, self.scope)
+        scope[asgi.END_CONNECTION] = functools.partial(self._end_connection, pending)
         cycle.on_response = functools.partial(self._on_answer_complete, pending)
         is_head = self.scope["method"] == "HEAD"
         transport: typing.Any = pending
@@ -333,6 +335,11 @@
         super().connection_lost(exc)
         self._drop_all()
 
+    def _end_connection(self, pending: Pending) -> bool:
+        """End the connection after the started requests; return whether `pending` is the last."""
+        self.shutdown()
+        return not self.pending or self.pending[-1] is pending
+
     def shutdown(self) -> None:
         """Close the connection after the answers to the requests that were started."""
         while self.pending and not self.pending[-1].started and self.pending[-1].cycle is not None:
--- a/packages/goldcrestgrade-node/tests/mesh/test_pipelining.py
+++ b/packages/goldcrestgrade-node/tests/mesh/test_pipelining.py
@@ -3,13 +3,17 @@
 import asyncio
 import contextlib
 import functools
+import itertools
+import random
 import socket
 
 import pytest
 
-from goldcrestgrade import counters
+from goldcrestgrade import counters, instants, outcomes, routes
 from goldcrestgrade_node import asgi, servers
+from goldcrestgrade_node.mesh.entry import app as entry
 from goldcrestgrade_node.mesh.entry import pipelining
+from goldcrestgrade_node.mesh.transport import dialect
 
 
 class App:
@@ -283,3 +287,66 @@
                     answered.append((await answer(reader))[1])
         assert answered == (["/slow"] if received >= len(get("/slow")) else [])
         assert app.began == answered
+
+
+class Entry:
+    """The entry of a node that is stopped, with requests that end in any order."""
+
+    def __init__(self):
+        self.names = dialect.Dialect(**{name: f"x-{name}" for name in dialect.Dialect._fields})
+        self.stopping = False
+        self.began = []
+        self.gates = {}
+        route = routes.Route("r", "h", "/", False, 0.4, 0.8, 1, 2, (routes.Part("s", 1.0),))
+        service = routes.Service("s", "/health", 10)
+        table = routes.build(1, routes.Limits(), [service], [route], ())
+        self.app = entry.EntryApp(
+            self.run,
+            lambda: table,
+            "c",
+            self.names,
+            lambda: self.stopping,
+            instants.system_clocks(),
+            counters.Counts(),
+            random.Random(1),
+        )
+
+    async def run(self, call, _attempts):
+        self.began.append(call.target)
+        await self.gates.setdefault(call.target, asyncio.Event()).wait()
+        return outcomes.Ran(outcomes.Answer(200, (), call.target.encode()))
+
+
+PIPELINED = ("/1", "/2", "/3")
+
+
+@pytest.mark.parametrize("ended_before", range(3))
+@pytest.mark.parametrize("order", list(itertools.permutations(PIPELINED)), ids="".join)
+async def test_stopping_node_answers_all_pipelined_requests_that_began(order, ended_before):
+    """Guards against an answer that closes the connection before those behind it."""
+    stopped = Entry()
+    async with connected(stopped.app) as (reader, writer, _):
+        writer.write(b"".join(get(path) for path in PIPELINED))
+        await until(lambda: len(stopped.began) == len(PIPELINED))
+        for number, path in enumerate(order):
+            stopped.stopping = number >= ended_before
+            stopped.gates[path].set()
+            await asyncio.sleep(0.01)
+        assert await bodies(reader, 3) == list(PIPELINED)
+        writer.write(get("/4"))
+        async with asyncio.timeout(3.0):
+            with contextlib.suppress(ConnectionError):
+                assert await reader.read() == b""
+        assert stopped.began == list(PIPELINED)
+
+
+async def test_answer_of_a_stopping_node_says_that_the_connection_closes():
+    stopped = Entry()
+    stopped.stopping = True
+    async with connected(stopped.app) as (reader, writer, _):
+        writer.write(get("/1") + get("/2"))
+        await until(lambda: len(stopped.began) == 2)
+        stopped.gates["/1"].set()
+        assert b"connection: close" not in await reader.readuntil(b"\r\n\r\n")
+        stopped.gates["/2"].set()
+        assert b"connection: close" in await reader.readuntil(b"\r\n\r\n")
