--- a/packages/goldcrestgrade-testing/tests/fault_soak/test_mutations.py
+++ b/packages/goldcrestgrade-testing/tests/fault_soak/test_mutations.py
@@ -87,7 +87,7 @@
     ),
     "not_own_answer": Mutation(
         """
-connections.Protocol.read = connections.client_proto.ResponseHandler.read
+connections.Protocol.read = connections.http_client.GuardedProtocol.read
 exchanges.Exchange._check = lambda self, response, fields: None
 local.LocalRunner._is_valid = lambda self, answer, fields, call: True
 """,
