--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/endpoint/local.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/endpoint/local.py
@@ -222,6 +222,13 @@
         start_load: estimates.LoadSnapshot,
     ) -> requests.Served:
         now = self.clocks.monotonic()
+        echoed = fields.get(self.header_names.attempt_id)
+        is_refused = answer.status == MISDIRECTED_STATUS or (
+            self.header_names.not_run in fields and answer.status in NOT_RUN_STATUSES
+        )
+        if is_refused and call.run_once and echoed != call.attempt_id:
+            # It may belong to another request.
+            return self._broken(call, reasons.Uncertainty.ANSWER_INVALID, started)
         if answer.status == MISDIRECTED_STATUS:
             log.warning(
                 "another endpoint answers at the address; the known one is dropped",
@@ -230,14 +237,11 @@
             self.own.record_replacement()
             self.hooks.request_health_check()
             return self._rejected(call, reasons.Refusal.NO_ENDPOINT, now, arrived=False)
-        echoed = fields.get(self.header_names.attempt_id)
-        if self.header_names.not_run in fields and answer.status in NOT_RUN_STATUSES:
-            if echoed is not None or not call.run_once:
-                self.own.record_answer(self._report(endpoint_id, fields))
-                return self._rejected(
-                    call, reasons.Refusal.ENDPOINT_REFUSED, now + SHED_RETRY_S, arrived=True
-                )
-            return self._broken(call, reasons.Uncertainty.ANSWER_INVALID, started)
+        if is_refused:
+            self.own.record_answer(self._report(endpoint_id, fields))
+            return self._rejected(
+                call, reasons.Refusal.ENDPOINT_REFUSED, now + SHED_RETRY_S, arrived=True
+            )
         if not self._is_valid(answer, fields, call):
             return self._broken(call, reasons.Uncertainty.ANSWER_INVALID, started)
         report = self._report(endpoint_id, fields)
--- a/packages/goldcrestgrade-node/tests/mesh/test_held_slots.py
+++ b/packages/goldcrestgrade-node/tests/mesh/test_held_slots.py
@@ -167,3 +167,24 @@
         await asyncio.sleep(0)
         assert controller.in_flight == 0
         assert isinstance((await local_runner.serve(call())).outcome, outcomes.Ran)
+
+
+@pytest.mark.parametrize("run_once", [False, True])
+@pytest.mark.parametrize("echoed", ["", f"{NAMES.attempt_id}: 1\r\n"])
+@pytest.mark.parametrize(
+    "refusal", [("421 Misdirected", ""), ("503 Busy", f"{NAMES.not_run}: 1\r\n")]
+)
+async def test_refusal_counts_for_a_run_once_request_only_if_it_echoes_its_id(
+    refusal, echoed, run_once
+):
+    """Guards against a refusal of another request, after which this one would run twice."""
+
+    async def refuse(_, writer):
+        status, fields = refusal
+        writer.write(raw_endpoint.answer(status=status, fields=fields + echoed))
+
+    async with runner() as (local_runner, endpoint, _):
+        endpoint.respond = refuse
+        local_runner.own.record_replacement = lambda: None
+        outcome = (await local_runner.serve(call()._replace(run_once=run_once))).outcome
+        assert outcome.tag == ("not_run" if echoed or not run_once else "unknown")
--- a/packages/goldcrestgrade-testing/goldcrestgrade_testing/fleet_platform/endpoint.py
+++ b/packages/goldcrestgrade-testing/goldcrestgrade_testing/fleet_platform/endpoint.py
@@ -35,6 +35,8 @@
     - `doubled`: a stray answer, of another attempt, follows the answer;
     - `late`: the stray answer precedes the answer;
     - `unframed`: the answer has no `Content-Length`, and the connection closes after the body;
+    - `refused`: the request is refused and does not run, and the refusal is written once more
+      before the next answer on its connection;
     - `lost`: the connection is reset without an answer;
     - `mute`: no answer follows and the connection stays open.
     """
@@ -117,6 +119,8 @@
         """Value of `x-deadline-ms` by attempt id; -1 if the header was missing."""
         self.expected_instances: set[str | None] = set()
         """Values of `x-expected-instance` that requests carried."""
+        self.repeated_refusals: dict[int, bytes] = {}
+        """Refusal that precedes the next answer on a connection, by the connection's number."""
         self.answer_faults: collections.deque[str] = collections.deque()
         """Kinds of fault of the next answers, in order."""
         self.raw = raw_endpoint.RawEndpoint(self.respond)
@@ -215,11 +219,16 @@
             return
         if await self._crashes_cold():
             return
-        if self.in_flight + self.queued >= self.behaviour.slots + self.behaviour.max_queued:
-            self._write(
-                writer, self._encode_answer(b"", "503 Busy", attempt_id, "x-not-executed: 1\r\n")
-            )
+        is_full = self.in_flight + self.queued >= self.behaviour.slots + self.behaviour.max_queued
+        is_faulty = bool(self.answer_faults) and self.answer_faults[0] == "refused"
+        if is_full or is_faulty:
+            refusal = self._encode_answer(b"", "503 Busy", attempt_id, "x-not-executed: 1\r\n")
+            self._write(writer, refusal)
+            if is_faulty:
+                self.answer_faults.popleft()
+                self.repeated_refusals[request.connection] = refusal
             return
+        self._write(writer, self.repeated_refusals.pop(request.connection, b""))
         await self._run(request, attempt_id, writer)
 
     async def _run(
