--- a/packages/goldcrestgrade-node/tests/mesh/test_transfer.py
+++ b/packages/goldcrestgrade-node/tests/mesh/test_transfer.py
@@ -203,3 +203,35 @@
         assert isinstance((await sender.send()).result, results.Answered)
         await asyncio.wait_for(written, 20.0)
         sender.pool.close_idle()
+
+
+HEAD = f"HTTP/1.1 200 OK\r\n{ECHO}: 1\r\nx-signature: s\r\ncontent-length: 2\r\n\r\n".encode()
+
+
+@pytest.mark.parametrize("ends", ["close", "reset"])
+@pytest.mark.parametrize("reused", [False, True])
+async def test_answer_whose_head_is_cut_anywhere_is_no_answer(reused, ends):
+    """Guards against a head without its end that is taken for an answer with an empty body."""
+    cut = 0
+
+    async def respond(request, writer):
+        if request.field(ECHO) == "0":
+            writer.write(raw_endpoint.answer(b"ok", fields=f"{ECHO}: 0\r\n"))
+            return
+        writer.write(HEAD[:cut])
+        await writer.drain()
+        await asyncio.sleep(0.002)
+        if ends == "close":
+            writer.close()
+        else:
+            reset(writer)
+
+    async with raw_endpoint.serving(respond) as endpoint:
+        for cut in range(len(HEAD)):
+            sender = Sender(endpoint.port)
+            if reused:
+                assert isinstance((await sender.send("0")).result, results.Answered)
+            transferred = await sender.send("1")
+            assert isinstance(transferred.result, results.Broken), HEAD[:cut]
+            assert transferred.reused == reused
+            assert sender.pool.idle == []
--- a/packages/goldcrestgrade-testing/tests/fleet_platform/test_fleet.py
+++ b/packages/goldcrestgrade-testing/tests/fleet_platform/test_fleet.py
@@ -381,3 +381,89 @@
     assert 'goldcrestgrade_calls_total{outcome="ran"} 3.0' in metrics
     async with running_fleet.session.get(f"http://{east_1.address('metrics')}/recent") as response:
         assert answer.attempt_id in await response.text()
+
+
+SENT_AFTER_S = (
+    0.0,
+    0.4,
+    0.8,
+    1.2,
+    1.5,
+    1.7,
+    1.9,
+    2.0,
+    2.1,
+    2.2,
+    2.25,
+    2.3,
+    2.4,
+    3.0,
+    4.0,
+    4.8,
+    5.2,
+)
+"""Times after SIGTERM at which clients send a request on a connection that they have kept."""
+
+BODY_PAUSE_S = 0.1
+"""Time between the two parts of their bodies."""
+
+
+async def read_status(reader):
+    """Return the status of an answer with a length, or 0 if the connection ends before it."""
+    try:
+        head = await reader.readuntil(b"\r\n\r\n")
+        fields = head.lower().partition(b"content-length: ")[2]
+        await reader.readexactly(int(fields.partition(b"\r\n")[0]))
+        return int(head.split()[1])
+    except (OSError, asyncio.IncompleteReadError):
+        return 0
+
+
+async def send_on_kept_connection(instance, attempt_id, stopped, after_s):
+    """Use a connection, keep it, and send one more request after the stop; return its status."""
+    reader, writer = await asyncio.open_connection(fleet.HOST, instance.ports["calls"])
+    head = (
+        "{} /archive/file/x HTTP/1.1\r\nhost: {}\r\nx-attempt-id: {}\r\n"
+        "x-deadline-ms: 2000\r\ncontent-length: 2\r\n\r\n"
+    )
+    first = head.format("POST", fleet.ROUTE_HOSTNAME, f"before-{attempt_id}")
+    writer.write(f"{first}ab".encode())
+    assert await read_status(reader) == 200
+    await stopped.wait()
+    await asyncio.sleep(after_s)
+    try:
+        writer.write(f"{head.format('POST', fleet.ROUTE_HOSTNAME, attempt_id)}a".encode())
+        await asyncio.sleep(BODY_PAUSE_S)
+        writer.write(b"b")
+        return await read_status(reader)
+    except OSError:
+        return 0
+    finally:
+        writer.close()
+
+
+async def test_requests_on_kept_connections_are_answered_or_not_passed_on_at_any_time_of_a_stop(
+    running_fleet,
+):
+    """Guards against run-once requests that are taken late in the grace and cut at its end."""
+    east_1 = running_fleet.instances[0]
+    for instance in running_fleet.instances:
+        instance.endpoint.behaviour.service_time_s = 0.25
+        instance.endpoint.behaviour.slots = 32
+    await asyncio.sleep(3 * fleet.HEARTBEAT_INTERVAL_S)
+    stopped = asyncio.Event()
+    sending = {}
+    for after_s in SENT_AFTER_S:
+        attempt_id = f"after-{after_s}"
+        sending[attempt_id] = asyncio.create_task(
+            send_on_kept_connection(east_1, attempt_id, stopped, after_s)
+        )
+    await asyncio.sleep(1.0)
+    east_1.process.terminate()
+    stopped.set()
+    assert await asyncio.to_thread(east_1.process.wait, GRACE_S) == 0
+    statuses = {attempt_id: await task for attempt_id, task in sending.items()}
+    runs = {attempt_id: running_fleet.run_count(attempt_id) for attempt_id in statuses}
+    assert statuses[f"after-{SENT_AFTER_S[0]}"] == 200
+    assert [a for a, status in statuses.items() if runs[a] and status != 200] == []
+    assert max(runs.values()) == 1
