--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/endpoint/endpoints.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/endpoint/endpoints.py
@@ -174,14 +174,29 @@
         known_born = current.born_ms if matches and current is not None else 0
         # Without a known start time, every incarnation that started before now counts as departed.
         started_ms = born_ms or known_born or int(1000 * self.clocks.wall())
-        self.departed[endpoint_id] = max(started_ms, self.departed.get(endpoint_id, 0))
-        self.departed.move_to_end(endpoint_id)
-        while len(self.departed) > MAX_DEPARTED:
-            self.departed.popitem(last=False)
+        self._remember_departure(endpoint_id, started_ms)
         if matches:
             self._set_current(None)
         return "left" if matches else "unknown"
 
+    def restore_departure(self, endpoint_id: str, born_ms: int) -> None:
+        """Apply a departure that an earlier process of this node has confirmed."""
+        self._remember_departure(endpoint_id, born_ms)
+        current = self.current
+        if (
+            current is not None
+            and current.endpoint_id == endpoint_id
+            and current.born_ms <= born_ms
+        ):
+            log.info("endpoint has left before", extra={"endpoint": endpoint_id})
+            self._set_current(None)
+
+    def _remember_departure(self, endpoint_id: str, born_ms: int) -> None:
+        self.departed[endpoint_id] = max(born_ms, self.departed.get(endpoint_id, 0))
+        self.departed.move_to_end(endpoint_id)
+        while len(self.departed) > MAX_DEPARTED:
+            self.departed.popitem(last=False)
+
     def apply_health_check(self, endpoint_id: str, slots: int | None, healthy: bool) -> None:
         """Apply a health check.
 
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/node.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/node.py
@@ -20,6 +20,7 @@
 from goldcrestgrade_node.mesh.entry import app, dispatch, reachability, retry_budget
 from goldcrestgrade_node.mesh.quota import exchange, limited, members, terms
 from goldcrestgrade_node.mesh.state import (
+    departures,
     directory,
     evacuations,
     quarantine,
@@ -215,6 +216,15 @@
             self.clocks,
             self.reachability,
         )
+        self.departures = departures.Departures(
+            config.node_id,
+            self.own,
+            self.replica,
+            platform.store,
+            self.prober.has_lowest_reachable_id,
+            self.clocks,
+            self.rng,
+        )
         self.quotas = exchange.Quotas(
             exchange.Site(config.node_id, config.region),
             _quota_rules(config),
@@ -291,6 +301,8 @@
             return self._apply_configuration(change.value, change.position)
         if change.key.startswith(quarantine.KEY_PREFIX):
             self.quarantine.apply_change(change)
+        elif change.key.startswith(departures.KEY_PREFIX):
+            self.departures.apply_change(change)
         elif change.key.startswith(directory.INSTANCE_PREFIX):
             self.instances.apply_change(change)
             if change.key == self.registration.key:
@@ -563,6 +575,7 @@
             self.sync.keep_current(),
             self._register(),
             self.restoration.run(),
+            self.departures.run(),
             self.health.run(),
             self.health.run_pace_checks(),
             self.prober.run(),
--- /dev/null
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/state/departures.py
@@ -0,0 +1,183 @@
+"""Departures of endpoints, kept in the store so that they outlast the process of their node.
+
+A node confirms that its endpoint leaves, and may be killed and started again while the endpoint
+still serves. A heartbeat that the endpoint sent before may arrive at the new process, which must
+not take it for a sign that the endpoint is in use.
+
+Each departure is one small write. Rows are removed once no heartbeat can be so late.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import logging
+import random
+import typing
+
+from goldcrestgrade import instants
+from goldcrestgrade.storage import tables
+from goldcrestgrade_node.mesh.endpoint import endpoints
+from goldcrestgrade_node.mesh.state import replica
+
+log = logging.getLogger(__name__)
+
+KEY_PREFIX = "departure/"
+"""Prefix of the keys of departure rows, one for each node."""
+
+MAX_CONFIRMATION_DELAY_S = 0.4
+"""Longest wait for the store before a departure is confirmed.
+
+Endpoints expect an answer within a second. Without the store, the process alone remembers it.
+"""
+
+LIFETIME_S = 60.0
+"""Age from which a row is removed; heartbeats arrive some seconds late at most."""
+
+REMOVAL_INTERVAL_S = 30.0
+"""Time between two searches for old rows."""
+
+MAX_REMOVED = 40
+"""Largest number of rows that are removed in one transaction."""
+
+BACKOFF_BASE_S = 0.2
+"""Longest backoff after the first failed write; it doubles with each further failure."""
+
+BACKOFF_LIMIT_S = 1.5
+"""Longest backoff after any failure."""
+
+
+class Departures:
+    """Writes the departures of the own endpoint and applies those written by earlier processes."""
+
+    def __init__(
+        self,
+        node_id: str,
+        own: endpoints.OwnEndpoint,
+        local_replica: replica.Replica,
+        store: tables.TableService,
+        is_first_node: typing.Callable[[], bool],
+        clocks: instants.Clocks,
+        rng: random.Random,
+    ) -> None:
+        self.key = KEY_PREFIX + node_id
+        self.own = own
+        self.replica = local_replica
+        self.store = store
+        self.is_first_node = is_first_node
+        """Returns whether this node removes old rows for all nodes."""
+        self.clocks = clocks
+        self.rng = rng
+        self.unwritten: tables.Value | None = None
+        """Latest departure, until the store has it."""
+        self.write_due = asyncio.Event()
+        self.written = asyncio.Event()
+
+    async def record(self, endpoint_id: str, born_ms: int | None) -> str:
+        """Record that an endpoint left, and return how its departure was classified.
+
+        Returns once the store has the departure, after `MAX_CONFIRMATION_DELAY_S` at the latest.
+        """
+        result = self.own.record_departure(endpoint_id, born_ms)
+        if result == "stale":
+            return result
+        self.unwritten = {
+            "endpoint_id": endpoint_id,
+            "born_ms": self.own.departed[endpoint_id],
+            "recorded_ms": int(1000 * self.clocks.wall()),
+        }
+        self.written.clear()
+        self.write_due.set()
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(MAX_CONFIRMATION_DELAY_S):
+                await self.written.wait()
+        return result
+
+    def apply_change(self, change: tables.Change) -> None:
+        """Apply a row of an earlier process of this node; rows of other nodes are ignored."""
+        if change.key != self.key or change.value is None:
+            return
+        endpoint_id, born_ms = change.value.get("endpoint_id"), change.value.get("born_ms")
+        if not isinstance(endpoint_id, str) or type(born_ms) is not int:
+            log.warning("departure row is malformed; ignored", extra={"key": change.key})
+            return
+        self.own.restore_departure(endpoint_id, born_ms)
+
+    async def run(self) -> None:
+        """Write departures, and remove old rows, until cancelled."""
+        async with asyncio.TaskGroup() as group:
+            group.create_task(self._write_departures())
+            group.create_task(self._remove_old_rows())
+
+    async def _write_departures(self) -> None:
+        failures = 0
+        while True:
+            await self.write_due.wait()
+            self.write_due.clear()
+            departure = self.unwritten
+            if departure is None:
+                continue
+            if await self._write(departure):
+                failures = 0
+                if self.unwritten is departure:
+                    self.unwritten = None
+                    self.written.set()
+                continue
+            failures += 1
+            self.write_due.set()
+            limit_s = min(BACKOFF_LIMIT_S, BACKOFF_BASE_S * 2 ** (failures - 1))
+            await asyncio.sleep(limit_s * self.rng.uniform(0.5, 1.0))
+
+    async def _write(self, departure: tables.Value) -> bool:
+        """Write the row of this node; return whether the store has it."""
+        condition = tables.Condition(
+            replica.MESH, self.key, self.replica.store_position(replica.MESH, self.key)
+        )
+        result = await self.store.transact(
+            tables.Transaction((condition,), (tables.Write(replica.MESH, self.key, departure),))
+        )
+        match result:
+            case tables.Committed(position=position):
+                change = tables.Change(replica.MESH, self.key, position, departure)
+                self.replica.apply_change(change)
+                log.info("departure written", extra={"row": departure, "position": str(position)})
+                return True
+            case tables.Conflicted(failures=conflicts):
+                for conflict in conflicts:
+                    self.replica.apply_conflict(conflict)
+            case tables.Rejected(text=text) | tables.Unanswered(text=text):
+                log.warning("departure not written; retried", extra={"error": text})
+        return False
+
+    async def _remove_old_rows(self) -> None:
+        while True:
+            await asyncio.sleep(REMOVAL_INTERVAL_S * self.rng.uniform(0.8, 1.2))
+            old = self._old_rows()[:MAX_REMOVED]
+            if old and self.is_first_node():
+                result = await self.store.transact(
+                    tables.Transaction(
+                        tuple(
+                            tables.Condition(
+                                row.table,
+                                row.key,
+                                self.replica.store_position(row.table, row.key),
+                            )
+                            for row in old
+                        ),
+                        tuple(tables.Write(row.table, row.key, None) for row in old),
+                    )
+                )
+                log.info(
+                    "removal of old departure rows", extra={"rows": len(old), "result": result.tag}
+                )
+
+    def _old_rows(self) -> list[tables.Change]:
+        until_ms = 1000 * (self.clocks.wall() - LIFETIME_S)
+        return [
+            row
+            for (table, key), row in self.replica.rows.items()
+            if table == replica.MESH
+            and key.startswith(KEY_PREFIX)
+            and row.value is not None
+            and row.value.get("recorded_ms", 0) < until_ms
+        ]
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/transport/peers.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/transport/peers.py
@@ -179,7 +179,7 @@
             self.reachability.record_response(instance.row.place.failure_domain)
             return
         self.instances.record_unreachable(instance, self.clocks.monotonic())
-        if instance.failures >= MAX_FAILED_PROBES and self._has_lowest_reachable_id():
+        if instance.failures >= MAX_FAILED_PROBES and self.has_lowest_reachable_id():
             await self._remove(instance)
 
     async def _is_alive(self, instance: directory.Instance) -> bool:
@@ -194,7 +194,7 @@
             log.debug("probe failed", extra={"error": repr(error)})
             return False
 
-    def _has_lowest_reachable_id(self) -> bool:
+    def has_lowest_reachable_id(self) -> bool:
         """Return whether this node has the lowest id of the reachable nodes."""
         reachable = (i.row.node_id for i in self.instances.by_id.values() if not i.failures)
         return min(reachable, default=self.own_id) == self.own_id
--- a/packages/goldcrestgrade-testing/tests/fleet_platform/test_fleet.py
+++ b/packages/goldcrestgrade-testing/tests/fleet_platform/test_fleet.py
@@ -467,3 +467,51 @@
     assert statuses[f"after-{SENT_AFTER_S[0]}"] == 200
     assert [a for a, status in statuses.items() if runs[a] and status != 200] == []
     assert max(runs.values()) == 1
+
+
+@pytest.mark.parametrize("arrives_late", ["after the rows were read", "before"])
+async def test_endpoint_that_left_is_not_used_again_after_its_node_was_killed(
+    running_fleet, arrives_late
+):
+    """Guards against a late heartbeat that a new process takes for that of an endpoint in use."""
+    east_1, east_2, west_1 = running_fleet.instances
+    late_heartbeat = east_1.endpoint.heartbeat(
+        east_1.address("endpoint"), east_1.placement.failure_domain
+    )
+    url = f"http://{east_1.address('heartbeats')}/-/instances/{east_1.endpoint.endpoint_id}"
+
+    async def heartbeat_is_taken():
+        try:
+            async with running_fleet.session.put(url, json=late_heartbeat) as response:
+                return response.ok
+        except OSError:
+            return False
+
+    east_1.heartbeat_task.cancel()
+    east_1.endpoint.behaviour.draining = True
+    born = {"born": east_1.endpoint.born_ms}
+    async with running_fleet.session.delete(url, json=born) as response:
+        assert response.status == 200
+    east_1.process.kill()
+    east_1.process.wait()
+    running_fleet.start_node(east_1)
+    if arrives_late == "before":
+        await wait_until(heartbeat_is_taken, 10.0)
+    await running_fleet.wait_ready([east_1])
+    assert await heartbeat_is_taken()
+    await asyncio.sleep(1.0)
+    before = sum(east_1.endpoint.run_counts.values())
+    answers = [await running_fleet.call(east_2, "/archive/file/x", "POST") for _ in range(12)]
+    answers += [await running_fleet.call(east_1, "/archive/file/x", "POST") for _ in range(12)]
+    assert {answer.status for answer in answers} == {200}
+    assert sum(east_1.endpoint.run_counts.values()) == before
+    assert sum(west_1.endpoint.run_counts.values()) >= len(answers)
+
+
+async def test_departure_is_confirmed_in_time_without_the_store(running_fleet):
+    east_1 = running_fleet.instances[0]
+    east_1.heartbeat_task.cancel()
+    east_1.store_access.outage = store.Outage.SILENT
+    url = f"http://{east_1.address('heartbeats')}/-/instances/{east_1.endpoint.endpoint_id}"
+    async with asyncio.timeout(1.0), running_fleet.session.delete(url) as response:
+        assert response.status == 200
