--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/transport/bodies.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/transport/bodies.py
@@ -14,7 +14,7 @@
 import aiohttp.abc
 import aiohttp.payload
 
-from goldcrestgrade import instants, reasons
+from goldcrestgrade import headers, instants, reasons
 from goldcrestgrade_node import asgi
 
 EXPECTATION = "100-continue"
@@ -109,8 +109,7 @@
 
 def length_of(fields: typing.Mapping[bytes, str]) -> int | None:
     """Return the `content-length` of a request, or none if it states none."""
-    text = fields.get(b"content-length", "")
-    return int(text) if text.isascii() and text.isdecimal() else None
+    return headers.parse_count(fields.get(b"content-length"))
 
 
 class BodyMemory:
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/transport/loads.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/transport/loads.py
@@ -4,6 +4,8 @@
 
 import typing
 
+from goldcrestgrade import headers
+
 NORMAL_PACE = 1.0
 """Pace of an endpoint that is not degraded."""
 
@@ -23,11 +25,9 @@
 
 def parse(text: str | None) -> Load | None:
     """Return the load in a header with three or four numbers, or none if it is malformed."""
-    figures = [part.strip() for part in (text or "").split(",")]
-    if len(figures) not in (3, 4) or not all(f.isascii() and f.isdecimal() for f in figures):
-        return None
-    numbers = [min(MAX_FIELD_VALUE, int(figure)) for figure in figures]
-    if numbers[2] == 0:
+    parsed = [headers.parse_count(part.strip()) for part in (text or "").split(",")]
+    numbers = [min(MAX_FIELD_VALUE, number) for number in parsed if number is not None]
+    if len(parsed) not in (3, 4) or len(numbers) != len(parsed) or numbers[2] == 0:
         return None
     pace = numbers[3] / 100.0 if len(numbers) == 4 and numbers[3] else NORMAL_PACE
     return Load(numbers[0], numbers[1], numbers[2], pace)
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/transport/transfer.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/transport/transfer.py
@@ -125,10 +125,10 @@
         name.strip().lower(): value.strip()
         for name, _, value in (part.partition("=") for part in (text or "").split(","))
     }
-    timeout_text = options.get("timeout", "")
-    if not (timeout_text.isascii() and timeout_text.isdecimal()):
+    timeout_s = headers.parse_count(options.get("timeout"))
+    if timeout_s is None:
         return connections.DEFAULT_KEEPALIVE_S
-    return max(0.0, int(timeout_text) - connections.KEEPALIVE_MARGIN_S)
+    return max(0.0, timeout_s - connections.KEEPALIVE_MARGIN_S)
 
 
 def client_answer(
--- a/packages/goldcrestgrade-node/tests/mesh/test_health.py
+++ b/packages/goldcrestgrade-node/tests/mesh/test_health.py
@@ -104,3 +104,23 @@
     ):
         await make_checks(endpoint.port, session).check()
         assert await asyncio.wait_for(written, WAIT_S) < SOCKET_BUFFERS_BYTES
+
+
+MANY_DIGITS = "9" * 5000
+"""More digits than `int` accepts."""
+
+
+async def test_load_report_with_too_many_digits_is_ignored_by_health_checks():
+    """Guards against an exception that ends the task of health checks, and with it the process."""
+
+    async def respond(_, writer):
+        fields = f"{NAMES.endpoint_id}: i-1\r\n{NAMES.load}: 1,1,{MANY_DIGITS}\r\n"
+        writer.write(raw_endpoint.answer(fields=fields))
+
+    async with (
+        raw_endpoint.serving(respond) as endpoint,
+        http_client.open_session(4, 15.0, MAX_ANSWER_BYTES) as session,
+    ):
+        checks = make_checks(endpoint.port, session)
+        await checks.check()
+        assert checks.own.usable() is not None
--- a/packages/goldcrestgrade-node/tests/mesh/test_held_slots.py
+++ b/packages/goldcrestgrade-node/tests/mesh/test_held_slots.py
@@ -188,3 +188,16 @@
         local_runner.own.record_replacement = lambda: None
         outcome = (await local_runner.serve(call()._replace(run_once=run_once))).outcome
         assert outcome.tag == ("not_run" if echoed or not run_once else "unknown")
+
+
+@pytest.mark.parametrize("field", [f"{NAMES.load}: 1,1,", "keep-alive: timeout="])
+async def test_answer_with_a_number_of_too_many_digits_is_passed_on(field):
+    """Guards against an exception in place of the answer of a request that ran."""
+
+    async def respond_with_number(_, writer):
+        fields = f"{NAMES.attempt_id}: 1\r\n{NAMES.signature}: s\r\n{field}{'9' * 5000}\r\n"
+        writer.write(raw_endpoint.answer(b"ok", fields=fields))
+
+    async with runner() as (local_runner, endpoint, _):
+        endpoint.respond = respond_with_number
+        assert isinstance((await local_runner.serve(call())).outcome, outcomes.Ran)
--- a/packages/goldcrestgrade/goldcrestgrade/headers.py
+++ b/packages/goldcrestgrade/goldcrestgrade/headers.py
@@ -130,6 +130,10 @@
 """Values of `Connection` that name no other header."""
 
 
+MAX_DIGITS = 18
+"""Largest number of digits of a number in a header; any such number fits 64 bits."""
+
+
 def from_bytes(raw: typing.Iterable[tuple[bytes, bytes]]) -> Fields:
     """Return the headers of an answer, decoded as Latin-1 so that no byte of a value is lost."""
     return tuple((name.decode("latin-1").lower(), value.decode("latin-1")) for name, value in raw)
@@ -166,3 +170,13 @@
         return None
     wall = float(text)
     return wall if math.isfinite(wall) else None
+
+
+def parse_count(text: str | None) -> int | None:
+    """Return the number in a header, or none unless it has 1 to `MAX_DIGITS` decimal digits.
+
+    `int` raises `ValueError` on thousands of digits, which a faulty peer may send.
+    """
+    if text is None or not (text.isascii() and text.isdecimal()) or len(text) > MAX_DIGITS:
+        return None
+    return int(text)
