--- a/packages/goldcrestgrade-node/tests/mesh/test_transfer.py
+++ b/packages/goldcrestgrade-node/tests/mesh/test_transfer.py
@@ -16,7 +16,14 @@
 
 def prepared(attempt="1", method="GET"):
     return exchanges.PreparedRequest(
-        method, "/", [(ECHO, attempt)], b"", attempt, streamed=False, echo_header=ECHO, unframed_allowed=True
+        method,
+        "/",
+        [(ECHO, attempt)],
+        b"",
+        attempt,
+        streamed=False,
+        echo_header=ECHO,
+        unframed_allowed=True,
     )
 
 
