--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/endpoint/local.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/endpoint/local.py
@@ -233,7 +233,7 @@
             self.header_names.not_run in fields and answer.status in NOT_RUN_STATUSES
         )
         if is_refused and call.run_once and echoed != call.attempt_id:
-            # It may belong to another request.
+            # The refusal may belong to another request.
             return self._broken(call, reasons.Uncertainty.ANSWER_INVALID, started)
         if is_refused and call.run_once:
             self.refused_attempts.record(call.attempt_id, call.deadline)
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/state/departures.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/state/departures.py
@@ -130,11 +130,9 @@
 
     async def _write(self, departure: tables.Value) -> bool:
         """Write the row of this node; return whether the store has it."""
-        condition = tables.Condition(
-            replica.MESH, self.key, self.replica.store_position(replica.MESH, self.key)
-        )
+        write = tables.Write(replica.MESH, self.key, departure)
         result = await self.store.transact(
-            tables.Transaction((condition,), (tables.Write(replica.MESH, self.key, departure),))
+            tables.Transaction((self._condition(self.key),), (write,))
         )
         match result:
             case tables.Committed(position=position):
@@ -152,32 +150,36 @@
     async def _remove_old_rows(self) -> None:
         while True:
             await asyncio.sleep(REMOVAL_INTERVAL_S * self.rng.uniform(0.8, 1.2))
-            old = self._old_rows()[:MAX_REMOVED]
-            if old and self.is_first_node():
+            old_keys = self._old_keys()[:MAX_REMOVED]
+            if old_keys and self.is_first_node():
                 result = await self.store.transact(
                     tables.Transaction(
-                        tuple(
-                            tables.Condition(
-                                row.table,
-                                row.key,
-                                self.replica.store_position(row.table, row.key),
-                            )
-                            for row in old
-                        ),
-                        tuple(tables.Write(row.table, row.key, None) for row in old),
+                        tuple(map(self._condition, old_keys)),
+                        tuple(tables.Write(replica.MESH, key, None) for key in old_keys),
                     )
                 )
                 log.info(
-                    "removal of old departure rows", extra={"rows": len(old), "result": result.tag}
+                    "removal of old departure rows",
+                    extra={"rows": old_keys, "result": result.tag},
                 )
 
-    def _old_rows(self) -> list[tables.Change]:
+    def _condition(self, key: str) -> tables.Condition:
+        """Return the condition that a row is as this node knows it."""
+        return tables.Condition(replica.MESH, key, self.replica.store_position(replica.MESH, key))
+
+    def _old_keys(self) -> list[str]:
+        """Return the keys of rows that are old, or do not say when they were written."""
         until_ms = 1000 * (self.clocks.wall() - LIFETIME_S)
         return [
-            row
+            key
             for (table, key), row in self.replica.rows.items()
             if table == replica.MESH
             and key.startswith(KEY_PREFIX)
             and row.value is not None
-            and row.value.get("recorded_ms", 0) < until_ms
+            and _recorded_ms(row.value) < until_ms
         ]
+
+
+def _recorded_ms(value: tables.Value) -> int:
+    recorded_ms = value.get("recorded_ms")
+    return recorded_ms if type(recorded_ms) is int else 0
--- a/packages/goldcrestgrade-node/tests/mesh/test_departures.py
+++ b/packages/goldcrestgrade-node/tests/mesh/test_departures.py
@@ -151,3 +151,17 @@
         assert not node.own.departed
 
     play(scenario)
+
+
+def test_row_without_a_readable_time_is_removed():
+    async def scenario():
+        store = Store()
+        position = tables.Position(0, 1)
+        store.version = 1
+        value = {"recorded_ms": "yesterday"}
+        store.rows["departure/n9"] = tables.Row(replica.MESH, "departure/n9", position, value)
+        Node(store)
+        await asyncio.sleep(departures.LIFETIME_S + 2 * departures.REMOVAL_INTERVAL_S)
+        assert store.rows == {}
+
+    play(scenario)
