--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/endpoint/refused_attempts.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/endpoint/refused_attempts.py
@@ -1,8 +1,9 @@
-"""Run-once attempts that the own endpoint has refused, which are not offered to it again.
+"""Run-once attempts that the own endpoint has refused, which are not sent to it again.
 
-Nodes forward requests within a region, so that an attempt may come back to an endpoint that refused
-it. A faulty endpoint may write that refusal once more, and it echoes the same id as the answer to
-the later try: the node would say that the attempt has not run while the endpoint works on it.
+Nodes forward requests within a region, so an attempt may reach the same endpoint twice. A faulty
+endpoint may repeat an earlier answer on a kept connection. A repeated refusal echoes the id that
+the answer to the second try has too, so the client would be told that its request has not run while
+the endpoint works on it.
 """
 
 from __future__ import annotations
@@ -21,10 +22,7 @@
         """Deadlines by the ids of the attempts, in the order of the refusals."""
 
     def record(self, attempt_id: str, deadline: instants.Instant) -> None:
-        """Record that the endpoint has refused an attempt, which may come again until `deadline`.
-
-        Earlier refusals are forgotten once their deadline has passed.
-        """
+        """Record that the endpoint has refused an attempt, and drop those past their deadline."""
         now = self.clocks.monotonic()
         passed = itertools.takewhile(lambda refused: refused[1] <= now, self.deadlines.items())
         for passed_id, _ in list(passed):
--- a/packages/goldcrestgrade-node/tests/mesh/test_held_slots.py
+++ b/packages/goldcrestgrade-node/tests/mesh/test_held_slots.py
@@ -190,8 +190,8 @@
         assert outcome.tag == ("not_run" if echoed or not run_once else "unknown")
 
 
-async def test_attempt_that_the_endpoint_refused_is_not_offered_to_it_again():
-    """Guards against the refusal written once more, which looks like that of the later try."""
+async def test_attempt_that_the_endpoint_refused_is_not_sent_to_it_again():
+    """Guards against a repeated refusal that is taken for the answer to the second try."""
     left = [("503 Busy", f"{NAMES.not_run}: 1\r\n"), ("200 OK", f"{NAMES.signature}: s\r\n")]
 
     async def refuse_first(request, writer):
--- a/packages/goldcrestgrade-testing/goldcrestgrade_testing/fleet_platform/endpoint.py
+++ b/packages/goldcrestgrade-testing/goldcrestgrade_testing/fleet_platform/endpoint.py
@@ -35,8 +35,8 @@
     - `doubled`: a stray answer, of another attempt, follows the answer;
     - `late`: the stray answer precedes the answer;
     - `unframed`: the answer has no `Content-Length`, and the connection closes after the body;
-    - `refused`: the request is refused and does not run, and the refusal is written once more
-      before the next answer on its connection;
+    - `refused`: the request is refused and does not run, and the refusal is repeated before the
+      next answer on its connection;
     - `lost`: the connection is reset without an answer;
     - `mute`: no answer follows and the connection stays open.
     """
--- a/packages/goldcrestgrade-testing/tests/fleet_platform/test_repeated_refusals.py
+++ b/packages/goldcrestgrade-testing/tests/fleet_platform/test_repeated_refusals.py
@@ -1,4 +1,4 @@
-"""Refusals that faulty endpoints write once more, with real node processes."""
+"""Refusals that faulty endpoints repeat on a kept connection, with real node processes."""
 
 import asyncio
 import collections
@@ -20,8 +20,8 @@
 """Pace at which an endpoint can't answer in time, so that its node forwards requests."""
 
 
-async def test_request_that_an_endpoint_refused_comes_back_to_it_no_more():
-    """Guards against the refusal of an earlier try that is taken for the answer to a later one."""
+async def test_refused_request_is_not_sent_to_the_same_endpoint_again():
+    """Guards against a repeated refusal that is taken for the answer to a later try."""
     async with fleet.running(PLACEMENTS) as running:
         *entries, faulty, degraded = running.instances
         degraded.endpoint.behaviour.pace = DEGRADED_PACE
