Look no source up for a node that has none

Callers saw 404 for new routes at one node, for good, although the store was at hand. Cause: a node without a source looked it up under the empty id, and found a row that another writer had left under the key instance/. The failed poll of that row did not change the source, so the node neither searched for another one nor watched the store.

A node without a source looks none up, and rows with an empty id are malformed.

test_row_without_an_id_does_not_keep_nodes_from_the_store failed on: the new route was not served within 2 s. It passes with the change.

--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/state/directory.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/state/directory.py
@@ -210,7 +210,9 @@
 
 
 def decode(node_id: str, value: tables.Value) -> InstanceRow | None:
-    """Return the row in `value`, or none if it is malformed."""
+    """Return the row in `value`, or none if it or the id is malformed."""
+    if not node_id:
+        return None
     try:
         row = InstanceRow(node_id=node_id, **{**value, "place": Location(**value["place"])})
     except (TypeError, KeyError):
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/state/watch.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/state/watch.py
@@ -260,7 +260,7 @@
         await asyncio.sleep(max(0.0, self.load_at - self.clocks.monotonic()))
         await self._load()
         while True:
-            source = self.instances.by_id.get(self.source_id or "")
+            source = None if self.source_id is None else self.instances.by_id.get(self.source_id)
             if source is not None:
                 if not await self._watch_peer(source):
                     self._leave_source()
--- a/packages/goldcrestgrade-node/tests/mesh/test_directory.py
+++ b/packages/goldcrestgrade-node/tests/mesh/test_directory.py
@@ -31,6 +31,12 @@
     assert known.by_id == {}
 
 
+def test_row_without_an_id_is_ignored():
+    known = directory.Directory()
+    known.apply_change(change("", 1, row("")))
+    assert known.by_id == {}
+
+
 def test_restart_of_a_node_resets_its_failures():
     known = directory.Directory()
     known.apply_change(change("a", 1, row("a")))
--- /dev/null
+++ b/packages/goldcrestgrade-testing/tests/fleet_platform/test_odd_entries.py
@@ -0,0 +1,72 @@
+"""Real nodes beside another writer, which leaves odd rows in the store and sends odd heartbeats."""
+
+import asyncio
+import time
+
+import pytest
+
+from goldcrestgrade_testing import processes
+from goldcrestgrade_testing.fleet_platform import fleet
+
+PLACEMENTS = {
+    "east-1": fleet.Placement("east", "r1", "archive"),
+    "east-2": fleet.Placement("east", "r1", "intake"),
+    "west-1": fleet.Placement("west", "r1", "archive"),
+}
+
+CONFIG_APPLY_S = 2.0
+"""Time within which a configuration is in force on a node that reaches the store or a peer."""
+
+GRACE_S = 6.0
+"""Time that the platform allows a node between SIGTERM and SIGKILL."""
+
+MESH = "goldcrestgrade"
+"""Table of the platform's store that holds the rows of nodes."""
+
+
+@pytest.fixture
+async def running_fleet():
+    async with fleet.running(PLACEMENTS) as started:
+        yield started
+
+
+def instance_row(**changes):
+    """Return a row of an instance in the first failure domain at which nothing listens."""
+    return {
+        "host": fleet.HOST,
+        "port": processes.free_ports(1)[0],
+        "place": {"failure_domain": "east", "region": "r1"},
+        "service": "archive",
+        "serving": True,
+        "started_ms": 1,
+        **changes,
+    }
+
+
+async def wait_route(running_fleet, instances, within_s):
+    """Add a route, and require that nodes serve it within a time."""
+    running_fleet.add_route()
+    path = running_fleet.added_routes[-1][0]
+    deadline = time.monotonic() + within_s
+    for instance in instances:
+        while (answer := await running_fleet.call(instance, path)).status != 200:
+            assert time.monotonic() < deadline, f"{instance.name} answers {answer.status}"
+            await asyncio.sleep(0.05)
+
+
+async def require_stops(instance):
+    """Require that a node ends orderly within the grace."""
+    instance.process.terminate()
+    assert await asyncio.to_thread(instance.process.wait, GRACE_S) == 0
+
+
+async def test_row_without_an_id_does_not_keep_nodes_from_the_store(running_fleet):
+    """Guards against a row with an empty id that is taken for the source of a node without one."""
+    running_fleet.store.write(MESH, "instance/", instance_row())
+    await asyncio.sleep(1.0)
+    await wait_route(running_fleet, running_fleet.instances, CONFIG_APPLY_S)
+    east_1 = running_fleet.instances[0]
+    await require_stops(east_1)
+    running_fleet.start_node(east_1)
+    await running_fleet.wait_ready([east_1])
+    await wait_route(running_fleet, running_fleet.instances, CONFIG_APPLY_S)
