Ignore rows with addresses that do not exist, and limit the rate of polls

Callers got no answers from nodes that had read two rows with the port 70000, and SIGTERM was not obeyed. With the source of a node without one mended, they still got 500 for requests that were offered to such an instance.

Cause: any integer was a port and any text a host. A poll of such a peer fails before it waits for anything, and the loop over sources had no pause of its own. A relayed request failed with OverflowError, which is no OSError.

Unit tests that used host names in rows use addresses now, as the settings do.

--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/state/directory.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/state/directory.py
@@ -4,6 +4,7 @@
 
 import collections
 import dataclasses
+import ipaddress
 import logging
 import math
 import typing
@@ -228,4 +229,15 @@
     )
     if type(row.link_mbps) not in (int, float) or not 0 <= row.link_mbps < math.inf:
         return None
-    return row if all(type(field) is kind for field, kind in kinds) else None
+    if not all(type(field) is kind for field, kind in kinds):
+        return None
+    return row if _is_address(row.host, row.port) else None
+
+
+def _is_address(host: str, port: int) -> bool:
+    """Return whether a connection can be opened to an address, by the rules of the settings."""
+    try:
+        ipaddress.IPv4Address(host)
+    except ipaddress.AddressValueError:
+        return False
+    return 0 < port < 65536
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/state/watch.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/state/watch.py
@@ -97,6 +97,12 @@
 MAX_TRANSFER_S = 5.0
 """Time after which a read of a peer or the store fails although its answer is still arriving."""
 
+ROUND_INTERVAL_S = 0.02
+"""Mean time between polls or searches that end at once, whatever the peers and the store answer."""
+
+ROUND_BURST_S = 0.5
+"""Time whose polls and searches may follow each other without a pause."""
+
 MIN_COMPRESSED_BYTES = 2048
 """Size from which changes are compressed; small answers are most of them."""
 
@@ -217,6 +223,8 @@
         """Id of the peer that sent the latest answer, or `STORE`."""
         self.load_at: instants.Instant = clocks.monotonic()
         """When this node first reads the store."""
+        self.next_round_at: instants.Instant = -instants.NEVER
+        """Instant before which the next poll or search does not begin."""
         self.known_era = 0
         """Latest era of the store that any answer has shown."""
         self.encoded_changes: dict[tuple[tables.Position, ...], bytes] = {}
@@ -260,17 +268,29 @@
         await asyncio.sleep(max(0.0, self.load_at - self.clocks.monotonic()))
         await self._load()
         while True:
-            source = None if self.source_id is None else self.instances.by_id.get(self.source_id)
-            if source is not None:
-                if not await self._watch_peer(source):
-                    self._leave_source()
-            elif self._lower_peers():
-                await self._search()
-            elif self._region_peers() and self.region_search_at <= self.clocks.monotonic():
-                await self._search_region()
-            else:
-                self.watches_store = True
-                await self._watch_store()
+            await self._watch()
+            await self._limit_rounds()
+
+    async def _limit_rounds(self) -> None:
+        """Pause if polls or searches have ended at once for some time."""
+        now = self.clocks.monotonic()
+        self.next_round_at = max(self.next_round_at, now - ROUND_BURST_S) + ROUND_INTERVAL_S
+        if self.next_round_at > now:
+            await asyncio.sleep(self.next_round_at - now)
+
+    async def _watch(self) -> None:
+        """Poll the source or the store once, or search for a source."""
+        source = None if self.source_id is None else self.instances.by_id.get(self.source_id)
+        if source is not None:
+            if not await self._watch_peer(source):
+                self._leave_source()
+        elif self._lower_peers():
+            await self._search()
+        elif self._region_peers() and self.region_search_at <= self.clocks.monotonic():
+            await self._search_region()
+        else:
+            self.watches_store = True
+            await self._watch_store()
 
     async def keep_current(self) -> None:
         """Read the configuration from the store whenever it may be too old, until cancelled.
--- a/packages/goldcrestgrade-testing/goldcrestgrade_testing/quota_replay.py
+++ b/packages/goldcrestgrade-testing/goldcrestgrade_testing/quota_replay.py
@@ -214,7 +214,7 @@
         for other in range(self.network.scenario.nodes):
             name = f"n{other:04d}"
             place = directory.Location("d", f"r{self.network.region(other)}")
-            row = directory.InstanceRow(name, "h", other, place, "s", True, 1)
+            row = directory.InstanceRow(name, "10.0.0.1", other, place, "s", True, 1)
             known.by_id[name] = directory.Instance(row, tables.parse_position("1.1"))
         name = f"n{node:04d}"
         fleet = members.Members(name, 2, known, lambda: self._age_s(node), self.clocks)
--- a/packages/goldcrestgrade-testing/tests/fleet_platform/test_odd_entries.py
+++ b/packages/goldcrestgrade-testing/tests/fleet_platform/test_odd_entries.py
@@ -70,3 +70,19 @@
     running_fleet.start_node(east_1)
     await running_fleet.wait_ready([east_1])
     await wait_route(running_fleet, running_fleet.instances, CONFIG_APPLY_S)
+
+
+async def test_rows_with_addresses_that_do_not_exist_leave_nodes_responsive(running_fleet):
+    """Guards against polls without a pause of a peer to which no connection can be opened."""
+    for key, host in (("instance/", "127.0.0.1"), ("instance/odd", "127.0.0.2")):
+        running_fleet.store.write(MESH, key, instance_row(host=host, port=70_000))
+    await asyncio.sleep(2.0)
+    await wait_route(running_fleet, running_fleet.instances, CONFIG_APPLY_S)
+    for instance in running_fleet.instances:
+        answers = [await running_fleet.call(instance, "/archive/x") for _ in range(20)]
+        assert {answer.status for answer in answers} == {200}
+    for instance in running_fleet.instances:
+        log = running_fleet.node_log(instance)
+        assert '"log lines dropped"' not in log
+        assert log.count("poll of a peer failed") < 5
+    await require_stops(running_fleet.instances[0])
