--- a/packages/goldcrestgrade-testing/goldcrestgrade_testing/fleet_platform/store.py
+++ b/packages/goldcrestgrade-testing/goldcrestgrade_testing/fleet_platform/store.py
@@ -96,7 +96,11 @@
 
     def write(self, table: str, key: str, value: typing.Any) -> None:
         """Write `value` as JSON to a row, without a condition, as the operator does."""
-        text = base64.b64encode(orjson.dumps(value)).decode()
+        self.write_bytes(table, key, orjson.dumps(value))
+
+    def write_bytes(self, table: str, key: str, value: bytes) -> None:
+        """Write any bytes to a row, without a condition, as another writer may do."""
+        text = base64.b64encode(value).decode()
         self._apply({"writes": [{"table": table, "part": "", "key": key, "value": text}]})
 
     def remove(self, table: str, key: str) -> None:
--- a/packages/goldcrestgrade-testing/tests/fleet_platform/test_odd_entries.py
+++ b/packages/goldcrestgrade-testing/tests/fleet_platform/test_odd_entries.py
@@ -6,7 +6,7 @@
 import pytest
 
 from goldcrestgrade_testing import processes
-from goldcrestgrade_testing.fleet_platform import fleet
+from goldcrestgrade_testing.fleet_platform import fleet, store
 
 PLACEMENTS = {
     "east-1": fleet.Placement("east", "r1", "archive"),
@@ -20,8 +20,8 @@
 GRACE_S = 6.0
 """Time that the platform allows a node between SIGTERM and SIGKILL."""
 
-MESH = "goldcrestgrade"
-"""Table of the platform's store that holds the rows of nodes."""
+MESH, OPERATOR = "goldcrestgrade", "op"
+"""Tables of the platform's store that nodes watch."""
 
 
 @pytest.fixture
@@ -43,6 +43,11 @@
     }
 
 
+def nested(depth):
+    """Return the bytes of an object whose lists are nested `depth` deep."""
+    return b'{"nested":' + b"[" * depth + b"]" * depth + b"}"
+
+
 async def wait_route(running_fleet, instances, within_s):
     """Add a route, and require that nodes serve it within a time."""
     running_fleet.add_route()
@@ -86,3 +91,13 @@
         assert '"log lines dropped"' not in log
         assert log.count("poll of a peer failed") < 5
     await require_stops(running_fleet.instances[0])
+
+
+@pytest.mark.parametrize("table", [MESH, OPERATOR])
+async def test_deeply_nested_value_does_not_keep_changes_from_peers(running_fleet, table):
+    """Guards against answers to polls that can't be encoded because of one row."""
+    east_1, east_2, west_1 = running_fleet.instances
+    west_1.store_access.outage = east_2.store_access.outage = store.Outage.BUSY
+    running_fleet.store.write_bytes(table, "instance/odd", nested(300))
+    await asyncio.sleep(1.0)
+    await wait_route(running_fleet, [east_1, west_1, east_2], CONFIG_APPLY_S)
