Ignore rows with times that are far too late

A row of another writer kept an endpoint (departure, far too large born_ms) or a request (three crash rows, far too large until) out of use for good, also over restarts. Cause: times in rows were taken as they are.

Such rows count as malformed, with a minute for steps of the clock; a departure row that was recorded in the future is removed like an old one.

--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/state/departures.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/state/departures.py
@@ -98,7 +98,11 @@
         if change.key != self.key or change.value is None:
             return
         endpoint_id, born_ms = change.value.get("endpoint_id"), change.value.get("born_ms")
-        if not isinstance(endpoint_id, str) or type(born_ms) is not int:
+        if (
+            not isinstance(endpoint_id, str)
+            or type(born_ms) is not int
+            or not self.own.is_plausible_start(born_ms)
+        ):
             log.warning("departure row is malformed; ignored", extra={"key": change.key})
             return
         self.own.restore_departure(endpoint_id, born_ms)
@@ -169,17 +173,17 @@
 
     def _old_keys(self) -> list[str]:
         """Return the keys of rows that are old, or do not say when they were written."""
-        until_ms = 1000 * (self.clocks.wall() - LIFETIME_S)
+        now_ms = 1000 * self.clocks.wall()
         return [
             key
             for (table, key), row in self.replica.rows.items()
             if table == replica.MESH
             and key.startswith(KEY_PREFIX)
             and row.value is not None
-            and _recorded_ms(row.value) < until_ms
+            and not _is_recent(row.value.get("recorded_ms"), now_ms)
         ]
 
 
-def _recorded_ms(value: tables.Value) -> int:
-    recorded_ms = value.get("recorded_ms")
-    return recorded_ms if type(recorded_ms) is int else 0
+def _is_recent(recorded_ms: typing.Any, now_ms: float) -> bool:
+    """Return whether a row was written lately by the clock of its node."""
+    return type(recorded_ms) is int and abs(now_ms - recorded_ms) <= 1000 * LIFETIME_S
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/state/quarantine.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/state/quarantine.py
@@ -26,6 +26,9 @@
 CRASH_LIFETIME_S = 120.0
 """Time for which a crash counts against a request."""
 
+MAX_CLOCK_STEP_S = 60.0
+"""Time by which the wall clock of another node may be ahead."""
+
 BATCH_DELAY_S = 0.05
 """Time in which the requests that one crash interrupted are collected into one write."""
 
@@ -81,7 +84,8 @@
         if change.value is None:
             return
         expires_at = change.value.get("until")
-        if not isinstance(expires_at, int | float):
+        latest = self.clocks.wall() + CRASH_LIFETIME_S + MAX_CLOCK_STEP_S
+        if type(expires_at) not in (int, float) or not expires_at <= latest:
             log.warning("crash row of a request is malformed; ignored", extra={"key": change.key})
             return
         if endpoint not in self.crashes.get(digest, {}):
--- a/packages/goldcrestgrade-node/tests/mesh/test_departures.py
+++ b/packages/goldcrestgrade-node/tests/mesh/test_departures.py
@@ -142,7 +142,16 @@
     play(scenario)
 
 
-@pytest.mark.parametrize("value", [{}, {"endpoint_id": 5, "born_ms": 5}, {"endpoint_id": "i-1"}])
+@pytest.mark.parametrize(
+    "value",
+    [
+        {},
+        {"endpoint_id": 5, "born_ms": 5},
+        {"endpoint_id": "i-1"},
+        {"endpoint_id": "i-1", "born_ms": 10**18},
+        {"endpoint_id": "i-1", "born_ms": 2**64 - 1},
+    ],
+)
 def test_malformed_row_is_ignored(value):
     async def scenario():
         node = Node(Store())
@@ -153,12 +162,13 @@
     play(scenario)
 
 
-def test_row_without_a_readable_time_is_removed():
+@pytest.mark.parametrize("recorded_ms", ["yesterday", 10**18, -(2**63), 1e308, True, None])
+def test_row_without_a_readable_time_is_removed(recorded_ms):
     async def scenario():
         store = Store()
         position = tables.Position(0, 1)
         store.version = 1
-        value = {"recorded_ms": "yesterday"}
+        value = {"recorded_ms": recorded_ms}
         store.rows["departure/n9"] = tables.Row(replica.MESH, "departure/n9", position, value)
         Node(store)
         await asyncio.sleep(departures.LIFETIME_S + 2 * departures.REMOVAL_INTERVAL_S)
--- a/packages/goldcrestgrade-node/tests/mesh/test_quarantine.py
+++ b/packages/goldcrestgrade-node/tests/mesh/test_quarantine.py
@@ -1,5 +1,7 @@
 """Quarantine of requests that crash endpoints."""
 
+import pytest
+
 from goldcrestgrade import instants
 from goldcrestgrade.storage import tables
 from goldcrestgrade_node.mesh.state import quarantine, replica
@@ -40,7 +42,9 @@
     assert not known_crashes.is_quarantined("e")
 
 
-async def test_malformed_crash_row_is_ignored():
+@pytest.mark.parametrize("expires_at", ["soon", None, True, [], 1_000.0, 10**18, 2**64 - 1, 1e308])
+async def test_malformed_crash_row_is_ignored(expires_at):
+    """Guards against rows by which a request would be refused for good."""
     known_crashes = quarantine.Quarantine(None, instants.Clocks(lambda: 0.0, lambda: 0.0))
-    known_crashes.apply_change(row("d", "a", expires_at="soon"))
+    known_crashes.apply_change(row("d", "a", expires_at=expires_at))
     assert not known_crashes.crashes
