Check an endpoint again that says it stays cold for very long

One heartbeat of another writer, or one wrong answer to a health check, with a far too long warm-up held a warm endpoint at its warm-up rate for that time. Cause: no health check is made while the endpoint is known to be cold, and heartbeats only lengthen that time.

The statement holds for 30 s at most; a health check then asks again. Both cases of test_endpoint_that_says_that_it_stays_cold_for_very_long_is_checked_again failed before the change.

--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/endpoint/coldness.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/endpoint/coldness.py
@@ -32,6 +32,9 @@
 RENEWAL_SHARE = 0.5
 """Share of the unverified requests from which the next health check is requested."""
 
+MAX_COLD_S = 30.0
+"""Time after which a health check is made even if the endpoint has said that it stays cold."""
+
 MARGIN = 4
 """Requests of the allowed ones that are never used.
 
@@ -265,6 +268,7 @@
             self.bucket.set_burst(self.terms.warm_burst_s if is_warm else self.terms.burst_s)
 
     def _set_cold(self, until: instants.Instant) -> None:
+        until = min(until, self.clocks.monotonic() + MAX_COLD_S)
         self.cold_until = until
         if self.terms is not None:
             self.on_cold(until)
--- a/packages/goldcrestgrade-node/tests/mesh/test_coldness.py
+++ b/packages/goldcrestgrade-node/tests/mesh/test_coldness.py
@@ -190,3 +190,17 @@
     limits.set_rate(2.0)
     assert (limits.lowest(), limits.reason()) == (2.0, reasons.Refusal.RATE_LIMITED)
     assert limits.wait_s() == pytest.approx(0.5)
+
+
+@pytest.mark.parametrize("source", ["heartbeat", "health check"])
+def test_endpoint_that_says_that_it_stays_cold_for_very_long_is_checked_again(cold, clock, source):
+    """Guards against one far too long time by which an endpoint would get the low rate for good."""
+    if source == "heartbeat":
+        cold.record_heartbeat(1e300)
+    else:
+        cold.record_check(cold.begin_check(), 1e20)
+    assert cold.is_known_cold()
+    clock.now += coldness.MAX_COLD_S
+    assert not cold.is_known_cold()
+    cold.record_check(cold.begin_check(), 0.0)
+    assert cold.state() == "warm"
