Let a node replace its row when another writer has spoilt it

Callers could not reach the endpoint of a node whose row had been overwritten with bytes that can't be read, from nodes that started later, for good. Cause: such rows were left out of the store's answers. A running node kept its idea of its row, and a write was refused by its condition with an answer that could not be read, which counted as no answer.

--- a/packages/goldcrestgrade-testing/tests/fleet_platform/test_odd_entries.py
+++ b/packages/goldcrestgrade-testing/tests/fleet_platform/test_odd_entries.py
@@ -1,8 +1,10 @@
 """Real nodes beside another writer, which leaves odd rows in the store and sends odd heartbeats."""
 
 import asyncio
+import base64
 import time
 
+import orjson
 import pytest
 
 from goldcrestgrade_testing import processes
@@ -129,3 +131,41 @@
     answers += [await running_fleet.call(east_1, "/archive/x") for _ in range(12)]
     assert {answer.status for answer in answers} == {200}
     assert sum(east_1.endpoint.run_counts.values()) == before
+
+
+def stored_address(running_fleet, name):
+    """Return host and port in the row of an instance, or none if the row can't be read."""
+    row = running_fleet.store.rows.get((MESH, "", f"instance/{name}"))
+    try:
+        value = orjson.loads(base64.b64decode(row["value"]))
+        return value["host"], value["port"]
+    except (TypeError, KeyError, ValueError):
+        return None
+
+
+async def wait_address(running_fleet, instance, within_s):
+    """Require that the row of an instance is its own within a time."""
+    deadline = time.monotonic() + within_s
+    own = fleet.HOST, instance.ports["relay"]
+    while stored_address(running_fleet, instance.name) != own:
+        assert time.monotonic() < deadline, "the row is not written again"
+        await asyncio.sleep(0.05)
+
+
+@pytest.mark.parametrize("is_running", [True, False], ids=["running", "restarted"])
+@pytest.mark.parametrize("value", [b"", b"\xff", b"[]", nested(300)], ids=["", "ff", "[]", "deep"])
+async def test_node_replaces_an_unreadable_row_at_its_key(running_fleet, value, is_running):
+    """Guards against a node that no other one finds, since it can't read the row to replace."""
+    east_1, east_2, west_1 = running_fleet.instances
+    if not is_running:
+        east_1.process.kill()
+        east_1.process.wait()
+    running_fleet.store.write_bytes(MESH, "instance/east-1", value)
+    if not is_running:
+        running_fleet.start_node(east_1)
+        await running_fleet.wait_ready([east_1])
+    await wait_address(running_fleet, east_1, 4.0)
+    west_1.endpoint.behaviour.draining = True
+    await asyncio.sleep(2.0)
+    answers = [await running_fleet.call(east_2, "/archive/x") for _ in range(12)]
+    assert {answer.status for answer in answers} == {200}
