Remove rows of other writers at the address of a running node

A row of another id with the address of a node kept requests of all other instances from its endpoint, for good. Cause: of two instances at one address the later one counts, and a running node did not notice that it had been replaced.

The node removes such rows and writes its own again, at most 40 in a transaction; the stand-in of the store now refuses transactions that are too large, as the store does. The position of a malformed row is kept, so that it can be removed.

--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/node.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/node.py
@@ -307,6 +307,8 @@
             self.instances.apply_change(change)
             if change.key == self.registration.key:
                 self.registration.on_own_row_change(change)
+            else:
+                self.registration.on_other_row_change(change)
         return True
 
     def on_evacuation_started(self, failure_domain: str) -> None:
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/state/directory.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/state/directory.py
@@ -125,13 +125,19 @@
             self.reports.popitem(last=False)
 
     def apply_change(self, change: tables.Change) -> None:
-        """Apply a change of an instance row; a malformed row is logged and ignored."""
+        """Apply a change of an instance row; a malformed row is logged and ignored.
+
+        An instance whose row was overwritten by a malformed one stays in use until its node has
+        written the row again, or until the row is removed since the node is unreachable.
+        """
         node_id = change.key.removeprefix(INSTANCE_PREFIX)
         row = None if change.value is None else decode(node_id, change.value)
+        known = self.by_id.get(node_id)
         if change.value is not None and row is None:
             log.warning("instance row is malformed; ignored", extra={"key": change.key})
+            if known is not None:
+                known.position = change.position
             return
-        known = self.by_id.get(node_id)
         if row is None:
             self.by_id.pop(node_id, None)
         elif known is None or known.row.started_ms != row.started_ms:
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/state/registration.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/state/registration.py
@@ -15,6 +15,9 @@
 BACKOFF_BASE_S = 0.2
 """Longest backoff after the first failed write; it doubles with each further failure."""
 
+MAX_SUPERSEDED = 40
+"""Largest number of rows at the own address that are removed in one transaction."""
+
 BACKOFF_LIMIT_S = 1.5
 """Longest backoff; rows must be written again within two seconds of the store's recovery."""
 
@@ -53,6 +56,15 @@
             self.up_to_date.clear()
             self.write_due.set()
 
+    def on_other_row_change(self, change: tables.Change) -> None:
+        """Schedule a write if another row takes the address of this instance.
+
+        Nodes that read it take it for the successor of this instance.
+        """
+        if self._is_superseded(change):
+            self.up_to_date.clear()
+            self.write_due.set()
+
     def check(self) -> None:
         """Have the row written unless the store has it in its desired state."""
         self.write_due.set()
@@ -76,10 +88,11 @@
         desired = self._desired_value()
         known = self.replica.rows.get((replica.MESH, self.key))
         lost = self.replica.is_lost(replica.MESH, self.key)
-        if (None if known is None else known.value) == desired and not lost:
+        superseded_keys = [row.key for row in self._superseded_rows()[:MAX_SUPERSEDED]]
+        is_written = (None if known is None else known.value) == desired
+        if is_written and not lost and not superseded_keys:
             self.up_to_date.set()
             return True
-        superseded_keys = [row.key for row in self._superseded_rows()]
         result = await self.store.transact(
             tables.Transaction(
                 tuple(
@@ -97,6 +110,10 @@
         match result:
             case tables.Committed(position=position):
                 self.replica.apply_change(tables.Change(replica.MESH, self.key, position, desired))
+                for key in superseded_keys:
+                    self.replica.apply_change(tables.Change(replica.MESH, key, position, None))
+                if self._superseded_rows():
+                    self.write_due.set()
                 log.info("own row written", extra={"position": str(position), "row": desired})
             case tables.Conflicted(failures=failures):
                 # Without news, the store is in an era that this node has not read yet.
@@ -112,19 +129,19 @@
         return True
 
     def _superseded_rows(self) -> list[tables.Change]:
-        """Return the rows of earlier instances at the address of this one."""
-        if self.desired is None:
-            return []
-        address = self.desired.host, self.desired.port
-        return [
-            row
-            for (table, key), row in self.replica.rows.items()
-            if table == replica.MESH
-            and key.startswith(directory.INSTANCE_PREFIX)
-            and key != self.key
+        """Return the rows of other instances at the address of this one."""
+        return [row for row in self.replica.rows.values() if self._is_superseded(row)]
+
+    def _is_superseded(self, row: tables.Change) -> bool:
+        return (
+            self.desired is not None
+            and row.table == replica.MESH
+            and row.key.startswith(directory.INSTANCE_PREFIX)
+            and row.key != self.key
             and row.value is not None
-            and (row.value.get("host"), row.value.get("port")) == address
-        ]
+            and (row.value.get("host"), row.value.get("port"))
+            == (self.desired.host, self.desired.port)
+        )
 
     def _desired_value(self) -> tables.Value | None:
         return None if self.desired is None else directory.encode(self.desired)
--- a/packages/goldcrestgrade-node/tests/mesh/test_directory.py
+++ b/packages/goldcrestgrade-node/tests/mesh/test_directory.py
@@ -33,6 +33,16 @@
     assert known.by_id == {}
 
 
+def test_instance_whose_row_became_malformed_stays_and_can_be_removed_at_its_position():
+    """Guards against a row that is never removed, since its condition can't hold."""
+    known = directory.Directory()
+    known.apply_change(change("a", 1, row("a")))
+    key, position = directory.INSTANCE_PREFIX + "a", tables.Position(1, 2)
+    known.apply_change(tables.Change(replica.MESH, key, position, {}))
+    assert known.by_id["a"].row == row("a")
+    assert known.by_id["a"].position == position
+
+
 @pytest.mark.parametrize(
     "address",
     [
--- a/packages/goldcrestgrade-testing/goldcrestgrade_testing/fleet_platform/store.py
+++ b/packages/goldcrestgrade-testing/goldcrestgrade_testing/fleet_platform/store.py
@@ -22,6 +22,9 @@
 MAX_ROWS = 500
 """Largest number of rows in one answer of a read."""
 
+MAX_TRANSACTION_ENTRIES = 100
+"""Largest number of conditions, writes and removals in one transaction."""
+
 MAX_WAIT_MS = 30_000
 """Longest time that a request may wait for changes."""
 
@@ -193,6 +196,9 @@
         return status, {"ver": self.version, "now": now, **document}
 
     def _transact(self, document: Row) -> tuple[int, Row]:
+        entries = sum(len(document.get(name, ())) for name in ("expected", "writes", "remove"))
+        if entries > MAX_TRANSACTION_ENTRIES:
+            return 400, {}
         failed = [
             self.rows.get(_row_id(row), {**_identity(row), "ver": 0})
             for row in document.get("expected", ())
--- a/packages/goldcrestgrade-testing/tests/fleet_platform/test_odd_entries.py
+++ b/packages/goldcrestgrade-testing/tests/fleet_platform/test_odd_entries.py
@@ -169,3 +169,25 @@
     await asyncio.sleep(2.0)
     answers = [await running_fleet.call(east_2, "/archive/x") for _ in range(12)]
     assert {answer.status for answer in answers} == {200}
+
+
+async def test_row_of_another_writer_at_the_address_of_a_node_does_not_replace_it(running_fleet):
+    """Guards against requests that run at an endpoint of another service."""
+    east_1, east_2, _ = running_fleet.instances
+    odd = instance_row(port=east_1.ports["relay"], service="intake")
+    for number in range(60):
+        running_fleet.store.write(MESH, f"instance/odd-{number}", odd)
+    await asyncio.sleep(1.0)
+    east_2.endpoint.behaviour.draining = True
+    await asyncio.sleep(2.0)
+    attempts = [f"a{number}" for number in range(12)]
+    for attempt_id in attempts:
+        await running_fleet.call(east_1, "/intake/x", attempt_id=attempt_id)
+    assert [a for a in attempts if east_1.endpoint.run_counts[a]] == []
+    deadline = time.monotonic() + 3.0
+    while any("odd" in key for _, _, key in running_fleet.store.rows):
+        assert time.monotonic() < deadline, "the row at the address of another node stays"
+        await asyncio.sleep(0.05)
+    answers = [await running_fleet.call(east_2, "/archive/x") for _ in range(12)]
+    assert {answer.status for answer in answers} == {200}
+    assert any(east_1.endpoint.run_counts[answer.attempt_id] for answer in answers)
