Answer a heartbeat that is nested too deep with 400

Such a heartbeat got 500 and left a trace in the log. Cause: the text of the error named the value, which took more stack frames than there are.

--- a/packages/goldcrestgrade-testing/tests/fleet_platform/test_adapter.py
+++ b/packages/goldcrestgrade-testing/tests/fleet_platform/test_adapter.py
@@ -4,11 +4,12 @@
 import base64
 import re
 
+import aiohttp
 import orjson
 import pytest
 from goldcrestgrade_adapter import configuration, heartbeats, names, store
 
-from goldcrestgrade import durations, exceptions, routes
+from goldcrestgrade import durations, exceptions, instants, routes
 from goldcrestgrade.storage import tables
 from goldcrestgrade_node.mesh.endpoint import endpoints
 from goldcrestgrade_node.mesh.state import evacuations, replica
@@ -172,6 +173,29 @@
         heartbeats.decode("i", heartbeat(**changes))
 
 
+NESTED = b"[" * 1000 + b"]" * 1000
+
+
+@pytest.mark.parametrize(
+    "body", [NESTED, heartbeat(born="@").replace(b'"@"', NESTED), b"[]", b"\xff", b"null"]
+)
+async def test_unreadable_heartbeat_gets_400_and_an_unreadable_departure_200(body):
+    """Guards against answers of 500, here for a value whose text takes too many stack frames."""
+    clocks = instants.system_clocks()
+    configured = endpoints.ConfiguredEndpoint("10.0.0.1:80", "s", "z")
+    own = endpoints.OwnEndpoint(configured, clocks, lambda: None)
+
+    async def record(endpoint_id, born_ms):
+        return own.record_departure(endpoint_id, born_ms)
+
+    app = heartbeats.endpoint_app(own, record)
+    async with serving.serving(app) as port, aiohttp.ClientSession() as session:
+        url = f"http://127.0.0.1:{port}{names.ENDPOINTS_PATH}i"
+        for method, status in (("PUT", 400), ("DELETE", 200)):
+            async with session.request(method, url, data=body) as response:
+                assert response.status == status
+
+
 def test_duration_without_a_valid_unit_is_refused():
     assert durations.parse_seconds("1500ms") == 1.5
     for wrong in ("1500", "s", "-1s", 5, None, "1 s"):
