Refuse relay headers with fields of other types

A relayed request whose header named a number as caller or workspace was admitted and got 500. Cause: the types of the fields were not checked, and the header to the endpoint can't be written. Such a header is malformed now.

--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/transport/requests.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/transport/requests.py
@@ -154,6 +154,29 @@
     """Whether the receiving node may forward it in its region; nodes of earlier builds do not."""
 
 
+REQUIRED_KINDS: typing.Mapping[str, type | tuple[type, ...]] = {
+    "route": str,
+    "service": str,
+    "once": bool,
+    "rank": int,
+    "caller": str,
+    "target_ms": (int, float),
+    "left_ms": (int, float),
+    "late": bool,
+}
+"""Types of the fields that a relay header must have."""
+
+OPTIONAL_KINDS: typing.Mapping[str, type] = {
+    "report": dict,
+    "workspace": str,
+    "regions": list,
+    "large": bool,
+    "configuration": int,
+    "forward": bool,
+}
+"""Types of the fields that a relay header may have."""
+
+
 class ReportDocument(typing.TypedDict):
     """Part of the relay header."""
 
@@ -195,6 +218,7 @@
     """Return the request that another node relays, or none if the header is malformed."""
     try:
         document = orjson.loads(text)
+        _check_kinds(document)
         return Call(
             attempt_id=attempt_id,
             route=document["route"],
@@ -221,11 +245,25 @@
         return None
 
 
+def _check_kinds(document: dict[str, typing.Any]) -> None:
+    """Raise `TypeError` if a field has another type than nodes write, and `KeyError`."""
+    for name, kind in REQUIRED_KINDS.items():
+        if not isinstance(document[name], kind):
+            raise TypeError(f"{name} has another type")
+    for name, value in document.items():
+        if not isinstance(value, OPTIONAL_KINDS.get(name, object)):
+            raise TypeError(f"{name} has another type")
+
+
 def _decode_report(document: ReportDocument | None) -> signals.Report | None:
     if document is None:
         return None
-    latest = signals.Signals(document["rate"], document["leaving"])
-    return signals.Report(document["endpoint"], latest)
+    rate, leaving, endpoint_id = document["rate"], document["leaving"], document["endpoint"]
+    if not isinstance(endpoint_id, str) or not isinstance(leaving, bool):
+        raise TypeError("report of an endpoint is malformed")
+    if rate is not None and not (isinstance(rate, int | float) and rate >= 0):
+        raise TypeError("rate limit is malformed")
+    return signals.Report(endpoint_id, signals.Signals(rate, leaving))
 
 
 def digest(call_: Call) -> str:
--- a/packages/goldcrestgrade-node/tests/mesh/test_requests.py
+++ b/packages/goldcrestgrade-node/tests/mesh/test_requests.py
@@ -1,5 +1,6 @@
 """Requests as nodes pass them on."""
 
+import orjson
 import pytest
 
 from goldcrestgrade_node.mesh.transport import requests, signals
@@ -58,3 +59,44 @@
 @pytest.mark.parametrize("text", ["", "7", "[]", "{}", '{"report": {}}'])
 def test_malformed_relay_header_is_no_call(text):
     assert requests.decode(text, "try-1", MESSAGE, 100.0) is None
+
+
+RELAYED = {
+    "route": "r",
+    "service": "s",
+    "once": True,
+    "rank": 1,
+    "caller": "c",
+    "target_ms": 400,
+    "left_ms": 900,
+    "late": False,
+}
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"caller": 7},
+        {"caller": None},
+        {"route": []},
+        {"service": {}},
+        {"once": 1},
+        {"rank": "1"},
+        {"target_ms": "400"},
+        {"left_ms": None},
+        {"workspace": 5},
+        {"regions": "khomas"},
+        {"configuration": "9"},
+        {"report": []},
+        {"report": {"endpoint": 5, "rate": None, "leaving": True}},
+        {"report": {"endpoint": "e", "rate": "fast", "leaving": True}},
+        {"report": {"endpoint": "e", "rate": -1, "leaving": True}},
+        {"report": {"endpoint": "e", "rate": None, "leaving": "yes"}},
+    ],
+    ids=str,
+)
+def test_relay_header_with_a_field_of_another_type_is_no_call(change):
+    """Guards against requests that fail on their way to the endpoint, after they were admitted."""
+    assert requests.decode(orjson.dumps(RELAYED).decode(), "try-1", MESSAGE, 0.0) is not None
+    text = orjson.dumps({**RELAYED, **change}).decode()
+    assert requests.decode(text, "try-1", MESSAGE, 0.0) is None
