Probe the instance with the lowest id if it does not remove rows

Rows of lost instances stayed for good beside a row of another writer that has the lowest id and no node. Cause: the reachable node with the lowest id removes rows, and an instance counts as reachable until something that is sent to it fails.

--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/transport/peers.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/transport/peers.py
@@ -179,8 +179,21 @@
             self.reachability.record_response(instance.row.place.failure_domain)
             return
         self.instances.record_unreachable(instance, self.clocks.monotonic())
-        if instance.failures >= MAX_FAILED_PROBES and self.has_lowest_reachable_id():
-            await self._remove(instance)
+        if instance.failures >= MAX_FAILED_PROBES:
+            if self.has_lowest_reachable_id():
+                await self._remove(instance)
+            elif instance.failures % MAX_FAILED_PROBES == 0:
+                await self._check_lowest_id()
+
+    async def _check_lowest_id(self) -> None:
+        """Probe the instance with the lowest id, which has not removed an unreachable one.
+
+        It may never have been in use: no request and no poll then shows that nothing is there.
+        """
+        reachable = [i for i in self.instances.by_id.values() if not i.failures]
+        lowest = min(reachable, key=lambda i: i.row.node_id)
+        if not await self._is_alive(lowest):
+            self.instances.record_unreachable(lowest, self.clocks.monotonic())
 
     async def _is_alive(self, instance: directory.Instance) -> bool:
         """Return whether an instance answers a probe."""
