Decode lost rows before their failure domain is read

A process ended by itself when the store came back from a copy that lacked a row of another writer whose place was a text. Cause: the search for lost rows read the failure domain of a row that it had not checked. It decodes the row now; malformed rows are not restored.

--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/state/restoration.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/state/restoration.py
@@ -51,17 +51,24 @@
 
 
 def lost_rows_of(local_replica: replica.Replica, failure_domain: str) -> list[tables.Change]:
-    """Return the lost instance rows of a failure domain."""
+    """Return the lost instance rows of a failure domain, without malformed ones."""
     return [
         row
         for row in local_replica.lost_rows()
         if row.table == replica.MESH
         and row.value is not None
         and row.key.startswith(directory.INSTANCE_PREFIX)
-        and (row.value.get("place") or {}).get("failure_domain") == failure_domain
+        and _failure_domain(row) == failure_domain
     ]
 
 
+def _failure_domain(row: tables.Change) -> str | None:
+    """Return the failure domain in an instance row, or none if the row is malformed."""
+    node_id = row.key.removeprefix(directory.INSTANCE_PREFIX)
+    instance = None if row.value is None else directory.decode(node_id, row.value)
+    return None if instance is None else instance.place.failure_domain
+
+
 def lost_shared_rows(local_replica: replica.Replica) -> list[tables.Change]:
     """Return the lost rows and removals that belong to no failure domain."""
     return [
--- a/packages/goldcrestgrade-node/tests/mesh/test_peers.py
+++ b/packages/goldcrestgrade-node/tests/mesh/test_peers.py
@@ -63,5 +63,5 @@
 
 
 def test_rows_are_removed_although_nothing_listens_at_the_lowest_id():
-    """Guards against rows that nobody removes, since all leave that to an instance without a node."""
+    """Guards against rows that all nodes leave to an instance without a node."""
     assert play({"m"}, "m", ["z"], 120.0) == {"instance/a", "instance/z"}
