Settle heartbeats that contradict each other on the warm-up by a health check

After one odd heartbeat a warm endpoint got requests at its warm-up rate for up to 30 s although its next heartbeat said that it was warm. Cause: heartbeats could only lengthen the cold time. If only a heartbeat says that the endpoint is cold and the next one does not, its state is unknown, which counts as cold, and a health check asks at once.

test_heartbeats_that_contradict_each_other_are_settled_by_a_health_check failed before.

--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/endpoint/coldness.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/endpoint/coldness.py
@@ -101,6 +101,8 @@
         """Tokens at the warm-up rate; below 0 after requests that a warm endpoint got."""
         self.cold_until: instants.Instant = 0.0
         """Known to be cold until then."""
+        self.cold_by_heartbeat = False
+        """Whether only a heartbeat says so."""
         self.warm: Check | None = None
         """Latest health check that showed a warm endpoint; none if the state is unknown or cold."""
         self.latest_started = -1
@@ -207,6 +209,7 @@
             self.warm = None
             self._set_burst()
             self._set_cold(self.clocks.monotonic() + left_s)
+            self.cold_by_heartbeat = False
         elif check.doubts == self.doubts:
             self.warm, self.cold_until = check, 0.0
             self._set_burst()
@@ -222,8 +225,14 @@
         if left_s and self.warm is not None:
             self.record_doubt("heartbeat")
         elif left_s:
+            self.cold_by_heartbeat = self.cold_by_heartbeat or not self.is_known_cold()
             self._set_cold(max(self.cold_until, self.clocks.monotonic() + left_s))
             self._note("heartbeat")
+        elif self.cold_by_heartbeat and self.is_known_cold():
+            # One of two heartbeats is wrong; a health check tells which.
+            self.cold_until = 0.0
+            self._note("heartbeat")
+            self.on_doubt()
         elif self.terms is not None and self.state() == "unknown":
             self.on_doubt()
 
--- a/packages/goldcrestgrade-node/tests/mesh/test_coldness.py
+++ b/packages/goldcrestgrade-node/tests/mesh/test_coldness.py
@@ -204,3 +204,23 @@
     assert not cold.is_known_cold()
     cold.record_check(cold.begin_check(), 0.0)
     assert cold.state() == "warm"
+
+
+def test_heartbeats_that_contradict_each_other_are_settled_by_a_health_check(cold, clock):
+    """Guards against an odd heartbeat by which a warm endpoint gets the low rate for a time."""
+    cold.record_check(cold.begin_check(), 0.0)
+    cold.record_doubt("lost connection")
+    cold.record_heartbeat(20.0)
+    assert cold.is_known_cold()
+    asked = []
+    cold.on_doubt = lambda: asked.append(clock.now)
+    cold.record_heartbeat(0.0)
+    assert asked and not cold.is_known_cold() and cold.state() == "unknown"
+    cold.record_check(cold.begin_check(), 0.0)
+    assert cold.state() == "warm"
+
+
+def test_heartbeat_that_says_nothing_does_not_end_a_cold_time_that_a_health_check_has_shown(cold):
+    cold.record_check(cold.begin_check(), 2.0)
+    cold.record_heartbeat(0.0)
+    assert cold.is_known_cold()
