Let another writer leave odd rows and heartbeats in the fault soak

Each run has two phases of odd heartbeats to one node and one of odd rows, drawn from the seed: fields at the extremes of their types, rows that are no JSON or nested too deep, at keys of nobody and of nodes. The plans of seeds are the same otherwise. A new check finds answers of 500 that no endpoint sent; a seeded defect shows that it does.

--- a/packages/goldcrestgrade-testing/goldcrestgrade_testing/fault_soak/checks.py
+++ b/packages/goldcrestgrade-testing/goldcrestgrade_testing/fault_soak/checks.py
@@ -36,6 +36,9 @@
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 """Statuses by which a node states that a request did not run."""
 
+INTERNAL_ERROR_STATUS = 500
+"""Status of a server that could not handle a request."""
+
 PLANNED_STOP_KINDS = frozenset({"stop"})
 """Kinds of planned stop: they do not excuse a lost request."""
 
@@ -398,6 +401,13 @@
             yield f"{attempt_id} of {request.workspace!r} was sent to an endpoint as {named!r}"
 
 
+def internal_error(observed: history.History) -> typing.Iterator[str]:
+    """Find answers with status 500 that no endpoint sent."""
+    for request in observed.requests:
+        if request.status == INTERNAL_ERROR_STATUS and not request.endpoint_id:
+            yield f"{request.attempt_id} was answered 500 by the node of {request.instance}"
+
+
 def not_recovered(observed: history.History) -> typing.Iterator[str]:
     """Find instances that did not serve all services again after the last fault."""
     for instance, recovered in observed.recovered.items():
@@ -425,6 +435,7 @@
         sent_while_evacuated,
         run_with_withdrawn_key,
         wrong_workspace,
+        internal_error,
         not_recovered,
     )
 }
--- a/packages/goldcrestgrade-testing/goldcrestgrade_testing/fault_soak/injection.py
+++ b/packages/goldcrestgrade-testing/goldcrestgrade_testing/fault_soak/injection.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
+import random
 import signal
 import subprocess
 import typing
 
-from goldcrestgrade_testing.fault_soak import plan, proxy
+from goldcrestgrade_testing.fault_soak import odd_entries, plan, proxy
 from goldcrestgrade_testing.fleet_platform import endpoint, fleet, store
 
 SLOW_DELAY_S = 0.3
@@ -83,6 +85,8 @@
             return _evacuate(running_fleet, instance.placement.failure_domain, fault)
         case "hot":
             return _heat(running_fleet)
+        case "odd_rows" | "odd_heartbeats":
+            return _write_odd_entries(running_fleet, instance, fault)
         case _ if family == "link":
             return _inject_link_fault(instance.proxies["endpoint"], mode)
         case _ if family == "store":
@@ -162,6 +166,23 @@
     return end
 
 
+def _write_odd_entries(
+    running_fleet: fleet.Fleet, instance: fleet.Instance, fault: plan.Fault
+) -> EndFault:
+    writer = odd_entries.Writer(running_fleet, random.Random(fault.variant))
+    writing = asyncio.create_task(
+        writer.write_rows() if fault.kind == "odd_rows" else writer.send_heartbeats(instance)
+    )
+
+    async def end() -> None:
+        writing.cancel()
+        # An error of the writer fails the soak.
+        with contextlib.suppress(asyncio.CancelledError):
+            await writing
+
+    return end
+
+
 def _leave(running_fleet: fleet.Fleet, instance: fleet.Instance, variant: int) -> EndFault:
     """Have an endpoint say in its answers that it leaves, and in its heartbeats or in none."""
     instance.endpoint.behaviour.leaving = True
--- a/packages/goldcrestgrade-testing/goldcrestgrade_testing/fault_soak/plan.py
+++ b/packages/goldcrestgrade-testing/goldcrestgrade_testing/fault_soak/plan.py
@@ -42,7 +42,12 @@
 Planned operations such as `stop`, `drain`, `configure` and `reload` count as faults.
 """
 
-FLEET_WIDE_KINDS = frozenset({"store_forget", "store_restore", "configure", "withdraw", "hot"})
+ODD_KINDS = ("odd_rows", "odd_heartbeats")
+"""Kinds of odd entries by another writer; `draw_odd` draws them, so that plans of seeds stay."""
+
+FLEET_WIDE_KINDS = frozenset(
+    {"store_forget", "store_restore", "configure", "withdraw", "hot", "odd_rows"}
+)
 """Kinds that affect the whole fleet rather than one instance."""
 
 MAX_SERIES_LENGTH = 3
@@ -79,7 +84,8 @@
     away for the kind `store_restore`, the rates for the kind `limit`, and for the
     kind `leave` whether the heartbeats say so too. For the kind `cold` it selects whether the
     endpoint becomes cold while it runs, or returns cold after its node has restarted or not. For
-    the kind `evacuate` it says when the evacuation is taken back early, if it is.
+    the kind `evacuate` it says when the evacuation is taken back early, if it is. For odd entries
+    it is the seed of their fields.
     """
 
 
@@ -96,6 +102,16 @@
     return sorted(drawn, key=lambda fault: fault.begin_s)
 
 
+def draw_odd(rng: random.Random, instances: int, seconds: float) -> list[Fault]:
+    """Return times of odd rows, and of odd heartbeats to one node each, which may overlap."""
+    faults = []
+    for kind in (*ODD_KINDS, "odd_heartbeats"):
+        begin_s = rng.uniform(QUIET_START_S, 0.6 * seconds)
+        end_s = rng.uniform(begin_s + 0.2 * seconds, seconds)
+        faults.append(Fault(kind, rng.randrange(instances), begin_s, end_s, rng.randrange(1 << 32)))
+    return faults
+
+
 def _series(rng: random.Random, instances: int, seconds: float) -> typing.Iterator[Fault]:
     kind = rng.choice(KINDS)
     instance = rng.randrange(instances)
--- a/packages/goldcrestgrade-testing/tests/fault_soak/test_checks.py
+++ b/packages/goldcrestgrade-testing/tests/fault_soak/test_checks.py
@@ -99,6 +99,7 @@
     "sent_while_evacuated": evacuated(10.1, 20.0),
     "run_with_withdrawn_key": observed(KEYED, withdrawn_at={"k1": 5.0}),
     "wrong_workspace": observed(KEYED, run_workspaces=[("a", None)]),
+    "internal_error": observed(ANSWERED._replace(status=500)),
     "not_recovered": EMPTY._replace(recovered={"n1": False}),
 }
 
--- a/packages/goldcrestgrade-testing/tests/fault_soak/test_mutations.py
+++ b/packages/goldcrestgrade-testing/tests/fault_soak/test_mutations.py
@@ -240,6 +240,13 @@
 """,
         [plan.Fault("withdraw", 0, 1.0, 3.0, 0)],
     ),
+    "internal_error of addresses that do not exist": Mutation(
+        """
+from goldcrestgrade_node.mesh.state import directory
+directory._is_address = lambda host, port: True
+""",
+        [plan.Fault("odd_rows", 0, 1.0, 8.0, seed) for seed in range(6)],
+    ),
     "not_recovered": Mutation(
         """
 import time
--- a/packages/goldcrestgrade-testing/tests/fault_soak/test_plan.py
+++ b/packages/goldcrestgrade-testing/tests/fault_soak/test_plan.py
@@ -25,3 +25,10 @@
         for faults in drawn
         for earlier, later in itertools.pairwise(faults)
     )
+
+
+def test_each_plan_has_odd_rows_and_odd_heartbeats_within_the_run():
+    for seed in range(50):
+        drawn = plan.draw_odd(random.Random(seed), 6, 20.0)
+        assert {fault.kind for fault in drawn} == set(plan.ODD_KINDS)
+        assert all(plan.QUIET_START_S <= fault.begin_s < fault.end_s <= 20.0 for fault in drawn)
