Doubt the only heartbeat of an endpoint that fails its health check

Requests reached an endpoint that had left, after its node was killed before the departure was in the silent store, or after the row had been removed: an old heartbeat that arrived then made it usable.

For 30 s after the start of a process, an endpoint of which one heartbeat came is not used if its health check fails and never passed, until the next heartbeat, which an endpoint that left does not send. The check is made if there was none.

--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/endpoint/endpoints.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/endpoint/endpoints.py
@@ -29,6 +29,9 @@
 MAX_WARM_UP_S = 3600.0
 """Longest plausible warm-up."""
 
+MAX_LATENESS_S = 30.0
+"""Time after which a heartbeat that was sent to an earlier process no longer arrives."""
+
 MAX_SEQUENCE_GAP = 1_000_000
 """Largest difference between the sequences of heartbeats that are sent within minutes.
 
@@ -88,6 +91,14 @@
         """Whether its address has refused a connection since the last heartbeat or health check."""
         self.departed: collections.OrderedDict[str, int] = collections.OrderedDict()
         """Highest departed `born_ms` by endpoint id; a health check makes none of these current."""
+        self.is_only_heartbeat_early = False
+        """Whether one heartbeat of the current incarnation came, early in this process."""
+        self.checked: tuple[str, bool] | None = None
+        """Id in the latest answer to a health check, and whether it was ever healthy."""
+        self.early_until: instants.Instant = clocks.monotonic() + MAX_LATENESS_S
+        """Until then, a heartbeat may be one that was sent to an earlier process of the node."""
+        self.is_first_heartbeat = True
+        """Whether no heartbeat of the current incarnation has come yet."""
         self.outlier: int | None = None
         """Sequence of the latest heartbeat of the current incarnation that was far from the others.
         """
@@ -145,8 +156,28 @@
             self.on_signals(latest)
 
     def leaves(self) -> bool:
-        """Return whether the endpoint drains or says in its answers that it leaves."""
-        return self.signals.leaving or (self.current is not None and self.current.draining)
+        """Return whether the endpoint drains, says that it leaves, or may have left before."""
+        current = self.current
+        return self.signals.leaving or (
+            current is not None and (current.draining or self._may_have_left(current))
+        )
+
+    def is_unchecked(self) -> bool:
+        """Return whether only one heartbeat says that the endpoint is in use."""
+        current = self.current
+        return (
+            current is not None
+            and self.is_only_heartbeat_early
+            and (self.checked is None or self.checked[0] != current.endpoint_id)
+        )
+
+    def _may_have_left(self, current: Endpoint) -> bool:
+        """Return whether the only heartbeat may be a late one of an endpoint that has left.
+
+        An earlier process of this node may have confirmed that it left, and the store may not have
+        the row. Such an endpoint sends no further heartbeat, and its health check fails.
+        """
+        return self.is_only_heartbeat_early and self.checked == (current.endpoint_id, False)
 
     def usable(self) -> Endpoint | None:
         """Return the endpoint if it accepts new requests, else none."""
@@ -189,7 +220,8 @@
                 heartbeat.sequence,
                 heartbeat.slots,
                 heartbeat.draining,
-            )
+            ),
+            by_heartbeat=True,
         )
         self.coldness.record_heartbeat(heartbeat.warm_in_s)
         return "taken" if known is not None else "first"
@@ -239,7 +271,12 @@
         """
         current = self.current
         self.unreachable = False
+        before = self.leaves()
+        self.checked = endpoint_id, healthy or self.checked == (endpoint_id, True)
         if current is not None and current.endpoint_id == endpoint_id:
+            if self.leaves() != before:
+                log.info("only heartbeat may be late; waiting for the next one")
+                self.on_change()
             return
         if not healthy or endpoint_id in self.departed:
             return
@@ -300,18 +337,28 @@
             return current.born_ms != 0
         return heartbeat.sequence > current.sequence
 
-    def _set_current(self, endpoint: Endpoint | None) -> None:
-        before = self.current
+    def _set_current(self, endpoint: Endpoint | None, by_heartbeat: bool = False) -> None:
+        before, left_before = self.current, self.leaves()
         self.current = endpoint
         if not is_same_incarnation(before, endpoint):
             self.outlier = None
+            self.is_first_heartbeat = True
+            self.is_only_heartbeat_early = False
             self.answered = self.known_to_stay = False
             self.coldness.record_doubt("new incarnation", new_incarnation=True)
             self._set_signals(signals.NONE)
-        if _visible(before) != _visible(endpoint):
+        if by_heartbeat:
+            is_early = self.clocks.monotonic() < self.early_until
+            self.is_only_heartbeat_early = self.is_first_heartbeat and is_early
+            self.is_first_heartbeat = False
+        if _visible(before) != _visible(endpoint) or self.leaves() != left_before:
             log.info(
                 "own endpoint changed",
-                extra={"before": _visible(before), "after": _visible(endpoint)},
+                extra={
+                    "before": _visible(before),
+                    "after": _visible(endpoint),
+                    "leaves": self.leaves(),
+                },
             )
             self.on_change()
 
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/endpoint/health.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/endpoint/health.py
@@ -100,7 +100,7 @@
             await self.check_requested.wait()
             self.check_requested.clear()
             delay_s = INTERVAL_BASE_S
-            while self.own.current is None or self.own.unreachable:
+            while self.own.current is None or self.own.unreachable or self.own.is_unchecked():
                 await self.check()
                 if self.own.usable() is not None:
                     break
--- a/packages/goldcrestgrade-node/tests/mesh/test_endpoints.py
+++ b/packages/goldcrestgrade-node/tests/mesh/test_endpoints.py
@@ -243,3 +243,43 @@
     assert own.usable() is not None
     own.record_answer(LEAVING)
     assert own.usable() is None
+
+
+@pytest.mark.parametrize("order", ["check first", "heartbeat first"])
+def test_only_heartbeat_of_an_endpoint_that_fails_its_health_check_is_doubted(own, order):
+    """Guards against a late heartbeat, after a restart that has lost the endpoint's departure."""
+    if order == "check first":
+        own.apply_health_check("a", 9, healthy=False)
+        assert own.apply_heartbeat(heartbeat()) == "first"
+    else:
+        own.apply_heartbeat(heartbeat())
+        assert own.is_unchecked()
+        own.apply_health_check("a", 9, healthy=False)
+    assert own.usable() is None and not own.is_unchecked()
+    own.apply_heartbeat(heartbeat(sequence=2))
+    assert own.usable() is not None
+
+
+def test_endpoint_that_was_healthy_or_is_late_after_the_start_is_not_doubted():
+    now = [0.0]
+    clocks = instants.Clocks(lambda: now[0], lambda: 1.0)
+    healthy, late = (endpoints.OwnEndpoint(OWN, clocks, lambda: None) for _ in range(2))
+    healthy.apply_health_check("a", 9, healthy=True)
+    healthy.apply_heartbeat(heartbeat())
+    healthy.apply_health_check("a", 9, healthy=False)
+    assert healthy.usable() is not None
+    now[0] = endpoints.MAX_LATENESS_S
+    late.apply_health_check("a", 9, healthy=False)
+    late.apply_heartbeat(heartbeat())
+    assert late.usable() is not None
+
+
+def test_doubt_lasts_until_the_next_heartbeat_however_late():
+    now = [0.0]
+    own = endpoints.OwnEndpoint(OWN, instants.Clocks(lambda: now[0], lambda: 1.0), lambda: None)
+    own.apply_heartbeat(heartbeat())
+    own.apply_health_check("a", 9, healthy=False)
+    now[0] = 2 * endpoints.MAX_LATENESS_S
+    assert own.usable() is None
+    own.apply_heartbeat(heartbeat(sequence=2))
+    assert own.usable() is not None
--- a/packages/goldcrestgrade-testing/tests/fleet_platform/test_fleet.py
+++ b/packages/goldcrestgrade-testing/tests/fleet_platform/test_fleet.py
@@ -508,6 +508,42 @@
     assert sum(west_1.endpoint.run_counts.values()) >= len(answers)
 
 
+@pytest.mark.parametrize("lost", ["not written", "lost by the store", "removed"])
+async def test_late_heartbeat_is_doubted_after_a_restart_without_the_row_of_the_departure(
+    running_fleet, lost
+):
+    """Guards against use of an endpoint that left, when nothing but its health check says so."""
+    east_1, east_2, _ = running_fleet.instances
+    late_heartbeat = east_1.endpoint.heartbeat(
+        east_1.address("endpoint"), east_1.placement.failure_domain
+    )
+    url = f"http://{east_1.address('heartbeats')}/-/instances/{east_1.endpoint.endpoint_id}"
+    east_1.heartbeat_task.cancel()
+    east_1.endpoint.behaviour.draining = True
+    if lost == "not written":
+        east_1.store_access.outage = store.Outage.SILENT
+    born = {"born": east_1.endpoint.born_ms}
+    async with running_fleet.session.delete(url, json=born) as response:
+        assert response.status == 200
+    east_1.process.kill()
+    east_1.process.wait()
+    east_1.store_access.outage = store.Outage.NONE
+    if lost == "lost by the store":
+        await running_fleet.restore_store(age_s=1.0, away_s=0.2)
+    elif lost == "removed":
+        running_fleet.store.remove("goldcrestgrade", "departure/east-1")
+    running_fleet.start_node(east_1)
+    await running_fleet.wait_ready([east_1])
+    async with running_fleet.session.put(url, json=late_heartbeat) as response:
+        assert response.status == 200
+    await asyncio.sleep(1.0)
+    before = sum(east_1.endpoint.run_counts.values())
+    answers = [await running_fleet.call(east_2, "/archive/file/x", "POST") for _ in range(12)]
+    answers += [await running_fleet.call(east_1, "/archive/file/x", "POST") for _ in range(12)]
+    assert {answer.status for answer in answers} == {200}
+    assert sum(east_1.endpoint.run_counts.values()) == before
+
+
 async def test_departure_is_confirmed_in_time_without_the_store(running_fleet):
     east_1 = running_fleet.instances[0]
     east_1.heartbeat_task.cancel()
