--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/state/quarantine.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/state/quarantine.py
@@ -85,7 +85,8 @@
             return
         expires_at = change.value.get("until")
         latest = self.clocks.wall() + CRASH_LIFETIME_S + MAX_CLOCK_STEP_S
-        if type(expires_at) not in (int, float) or not expires_at <= latest:
+        is_number = isinstance(expires_at, int | float) and not isinstance(expires_at, bool)
+        if expires_at is None or not is_number or not expires_at <= latest:
             log.warning("crash row of a request is malformed; ignored", extra={"key": change.key})
             return
         if endpoint not in self.crashes.get(digest, {}):
