Check the age and the values in the answer of a peer

A negative age made a node take its configuration for that of the future, so that it did not read the store again. It counts as 0; a value that is no object makes the answer malformed instead of ending the process.

test_odd_answer_of_a_peer_is_no_proof_of_a_present_configuration failed before.

--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/state/watch.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/state/watch.py
@@ -645,7 +645,7 @@
             self.answered_by = peer.row.node_id
             for table in replica.TABLES:
                 self._apply_answer(table, decode(table, document[table]))
-            self._record_current(self.clocks.monotonic() - float(document["age_s"]))
+            self._record_current(self.clocks.monotonic() - max(0.0, float(document["age_s"])))
             return bool(document["connected"])
         except (orjson.JSONDecodeError, zlib.error, KeyError, TypeError, ValueError) as error:
             raise PeerError(f"malformed answer: {error!r}") from error
@@ -776,7 +776,13 @@
 def decode(table: str, document: typing.Any) -> tables.Changes:
     """Return the changes in a peer's document; raises `KeyError`, `TypeError`, `ValueError`."""
     changes = tuple(
-        tables.Change(table, str(key), tables.parse_position(position), value)
+        tables.Change(table, str(key), tables.parse_position(position), _decode_value(value))
         for key, position, value in document["rows"]
     )
     return tables.Changes(changes, tables.parse_position(document["position"]))
+
+
+def _decode_value(value: typing.Any) -> tables.Value | None:
+    if value is not None and not isinstance(value, dict):
+        raise TypeError("the value of a row is not an object")
+    return value
--- a/packages/goldcrestgrade-node/tests/mesh/test_watch.py
+++ b/packages/goldcrestgrade-node/tests/mesh/test_watch.py
@@ -1,8 +1,10 @@
 """Sources of the shared rows: peers and the store."""
 
 import asyncio
+import contextlib
 import random
 
+import orjson
 import pytest
 
 from goldcrestgrade import instants
@@ -359,3 +361,21 @@
 
     virtual_time.run(follow())
     assert 0 < len(polls) < 2 * (4.0 + watch.ROUND_BURST_S) / watch.ROUND_INTERVAL_S
+
+
+@pytest.mark.parametrize("change", [{"age_s": -1e9}, {"value": []}, {"value": "x"}, {"value": 7}])
+async def test_odd_answer_of_a_peer_is_no_proof_of_a_present_configuration(sync, change):
+    """Guards against a process that ends by a value, or never reads the store again."""
+    add(sync.instances, "n1", 1)
+    rows = [["instance/x", "1.2", change.get("value", {})]]
+    table = {"position": "0.0", "rows": rows}
+    status = {"node_id": "n1", "connected": True, "age_s": change.get("age_s", 0.0)}
+    body = orjson.dumps(status) + b"\n" + orjson.dumps(dict.fromkeys(replica.TABLES, table))
+
+    async def fetch(_peer, _wait_s):
+        return body
+
+    sync._fetch_changes = fetch
+    with contextlib.suppress(watch.PeerError):
+        await sync._poll_peer(sync.instances.by_id["n1"], 0.0)
+    assert sync.current_at <= sync.clocks.monotonic()
