Copy odd values before they become part of an entry

One soak ended with an error of its own: an empty object among the odd values was shared by all entries, so that fields of later entries ended up in it, nested deeper with each.

--- a/packages/goldcrestgrade-testing/goldcrestgrade_testing/fault_soak/odd_entries.py
+++ b/packages/goldcrestgrade-testing/goldcrestgrade_testing/fault_soak/odd_entries.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import contextlib
+import copy
 import random
 import typing
 
@@ -65,7 +66,7 @@
         if value is MISSING:
             del owner[name]
         else:
-            owner[name] = value
+            owner[name] = copy.deepcopy(value)
         if not spoilt:
             break
     return spoilt
--- a/packages/goldcrestgrade-testing/tests/fault_soak/test_plan.py
+++ b/packages/goldcrestgrade-testing/tests/fault_soak/test_plan.py
@@ -3,7 +3,9 @@
 import itertools
 import random
 
-from goldcrestgrade_testing.fault_soak import plan
+import orjson
+
+from goldcrestgrade_testing.fault_soak import odd_entries, plan
 
 
 def test_same_seed_gives_the_same_plan():
@@ -32,3 +34,13 @@
         drawn = plan.draw_odd(random.Random(seed), 6, 20.0)
         assert {fault.kind for fault in drawn} == set(plan.ODD_KINDS)
         assert all(plan.QUIET_START_S <= fault.begin_s < fault.end_s <= 20.0 for fault in drawn)
+
+
+def test_same_seed_gives_the_same_odd_entries_that_can_all_be_written():
+    entry = {"host": "h", "place": {"failure_domain": "d", "region": "r"}, "port": 1}
+
+    def drawn():
+        rng = random.Random(5)
+        return [orjson.dumps(odd_entries.spoil(rng, entry)) for _ in range(5000)]
+
+    assert drawn() == drawn()
