Bound the rate at which a node writes its row again

After some writes without a pause, the row is written four times a second at most. The loop over sources uses the same pacer.

--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/state/registration.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/state/registration.py
@@ -8,13 +8,19 @@
 
 from goldcrestgrade import instants
 from goldcrestgrade.storage import tables
-from goldcrestgrade_node.mesh.state import directory, replica
+from goldcrestgrade_node.mesh.state import directory, pacing, replica
 
 log = logging.getLogger(__name__)
 
 BACKOFF_BASE_S = 0.2
 """Longest backoff after the first failed write; it doubles with each further failure."""
 
+WRITE_INTERVAL_S = 0.25
+"""Mean time between writes of the row while another writer goes on to replace it."""
+
+WRITE_BURST_S = 2.0
+"""Time whose writes may follow each other without a pause."""
+
 MAX_SUPERSEDED = 40
 """Largest number of rows at the own address that are removed in one transaction."""
 
@@ -39,6 +45,7 @@
         self.store = store
         self.clocks = clocks
         self.rng = rng
+        self.pacer = pacing.Pacer(clocks, WRITE_INTERVAL_S, WRITE_BURST_S)
         self.write_due = asyncio.Event()
         self.up_to_date = asyncio.Event()
         """Set while the row equals the desired one."""
@@ -78,6 +85,7 @@
             self.write_due.clear()
             if await self._write():
                 failures = 0
+                await self.pacer.pause()
                 continue
             failures += 1
             self.write_due.set()
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/state/watch.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/state/watch.py
@@ -42,7 +42,7 @@
 
 from goldcrestgrade import instants
 from goldcrestgrade.storage import tables
-from goldcrestgrade_node.mesh.state import directory, replica
+from goldcrestgrade_node.mesh.state import directory, pacing, replica
 
 log = logging.getLogger(__name__)
 
@@ -223,8 +223,7 @@
         """Id of the peer that sent the latest answer, or `STORE`."""
         self.load_at: instants.Instant = clocks.monotonic()
         """When this node first reads the store."""
-        self.next_round_at: instants.Instant = -instants.NEVER
-        """Instant before which the next poll or search does not begin."""
+        self.pacer = pacing.Pacer(clocks, ROUND_INTERVAL_S, ROUND_BURST_S)
         self.known_era = 0
         """Latest era of the store that any answer has shown."""
         self.encoded_changes: dict[tuple[tables.Position, ...], bytes] = {}
@@ -269,14 +268,7 @@
         await self._load()
         while True:
             await self._watch()
-            await self._limit_rounds()
-
-    async def _limit_rounds(self) -> None:
-        """Pause if polls or searches have ended at once for some time."""
-        now = self.clocks.monotonic()
-        self.next_round_at = max(self.next_round_at, now - ROUND_BURST_S) + ROUND_INTERVAL_S
-        if self.next_round_at > now:
-            await asyncio.sleep(self.next_round_at - now)
+            await self.pacer.pause()
 
     async def _watch(self) -> None:
         """Poll the source or the store once, or search for a source."""
--- a/packages/goldcrestgrade-node/tests/mesh/test_watch.py
+++ b/packages/goldcrestgrade-node/tests/mesh/test_watch.py
@@ -350,7 +350,7 @@
 
     async def follow():
         sync = make_sync()
-        sync.clocks = instants.loop_clocks()
+        sync.clocks = sync.pacer.clocks = instants.loop_clocks()
         add(sync.instances, "n1", 1)
         sync.complete.set()
         sync._poll_peer = poll
