Name the state of the only heartbeat by what it says, and define the clock step once

Read as a newcomer: is_only_heartbeat_early did not say what it holds, and the step of a wall clock was defined in two modules.

--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/endpoint/endpoints.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/endpoint/endpoints.py
@@ -19,10 +19,6 @@
 MAX_DEPARTED = 256
 """Largest number of departed endpoint incarnations that are remembered."""
 
-
-MAX_CLOCK_STEP_S = 60.0
-"""Time by which the wall clock may be behind that of an endpoint's start."""
-
 MAX_SLOTS = 1_000_000
 """Largest plausible number of slots."""
 
@@ -91,14 +87,14 @@
         """Whether its address has refused a connection since the last heartbeat or health check."""
         self.departed: collections.OrderedDict[str, int] = collections.OrderedDict()
         """Highest departed `born_ms` by endpoint id; a health check makes none of these current."""
-        self.is_only_heartbeat_early = False
-        """Whether one heartbeat of the current incarnation came, early in this process."""
-        self.checked: tuple[str, bool] | None = None
-        """Id in the latest answer to a health check, and whether it was ever healthy."""
+        self.has_one_early_heartbeat = False
+        """Whether one heartbeat of the current incarnation has come, soon after the start."""
+        self.has_no_heartbeat = True
+        """Whether none has come yet."""
         self.early_until: instants.Instant = clocks.monotonic() + MAX_LATENESS_S
         """Until then, a heartbeat may be one that was sent to an earlier process of the node."""
-        self.is_first_heartbeat = True
-        """Whether no heartbeat of the current incarnation has come yet."""
+        self.checked: tuple[str, bool] | None = None
+        """Id in the latest answer to a health check, and whether any with this id was healthy."""
         self.outlier: int | None = None
         """Sequence of the latest heartbeat of the current incarnation that was far from the others.
         """
@@ -167,7 +163,7 @@
         current = self.current
         return (
             current is not None
-            and self.is_only_heartbeat_early
+            and self.has_one_early_heartbeat
             and (self.checked is None or self.checked[0] != current.endpoint_id)
         )
 
@@ -177,7 +173,7 @@
         An earlier process of this node may have confirmed that it left, and the store may not have
         the row. Such an endpoint sends no further heartbeat, and its health check fails.
         """
-        return self.is_only_heartbeat_early and self.checked == (current.endpoint_id, False)
+        return self.has_one_early_heartbeat and self.checked == (current.endpoint_id, False)
 
     def usable(self) -> Endpoint | None:
         """Return the endpoint if it accepts new requests, else none."""
@@ -275,7 +271,7 @@
         self.checked = endpoint_id, healthy or self.checked == (endpoint_id, True)
         if current is not None and current.endpoint_id == endpoint_id:
             if self.leaves() != before:
-                log.info("only heartbeat may be late; waiting for the next one")
+                log.info("endpoint with one heartbeat checked", extra={"healthy": healthy})
                 self.on_change()
             return
         if not healthy or endpoint_id in self.departed:
@@ -295,8 +291,8 @@
         self._set_current(None)
 
     def is_plausible_start(self, born_ms: int) -> bool:
-        """Return whether an endpoint may have started at a time of the wall clock."""
-        return born_ms <= 1000 * (self.clocks.wall() + MAX_CLOCK_STEP_S)
+        """Return whether an endpoint can have started at a time in Unix milliseconds."""
+        return born_ms <= 1000 * (self.clocks.wall() + instants.MAX_CLOCK_STEP_S)
 
     def _is_plausible(self, heartbeat: Heartbeat) -> bool:
         return (
@@ -320,6 +316,7 @@
         )
 
     def _continues_outlier(self, heartbeat: Heartbeat) -> bool:
+        """Return whether a heartbeat follows the latest outlier, and not the current state."""
         return (
             self.outlier is not None
             and self._is_outlier(heartbeat)
@@ -342,15 +339,15 @@
         self.current = endpoint
         if not is_same_incarnation(before, endpoint):
             self.outlier = None
-            self.is_first_heartbeat = True
-            self.is_only_heartbeat_early = False
+            self.has_no_heartbeat = True
+            self.has_one_early_heartbeat = False
             self.answered = self.known_to_stay = False
             self.coldness.record_doubt("new incarnation", new_incarnation=True)
             self._set_signals(signals.NONE)
         if by_heartbeat:
             is_early = self.clocks.monotonic() < self.early_until
-            self.is_only_heartbeat_early = self.is_first_heartbeat and is_early
-            self.is_first_heartbeat = False
+            self.has_one_early_heartbeat = self.has_no_heartbeat and is_early
+            self.has_no_heartbeat = False
         if _visible(before) != _visible(endpoint) or self.leaves() != left_before:
             log.info(
                 "own endpoint changed",
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/state/quarantine.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/state/quarantine.py
@@ -10,6 +10,7 @@
 import asyncio
 import collections
 import logging
+import typing
 
 from goldcrestgrade import instants
 from goldcrestgrade.storage import tables
@@ -26,9 +27,6 @@
 CRASH_LIFETIME_S = 120.0
 """Time for which a crash counts against a request."""
 
-MAX_CLOCK_STEP_S = 60.0
-"""Time by which the wall clock of another node may be ahead."""
-
 BATCH_DELAY_S = 0.05
 """Time in which the requests that one crash interrupted are collected into one write."""
 
@@ -83,10 +81,9 @@
         digest, _, endpoint = change.key.removeprefix(KEY_PREFIX).partition("/")
         if change.value is None:
             return
-        expires_at = change.value.get("until")
-        latest = self.clocks.wall() + CRASH_LIFETIME_S + MAX_CLOCK_STEP_S
-        is_number = isinstance(expires_at, int | float) and not isinstance(expires_at, bool)
-        if expires_at is None or not is_number or not expires_at <= latest:
+        expires_at: typing.Any = change.value.get("until")
+        latest = self.clocks.wall() + CRASH_LIFETIME_S + instants.MAX_CLOCK_STEP_S
+        if type(expires_at) not in (int, float) or expires_at > latest:
             log.warning("crash row of a request is malformed; ignored", extra={"key": change.key})
             return
         if endpoint not in self.crashes.get(digest, {}):
--- a/packages/goldcrestgrade/goldcrestgrade/instants.py
+++ b/packages/goldcrestgrade/goldcrestgrade/instants.py
@@ -22,6 +22,9 @@
 MAX_CLOCK_SKEW_S = 2.0
 """Largest difference allowed between the wall clocks of two instances."""
 
+MAX_CLOCK_STEP_S = 60.0
+"""Time by which a wall clock may be wrong for a while; one that is set steps by seconds."""
+
 
 class Clocks(typing.NamedTuple):
     """The monotonic clock and the wall clock of a process."""
