Probe an instance that does not answer a message about quotas

A row of another writer with an address where nothing listens accrues a part of each quota for good, if nobody calls its service (by reading): probes begin when a request fails, and a failed message about quotas only went elsewhere next time.

Such an instance is probed once, and removed like other unreachable ones if that fails. test_instance_that_did_not_answer_is_probed_and_removed_if_nothing_is_there and test_node_that_does_not_answer_is_reported failed before.

--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/node.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/node.py
@@ -241,6 +241,7 @@
             self.counts,
             self.rng,
         )
+        self.quotas.on_unanswered = self.prober.suspected.add
         self.dispatcher = dispatch.Dispatcher(
             self.location,
             self.instances,
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/quota/exchange.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/quota/exchange.py
@@ -124,6 +124,8 @@
         """Tokens that this accounting node was asked for in its region, by workspace."""
         self.served_at: dict[tuple[str, str], instants.Instant] = {}
         """When a node last withdrew tokens of a workspace here, so that it has none to spare."""
+        self.on_unanswered: typing.Callable[[str], None] = lambda _: None
+        """Called with the id of a node that did not answer a message."""
 
     def apply(self, table: routes.RouteTable, rules: terms.Rules) -> None:
         """Put the quotas of a configuration in force."""
@@ -270,6 +272,7 @@
             )
             self.avoid_until[node_id] = self.clocks.monotonic() + AVOID_S
             self.accounting.clear()
+            self.on_unanswered(node_id)
             return False
         for workspace, offer in offers.items():
             if workspace in wanted:
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/transport/peers.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/transport/peers.py
@@ -131,6 +131,8 @@
         reached: reachability.Reachability,
     ) -> None:
         self.reachability = reached
+        self.suspected: set[str] = set()
+        """Ids of instances that did not answer something else than a request; probed next."""
         self.domain_probe_at: dict[str, instants.Instant] = {}
         """When an unreachable failure domain is due for a probe."""
         self.own_id = own_id
@@ -147,8 +149,10 @@
             due = [
                 instance
                 for instance in self.instances.by_id.values()
-                if instance.failures and instance.next_probe_at <= now
+                if (instance.failures and instance.next_probe_at <= now)
+                or (not instance.failures and instance.row.node_id in self.suspected)
             ]
+            self.suspected.clear()
             domain_probes = (self._probe_domain(instance) for instance in self._domain_probes(now))
             await asyncio.gather(*map(self.probe, due), *domain_probes)
 
--- a/packages/goldcrestgrade-node/tests/mesh/quota/test_quota_exchange.py
+++ b/packages/goldcrestgrade-node/tests/mesh/quota/test_quota_exchange.py
@@ -274,3 +274,18 @@
     transferred = quota_replay.measure(scenario, "transfer of tokens", 1)
     assert transferred.worst_ratio <= 1
     assert transferred.lost_share < 0.75 * min(former.lost_share, by_demand.lost_share)
+
+
+def test_node_that_does_not_answer_is_reported():
+    """Guards against quotas of which an instance without a node holds a part for good."""
+
+    async def check(fleet):
+        reported = set()
+        for node in fleet.nodes.values():
+            node.on_unanswered = reported.add
+        fleet.silent = {"n1"}
+        for name in ("n0", "n2"):
+            await charged(fleet.nodes[name], 60)
+        return reported
+
+    assert run(check, table(w=5.0)) == {"n1"}
--- a/packages/goldcrestgrade-node/tests/mesh/test_peers.py
+++ b/packages/goldcrestgrade-node/tests/mesh/test_peers.py
@@ -29,7 +29,7 @@
         """Ignore the response."""
 
 
-def play(alive, own_id, tried, seconds):
+def play(alive, own_id, tried, seconds, suspected=()):
     """Return the rows that a node removes, given the ids that answer and those it has tried."""
     store = Store()
 
@@ -49,6 +49,7 @@
         prober._is_alive = is_alive
         for name in tried:
             known.record_unreachable(known.by_id[name], 0.0)
+        prober.suspected.update(suspected)
         running = asyncio.create_task(prober.run())
         await asyncio.sleep(seconds)
         running.cancel()
@@ -65,3 +66,8 @@
 def test_rows_are_removed_although_nothing_listens_at_the_lowest_id():
     """Guards against rows that all nodes leave to an instance without a node."""
     assert play({"m"}, "m", ["z"], 120.0) == {"instance/a", "instance/z"}
+
+
+def test_instance_that_did_not_answer_is_probed_and_removed_if_nothing_is_there():
+    """Guards against the part of a quota that an instance without a node would hold for good."""
+    assert play({"a", "m"}, "a", [], 60.0, suspected=["z", "m"]) == {"instance/z"}
