Apply a drain whatever the sequence of its heartbeat is

Cause: an odd heartbeat with the sequence 65,535; the bound of a million, by which a sequence counted as odd, was too wide, and any is.

A drain applies whatever its sequence is. A drain ends with the second heartbeat in order that says so, since endpoints don't end one. If no heartbeat in order came for 10 s, the order is void. This takes the place of the bound.

Cases of test_endpoints with the sequences 5 and 65,535 failed before.

--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/endpoint/endpoints.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/endpoint/endpoints.py
@@ -1,7 +1,8 @@
 """The endpoint on this node's instance: its identity and whether it accepts new requests.
 
-Any process can send a heartbeat. One whose numbers can't be right is refused, and one whose
-sequence is far from that of the others does not outrank them.
+Any process can send a heartbeat. One whose numbers can't be right is refused. One that is wrong in
+another way must neither hide that the endpoint drains nor end a drain, and is outranked after a
+time: heartbeats are only seconds late.
 """
 
 from __future__ import annotations
@@ -19,7 +20,7 @@
 MAX_DEPARTED = 256
 """Largest number of departed endpoint incarnations that are remembered."""
 
-MAX_SLOTS = 1_000_000
+MAX_SLOTS = 10_000
 """Largest plausible number of slots."""
 
 MAX_WARM_UP_S = 3600.0
@@ -28,11 +29,8 @@
 MAX_LATENESS_S = 30.0
 """Time after which a heartbeat that was sent to an earlier process no longer arrives."""
 
-MAX_SEQUENCE_GAP = 1_000_000
-"""Largest difference between the sequences of heartbeats that are sent within minutes.
-
-It covers sequences that count heartbeats, and those that count milliseconds.
-"""
+MAX_DELAY_S = 10.0
+"""Time after which a heartbeat is no longer expected to arrive after those that were sent later."""
 
 
 class Heartbeat(typing.NamedTuple):
@@ -95,9 +93,10 @@
         """Until then, a heartbeat may be one that was sent to an earlier process of the node."""
         self.checked: tuple[str, bool] | None = None
         """Id in the latest answer to a health check, and whether any with this id was healthy."""
-        self.outlier: int | None = None
-        """Sequence of the latest heartbeat of the current incarnation that was far from the others.
-        """
+        self.heard_at: instants.Instant = -instants.NEVER
+        """When the latest heartbeat in order came."""
+        self.is_drain_doubted = False
+        """Whether the latest heartbeat says, as the first one, that a drain has ended."""
         self.slots = 0
         self.signals = signals.NONE
         """Signals in the latest answer of the endpoint, or as other nodes received them."""
@@ -184,9 +183,9 @@
         """Apply a heartbeat and return how it was classified.
 
         `foreign`: from an endpoint other than the configured one; `implausible`: with a number that
-        can't be right; `departed`: from an incarnation that has left; `outlier`: with a sequence
-        far from the known one, of which only a drain was applied; `stale`: older than the current
-        state; `first`: no endpoint was known before; `taken`: any other that was applied.
+        can't be right; `departed`: from an incarnation that has left; `stale`: older than the
+        current state, so that only a drain was applied; `first`: no endpoint was known before;
+        `taken`: any other that was applied.
         """
         reported = ConfiguredEndpoint(
             heartbeat.address, heartbeat.service, heartbeat.failure_domain
@@ -198,15 +197,12 @@
         if self.departed.get(heartbeat.endpoint_id, -1) >= heartbeat.born_ms:
             return "departed"
         known = self.current
-        is_continued = self._continues_outlier(heartbeat)
-        if known is not None and self._is_outlier(heartbeat) and not is_continued:
-            self.outlier = heartbeat.sequence
-            if heartbeat.draining:
+        if not self._is_newer(heartbeat):
+            if known is not None and heartbeat.draining and _is_of(known, heartbeat):
+                self.is_drain_doubted = False
                 self._set_current(known._replace(draining=True))
-            return "outlier"
-        if not is_continued and not self._is_newer(heartbeat):
             return "stale"
-        self.outlier = None
+        self.heard_at = self.clocks.monotonic()
         self.unreachable = False
         self.slots = heartbeat.slots
         self._set_current(
@@ -215,7 +211,7 @@
                 heartbeat.born_ms,
                 heartbeat.sequence,
                 heartbeat.slots,
-                heartbeat.draining,
+                self._is_draining(heartbeat),
             ),
             by_heartbeat=True,
         )
@@ -301,27 +297,17 @@
             and heartbeat.warm_in_s <= MAX_WARM_UP_S
         )
 
-    def _is_outlier(self, heartbeat: Heartbeat) -> bool:
-        """Return whether the sequence is far from that of the current incarnation.
+    def _is_draining(self, heartbeat: Heartbeat) -> bool:
+        """Return whether the endpoint drains after a heartbeat in order.
 
-        A late heartbeat is only seconds older, so either this one or an earlier one is wrong. If
-        the next one continues it, it was an earlier one.
+        Endpoints don't end a drain. If one seems to, one of its heartbeats is wrong, and the next
+        one tells which.
         """
         current = self.current
-        return (
-            current is not None
-            and (current.endpoint_id, current.born_ms) == (heartbeat.endpoint_id, heartbeat.born_ms)
-            and current.sequence >= 0
-            and abs(heartbeat.sequence - current.sequence) > MAX_SEQUENCE_GAP
-        )
-
-    def _continues_outlier(self, heartbeat: Heartbeat) -> bool:
-        """Return whether a heartbeat follows the latest outlier, and not the current state."""
-        return (
-            self.outlier is not None
-            and self._is_outlier(heartbeat)
-            and 0 < heartbeat.sequence - self.outlier <= MAX_SEQUENCE_GAP
-        )
+        is_drained = current is not None and current.draining and _is_of(current, heartbeat)
+        ends_drain = is_drained and not heartbeat.draining
+        self.is_drain_doubted = ends_drain and not self.is_drain_doubted
+        return heartbeat.draining or self.is_drain_doubted
 
     def _is_newer(self, heartbeat: Heartbeat) -> bool:
         current = self.current
@@ -332,13 +318,13 @@
         if current.endpoint_id != heartbeat.endpoint_id:
             # The current one is known from a health check; the heartbeat may be of an older one.
             return current.born_ms != 0
-        return heartbeat.sequence > current.sequence
+        is_late_possible = self.clocks.monotonic() < self.heard_at + MAX_DELAY_S
+        return heartbeat.sequence > current.sequence or not is_late_possible
 
     def _set_current(self, endpoint: Endpoint | None, by_heartbeat: bool = False) -> None:
         before, left_before = self.current, self.leaves()
         self.current = endpoint
         if not is_same_incarnation(before, endpoint):
-            self.outlier = None
             self.has_no_heartbeat = True
             self.has_one_early_heartbeat = False
             self.answered = self.known_to_stay = False
@@ -367,5 +353,10 @@
     return before.born_ms == after.born_ms or 0 in (before.born_ms, after.born_ms)
 
 
+def _is_of(endpoint: Endpoint, heartbeat: Heartbeat) -> bool:
+    """Return whether a heartbeat was sent by an incarnation."""
+    return (endpoint.endpoint_id, endpoint.born_ms) == (heartbeat.endpoint_id, heartbeat.born_ms)
+
+
 def _visible(endpoint: Endpoint | None) -> tuple[str, bool] | None:
     return None if endpoint is None else (endpoint.endpoint_id, endpoint.draining)
