Refuse ids of endpoints that can't be written to a header or a key

A run-once request got 500 from the node beside its endpoint (fault soak, 20 s). Cause: an odd heartbeat under the path /%00 made an endpoint with that id known to a process that had just started, and requests name the id in a header, which can't hold it.

--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/endpoint/endpoints.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/endpoint/endpoints.py
@@ -11,7 +11,7 @@
 import logging
 import typing
 
-from goldcrestgrade import instants
+from goldcrestgrade import headers, instants
 from goldcrestgrade_node.mesh.endpoint import coldness
 from goldcrestgrade_node.mesh.transport import signals
 
@@ -20,6 +20,9 @@
 MAX_DEPARTED = 256
 """Largest number of departed endpoint incarnations that are remembered."""
 
+MAX_ID_BYTES = 128
+"""Longest id of an endpoint; keys of rows, which hold it, have at most 200 bytes."""
+
 MAX_SLOTS = 10_000
 """Largest plausible number of slots."""
 
@@ -183,9 +186,9 @@
         """Apply a heartbeat and return how it was classified.
 
         `foreign`: from an endpoint other than the configured one; `implausible`: with a number that
-        can't be right; `departed`: from an incarnation that has left; `stale`: older than the
-        current state, so that only a drain was applied; `first`: no endpoint was known before;
-        `taken`: any other that was applied.
+        can't be right, or an id that can't be used; `departed`: from an incarnation that has left;
+        `stale`: older than the current state, so that only a drain was applied; `first`: no
+        endpoint was known before; `taken`: any other that was applied.
         """
         reported = ConfiguredEndpoint(
             heartbeat.address, heartbeat.service, heartbeat.failure_domain
@@ -261,6 +264,9 @@
 
         A healthy endpoint that is not the current one and has not left becomes the current one.
         """
+        if not is_id(endpoint_id):
+            log.warning("id in the answer to a health check can't be used; ignored")
+            return
         current = self.current
         self.unreachable = False
         before = self.leaves()
@@ -292,7 +298,8 @@
 
     def _is_plausible(self, heartbeat: Heartbeat) -> bool:
         return (
-            self.is_plausible_start(heartbeat.born_ms)
+            is_id(heartbeat.endpoint_id)
+            and self.is_plausible_start(heartbeat.born_ms)
             and heartbeat.slots <= MAX_SLOTS
             and heartbeat.warm_in_s <= MAX_WARM_UP_S
         )
@@ -346,6 +353,11 @@
             self.on_change()
 
 
+def is_id(text: str) -> bool:
+    """Return whether a text can be the id of an endpoint, which is part of headers and of keys."""
+    return 0 < len(text.encode("utf-8", "replace")) <= MAX_ID_BYTES and headers.is_writable(text)
+
+
 def is_same_incarnation(before: Endpoint | None, after: Endpoint | None) -> bool:
     """Return whether both are known and describe one incarnation, perhaps at different times."""
     if before is None or after is None or before.endpoint_id != after.endpoint_id:
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/transport/requests.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/transport/requests.py
@@ -7,7 +7,7 @@
 import orjson
 import xxhash
 
-from goldcrestgrade import instants, outcomes, routes
+from goldcrestgrade import headers, instants, outcomes, routes
 from goldcrestgrade_node.mesh.endpoint import decision
 from goldcrestgrade_node.mesh.transport import loads, signals
 
@@ -253,6 +253,8 @@
     for name, value in document.items():
         if not isinstance(value, OPTIONAL_KINDS.get(name, object)):
             raise TypeError(f"{name} has another type")
+    if not headers.is_writable(document["caller"] + document.get("workspace", "")):
+        raise TypeError("caller or workspace can't be written to a header")
 
 
 def _decode_report(document: ReportDocument | None) -> signals.Report | None:
--- a/packages/goldcrestgrade-node/tests/mesh/test_endpoints.py
+++ b/packages/goldcrestgrade-node/tests/mesh/test_endpoints.py
@@ -103,6 +103,15 @@
     assert own.apply_heartbeat(heartbeat(**change)) == "implausible"
 
 
+@pytest.mark.parametrize("odd", ["", "\0", "a\nb", "\udcff", "x" * 129, "\u00e9" * 65], ids=repr)
+def test_id_that_can_not_be_part_of_a_header_or_a_key_is_no_id(own, odd):
+    """Guards against requests that fail since the id of their endpoint can't be written."""
+    own.apply_health_check(odd, 9, healthy=True)
+    assert own.usable() is None
+    assert own.apply_heartbeat(heartbeat(odd)) == "implausible"
+    assert own.usable() is None
+
+
 def test_departure_of_a_start_in_the_future_is_that_of_the_known_start(own):
     own.apply_heartbeat(heartbeat())
     assert own.record_departure("a", 10**18) == "left"
--- a/packages/goldcrestgrade-node/tests/mesh/test_requests.py
+++ b/packages/goldcrestgrade-node/tests/mesh/test_requests.py
@@ -84,6 +84,8 @@
         {"rank": "1"},
         {"target_ms": "400"},
         {"left_ms": None},
+        {"caller": "a\nb"},
+        {"workspace": "\0"},
         {"workspace": 5},
         {"regions": "khomas"},
         {"configuration": "9"},
--- a/packages/goldcrestgrade-testing/tests/fleet_platform/test_odd_entries.py
+++ b/packages/goldcrestgrade-testing/tests/fleet_platform/test_odd_entries.py
@@ -2,8 +2,10 @@
 
 import asyncio
 import base64
+import contextlib
 import time
 
+import aiohttp
 import orjson
 import pytest
 
@@ -191,3 +193,26 @@
     answers = [await running_fleet.call(east_2, "/archive/x") for _ in range(12)]
     assert {answer.status for answer in answers} == {200}
     assert any(east_1.endpoint.run_counts[answer.attempt_id] for answer in answers)
+
+
+@pytest.mark.parametrize("odd_id", ["%00", "%0A", "x" * 5000])
+async def test_heartbeat_of_an_id_that_can_not_be_written_fails_no_request(running_fleet, odd_id):
+    """Guards against answers of 500, found by seed 9461460 of the fault soak."""
+    east_1, east_2, _ = running_fleet.instances
+    east_1.process.kill()
+    east_1.process.wait()
+    east_1.heartbeat_task.cancel()
+    running_fleet.start_node(east_1)
+    url = f"http://{east_1.address('heartbeats')}/-/instances/{odd_id}"
+    body = east_1.endpoint.heartbeat(east_1.address("endpoint"), "east")
+    deadline = time.monotonic() + 5.0
+    while time.monotonic() < deadline:
+        with contextlib.suppress(aiohttp.ClientError, OSError):
+            async with running_fleet.session.put(url, json=body) as response:
+                assert response.status == 400
+                break
+        await asyncio.sleep(0.01)
+    await running_fleet.wait_ready([east_1])
+    answers = [await running_fleet.call(east_1, "/archive/file/x", "POST") for _ in range(12)]
+    answers += [await running_fleet.call(east_2, "/archive/x") for _ in range(12)]
+    assert {answer.status for answer in answers} == {200}
--- a/packages/goldcrestgrade/goldcrestgrade/headers.py
+++ b/packages/goldcrestgrade/goldcrestgrade/headers.py
@@ -180,3 +180,11 @@
     if text is None or not (text.isascii() and text.isdecimal()) or len(text) > MAX_DIGITS:
         return None
     return int(text)
+
+
+def is_writable(text: str) -> bool:
+    """Return whether a text can be the value of a header: it has no control characters.
+
+    Texts from JSON and from paths may have some, and headers of others bytes that are no text.
+    """
+    return text.isprintable()
