Replace control characters in headers of answers by spaces

A client got no answer, or 502 over another node, for a request that ran, if the endpoint's answer had a header with a control character. Cause: such values can be read, and the server refuses to write them. RFC 9110, section 5.5, allows to replace them by spaces.

test_answer_with_a_control_character_in_a_header_reaches_the_client failed before for three characters.

--- a/packages/goldcrestgrade-testing/tests/fleet_platform/test_fleet.py
+++ b/packages/goldcrestgrade-testing/tests/fleet_platform/test_fleet.py
@@ -1,6 +1,7 @@
 """Requests through real node processes, with stand-ins for the platform's endpoints and store."""
 
 import asyncio
+import re
 import signal
 import time
 
@@ -383,6 +384,25 @@
         assert answer.attempt_id in await response.text()
 
 
+@pytest.mark.parametrize("odd", ["\x01", "\x7f", "a\x0bb"], ids=repr)
+async def test_answer_with_a_control_character_in_a_header_reaches_the_client(running_fleet, odd):
+    """Guards against answers that are lost since a server refuses to write a header of them."""
+    east_1, east_2, _ = running_fleet.instances
+    header_fields = east_1.endpoint._header_fields
+
+    def with_odd_header(attempt_id, fields):
+        return header_fields(attempt_id, fields) + f"x-odd: [{odd}]\r\n"
+
+    east_1.endpoint._header_fields = with_odd_header
+    running_fleet.instances[2].endpoint.behaviour.draining = True
+    await asyncio.sleep(2.0)
+    for instance in (east_1, east_2):
+        for method in ("GET", "POST"):
+            answer = await running_fleet.call(instance, "/archive/file/x", method)
+            assert answer.status == 200
+            assert answer.fields["x-odd"] == "[" + re.sub(r"[\x00-\x1f\x7f]", " ", odd) + "]"
+
+
 SENT_AFTER_S = (
     0.0,
     0.4,
--- a/packages/goldcrestgrade/goldcrestgrade/headers.py
+++ b/packages/goldcrestgrade/goldcrestgrade/headers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import math
+import re
 import typing
 
 Fields = tuple[tuple[str, str], ...]
@@ -134,9 +135,20 @@
 """Largest number of digits of a number in a header; any such number fits 64 bits."""
 
 
+_CONTROL_CHARACTERS = re.compile(rb"[\x00-\x08\x0a-\x1f\x7f]")
+"""Bytes that no value of a header has; the tab is allowed."""
+
+
 def from_bytes(raw: typing.Iterable[tuple[bytes, bytes]]) -> Fields:
-    """Return the headers of an answer, decoded as Latin-1 so that no byte of a value is lost."""
-    return tuple((name.decode("latin-1").lower(), value.decode("latin-1")) for name, value in raw)
+    """Return the headers of an answer, decoded as Latin-1 so that no byte of a value is lost.
+
+    Control characters become spaces, as RFC 9110, section 5.5, allows: the answer can't be sent on
+    with them.
+    """
+    return tuple(
+        (name.decode("latin-1").lower(), _CONTROL_CHARACTERS.sub(b" ", value).decode("latin-1"))
+        for name, value in raw
+    )
 
 
 def has_repeated_header(fields: Fields) -> bool:
