Write rows with unusable addresses in the fault soak all the time, not by chance

Cause: the test that seeds a defect in the check of addresses relied on odd rows drawn at random. Few of them name a port out of range, and one that a node has found unreachable is not offered a request again. Each run of the soak draws this kind, the plans of seeds are the same otherwise, and the seeded defect is tested under it. A fifth of the other odd rows now keep their values and are odd by their key, or plausible. The check is the same.

--- a/packages/goldcrestgrade-testing/goldcrestgrade_testing/fault_soak/injection.py
+++ b/packages/goldcrestgrade-testing/goldcrestgrade_testing/fault_soak/injection.py
@@ -85,7 +85,7 @@
             return _evacuate(running_fleet, instance.placement.failure_domain, fault)
         case "hot":
             return _heat(running_fleet)
-        case "odd_rows" | "odd_heartbeats":
+        case _ if fault.kind in plan.ODD_KINDS:
             return _write_odd_entries(running_fleet, instance, fault)
         case _ if family == "link":
             return _inject_link_fault(instance.proxies["endpoint"], mode)
@@ -170,9 +170,14 @@
     running_fleet: fleet.Fleet, instance: fleet.Instance, fault: plan.Fault
 ) -> EndFault:
     writer = odd_entries.Writer(running_fleet, random.Random(fault.variant))
-    writing = asyncio.create_task(
-        writer.write_rows() if fault.kind == "odd_rows" else writer.send_heartbeats(instance)
-    )
+    match fault.kind:
+        case "odd_rows":
+            entries = writer.write_rows()
+        case "odd_addresses":
+            entries = writer.write_unusable_addresses()
+        case _:
+            entries = writer.send_heartbeats(instance)
+    writing = asyncio.create_task(entries)
 
     async def end() -> None:
         writing.cancel()
--- a/packages/goldcrestgrade-testing/goldcrestgrade_testing/fault_soak/odd_entries.py
+++ b/packages/goldcrestgrade-testing/goldcrestgrade_testing/fault_soak/odd_entries.py
@@ -9,6 +9,7 @@
 import asyncio
 import contextlib
 import copy
+import itertools
 import random
 import typing
 
@@ -50,6 +51,17 @@
 MAX_KEY_BYTES = 200
 """Longest key that the store takes."""
 
+UNUSABLE_ADDRESSES = (
+    (fleet.HOST, 0),
+    (fleet.HOST, 65_536),
+    (fleet.HOST, 70_000),
+    ("odd.invalid", 1),
+)
+"""Hosts and ports to which no connection can be opened."""
+
+UNUSABLE_ROWS = 20
+"""Number of rows with such addresses."""
+
 
 def spoil(rng: random.Random, entry: dict[str, typing.Any]) -> dict[str, typing.Any]:
     """Return a copy of an entry in which one to three fields, at any depth, are odd."""
@@ -89,6 +101,15 @@
             self._write_row()
             await asyncio.sleep(self.rng.uniform(*INTERVAL_S))
 
+    async def write_unusable_addresses(self) -> None:
+        """Write rows of instances that say they serve at addresses that no connection can reach."""
+        for count in itertools.count():
+            row = self._instance_row(self.rng.choice(self.fleet.instances))
+            row["host"], row["port"] = self.rng.choice(UNUSABLE_ADDRESSES)
+            key = f"instance/odd-{count % UNUSABLE_ROWS}"
+            self.fleet.store.write_bytes(MESH, key, orjson.dumps(row))
+            await asyncio.sleep(INTERVAL_S[0])
+
     async def send_heartbeats(self, instance: fleet.Instance) -> None:
         """Send odd heartbeats and odd departures to the node of an instance."""
         while True:
@@ -126,7 +147,7 @@
             },
             "service": instance.placement.service,
             "serving": True,
-            "started_ms": 1,
+            "started_ms": self.rng.randrange(2**40),
         }
 
     def _operator_key(self) -> str:
@@ -138,6 +159,9 @@
             return self.rng.choice(UNREADABLE)
         if draw < 0.3:
             return _nested(self.rng.choice(NESTING_DEPTHS))
+        if draw < 0.5:
+            # Odd by its key alone, or plausible.
+            return orjson.dumps(row)
         return orjson.dumps(spoil(self.rng, row))
 
     async def _send_heartbeat(self, instance: fleet.Instance) -> None:
--- a/packages/goldcrestgrade-testing/goldcrestgrade_testing/fault_soak/plan.py
+++ b/packages/goldcrestgrade-testing/goldcrestgrade_testing/fault_soak/plan.py
@@ -42,11 +42,11 @@
 Planned operations such as `stop`, `drain`, `configure` and `reload` count as faults.
 """
 
-ODD_KINDS = ("odd_rows", "odd_heartbeats")
+ODD_KINDS = ("odd_rows", "odd_heartbeats", "odd_addresses")
 """Kinds of odd entries by another writer; `draw_odd` draws them, so that plans of seeds stay."""
 
 FLEET_WIDE_KINDS = frozenset(
-    {"store_forget", "store_restore", "configure", "withdraw", "hot", "odd_rows"}
+    {"store_forget", "store_restore", "configure", "withdraw", "hot", "odd_rows", "odd_addresses"}
 )
 """Kinds that affect the whole fleet rather than one instance."""
 
@@ -103,9 +103,9 @@
 
 
 def draw_odd(rng: random.Random, instances: int, seconds: float) -> list[Fault]:
-    """Return times of odd rows, and of odd heartbeats to one node each, which may overlap."""
+    """Return times of odd entries, which may overlap; odd heartbeats go to one node each."""
     faults = []
-    for kind in (*ODD_KINDS, "odd_heartbeats"):
+    for kind in ("odd_rows", "odd_heartbeats", "odd_heartbeats", "odd_addresses"):
         begin_s = rng.uniform(QUIET_START_S, 0.6 * seconds)
         end_s = rng.uniform(begin_s + 0.2 * seconds, seconds)
         faults.append(Fault(kind, rng.randrange(instances), begin_s, end_s, rng.randrange(1 << 32)))
--- a/packages/goldcrestgrade-testing/tests/fault_soak/test_mutations.py
+++ b/packages/goldcrestgrade-testing/tests/fault_soak/test_mutations.py
@@ -245,7 +245,7 @@
 from goldcrestgrade_node.mesh.state import directory
 directory._is_address = lambda host, port: True
 """,
-        [plan.Fault("odd_rows", 0, 1.0, 8.0, seed) for seed in range(6)],
+        [plan.Fault("odd_addresses", 0, 1.0, 8.0, 0)],
     ),
     "not_recovered": Mutation(
         """
--- a/packages/goldcrestgrade-testing/tests/fault_soak/test_plan.py
+++ b/packages/goldcrestgrade-testing/tests/fault_soak/test_plan.py
@@ -29,7 +29,7 @@
     )
 
 
-def test_each_plan_has_odd_rows_and_odd_heartbeats_within_the_run():
+def test_each_plan_has_odd_entries_of_each_kind_within_the_run():
     for seed in range(50):
         drawn = plan.draw_odd(random.Random(seed), 6, 20.0)
         assert {fault.kind for fault in drawn} == set(plan.ODD_KINDS)
