Refuse configurations with values that are read and fail later

Callers saw: one odd value in the configuration by another writer, such as regions of two types, ended all nodes, and again at each start; others had requests answered with 500, 503 or 429 until the next configuration. Cause: the decoder converted numbers and took texts as they were. A list of two types can't be sorted, which ended the task that follows the store; integers of more than 64 bits can't be encoded for other nodes; the sum of two weights of 1e308 is infinite.

--- a/packages/goldcrestgrade-testing/goldcrestgrade_testing/fault_soak/odd_entries.py
+++ b/packages/goldcrestgrade-testing/goldcrestgrade_testing/fault_soak/odd_entries.py
@@ -67,11 +67,11 @@
     """Return a copy of an entry in which one to three fields, at any depth, are odd."""
     spoilt: dict[str, typing.Any] = orjson.loads(orjson.dumps(entry))
     for _ in range(rng.randint(1, 3)):
-        owner = spoilt
+        owner: typing.Any = spoilt
         while True:
-            name = rng.choice(sorted(owner))
+            name = rng.choice(sorted(owner) if isinstance(owner, dict) else range(len(owner)))
             inner = owner[name]
-            if not isinstance(inner, dict) or not inner or rng.random() < 0.2:
+            if not isinstance(inner, dict | list) or not inner or rng.random() < 0.2:
                 break
             owner = inner
         value = rng.choice(VALUES)
--- a/packages/goldcrestgrade-testing/tests/fleet_platform/test_adapter.py
+++ b/packages/goldcrestgrade-testing/tests/fleet_platform/test_adapter.py
@@ -2,6 +2,9 @@
 
 import asyncio
 import base64
+import itertools
+import math
+import random
 import re
 
 import aiohttp
@@ -12,8 +15,13 @@
 from goldcrestgrade import durations, exceptions, instants, routes
 from goldcrestgrade.storage import tables
 from goldcrestgrade_node.mesh.endpoint import endpoints
+from goldcrestgrade_node.mesh.entry import dispatch
+from goldcrestgrade_node.mesh.quota import terms
 from goldcrestgrade_node.mesh.state import evacuations, replica
+from goldcrestgrade_node.mesh.transport import requests
 from goldcrestgrade_testing import reference, serving
+from goldcrestgrade_testing.fault_soak import odd_entries
+from goldcrestgrade_testing.fleet_platform import fleet
 from goldcrestgrade_testing.fleet_platform import store as stand_in
 
 ROOT = reference.DOCS.parent
@@ -411,3 +419,36 @@
     stand_in_store.remove("op", "evacuate/khomas-a")
     received = await client.changes(replica.CONFIGURATION, snapshot.position, 0.0, TRANSFER_S)
     assert [(change.key, change.value) for change in received.changes] == [(key, None)]
+
+
+def test_configuration_with_odd_values_is_refused_or_can_be_used():
+    """Guards against values that are read and fail later, as the configuration is in force."""
+    rng = random.Random(1)
+    rules = terms.Rules(5.0, 0.1, 20.0)
+    body = document(action={**RULE["action"], "allowed_regions": ["luzon"]}, anonymous=True)
+    body["clusters"][0] |= {"warmup": "3s", "warmup_per_s": 6.0}
+    body["tenants"] = [fleet.workspace("w", "k", rate_per_s=138, burst_size=140)]
+    message = requests.Message("GET", "/a/", "letters.example", (), b"")
+    usable = 0
+    for _ in range(20_000):
+        try:
+            table = configuration.decode(odd_entries.spoil(rng, body))
+        except exceptions.InvalidDocument:
+            continue
+        usable += 1
+        assert routes.unknown_regions(table, {"luzon"}) is not None
+        assert routes.excluded(table, "luzon") is not None
+        for workspace in table.workspaces.values():
+            assert workspace.rate >= 0
+            if workspace.rate:
+                derived = terms.derive(workspace.rate, workspace.burst, rules)
+                assert all(0 < value < 1e20 for value in derived)
+        for route in itertools.chain(*table.by_host.values()):
+            service = dispatch.draw_service(route, rng)
+            assert service in table.services
+            for workspace in (None, *table.workspaces.values()):
+                call = requests.call(route, service, "c", "a", message, 0.0, math.inf, workspace)
+                call = call._replace(configuration=table.version)
+                encoded = requests.encode(call, 0.0)
+                assert requests.decode(encoded, "a", message, 0.0) is not None
+    assert usable > 1000
--- a/packages/goldcrestgrade-testing/tests/fleet_platform/test_odd_entries.py
+++ b/packages/goldcrestgrade-testing/tests/fleet_platform/test_odd_entries.py
@@ -3,6 +3,8 @@
 import asyncio
 import base64
 import contextlib
+import functools
+import operator
 import time
 
 import aiohttp
@@ -216,3 +218,51 @@
     answers = [await running_fleet.call(east_1, "/archive/file/x", "POST") for _ in range(12)]
     answers += [await running_fleet.call(east_2, "/archive/x") for _ in range(12)]
     assert {answer.status for answer in answers} == {200}
+
+
+RULE, PART = ("listeners", 0, "rules", 0), ("listeners", 0, "rules", 0, "action")
+"""Places of a rule and of its action in a configuration."""
+
+ODD_CONFIGURATIONS = {
+    "version": {("version",): 1e300},
+    "priority": {(*RULE, "priority"): 1e300},
+    "rule name": {(*RULE, "name"): None},
+    "regions of two types": {(*PART, "allowed_regions"): [1, "r1"]},
+    "timeout": {(*PART, "timeout"): "9" * 400 + "s"},
+    "target latency": {(*RULE, "target_latency"): "9" * 30 + "s"},
+    "weights": {
+        (*PART, "traffic_split"): [{"service": s, "weight": 1e308} for s in ("archive", "intake")]
+    },
+    "health path": {("clusters", 0, "health_path"): {"a": 1}},
+    "tenant name": {("tenants", 0, "name"): 7},
+    "tenant name with control characters": {("tenants", 0, "name"): "w\n"},
+    "large quota": {("tenants", 0, "rate_per_s"): 1e308, ("tenants", 0, "burst_size"): 1e308},
+    "negative quota": {("tenants", 0, "rate_per_s"): 5.0, ("tenants", 0, "burst_size"): -1e308},
+    "tenant regions of two types": {("tenants", 0, "allowed_regions"): [1, "r1"]},
+}
+
+
+@pytest.mark.parametrize("changes", ODD_CONFIGURATIONS.values(), ids=ODD_CONFIGURATIONS)
+async def test_odd_value_in_a_configuration_ends_no_node_and_fails_no_request(
+    running_fleet, changes
+):
+    """Guards against nodes that end, also after a restart, since one value can't be used."""
+    running_fleet.configure(*running_fleet.rules, workspaces=[fleet.workspace("w", "key-of-w")])
+    running_fleet.default_key = "key-of-w"
+    await running_fleet.wait_keys_required()
+    odd = orjson.loads(orjson.dumps(running_fleet.configuration))
+    odd["version"] += 1
+    for (*place, name), value in changes.items():
+        functools.reduce(operator.getitem, place, odd)[name] = value
+    running_fleet.store.write("op", "config", odd)
+    await asyncio.sleep(1.0)
+    east_1 = running_fleet.instances[0]
+    for instance in running_fleet.instances:
+        answers = [await running_fleet.call(instance, f"/{s}/x") for s in ("archive", "intake") * 6]
+        assert {answer.status for answer in answers} == {200}
+    assert [i.process.poll() for i in running_fleet.instances] == [None] * len(PLACEMENTS)
+    east_1.process.kill()
+    east_1.process.wait()
+    running_fleet.start_node(east_1)
+    await running_fleet.wait_ready([east_1])
+    await wait_route(running_fleet, running_fleet.instances, CONFIG_APPLY_S)
--- a/packages/goldcrestgrade/goldcrestgrade/routes.py
+++ b/packages/goldcrestgrade/goldcrestgrade/routes.py
@@ -16,6 +16,9 @@
 DEFAULT_MAX_BODY_BYTES = 16 << 20
 """Largest request body if the configuration sets no limit."""
 
+MIN_QUOTA_RATE = 1e-6
+"""Smallest positive quota in requests a second; the time between two requests stays finite."""
+
 
 class Part(typing.NamedTuple):
     """One of the services among which a route splits its requests."""
@@ -191,11 +194,11 @@
 
 
 def check(table: RouteTable) -> list[findings.Finding]:
-    """Return the errors of all routes of `table`."""
+    """Return the errors of all routes, services and workspaces of `table`."""
     route_faults = itertools.chain.from_iterable(
         _route_faults(table, route) for route in itertools.chain(*table.by_host.values())
     )
-    return [*route_faults, *_shared_keys(table)]
+    return [*route_faults, *_quantity_faults(table), *_shared_keys(table)]
 
 
 def find(table: RouteTable, host: str, path: str) -> Route | None:
@@ -227,6 +230,26 @@
             )
 
 
+def _quantity_faults(table: RouteTable) -> typing.Iterator[findings.Finding]:
+    """Return a finding for each rate, limit or path that no service or workspace can have."""
+    place = f"version-{table.version}"
+    checks = [(table.limits.max_body_bytes >= 0, place, "the limit of bodies is negative")]
+    for service in table.services.values():
+        at = f"{place}:service:{service.name}"
+        checks += [
+            (service.health_path.startswith("/"), at, "the health path has no leading slash"),
+            (service.warm_up_rate >= 0, at, "the warm-up rate is negative"),
+        ]
+    for workspace in table.workspaces.values():
+        at = f"{place}:workspace:{workspace.name}"
+        usable = workspace.rate == 0 or workspace.rate >= MIN_QUOTA_RATE
+        checks += [
+            (usable, at, f"a quota of {workspace.rate} requests a second is too small"),
+            (workspace.burst >= 0, at, "the burst is negative"),
+        ]
+    yield from (findings.Finding(at, text) for holds, at, text in checks if not holds)
+
+
 def _route_faults(table: RouteTable, route: Route) -> typing.Iterator[findings.Finding]:
     place = f"version-{table.version}:{route.name}"
     checks = (
@@ -238,6 +261,7 @@
         ),
         (route.attempts >= 1, f"number of attempts is {route.attempts}; at least 1 is required"),
         (any(part.weight > 0 for part in route.parts), "no service has a positive weight"),
+        (all(part.weight >= 0 for part in route.parts), "the weight of a service is negative"),
         (
             all(part.service in table.services for part in route.parts),
             "a service of the route is not declared",
