Bound the tokens that a message about quotas may ask for

Callers would see: requests of a workspace below its quota refused with 429 in other regions, for minutes after one message that asks for 1e308 tokens. Cause: an accounting node keeps what it was asked for lately, by an average that decays with a time constant of a second; any number counted. Answers had no bound either. Change: a message counts for no more tokens than all nodes can have together, and numbers beyond 1e15 make a message malformed. All tests of quotas pass.

--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/quota/exchange.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/quota/exchange.py
@@ -284,7 +284,13 @@
     async def answer(self, body: bytes) -> bytes:
         """Return the answer to a message of another node; raises `ValueError`."""
         ask = messages.decode_ask(body)
-        wanted = {n: tokens for n, tokens in ask.wanted.items() if n in self.ledger.quotas}
+        quotas = self.ledger.quotas
+        # A wrong number must not hold back tokens from others until its average has decayed.
+        wanted = {
+            name: min(tokens, terms.most_tokens(quotas[name]))
+            for name, tokens in ask.wanted.items()
+            if name in quotas
+        }
         now = self.clocks.monotonic()
         if ask.kind is messages.Kind.COLLECT:
             wanted = {name: self._spare(name, now) for name in wanted}
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/quota/messages.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/quota/messages.py
@@ -20,6 +20,12 @@
 MAX_LOTS = 256
 """Largest number of lots of one workspace in an answer; a bucket has some 17 slices."""
 
+MAX_NUMBER = 1e15
+"""Largest number of tokens, rate or age in milliseconds; none that nodes write is nearly as large.
+
+Sums and quotients of such numbers are finite.
+"""
+
 
 class Kind(enum.StrEnum):
     """Who asks whom."""
@@ -85,6 +91,8 @@
 
 
 def _number(value: typing.Any) -> float:
-    if isinstance(value, bool) or not isinstance(value, int | float) or not value >= 0:
-        raise ValueError(f"must be a number of at least 0, not {value!r}")
+    if isinstance(value, bool) or not isinstance(value, int | float):
+        raise ValueError(f"must be a number, not {value!r}")
+    if not 0 <= value <= MAX_NUMBER:
+        raise ValueError(f"must be a number from 0 to {MAX_NUMBER}, not {value!r}")
     return value
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/quota/terms.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/quota/terms.py
@@ -67,3 +67,8 @@
     with_transfers = usable / (rules.window_s + TRANSFER_LIFETIME_S)
     flow = min(rate * (1 + USED_OVERAGE * rules.overage), max(with_transfers, rate * MIN_FLOW))
     return Terms(rate, flow, usable / flow - rules.window_s)
+
+
+def most_tokens(quota: Terms) -> float:
+    """Return how many tokens all nodes together can have at an instant."""
+    return quota.flow * quota.lifetime_s
--- a/packages/goldcrestgrade-node/tests/mesh/quota/test_quota_exchange.py
+++ b/packages/goldcrestgrade-node/tests/mesh/quota/test_quota_exchange.py
@@ -1,9 +1,11 @@
 """Charges at a node and messages between nodes, in virtual time."""
 
 import asyncio
+import contextlib
 import random
 import types
 
+import orjson
 import pytest
 
 from goldcrestgrade import counters, instants, outcomes, reasons, routes
@@ -257,6 +259,34 @@
             messages.decode_answer(body)
 
 
+@pytest.mark.parametrize("tokens", [1e308, 2**63, 1e15, 1e9])
+def test_message_that_asks_for_far_too_many_tokens_does_not_hold_back_those_of_others(tokens):
+    """Guards against an accounting node that hoards all tokens since one message asked for more."""
+
+    async def check(fleet):
+        node = fleet.nodes["n0"]
+
+        def ask(kind, wanted):
+            return orjson.dumps({"kind": kind, "node_id": "n1", "wanted": {"w": wanted}})
+
+        with contextlib.suppress(ValueError):
+            await node.answer(ask("withdraw", tokens))
+        for _ in range(10):
+            await asyncio.sleep(1.0)
+            node.tick()
+            await node.answer(ask("withdraw", 1.0))
+        return messages.decode_answer(await node.answer(ask("borrow", 5.0)))
+
+    assert "w" in run(check, table(w=100.0))
+
+
+@pytest.mark.parametrize("lot", [[0, 1e308], [1e308, 1.0], [0, 2**63]])
+def test_answer_with_far_too_many_tokens_is_refused(lot):
+    """Guards against a node that exceeds a quota, or divides by an age that is no time."""
+    with pytest.raises(ValueError):
+        messages.decode_answer(orjson.dumps({"w": [10.0, [lot]]}))
+
+
 def test_replayed_load_keeps_the_bound_and_refuses_less_than_shares():
     """A hot workspace with partition, freeze, restarts and a lower quota during the burst."""
     scenario = quota_replay.Scenario(
