Forget an era of the store that a peer has been told of

Callers would see: none directly; one poll with an era that the store never had made the node that watches it read all rows anew several times a second, for good, which fills a thin link and delays configurations. Cause: nodes pass eras on with their polls, and only the watching node forgot one that the store does not have. The others stated it in each poll. Change: a node forgets the era once a poll that stated it was answered by a peer that has the store. Answers of the store show a true era in any case.

--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/state/watch.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/state/watch.py
@@ -564,7 +564,7 @@
         try:
             for table in replica.TABLES:
                 await self._read(table, self._transfer_s(QUICK_LOAD_S))
-            self.known_era = max(position.era for position in self.replica.positions.values())
+            self.known_era = self._latest_era()
         except tables.ReadError as error:
             self._store_failed(error)
             await self._back_off()
@@ -628,6 +628,7 @@
 
     async def _poll_peer(self, peer: directory.Instance, wait_s: float) -> bool:
         """Apply the changes of a peer, after `wait_s` at most; return whether it has the store."""
+        stated_era = self.known_era
         try:
             document = parse_answer(await self._fetch_changes(peer, wait_s))
             if document["node_id"] != peer.row.node_id:
@@ -638,10 +639,18 @@
             for table in replica.TABLES:
                 self._apply_answer(table, decode(table, document[table]))
             self._record_current(self.clocks.monotonic() - max(0.0, float(document["age_s"])))
-            return bool(document["connected"])
+            connected = bool(document["connected"])
+            if connected and self.known_era == stated_era:
+                # The peer has learned of it. One that the store never had must not be stated again.
+                self.known_era = self._latest_era()
+            return connected
         except (orjson.JSONDecodeError, zlib.error, KeyError, TypeError, ValueError) as error:
             raise PeerError(f"malformed answer: {error!r}") from error
 
+    def _latest_era(self) -> int:
+        """Return the latest era of which this node has a table."""
+        return max(position.era for position in self.replica.positions.values())
+
     async def _fetch_changes(self, peer: directory.Instance, wait_s: float) -> bytes:
         query = {f"after-{name}": str(after) for name, after in self.replica.positions.items()}
         timeout = aiohttp.ClientTimeout(
--- a/packages/goldcrestgrade-testing/tests/fleet_platform/test_odd_entries.py
+++ b/packages/goldcrestgrade-testing/tests/fleet_platform/test_odd_entries.py
@@ -266,3 +266,24 @@
     running_fleet.start_node(east_1)
     await running_fleet.wait_ready([east_1])
     await wait_route(running_fleet, running_fleet.instances, CONFIG_APPLY_S)
+
+
+async def test_poll_with_an_era_that_the_store_never_had_does_not_have_it_read_again_and_again(
+    running_fleet,
+):
+    """Guards against nodes that pass the era on for good, and then read all rows all the time."""
+    for instance in running_fleet.instances:
+        query = {"after-configuration": "0.0", "after-mesh": "0.0", "wait_s": "0"}
+        url = f"http://{instance.address('relay')}/mesh/changes"
+        async with running_fleet.session.get(url, params={**query, "era": 10**18}) as response:
+            assert response.status == 200
+
+    def whole_reads():
+        logs = map(running_fleet.node_log, running_fleet.instances)
+        return sum(log.count("reading all rows again") for log in logs)
+
+    await asyncio.sleep(3.0)
+    before = whole_reads()
+    await asyncio.sleep(3.0)
+    assert whole_reads() == before
+    await wait_route(running_fleet, running_fleet.instances, CONFIG_APPLY_S)
