Call what must not raise without asserting on its result

The two functions raise if regions can't be compared; that they return a value says nothing. The test passes, with the 49 others of its module.

--- a/packages/goldcrestgrade-testing/tests/fleet_platform/test_adapter.py
+++ b/packages/goldcrestgrade-testing/tests/fleet_platform/test_adapter.py
@@ -436,8 +436,9 @@
         except exceptions.InvalidDocument:
             continue
         usable += 1
-        assert routes.unknown_regions(table, {"luzon"}) is not None
-        assert routes.excluded(table, "luzon") is not None
+        # These raise if regions can't be compared.
+        routes.unknown_regions(table, {"luzon"})
+        routes.excluded(table, "luzon")
         for workspace in table.workspaces.values():
             assert workspace.rate >= 0
             if workspace.rate:
