Give each port of the review's stand-ins out once

Two nodes of one deployment could get the same port, since a port is bound some time after it was chosen; one trial could not start for that reason. Ports that were returned are now remembered.

--- a/review/support_2.py
+++ b/review/support_2.py
@@ -36,6 +36,9 @@
 PORTS = range(20_000, 32_000)
 """Ports for nodes; below those that Linux assigns to outgoing connections."""
 
+assigned_ports: set[int] = set()
+"""Ports that `free_ports` has returned; not all of them may be bound yet."""
+
 HEARTBEAT_INTERVAL_S = 0.5
 """Time between two heartbeats of an upstream."""
 
@@ -118,15 +121,18 @@
 
 
 def free_ports(count: int) -> list[int]:
-    """Return ports that were free just now."""
+    """Return ports that were free just now and that this process has not received before."""
     found: list[int] = []
     for port in random.SystemRandom().sample(PORTS, len(PORTS)):
+        if port in assigned_ports:
+            continue
         with socket.socket() as probe:
             try:
                 probe.bind((HOST, port))
             except OSError:
                 continue
         found.append(port)
+        assigned_ports.add(port)
         if len(found) == count:
             return found
     raise Unusable("not enough free ports")
