Close connections of servers in stages

Each close of a server connection closed the socket at once; bytes that arrive for a closed socket, or unread ones in it, make the kernel send a reset and drop what it has not sent.

Servers now end their own side, then read and discard until the client closes, at most 1 s after it has acknowledged everything. Idle connections are closed once their last answer is acknowledged, without reading. This holds for all addresses of a node, and for errors, idle limits, early answers and stops.

--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/entry/pipelining.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/entry/pipelining.py
@@ -345,7 +345,7 @@
         while self.pending and not self.pending[-1].started and self.pending[-1].cycle is not None:
             self._drop(self.pending.pop())
         if not self.pending:
-            self.transport.close()
+            self.staged.close_idle()
             return
         last = self.pending[-1]
         # The body of the last request is still read.
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/transport/connections.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/transport/connections.py
@@ -4,17 +4,15 @@
 
 import asyncio
 import contextlib
-import fcntl
 import os
 import socket
-import struct
-import termios
 import typing
 
 import aiohttp
 from aiohttp import connector
 
 from goldcrestgrade import http_client, instants
+from goldcrestgrade_node import closing
 from goldcrestgrade_node.attempts import exchanges, pools
 
 CONNECT_TIMEOUT_S = 0.4
@@ -128,14 +126,7 @@
 
     def unacknowledged_bytes(self) -> int:
         """Return how many written bytes the other side's kernel has not acknowledged."""
-        if self.transport is None:
-            return 0
-        buffered = self.transport.get_write_buffer_size()
-        sock = self.transport.get_extra_info("socket")
-        if sock is None or sock.fileno() < 0:
-            return buffered
-        queued = fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, b"\0" * struct.calcsize("i"))
-        return buffered + int(struct.unpack("i", queued)[0])
+        return 0 if self.transport is None else closing.unacknowledged_bytes(self.transport)
 
 
 class UnlimitedSlots:
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/servers.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/servers.py
@@ -10,6 +10,8 @@
 import uvicorn
 from uvicorn.protocols.http import httptools_impl
 
+from goldcrestgrade_node import closing
+
 if typing.TYPE_CHECKING:
     from goldcrestgrade import settings
 
@@ -58,15 +60,28 @@
 
 
 class NodeProtocol(httptools_impl.HttpToolsProtocol):
-    """HTTP connection that limits the size of request heads and joins the writes of answers."""
+    """HTTP connection with limited request heads, joined writes of answers and a staged close."""
 
     def __init__(self, *args: typing.Any, **kwargs: typing.Any) -> None:
         super().__init__(*args, **kwargs)
         self.head_bytes = 0
         """Bytes received since the last complete head or part of a body."""
 
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Begin a connection."""
+        staged = closing.StagedTransport(typing.cast(asyncio.Transport, transport), self.loop)
+        self.staged = staged
+        super().connection_made(typing.cast(asyncio.Transport, staged))
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """End a connection."""
+        self.staged.stop()
+        super().connection_lost(exc)
+
     def data_received(self, data: bytes) -> None:
         """Parse `data`, which may hold parts of several requests; answer 400 above the limit."""
+        if self.staged.is_closing():
+            return
         self.head_bytes += len(data)
         super().data_received(data)
         if self.head_bytes > MAX_HEAD_BYTES and not self.transport.is_closing():
@@ -84,6 +99,24 @@
         self.head_bytes = 0
         super().on_body(body)
 
+    def send_400_response(self, msg: str) -> None:
+        """Refuse what can't be parsed, and cancel a request whose body is part of it."""
+        super().send_400_response(msg)
+        if self.cycle is not None and self.cycle.more_body:
+            self.cycle.disconnected = True
+            self.cycle.message_event.set()
+
+    def shutdown(self) -> None:
+        """Close the connection after the answer to a request under way."""
+        if self.cycle is None or self.cycle.response_complete:
+            self.staged.close_idle()
+        else:
+            self.cycle.keep_alive = False
+
+    def timeout_keep_alive_handler(self) -> None:
+        """Close a connection that has been idle for too long."""
+        self.staged.close_idle()
+
 
 class Server(uvicorn.Server):
     """A server that leaves signals to the handlers of its process."""
