Put the sound parts of a configuration in force, and accept any text as a name

Names were checked with str.isprintable, and one part that could not be used discarded all others, withdrawals of keys among them.

Only names that go to headers are checked now, for what no value of a header can have. A part with a fault keeps its form in force; a node without such a form closes the route or workspace and answers 503. Keys that are withdrawn are withdrawn in any case.

--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/entry/app.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/entry/app.py
@@ -25,6 +25,9 @@
 Nodes that find a source again are up to date within a second.
 """
 
+CLOSED_RETRY_S = 1.0
+"""Delay after which a request may be retried whose route or workspace is not valid."""
+
 MAX_CLIENT_TIMEOUT_MS = 3_600_000
 """Longest timeout that a client may ask for."""
 
@@ -193,6 +196,10 @@
             return outcomes.NotRun(reasons.Refusal.NO_ROUTE)
         if table.workspaces and holder is None and not route.anonymous:
             return outcomes.NotRun(reasons.Refusal.UNAUTHORIZED)
+        if route.is_closed or (holder is not None and holder.is_closed):
+            return outcomes.NotRun(
+                reasons.Refusal.CONFIGURATION_NOT_VALID, self.clocks.monotonic() + CLOSED_RETRY_S
+            )
         if body is None:
             return outcomes.NotRun(reasons.Refusal.BODY_TOO_LARGE)
         return Match(route, holder)
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/node.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/node.py
@@ -91,15 +91,15 @@
 GRACE_MARGIN_S = 0.7
 """Time before SIGKILL at which the node ends all in-flight requests."""
 
-DecodeTable = typing.Callable[[tables.Value], routes.RouteTable]
-"""Returns the route table in a configuration; raises `InvalidDocument`."""
+ReadConfiguration = typing.Callable[[tables.Value], routes.Draft]
+"""Returns the parts of a configuration, readable or not; raises `InvalidDocument`."""
 
 
 class Platform(typing.NamedTuple):
     """What the adapter of a deployment provides to a node."""
 
     store: tables.WatchedTables
-    decode_table: DecodeTable
+    read_configuration: ReadConfiguration
     header_names: dialect.Dialect
 
 
@@ -324,7 +324,8 @@
     def _apply_configuration(self, value: tables.Value, position: tables.Position) -> bool:
         """Put a configuration in force unless a newer one is; return whether it is in force."""
         try:
-            table = self.platform.decode_table(value)
+            draft = self.platform.read_configuration(value)
+            table, faults = routes.salvage(draft, self.table)
         except Exception as error:
             log.error(
                 "configuration not valid; the one in force stays",
@@ -338,6 +339,11 @@
                     extra={"version": table.version, "in_force": self.table.version},
                 )
             return table.version == self.table.version
+        for fault in faults:
+            log.error(
+                "part of the configuration not valid; it keeps its form in force, or is closed",
+                extra={"version": table.version, "place": fault.place, "finding": fault.text},
+            )
         first = self.table is None
         if self.table is not None:
             self.withdrawals.record(self.table, table, self.clocks.monotonic())
--- a/packages/goldcrestgrade-operator/goldcrestgrade_operator/explanations.py
+++ b/packages/goldcrestgrade-operator/goldcrestgrade_operator/explanations.py
@@ -135,6 +135,10 @@
         "The node's configuration is too old to tell whether a key is still valid.",
         "If it lasts, find out why the node reaches neither the store nor a peer.",
     ),
+    reasons.Refusal.CONFIGURATION_NOT_VALID: Explanation(
+        "The configuration has a fault in the route or workspace of the request.",
+        "Correct the fault, which nodes log with its place as they read the configuration.",
+    ),
     reasons.Refusal.QUOTA_EXCEEDED: Explanation(
         "The workspace has used its quota of requests over all nodes.",
         "None; clients retry after `Retry-After`. Raise the quota if the load is wanted.",
--- a/packages/goldcrestgrade-testing/tests/fleet_platform/test_adapter.py
+++ b/packages/goldcrestgrade-testing/tests/fleet_platform/test_adapter.py
@@ -154,6 +154,26 @@
         configuration.decode(document(**change))
 
 
+def test_faulty_parts_keep_their_form_in_force_and_are_closed_without_one():
+    """Guards against requests that are handled as those of another route or workspace."""
+    sound = document() | {"tenants": [fleet.workspace("w", "k1", "k2")]}
+    faulty = {**document(target_latency="soon"), "version": 8}
+    faulty["tenants"] = [fleet.workspace("\n", "k2"), fleet.workspace("v", "k3", priority="high")]
+    faulty["clusters"] = [*faulty["clusters"], {"name": "added", "health_path": 5}]
+    in_force = routes.salvage(configuration.read(sound), None).table
+    salvaged = routes.salvage(configuration.read(faulty), in_force)
+    assert [bool(fault.place) for fault in salvaged.faults] == [True] * 4
+    table = salvaged.table
+    assert table.version == 8
+    assert table.by_host == in_force.by_host and list(table.services) == ["archive"]
+    assert table.workspace_by_key[routes.key_digest("k2")] == "w"
+    assert routes.key_digest("k1") not in table.workspace_by_key
+    assert table.workspaces[table.workspace_by_key[routes.key_digest("k3")]].is_closed
+    restarted = routes.salvage(configuration.read(faulty), None).table
+    assert all(route.is_closed for route in restarted.by_host["letters.example"])
+    assert all(workspace.is_closed for workspace in restarted.workspaces.values())
+
+
 def test_heartbeat_is_translated():
     decoded = heartbeats.decode("i", heartbeat(status__state="draining"))
     assert decoded.draining and decoded.born_ms == 5 and decoded.slots == 9
--- a/packages/goldcrestgrade-testing/tests/fleet_platform/test_odd_entries.py
+++ b/packages/goldcrestgrade-testing/tests/fleet_platform/test_odd_entries.py
@@ -268,6 +268,48 @@
     await wait_route(running_fleet, running_fleet.instances, CONFIG_APPLY_S)
 
 
+UNUSUAL_NAMES = {
+    "no-break space": "moderation\xa0desk",
+    "soft hyphen": "modera\xadtion",
+    "joiner": "\U0001f469\u200d\U0001f4bb",
+    "unassigned character": "\U0003fffd",
+    "private use": "\ue000",
+    "line break": "moderation\ndesk",
+}
+
+
+@pytest.mark.parametrize("name", UNUSUAL_NAMES.values(), ids=UNUSUAL_NAMES)
+async def test_configuration_with_an_unusual_name_of_a_route_is_put_in_force(running_fleet, name):
+    """Guards against a stored configuration that no node puts in force because of one text."""
+    running_fleet.rules[0]["name"] = name
+    await wait_route(running_fleet, running_fleet.instances, CONFIG_APPLY_S)
+
+
+async def test_odd_route_does_not_keep_the_rest_of_a_configuration_from_being_in_force(
+    running_fleet,
+):
+    """Guards against added routes and withdrawn keys that wait for another part's correction."""
+    east_1 = running_fleet.instances[0]
+    workspaces = [fleet.workspace("w", "old-key", "new-key")]
+    running_fleet.configure(*running_fleet.rules, workspaces=workspaces)
+    running_fleet.default_key = "new-key"
+    await running_fleet.wait_keys_required()
+    running_fleet.workspaces[0]["api_keys"].remove("old-key")
+    running_fleet.rules[0]["target_latency"] = "soon"
+    path = running_fleet.rules[0]["match"]["prefix"] + "x"
+    await wait_route(running_fleet, running_fleet.instances, CONFIG_APPLY_S)
+    for instance in running_fleet.instances:
+        assert (await running_fleet.call(instance, path)).status == 200
+        assert (await running_fleet.call(instance, path, key="old-key")).status == 401
+    east_1.process.kill()
+    east_1.process.wait()
+    running_fleet.start_node(east_1)
+    await running_fleet.wait_ready([east_1])
+    # A node that never had a sound form of the route rejects its requests, and no others.
+    assert (await running_fleet.call(east_1, path)).status == 503
+    assert (await running_fleet.call(east_1, running_fleet.added_routes[-1][0])).status == 200
+
+
 async def test_poll_with_an_era_that_the_store_never_had_does_not_have_it_read_again_and_again(
     running_fleet,
 ):
--- a/packages/goldcrestgrade/goldcrestgrade/headers.py
+++ b/packages/goldcrestgrade/goldcrestgrade/headers.py
@@ -195,8 +195,11 @@
 
 
 def is_writable(text: str) -> bool:
-    """Return whether a text can be the value of a header: it has no control characters.
+    """Return whether a text, encoded as UTF-8, can be the value of a header.
 
-    Texts from JSON and from paths may have some, and headers of others bytes that are no text.
+    It has no control characters but the tab, and no surrogates.
     """
-    return text.isprintable()
+    try:
+        return _CONTROL_CHARACTERS.search(text.encode()) is None
+    except UnicodeEncodeError:
+        return False
--- a/packages/goldcrestgrade/goldcrestgrade/reasons.py
+++ b/packages/goldcrestgrade/goldcrestgrade/reasons.py
@@ -41,6 +41,7 @@
     QUOTA_EXCEEDED = "quota_exceeded"
     FAIR_SHARE_EXCEEDED = "fair_share_exceeded"
     BODY_NOT_RECEIVED = "body_not_received"
+    CONFIGURATION_NOT_VALID = "configuration_not_valid"
 
 
 class Uncertainty(enum.StrEnum):
--- a/packages/goldcrestgrade/goldcrestgrade/routes.py
+++ b/packages/goldcrestgrade/goldcrestgrade/routes.py
@@ -8,7 +8,7 @@
 import types
 import typing
 
-from goldcrestgrade import findings
+from goldcrestgrade import exceptions, findings
 
 DEFAULT_IDLE_TIMEOUT_S = 15.0
 """Idle timeout of client connections if the configuration sets none."""
@@ -51,6 +51,8 @@
     """Whether its requests need no key of a workspace."""
     large_bodies: bool = False
     """Whether bodies are so large that their transfer counts in the choice of an endpoint."""
+    is_closed: bool = False
+    """Whether its requests are rejected until a configuration says how to handle them."""
 
 
 class Limits(typing.NamedTuple):
@@ -85,6 +87,8 @@
     """Further requests that may come at once."""
     allowed_regions: frozenset[str] = frozenset()
     """Regions in which its requests may run; empty if they may run in any."""
+    is_closed: bool = False
+    """Whether its requests are rejected until a configuration says how to handle them."""
 
 
 class RouteTable(typing.NamedTuple):
@@ -128,6 +132,155 @@
     )
 
 
+class FaultyRoute(typing.NamedTuple):
+    """A route that can't be read, but whose requests can be told from others."""
+
+    host: str
+    prefix: str
+    finding: findings.Finding
+
+
+class FaultyService(typing.NamedTuple):
+    """A service that can't be read."""
+
+    name: str
+    finding: findings.Finding
+
+
+class FaultyWorkspace(typing.NamedTuple):
+    """A workspace that can't be read, but whose keys are known."""
+
+    name: str
+    """Its name; empty if that can't be used."""
+    key_digests: tuple[bytes, ...]
+    finding: findings.Finding
+
+
+class Draft(typing.NamedTuple):
+    """A configuration as it was read, before its parts are checked."""
+
+    version: int
+    limits: Limits
+    services: list[Service | FaultyService]
+    routes: list[Route | FaultyRoute]
+    workspaces: list[Workspace | FaultyWorkspace]
+
+    def faults(self) -> list[findings.Finding]:
+        """Return what can't be read."""
+        parts = itertools.chain(self.services, self.routes, self.workspaces)
+        return [
+            part.finding
+            for part in parts
+            if isinstance(part, FaultyService | FaultyRoute | FaultyWorkspace)
+        ]
+
+    def strict_table(self) -> RouteTable:
+        """Return the table; raises `InvalidDocument` with every fault."""
+        if faults := self.faults():
+            raise exceptions.InvalidDocument(faults)
+        table = build(self.version, self.limits, *map(_sound, self[2:]))
+        if faults := check(table):
+            raise exceptions.InvalidDocument(faults)
+        return table
+
+
+def _sound(parts: list[typing.Any]) -> list[typing.Any]:
+    return [
+        part
+        for part in parts
+        if not isinstance(part, FaultyService | FaultyRoute | FaultyWorkspace)
+    ]
+
+
+class Salvaged(typing.NamedTuple):
+    """A table of the sound parts of a configuration, and what was wrong with the others."""
+
+    table: RouteTable
+    faults: list[findings.Finding]
+
+
+def salvage(draft: Draft, in_force: RouteTable | None) -> Salvaged:
+    """Return the table of a draft with faults, so that its sound parts can be put in force.
+
+    A faulty part keeps its form in force, if there is one. Otherwise a route or workspace is
+    closed, so that its requests are not handled as those of another one. A faulty service is left
+    out, which closes the routes to it. Raises `InvalidDocument` if several workspaces hold a key.
+    """
+    place = f"version-{draft.version}"
+    faults = [*draft.faults(), *_limits_faults(place, draft.limits)]
+    former = in_force or build(0, Limits(), (), ())
+    services = _salvage_services(place, draft, former, faults)
+    salvaged_routes = _salvage_routes(place, draft, services, former, faults)
+    workspaces = _salvage_workspaces(place, draft, former, faults)
+    limits = former.limits if any(_limits_faults(place, draft.limits)) else draft.limits
+    table = build(draft.version, limits, services.values(), salvaged_routes, workspaces)
+    if shared := list(_shared_keys(table)):
+        raise exceptions.InvalidDocument([*faults, *shared])
+    return Salvaged(table, faults)
+
+
+def _salvage_services(
+    place: str, draft: Draft, former: RouteTable, faults: list[findings.Finding]
+) -> dict[str, Service]:
+    services = {}
+    for service in draft.services:
+        found = [] if isinstance(service, FaultyService) else [*_service_faults(place, service)]
+        faults += found
+        if isinstance(service, Service) and not found:
+            services[service.name] = service
+        elif service.name in former.services:
+            services[service.name] = former.services[service.name]
+    return services
+
+
+def _salvage_routes(
+    place: str,
+    draft: Draft,
+    services: typing.Container[str],
+    former: RouteTable,
+    faults: list[findings.Finding],
+) -> typing.Iterator[Route]:
+    by_key = {(r.host, r.prefix): r for r in itertools.chain(*former.by_host.values())}
+    for route in draft.routes:
+        if isinstance(route, Route):
+            found = list(_route_faults(place, services, route))
+            faults += found
+            if not found:
+                yield route
+                continue
+        kept = by_key.get((route.host, route.prefix))
+        if kept is not None and not any(_route_faults(place, services, kept)):
+            yield kept
+        else:
+            yield _closed_route(route.host, route.prefix)
+
+
+def _closed_route(host: str, prefix: str) -> Route:
+    return Route(
+        f"closed {host}{prefix}", host, prefix, True, 1.0, 1.0, 0, 1, parts=(), is_closed=True
+    )
+
+
+def _salvage_workspaces(
+    place: str, draft: Draft, former: RouteTable, faults: list[findings.Finding]
+) -> typing.Iterator[Workspace]:
+    for number, workspace in enumerate(draft.workspaces):
+        if isinstance(workspace, Workspace):
+            found = list(_workspace_faults(place, workspace))
+            faults += found
+            if not found:
+                yield workspace
+                continue
+        digests = workspace.key_digests
+        holders = (former.workspace_by_key.get(digest, "") for digest in digests)
+        names = itertools.chain((workspace.name,), holders)
+        kept = next((former.workspaces[name] for name in names if name in former.workspaces), None)
+        if kept is None:
+            kept = Workspace(f"closed {number}", (), 0, is_closed=True)
+        # Keys that the configuration withdraws are no longer accepted in any case.
+        yield kept._replace(key_digests=digests)
+
+
 def key_digest(key: str) -> bytes:
     """Return the digest by which a key is looked up, so that no table holds the key itself."""
     return hashlib.blake2b(key.encode("utf-8", "surrogateescape"), digest_size=16).digest()
@@ -195,10 +348,19 @@
 
 def check(table: RouteTable) -> list[findings.Finding]:
     """Return the errors of all routes, services and workspaces of `table`."""
-    route_faults = itertools.chain.from_iterable(
-        _route_faults(table, route) for route in itertools.chain(*table.by_host.values())
-    )
-    return [*route_faults, *_quantity_faults(table), *_shared_keys(table)]
+    place = f"version-{table.version}"
+    return [
+        *itertools.chain.from_iterable(
+            _route_faults(place, table.services, route)
+            for route in itertools.chain(*table.by_host.values())
+        ),
+        *_limits_faults(place, table.limits),
+        *itertools.chain.from_iterable(_service_faults(place, s) for s in table.services.values()),
+        *itertools.chain.from_iterable(
+            _workspace_faults(place, workspace) for workspace in table.workspaces.values()
+        ),
+        *_shared_keys(table),
+    ]
 
 
 def find(table: RouteTable, host: str, path: str) -> Route | None:
@@ -230,28 +392,35 @@
             )
 
 
-def _quantity_faults(table: RouteTable) -> typing.Iterator[findings.Finding]:
-    """Return a finding for each rate, limit or path that no service or workspace can have."""
-    place = f"version-{table.version}"
-    checks = [(table.limits.max_body_bytes >= 0, place, "the limit of bodies is negative")]
-    for service in table.services.values():
-        at = f"{place}:service:{service.name}"
-        checks += [
-            (service.health_path.startswith("/"), at, "the health path has no leading slash"),
-            (service.warm_up_rate >= 0, at, "the warm-up rate is negative"),
-        ]
-    for workspace in table.workspaces.values():
-        at = f"{place}:workspace:{workspace.name}"
-        usable = workspace.rate == 0 or workspace.rate >= MIN_QUOTA_RATE
-        checks += [
-            (usable, at, f"a quota of {workspace.rate} requests a second is too small"),
-            (workspace.burst >= 0, at, "the burst is negative"),
-        ]
-    yield from (findings.Finding(at, text) for holds, at, text in checks if not holds)
+def _limits_faults(place: str, limits: Limits) -> typing.Iterator[findings.Finding]:
+    if limits.max_body_bytes < 0:
+        yield findings.Finding(place, "the limit of bodies is negative")
+
+
+def _service_faults(place: str, service: Service) -> typing.Iterator[findings.Finding]:
+    """Return a finding for each quantity or path that no service can have."""
+    checks = (
+        (service.health_path.startswith("/"), "the health path has no leading slash"),
+        (service.warm_up_rate >= 0, "the warm-up rate is negative"),
+    )
+    at = f"{place}:service:{service.name}"
+    yield from (findings.Finding(at, text) for holds, text in checks if not holds)
+
+
+def _workspace_faults(place: str, workspace: Workspace) -> typing.Iterator[findings.Finding]:
+    """Return a finding for each quantity that no workspace can have."""
+    usable = workspace.rate == 0 or workspace.rate >= MIN_QUOTA_RATE
+    checks = (
+        (usable, f"a quota of {workspace.rate} requests a second is too small"),
+        (workspace.burst >= 0, "the burst is negative"),
+    )
+    at = f"{place}:workspace:{workspace.name}"
+    yield from (findings.Finding(at, text) for holds, text in checks if not holds)
 
 
-def _route_faults(table: RouteTable, route: Route) -> typing.Iterator[findings.Finding]:
-    place = f"version-{table.version}:{route.name}"
+def _route_faults(
+    place: str, services: typing.Container[str], route: Route
+) -> typing.Iterator[findings.Finding]:
     checks = (
         (route.prefix.startswith("/"), f"prefix {route.prefix!r} does not begin with a slash"),
         (route.timeout_s > 0, f"timeout of {route.timeout_s} s is not positive"),
@@ -263,8 +432,9 @@
         (any(part.weight > 0 for part in route.parts), "no service has a positive weight"),
         (all(part.weight >= 0 for part in route.parts), "the weight of a service is negative"),
         (
-            all(part.service in table.services for part in route.parts),
+            all(part.service in services for part in route.parts),
             "a service of the route is not declared",
         ),
     )
-    yield from (findings.Finding(place, text) for holds, text in checks if not holds)
+    at = f"{place}:{route.name}"
+    yield from (findings.Finding(at, text) for holds, text in checks if not holds)
