Send texts between nodes as they are

The description of a relayed request is ASCII with JSON's escapes, and is read as UTF-8, so that it is understood by earlier builds in both directions. The stand-in for endpoints decodes headers as UTF-8.

--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/entry/app.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/entry/app.py
@@ -105,7 +105,7 @@
         if table is None:
             return False
         value = next((value for name, value in scope["headers"] if name == b"host"), b"")
-        host = value.decode("latin-1")
+        host = headers.decode_value(value)
         route = routes.find(table, host, scope["raw_path"].decode("latin-1"))
         scope[FOUND_ROUTE] = FoundRoute(table, host, route)
         return route is not None and not route.run_once
@@ -121,6 +121,7 @@
         table = self.table()
         limit = routes.DEFAULT_MAX_BODY_BYTES if table is None else table.limits.max_body_bytes
         by_name = {name: value.decode("latin-1") for name, value in scope["headers"]}
+        by_name[b"host"] = headers.decode_value(by_name.get(b"host", "").encode("latin-1"))
         try:
             received = await bodies.read(receive, limit, reservation, bodies.length_of(by_name))
         except asgi.Disconnected:
@@ -165,7 +166,7 @@
 
     def _forwarded_headers(self, scope: asgi.Scope) -> outcomes.Headers:
         """Return the headers that are passed on, without the client's key and its own identity."""
-        fields = headers.end_to_end(headers.from_bytes(scope["headers"]))
+        fields = headers.end_to_end(headers.from_request(scope["headers"]))
         table = self.table()
         if table is None or not table.workspaces:
             return fields
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/transport/connections.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/transport/connections.py
@@ -11,7 +11,7 @@
 import aiohttp
 from aiohttp import connector
 
-from goldcrestgrade import http_client, instants
+from goldcrestgrade import headers, http_client, instants
 from goldcrestgrade_node import closing
 from goldcrestgrade_node.attempts import exchanges, pools
 
@@ -71,7 +71,9 @@
         while True:
             message, payload = await super().read()
             echoed = message.headers.get(self.echo_header)
-            if self.attempt_id is None or echoed in (None, self.attempt_id):
+            if self.attempt_id is None or echoed is None:
+                return message, payload
+            if headers.to_latin1(echoed) == self.attempt_id:
                 return message, payload
             self.skipped += 1
             self.force_close()
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/transport/peers.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/transport/peers.py
@@ -51,7 +51,7 @@
             return
         answer = outcomes.Answer(404, (), b"")
         if scope["path"] == PROBE_PATH:
-            answer = outcomes.Answer(200, ((NODE_ID_HEADER, sync.own_id),), b"")
+            answer = outcomes.Answer(200, ((NODE_ID_HEADER, headers.quote(sync.own_id)),), b"")
         elif scope["path"] == watch.CHANGES_PATH:
             answer = await _changes(scope, sync)
         elif quotas is not None and scope["path"] == quota_messages.PATH:
@@ -206,7 +206,8 @@
                 f"http://{instance.address}{PROBE_PATH}",
                 timeout=aiohttp.ClientTimeout(total=PROBE_TIMEOUT_S),
             ) as response:
-                return response.headers.get(NODE_ID_HEADER) == instance.row.node_id
+                node_id = headers.unquote(response.headers.get(NODE_ID_HEADER, ""))
+                return node_id == instance.row.node_id
         except (TimeoutError, aiohttp.ClientError, OSError) as error:
             log.debug("probe failed", extra={"error": repr(error)})
             return False
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/transport/relay.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/transport/relay.py
@@ -107,12 +107,13 @@
         message = requests.Message(
             method=scope["method"],
             target=asgi.target_of(scope),
-            host=by_name.get(b"host", ""),
-            headers=headers.end_to_end(headers.from_bytes(scope["headers"])),
+            host=headers.decode_value(by_name.get(b"host", "").encode("latin-1")),
+            headers=headers.end_to_end(headers.from_request(scope["headers"])),
             body=body if isinstance(body, bytes) else b"",
         )
         attempt_id = by_name.get(self.attempt_id_header, "")
-        text = by_name.get(RELAY_HEADER, "")
+        # Nodes of earlier builds send UTF-8.
+        text = by_name.get(RELAY_HEADER, "").encode("latin-1")
         call = requests.decode(text, attempt_id, message, self.clocks.monotonic())
         if call is None or body == reasons.Refusal.BODY_TOO_LARGE:
             refused = outcomes.NotRun(reasons.Refusal.INVALID_REQUEST)
@@ -241,7 +242,7 @@
         if served.forwarded:
             relay_headers.append((headers.FORWARDED, "1"))
         if served.report is not None and served.report.signals != signals.NONE:
-            relay_headers.append((headers.ENDPOINT_ID, served.report.endpoint_id))
+            relay_headers.append((headers.ENDPOINT_ID, headers.quote(served.report.endpoint_id)))
         match served.outcome:
             case outcomes.Ran(answer=answer):
                 relay_headers.append((headers.OUTCOME, "ran"))
@@ -365,7 +366,8 @@
         match fields.get(headers.OUTCOME):
             case "ran":
                 latest = signals.parse(fields, self.header_names)
-                report = signals.Report(fields.get(headers.ENDPOINT_ID, ""), latest)
+                endpoint_id = headers.unquote(fields.get(headers.ENDPOINT_ID, ""))
+                report = signals.Report(endpoint_id, latest)
                 return requests.Served(outcomes.Ran(answer), load, arrived, report)
             case "not_run":
                 refusal = _parse_reason(reasons.Refusal, fields.get(headers.REASON, ""))
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/transport/requests.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/transport/requests.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import json
 import typing
 
 import orjson
@@ -211,10 +212,14 @@
         document["large"] = True
     if call_.forward_allowed:
         document["forward"] = True
-    return orjson.dumps(document).decode()
+    text = orjson.dumps(document)
+    # Nodes of earlier builds decode the header as Latin-1.
+    return text.decode() if text.isascii() else json.dumps(document)
 
 
-def decode(text: str, attempt_id: str, message: Message, now: instants.Instant) -> Call | None:
+def decode(
+    text: str | bytes, attempt_id: str, message: Message, now: instants.Instant
+) -> Call | None:
     """Return the request that another node relays, or none if the header is malformed."""
     try:
         document = orjson.loads(text)
--- a/packages/goldcrestgrade-node/tests/mesh/test_requests.py
+++ b/packages/goldcrestgrade-node/tests/mesh/test_requests.py
@@ -44,6 +44,23 @@
     assert requests.decode(text, "try-1", MESSAGE, 100.0) == call
 
 
+def test_texts_beyond_ascii_survive_the_header_of_this_and_of_earlier_builds():
+    """Guards against names that are encoded twice between nodes."""
+    call = CALL._replace(
+        route="přehled",
+        service="katalog-č",
+        caller="Půjčovna",
+        workspace="Chór Łódź 合唱",
+        allowed_regions=frozenset({"čechy", "Ñuble"}),
+        report=signals.Report("i-č", signals.Signals(7.8, True)),
+    )
+    text = requests.encode(call, 100.0)
+    # Earlier builds decode the header as Latin-1, and write it as UTF-8.
+    assert requests.decode(text.encode().decode("latin-1"), "try-1", MESSAGE, 100.0) == call
+    earlier = orjson.dumps(orjson.loads(text))
+    assert requests.decode(earlier, "try-1", MESSAGE, 100.0) == call
+
+
 def test_request_from_another_region_may_be_forwarded_only_if_its_sender_says_so():
     """Guards against forwarding for a node of an earlier build, which does not expect it."""
     call = CALL._replace(forward_allowed=True)
--- a/packages/goldcrestgrade-testing/goldcrestgrade_testing/raw_endpoint.py
+++ b/packages/goldcrestgrade-testing/goldcrestgrade_testing/raw_endpoint.py
@@ -122,7 +122,8 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Append a header, with its name in lower case."""
-        self.fields.append((name.decode("latin-1").lower(), value.decode("latin-1")))
+        text = value.decode("utf-8", "surrogateescape")
+        self.fields.append((name.decode("latin-1").lower(), text))
 
     def on_body(self, body: bytes) -> None:
         """Append a part of the body."""
--- a/packages/goldcrestgrade/goldcrestgrade/headers.py
+++ b/packages/goldcrestgrade/goldcrestgrade/headers.py
@@ -5,6 +5,7 @@
 import math
 import re
 import typing
+import urllib.parse
 
 Fields = tuple[tuple[str, str], ...]
 """Header names and values in the order received; names in lower case."""
@@ -139,6 +140,10 @@
 """Bytes that no value of a header has; the tab is allowed."""
 
 
+_PLAIN = re.compile(r"[!-$&-~]+")
+"""Ids that nodes write as they are: printable ASCII without spaces and percent signs."""
+
+
 def from_bytes(raw: typing.Iterable[tuple[bytes, bytes]]) -> Fields:
     """Return the headers of an answer, decoded as Latin-1 so that no byte of a value is lost.
 
@@ -151,6 +156,40 @@
     )
 
 
+def from_request(raw: typing.Iterable[tuple[bytes, bytes]]) -> Fields:
+    """Return the headers of a request that is sent on by a client that writes UTF-8.
+
+    Values that are UTF-8 are sent on as they are; others are taken for Latin-1.
+    """
+    return tuple(
+        (name.decode("latin-1").lower(), decode_value(_CONTROL_CHARACTERS.sub(b" ", value)))
+        for name, value in raw
+    )
+
+
+def decode_value(value: bytes) -> str:
+    """Return a value decoded from UTF-8, or from Latin-1 if it isn't UTF-8."""
+    try:
+        return value.decode()
+    except UnicodeDecodeError:
+        return value.decode("latin-1")
+
+
+def to_latin1(text: str) -> str:
+    """Return a text that was decoded from UTF-8, decoded from Latin-1 instead."""
+    return text if text.isascii() else text.encode("utf-8", "surrogateescape").decode("latin-1")
+
+
+def quote(text: str) -> str:
+    """Return an id in the form in which it can be the value of a header between nodes."""
+    return text if _PLAIN.fullmatch(text) else urllib.parse.quote(text, safe="")
+
+
+def unquote(value: str) -> str:
+    """Return the id that `quote` was given."""
+    return urllib.parse.unquote(value)
+
+
 def has_repeated_header(fields: Fields) -> bool:
     """Return whether a header of `SINGLE` occurs more than once."""
     names = [name for name, _ in fields if name in SINGLE]
--- a/packages/goldcrestgrade/goldcrestgrade/routes.py
+++ b/packages/goldcrestgrade/goldcrestgrade/routes.py
@@ -5,8 +5,10 @@
 import collections
 import hashlib
 import itertools
+import string
 import types
 import typing
+import urllib.parse
 
 from goldcrestgrade import exceptions, findings
 
@@ -178,20 +180,18 @@
         """Return the table; raises `InvalidDocument` with every fault."""
         if faults := self.faults():
             raise exceptions.InvalidDocument(faults)
-        table = build(self.version, self.limits, *map(_sound, self[2:]))
+        table = build(
+            self.version,
+            self.limits,
+            (part for part in self.services if isinstance(part, Service)),
+            (part for part in self.routes if isinstance(part, Route)),
+            (part for part in self.workspaces if isinstance(part, Workspace)),
+        )
         if faults := check(table):
             raise exceptions.InvalidDocument(faults)
         return table
 
 
-def _sound(parts: list[typing.Any]) -> list[typing.Any]:
-    return [
-        part
-        for part in parts
-        if not isinstance(part, FaultyService | FaultyRoute | FaultyWorkspace)
-    ]
-
-
 class Salvaged(typing.NamedTuple):
     """A table of the sound parts of a configuration, and what was wrong with the others."""
 
@@ -281,6 +281,11 @@
         yield kept._replace(key_digests=digests)
 
 
+def encode_prefix(prefix: str) -> str:
+    """Return a prefix as paths of requests have it: characters beyond ASCII as encoded bytes."""
+    return urllib.parse.quote(prefix, safe=string.printable)
+
+
 def key_digest(key: str) -> bytes:
     """Return the digest by which a key is looked up, so that no table holds the key itself."""
     return hashlib.blake2b(key.encode("utf-8", "surrogateescape"), digest_size=16).digest()
