Bound the memory and the time that answers without end take

Each answer was limited, their sum was not; interim answers and answers to other requests were hardly limited, and up to 256 KB of each connection were parsed in one turn of the loop.

Large answers take their memory from one sum and wait for it without being read. Heads, framing, interim answers and answers to other requests have limits; received bytes are parsed in slices, 2 ms in a turn; the kernel's receive buffers are small. Sessions for peers and the store limit the sum of what they receive, and the rest of a body after its answer is read up to 1 MB. A client that reads nothing of its answer for 10 s is given up.

--- a/packages/goldcrestgrade-node/goldcrestgrade_node/asgi.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/asgi.py
@@ -31,6 +31,9 @@
 Returns whether the answer to this request is the last one, which has to say so.
 """
 
+PART_BYTES = 64 * 1024
+"""Size of the parts in which a large body is sent."""
+
 BODYLESS_STATUSES = frozenset({204, 304})
 """Statuses of answers that have neither a body nor a `content-length`."""
 
@@ -100,13 +103,22 @@
 
 
 async def send_plain(send: Send, answer: outcomes.Answer, close: bool) -> None:
-    """Send a complete answer without a request id; with `close`, ask for a new connection."""
+    """Send a complete answer without a request id; with `close`, ask for a new connection.
+
+    A large body is sent in parts, each of which waits until the client has read those before it.
+    """
     fields = [(name.encode("latin-1"), value.encode("latin-1")) for name, value in answer.headers]
     fields += _framing(answer)
     if close:
         fields.append((b"connection", b"close"))
     await send({"type": "http.response.start", "status": answer.status, "headers": fields})
-    await send({"type": "http.response.body", "body": answer.body})
+    body = answer.body
+    for start in range(0, len(body), PART_BYTES):
+        part = body[start : start + PART_BYTES]
+        more = start + PART_BYTES < len(body)
+        await send({"type": "http.response.body", "body": part, "more_body": more})
+    if not body:
+        await send({"type": "http.response.body", "body": b""})
 
 
 def _framing(answer: outcomes.Answer) -> list[tuple[bytes, bytes]]:
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/attempts/exchanges.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/attempts/exchanges.py
@@ -9,7 +9,7 @@
 import aiohttp.payload
 import yarl
 
-from goldcrestgrade import headers, http_client, instants, outcomes, reasons
+from goldcrestgrade import answer_memory, headers, http_client, instants, outcomes, reasons
 from goldcrestgrade_node import asgi
 from goldcrestgrade_node.attempts import pools
 
@@ -64,7 +64,10 @@
         deadline: instants.Instant,
         may_send: typing.Callable[[], bool],
         payload: aiohttp.payload.Payload | None = None,
+        memory: answer_memory.Reservation | None = None,
     ) -> None:
+        self.memory = memory
+        """Memory for the answer; without it, only the size of each answer is limited."""
         self.pool = pool
         self.prepared = prepared
         self.deadline = deadline
@@ -135,6 +138,11 @@
         if self.prepared.method == "HEAD":
             declared = () if length is None else (("content-length", str(length)),)
             return outcomes.Answer(response.status, passed_headers + declared, b"")
+        streamed = self._is_streamed(response)
+        if not streamed and length is not None and length > MAX_UNSTREAMED_BYTES:
+            raise InvalidAnswer(reasons.Uncertainty.ANSWER_TOO_LARGE)
+        if self.memory is not None and length is not None and not streamed:
+            await self.memory.grow_to(length)
         if length is not None and length <= MAX_BUFFERED_BYTES:
             return outcomes.Answer(response.status, passed_headers, await response.read())
         return await self._large_answer(response, passed_headers, length)
@@ -173,20 +181,27 @@
     async def _large_answer(
         self, response: aiohttp.ClientResponse, passed_headers: headers.Fields, length: int | None
     ) -> outcomes.Answer:
-        streamed = self.prepared.streamed and response.status < 500
+        streamed = self._is_streamed(response)
         limit = MAX_BUFFERED_BYTES if streamed else MAX_UNSTREAMED_BYTES
-        buffered = bytearray()
-        while len(buffered) <= limit:
+        parts: list[bytes] = []
+        size = 0
+        while size <= limit:
             part = await response.content.readany()
             if not part:
-                return outcomes.Answer(response.status, passed_headers, bytes(buffered))
-            buffered += part
+                return outcomes.Answer(response.status, passed_headers, b"".join(parts))
+            size += len(part)
+            parts.append(part)
+            if self.memory is not None and size <= limit:
+                await self.memory.grow_to(size)
         if not streamed:
             raise InvalidAnswer(reasons.Uncertainty.ANSWER_TOO_LARGE)
         return outcomes.Answer(
-            response.status, passed_headers, bytes(buffered), Rest(self, response, length)
+            response.status, passed_headers, b"".join(parts), Rest(self, response, length)
         )
 
+    def _is_streamed(self, response: aiohttp.ClientResponse) -> bool:
+        return self.prepared.streamed and response.status < 500
+
 
 class Rest:
     """The part of a large answer still to be read; it holds its connection until it is closed."""
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/endpoint/local.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/endpoint/local.py
@@ -201,6 +201,7 @@
                 and self.clocks.monotonic() < call.deadline
                 and self.hooks.refusal_for(call) is None
             ),
+            memory=call.answer_memory,
         )
         load = loads.parse(transferred.fields.get(self.header_names.load))
         if load is not None:
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/entry/app.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/entry/app.py
@@ -8,7 +8,15 @@
 import random
 import typing
 
-from goldcrestgrade import counters, headers, instants, outcomes, reasons, routes
+from goldcrestgrade import (
+    answer_memory,
+    counters,
+    headers,
+    instants,
+    outcomes,
+    reasons,
+    routes,
+)
 from goldcrestgrade_node import asgi
 from goldcrestgrade_node.entry import disconnects
 from goldcrestgrade_node.mesh.entry import dispatch, returning, workspaces
@@ -69,6 +77,7 @@
         rng: random.Random,
         is_outdated: typing.Callable[[], bool] = lambda: False,
         body_memory: bodies.BodyMemory | None = None,
+        answers: answer_memory.AnswerMemory | None = None,
     ) -> None:
         self.run = run
         self.table = table
@@ -86,15 +95,18 @@
         self.is_outdated = is_outdated
         """Returns whether the configuration is too old to accept keys by it."""
         self.body_memory = body_memory or bodies.BodyMemory()
+        self.answers = answers or answer_memory.AnswerMemory()
         self.usual_timeouts = returning.UsualTimeouts()
 
     async def __call__(self, scope: asgi.Scope, receive: asgi.Receive, send: asgi.Send) -> None:
         """Serve one request."""
         reservation = bodies.Reservation(self.body_memory)
+        answer = answer_memory.Reservation(self.answers)
         try:
-            await self._serve(scope, receive, send, reservation)
+            await self._serve(scope, receive, send, reservation, answer)
         finally:
             reservation.release()
+            answer.close()
 
     def may_run_beside(self, scope: asgi.Scope) -> bool:
         """Return whether a bodyless request may run beside earlier ones of its connection.
@@ -116,6 +128,7 @@
         receive: asgi.Receive,
         send: asgi.Send,
         reservation: bodies.Reservation,
+        answer: answer_memory.Reservation,
     ) -> None:
         started = self.clocks.monotonic()
         table = self.table()
@@ -160,6 +173,7 @@
             workspace,
             self.usual_timeouts.elapsed_s(route.name, client_timeout_s),
         )
+        call = call._replace(answer_memory=answer)
         if workspace is not None and (in_force := self.table()) is not None:
             call = call._replace(configuration=in_force.version)
         await self._run_watched(call, route, scope, receive, send, started)
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/entry/pipelining.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/entry/pipelining.py
@@ -27,6 +27,9 @@
 Reading goes on until then, since a client that leaves is noticed only while its connection is read.
 """
 
+MAX_HELD_BYTES = 64 * 1024
+"""Bytes of an answer that waits for an earlier one from which its request has to wait, too."""
+
 MAX_FINISHED_BYTES = 4 << 20
 """Bytes of finished answers, over all connections, from which no more requests run side by side.
 
@@ -66,6 +69,7 @@
         "held_bytes",
         "protocol",
         "started",
+        "turn",
     )
 
     def __init__(self, protocol: PipeliningProtocol, cycle: typing.Any, beside: bool) -> None:
@@ -80,6 +84,8 @@
         """Whether the connection is closed after the answer."""
         self.held: list[bytes] = []
         self.held_bytes = 0
+        self.turn = asyncio.Event()
+        """Set once its answer is the next one, or is not wanted any more."""
 
     @property
     def is_next(self) -> bool:
@@ -144,11 +150,16 @@
     @property
     def write_paused(self) -> bool:
         """Whether the answer has to wait for the client to read."""
-        return self.pending.is_next and self.protocol.flow.write_paused
+        if self.pending.is_next:
+            return self.protocol.flow.write_paused
+        return self.pending.held_bytes > MAX_HELD_BYTES
 
     async def drain(self) -> None:
-        """Wait until the client has read enough."""
-        await self.protocol.flow.drain()
+        """Wait until the client has read enough, and all earlier answers."""
+        if not self.pending.is_next:
+            await self.pending.turn.wait()
+        if self.pending.is_next:
+            await self.protocol.flow.drain()
 
     def pause_reading(self) -> None:
         """Pause reading."""
@@ -305,6 +316,7 @@
             self.pending.popleft()
             if self.pending:
                 self.pending[0].write_held()
+                self.pending[0].turn.set()
         if self.transport.is_closing():
             self._drop_all()
         elif self.pending:
@@ -321,6 +333,7 @@
     def _drop(self, pending: Pending) -> None:
         """Cancel a request; its application sees a disconnect."""
         pending.drop_held()
+        pending.turn.set()
         if pending.cycle is not None:
             pending.cycle.disconnected = True
             pending.cycle.message_event.set()
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/node.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/node.py
@@ -11,7 +11,7 @@
 
 import aiohttp
 
-from goldcrestgrade import counters, instants, outcomes, reasons, routes
+from goldcrestgrade import answer_memory, counters, instants, outcomes, reasons, routes
 from goldcrestgrade.storage import tables
 from goldcrestgrade_node import asgi
 from goldcrestgrade_node.attempts import liveness
@@ -201,6 +201,7 @@
         self.withdrawals = withdrawals.Withdrawals()
         self.crash_checks: set[asyncio.Task[None]] = set()
         self.body_memory = bodies.BodyMemory()
+        self.answers = answer_memory.AnswerMemory()
         self.relay = relay.RelayClient(platform.header_names, self.clocks, self.counts)
         self.relay.on_unreachable = self.on_node_unreachable
         self.reachability = reachability.Reachability(
@@ -561,6 +562,7 @@
             self.rng,
             self.is_configuration_outdated,
             self.body_memory,
+            self.answers,
         )
 
     def peers(self) -> asgi.App:
@@ -571,7 +573,9 @@
             lambda: routes.DEFAULT_MAX_BODY_BYTES,
             self.handing_over.is_set,
             self.clocks,
-            relay.BodyTerms(self.body_memory, lambda: self.config.link_mbps, self.counts),
+            relay.BodyTerms(
+                self.body_memory, lambda: self.config.link_mbps, self.counts, self.answers
+            ),
         )
         return peers.app(relay_app, self.sync, self.quotas)
 
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/run.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/run.py
@@ -23,6 +23,9 @@
 CONTROL_CONNECTIONS = 256
 """Largest number of connections of a node for probes and polls of peers."""
 
+MAX_CONTROL_BYTES = 40 << 20
+"""Most bytes of answers that are received at once on these connections."""
+
 CONTROL_KEEPALIVE_S = 15.0
 """Idle time after which one of these connections, or one for health checks, is closed."""
 
@@ -72,7 +75,11 @@
 ) -> None:
     async with contextlib.AsyncExitStack() as stack:
         session = await stack.enter_async_context(
-            http_client.open_session(CONTROL_CONNECTIONS, CONTROL_KEEPALIVE_S)
+            http_client.open_session(
+                CONTROL_CONNECTIONS,
+                CONTROL_KEEPALIVE_S,
+                received=http_client.ReceivedBytes(MAX_CONTROL_BYTES),
+            )
         )
         health_session = await stack.enter_async_context(
             http_client.open_session(
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/transport/connections.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/transport/connections.py
@@ -37,6 +37,12 @@
 MAX_RECEIVED_BYTES = exchanges.MAX_UNSTREAMED_BYTES + (4 << 20)
 """Most bytes of an answer with its framing; a parser takes some of that without passing it on."""
 
+RECEIVE_BUFFER_BYTES = 64 * 1024
+"""Bytes that the kernel holds of one connection before they are read; it doubles the figure.
+
+Many requests are under way at once, and such bytes count towards the memory of the process.
+"""
+
 READ_BYTES = 64 * 1024
 """Number of bytes read at once from a connection that was reset."""
 
@@ -55,12 +61,14 @@
     """Client side of a connection that drops answers to other requests and detects resets."""
 
     def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
-        super().__init__(loop, MAX_RECEIVED_BYTES)
+        super().__init__(loop, MAX_RECEIVED_BYTES, None, RECEIVE_BUFFER_BYTES)
         self.echo_header = ""
         self.attempt_id: str | None = None
         """Id that the next answer must echo, if it echoes any."""
         self.skipped = 0
         """Answers to other requests that were dropped."""
+        self.discarded_bytes = 0
+        """Bytes of the bodies of these answers; their connection serves no further request."""
         self.idle_since: instants.Instant = 0.0
         self.keepalive_s = DEFAULT_KEEPALIVE_S
         self.used = False
@@ -82,12 +90,11 @@
     async def _discard(self, payload: aiohttp.StreamReader) -> None:
         """Read the body of a dropped answer in parts; raises `ClientPayloadError` beyond the limit.
 
-        Such a body may have no end.
+        Such a body may have no end, and such answers may come again and again.
         """
-        size = 0
         while part := await payload.readany():
-            size += len(part)
-            if size > exchanges.MAX_BUFFERED_BYTES:
+            self.discarded_bytes += len(part)
+            if self.discarded_bytes > exchanges.MAX_BUFFERED_BYTES:
                 raise aiohttp.ClientPayloadError("answer to another request is too large")
 
     def connection_lost(self, exc: BaseException | None) -> None:
@@ -236,7 +243,7 @@
             return
         now = self.loop.time()
         protocol.idle_since = now
-        protocol.idle = True
+        protocol.end_request()
         while self.idle and now - self.idle[0].idle_since > self.idle[0].keepalive_s:
             self.idle.pop(0).close()
         self.idle.append(protocol)
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/transport/relay.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/transport/relay.py
@@ -7,7 +7,7 @@
 import math
 import typing
 
-from goldcrestgrade import counters, headers, instants, outcomes, reasons
+from goldcrestgrade import answer_memory, counters, headers, instants, outcomes, reasons
 from goldcrestgrade_node import asgi
 from goldcrestgrade_node.attempts import exchanges, results
 from goldcrestgrade_node.entry import disconnects
@@ -52,6 +52,7 @@
     link_mbps: typing.Callable[[], float]
     """Bandwidth of this node's link in megabits a second; 0 if it is not known."""
     counts: counters.Counts
+    answers: answer_memory.AnswerMemory
 
 
 class RelayApp:
@@ -78,12 +79,14 @@
     async def __call__(self, scope: asgi.Scope, receive: asgi.Receive, send: asgi.Send) -> None:
         """Serve one relayed request."""
         reservation = bodies.Reservation(self.terms.memory)
+        answer = answer_memory.Reservation(self.terms.answers)
         try:
-            await self._serve(scope, receive, send, reservation)
+            await self._serve(scope, receive, send, reservation, answer)
         except asgi.Disconnected:
             return
         finally:
             reservation.release()
+            answer.close()
 
     async def _serve(
         self,
@@ -91,6 +94,7 @@
         receive: asgi.Receive,
         send: asgi.Send,
         reservation: bodies.Reservation,
+        answer: answer_memory.Reservation,
     ) -> None:
         started = self.clocks.monotonic()
         by_name = {name: value.decode("latin-1") for name, value in scope["headers"]}
@@ -120,6 +124,7 @@
             served = requests.Served(refused, None, arrived=False)
             await self._answer(send, served, attempt_id, started)
             return
+        call = call._replace(answer_memory=answer)
         if asked and isinstance(body, bytes) and self._is_link_full(call, length or 0):
             body = reasons.Refusal.SATURATED
         elif body == reasons.Refusal.SATURATED:
@@ -337,6 +342,7 @@
             RUN_ONCE_MAX_IDLE_S if call.run_once else IDEMPOTENT_MAX_IDLE_S,
             lambda: self.clocks.monotonic() < call.deadline,
             bodies.admission_deadline(call.target_at, call.deadline, now) if asked else None,
+            call.answer_memory,
         )
         if asked:
             self.counts.events[reasons.Event.BODY_ASKED] += 1
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/transport/requests.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/transport/requests.py
@@ -8,7 +8,7 @@
 import orjson
 import xxhash
 
-from goldcrestgrade import headers, instants, outcomes, routes
+from goldcrestgrade import answer_memory, headers, instants, outcomes, routes
 from goldcrestgrade_node.mesh.endpoint import decision
 from goldcrestgrade_node.mesh.transport import loads, signals
 
@@ -50,6 +50,8 @@
     """Version of the configuration by which the key of its workspace was accepted."""
     forward_allowed: bool = False
     """Whether the node that receives it may forward it within its region if it rejects it."""
+    answer_memory: answer_memory.Reservation | None = None
+    """Memory that this process has reserved for the answer."""
 
     @property
     def route_key(self) -> str:
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/transport/transfer.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/transport/transfer.py
@@ -7,7 +7,7 @@
 
 import aiohttp
 
-from goldcrestgrade import headers, instants, outcomes, reasons
+from goldcrestgrade import answer_memory, headers, instants, outcomes, reasons
 from goldcrestgrade_node.attempts import exchanges, results
 from goldcrestgrade_node.mesh.transport import bodies, connections
 
@@ -39,20 +39,28 @@
     max_idle_s: float,
     may_send: typing.Callable[[], bool],
     admitted_by: instants.Instant | None = None,
+    memory: answer_memory.Reservation | None = None,
 ) -> TransferResult:
     """Send `prepared` and return the result, at `deadline` at the latest.
 
     With `admitted_by`, the request has an expectation, and its body is sent only if the other side
     asks for it until then. A failure before the other side can have the whole body is reported as
-    unreachable.
+    unreachable. An answer takes its memory from `memory`, in place of that of an earlier one.
     """
+    if memory is not None:
+        memory.release()
     body: bodies.PartedBody | None = None
     if admitted_by is not None or len(prepared.body) >= bodies.ASK_MIN_BYTES:
         body = bodies.PartedBody(prepared.body, lambda: _allow_until(limit, deadline))
     exchange = exchanges.Exchange(
-        typing.cast(typing.Any, pool.with_max_idle(max_idle_s)), prepared, deadline, may_send, body
+        typing.cast(typing.Any, pool.with_max_idle(max_idle_s)),
+        prepared,
+        deadline,
+        may_send,
+        body,
+        memory,
     )
-    complete = False
+    complete = answered = False
     fields: dict[str, str] = {}
     result: results.Answered | results.Unreachable | results.Broken
     try:
@@ -71,6 +79,7 @@
             )
             fields = dict(headers.from_bytes(response.raw_headers))
             answer = await exchange.answer(response)
+            answered = True
         # The other side may answer before it has read the body. It may then take the rest of the
         # body, or the next request, for anything.
         complete = not early
@@ -82,6 +91,11 @@
         result = _failure_result(exchange, error)
     finally:
         exchange.close(complete)
+        if memory is not None:
+            if answered:
+                memory.complete()
+            else:
+                memory.release()
     if admitted_by is not None and isinstance(result, results.Broken):
         assert body is not None
         if not body.last_part_begun:
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/servers.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/servers.py
@@ -5,6 +5,7 @@
 import asyncio
 import collections.abc
 import contextlib
+import sys
 import typing
 
 import uvicorn
@@ -26,6 +27,10 @@
 """Largest size of the request line and headers."""
 
 
+MAX_DISCARDED_BYTES = 1 << 20
+"""Largest rest of a body that is read after the answer, so that its connection can be kept."""
+
+
 INTERIM_ANSWER_PREFIX = b"HTTP/1.1 100 "
 """Start of an interim answer, which is written without delay."""
 
@@ -66,6 +71,10 @@
         super().__init__(*args, **kwargs)
         self.head_bytes = 0
         """Bytes received since the last complete head or part of a body."""
+        self.discarded_bytes = 0
+        """Bytes of a body that came after the answer to its request."""
+        self.stall_check: asyncio.TimerHandle | None = None
+        """Check of a client that is to read before more is written."""
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Begin a connection."""
@@ -76,8 +85,29 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """End a connection."""
         self.staged.stop()
+        if self.stall_check is not None:
+            self.stall_check.cancel()
         super().connection_lost(exc)
 
+    def pause_writing(self) -> None:
+        """Wait for the client to read, as long as it acknowledges anything."""
+        super().pause_writing()
+        self._check_stall(sys.maxsize)
+
+    def resume_writing(self) -> None:
+        """Write on."""
+        super().resume_writing()
+        if self.stall_check is not None:
+            self.stall_check.cancel()
+
+    def _check_stall(self, before_bytes: int) -> None:
+        unacknowledged = closing.unacknowledged_bytes(self.staged.transport)
+        if unacknowledged >= before_bytes:
+            # Its answer holds memory that others need.
+            self.staged.abort()
+            return
+        self.stall_check = self.loop.call_later(closing.STALL_S, self._check_stall, unacknowledged)
+
     def data_received(self, data: bytes) -> None:
         """Parse `data`, which may hold parts of several requests; answer 400 above the limit."""
         if self.staged.is_closing():
@@ -89,14 +119,22 @@
 
     def on_headers_complete(self) -> None:
         """Begin the request of a complete head; join the writes of the answer, except to HEAD."""
-        self.head_bytes = 0
+        self.head_bytes = self.discarded_bytes = 0
         super().on_headers_complete()
         if self.cycle is not None and self.scope["method"] != "HEAD":
             self.cycle.transport = typing.cast(asyncio.Transport, AnswerWriter(self.transport))
 
     def on_body(self, body: bytes) -> None:
-        """Pass on a part of a body; it does not count towards the next head."""
+        """Pass on a part of a body; it does not count towards the next head.
+
+        After the answer, the rest of a body is discarded up to a limit, as it may have no end.
+        """
         self.head_bytes = 0
+        if self.cycle.response_complete:
+            self.discarded_bytes += len(body)
+            if self.discarded_bytes > MAX_DISCARDED_BYTES:
+                self.staged.close()
+                return
         super().on_body(body)
 
     def send_400_response(self, msg: str) -> None:
--- a/packages/goldcrestgrade-node/tests/attempts/test_forwarding.py
+++ b/packages/goldcrestgrade-node/tests/attempts/test_forwarding.py
@@ -71,7 +71,7 @@
     assert ("x", "1") in result.answer.headers
     received = endpoint.requests[0]
     assert (received.method, received.target, received.body) == ("PUT", "/x?y", b"letter")
-    assert received.field("x").encode("latin-1") == "á".encode()
+    assert received.field("x").encode("utf-8", "surrogateescape") == "á".encode()
     assert received.field("goldcrestgrade-control-key") is None
 
 
--- a/packages/goldcrestgrade-node/tests/mesh/test_large_bodies.py
+++ b/packages/goldcrestgrade-node/tests/mesh/test_large_bodies.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from goldcrestgrade import counters, instants, outcomes, reasons
+from goldcrestgrade import answer_memory, counters, instants, outcomes, reasons
 from goldcrestgrade_node.attempts import exchanges, results
 from goldcrestgrade_node.mesh.endpoint import admission
 from goldcrestgrade_node.mesh.transport import (
@@ -54,7 +54,7 @@
         self.fetched = []
         self.counts = counters.Counts()
         self.memory = memory or bodies.BodyMemory()
-        terms = relay.BodyTerms(self.memory, lambda: 5.0, self.counts)
+        terms = relay.BodyTerms(self.memory, lambda: 5.0, self.counts, answer_memory.AnswerMemory())
         self.app = relay.RelayApp(
             self.serve, NAMES, lambda: 1 << 20, lambda: False, instants.system_clocks(), terms
         )
--- a/packages/goldcrestgrade-node/tests/mesh/test_transfer.py
+++ b/packages/goldcrestgrade-node/tests/mesh/test_transfer.py
@@ -4,9 +4,10 @@
 import socket
 import struct
 
+import aiohttp
 import pytest
 
-from goldcrestgrade import reasons
+from goldcrestgrade import http_client, reasons
 from goldcrestgrade_node.attempts import exchanges, results
 from goldcrestgrade_node.mesh.transport import connections, transfer
 from goldcrestgrade_testing import raw_endpoint
@@ -186,6 +187,34 @@
         sender.pool.close_idle()
 
 
+async def test_answers_without_end_on_all_connections_of_a_session_have_one_limit():
+    """Guards against polls, probes and reads of the store that fill the memory together."""
+
+    async def respond(_, writer):
+        writer.write(b"HTTP/1.1 200 OK\r\ncontent-length: 8000000\r\n\r\n")
+        await raw_endpoint.write_endlessly(writer, b"x" * 65536)
+
+    received = http_client.ReceivedBytes(4 << 20)
+    most = 0
+    async with (
+        raw_endpoint.serving(respond) as endpoint,
+        http_client.open_session(20, 5.0, received=received) as session,
+    ):
+
+        async def read():
+            async with session.get(f"http://127.0.0.1:{endpoint.port}/") as response:
+                await response.read()
+
+        reads = [asyncio.create_task(read()) for _ in range(20)]
+        while not all(task.done() for task in reads):
+            most = max(most, received.held_bytes)
+            await asyncio.sleep(0)
+        results_ = await asyncio.gather(*reads, return_exceptions=True)
+        assert all(isinstance(result, aiohttp.ClientError) for result in results_)
+    assert received.limit_bytes / 2 < most <= received.limit_bytes
+    assert received.held_bytes == 0
+
+
 HEAD = f"HTTP/1.1 200 OK\r\n{ECHO}: 1\r\nx-signature: s\r\ncontent-length: 2\r\n\r\n".encode()
 
 
--- a/packages/goldcrestgrade-node/tests/test_closing.py
+++ b/packages/goldcrestgrade-node/tests/test_closing.py
@@ -157,3 +157,34 @@
             await loop.sock_sendall(client, request("/late"))
             await asyncio.sleep(0.1)
             await loop.sock_sendall(client, request("/late"))
+
+
+@pytest.mark.parametrize("kind", PROTOCOLS)
+async def test_body_without_end_after_its_answer_closes_the_connection(kind):
+    """Guards against a server that reads the rest of a body for as long as it comes."""
+    loop = asyncio.get_running_loop()
+    taken = 0
+    async with connected(PROTOCOLS[kind]()) as (client, _):
+        reading = asyncio.create_task(received_body_bytes(client))
+        await loop.sock_sendall(client, request("/unread", "transfer-encoding: chunked\r\n"))
+        with contextlib.suppress(ConnectionError):
+            async with asyncio.timeout(8.0):
+                while True:
+                    await loop.sock_sendall(client, b"10000\r\n" + b"x" * 65536 + b"\r\n")
+                    taken += 65536
+                    await asyncio.sleep(0.001)
+        assert taken >= servers.MAX_DISCARDED_BYTES
+        with contextlib.suppress(ConnectionError):
+            assert await reading == ANSWER_BYTES
+
+
+async def test_client_that_reads_nothing_of_a_kept_connection_is_given_up(monkeypatch):
+    """Guards against answers whose memory is held for good by clients that take no bytes."""
+    monkeypatch.setattr(closing, "STALL_S", 0.5)
+    loop = asyncio.get_running_loop()
+    async with connected(servers.NodeProtocol) as (client, server):
+        await loop.sock_sendall(client, request("/"))
+        await asyncio.sleep(0.2)
+        assert server.server_state.connections
+        await asyncio.sleep(1.3)
+        assert not server.server_state.connections and not server.server_state.tasks
--- a/packages/goldcrestgrade-testing/goldcrestgrade_testing/fault_soak/injection.py
+++ b/packages/goldcrestgrade-testing/goldcrestgrade_testing/fault_soak/injection.py
@@ -21,7 +21,19 @@
 MAX_COPY_AGE_S = 10
 """Largest age of the copy from which the store comes back, in whole seconds."""
 
-ANSWER_FAULTS = ("cut", "reset", "spoiled", "doubled", "late", "unframed", "lost", "mute")
+ANSWER_FAULTS = (
+    "cut",
+    "reset",
+    "spoiled",
+    "doubled",
+    "late",
+    "unframed",
+    "lost",
+    "mute",
+    "endless",
+    "endless_junk",
+    "endless_hints",
+)
 
 EARLY_ENDS_S = (0.05, 0.4, 1.0, 2.5)
 """Times after which an evacuation is taken back early, before or after nodes know of it."""
--- a/packages/goldcrestgrade-testing/goldcrestgrade_testing/fleet_platform/endpoint.py
+++ b/packages/goldcrestgrade-testing/goldcrestgrade_testing/fleet_platform/endpoint.py
@@ -23,6 +23,10 @@
 """
 
 
+ENDLESS_BLOCK_BYTES = 64 * 1024
+"""Bytes that are written at once of an answer without end."""
+
+
 class AnswerFault(typing.NamedTuple):
     """A fault of the next answers of an endpoint."""
 
@@ -38,7 +42,10 @@
     - `refused`: the request is refused and does not run, and the refusal is repeated before the
       next answer on its connection;
     - `lost`: the connection is reset without an answer;
-    - `mute`: no answer follows and the connection stays open.
+    - `mute`: no answer follows and the connection stays open;
+    - `endless`: the body is chunked and has no end;
+    - `endless_junk`: bytes without end that are not HTTP replace the answer;
+    - `endless_hints`: interim answers without end replace the answer.
     """
     times: int
     """Number of answers that have the fault."""
@@ -292,9 +299,26 @@
                     proxy.reset(writer)
             case "mute":
                 pass
+            case "endless" | "endless_junk" | "endless_hints":
+                first, repeated = self._endless(fault, status, attempt_id, signature)
+                self._write(writer, first)
+                await raw_endpoint.write_endlessly(writer, repeated)
             case _:
                 self._write(writer, answer)
 
+    def _endless(
+        self, kind: str, status: str, attempt_id: str, signature: str
+    ) -> tuple[bytes, bytes]:
+        """Return the first bytes of an answer without end, and those that follow."""
+        if kind == "endless_junk":
+            return b"", b"x" * ENDLESS_BLOCK_BYTES
+        if kind == "endless_hints":
+            hint = b"HTTP/1.1 103 Early Hints\r\n\r\n"
+            return b"", hint * (ENDLESS_BLOCK_BYTES // len(hint))
+        chunked = "transfer-encoding: chunked\r\n"
+        chunk = b"%x\r\n" % ENDLESS_BLOCK_BYTES + b"x" * ENDLESS_BLOCK_BYTES + b"\r\n"
+        return self._encode_head(status, attempt_id, signature + chunked), chunk
+
     def _write(self, writer: asyncio.StreamWriter, data: bytes) -> None:
         if not writer.is_closing():
             writer.write(data)
--- a/packages/goldcrestgrade-testing/tests/fleet_platform/test_fleet.py
+++ b/packages/goldcrestgrade-testing/tests/fleet_platform/test_fleet.py
@@ -58,7 +58,8 @@
 
 async def test_run_once_request_runs_at_most_once_under_each_answer_fault(running_fleet):
     east_2 = running_fleet.instances[1]
-    for kind in ("cut", "reset", "spoiled", "doubled", "late", "unframed", "lost"):
+    kinds = ("cut", "reset", "spoiled", "doubled", "late", "unframed", "lost")
+    for kind in (*kinds, "endless", "endless_junk", "endless_hints"):
         for instance in running_fleet.instances:
             instance.endpoint.fail_next_answers(endpoint.AnswerFault(kind, 1))
         for _ in range(4):
--- a/packages/goldcrestgrade/goldcrestgrade/http_client.py
+++ b/packages/goldcrestgrade/goldcrestgrade/http_client.py
@@ -7,53 +7,262 @@
 from __future__ import annotations
 
 import asyncio
+import collections
 import functools
+import socket
+import time
 import typing
+import weakref
 
 import aiohttp
 import multidict
-from aiohttp import client_proto, connector
+from aiohttp import client_proto, connector, http_exceptions
 
 MAX_ANSWER_BYTES = 32 << 20
 """Most bytes of an answer with its framing, if its reader states no other limit."""
 
 
+MAX_ANSWERS = 32
+"""Most interim answers and answers to other requests that come before the awaited one."""
+
+MAX_OVERHEAD_BYTES = 64 * 1024
+"""Most bytes of a head, and of the framing of a body beyond a multiple of its length."""
+
+MAX_OVERHEAD_RATIO = 3
+"""Bytes with their framing that may come for each byte of a body."""
+
+SLICE_BYTES = 4096
+"""Most bytes that are parsed without a look at the time.
+
+Such a slice holds some 200 interim answers or 700 chunks, which take milliseconds to parse.
+"""
+
+TURN_S = 0.002
+"""Time that the parsing of large amounts may take before other tasks get a turn."""
+
+RECEIVE_BUFFER_BYTES = 256 * 1024
+"""Bytes that the kernel holds of one connection before they are read."""
+
+
+class ReceivedBytes:
+    """Bytes received on several connections for answers that are not read to their end."""
+
+    def __init__(self, limit_bytes: float) -> None:
+        self.limit_bytes = limit_bytes
+        self.held_bytes = 0
+
+
+class ParseQueue:
+    """Connections with received bytes that are still to be parsed, each in turn.
+
+    Load pattern: a faulty server sends bytes without end on many connections, in tiny chunks or
+    interim answers. Parsing them as they are received would hold the event loop for seconds.
+    """
+
+    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
+        self.loop = loop
+        self.waiting: collections.deque[GuardedProtocol] = collections.deque()
+
+    def add(self, protocol: GuardedProtocol) -> None:
+        """Add a connection, unless it is waiting already."""
+        if protocol.queued:
+            return
+        protocol.queued = True
+        self.waiting.append(protocol)
+        if len(self.waiting) == 1:
+            self.loop.call_soon(self._parse)
+
+    def _parse(self) -> None:
+        end = time.perf_counter() + TURN_S
+        while self.waiting and time.perf_counter() < end:
+            protocol = self.waiting.popleft()
+            protocol.queued = False
+            if protocol.parse_slice():
+                protocol.queued = True
+                self.waiting.append(protocol)
+        if self.waiting:
+            self.loop.call_soon(self._parse)
+
+
+_PARSE_QUEUES: weakref.WeakKeyDictionary[asyncio.AbstractEventLoop, ParseQueue] = (
+    weakref.WeakKeyDictionary()
+)
+
+
+def _parse_queue(loop: asyncio.AbstractEventLoop) -> ParseQueue:
+    queue = _PARSE_QUEUES.get(loop)
+    if queue is None:
+        queue = _PARSE_QUEUES[loop] = ParseQueue(loop)
+    return queue
+
+
 class GuardedProtocol(client_proto.ResponseHandler):
-    """Client side of a connection that is aborted by bytes that belong to no answer."""
+    """Client side of a connection that is aborted by bytes that belong to no answer.
 
-    def __init__(self, loop: asyncio.AbstractEventLoop, max_answer_bytes: float) -> None:
+    What it receives is parsed in slices, so that no server holds the event loop.
+    """
+
+    def __init__(
+        self,
+        loop: asyncio.AbstractEventLoop,
+        max_answer_bytes: float,
+        received: ReceivedBytes | None = None,
+        receive_buffer_bytes: int = RECEIVE_BUFFER_BYTES,
+    ) -> None:
         super().__init__(loop)
         self.max_answer_bytes = max_answer_bytes
+        self.received = received or ReceivedBytes(float("inf"))
+        self.receive_buffer_bytes = receive_buffer_bytes
+        self.queue = _parse_queue(loop)
+        self.queued = False
+        """Whether the connection is in the queue."""
+        self.backlog = bytearray()
+        """Bytes that were received and not parsed yet."""
+        self.aborted = False
         self.idle = False
         """Whether the connection is in a pool and belongs to no request."""
         self.received_bytes = 0
         """Bytes that have come since the current request got the connection."""
+        self.parsed_bytes = 0
+        """Bytes that were parsed since the last head of an answer."""
+        self.answers = 0
+        """Heads of answers since the current request got the connection."""
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Limit what the kernel holds of the connection."""
+        super().connection_made(transport)
+        sock = transport.get_extra_info("socket")
+        if sock is not None:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, self.receive_buffer_bytes)
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """Parse what was received before the connection was lost."""
+        while self.backlog and not self.aborted:
+            self._parse_slice()
+        self._release_received()
+        super().connection_lost(exc)
+
+    @property
+    def should_close(self) -> bool:
+        """Whether the connection can't be used for another request."""
+        return bool(self.backlog) or super().should_close
 
     def begin_request(self) -> None:
         """Expect the answer to a new request."""
-        self.idle, self.received_bytes = False, 0
+        self._release_received()
+        self.idle = False
+        self.parsed_bytes = self.answers = 0
+
+    def end_request(self) -> None:
+        """Expect nothing, as the connection is returned to its pool."""
+        self._release_received()
+        self.idle = True
+
+    def _release_received(self) -> None:
+        self.received.held_bytes -= self.received_bytes
+        self.received_bytes = 0
 
     def data_received(self, data: bytes) -> None:
-        """Parse bytes; abort the connection while it is idle, or beyond the limit.
+        """Parse bytes, a large amount in turns; abort the connection while idle or above a limit.
 
         A late copy of an answer would otherwise be parsed as the answer to the next request. A part
         of its head shows nowhere else.
         """
+        if self.aborted:
+            return
+        if not data:
+            # aiohttp has its parser go on with what it held back.
+            super().data_received(data)
+            return
+        if (
+            self.idle
+            or self.received_bytes + len(data) > self.max_answer_bytes
+            or self.received.held_bytes + len(data) > self.received.limit_bytes
+        ):
+            self._abort("more bytes than an answer may have")
+            return
         self.received_bytes += len(data)
-        if (self.idle and data) or self.received_bytes > self.max_answer_bytes:
-            self.force_close()
-            if self.transport is not None:
-                typing.cast(asyncio.WriteTransport, self.transport).abort()
+        self.received.held_bytes += len(data)
+        if self.backlog or self._reading_paused or len(data) > SLICE_BYTES:
+            self.backlog += data
+            self._pause_transport_reading()
+            self.queue.add(self)
+        else:
+            self._parse(data)
+
+    def parse_slice(self) -> bool:
+        """Parse the next slice, and return whether another one may follow."""
+        if self.aborted or self._reading_paused or not self.backlog:
+            return False
+        self._parse_slice()
+        if not self.backlog and not self._reading_paused:
+            self._resume_transport_reading()
+        return bool(self.backlog) and not self._reading_paused
+
+    def _parse_slice(self) -> None:
+        part = bytes(self.backlog[:SLICE_BYTES])
+        del self.backlog[:SLICE_BYTES]
+        self._parse(part)
+
+    def _parse(self, part: bytes) -> None:
+        payload = self._payload
+        super().data_received(part)
+        if self.exception() is not None:
+            # The parser has failed and takes nothing more.
+            self._abort("an answer that can't be parsed")
+            return
+        if self._payload is payload:
+            self.parsed_bytes += len(part)
+        body_bytes = 0 if self._payload is None else self._payload.total_bytes
+        if self.parsed_bytes > MAX_OVERHEAD_BYTES + MAX_OVERHEAD_RATIO * body_bytes:
+            self._abort("too many bytes besides the body of an answer")
+
+    def feed_data(self, data: typing.Any, size: int = 0) -> None:
+        """Queue an answer with its head, up to a limit."""
+        self.answers += 1
+        self.parsed_bytes = 0
+        if self.answers > MAX_ANSWERS:
+            self._abort("too many answers")
+        else:
+            super().feed_data(data, size)
+
+    def resume_reading(self, resume_parser: bool = True) -> None:
+        """Go on with what was received and not parsed, then read on."""
+        super().resume_reading(resume_parser)
+        if self.backlog and not self._reading_paused:
+            self.queue.add(self)
+
+    def _resume_transport_reading(self) -> None:
+        if not self.backlog:
+            super()._resume_transport_reading()
+
+    def _abort(self, text: str) -> None:
+        """Close the connection at once, and fail the answer that it would have got."""
+        if self.aborted:
             return
-        super().data_received(data)
+        self.aborted = True
+        self.backlog.clear()
+        self.force_close()
+        payload = self._payload
+        if payload is not None and not payload.is_eof():
+            payload.set_exception(aiohttp.ClientPayloadError(text))
+        if not self.is_eof():
+            self.set_exception(http_exceptions.BadHttpMessage(text))
+        if self.transport is not None:
+            typing.cast(asyncio.WriteTransport, self.transport).abort()
 
 
 class GuardedConnector(aiohttp.TCPConnector):
     """Connector whose connections are guarded."""
 
-    def __init__(self, max_answer_bytes: float, **options: typing.Any) -> None:
+    def __init__(
+        self,
+        max_answer_bytes: float,
+        received: ReceivedBytes | None = None,
+        **options: typing.Any,
+    ) -> None:
         super().__init__(**options)
-        factory = functools.partial(GuardedProtocol, self._loop, max_answer_bytes)
+        factory = functools.partial(GuardedProtocol, self._loop, max_answer_bytes, received)
         self._factory = typing.cast(typing.Any, factory)
 
     async def connect(
@@ -70,7 +279,7 @@
     def _release(
         self, key: typing.Any, protocol: client_proto.ResponseHandler, *, should_close: bool = False
     ) -> None:
-        typing.cast(GuardedProtocol, protocol).idle = True
+        typing.cast(GuardedProtocol, protocol).end_request()
         super()._release(key, protocol, should_close=should_close)
 
 
@@ -127,21 +336,24 @@
 
 
 def open_session(
-    max_connections: int, keepalive_s: float, max_answer_bytes: int = MAX_ANSWER_BYTES
+    max_connections: int,
+    keepalive_s: float,
+    max_answer_bytes: int = MAX_ANSWER_BYTES,
+    received: ReceivedBytes | None = None,
 ) -> aiohttp.ClientSession:
     """Return a session that sends each request once and unchanged.
 
     It stores no cookies, does not decompress bodies, adds no headers of its own and keeps at most
     `max_connections` open; a connection that is idle for `keepalive_s` seconds is closed. With a
     `keepalive_s` of 0 each connection serves one request. An answer of more than `max_answer_bytes`
-    bytes breaks its connection.
+    bytes breaks its connection, and so do further bytes if the limit of `received` is reached.
     """
     reuse: dict[str, typing.Any] = (
         {"force_close": True} if keepalive_s == 0 else {"keepalive_timeout": keepalive_s}
     )
     session = aiohttp.ClientSession(
         connector=GuardedConnector(
-            max_answer_bytes, limit=max_connections, use_dns_cache=False, **reuse
+            max_answer_bytes, received, limit=max_connections, use_dns_cache=False, **reuse
         ),
         cookie_jar=aiohttp.DummyCookieJar(),
         auto_decompress=False,
