Read requests that offer an upgrade with their bodies

The parser ends the message behind such a head; uvicorn began the request all the same and dropped or misread the rest.

The servers decline the offer: the head is parsed once more without it, then the rest. CONNECT is refused with 400.

--- a/packages/goldcrestgrade-node/goldcrestgrade_node/servers.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/servers.py
@@ -8,6 +8,7 @@
 import sys
 import typing
 
+import httptools
 import uvicorn
 from uvicorn.protocols.http import httptools_impl
 
@@ -113,17 +114,60 @@
         if self.staged.is_closing():
             return
         self.head_bytes += len(data)
-        super().data_received(data)
+        self._unset_keepalive_if_required()
+        try:
+            while data:
+                data = self._feed(data)
+        except httptools.HttpParserError:
+            self.send_400_response("Invalid HTTP request received.")
         if self.head_bytes > MAX_HEAD_BYTES and not self.transport.is_closing():
             self.send_400_response("Request head too large.")
 
+    def _feed(self, data: bytes) -> bytes:
+        """Parse bytes up to the end of a head with `Upgrade`, and return those that follow it."""
+        try:
+            self.parser.feed_data(data)
+        except httptools.HttpParserUpgrade as upgrade:
+            self._decline_upgrade()
+            return data[upgrade.args[0] :]
+        return b""
+
+    def _decline_upgrade(self) -> None:
+        """Parse the head without its offer of another protocol (RFC 9110, section 7.8).
+
+        The parser takes what follows such a head for the other protocol, also the body.
+        """
+        method, version = self.parser.get_method(), self.parser.get_http_version()
+        if method == b"CONNECT":
+            raise httptools.HttpParserError("CONNECT is not supported")
+        lines = [b"%s %s HTTP/%s" % (method, self.url, version.encode())]
+        for name, value in self.headers:
+            if name == b"connection":
+                value = b",".join(
+                    option
+                    for option in value.split(b",")
+                    if option.strip().lower() not in (b"upgrade", b"http2-settings")
+                )
+            if name not in (b"upgrade", b"http2-settings"):
+                lines.append(name + b": " + value)
+        self.parser = httptools.HttpRequestParser(self)
+        self.parser.set_dangerous_leniencies(lenient_data_after_close=True)
+        self.parser.feed_data(b"\r\n".join(lines) + b"\r\n\r\n")
+
     def on_headers_complete(self) -> None:
         """Begin the request of a complete head; join the writes of the answer, except to HEAD."""
         self.head_bytes = self.discarded_bytes = 0
+        if self.parser.should_upgrade():
+            return
         super().on_headers_complete()
         if self.cycle is not None and self.scope["method"] != "HEAD":
             self.cycle.transport = typing.cast(asyncio.Transport, AnswerWriter(self.transport))
 
+    def on_message_complete(self) -> None:
+        """End the request that was read, unless its head is to be parsed again."""
+        if not self.parser.should_upgrade():
+            super().on_message_complete()
+
     def on_body(self, body: bytes) -> None:
         """Pass on a part of a body; it does not count towards the next head.
 
--- a/packages/goldcrestgrade-node/tests/mesh/test_pipelining.py
+++ b/packages/goldcrestgrade-node/tests/mesh/test_pipelining.py
@@ -60,13 +60,13 @@
 
 
 @contextlib.asynccontextmanager
-async def connected(app, limit_bytes=pipelining.MAX_FINISHED_BYTES):
+async def connected(app, limit_bytes=pipelining.MAX_FINISHED_BYTES, kind=None):
     finished = pipelining.FinishedAnswers(limit_bytes)
     terms = pipelining.Terms(lambda scope: scope["method"] == "GET", counters.Counts(), finished)
     protocol = functools.partial(pipelining.PipeliningProtocol, terms=terms)
     with socket.socket() as listening:
         listening.bind(("127.0.0.1", 0))
-        server = servers.create(app, {"host": "127.0.0.1", "port": 0}, protocol)
+        server = servers.create(app, {"host": "127.0.0.1", "port": 0}, kind or protocol)
         task = asyncio.create_task(server.serve(sockets=[listening]))
         while not server.started:
             await asyncio.sleep(0.01)
@@ -250,6 +250,56 @@
         assert await bodies(reader, 3) == ["/a", "/bx", "/c"]
 
 
+OFFERS = {
+    "h2c": "connection: Upgrade, HTTP2-Settings\r\nupgrade: h2c\r\nhttp2-settings: AAMA\r\n",
+    "websocket": "connection: keep-alive, upgrade\r\nupgrade: websocket\r\n",
+    "unnamed": "connection: upgrade\r\nupgrade: \r\n",
+}
+FRAMED = {
+    "length": f"content-length: {len(get('/quoted'))}\r\n\r\n".encode() + get("/quoted"),
+    "chunks": b"transfer-encoding: chunked\r\n\r\n%x\r\n" % len(get("/quoted"))
+    + get("/quoted")
+    + b"\r\n0\r\n\r\n",
+}
+
+
+@pytest.mark.parametrize("offer", OFFERS)
+@pytest.mark.parametrize("framing", FRAMED)
+@pytest.mark.parametrize("protocol", ["pipelining", "plain"])
+@pytest.mark.parametrize("split", ["none", "head", "everywhere"])
+async def test_request_that_offers_another_protocol_is_read_with_its_body(
+    offer, framing, protocol, split
+):
+    """Guards against a body that is lost, or taken for requests of its own."""
+    app = App()
+    sent = f"POST /first HTTP/1.1\r\nhost: h\r\n{OFFERS[offer]}".encode() + FRAMED[framing]
+    if protocol == "pipelining":
+        sent = get("/before") + sent + get("/behind", OFFERS[offer])
+    cuts = {"none": len(sent), "head": sent.index(b"\r\n\r\n") + 4, "everywhere": 1}[split]
+    kind = servers.NodeProtocol if protocol == "plain" else None
+    async with connected(app, kind=kind) as (reader, writer, _):
+        for start in range(0, len(sent), cuts):
+            writer.write(sent[start : start + cuts])
+            await asyncio.sleep(0)
+        whole = "/first" + get("/quoted").decode()
+        if protocol == "plain":
+            assert await bodies(reader, 1) == [whole]
+        else:
+            assert await bodies(reader, 3) == ["/before", whole, "/behind"]
+        writer.write(get("/after"))
+        assert await bodies(reader, 1) == ["/after"]
+    assert "/quoted" not in app.began
+
+
+async def test_connect_is_refused_and_closes():
+    app = App()
+    async with connected(app) as (reader, writer, _):
+        writer.write(b"CONNECT h:443 HTTP/1.1\r\nhost: h\r\n\r\n" + get("/behind"))
+        assert (await answer(reader))[0] == 400
+        assert await reader.read() == b""
+    assert app.began == []
+
+
 async def test_stop_answers_what_was_started_and_closes():
     """Guards against a stopping node that cuts answers or waits for requests not begun."""
     app = App()
