--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/reload.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/reload.py
@@ -29,7 +29,8 @@
         self.in_force = in_force
         self.apply = apply
         self.requested = asyncio.Event()
-        self.body = _body(path)
+        self.body: bytes | None = None
+        """Content of the file at the last check; none before, as it may change during the start."""
 
     async def run(self) -> None:
         """Check the file on request and at each poll interval, until cancelled."""
@@ -56,6 +57,8 @@
                 extra={"faults": [str(fault) for fault in error.faults]},
             )
             return
+        if changed == self.in_force:
+            return
         before, after = self.in_force._asdict(), changed._asdict()
         log.info(
             "settings reloaded",
--- a/packages/goldcrestgrade-testing/tests/fleet_platform/test_start.py
+++ b/packages/goldcrestgrade-testing/tests/fleet_platform/test_start.py
@@ -1,8 +1,12 @@
 """Start of a node on the platform."""
 
+import asyncio
+import re
 import subprocess
 import sys
 
+import pytest
+
 from goldcrestgrade_testing.fleet_platform import fleet
 
 COUNT_CERTIFICATES = """
@@ -26,3 +30,25 @@
     )
     assert "missing.toml" in finished.stderr
     assert finished.stdout == "0\n"
+
+
+SIGNAL_DELAYS_S = (0.1, 0.15, 0.2, 0.25, 0.3, 0.4, 0.5)
+"""Times from the start of a process to SIGHUP; none before the interpreter runs the program."""
+
+
+@pytest.mark.parametrize("delay_s", SIGNAL_DELAYS_S)
+async def test_signal_during_the_start_neither_ends_a_node_nor_is_lost(delay_s):
+    """Guards against nodes that end, or keep old settings, as the file changes early."""
+    placements = {"east-1": fleet.Placement("east", "r1", "archive")}
+    async with fleet.running(placements) as running:
+        (east_1,) = running.instances
+        east_1.process.kill()
+        east_1.process.wait()
+        running.start_node(east_1)
+        await asyncio.sleep(delay_s)
+        running.reload_settings(east_1)
+        await running.wait_ready()
+        await asyncio.sleep(1.5)
+        assert east_1.process.poll() is None
+        slacks = re.findall(r'"resend_slack":([0-9.]+)', running.node_log(east_1))
+        assert float(slacks[-1]) == running.settings(east_1)["resend_slack"] + 1
