Limit the doubling of backoffs

Four places computed it alike.

All use one function, which stops to double in time; so does the ejection of endpoints.

Four new tests fail without the change and pass with it, in virtual time.

--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/state/departures.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/state/departures.py
@@ -15,7 +15,7 @@
 import random
 import typing
 
-from goldcrestgrade import instants
+from goldcrestgrade import backoffs, instants
 from goldcrestgrade.storage import tables
 from goldcrestgrade_node.mesh.endpoint import endpoints
 from goldcrestgrade_node.mesh.state import replica
@@ -129,7 +129,7 @@
                 continue
             failures += 1
             self.write_due.set()
-            limit_s = min(BACKOFF_LIMIT_S, BACKOFF_BASE_S * 2 ** (failures - 1))
+            limit_s = backoffs.exponential_s(failures, BACKOFF_BASE_S, BACKOFF_LIMIT_S)
             await asyncio.sleep(limit_s * self.rng.uniform(0.5, 1.0))
 
     async def _write(self, departure: tables.Value) -> bool:
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/state/directory.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/state/directory.py
@@ -9,7 +9,7 @@
 import math
 import typing
 
-from goldcrestgrade import instants
+from goldcrestgrade import backoffs, instants
 from goldcrestgrade.storage import tables
 from goldcrestgrade_node.mesh.transport import loads, signals
 
@@ -176,7 +176,7 @@
         """Record that an instance was unreachable, and set its backoff."""
         instance.failures += 1
         instance.warming = Warming()
-        backoff_s = min(BACKOFF_LIMIT_S, BACKOFF_BASE_S * 2 ** (instance.failures - 1))
+        backoff_s = backoffs.exponential_s(instance.failures, BACKOFF_BASE_S, BACKOFF_LIMIT_S)
         instance.next_probe_at = now + backoff_s
         log.warning(
             "instance not reached",
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/state/registration.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/state/registration.py
@@ -6,7 +6,7 @@
 import logging
 import random
 
-from goldcrestgrade import instants
+from goldcrestgrade import backoffs, instants
 from goldcrestgrade.storage import tables
 from goldcrestgrade_node.mesh.state import directory, pacing, replica
 
@@ -89,7 +89,7 @@
                 continue
             failures += 1
             self.write_due.set()
-            limit_s = min(BACKOFF_LIMIT_S, BACKOFF_BASE_S * 2 ** (failures - 1))
+            limit_s = backoffs.exponential_s(failures, BACKOFF_BASE_S, BACKOFF_LIMIT_S)
             await asyncio.sleep(limit_s * self.rng.uniform(0.5, 1.0))
 
     async def _write(self) -> bool:
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/state/watch.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/state/watch.py
@@ -40,7 +40,7 @@
 import aiohttp
 import orjson
 
-from goldcrestgrade import instants
+from goldcrestgrade import backoffs, instants
 from goldcrestgrade.storage import tables
 from goldcrestgrade_node.mesh.state import directory, pacing, replica
 
@@ -747,7 +747,7 @@
             self.replica.notify()
 
     async def _back_off(self) -> None:
-        limit_s = min(BACKOFF_LIMIT_S, BACKOFF_BASE_S * 2 ** (self.failures - 1))
+        limit_s = backoffs.exponential_s(self.failures, BACKOFF_BASE_S, BACKOFF_LIMIT_S)
         await asyncio.sleep(limit_s * self.rng.uniform(0.5, 1.0))
 
 
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/routing/ejection.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/routing/ejection.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from goldcrestgrade import instants
+from goldcrestgrade import backoffs, instants
 from goldcrestgrade_node.routing import endpoint_stats, views
 
 MAX_EJECTED_SHARE = 0.5
@@ -87,7 +87,7 @@
 ) -> None:
     if endpoint.ejected_until or len(view.ejected) + 1 > limit_share * len(view.endpoints):
         return
-    ejection_s = min(MAX_EJECTION_S, BASE_EJECTION_S * 2**endpoint.ejections)
+    ejection_s = backoffs.exponential_s(endpoint.ejections + 1, BASE_EJECTION_S, MAX_EJECTION_S)
     endpoint.ejections += 1
     endpoint.ejected_until = now + ejection_s
     endpoint.on_trial = False
--- a/packages/goldcrestgrade-node/tests/mesh/test_departures.py
+++ b/packages/goldcrestgrade-node/tests/mesh/test_departures.py
@@ -129,6 +129,20 @@
     play(scenario)
 
 
+def test_departure_is_written_after_more_failures_than_a_backoff_can_double():
+    """Guards against a process that ends after some 20 minutes without the store."""
+
+    async def scenario():
+        store = Store()
+        node = Node(store)
+        store.failures = 1100
+        await node.departures.record("i-1", BORN_MS)
+        await asyncio.sleep(1110 * departures.BACKOFF_LIMIT_S)
+        assert store.rows["departure/n1"].value["endpoint_id"] == "i-1"
+
+    play(scenario)
+
+
 @pytest.mark.parametrize("is_first_node", [True, False])
 def test_first_node_removes_old_rows(is_first_node):
     async def scenario():
--- a/packages/goldcrestgrade-node/tests/mesh/test_directory.py
+++ b/packages/goldcrestgrade-node/tests/mesh/test_directory.py
@@ -84,6 +84,15 @@
     assert len(known.of_service("s")) == 1
 
 
+def test_instance_that_is_never_reached_is_probed_for_good():
+    """Guards against a process that ends after 1,025 failures of one peer."""
+    known = directory.Directory()
+    known.apply_change(change("a", 1, row("a")))
+    for _ in range(1100):
+        known.record_unreachable(known.by_id["a"], 5.0)
+    assert known.by_id["a"].next_probe_at == 5.0 + directory.BACKOFF_LIMIT_S
+
+
 def test_later_instance_at_an_address_replaces_the_earlier_one():
     known = directory.Directory()
     known.apply_change(change("earlier", 1, row("earlier")))
--- a/packages/goldcrestgrade-node/tests/mesh/test_registration.py
+++ b/packages/goldcrestgrade-node/tests/mesh/test_registration.py
@@ -52,3 +52,31 @@
     virtual_time.run(scenario())
     bound = (SECONDS + registration.WRITE_BURST_S) / registration.WRITE_INTERVAL_S + 1
     assert 10 < store.writes <= bound
+
+
+def test_row_is_written_after_more_failures_than_a_backoff_can_double():
+    """Guards against a process that ends after some 20 minutes without the store."""
+    store = Store()
+    failures = 1100
+    left = failures
+    commit = store.transact
+
+    async def transact(transaction):
+        nonlocal left
+        left -= 1
+        return tables.Rejected("busy") if left >= 0 else await commit(transaction)
+
+    store.transact = transact
+    store.on_replaced = lambda _: None
+
+    async def scenario():
+        clocks = instants.loop_clocks()
+        rows = replica.Replica(lambda _: True, clocks)
+        own = registration.Registration(ROW, rows, store, clocks, random.Random(1))
+        running = asyncio.create_task(own.run())
+        await asyncio.sleep((failures + 10) * registration.BACKOFF_LIMIT_S)
+        assert not running.done()
+        running.cancel()
+
+    virtual_time.run(scenario())
+    assert store.writes == 1
--- a/packages/goldcrestgrade-node/tests/mesh/test_watch.py
+++ b/packages/goldcrestgrade-node/tests/mesh/test_watch.py
@@ -93,6 +93,14 @@
     assert sync.is_connected()
 
 
+async def test_watcher_backs_off_after_any_number_of_failures(sync, monkeypatch):
+    """Guards against a process that ends after some 20 minutes without the store."""
+    monkeypatch.setattr(watch, "BACKOFF_LIMIT_S", 0.01)
+    sync.failures = 2000
+    async with asyncio.timeout(1.0):
+        await sync._back_off()
+
+
 async def test_node_that_follows_a_peer_is_connected_while_its_source_is(sync):
     await sync._read_all()
     add(sync.instances, "n1", 1)
