--- a/packages/goldcrestgrade/goldcrestgrade/backoffs.py
+++ b/packages/goldcrestgrade/goldcrestgrade/backoffs.py
@@ -8,4 +8,4 @@
 
 def exponential_s(failures: int, base_s: float, limit_s: float) -> float:
     """Return the backoff in seconds after consecutive failures; the first one gets `base_s`."""
-    return min(limit_s, base_s * 2 ** min(max(0, failures - 1), MAX_DOUBLINGS))
+    return min(limit_s, base_s * 2.0 ** min(max(0, failures - 1), MAX_DOUBLINGS))
