Keep the stand-in store from skipping a change

The feed looks once more after a time-out. test_stand_in_skips_no_change_that_comes_as_a_poll_times_out fails without the change and passes with it.

--- a/packages/goldcrestgrade-testing/goldcrestgrade_testing/fleet_platform/store.py
+++ b/packages/goldcrestgrade-testing/goldcrestgrade_testing/fleet_platform/store.py
@@ -256,7 +256,8 @@
                 ):
                     await self.changed.wait()
         except TimeoutError:
-            found = []
+            # A change may come at the moment of the time-out; the answer names its version.
+            found = self._changes_since(query["table"], after)
         return (200, {"rows": found}) if self._has_history_since(after) else (410, {})
 
     def _has_history_since(self, after: int) -> bool:
--- a/packages/goldcrestgrade-testing/tests/fleet_platform/test_adapter.py
+++ b/packages/goldcrestgrade-testing/tests/fleet_platform/test_adapter.py
@@ -6,6 +6,7 @@
 import math
 import random
 import re
+import time
 
 import aiohttp
 import orjson
@@ -428,6 +429,27 @@
     assert "'w'" in fault.text and "secret" not in fault.text
 
 
+async def test_stand_in_skips_no_change_that_comes_as_a_poll_times_out():
+    """Guards against nodes in tests that never learn of a change."""
+    loop = asyncio.get_running_loop()
+    stand_in_store = stand_in.Store()
+    wait_ms = 20
+    for number in range(10):
+        after = stand_in_store.version
+        query = {"table": "op", "after": str(after), "wait_ms": str(wait_ms)}
+        poll = asyncio.create_task(stand_in_store._answer("/-/rows-feed", query, b""))
+        await asyncio.sleep(0)
+        loop.call_later(
+            wait_ms / 1000 + 0.001, stand_in_store.write, "op", "config", {"version": number}
+        )
+        # The time-out and the write are due in one turn of the event loop, in this order.
+        time.sleep(2 * wait_ms / 1000)  # noqa: ASYNC251
+        status, document = await poll
+        assert status == 200
+        assert document["ver"] == after + 1
+        assert [row["ver"] for row in document["rows"]] == [after + 1]
+
+
 async def test_evacuation_rows_are_translated_in_both_directions(store_setup):
     """Guards against rows of the operator that no node recognizes."""
     stand_in_store, client = store_setup.store, store_setup.client
