--- a/packages/goldcrestgrade-testing/goldcrestgrade_testing/fleet_platform/store.py
+++ b/packages/goldcrestgrade-testing/goldcrestgrade_testing/fleet_platform/store.py
@@ -104,10 +104,10 @@
         """Write `value` as JSON to a row, without a condition, as the operator does."""
         self.write_bytes(table, key, orjson.dumps(value))
 
-    def write_bytes(self, table: str, key: str, value: bytes) -> None:
+    def write_bytes(self, table: str, key: str, value: bytes, part: str = "") -> None:
         """Write any bytes to a row, without a condition, as another writer may do."""
         text = base64.b64encode(value).decode()
-        self._apply({"writes": [{"table": table, "part": "", "key": key, "value": text}]})
+        self._apply({"writes": [{"table": table, "part": part, "key": key, "value": text}]})
 
     def remove(self, table: str, key: str) -> None:
         """Remove a row without a condition, as the operator does; nothing happens without a row."""
--- a/packages/goldcrestgrade-testing/tests/fleet_platform/test_adapter.py
+++ b/packages/goldcrestgrade-testing/tests/fleet_platform/test_adapter.py
@@ -429,6 +429,21 @@
     assert "'w'" in fault.text and "secret" not in fault.text
 
 
+async def test_rows_of_another_part_are_left_out(store_setup):
+    """Guards against a row of another part that takes the place of one with the same key."""
+    stand_in_store, client = store_setup.store, store_setup.client
+    committed = await client.transact(write("k"))
+    snapshot = await client.snapshot(replica.MESH, TRANSFER_S)
+    table = names.TABLES[replica.MESH]
+    stand_in_store.write_bytes(table, "k", b'{"a":2}', part="other")
+    changes = await client.changes(replica.MESH, snapshot.position, 0.0, TRANSFER_S)
+    assert changes.changes == ()
+    assert changes.position.version == committed.position.version + 1
+    assert (await client.read(replica.MESH, "k")).value == {"a": 1}
+    conflicted = await client.transact(write("k"))
+    assert conflicted.failures[0].row.position == committed.position
+
+
 async def test_stand_in_skips_no_change_that_comes_as_a_poll_times_out():
     """Guards against nodes in tests that never learn of a change."""
     loop = asyncio.get_running_loop()
