--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/run.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/run.py
@@ -123,6 +123,9 @@
         # The servers close idle connections at once and the others after their answers.
         left_s = max(MIN_CLOSE_S, end_by - asyncio.get_running_loop().time())
         _, unfinished = await asyncio.wait(serving, timeout=left_s)
+        for server in http_servers:
+            # A request that is cancelled would wait for its client to read the answer.
+            server.abort_connections()
         for task in itertools.chain(unfinished, background):
             task.cancel()
     log.info("node stopped")
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/servers.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/servers.py
@@ -208,6 +208,12 @@
         """Keep the signal handlers of the process, which uvicorn would replace."""
         yield
 
+    def abort_connections(self) -> None:
+        """Close all connections at once."""
+        for connection in list(self.server_state.connections):
+            if isinstance(connection, NodeProtocol):
+                connection.staged.abort()
+
 
 def create(
     app: typing.Any,
--- a/packages/goldcrestgrade-testing/goldcrestgrade_testing/fleet_platform/flood.py
+++ b/packages/goldcrestgrade-testing/goldcrestgrade_testing/fleet_platform/flood.py
@@ -53,6 +53,9 @@
 SOUND_BYTES = 1 << 20
 """Size of the bodies of large answers that are whole."""
 
+MEDIUM_BYTES = 60_000
+"""Size of a body that a node writes at once."""
+
 SOUND_CHUNK = b"400\r\n" + b"x" * 1024 + b"\r\n"
 
 SOUND: typing.Mapping[str, tuple[bytes, bytes]] = {
@@ -64,6 +67,10 @@
         b"HTTP/1.1 200 OK\r\n{own}transfer-encoding: chunked\r\n\r\n",
         SOUND_CHUNK * (SOUND_BYTES // 1024) + b"0\r\n\r\n",
     ),
+    "medium": (
+        b"HTTP/1.1 200 OK\r\n{own}content-length: %d\r\n\r\n" % MEDIUM_BYTES,
+        b"x" * MEDIUM_BYTES,
+    ),
     "largest": (FLOODS["length"][0], b"x" * LENGTH),
 }
 """Heads and bodies of large answers that are whole."""
--- a/packages/goldcrestgrade-testing/tests/fleet_platform/test_endless_answers.py
+++ b/packages/goldcrestgrade-testing/tests/fleet_platform/test_endless_answers.py
@@ -26,6 +26,9 @@
 LATENCY_S = 0.4
 """Latency target of other requests at the same time."""
 
+GRACE_S = 6.0
+"""Time that the platform allows a node between SIGTERM and SIGKILL."""
+
 FLOOD_S = 4.0
 """Time for which such requests are sent."""
 
@@ -108,6 +111,22 @@
         assert max(latencies) < LATENCY_S
 
 
+@pytest.mark.parametrize(("kind", "requests"), [("largest", 4), ("medium", 200)])
+async def test_node_ends_within_the_grace_beside_a_client_that_reads_nothing(kind, requests):
+    """Guards against a stop that waits for a client until the platform kills the node."""
+    async with flooding(kind) as running:
+        east_1 = running.instances[0]
+        _, writer = await asyncio.open_connection(fleet.HOST, east_1.ports["calls"])
+        writer.transport.pause_reading()
+        for number in range(requests):
+            head = f"GET /archive/x HTTP/1.1\r\nhost: {fleet.ROUTE_HOSTNAME}\r\n"
+            writer.write(f"{head}x-attempt-id: unread-{number}\r\n\r\n".encode())
+        await asyncio.sleep(1.0)
+        east_1.process.terminate()
+        assert await asyncio.to_thread(east_1.process.wait, GRACE_S) == 0
+        writer.transport.abort()
+
+
 @pytest.mark.parametrize(
     ("kind", "number"), [("sound length", 30), ("sound chunks", 30), ("largest", 6)]
 )
