--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/run.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/run.py
@@ -23,7 +23,7 @@
 CONTROL_CONNECTIONS = 256
 """Largest number of connections of a node for probes and polls of peers."""
 
-MAX_CONTROL_BYTES = 40 << 20
+MAX_CONTROL_BYTES = 16 << 20
 """Most bytes of answers that are received at once on these connections."""
 
 CONTROL_KEEPALIVE_S = 15.0
@@ -78,7 +78,8 @@
             http_client.open_session(
                 CONTROL_CONNECTIONS,
                 CONTROL_KEEPALIVE_S,
-                received=http_client.ReceivedBytes(MAX_CONTROL_BYTES),
+                MAX_CONTROL_BYTES,
+                http_client.ReceivedBytes(MAX_CONTROL_BYTES),
             )
         )
         health_session = await stack.enter_async_context(
--- a/packages/goldcrestgrade-testing/goldcrestgrade_testing/fleet_platform/flood.py
+++ b/packages/goldcrestgrade-testing/goldcrestgrade_testing/fleet_platform/flood.py
@@ -1,6 +1,7 @@
 """An endpoint with large answers, with or without an end, as a process of its own.
 
-It answers health checks. A thread for each connection writes as fast as the node reads.
+It answers health checks, or floods them as well. A thread for each connection writes as fast as the
+node reads.
 """
 
 from __future__ import annotations
@@ -76,8 +77,8 @@
 """Heads and bodies of large answers that are whole."""
 
 
-def serve(port: int, endpoint_id: str, slots: int, kind: str) -> None:
-    """Listen at `port` until the process is ended."""
+def serve(port: int, endpoint_id: str, slots: int, kind: str, checks: str = "sound") -> None:
+    """Listen at `port` until the process is ended; `checks` is `sound` or `flooded`."""
     first, repeated = FLOODS.get(kind) or SOUND[kind]
 
     class Handler(socketserver.BaseRequestHandler):
@@ -95,7 +96,7 @@
                 line.lower().split(b": ", 1) for line in head.split(b"\r\n")[1:] if b": " in line
             )
             load = f"x-instance-id: {endpoint_id}\r\nx-upstream-load: 0,0,{slots},100\r\n".encode()
-            if head.split()[1] == b"/healthz":
+            if head.split()[1] == b"/healthz" and checks == "sound":
                 self.request.sendall(b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\n" + load + b"\r\n")
                 return
             attempt_id = fields.get(b"x-attempt-id", b"")
@@ -115,4 +116,4 @@
 
 
 if __name__ == "__main__":
-    serve(int(sys.argv[1]), sys.argv[2], int(sys.argv[3]), sys.argv[4])
+    serve(int(sys.argv[1]), sys.argv[2], int(sys.argv[3]), *sys.argv[4:])
--- a/packages/goldcrestgrade-testing/goldcrestgrade_testing/fleet_platform/store.py
+++ b/packages/goldcrestgrade-testing/goldcrestgrade_testing/fleet_platform/store.py
@@ -51,6 +51,8 @@
     """The store carries out requests but does not answer."""
     LATE = "late"
     """The store carries out requests 1 s later and does not answer."""
+    ENDLESS = "endless"
+    """The store does nothing, and its answers have no end."""
 
 
 @dataclasses.dataclass
@@ -159,6 +161,9 @@
             if access.outage == Outage.SILENT:
                 await asgi.wait_disconnected(receive)
                 return
+            if access.outage == Outage.ENDLESS:
+                await _send_endlessly(receive, send)
+                return
             if access.outage == Outage.BUSY or self.away:
                 await asgi.send_plain(send, self._plain_answer(503), close=False)
                 return
@@ -274,6 +279,15 @@
         return self.requests_in_window > self.max_requests_per_s
 
 
+async def _send_endlessly(receive: asgi.Receive, send: asgi.Send) -> None:
+    """Send an answer without an end until the client disconnects."""
+    disconnected = asyncio.create_task(asgi.wait_disconnected(receive))
+    await send({"type": "http.response.start", "status": 200, "headers": []})
+    while not disconnected.done():
+        await send({"type": "http.response.body", "body": b"x" * 65536, "more_body": True})
+        await asyncio.sleep(0)
+
+
 def _row_id(row: Row) -> RowId:
     return row["table"], row.get("part", ""), row["key"]
 
--- a/packages/goldcrestgrade-testing/tests/fleet_platform/test_endless_answers.py
+++ b/packages/goldcrestgrade-testing/tests/fleet_platform/test_endless_answers.py
@@ -10,7 +10,7 @@
 
 import pytest
 
-from goldcrestgrade_testing.fleet_platform import fleet, flood
+from goldcrestgrade_testing.fleet_platform import fleet, flood, store
 
 PLACEMENTS = {
     "east-1": fleet.Placement("east", "r1", "archive"),
@@ -26,6 +26,9 @@
 LATENCY_S = 0.4
 """Latency target of other requests at the same time."""
 
+RECOVERY_S = 5.0
+"""Time after trouble of the store, and to put a configuration in force."""
+
 GRACE_S = 6.0
 """Time that the platform allows a node between SIGTERM and SIGKILL."""
 
@@ -38,7 +41,7 @@
 
 
 @contextlib.asynccontextmanager
-async def flooding(kind):
+async def flooding(kind, checks="sound"):
     """Run a fleet whose first endpoint is replaced by one that floods its requests."""
     async with fleet.running(PLACEMENTS) as running:
         east_1 = running.instances[0]
@@ -46,7 +49,7 @@
         behaviour.slots = FLOODED
         await asyncio.sleep(2 * fleet.HEARTBEAT_INTERVAL_S)
         await east_1.endpoint.stop()
-        arguments = (east_1.ports["endpoint"], east_1.endpoint.endpoint_id, FLOODED, kind)
+        arguments = (east_1.ports["endpoint"], east_1.endpoint.endpoint_id, FLOODED, kind, checks)
         process = start_flood(*map(str, arguments))
         try:
             await asyncio.sleep(1.0)
@@ -102,6 +105,40 @@
         assert len(latencies) > 10
 
 
+@pytest.mark.parametrize("kind", ["length", "junk", "early hints", "tiny chunks", "other answers"])
+async def test_endless_answers_to_health_checks_leave_memory_and_requests_alone(kind):
+    """Guards against health checks that fill the memory or hold the event loop."""
+    async with flooding(kind, checks="flooded") as running:
+        east_1 = running.instances[0]
+        latencies, unread = await play(running, east_1, "/intake/x")
+        assert memory_mb(east_1) + unread < MEMORY_MB
+        assert max(latencies) < LATENCY_S
+
+
+async def test_endless_answers_of_the_store_leave_memory_and_requests_alone():
+    """Guards against reads of the store and polls that fill the memory of all nodes."""
+    async with fleet.running(PLACEMENTS) as running:
+        latencies = []
+        for instance in running.instances:
+            instance.store_access.outage = store.Outage.ENDLESS
+        end = time.monotonic() + FLOOD_S
+        while time.monotonic() < end:
+            for instance in running.instances:
+                answer = await running.call(instance, "/intake/x", deadline_ms=1500)
+                assert answer.status == 200
+                latencies.append(answer.latency_s)
+        for instance in running.instances:
+            assert memory_mb(instance) < MEMORY_MB
+            instance.store_access.outage = store.Outage.NONE
+        assert max(latencies) < LATENCY_S
+        running.add_route()
+        deadline = time.monotonic() + RECOVERY_S
+        for instance in running.instances:
+            while (await running.call(instance, running.added_routes[-1][0])).status != 200:
+                assert time.monotonic() < deadline
+                await asyncio.sleep(0.05)
+
+
 async def test_endless_answers_over_another_node_leave_both_alone():
     """Guards against an entry node that holds what the endpoint's node passes on."""
     async with flooding("length") as running:
