Limit junk for a head after a large answer, and take one turn at a time

By reading: the limit on bytes besides a body counted the body of the answer before on a reused connection, so that junk of megabytes passed for a head; and a connection that joined the queue while a turn was taken had the loop take two turns at once from then on.

Each request starts with a limit of its own, and a turn is scheduled once. The new test fails without the first change (1 MB passed, where 64 KB are the limit) and passes with it; the second is shown by no test of its own.

--- a/packages/goldcrestgrade-node/tests/mesh/test_transfer.py
+++ b/packages/goldcrestgrade-node/tests/mesh/test_transfer.py
@@ -187,6 +187,35 @@
         sender.pool.close_idle()
 
 
+class Unconnected(asyncio.Transport):
+    def abort(self):
+        """Do nothing."""
+
+
+async def test_junk_for_a_head_is_limited_also_after_a_large_answer():
+    """Guards against a limit that grows with the body of an earlier answer."""
+    loop = asyncio.get_running_loop()
+    protocol = connections.Protocol(loop)
+    protocol.connection_made(Unconnected())
+    protocol.begin_request()
+    protocol.set_response_params(read_until_eof=True)
+    protocol.data_received(b"HTTP/1.1 200 OK\r\ncontent-length: 1048576\r\n\r\n")
+    message, payload = await protocol.read()
+    for _ in range(256):
+        protocol.data_received(b"x" * 4096)
+        await payload.readany()
+    assert message.code == 200 and not protocol.should_close
+    protocol.end_request()
+    protocol.begin_request()
+    protocol.set_response_params(read_until_eof=True, max_field_size=1 << 20)
+    protocol.data_received(b"HTTP/1.1 200 OK\r\nx: ")
+    sent = 0
+    while not protocol.should_close:
+        protocol.data_received(b"x" * 4096)
+        sent += 4096
+    assert sent <= http_client.MAX_OVERHEAD_BYTES + 4096
+
+
 async def test_answers_without_end_on_all_connections_of_a_session_have_one_limit():
     """Guards against polls, probes and reads of the store that fill the memory together."""
 
--- a/packages/goldcrestgrade/goldcrestgrade/http_client.py
+++ b/packages/goldcrestgrade/goldcrestgrade/http_client.py
@@ -45,7 +45,7 @@
 
 
 class ReceivedBytes:
-    """Bytes received on several connections for answers that are not read to their end."""
+    """Sum of the bytes that several connections have received for answers under way."""
 
     def __init__(self, limit_bytes: float) -> None:
         self.limit_bytes = limit_bytes
@@ -62,6 +62,8 @@
     def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
         self.loop = loop
         self.waiting: collections.deque[GuardedProtocol] = collections.deque()
+        self.scheduled = False
+        """Whether the next turn is due."""
 
     def add(self, protocol: GuardedProtocol) -> None:
         """Add a connection, unless it is waiting already."""
@@ -69,10 +71,15 @@
             return
         protocol.queued = True
         self.waiting.append(protocol)
-        if len(self.waiting) == 1:
-            self.loop.call_soon(self._parse)
+        self._schedule()
 
-    def _parse(self) -> None:
+    def _schedule(self) -> None:
+        if self.waiting and not self.scheduled:
+            self.scheduled = True
+            self.loop.call_soon(self._take_turn)
+
+    def _take_turn(self) -> None:
+        self.scheduled = False
         end = time.perf_counter() + TURN_S
         while self.waiting and time.perf_counter() < end:
             protocol = self.waiting.popleft()
@@ -80,8 +87,7 @@
             if protocol.parse_slice():
                 protocol.queued = True
                 self.waiting.append(protocol)
-        if self.waiting:
-            self.loop.call_soon(self._parse)
+        self._schedule()
 
 
 _PARSE_QUEUES: weakref.WeakKeyDictionary[asyncio.AbstractEventLoop, ParseQueue] = (
@@ -127,6 +133,8 @@
         """Bytes that were parsed since the last head of an answer."""
         self.answers = 0
         """Heads of answers since the current request got the connection."""
+        self.earlier_payload: aiohttp.StreamReader | None = None
+        """Body of the answer to the request before."""
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Limit what the kernel holds of the connection."""
@@ -152,6 +160,7 @@
         self._release_received()
         self.idle = False
         self.parsed_bytes = self.answers = 0
+        self.earlier_payload = self._payload
 
     def end_request(self) -> None:
         """Expect nothing, as the connection is returned to its pool."""
@@ -213,7 +222,9 @@
             return
         if self._payload is payload:
             self.parsed_bytes += len(part)
-        body_bytes = 0 if self._payload is None else self._payload.total_bytes
+        body_bytes = 0
+        if self._payload is not None and self._payload is not self.earlier_payload:
+            body_bytes = self._payload.total_bytes
         if self.parsed_bytes > MAX_OVERHEAD_BYTES + MAX_OVERHEAD_RATIO * body_bytes:
             self._abort("too many bytes besides the body of an answer")
 
