Fail an answer that is being read as its connection is closed

A node ended by itself while the store failed: the client of the store replaces its connections after a failure, and a read that goes on after a part of its answer got a RuntimeError, which nothing handles.

Closing a connection fails the answer that is still being read.

--- a/packages/goldcrestgrade-node/tests/mesh/test_transfer.py
+++ b/packages/goldcrestgrade-node/tests/mesh/test_transfer.py
@@ -187,6 +187,22 @@
         sender.pool.close_idle()
 
 
+async def test_answer_is_cut_for_a_reader_whose_session_was_closed():
+    """Guards against a process that ends by a `RuntimeError` of a read of the store."""
+
+    async def respond(_, writer):
+        writer.write(b"HTTP/1.1 200 OK\r\ncontent-length: 1000\r\n\r\nx")
+        await writer.drain()
+
+    async with raw_endpoint.serving(respond) as endpoint:
+        session = http_client.open_session(4, 5.0)
+        response = await session.get(f"http://127.0.0.1:{endpoint.port}/")
+        assert await response.content.readany() == b"x"
+        await session.close()
+        with pytest.raises(aiohttp.ClientPayloadError):
+            await response.content.readany()
+
+
 class Unconnected(asyncio.Transport):
     def abort(self):
         """Do nothing."""
--- a/packages/goldcrestgrade/goldcrestgrade/http_client.py
+++ b/packages/goldcrestgrade/goldcrestgrade/http_client.py
@@ -155,6 +155,22 @@
         """Whether the connection can't be used for another request."""
         return bool(self.backlog) or super().should_close
 
+    def close(self) -> None:
+        """Close the connection, and fail an answer that is still being read."""
+        self._fail_payload("connection closed")
+        super().close()
+
+    def abort(self) -> None:
+        """Close the connection at once, and fail an answer that is still being read."""
+        self._fail_payload("connection closed")
+        super().abort()
+
+    def _fail_payload(self, text: str) -> None:
+        # Whoever reads on would get a `RuntimeError`, which stands for a defect of the program.
+        payload = self._payload
+        if payload is not None and not payload.is_eof() and payload.exception() is None:
+            payload.set_exception(aiohttp.ClientPayloadError(text))
+
     def begin_request(self) -> None:
         """Expect the answer to a new request."""
         self._release_received()
@@ -254,9 +270,7 @@
         self.aborted = True
         self.backlog.clear()
         self.force_close()
-        payload = self._payload
-        if payload is not None and not payload.is_eof():
-            payload.set_exception(aiohttp.ClientPayloadError(text))
+        self._fail_payload(text)
         if not self.is_eof():
             self.set_exception(http_exceptions.BadHttpMessage(text))
         if self.transport is not None:
