Keep a faulty workspace from taking the name of a sound one

By reading: a faulty part that keeps its form in force was found by its keys, also if another workspace of the new configuration has that form's name; then the sound one lost its keys (401).

Sound workspaces come first, and a form in force is kept only under a name that is free. The new test fails without the change and passes with it.

--- a/packages/goldcrestgrade-testing/tests/fleet_platform/test_adapter.py
+++ b/packages/goldcrestgrade-testing/tests/fleet_platform/test_adapter.py
@@ -175,6 +175,18 @@
     assert all(workspace.is_closed for workspace in restarted.workspaces.values())
 
 
+def test_faulty_workspace_does_not_take_the_place_of_a_sound_one():
+    """Guards against keys that are refused, since another workspace once held one of them."""
+    sound = document() | {"tenants": [fleet.workspace("w", "k1", "k2")]}
+    tenants = [fleet.workspace("w", "k1"), fleet.workspace("\n", "k2"), fleet.workspace("", "k3")]
+    changed = {**document(), "version": 8, "tenants": tenants}
+    in_force = routes.salvage(configuration.read(sound), None).table
+    table = routes.salvage(configuration.read(changed), in_force).table
+    holders = {key: table.workspace_by_key[routes.key_digest(key)] for key in ("k1", "k2", "k3")}
+    assert holders["k1"] == "w" and len(set(holders.values())) == 3
+    assert table.workspaces[holders["k2"]].is_closed
+
+
 def test_heartbeat_is_translated():
     decoded = heartbeats.decode("i", heartbeat(status__state="draining"))
     assert decoded.draining and decoded.born_ms == 5 and decoded.slots == 9
--- a/packages/goldcrestgrade/goldcrestgrade/routes.py
+++ b/packages/goldcrestgrade/goldcrestgrade/routes.py
@@ -264,21 +264,27 @@
 def _salvage_workspaces(
     place: str, draft: Draft, former: RouteTable, faults: list[findings.Finding]
 ) -> typing.Iterator[Workspace]:
-    for number, workspace in enumerate(draft.workspaces):
+    sound, others = [], []
+    for workspace in draft.workspaces:
         if isinstance(workspace, Workspace):
             found = list(_workspace_faults(place, workspace))
             faults += found
-            if not found:
-                yield workspace
-                continue
-        digests = workspace.key_digests
-        holders = (former.workspace_by_key.get(digest, "") for digest in digests)
+            (others if found else sound).append(workspace)
+        else:
+            others.append(workspace)
+    yield from sound
+    taken = {workspace.name for workspace in sound}
+    for number, workspace in enumerate(others):
+        holders = (former.workspace_by_key.get(digest, "") for digest in workspace.key_digests)
         names = itertools.chain((workspace.name,), holders)
-        kept = next((former.workspaces[name] for name in names if name in former.workspaces), None)
-        if kept is None:
+        kept_name = next((n for n in names if n in former.workspaces and n not in taken), None)
+        if kept_name is None:
             kept = Workspace(f"closed {number}", (), 0, is_closed=True)
+        else:
+            taken.add(kept_name)
+            kept = former.workspaces[kept_name]
         # Keys that the configuration withdraws are no longer accepted in any case.
-        yield kept._replace(key_digests=digests)
+        yield kept._replace(key_digests=workspace.key_digests)
 
 
 def encode_prefix(prefix: str) -> str:
