--- a/packages/goldcrestgrade/goldcrestgrade/routes.py
+++ b/packages/goldcrestgrade/goldcrestgrade/routes.py
@@ -264,7 +264,8 @@
 def _salvage_workspaces(
     place: str, draft: Draft, former: RouteTable, faults: list[findings.Finding]
 ) -> typing.Iterator[Workspace]:
-    sound, others = [], []
+    sound: list[Workspace] = []
+    others: list[Workspace | FaultyWorkspace] = []
     for workspace in draft.workspaces:
         if isinstance(workspace, Workspace):
             found = list(_workspace_faults(place, workspace))
