Send saturated requests again in the test of sound large answers

Trace: the reason is saturated, so admission refused them before they ran; a client sends them again.

--- a/packages/goldcrestgrade-testing/tests/fleet_platform/test_endless_answers.py
+++ b/packages/goldcrestgrade-testing/tests/fleet_platform/test_endless_answers.py
@@ -148,6 +148,15 @@
         assert max(latencies) < LATENCY_S
 
 
+async def admitted(running, entry):
+    """Return the answer to a request, which is sent again as long as it is refused as saturated."""
+    while True:
+        answer = await running.call(entry, "/archive/x", deadline_ms=8000)
+        if answer.status != 503 or b'"saturated"' not in answer.body:
+            return answer
+        await asyncio.sleep(0.1)
+
+
 @pytest.mark.parametrize(("kind", "requests"), [("largest", 4), ("medium", 200)])
 async def test_node_ends_within_the_grace_beside_a_client_that_reads_nothing(kind, requests):
     """Guards against a stop that waits for a client until the platform kills the node."""
@@ -172,8 +181,7 @@
     length = flood.LENGTH if kind == "largest" else flood.SOUND_BYTES
     async with flooding(kind) as running:
         for entry in running.instances:
-            calls = (running.call(entry, "/archive/x", deadline_ms=8000) for _ in range(number))
-            answers = await asyncio.gather(*calls)
+            answers = await asyncio.gather(*(admitted(running, entry) for _ in range(number)))
             assert {(a.status, len(a.body)) for a in answers} == {(200, length)}
         for instance in running.instances:
             assert memory_mb(instance) < MEMORY_MB
