Count answers that wait for memory, and log connections that are aborted

An operator could not see that large answers waited, nor who sent bytes that belong to no answer. The event answer_memory_full counts the former; a log line names the peer, the limit and the bytes received.

--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/node.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/node.py
@@ -201,7 +201,7 @@
         self.withdrawals = withdrawals.Withdrawals()
         self.crash_checks: set[asyncio.Task[None]] = set()
         self.body_memory = bodies.BodyMemory()
-        self.answers = answer_memory.AnswerMemory()
+        self.answers = answer_memory.AnswerMemory(on_wait=self.on_answer_waits)
         self.relay = relay.RelayClient(platform.header_names, self.clocks, self.counts)
         self.relay.on_unreachable = self.on_node_unreachable
         self.reachability = reachability.Reachability(
@@ -390,6 +390,10 @@
         if state == "cold":
             self.counts.events[reasons.Event.ENDPOINT_COLD] += 1
 
+    def on_answer_waits(self) -> None:
+        """Count a large answer that waits for memory."""
+        self.counts.events[reasons.Event.ANSWER_MEMORY_FULL] += 1
+
     def on_call_rejected(self, reason: reasons.Refusal) -> None:
         """Count a request that the warm-up rate keeps from the own endpoint."""
         if reason == reasons.Refusal.WARMING_UP:
--- a/packages/goldcrestgrade-operator/goldcrestgrade_operator/explanations.py
+++ b/packages/goldcrestgrade-operator/goldcrestgrade_operator/explanations.py
@@ -338,6 +338,10 @@
         "A request of another region that the endpoint here could not run went to another one.",
         "Add endpoints in the regions in which such requests may run if it is a large share.",
     ),
+    reasons.Event.ANSWER_MEMORY_FULL: Explanation(
+        "A large answer waited, since others hold the memory for answers.",
+        "Look for an endpoint whose answers have no end, or clients that don't read theirs.",
+    ),
     reasons.Event.BODY_MEMORY_FULL: Explanation(
         "A request was refused since this node holds as many bytes of bodies as it may.",
         "Spread clients over more nodes; look for clients that send slowly.",
--- a/packages/goldcrestgrade/goldcrestgrade/answer_memory.py
+++ b/packages/goldcrestgrade/goldcrestgrade/answer_memory.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import collections
+import typing
 
 SMALL_ANSWER_BYTES = 16 * 1024
 """Size up to which an answer is not counted, so that small ones never wait for large ones."""
@@ -28,8 +29,13 @@
     """
 
     def __init__(
-        self, shared_bytes: int = SHARED_BYTES, reserved_bytes: int = RESERVED_BYTES
+        self,
+        shared_bytes: int = SHARED_BYTES,
+        reserved_bytes: int = RESERVED_BYTES,
+        on_wait: typing.Callable[[], None] = lambda: None,
     ) -> None:
+        self.on_wait = on_wait
+        """Called when an answer begins to wait."""
         self.shared_bytes = shared_bytes
         self.reserved_bytes = reserved_bytes
         self.held_bytes = 0
@@ -57,6 +63,7 @@
         future = asyncio.get_running_loop().create_future()
         entry = (reservation, answer_bytes, future)
         self.waiting.append(entry)
+        self.on_wait()
         self._grant()
         try:
             await future
--- a/packages/goldcrestgrade/goldcrestgrade/http_client.py
+++ b/packages/goldcrestgrade/goldcrestgrade/http_client.py
@@ -9,6 +9,7 @@
 import asyncio
 import collections
 import functools
+import logging
 import socket
 import time
 import typing
@@ -18,6 +19,8 @@
 import multidict
 from aiohttp import client_proto, connector, http_exceptions
 
+log = logging.getLogger(__name__)
+
 MAX_ANSWER_BYTES = 32 << 20
 """Most bytes of an answer with its framing, if its reader states no other limit."""
 
@@ -268,6 +271,17 @@
         if self.aborted:
             return
         self.aborted = True
+        log.warning(
+            "connection aborted",
+            extra={
+                "peer": None
+                if self.transport is None
+                else self.transport.get_extra_info("peername"),
+                "error": text,
+                "received_bytes": self.received_bytes,
+                "answers": self.answers,
+            },
+        )
         self.backlog.clear()
         self.force_close()
         self._fail_payload(text)
--- a/packages/goldcrestgrade/goldcrestgrade/reasons.py
+++ b/packages/goldcrestgrade/goldcrestgrade/reasons.py
@@ -101,6 +101,7 @@
     BODY_NOT_RECEIVED = "body_not_received"
     PIPELINED = "pipelined"
     FORWARDED = "forwarded"
+    ANSWER_MEMORY_FULL = "answer_memory_full"
     BODY_MEMORY_FULL = "body_memory_full"
     QUOTA_WITHDRAWN = "quota_withdrawn"
     QUOTA_COLLECTED = "quota_collected"
--- a/packages/goldcrestgrade/goldcrestgrade/routes.py
+++ b/packages/goldcrestgrade/goldcrestgrade/routes.py
@@ -135,7 +135,7 @@
 
 
 class FaultyRoute(typing.NamedTuple):
-    """A route that can't be read, but whose requests can be told from others."""
+    """A route that can't be read, with what distinguishes its requests from others."""
 
     host: str
     prefix: str
