--- a/packages/goldcrestgrade-testing/goldcrestgrade_testing/fleet_platform/fleet.py
+++ b/packages/goldcrestgrade-testing/goldcrestgrade_testing/fleet_platform/fleet.py
@@ -8,6 +8,7 @@
 import itertools
 import os
 import pathlib
+import resource
 import signal
 import subprocess
 import sys
@@ -159,6 +160,11 @@
         """Key of requests for which `call` is given none."""
         self.further_settings: dict[str, typing.Any] = {}
         """Settings that are added to those of each node as it starts."""
+        self.max_fds: int | None = None
+        """Largest number of descriptors of each node as it starts; none for that of this process.
+        """
+        self.limits: dict[str, typing.Any] = {}
+        """Limits on clients that are added to those of each configuration."""
         self.added_routes: list[tuple[str, float]] = []
         """Prefix of each route from `add_route` and the monotonic instant when it was written."""
         self.hot_count = 0
@@ -254,6 +260,9 @@
                 stdout=output,
                 stderr=subprocess.STDOUT,
             )
+        if self.max_fds is not None:
+            limit = (self.max_fds, self.max_fds)
+            resource.prlimit(instance.process.pid, resource.RLIMIT_NOFILE, limit)
 
     def settings(self, instance: Instance) -> dict[str, typing.Any]:
         """Return the settings of a node as the platform renders them from its template."""
@@ -328,7 +337,7 @@
         warm_up = {} if self.warm_up is None else warm_up_fields(self.warm_up)
         self.configuration = {
             "version": self.config_version,
-            "limits": {"max_body_bytes": 65536, "idle_timeout": "15000ms"},
+            "limits": {"max_body_bytes": 65536, "idle_timeout": "15000ms", **self.limits},
             "listeners": [{"hostname": ROUTE_HOSTNAME, "rules": list(routes)}],
             "clusters": [
                 {"name": name, "health_path": "/healthz", "max_connections": 220, **warm_up}
@@ -542,15 +551,19 @@
     start_command: StartCommand | None = None,
     warm_up: endpoint.WarmUp | None = None,
     tenants: typing.Sequence[dict[str, typing.Any]] = (),
+    prepare: typing.Callable[[Fleet], None] = lambda _fleet: None,
 ) -> typing.AsyncIterator[Fleet]:
     """Run a fleet with one named instance for each of `placements`, and an initial configuration.
 
+    `prepare` may change the fleet before its nodes start.
+
     The configuration gives each service an idempotent route, and a run-once route under `file/`.
     With workspaces, `tenants`, these routes need no key. With `proxied`, nodes reach their endpoint
     and the store through proxies. Raises `FleetNotReady` if the nodes do not serve in time.
     """
     with tempfile.TemporaryDirectory() as folder:
         fleet = Fleet(pathlib.Path(folder), proxied, start_command, warm_up)
+        prepare(fleet)
         try:
             for name, placement in placements.items():
                 await fleet.add_instance(
