Parse requests once those before them allow it, in slices

What callers saw: a node killed at its memory limit by clients that send requests ahead and read no answers, and other requests that wait for seconds beside bodies in chunks of one byte. Cause: up to 256 KB of one read were parsed at once. Reading paused only afterwards, and each parsed request is a task and some twenty objects. Only the clients' address bounded what it read ahead. Change: a connection keeps received bytes until the next request may be parsed, one head at a time, in slices of 4 KB. The queue of turns that answers use moves to a module of its own and serves both. Tests: the tests with clients that exceed limits wait until memory grows no more, since the node now parses while they run.

--- a/packages/goldcrestgrade-node/goldcrestgrade_node/closing.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/closing.py
@@ -46,6 +46,8 @@
         self.transport = transport
         self.loop = loop
         self.closing = False
+        self.reading = True
+        """Whether more is read from the client."""
         self.unacknowledged: float = math.inf
         """Bytes that the client had not acknowledged at the last check."""
         self.close_at: instants.Instant = 0.0
@@ -112,15 +114,14 @@
         """Return whether the connection is closing or closed."""
         return self.closing or self.transport.is_closing()
 
-    def pause_reading(self) -> None:
-        """Pause reading, unless the rest is discarded."""
-        if not self.closing:
-            self.transport.pause_reading()
-
-    def resume_reading(self) -> None:
-        """Resume reading, unless the connection is closing."""
-        if not self.closing:
-            self.transport.resume_reading()
+    def set_reading(self, wanted: bool) -> None:
+        """Read on or pause, unless the connection is closing."""
+        if not self.closing and wanted != self.reading:
+            self.reading = wanted
+            if wanted:
+                self.transport.resume_reading()
+            else:
+                self.transport.pause_reading()
 
     def get_extra_info(self, name: str, default: typing.Any = None) -> typing.Any:
         """Return what the transport knows of the connection."""
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/entry/pipelining.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/entry/pipelining.py
@@ -20,13 +20,6 @@
 MAX_UNANSWERED = 32
 """Largest number of requests of one connection that were started and whose answers wait."""
 
-MAX_AHEAD_BYTES = 64 * 1024
-"""Bytes behind a request that may not start yet from which reading pauses.
-
-One read of the event loop, up to 256 KB, may come on top.
-Reading goes on until then, since a client that leaves is noticed only while its connection is read.
-"""
-
 MAX_HELD_BYTES = 64 * 1024
 """Bytes of an answer that waits for an earlier one from which its request has to wait, too."""
 
@@ -98,10 +91,6 @@
         """Whether requests behind it may be answered."""
         return not self.closes and (self.cycle is None or bool(self.cycle.keep_alive))
 
-    def cycle_body(self) -> bytes:
-        """Return the part of the body that was received and not read."""
-        return b"" if self.cycle is None else self.cycle.body
-
     def write(self, data: bytes) -> None:
         """Write a part of the answer, or hold it back."""
         if self.is_next:
@@ -139,7 +128,7 @@
 
 
 class Flow:
-    """Flow control of one request; only a request that is read may resume reading."""
+    """Flow control of one request."""
 
     __slots__ = ("pending", "protocol")
 
@@ -161,14 +150,9 @@
         if self.pending.is_next:
             await self.protocol.flow.drain()
 
-    def pause_reading(self) -> None:
-        """Pause reading."""
-        self.protocol.flow.pause_reading()
-
     def resume_reading(self) -> None:
-        """Resume reading if the rest of this request, or another one, may be read."""
-        if self.pending.cycle.more_body or self.protocol.may_read():
-            self.protocol.flow.resume_reading()
+        """Go on reading, as the application may have read a part of the body."""
+        self.protocol.regulate()
 
 
 class PipeliningProtocol(servers.NodeProtocol):
@@ -181,18 +165,24 @@
         """Requests in the order in which they were received."""
         self.is_read_to_end = False
         """Whether what follows on the connection is discarded."""
-        self.ahead_bytes = 0
-        """Bytes received since all requests had started."""
 
     # Reading
 
-    def data_received(self, data: bytes) -> None:
-        """Parse `data` unless an earlier request or error ends the connection."""
-        if self.is_read_to_end:
-            return
-        self.ahead_bytes += len(data)
-        super().data_received(data)
-        self._regulate_reading()
+    def is_ended(self) -> bool:
+        """Return whether an earlier request or error ends the connection."""
+        return self.is_read_to_end or super().is_ended()
+
+    def may_parse(self) -> bool:
+        """Return whether the next bytes may be parsed: the body of a request, or the next one.
+
+        Requests start in their order, so that all have started if the last one has.
+        """
+        if not self.pending:
+            return True
+        last = self.pending[-1]
+        if last.cycle is not None and last.cycle.more_body:
+            return len(last.cycle.body) <= servers.MAX_UNREAD_BODY_BYTES
+        return last.started
 
     def on_headers_complete(self) -> None:
         """Add the request to those of the connection, and start it if it may run now."""
@@ -258,19 +248,6 @@
 
     # Running
 
-    def may_read(self) -> bool:
-        """Return whether more may be read from the connection."""
-        # Requests start in their order, so that all have started if the last one has.
-        if self.is_read_to_end or not self.pending or self.pending[-1].started:
-            self.ahead_bytes = 0
-        return self.ahead_bytes <= MAX_AHEAD_BYTES
-
-    def _regulate_reading(self) -> None:
-        if not self.may_read():
-            self.flow.pause_reading()
-        elif not self.pending or len(self.pending[-1].cycle_body()) <= MAX_AHEAD_BYTES:
-            self.flow.resume_reading()
-
     def _start_asgi_task(self, cycle: typing.Any, app: typing.Any) -> None:
         """Start nothing yet; `_start_allowed` starts requests in their order."""
 
@@ -297,7 +274,7 @@
             running += not pending.complete
             if not pending.beside or not pending.keeps_alive:
                 break
-        self._regulate_reading()
+        self.regulate()
 
     def _on_answer_complete(self, pending: Pending) -> None:
         pending.complete = True
@@ -322,7 +299,7 @@
         elif self.pending:
             self._start_allowed()
         else:
-            self._regulate_reading()
+            self.regulate()
             self._unset_keepalive_if_required()
             self.timeout_keep_alive_task = self.loop.call_later(
                 self.timeout_keep_alive, self.timeout_keep_alive_handler
--- a/packages/goldcrestgrade-testing/tests/fleet_platform/test_abusive_clients.py
+++ b/packages/goldcrestgrade-testing/tests/fleet_platform/test_abusive_clients.py
@@ -37,6 +37,9 @@
 SAMPLE_S = 0.05
 """Time between two readings of memory and descriptors."""
 
+SETTLED_S = 1.0
+"""Time in which the memory of a node grows by less than 1 MB once it has parsed all."""
+
 ANSWERED_S = 60.0
 """Time after which a test gives up on an answer; no bound of the system."""
 
@@ -90,6 +93,15 @@
         status = pathlib.Path(f"/proc/{instance.process.pid}/status").read_text()
         return int(re.search(r"VmHWM:\s+(\d+)", status)[1]) / 1024 + self.kernel_mb[instance.name]
 
+    async def settle(self):
+        """Wait until the memory of the nodes grows no more, as they may still parse."""
+        grown = True
+        while grown and not self.killed:
+            before = [self.memory_mb(instance) for instance in self.running.instances]
+            await asyncio.sleep(SETTLED_S)
+            after = [self.memory_mb(instance) for instance in self.running.instances]
+            grown = any(new > old + 1 for old, new in zip(before, after, strict=True))
+
 
 def lower_limits(running):
     running.limits = LIMITS
@@ -134,7 +146,7 @@
                 assert await child.stdout.readline() == b"sent\n"
             await answered(running, usage, east_1, "/intake/x")
             await answered(running, usage, west_1, "/intake/x")
-            usage.read()
+            await usage.settle()
     finally:
         observer.cancel()
     for instance in running.instances:
--- a/packages/goldcrestgrade/goldcrestgrade/http_client.py
+++ b/packages/goldcrestgrade/goldcrestgrade/http_client.py
@@ -7,18 +7,17 @@
 from __future__ import annotations
 
 import asyncio
-import collections
 import functools
 import logging
 import socket
-import time
 import typing
-import weakref
 
 import aiohttp
 import multidict
 from aiohttp import client_proto, connector, http_exceptions
 
+from goldcrestgrade import parse_queue
+
 log = logging.getLogger(__name__)
 
 MAX_ANSWER_BYTES = 32 << 20
@@ -34,15 +33,6 @@
 MAX_OVERHEAD_RATIO = 3
 """Bytes with their framing that may come for each byte of a body."""
 
-SLICE_BYTES = 4096
-"""Most bytes that are parsed without a look at the time.
-
-Such a slice holds some 200 interim answers or 700 chunks, which take milliseconds to parse.
-"""
-
-TURN_S = 0.002
-"""Time that the parsing of large amounts may take before other tasks get a turn."""
-
 RECEIVE_BUFFER_BYTES = 256 * 1024
 """Bytes that the kernel holds of one connection before they are read."""
 
@@ -55,56 +45,6 @@
         self.held_bytes = 0
 
 
-class ParseQueue:
-    """Connections with received bytes that are still to be parsed, each in turn.
-
-    Load pattern: a faulty server sends bytes without end on many connections, in tiny chunks or
-    interim answers. Parsing them as they are received would hold the event loop for seconds.
-    """
-
-    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
-        self.loop = loop
-        self.waiting: collections.deque[GuardedProtocol] = collections.deque()
-        self.scheduled = False
-        """Whether the next turn is due."""
-
-    def add(self, protocol: GuardedProtocol) -> None:
-        """Add a connection, unless it is waiting already."""
-        if protocol.queued:
-            return
-        protocol.queued = True
-        self.waiting.append(protocol)
-        self._schedule()
-
-    def _schedule(self) -> None:
-        if self.waiting and not self.scheduled:
-            self.scheduled = True
-            self.loop.call_soon(self._take_turn)
-
-    def _take_turn(self) -> None:
-        self.scheduled = False
-        end = time.perf_counter() + TURN_S
-        while self.waiting and time.perf_counter() < end:
-            protocol = self.waiting.popleft()
-            protocol.queued = False
-            if protocol.parse_slice():
-                protocol.queued = True
-                self.waiting.append(protocol)
-        self._schedule()
-
-
-_PARSE_QUEUES: weakref.WeakKeyDictionary[asyncio.AbstractEventLoop, ParseQueue] = (
-    weakref.WeakKeyDictionary()
-)
-
-
-def _parse_queue(loop: asyncio.AbstractEventLoop) -> ParseQueue:
-    queue = _PARSE_QUEUES.get(loop)
-    if queue is None:
-        queue = _PARSE_QUEUES[loop] = ParseQueue(loop)
-    return queue
-
-
 class GuardedProtocol(client_proto.ResponseHandler):
     """Client side of a connection that is aborted by bytes that belong to no answer.
 
@@ -122,9 +62,8 @@
         self.max_answer_bytes = max_answer_bytes
         self.received = received or ReceivedBytes(float("inf"))
         self.receive_buffer_bytes = receive_buffer_bytes
-        self.queue = _parse_queue(loop)
+        self.queue = parse_queue.of(loop)
         self.queued = False
-        """Whether the connection is in the queue."""
         self.backlog = bytearray()
         """Bytes that were received and not parsed yet."""
         self.aborted = False
@@ -211,7 +150,7 @@
             return
         self.received_bytes += len(data)
         self.received.held_bytes += len(data)
-        if self.backlog or self._reading_paused or len(data) > SLICE_BYTES:
+        if self.backlog or self._reading_paused or len(data) > parse_queue.SLICE_BYTES:
             self.backlog += data
             self._pause_transport_reading()
             self.queue.add(self)
@@ -228,8 +167,8 @@
         return bool(self.backlog) and not self._reading_paused
 
     def _parse_slice(self) -> None:
-        part = bytes(self.backlog[:SLICE_BYTES])
-        del self.backlog[:SLICE_BYTES]
+        part = bytes(self.backlog[: parse_queue.SLICE_BYTES])
+        del self.backlog[: parse_queue.SLICE_BYTES]
         self._parse(part)
 
     def _parse(self, part: bytes) -> None:
