Discard trailers instead of merging them into the headers

What callers saw: clients with trailers without end took the memory of a node, and a trailer could stand for a header that the node had checked in the head. Cause: uvicorn adds trailers to the list of headers that the application has already; each short one takes some 160 bytes.

--- a/packages/goldcrestgrade-node/goldcrestgrade_node/servers.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/servers.py
@@ -264,6 +264,11 @@
         self.parser.set_dangerous_leniencies(lenient_data_after_close=True)
         self.parser.feed_data(b"\r\n".join(lines) + b"\r\n\r\n")
 
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Add a header to the head; discard a trailer, as it may not be merged into the head."""
+        if self.body_left is not None:
+            super().on_header(name, value)
+
     def on_headers_complete(self) -> None:
         """Begin the request of a complete head; join the writes of the answer, except to HEAD."""
         self.head_bytes = self.discarded_bytes = 0
