Bound what all connections of a process hold together

What callers saw: a node killed at its memory limit by clients that send heads over the limit or without end, ask ahead, or read their answers slowly; connections held for good by clients that send a byte now and then. Cause: each connection had a limit of its own (64 KB of a head), nothing limited their sum; short headers take forty times their bytes. `max_header_bytes` and `header_timeout` were not read. The kernel's buffers of answers grew to megabytes, and any progress, even a byte in 10 s, kept a client that reads slowly. Change: an intake that all servers share counts what connections hold, closes the largest that have no complete request, and refuses requests beyond those that may be under way. Heads follow the configuration (431, was 400 at a fixed 64 KB; 408 when late), bodies and answers have a least rate. Why it works: what was read completely is never closed for others, and ordinary clients hold little.

--- a/packages/goldcrestgrade-node/goldcrestgrade_node/closing.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/closing.py
@@ -10,7 +10,6 @@
 import asyncio
 import contextlib
 import fcntl
-import math
 import struct
 import termios
 import typing
@@ -24,7 +23,31 @@
 """Longest wait for a client to close after it has acknowledged all that was sent."""
 
 STALL_S = 10.0
-"""Time after which a client that acknowledges nothing more is given up."""
+"""Time in which a client has to take or send `MIN_PROGRESS_BYTES`; it is given up otherwise."""
+
+MIN_PROGRESS_BYTES = 16 * 1024
+"""Least bytes that a client takes or sends in `STALL_S`, unless these are all."""
+
+
+class Progress:
+    """Whether a client goes on taking or sending bytes."""
+
+    def __init__(self) -> None:
+        self.due_at: instants.Instant | None = None
+        """When more is due; none while nothing is expected."""
+        self.done_bytes = 0
+        """Bytes at the last time that there was enough progress."""
+
+    def reset(self) -> None:
+        """Expect nothing more for now."""
+        self.due_at = None
+
+    def is_late(self, done_bytes: int, now: instants.Instant) -> bool:
+        """Return whether too little came since the last progress, given all that came so far."""
+        if self.due_at is None or done_bytes - self.done_bytes >= MIN_PROGRESS_BYTES:
+            self.due_at = now + STALL_S
+            self.done_bytes = done_bytes
+        return now >= self.due_at
 
 
 def unacknowledged_bytes(transport: asyncio.WriteTransport) -> int:
@@ -48,15 +71,19 @@
         self.closing = False
         self.reading = True
         """Whether more is read from the client."""
-        self.unacknowledged: float = math.inf
-        """Bytes that the client had not acknowledged at the last check."""
-        self.close_at: instants.Instant = 0.0
+        self.written_bytes = 0
+        """Bytes written so far."""
+        self.taken = Progress()
+        """How the client takes what was written, while the connection is closing."""
+        self.close_at: instants.Instant | None = None
+        """When the connection is closed; none before the client has acknowledged everything."""
         self.linger_s = LINGER_S
         self.timer: asyncio.TimerHandle | None = None
 
     def write(self, data: bytes) -> None:
         """Write `data`, unless the connection is closing."""
         if not self.closing:
+            self.written_bytes += len(data)
             self.transport.write(data)
 
     def close(self) -> None:
@@ -91,10 +118,12 @@
     def _check(self) -> None:
         now = self.loop.time()
         unacknowledged = unacknowledged_bytes(self.transport)
-        if unacknowledged < self.unacknowledged:
-            self.unacknowledged = unacknowledged
-            self.close_at = now + (STALL_S if unacknowledged else self.linger_s)
-        if now >= self.close_at:
+        if unacknowledged:
+            late = self.taken.is_late(self.written_bytes - unacknowledged, now)
+        else:
+            self.close_at = now + self.linger_s if self.close_at is None else self.close_at
+            late = now >= self.close_at
+        if late:
             self.abort()
             return
         self.timer = self.loop.call_later(CHECK_INTERVAL_S, self._check)
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/entry/pipelining.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/entry/pipelining.py
@@ -223,29 +223,43 @@
                 return False
         return self.terms.may_run_beside(self.scope)  # type: ignore[arg-type]
 
-    def send_400_response(self, msg: str) -> None:
-        """Refuse what can't be parsed, after the answers to all requests before it."""
+    def refuse(self, status: int, text: str, retry_after: str | None = None) -> None:
+        """Refuse what does not run, after the answers to all requests before it."""
         if self.is_read_to_end:
             return
         self.is_read_to_end = True
         if self.pending and self.pending[-1].cycle.more_body:
             # The error is in the body of this request.
             if self.pending[-1].is_next:
-                super().send_400_response(msg)
+                super().refuse(status, text, retry_after)
                 return
             self._drop(self.pending.pop())
         if not self.pending:
-            super().send_400_response(msg)
+            super().refuse(status, text, retry_after)
             return
         refusal = Pending(self, None, beside=False)
         self.pending.append(refusal)
         transport = self.transport
         self.transport = typing.cast(asyncio.Transport, refusal)
         try:
-            super().send_400_response(msg)
+            super().refuse(status, text, retry_after)
         finally:
             self.transport = transport
 
+    def is_committed(self) -> bool:
+        """Return whether a request is under way that was read completely."""
+        return any(
+            pending.cycle is not None and not pending.cycle.more_body for pending in self.pending
+        )
+
+    def _requests_bytes(self) -> int:
+        """Return the memory of the requests under way, and of answers that wait for others."""
+        return sum(
+            pending.held_bytes + servers.request_bytes(pending.cycle)
+            for pending in self.pending
+            if pending.cycle is not None
+        )
+
     # Running
 
     def _start_asgi_task(self, cycle: typing.Any, app: typing.Any) -> None:
@@ -278,6 +292,7 @@
 
     def _on_answer_complete(self, pending: Pending) -> None:
         pending.complete = True
+        self.since = self.loop.time()
         self.server_state.total_requests += 1
         if pending in self.pending:
             self._write_complete()
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/run.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/run.py
@@ -13,8 +13,8 @@
 import time
 import typing
 
-from goldcrestgrade import http_client
-from goldcrestgrade_node import asgi, servers
+from goldcrestgrade import http_client, routes
+from goldcrestgrade_node import asgi, intake, servers
 from goldcrestgrade_node.mesh import node, reload, settings
 from goldcrestgrade_node.mesh.entry import pipelining
 
@@ -44,6 +44,15 @@
 MIN_CLOSE_S = 0.3
 """Shortest time that the servers get to close their connections."""
 
+REQUEST_LINE_BYTES = 8 * 1024
+"""Bytes that a head may have beyond `max_header_bytes`, which does not count the request line."""
+
+RELAY_HEAD_BYTES = 16 * 1024
+"""Bytes that nodes add to the head of a request at most."""
+
+RETRY_AFTER = "0.3"
+"""Value of `Retry-After` in refusals of requests that were not read or found no memory."""
+
 GC_THRESHOLD = 50_000
 """Allocations between collections of the youngest generation."""
 
@@ -107,10 +116,21 @@
     extra_apps: typing.Mapping[str, asgi.App],
     reloader: reload.SettingsReloader,
 ) -> None:
+    clients = _client_bounds(config, mesh_node)
+    peers = clients._replace(
+        max_head_bytes=lambda: max(
+            servers.MAX_HEAD_BYTES, clients.max_head_bytes() + RELAY_HEAD_BYTES
+        ),
+        head_timeout_s=lambda: servers.HEAD_TIMEOUT_S,
+    )
+    others = peers._replace(max_head_bytes=lambda: servers.MAX_HEAD_BYTES)
     http_servers = [
-        _create_client_server(mesh_node, config.calls),
-        _create_server(mesh_node.peers(), config.relay, RELAY_KEEPALIVE_S),
-        *(_create_server(app, address, RELAY_KEEPALIVE_S) for address, app in extra_apps.items()),
+        _create_client_server(mesh_node, config.calls, clients),
+        _create_server(mesh_node.peers(), config.relay, RELAY_KEEPALIVE_S, peers),
+        *(
+            _create_server(app, address, RELAY_KEEPALIVE_S, others)
+            for address, app in extra_apps.items()
+        ),
     ]
     async with asyncio.TaskGroup() as group:
         serving = [group.create_task(server.serve()) for server in http_servers]
@@ -132,7 +152,23 @@
     log.info("node stopped")
 
 
-def _create_client_server(mesh_node: node.MeshNode, address: str) -> servers.Server:
+def _client_bounds(config: settings.Settings, mesh_node: node.MeshNode) -> servers.Bounds:
+    """Return the bounds of clients, which follow the configuration in force."""
+
+    def limits() -> routes.Limits:
+        return routes.Limits() if mesh_node.table is None else mesh_node.table.limits
+
+    return servers.Bounds(
+        intake.Intake(intake.limits(config.memory_mb, config.max_fds), mesh_node.counts),
+        lambda: limits().max_header_bytes + REQUEST_LINE_BYTES,
+        lambda: limits().header_timeout_s,
+        RETRY_AFTER,
+    )
+
+
+def _create_client_server(
+    mesh_node: node.MeshNode, address: str, bounds: servers.Bounds
+) -> servers.Server:
     """Return the server of clients, whose pipelined requests run side by side."""
     entry = mesh_node.entry()
     terms = pipelining.Terms(entry.may_run_beside, mesh_node.counts, pipelining.FinishedAnswers())
@@ -143,9 +179,14 @@
         {"host": host, "port": int(port)},
         typing.cast(typing.Any, protocol),
         CLIENT_KEEPALIVE_S,
+        bounds,
     )
 
 
-def _create_server(app: asgi.App, address: str, keepalive_s: int) -> servers.Server:
+def _create_server(
+    app: asgi.App, address: str, keepalive_s: int, bounds: servers.Bounds
+) -> servers.Server:
     host, _, port = address.rpartition(":")
-    return servers.create(app, {"host": host, "port": int(port)}, keepalive_s=keepalive_s)
+    return servers.create(
+        app, {"host": host, "port": int(port)}, keepalive_s=keepalive_s, bounds=bounds
+    )
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/settings.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/settings.py
@@ -10,6 +10,7 @@
 import orjson
 
 from goldcrestgrade import durations, exceptions, findings
+from goldcrestgrade_node import intake
 
 
 class Settings(typing.NamedTuple):
@@ -43,6 +44,10 @@
     """Regions of the deployment; empty if they are not known."""
     link_mbps: float
     """Bandwidth of the instance's link in megabits a second; 0 if it is not known."""
+    memory_mb: float
+    """Memory of the process in megabytes; connections may hold a share of it."""
+    max_fds: int
+    """Descriptors of the process; a share of them may be connections of clients."""
     warm_up_overage: float
     """Factor by which the requests of a cold endpoint may exceed its warm-up rate in a second."""
     warm_up_slack: float
@@ -95,6 +100,16 @@
     return float(value)
 
 
+def _positive(value: typing.Any) -> float:
+    if _number(value) == 0:
+        raise ValueError(f"must be a number above 0, not {value!r}")
+    return float(value)
+
+
+def _descriptors(value: typing.Any) -> int:
+    return int(_positive(value))
+
+
 def _flag(value: typing.Any) -> bool:
     if not isinstance(value, bool):
         raise ValueError(f"must be true or false, not {value!r}")
@@ -126,6 +141,8 @@
     "resend_window_s": Field(durations.parse_seconds, 10.0),
     "regions": Field(_names, frozenset()),
     "link_mbps": Field(_number, 0.0),
+    "memory_mb": Field(_positive, intake.DEFAULT_MEMORY_MB),
+    "max_fds": Field(_descriptors, intake.DEFAULT_MAX_FDS),
     "warm_up_overage": Field(_number, 1.0),
     "warm_up_slack": Field(_number, 0.0),
     "quota_window_s": Field(durations.parse_seconds, 5.0),
--- a/packages/goldcrestgrade-operator/goldcrestgrade_operator/explanations.py
+++ b/packages/goldcrestgrade-operator/goldcrestgrade_operator/explanations.py
@@ -346,6 +346,30 @@
         "A request was refused since this node holds as many bytes of bodies as it may.",
         "Spread clients over more nodes; look for clients that send slowly.",
     ),
+    reasons.Event.HEAD_TOO_LARGE: Explanation(
+        "A request was refused since its head or its trailers exceed `max_header_bytes`.",
+        "Look for clients that exceed limits, or raise the limit in the configuration.",
+    ),
+    reasons.Event.REQUEST_TOO_SLOW: Explanation(
+        "A request was refused since its head or body did not come in time.",
+        "Look for clients that send byte by byte; see `header_timeout` in the configuration.",
+    ),
+    reasons.Event.REQUESTS_FULL: Explanation(
+        "A request was refused since as many are under way at its address as may be.",
+        "Spread clients over more nodes; look for clients that send many requests ahead.",
+    ),
+    reasons.Event.ANSWER_NOT_READ: Explanation(
+        "A connection was closed since its client took too long to read an answer.",
+        "Look for clients that don't read their answers.",
+    ),
+    reasons.Event.CONNECTION_MEMORY_FULL: Explanation(
+        "A connection was closed since all connections together held too much memory.",
+        "Look for clients that send heads without end, or don't read their answers.",
+    ),
+    reasons.Event.CONNECTIONS_FULL: Explanation(
+        "A connection was closed so that others could be opened.",
+        "Look for clients that open many connections; raise the descriptors of the process.",
+    ),
     reasons.Event.QUOTA_WITHDRAWN: Explanation(
         "This node asked the accounting node of its region for tokens of quotas.",
         "None; expected while workspaces come near their quota.",
--- a/packages/goldcrestgrade/goldcrestgrade/routes.py
+++ b/packages/goldcrestgrade/goldcrestgrade/routes.py
@@ -18,6 +18,12 @@
 DEFAULT_MAX_BODY_BYTES = 16 << 20
 """Largest request body if the configuration sets no limit."""
 
+DEFAULT_MAX_HEADER_BYTES = 64 * 1024
+"""Largest headers of a request if the configuration sets no limit."""
+
+DEFAULT_HEADER_TIMEOUT_S = 10.0
+"""Time in which a client has to send the head of a request if the configuration sets none."""
+
 MIN_QUOTA_RATE = 1e-6
 """Smallest positive quota in requests a second; the time between two requests stays finite."""
 
@@ -62,6 +68,8 @@
 
     max_body_bytes: int = DEFAULT_MAX_BODY_BYTES
     idle_timeout_s: float = DEFAULT_IDLE_TIMEOUT_S
+    max_header_bytes: int = DEFAULT_MAX_HEADER_BYTES
+    header_timeout_s: float = DEFAULT_HEADER_TIMEOUT_S
 
 
 class Service(typing.NamedTuple):
@@ -407,6 +415,10 @@
 def _limits_faults(place: str, limits: Limits) -> typing.Iterator[findings.Finding]:
     if limits.max_body_bytes < 0:
         yield findings.Finding(place, "the limit of bodies is negative")
+    if limits.max_header_bytes <= 0:
+        yield findings.Finding(place, "the limit of headers is not positive")
+    if limits.header_timeout_s <= 0:
+        yield findings.Finding(place, "the time to send headers is not positive")
 
 
 def _service_faults(place: str, service: Service) -> typing.Iterator[findings.Finding]:
