--- a/packages/goldcrestgrade-node/goldcrestgrade_node/intake.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/intake.py
@@ -130,8 +130,11 @@
     def holding(self) -> Holding:
         """Return what the connection holds."""
 
-    def give_up(self, reason: reasons.Event) -> None:
-        """Close the connection, and refuse a request that is not complete."""
+    def give_up(self, reason: reasons.Event, at_once: bool) -> None:
+        """Close the connection, and refuse a request that is not complete.
+
+        With `at_once`, its descriptor is closed without a wait for the client to read the refusal.
+        """
 
     def check_progress(self, now: instants.Instant) -> bool:
         """Close the connection if its client is too slow; return whether to check it again."""
@@ -164,7 +167,7 @@
         chosen = to_free_connections([one.holding() for one in held])
         for one in [held[index] for index in chosen] or [connection]:
             self.connections.discard(one)
-            one.give_up(reasons.Event.CONNECTIONS_FULL)
+            one.give_up(reasons.Event.CONNECTIONS_FULL, at_once=True)
 
     def remove(self, connection: Connection, counted_bytes: int) -> None:
         """Forget a connection that was closed."""
@@ -182,7 +185,7 @@
             excess = self.held_bytes - self.limits.memory_bytes * (1 - FREED_SHARE)
             held = list(self.connections)
             for index in to_free_memory([one.holding() for one in held], excess):
-                held[index].give_up(reasons.Event.CONNECTION_MEMORY_FULL)
+                held[index].give_up(reasons.Event.CONNECTION_MEMORY_FULL, at_once=False)
         finally:
             self.freeing = False
 
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/servers.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/servers.py
@@ -25,6 +25,9 @@
 """Largest number of connections that wait to be accepted."""
 
 
+ACCEPTED_AT_ONCE = 16
+"""Connections that are accepted in one turn of the loop, before others can be closed for them."""
+
 MAX_HEAD_BYTES = 64 * 1024
 """Largest size of the request line and headers if the configuration sets none."""
 
@@ -182,6 +185,9 @@
         self.staged = staged
         super().connection_made(typing.cast(asyncio.Transport, staged))
         self.flow = ReadFlow(typing.cast(asyncio.Transport, staged), self.regulate)
+        self.timeout_keep_alive_task = self.loop.call_later(
+            self.timeout_keep_alive, self.timeout_keep_alive_handler
+        )
         self.bounds.intake.add(self)
 
     def connection_lost(self, exc: Exception | None) -> None:
@@ -189,6 +195,8 @@
         self.staged.stop()
         self.backlog.clear()
         super().connection_lost(exc)
+        # uvicorn leaves the timer of a connection that was reset, which keeps its memory.
+        self._unset_keepalive_if_required()
         self.lost = True
         self.bounds.intake.remove(self, self.counted_bytes)
 
@@ -257,12 +265,16 @@
         change, self.counted_bytes = held - self.counted_bytes, held
         self.bounds.intake.record_change(change)
 
-    def give_up(self, reason: reasons.Event) -> None:
-        """Close the connection, and refuse a request that is not complete."""
+    def give_up(self, reason: reasons.Event, at_once: bool) -> None:
+        """Close the connection, and refuse a request that is not complete.
+
+        With `at_once`, its descriptor is closed without a wait for the client to read the refusal.
+        """
         self.bounds.intake.counts.events[reason] += 1
-        if self._state() == intake.State.INCOMPLETE:
+        is_incomplete = self._state() == intake.State.INCOMPLETE
+        if is_incomplete:
             self.refuse(503, "Too much was received at once.", self.bounds.retry_after)
-        else:
+        if at_once or not is_incomplete:
             self.unread_bytes = 0
             self.staged.abort()
         self.regulate()
@@ -562,6 +574,14 @@
         """Keep the signal handlers of the process, which uvicorn would replace."""
         yield
 
+    async def startup(self, sockets: list[socket.socket] | None = None) -> None:
+        """Listen; asyncio accepts as many connections at once as may wait to be accepted."""
+        await super().startup(sockets)
+        for server in self.servers:
+            for listening in server.sockets:
+                with listening.dup() as copy:
+                    copy.listen(BACKLOG)
+
     def abort_connections(self) -> None:
         """Close all connections at once."""
         for connection in list(self.server_state.connections):
@@ -600,7 +620,7 @@
             date_header=False,
             proxy_headers=False,
             timeout_keep_alive=keepalive_s,
-            backlog=BACKLOG,
+            backlog=ACCEPTED_AT_ONCE,
             bounds=bounds or Bounds(intake.Intake(intake.limits(), counters.Counts())),
         )
     )
--- a/packages/goldcrestgrade-node/tests/test_client_limits.py
+++ b/packages/goldcrestgrade-node/tests/test_client_limits.py
@@ -4,6 +4,7 @@
 import contextlib
 import functools
 import socket
+import struct
 
 import pytest
 
@@ -154,12 +155,13 @@
 
 @pytest.mark.parametrize("kind", PROTOCOLS)
 async def test_head_that_comes_in_parts_within_its_time_is_served(kind):
-    async with serving(App(), kind, head_timeout_s=2.0) as (port, _):
-        async with connected(port) as (reader, writer):
-            for byte in head(80):
-                writer.write(bytes([byte]))
-                await asyncio.sleep(0.005)
-            assert b" 200 " in await received(reader)
+    app = App()
+    async with serving(app, kind, head_timeout_s=2.0) as (port, _), connected(port) as client:
+        reader, writer = client
+        for byte in head(80):
+            writer.write(bytes([byte]))
+            await asyncio.sleep(0.005)
+        assert b" 200 " in await received(reader)
 
 
 @pytest.mark.parametrize("kind", PROTOCOLS)
@@ -218,3 +220,58 @@
             assert b" 200 " in await received(reader)
         assert events[reasons.Event.CONNECTION_MEMORY_FULL] == len(refused)
     assert app.began == 1
+
+
+@pytest.mark.parametrize("kind", PROTOCOLS)
+async def test_connections_beyond_the_limit_close_those_that_wait_longest(kind):
+    """Guards against connections that leave no descriptors for those of other clients."""
+    async with serving(App(), kind, connections=8) as (port, events):
+        async with contextlib.AsyncExitStack() as stack:
+            clients = [await stack.enter_async_context(connected(port)) for _ in range(8)]
+            for _, writer in clients[1:]:
+                writer.write(b"GET / HTTP/1.1\r\n")
+            await asyncio.sleep(0.1)
+            reader, writer = await stack.enter_async_context(connected(port))
+            writer.write(head(100))
+            assert b" 200 " in await received(reader)
+            answers = [bytes(reader._buffer) for reader, _ in clients]
+            assert [answer.startswith(b"HTTP/1.1 503 ") for answer in answers] == [
+                number == 1 for number in range(8)
+            ]
+        assert events[reasons.Event.CONNECTIONS_FULL] == 1
+
+
+async def test_connection_without_a_request_is_closed_after_the_idle_time():
+    """Guards against connections that are held for good by clients that send nothing."""
+    with socket.socket() as listening:
+        listening.bind(("127.0.0.1", 0))
+        server = servers.create(App(), {"host": "127.0.0.1", "port": 0}, keepalive_s=1)
+        task = asyncio.create_task(server.serve(sockets=[listening]))
+        while not server.started:
+            await asyncio.sleep(0.01)
+        async with connected(listening.getsockname()[1]) as (reader, _):
+            assert await received(reader) == b""
+        server.should_exit = server.force_exit = True
+        await task
+
+
+async def test_connection_that_is_reset_leaves_no_timer():
+    """Guards against memory that connections hold for minutes after their clients reset them."""
+    with socket.socket() as listening:
+        listening.bind(("127.0.0.1", 0))
+        server = servers.create(App(), {"host": "127.0.0.1", "port": 0}, keepalive_s=300)
+        task = asyncio.create_task(server.serve(sockets=[listening]))
+        while not server.started:
+            await asyncio.sleep(0.01)
+        _, writer = await asyncio.open_connection(*listening.getsockname())
+        while not server.server_state.connections:
+            await asyncio.sleep(0.01)
+        (protocol,) = server.server_state.connections
+        linger = struct.pack("ii", 1, 0)
+        writer.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+        writer.close()
+        while server.server_state.connections:
+            await asyncio.sleep(0.01)
+        assert protocol.timeout_keep_alive_task is None
+        server.should_exit = server.force_exit = True
+        await task
--- a/packages/goldcrestgrade-node/tests/test_intake.py
+++ b/packages/goldcrestgrade-node/tests/test_intake.py
@@ -47,7 +47,7 @@
     def holding(self):
         return holding(self.held_bytes, self.state)
 
-    def give_up(self, reason):
+    def give_up(self, reason, at_once):
         self.reasons.append(reason)
         self.bounds.record_change(-self.held_bytes)
         self.held_bytes = 0
