Join the parts of a body as they come, and refuse saturated requests typed

What callers saw: bodies in chunks of one byte took 123 times the memory that the node counts for them. Cause: parts were kept as objects until the body was complete, in both functions that read bodies. Change: parts are joined in one buffer. Besides, requests beyond those that may be under way are refused by the application: with the id of the attempt and a time to return to clients, as not run to nodes, which would take a plain 503 without the id for a lost answer. The servers of the other path share one intake.

--- a/packages/goldcrestgrade-node/goldcrestgrade_node/asgi.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/asgi.py
@@ -25,6 +25,9 @@
 END_CONNECTION = "goldcrestgrade.end_connection"
 """Key in the scope of a pipelined request for an `EndConnection`."""
 
+SATURATED = "goldcrestgrade.saturated"
+"""Key in the scope of a request that the application is to refuse, as too many are under way."""
+
 EndConnection = typing.Callable[[], bool]
 """Ends a connection after the answers to the requests that were started on it.
 
@@ -50,17 +53,16 @@
     if message["type"] == "http.request" and not message.get("more_body"):
         body: bytes = message.get("body", b"")
         return body if len(body) <= limit else None
-    parts: list[bytes] = []
-    size = 0
+    # Parts may be of one byte, each of which would take some forty as an object.
+    received = bytearray()
     while True:
         if message["type"] == "http.disconnect":
             raise Disconnected
-        size += len(message.get("body", b""))
-        if size > limit:
+        received += message.get("body", b"")
+        if len(received) > limit:
             return None
-        parts.append(message.get("body", b""))
         if not message.get("more_body"):
-            return b"".join(parts)
+            return bytes(received)
         message = await receive()
 
 
@@ -69,6 +71,11 @@
     return tuple((name.decode("ascii"), value.decode("utf-8")) for name, value in scope["headers"])
 
 
+def has_body(fields: typing.Mapping[bytes, bytes]) -> bool:
+    """Return whether a request with these headers has a body."""
+    return b"transfer-encoding" in fields or fields.get(b"content-length", b"0") != b"0"
+
+
 def target_of(scope: Scope) -> str:
     """Return the path and query of a request as the client sent them."""
     path: str = scope["raw_path"].decode("latin-1")
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/commands/run.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/commands/run.py
@@ -6,11 +6,12 @@
 import contextlib
 import gc
 import logging
+import resource
 import signal
 
 from goldcrestgrade import http_client, records, settings
+from goldcrestgrade_node import intake, servers
 from goldcrestgrade_node import node as nodes
-from goldcrestgrade_node import servers
 
 log = logging.getLogger(__name__)
 
@@ -47,9 +48,13 @@
 
 
 async def _serve(node: nodes.Node) -> None:
+    max_fds, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    bounds = servers.Bounds(
+        intake.Intake(intake.limits(max_fds=min(max_fds, intake.DEFAULT_MAX_FDS)), node.counts)
+    )
     running = [
-        servers.create(node.entry(), node.config["calls"]),
-        servers.create(node.control(), node.config["control"]),
+        servers.create(node.entry(), node.config["calls"], bounds=bounds),
+        servers.create(node.control(), node.config["control"], bounds=bounds),
     ]
     async with asyncio.TaskGroup() as group:
         serving = [group.create_task(server.serve()) for server in running]
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/entry/app.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/entry/app.py
@@ -100,6 +100,9 @@
 
     async def __call__(self, scope: asgi.Scope, receive: asgi.Receive, send: asgi.Send) -> None:
         """Serve one request."""
+        if asgi.SATURATED in scope:
+            await self._refuse_saturated(scope, send)
+            return
         reservation = bodies.Reservation(self.body_memory)
         answer = answer_memory.Reservation(self.answers)
         try:
@@ -108,6 +111,15 @@
             reservation.release()
             answer.close()
 
+    async def _refuse_saturated(self, scope: asgi.Scope, send: asgi.Send) -> None:
+        """Refuse a request before its body is read, as too many are under way."""
+        started = self.clocks.monotonic()
+        fields = dict(scope["headers"])
+        attempt_id = fields.get(self.attempt_id_header, b"").decode("latin-1")
+        refused = outcomes.NotRun(reasons.Refusal.SATURATED, started + bodies.MEMORY_RETRY_S)
+        closes = asgi.has_body(fields) or self._ends_connection(scope)
+        await self._answer(send, refused, attempt_id, started, None, closes)
+
     def may_run_beside(self, scope: asgi.Scope) -> bool:
         """Return whether a bodyless request may run beside earlier ones of its connection.
 
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/run.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/run.py
@@ -123,7 +123,7 @@
         ),
         head_timeout_s=lambda: servers.HEAD_TIMEOUT_S,
     )
-    others = peers._replace(max_head_bytes=lambda: servers.MAX_HEAD_BYTES)
+    others = peers._replace(max_head_bytes=lambda: servers.MAX_HEAD_BYTES, app_refuses=False)
     http_servers = [
         _create_client_server(mesh_node, config.calls, clients),
         _create_server(mesh_node.peers(), config.relay, RELAY_KEEPALIVE_S, peers),
@@ -163,6 +163,7 @@
         lambda: limits().max_header_bytes + REQUEST_LINE_BYTES,
         lambda: limits().header_timeout_s,
         RETRY_AFTER,
+        app_refuses=True,
     )
 
 
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/transport/bodies.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/transport/bodies.py
@@ -186,19 +186,21 @@
     """
     if length is not None and length <= limit_bytes and not reservation.grow_to(length):
         return reasons.Refusal.SATURATED
-    parts: list[bytes] = []
-    size = 0
-    more = True
-    while more:
+    # Parts may be of one byte, each of which would take some forty as an object.
+    received = bytearray()
+    while True:
         message = await receive()
         if message["type"] == "http.disconnect":
             raise asgi.Disconnected
         part: bytes = message.get("body", b"")
-        size += len(part)
+        size = len(received) + len(part)
         if size > limit_bytes:
             return reasons.Refusal.BODY_TOO_LARGE
         if not reservation.grow_to(size):
             return reasons.Refusal.SATURATED
-        parts.append(part)
         more = message.get("more_body", False)
-    return parts[0] if len(parts) == 1 else b"".join(parts)
+        if not more and not received:
+            return part
+        received += part
+        if not more:
+            return bytes(received)
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/transport/peers.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/transport/peers.py
@@ -35,6 +35,9 @@
 DOMAIN_PROBE_INTERVAL_S = 1.0
 """Shortest time between two probes of an unreachable failure domain, at one instance in turn."""
 
+SATURATED_RETRY_AFTER = "0.3"
+"""Value of `Retry-After` in refusals of messages while too many are under way."""
+
 MAX_FAILED_PROBES = 10
 """Consecutive failures after which the row of an instance is removed; about half a minute."""
 
@@ -50,7 +53,9 @@
             await relay_app(scope, receive, send)
             return
         answer = outcomes.Answer(404, (), b"")
-        if scope["path"] == PROBE_PATH:
+        if asgi.SATURATED in scope:
+            answer = outcomes.Answer(503, (("retry-after", SATURATED_RETRY_AFTER),), b"")
+        elif scope["path"] == PROBE_PATH:
             answer = outcomes.Answer(200, ((NODE_ID_HEADER, headers.quote(sync.own_id)),), b"")
         elif scope["path"] == watch.CHANGES_PATH:
             answer = await _changes(scope, sync)
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/transport/relay.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/transport/relay.py
@@ -78,6 +78,9 @@
 
     async def __call__(self, scope: asgi.Scope, receive: asgi.Receive, send: asgi.Send) -> None:
         """Serve one relayed request."""
+        if asgi.SATURATED in scope:
+            await self._refuse_saturated(scope, send)
+            return
         reservation = bodies.Reservation(self.terms.memory)
         answer = answer_memory.Reservation(self.terms.answers)
         try:
@@ -152,6 +155,15 @@
         if ended is not None:
             await self._answer(send, ended, attempt_id, started)
 
+    async def _refuse_saturated(self, scope: asgi.Scope, send: asgi.Send) -> None:
+        """Refuse a request before its body is read, as too many are under way."""
+        started = self.clocks.monotonic()
+        fields = dict(scope["headers"])
+        attempt_id = fields.get(self.attempt_id_header, b"").decode("latin-1")
+        refused = outcomes.NotRun(reasons.Refusal.SATURATED, started + bodies.MEMORY_RETRY_S)
+        unserved = requests.Served(refused, None, arrived=False)
+        await self._answer(send, unserved, attempt_id, started)
+
     def _is_link_full(self, call: requests.Call, length: int) -> bool:
         return bodies.is_link_full(
             self.incoming_bytes,
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/servers.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/servers.py
@@ -85,10 +85,8 @@
     head_timeout_s: typing.Callable[[], float] = lambda: HEAD_TIMEOUT_S
     retry_after: str = RETRY_AFTER
     """Value of `Retry-After` in refusals of requests that may be sent again."""
-    refuse_saturated: asgi.App | None = None
-    """Answers a request for which there is no memory; none for a plain refusal."""
-    max_requests: int | None = None
-    """Most requests under way; none for the limit of the intake."""
+    app_refuses: bool = False
+    """Whether the application refuses a request whose scope has `asgi.SATURATED`."""
 
 
 class AnswerWriter:
@@ -504,10 +502,12 @@
     def _start_asgi_task(self, cycle: typing.Any, app: typing.Any) -> None:
         """Start a request, or refuse it if too many are under way."""
         bounds = self.bounds
-        limit = bounds.max_requests or bounds.intake.limits.requests
-        if len(self.tasks) >= limit or bounds.intake.is_full:
+        if len(self.tasks) >= bounds.intake.limits.requests or bounds.intake.is_full:
             bounds.intake.counts.events[reasons.Event.REQUESTS_FULL] += 1
-            app = bounds.refuse_saturated or _refuse_saturated(bounds.retry_after)
+            if bounds.app_refuses:
+                cycle.scope[asgi.SATURATED] = True
+            else:
+                app = _refuse_saturated(bounds.retry_after)
         super()._start_asgi_task(cycle, app)
 
     def send_400_response(self, msg: str) -> None:
--- a/packages/goldcrestgrade-node/tests/mesh/test_entry.py
+++ b/packages/goldcrestgrade-node/tests/mesh/test_entry.py
@@ -9,6 +9,7 @@
 from hypothesis import strategies
 
 from goldcrestgrade import counters, instants, outcomes, routes
+from goldcrestgrade_node import asgi
 from goldcrestgrade_node.mesh import node
 from goldcrestgrade_node.mesh.entry import app
 from goldcrestgrade_node.mesh.transport import bodies, dialect, requests
@@ -198,3 +199,29 @@
             # The connection ends, so that the next request goes to another one.
             await reader.read()
         writer.close()
+
+
+async def test_saturated_entry_refuses_a_request_unread_with_its_id_and_when_to_return():
+    """Guards against a refusal that runs, reads the body first, or names no time to return."""
+    application = app.EntryApp(
+        None,
+        table,
+        "c",
+        NAMES,
+        lambda: False,
+        instants.system_clocks(),
+        counters.Counts(),
+        random.Random(1),
+    )
+    fields = [(b"host", b"h"), (b"x-attempt_id", b"try-1"), (b"content-length", b"5")]
+    scope = {"headers": fields, asgi.SATURATED: True}
+    sent = []
+
+    async def send(message):
+        sent.append(message)
+
+    await application(scope, None, send)
+    answered = dict(sent[0]["headers"])
+    assert (sent[0]["status"], answered[b"x-attempt_id"]) == (503, b"try-1")
+    assert answered[b"connection"] == b"close"
+    assert 0 < float(answered[b"retry-after"]) <= bodies.MEMORY_RETRY_S
--- a/packages/goldcrestgrade-node/tests/mesh/test_large_bodies.py
+++ b/packages/goldcrestgrade-node/tests/mesh/test_large_bodies.py
@@ -3,10 +3,12 @@
 import asyncio
 import contextlib
 import socket
+import tracemalloc
 
 import pytest
 
-from goldcrestgrade import answer_memory, counters, instants, outcomes, reasons
+from goldcrestgrade import answer_memory, counters, headers, instants, outcomes, reasons
+from goldcrestgrade_node import asgi
 from goldcrestgrade_node.attempts import exchanges, results
 from goldcrestgrade_node.mesh.endpoint import admission
 from goldcrestgrade_node.mesh.transport import (
@@ -265,6 +267,50 @@
     assert memory.held_bytes == 0
 
 
+@pytest.mark.parametrize("read", ["bodies", "asgi"])
+async def test_body_in_parts_of_one_byte_takes_little_more_than_its_size(read):
+    """Guards against bodies in tiny chunks whose parts take forty times their bytes."""
+    size = 200_000
+    left = size
+
+    async def receive():
+        nonlocal left
+        left -= 1
+        return {"type": "http.request", "body": bytes(bytearray(b"x")), "more_body": left > 0}
+
+    tracemalloc.start()
+    try:
+        if read == "bodies":
+            reservation = bodies.Reservation(bodies.BodyMemory())
+            body = await bodies.read(receive, size, reservation, None)
+            reservation.release()
+        else:
+            body = await asgi.read_body(receive, size)
+        _, peak = tracemalloc.get_traced_memory()
+    finally:
+        tracemalloc.stop()
+    assert body == b"x" * size
+    assert peak < 4 * size
+
+
+async def test_saturated_node_refuses_a_relayed_request_with_its_id_as_not_run():
+    """Guards against a refusal that the entry can't tell from a lost answer."""
+    application = relay.RelayApp(
+        None, NAMES, lambda: 1000, lambda: False, instants.system_clocks(), None
+    )
+    scope = {"headers": [(NAMES.attempt_id.encode(), b"try-1")], asgi.SATURATED: True}
+    sent = []
+
+    async def send(message):
+        sent.append(message)
+
+    await application(scope, None, send)
+    answered = dict(sent[0]["headers"])
+    assert answered[headers.OUTCOME.encode()] == b"not_run"
+    assert answered[headers.ATTEMPT_ID.encode()] == b"try-1"
+    assert float(answered[headers.RETRY_IN.encode()]) > 0
+
+
 def test_wait_for_a_body_counts_neither_as_service_time_nor_as_a_stall():
     """Guards against slow uploads that make the endpoint look slow or stalled."""
     now = 0.0
