Take an answer whose status is none for no answer on all paths

What callers saw (other systems): an answer with status 000, passed on as an answer. Here endpoints' answers were refused with 502 on both paths; guards' replies were passed on with any status, which the server then answers with 500 though the request has run (by reading). Cause: only the exchange with endpoints and nodes checked the status. Health checks and probes read ids and loads from such answers, and a load was read from the headers of an answer that was refused. Change: outcomes.FINAL_STATUSES is checked by guards' clients and health checks, a probe needs 200, and headers of refused answers count for nothing. Probes are answered while a node is saturated, since nodes that answer none are removed.

--- a/packages/goldcrestgrade-node/goldcrestgrade_node/attempts/exchanges.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/attempts/exchanges.py
@@ -170,7 +170,7 @@
             raise InvalidAnswer(reasons.Uncertainty.ANSWER_INVALID)
         if echoed and echoed != self.prepared.attempt_id:
             raise InvalidAnswer(reasons.Uncertainty.ANSWER_CROSSED)
-        if not 200 <= response.status < 600:
+        if response.status not in outcomes.FINAL_STATUSES:
             raise InvalidAnswer(reasons.Uncertainty.ANSWER_INVALID)
         bodyless = self.prepared.method == "HEAD" or response.status in asgi.BODYLESS_STATUSES
         framed = "content-length" in fields or "transfer-encoding" in fields
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/endpoint/health.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/endpoint/health.py
@@ -9,7 +9,7 @@
 
 import aiohttp
 
-from goldcrestgrade import instants, routes
+from goldcrestgrade import instants, outcomes, routes
 from goldcrestgrade_node.mesh.endpoint import endpoints
 from goldcrestgrade_node.mesh.transport import dialect, loads, signals
 
@@ -120,6 +120,8 @@
                 timeout=aiohttp.ClientTimeout(total=TIMEOUT_S),
                 allow_redirects=False,
             ) as response:
+                if response.status not in outcomes.FINAL_STATUSES:
+                    raise aiohttp.ClientPayloadError(f"status {response.status}")
                 endpoint_id = response.headers.get(self.names.endpoint_id)
                 load = loads.parse(response.headers.get(self.names.load))
                 healthy = response.status == 200
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/transport/peers.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/transport/peers.py
@@ -53,10 +53,11 @@
             await relay_app(scope, receive, send)
             return
         answer = outcomes.Answer(404, (), b"")
-        if asgi.SATURATED in scope:
-            answer = outcomes.Answer(503, (("retry-after", SATURATED_RETRY_AFTER),), b"")
-        elif scope["path"] == PROBE_PATH:
+        if scope["path"] == PROBE_PATH:
+            # Also while saturated, as nodes that do not answer probes are removed.
             answer = outcomes.Answer(200, ((NODE_ID_HEADER, headers.quote(sync.own_id)),), b"")
+        elif asgi.SATURATED in scope:
+            answer = outcomes.Answer(503, (("retry-after", SATURATED_RETRY_AFTER),), b"")
         elif scope["path"] == watch.CHANGES_PATH:
             answer = await _changes(scope, sync)
         elif quotas is not None and scope["path"] == quota_messages.PATH:
@@ -212,7 +213,7 @@
                 timeout=aiohttp.ClientTimeout(total=PROBE_TIMEOUT_S),
             ) as response:
                 node_id = headers.unquote(response.headers.get(NODE_ID_HEADER, ""))
-                return node_id == instance.row.node_id
+                return response.status == 200 and node_id == instance.row.node_id
         except (TimeoutError, aiohttp.ClientError, OSError) as error:
             log.debug("probe failed", extra={"error": repr(error)})
             return False
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/transport/transfer.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/transport/transfer.py
@@ -87,6 +87,7 @@
         result = results.Answered(answer, None)
     except exchanges.InvalidAnswer as invalid:
         result = results.Broken(invalid.reason, exchange.reused)
+        fields = {}
     except (TimeoutError, aiohttp.ClientError, OSError) as error:
         result = _failure_result(exchange, error)
     finally:
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/once/relay.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/once/relay.py
@@ -264,7 +264,7 @@
     response: aiohttp.ClientResponse, body: bytes, clocks: instants.Clocks
 ) -> messages.Reply:
     attempt_id = response.headers.get(headers.ATTEMPT_ID)
-    if attempt_id is None:
+    if attempt_id is None or response.status not in outcomes.FINAL_STATUSES:
         raise messages.ReplyLost(f"answer with status {response.status} has no verdict")
     tag = response.headers.get(headers.OUTCOME, "")
     verdict = _VERDICTS.get(tag) or messages.Resolved(_decode_outcome(tag, response, body, clocks))
--- a/packages/goldcrestgrade/goldcrestgrade/outcomes.py
+++ b/packages/goldcrestgrade/goldcrestgrade/outcomes.py
@@ -25,6 +25,10 @@
 """Smallest value of a `Retry-After` header for clients that accept fractions of a second."""
 
 
+FINAL_STATUSES = range(200, 600)
+"""Statuses that a request can end with; an answer with any other is none (RFC 9110, section 15)."""
+
+
 class AnswerCut(Exception):
     """An answer ended before its body was complete."""
 
