Add clients that exceed limits to the fault soak

Cause: the soak had no client that does not behave; restarts, signals and changes of the configuration were never played beside them. Change: each run has 40 such clients at a random address of a random node, of a random kind, some four times in 20 s, beside all other faults. Plans of former seeds stay. Without a key none of their requests may run.

--- a/packages/goldcrestgrade-testing/goldcrestgrade_testing/fault_soak/injection.py
+++ b/packages/goldcrestgrade-testing/goldcrestgrade_testing/fault_soak/injection.py
@@ -7,10 +7,11 @@
 import random
 import signal
 import subprocess
+import sys
 import typing
 
 from goldcrestgrade_testing.fault_soak import odd_entries, plan, proxy
-from goldcrestgrade_testing.fleet_platform import endpoint, fleet, store
+from goldcrestgrade_testing.fleet_platform import abusive_clients, endpoint, fleet, store
 
 SLOW_DELAY_S = 0.3
 """Delay of a slow store or link, below the timeouts after which nodes consider it silent."""
@@ -35,6 +36,12 @@
     "endless_hints",
 )
 
+ABUSED_ADDRESSES = ("calls", "relay", "heartbeats", "readiness", "metrics")
+"""Addresses of a node at which clients exceed limits."""
+
+ABUSIVE_CLIENTS = 40
+"""Clients that exceed limits at once at one address."""
+
 EARLY_ENDS_S = (0.05, 0.4, 1.0, 2.5)
 """Times after which an evacuation is taken back early, before or after nodes know of it."""
 
@@ -97,6 +104,8 @@
             return _evacuate(running_fleet, instance.placement.failure_domain, fault)
         case "hot":
             return _heat(running_fleet)
+        case plan.ABUSIVE_KIND:
+            return await _start_abusive_clients(instance, fault.variant)
         case _ if fault.kind in plan.ODD_KINDS:
             return _write_odd_entries(running_fleet, instance, fault)
         case _ if family == "link":
@@ -200,6 +209,27 @@
     return end
 
 
+async def _start_abusive_clients(instance: fleet.Instance, variant: int) -> EndFault:
+    """Have clients exceed limits at one address of a node; none of their requests is to be run."""
+    rng = random.Random(variant)
+    process = await asyncio.create_subprocess_exec(
+        sys.executable,
+        abusive_clients.__file__,
+        str(instance.ports[rng.choice(ABUSED_ADDRESSES)]),
+        rng.choice(list(abusive_clients.KINDS)),
+        str(ABUSIVE_CLIENTS),
+        stdin=asyncio.subprocess.PIPE,
+        stdout=asyncio.subprocess.DEVNULL,
+    )
+
+    async def end() -> None:
+        with contextlib.suppress(ProcessLookupError):
+            process.kill()
+        await process.wait()
+
+    return end
+
+
 def _leave(running_fleet: fleet.Fleet, instance: fleet.Instance, variant: int) -> EndFault:
     """Have an endpoint say in its answers that it leaves, and in its heartbeats or in none."""
     instance.endpoint.behaviour.leaving = True
--- a/packages/goldcrestgrade-testing/goldcrestgrade_testing/fault_soak/plan.py
+++ b/packages/goldcrestgrade-testing/goldcrestgrade_testing/fault_soak/plan.py
@@ -45,6 +45,9 @@
 ODD_KINDS = ("odd_rows", "odd_heartbeats", "odd_addresses")
 """Kinds of odd entries by another writer; `draw_odd` draws them, so that plans of seeds stay."""
 
+ABUSIVE_KIND = "abusive_clients"
+"""Kind of clients that exceed limits; `draw_abusive` draws them, so that plans of seeds stay."""
+
 FLEET_WIDE_KINDS = frozenset(
     {"store_forget", "store_restore", "configure", "withdraw", "hot", "odd_rows", "odd_addresses"}
 )
@@ -85,7 +88,7 @@
     kind `leave` whether the heartbeats say so too. For the kind `cold` it selects whether the
     endpoint becomes cold while it runs, or returns cold after its node has restarted or not. For
     the kind `evacuate` it says when the evacuation is taken back early, if it is. For odd entries
-    it is the seed of their fields.
+    it is the seed of their fields, for clients that exceed limits that of their kind and address.
     """
 
 
@@ -112,6 +115,17 @@
     return faults
 
 
+def draw_abusive(rng: random.Random, instances: int, seconds: float) -> list[Fault]:
+    """Return times of clients that exceed limits at one node each, which may overlap."""
+    faults = []
+    for _ in range(max(1, round(seconds / 5))):
+        begin_s = rng.uniform(QUIET_START_S, 0.7 * seconds)
+        end_s = rng.uniform(begin_s + 0.1 * seconds, seconds)
+        variant = rng.randrange(1 << 32)
+        faults.append(Fault(ABUSIVE_KIND, rng.randrange(instances), begin_s, end_s, variant))
+    return faults
+
+
 def _series(rng: random.Random, instances: int, seconds: float) -> typing.Iterator[Fault]:
     kind = rng.choice(KINDS)
     instance = rng.randrange(instances)
--- a/packages/goldcrestgrade-testing/goldcrestgrade_testing/fault_soak/soak.py
+++ b/packages/goldcrestgrade-testing/goldcrestgrade_testing/fault_soak/soak.py
@@ -251,6 +251,7 @@
         fault for _ in range(size) for fault in plan.draw(rng, size * len(PLACEMENTS), seconds)
     ]
     faults += plan.draw_odd(random.Random(seed), size * len(PLACEMENTS), seconds)
+    faults += plan.draw_abusive(random.Random(seed), size * len(PLACEMENTS), seconds)
     faults.sort(key=lambda fault: fault.begin_s)
     return await play(faults, rng, size=size)
 
--- a/packages/goldcrestgrade-testing/tests/fault_soak/test_plan.py
+++ b/packages/goldcrestgrade-testing/tests/fault_soak/test_plan.py
@@ -36,6 +36,14 @@
         assert all(plan.QUIET_START_S <= fault.begin_s < fault.end_s <= 20.0 for fault in drawn)
 
 
+def test_each_plan_has_clients_that_exceed_limits_within_the_run():
+    for seed in range(50):
+        drawn = plan.draw_abusive(random.Random(seed), 6, 20.0)
+        assert drawn == plan.draw_abusive(random.Random(seed), 6, 20.0)
+        assert len(drawn) == 4 and {fault.kind for fault in drawn} == {plan.ABUSIVE_KIND}
+        assert all(plan.QUIET_START_S <= fault.begin_s < fault.end_s <= 20.0 for fault in drawn)
+
+
 def test_same_seed_gives_the_same_odd_entries_that_can_all_be_written():
     entry = {"host": "h", "place": {"failure_domain": "d", "region": "r"}, "port": 1}
 
