Take memory back from slow readers and bodies while others wait for it

What callers would see: large answers and uploads refused for long, since a few clients hold their memory. The least rate (16 KB in 10 s) lets a client read 8 MB for over an hour, and a body of 16 MB that states its length takes all memory of bodies before its first byte. Change: while answers wait for memory, a client whose buffer is not refilled for 2 s is given up; while bodies are refused, one that is incomplete after 3 s is refused with 408. Tests: test_client_limits.py, with and without others that wait.

--- a/packages/goldcrestgrade-node/goldcrestgrade_node/intake.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/intake.py
@@ -42,6 +42,18 @@
 MIN_CLOSED_BYTES = 4096
 """Bytes that a connection holds at least for its close to be of use."""
 
+SLOW_READER_S = 2.0
+"""Time for which a client may take too little of an answer while others wait for its memory.
+
+It has to take some 50 KB in it, the part of the buffer that is refilled at once.
+"""
+
+SLOW_BODY_S = 3.0
+"""Time for which a body may be incomplete while others are refused for lack of its memory."""
+
+WANTED_S = 1.0
+"""Time for which memory for bodies counts as wanted after one was refused."""
+
 SWEEP_INTERVAL_S = 0.5
 """Time between checks of connections whose clients have to send or read something."""
 
@@ -152,6 +164,13 @@
         """Connections whose clients have to send or read something."""
         self.sweep_timer: asyncio.TimerHandle | None = None
         self.freeing = False
+        self.answers_wait: typing.Callable[[], bool] = lambda: False
+        """Returns whether answers wait for the memory of others."""
+        self.bodies_wanted_until: instants.Instant = 0.0
+
+    def record_refused_body(self) -> None:
+        """Record that a body found no memory, so that slow ones give theirs back."""
+        self.bodies_wanted_until = asyncio.get_running_loop().time() + WANTED_S
 
     @property
     def is_full(self) -> bool:
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/run.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/run.py
@@ -158,8 +158,11 @@
     def limits() -> routes.Limits:
         return routes.Limits() if mesh_node.table is None else mesh_node.table.limits
 
+    connections = intake.Intake(intake.limits(config.memory_mb, config.max_fds), mesh_node.counts)
+    connections.answers_wait = lambda: bool(mesh_node.answers.waiting)
+    mesh_node.body_memory.on_full = connections.record_refused_body
     return servers.Bounds(
-        intake.Intake(intake.limits(config.memory_mb, config.max_fds), mesh_node.counts),
+        connections,
         lambda: limits().max_header_bytes + REQUEST_LINE_BYTES,
         lambda: limits().header_timeout_s,
         RETRY_AFTER,
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/transport/bodies.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/transport/bodies.py
@@ -118,10 +118,13 @@
     def __init__(self, limit_bytes: int = MAX_HELD_BYTES) -> None:
         self.limit_bytes = limit_bytes
         self.held_bytes = 0
+        self.on_full: typing.Callable[[], None] = lambda: None
+        """Called when there is not enough memory for a body."""
 
     def try_reserve(self, body_bytes: int) -> bool:
         """Reserve memory for a body; return whether there is enough."""
         if self.held_bytes + body_bytes > self.limit_bytes:
+            self.on_full()
             return False
         self.held_bytes += body_bytes
         return True
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/servers.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/servers.py
@@ -167,6 +167,10 @@
         self.unread_bytes = 0
         """Bytes that the client had not acknowledged at the last check."""
         self.read_progress = closing.Progress()
+        self.paused_at: instants.Instant | None = None
+        """Since when the client has to read before more is written."""
+        self.body_began_at: instants.Instant = 0.0
+        """When the head of the last request with a body was complete."""
         self.lost = False
         """Whether the connection was lost."""
         self.counted_bytes = 0
@@ -201,8 +205,14 @@
     def pause_writing(self) -> None:
         """Wait for the client to read."""
         super().pause_writing()
+        self.paused_at = self.loop.time()
         self.account()
 
+    def resume_writing(self) -> None:
+        """Write on."""
+        self.paused_at = None
+        super().resume_writing()
+
     # Bounds
 
     def holding(self) -> intake.Holding:
@@ -294,6 +304,8 @@
         body_late = self.body_progress.due_at is not None and self.body_progress.is_late(
             self.body_bytes, now
         )
+        if self.in_body and now < self.bounds.intake.bodies_wanted_until:
+            body_late = body_late or now >= self.body_began_at + intake.SLOW_BODY_S
         if head_late or body_late:
             self.bounds.intake.counts.events[reasons.Event.REQUEST_TOO_SLOW] += 1
             if body_late and self.cycle.response_complete:
@@ -311,7 +323,10 @@
             self.checked_bytes = written
             self.read_progress.reset()
             return False
-        if self.read_progress.is_late(written - self.unread_bytes, now):
+        late = self.read_progress.is_late(written - self.unread_bytes, now)
+        if self.paused_at is not None and self.bounds.intake.answers_wait():
+            late = late or now >= self.paused_at + intake.SLOW_READER_S
+        if late:
             # Its answer holds memory that others need.
             self.bounds.intake.counts.events[reasons.Event.ANSWER_NOT_READ] += 1
             self.staged.abort()
@@ -461,6 +476,7 @@
             return
         self.body_left = _body_bytes(self.headers)
         self.in_body = True
+        self.body_began_at = self.loop.time()
         before = self.cycle
         super().on_headers_complete()
         if self.cycle is not None and self.cycle is not before:
--- a/packages/goldcrestgrade-node/tests/test_client_limits.py
+++ b/packages/goldcrestgrade-node/tests/test_client_limits.py
@@ -1,10 +1,12 @@
 """Limits of what one client may send and has to read, on real sockets."""
 
 import asyncio
+import collections
 import contextlib
 import functools
 import socket
 import struct
+import typing
 
 import pytest
 
@@ -45,6 +47,16 @@
 PROTOCOLS = {"plain": lambda: servers.NodeProtocol, "pipelining": pipelined}
 
 
+class Events(typing.NamedTuple):
+    """Counters of events, and the intake that counts them."""
+
+    counts: collections.Counter
+    intake: intake.Intake
+
+    def __getitem__(self, reason):
+        return self.counts[reason]
+
+
 @contextlib.asynccontextmanager
 async def serving(app, kind="plain", head_timeout_s=10.0, **limits):
     """Serve `app` at a port; yield the port and the counters of events."""
@@ -63,7 +75,7 @@
         while not server.started:
             await asyncio.sleep(0.01)
         try:
-            yield listening.getsockname()[1], counts.events
+            yield listening.getsockname()[1], Events(counts.events, bounds.intake)
         finally:
             server.should_exit = server.force_exit = True
             await task
@@ -275,3 +287,36 @@
         assert protocol.timeout_keep_alive_task is None
         server.should_exit = server.force_exit = True
         await task
+
+
+@pytest.mark.parametrize("waiting", [True, False])
+async def test_slow_reader_is_given_up_early_only_while_answers_wait_for_memory(
+    waiting, monkeypatch
+):
+    """Guards against a few slow readers that hold the memory of all large answers."""
+    monkeypatch.setattr(intake, "SLOW_READER_S", 0.5)
+    loop = asyncio.get_running_loop()
+    async with serving(App()) as (port, events):
+        events.intake.answers_wait = lambda: waiting
+        with socket.socket() as client:
+            client.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+            client.setblocking(False)
+            await loop.sock_connect(client, ("127.0.0.1", port))
+            await loop.sock_sendall(client, b"GET /?4000000 HTTP/1.1\r\nhost: h\r\n\r\n")
+            await asyncio.sleep(2.0)
+            assert events[reasons.Event.ANSWER_NOT_READ] == waiting
+
+
+@pytest.mark.parametrize("wanted", [True, False])
+async def test_slow_body_is_refused_early_only_while_others_find_no_memory(wanted, monkeypatch):
+    """Guards against one slow body that holds the memory of all bodies."""
+    monkeypatch.setattr(intake, "SLOW_BODY_S", 0.5)
+    async with serving(App()) as (port, events), connected(port) as (reader, writer):
+        writer.write(b"POST / HTTP/1.1\r\nhost: h\r\ncontent-length: 9000000\r\n\r\nx")
+        for _ in range(4):
+            await asyncio.sleep(0.4)
+            if wanted:
+                events.intake.record_refused_body()
+        answer = bytes(reader._buffer)
+        assert answer.startswith(b"HTTP/1.1 408 ") == wanted
+        assert events[reasons.Event.REQUEST_TOO_SLOW] == wanted
--- a/packages/goldcrestgrade-testing/tests/fleet_platform/test_abusive_clients.py
+++ b/packages/goldcrestgrade-testing/tests/fleet_platform/test_abusive_clients.py
@@ -122,15 +122,15 @@
         await child.wait()
 
 
-async def answered(running, usage, entry, path):
-    """Return once an ordinary request is answered, sent again after each refusal."""
+async def answered(running, usage, entry, path, retried=(0, 503)):
+    """Return once an ordinary request is answered, sent again after a status in `retried`."""
     async with asyncio.timeout(ANSWERED_S):
         while True:
             assert not usage.killed
             answer = await running.call(entry, path)
             if answer.status == 200:
                 return
-            assert answer.status in (0, 503), answer
+            assert answer.status in retried, answer
             await asyncio.sleep(float(answer.fields.get("retry-after", "0.3")))
 
 
@@ -190,10 +190,9 @@
         await play(running, kind, clients=MANY_CLIENTS)
 
 
-@pytest.mark.parametrize("size", ["medium", "sound length", "largest"])
-@pytest.mark.parametrize("kind", ["answer read slowly", "answers ahead read slowly"])
-async def test_answers_read_slowly_leave_memory_and_other_clients_alone(kind, size):
-    """Guards against answers that fill the memory of the node, and that of the kernel for it."""
+@contextlib.asynccontextmanager
+async def large_answers(size):
+    """Run a fleet whose first endpoint is replaced by one with large answers."""
     async with fleet.running(PLACEMENTS, prepare=lower_limits) as running:
         east_1 = running.instances[0]
         east_1.endpoint.behaviour.slots = CLIENTS
@@ -203,7 +202,30 @@
         async with process(sys.executable, flood.__file__, port, endpoint_id, CLIENTS, size):
             while (await running.call(east_1, "/archive/x")).status != 200:
                 await asyncio.sleep(fleet.POLL_INTERVAL_S)
-            await play(running, kind)
+            yield running
+
+
+@pytest.mark.parametrize("size", ["medium", "sound length", "largest"])
+@pytest.mark.parametrize("kind", ["answer read slowly", "answers ahead read slowly"])
+async def test_answers_read_slowly_leave_memory_and_other_clients_alone(kind, size):
+    """Guards against answers that fill the memory of the node, and that of the kernel for it."""
+    async with large_answers(size) as running:
+        await play(running, kind)
+
+
+async def test_large_answers_pass_beside_clients_that_read_theirs_slowly():
+    """Guards against a few clients that hold the memory for all large answers of a node.
+
+    A large answer that waits for memory until its deadline is given up with 502.
+    """
+    async with large_answers("largest") as running:
+        east_1 = running.instances[0]
+        program = (sys.executable, abusive_clients.__file__)
+        command = (*program, east_1.ports["calls"], "answer read slowly", CLIENTS)
+        async with process(*command) as child:
+            async with asyncio.timeout(ANSWERED_S):
+                assert await child.stdout.readline() == b"sent\n"
+            await answered(running, Usage(running), east_1, "/archive/x", (0, 502, 503))
 
 
 @pytest.mark.parametrize(
