Grant no memory to an answer that was given up in the same turn

What callers saw: 500 for some requests that waited for memory, and less memory for large answers from then on. Cause: a waiting answer whose deadline passes is cancelled at once, but its entry is removed only when its task runs. Memory released in between was granted to it: the sum had grown before set_result failed, and the task then found its entry gone. Change: entries whose future is done are passed over. Tests: test_answer_memory.py, both orders, failed before (InvalidStateError, ValueError, 60 of 100 bytes held for good) and pass now.

--- a/packages/goldcrestgrade/goldcrestgrade/answer_memory.py
+++ b/packages/goldcrestgrade/goldcrestgrade/answer_memory.py
@@ -93,7 +93,8 @@
         is_full = False
         for entry in list(self.waiting):
             reservation, answer_bytes, future = entry
-            if is_full and reservation is not self.first:
+            # One that was cancelled is removed by its task, which has not run yet.
+            if future.done() or (is_full and reservation is not self.first):
                 continue
             if self.try_reserve(reservation, answer_bytes):
                 self.waiting.remove(entry)
--- a/packages/goldcrestgrade/tests/test_answer_memory.py
+++ b/packages/goldcrestgrade/tests/test_answer_memory.py
@@ -84,3 +84,29 @@
     await one.grow_to(SMALL + 40)
     one.complete()
     assert memory.held_bytes == 0
+
+
+@pytest.mark.parametrize("released_first", [True, False])
+async def test_answers_that_are_given_up_at_once_leave_no_memory_taken(released_first):
+    """Guards against memory that is granted to an answer which was given up in the same turn."""
+    memory, (full, *others) = reservations(6)
+    await full.grow_to(SMALL + 100)
+    when = asyncio.get_running_loop().time() + 0.1
+
+    async def receive(reservation):
+        try:
+            async with asyncio.timeout_at(when):
+                await reservation.grow_to(SMALL + 60)
+                await asyncio.sleep(1.0)
+        finally:
+            reservation.close()
+
+    if released_first:
+        asyncio.get_running_loop().call_at(when, full.close)
+    tasks = [asyncio.create_task(receive(reservation)) for reservation in others]
+    await asyncio.sleep(0.05)
+    if not released_first:
+        asyncio.get_running_loop().call_at(when, full.close)
+    results = await asyncio.gather(*tasks, return_exceptions=True)
+    assert [type(result) for result in results] == [TimeoutError] * 5
+    assert memory.held_bytes == 0 and not memory.waiting
