Close the partial requests first that began longest ago

Cause: when descriptors or memory run out, a partial request was as old as its connection, so that clients that keep their connections lost them before those that came later and send byte by byte. Change: a connection is as old as the request that it receives.

--- a/packages/goldcrestgrade-node/goldcrestgrade_node/intake.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/intake.py
@@ -98,7 +98,7 @@
     held_bytes: int
     state: State
     since: instants.Instant
-    """When the connection was opened, or when its last request was answered."""
+    """When the connection was opened, began to receive a request, or answered its last one."""
 
 
 def to_free_memory(holdings: typing.Sequence[Holding], excess_bytes: float) -> list[int]:
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/servers.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/servers.py
@@ -182,6 +182,7 @@
         self.counted_bytes = 0
         """Bytes that the intake counts for this connection."""
         self.since: instants.Instant = self.loop.time()
+        """When the connection was opened, began to receive a request, or answered its last one."""
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Begin a connection."""
@@ -380,7 +381,8 @@
         if not in_head:
             self.head_by = None
         elif self.head_by is None:
-            self.head_by = self.loop.time() + self.bounds.head_timeout_s()
+            self.since = self.loop.time()
+            self.head_by = self.since + self.bounds.head_timeout_s()
         in_body = waits and self.in_body and self.may_parse()
         if not in_body or self.cycle.waiting_for_100_continue:
             self.body_progress.reset()
@@ -480,7 +482,7 @@
             return
         self.body_left = _body_bytes(self.headers)
         self.in_body = True
-        self.body_began_at = self.loop.time()
+        self.since = self.body_began_at = self.loop.time()
         before = self.cycle
         super().on_headers_complete()
         if self.body_left is None:
