--- a/packages/goldcrestgrade-testing/tests/fleet_platform/test_abusive_clients.py
+++ b/packages/goldcrestgrade-testing/tests/fleet_platform/test_abusive_clients.py
@@ -250,3 +250,20 @@
     """Guards against connections at one address that leave no descriptors for the others."""
     async with fleet.running(PLACEMENTS, prepare=lower_limits) as running:
         await play(running, "trickled head", door, MANY_CLIENTS)
+
+
+@pytest.mark.parametrize("line", [b"a:\r\n", b"x-name: " + b"y" * 90 + b"\r\n"])
+async def test_request_with_the_largest_head_is_served_in_calm(line):
+    """Guards against a limit that a single request inside those of the pages meets on its way."""
+    async with fleet.running(PLACEMENTS, prepare=lower_limits) as running:
+        for number, path in enumerate((b"/archive/x", b"/intake/x", b"/intake/file/x")):
+            start = b"POST %s HTTP/1.1\r\nhost: letters.example\r\nx-attempt-id: %d\r\n"
+            head = start % (path, number) + b"x-deadline-ms: 2000\r\ncontent-length: 3\r\n"
+            left = LIMITS["max_header_bytes"] - len(head) - len(b"\r\n")
+            port = running.instances[0].ports["calls"]
+            reader, writer = await asyncio.open_connection(fleet.HOST, port)
+            writer.write(head + line * (left // len(line)) + b"\r\nabc")
+            async with asyncio.timeout(ANSWERED_S):
+                answer = await reader.readuntil(b"\r\n\r\n")
+            writer.close()
+            assert answer.startswith(b"HTTP/1.1 200 "), (path, answer)
