Keep no traceback in the latest log records

What callers would see: a node that runs out of memory after requests with large answers failed. Cause: the latest 1,000 records are kept as they are, with tracebacks, which keep the variables of their frames: bodies of up to 8 MB each. Change: the text of a traceback takes its place when a record is emitted. Tests: test_log_output.py, ten of ten objects held before, none now.

--- a/packages/goldcrestgrade/goldcrestgrade/log_output.py
+++ b/packages/goldcrestgrade/goldcrestgrade/log_output.py
@@ -29,6 +29,9 @@
 RECENT_RECORDS = 1000
 """Number of latest records kept for a dump, including those that were not written."""
 
+TRACEBACK_FORMATTER = logging.Formatter()
+"""Formats the traceback of a record."""
+
 
 class BoundedHandler(logging.Handler):
     """Writes lines without blocking; drops and counts those beyond the rate or buffer limit."""
@@ -48,6 +51,12 @@
 
     def emit(self, record: logging.LogRecord) -> None:
         """Write a record, or count it as dropped."""
+        if record.exc_info:
+            # A traceback keeps the variables of its frames, such as the body of an answer.
+            record.exc_text = record.exc_text or TRACEBACK_FORMATTER.formatException(
+                record.exc_info
+            )
+            record.exc_info = None
         self.recent.append(record)
         self._refill()
         reserve = 0.0 if record.levelno >= logging.WARNING else WARNING_RESERVE_LINES
--- a/packages/goldcrestgrade/tests/test_log_output.py
+++ b/packages/goldcrestgrade/tests/test_log_output.py
@@ -1,7 +1,10 @@
 """Log output that never blocks the process and stays within its rate and buffer limits."""
 
+import gc
 import logging
 import os
+import sys
+import weakref
 
 from goldcrestgrade import log_output
 
@@ -92,3 +95,30 @@
     os.close(pipe[0])
     handler.emit(record())
     handler.emit(record())
+
+
+class Body:
+    """Stands for the body of an answer."""
+
+
+def test_latest_records_keep_the_text_of_a_traceback_and_none_of_its_variables():
+    """Guards against log records that hold the bodies of requests that failed."""
+    handler = handler_of(os.pipe(), Clock())
+    bodies = []
+
+    def fail():
+        body = Body()
+        bodies.append(weakref.ref(body))
+        raise RuntimeError("failed while it held a body")
+
+    for _ in range(10):
+        try:
+            fail()
+        except RuntimeError:
+            failure = record(logging.ERROR)
+            failure.exc_info = sys.exc_info()
+            handler.emit(failure)
+        del failure
+    gc.collect()
+    assert [body() for body in bodies] == [None] * 10
+    assert handler.dump().count("failed while it held a body") == 10
