--- a/packages/goldcrestgrade/tests/test_log_output.py
+++ b/packages/goldcrestgrade/tests/test_log_output.py
@@ -121,4 +121,4 @@
         del failure
     gc.collect()
     assert [body() for body in bodies] == [None] * 10
-    assert handler.dump().count("failed while it held a body") == 10
+    assert handler.dump().count("RuntimeError: failed while it held a body") == 10
