Write no refusal in the midst of an answer

What callers would see: bytes of a refusal behind the first part of an answer, where its rest is due. Change: then the connection is closed without a refusal. Tests: test_client_limits.py, three faults on both protocols, all six failed before and pass now; 214 tests of servers and entries passed.

--- a/packages/goldcrestgrade-node/goldcrestgrade_node/servers.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/servers.py
@@ -317,10 +317,7 @@
             body_late = body_late or now >= self.body_began_at + intake.SLOW_BODY_S
         if head_late or body_late:
             self.bounds.intake.counts.events[reasons.Event.REQUEST_TOO_SLOW] += 1
-            if body_late and self.cycle.response_complete:
-                self.staged.close()
-            else:
-                self.refuse(408, "Request not received in time.", self.bounds.retry_after)
+            self.refuse(408, "Request not received in time.", self.bounds.retry_after)
             return False
         return True
 
@@ -541,7 +538,10 @@
         self.refuse(400, msg)
 
     def refuse(self, status: int, text: str, retry_after: str | None = None) -> None:
-        """Refuse what was received of a request that does not run, and close the connection."""
+        """Refuse what was received of a request that does not run, and close the connection.
+
+        Without a refusal if an answer to the request has begun before its body was complete.
+        """
         body = text.encode()
         fields = [
             b"content-type: text/plain; charset=utf-8",
@@ -551,7 +551,8 @@
         if retry_after is not None:
             fields.append(b"retry-after: " + retry_after.encode())
         line = httptools_impl.STATUS_LINE[status]
-        self.transport.write(line + b"\r\n".join([*fields, b"", body]))
+        if not (self.in_body and self.cycle.response_started):
+            self.transport.write(line + b"\r\n".join([*fields, b"", body]))
         self.transport.close()
         if self.cycle is not None and self.cycle.more_body:
             self.cycle.disconnected = True
--- a/packages/goldcrestgrade-node/tests/test_client_limits.py
+++ b/packages/goldcrestgrade-node/tests/test_client_limits.py
@@ -320,3 +320,27 @@
         answer = bytes(reader._buffer)
         assert answer.startswith(b"HTTP/1.1 408 ") == wanted
         assert events[reasons.Event.REQUEST_TOO_SLOW] == wanted
+
+
+@pytest.mark.parametrize("kind", PROTOCOLS)
+@pytest.mark.parametrize("rest", [b"x", b"zz\r\n", b"1\r\nx\r\n0\r\n" + b"a:\r\n" * 9000])
+async def test_fault_in_a_body_adds_no_refusal_to_an_answer_that_has_begun(kind, rest, monkeypatch):
+    """Guards against a refusal in the midst of an answer that began before its body was read.
+
+    The rest of the body is too slow, can't be parsed, or has too long trailers.
+    """
+    monkeypatch.setattr(closing, "STALL_S", 0.5)
+
+    async def answer_early(_scope, _receive, send):
+        fields = [(b"content-length", b"100")]
+        await send({"type": "http.response.start", "status": 200, "headers": fields})
+        await send({"type": "http.response.body", "body": b"begun", "more_body": True})
+        await asyncio.sleep(30.0)
+
+    async with serving(answer_early, kind) as (port, events), connected(port) as (reader, writer):
+        framing = b"content-length: 9" if rest == b"x" else b"transfer-encoding: chunked"
+        writer.write(b"POST / HTTP/1.1\r\nhost: h\r\n" + framing + b"\r\n\r\n")
+        await asyncio.sleep(0.1)
+        writer.write(rest)
+        assert (await received(reader)).endswith(b"\r\n\r\nbegun")
+        assert events[reasons.Event.REQUEST_TOO_SLOW] == (rest == b"x")
