Take no turns for a connection that is closing

Cause: a closing connection with bytes kept stayed in the queue of turns, parsed nothing and asked for another turn. Change: such a connection drops what it kept.

--- a/packages/goldcrestgrade-node/goldcrestgrade_node/servers.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/servers.py
@@ -355,7 +355,9 @@
 
     def parse_slice(self) -> bool:
         """Parse the next slice of what was kept, and return whether another one may follow."""
-        if self.backlog and not self.is_ended():
+        if self.is_ended():
+            self.backlog.clear()
+        elif self.backlog:
             parsed = self._parse(bytes(self.backlog[: parse_queue.SLICE_BYTES]))
             del self.backlog[:parsed]
             self.regulate()
--- a/packages/goldcrestgrade-node/tests/test_client_limits.py
+++ b/packages/goldcrestgrade-node/tests/test_client_limits.py
@@ -344,3 +344,30 @@
         writer.write(rest)
         assert (await received(reader)).endswith(b"\r\n\r\nbegun")
         assert events[reasons.Event.REQUEST_TOO_SLOW] == (rest == b"x")
+
+
+@pytest.mark.parametrize("kind", PROTOCOLS)
+async def test_closing_connection_with_bytes_kept_takes_no_turns(kind, monkeypatch):
+    """Guards against a loop that is busy for as long as a connection with bytes kept is closing."""
+    turns = 0
+    parse_slice = servers.NodeProtocol.parse_slice
+
+    def count(protocol):
+        nonlocal turns
+        turns += 1
+        return parse_slice(protocol)
+
+    monkeypatch.setattr(servers.NodeProtocol, "parse_slice", count)
+    app = App()
+    app.gate.clear()
+    async with serving(app, kind) as (port, events), connected(port) as (_, writer):
+        writer.write(b"GET /1 HTTP/1.1\r\nhost: h\r\n\r\n" * 2000)
+        await asyncio.sleep(0.2)
+        (protocol,) = events.intake.connections
+        assert protocol.backlog
+        app.gate.set()
+        protocol.queue.add(protocol)
+        protocol.staged.close()
+        turns = 0
+        await asyncio.sleep(0.3)
+        assert turns <= 1
