Read settings again that are incomplete at the start

Users saw: a node whose settings file is replaced while it starts may end with status 2, as the file is empty or cut at the instant of its one read.

Cause: the reload keeps the settings in force and reads an invalid file again a second later; the start did not.

Change: the start reads an invalid file again for a second, then fails as before. Fleets of the tests that are not ready in time show the state and the last log lines of their nodes.

--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/settings.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/settings.py
@@ -5,6 +5,7 @@
 import collections.abc
 import ipaddress
 import pathlib
+import time
 import typing
 
 import orjson
@@ -12,6 +13,12 @@
 from goldcrestgrade import durations, exceptions, findings
 from goldcrestgrade_node import intake
 
+WRITE_TIMEOUT_S = 1.0
+"""Time for which an invalid file may be incomplete because it is still being written."""
+
+READ_INTERVAL_S = 0.02
+"""Time between two reads of such a file."""
+
 
 class Settings(typing.NamedTuple):
     """The settings in a node's settings file; times in seconds."""
@@ -167,6 +174,21 @@
     return validate(body, path.name)
 
 
+def load_when_complete(path: pathlib.Path) -> Settings:
+    """Return the settings in the file at `path`, which another process may be writing.
+
+    An invalid file is read again for `WRITE_TIMEOUT_S`. Blocks, and raises the errors of `load`.
+    """
+    deadline = time.monotonic() + WRITE_TIMEOUT_S
+    while True:
+        try:
+            return load(path)
+        except exceptions.InvalidDocument:
+            if time.monotonic() >= deadline:
+                raise
+        time.sleep(READ_INTERVAL_S)
+
+
 def validate(body: bytes, name: str) -> Settings:
     """Return the settings in `body`; raises `InvalidDocument` with every fault.
 
--- a/packages/goldcrestgrade-node/tests/mesh/test_settings.py
+++ b/packages/goldcrestgrade-node/tests/mesh/test_settings.py
@@ -45,6 +45,21 @@
         settings.validate(body, "x.json")
 
 
+def test_incomplete_file_is_read_again_until_it_is_complete(tmp_path, monkeypatch):
+    path = tmp_path / "x.json"
+    whole = orjson.dumps(VALID)
+    path.write_bytes(whole[:-9])
+    monkeypatch.setattr(settings.time, "sleep", lambda _: path.write_bytes(whole))
+    assert settings.load_when_complete(path).node_id == "n"
+
+
+def test_file_that_stays_invalid_is_refused(tmp_path):
+    path = tmp_path / "x.json"
+    path.write_bytes(b"{}")
+    with pytest.raises(exceptions.InvalidDocument):
+        settings.load_when_complete(path)
+
+
 def test_changed_file_is_applied_once_and_an_invalid_one_never(tmp_path):
     path = tmp_path / "x.json"
     path.write_bytes(orjson.dumps(VALID))
--- a/packages/goldcrestgrade-testing/goldcrestgrade_testing/fleet_platform/fleet.py
+++ b/packages/goldcrestgrade-testing/goldcrestgrade_testing/fleet_platform/fleet.py
@@ -43,6 +43,9 @@
 READY_TIMEOUT_S = 30.0
 """Timeout of each of two waits: until nodes are ready, and until they reach all services."""
 
+LOG_TAIL_CHARS = 2000
+"""Characters of the end of a node's log that an error shows."""
+
 POLL_INTERVAL_S = 0.05
 """Time between two checks while waiting."""
 
@@ -387,12 +390,24 @@
     async def wait_ready(self, instances: typing.Sequence[Instance] = ()) -> None:
         """Wait until nodes report readiness, all nodes if `instances` is empty.
 
-        Raises `TimeoutError` after `READY_TIMEOUT_S`.
+        Raises `TimeoutError` after `READY_TIMEOUT_S`, with the end of the log of each such node.
         """
-        async with asyncio.timeout(READY_TIMEOUT_S):
-            for instance in instances or self.instances:
-                while not await self.is_ready(instance):
-                    await asyncio.sleep(POLL_INTERVAL_S)
+        waiting = list(instances or self.instances)
+        try:
+            async with asyncio.timeout(READY_TIMEOUT_S):
+                while waiting:
+                    if await self.is_ready(waiting[0]):
+                        del waiting[0]
+                    else:
+                        await asyncio.sleep(POLL_INTERVAL_S)
+        except TimeoutError:
+            raise TimeoutError("\n".join(map(self._describe_process, waiting))) from None
+
+    def _describe_process(self, instance: Instance) -> str:
+        """Return the state of the process of a node, and the end of its log."""
+        status = None if instance.process is None else instance.process.poll()
+        state = "runs" if status is None else f"ended with status {status}"
+        return f"{instance.name} {state}: {self.node_log(instance)[-LOG_TAIL_CHARS:]}"
 
     async def wait_served(self) -> None:
         """Wait until each node reaches an endpoint of each service.
--- a/packages/goldcrestgrade-testing/tests/fleet_platform/test_start.py
+++ b/packages/goldcrestgrade-testing/tests/fleet_platform/test_start.py
@@ -52,3 +52,23 @@
         assert east_1.process.poll() is None
         slacks = re.findall(r'"resend_slack":([0-9.]+)', running.node_log(east_1))
         assert float(slacks[-1]) == running.settings(east_1)["resend_slack"] + 1
+
+
+WRITE_DELAY_S = 0.7
+"""Time from the start of a process until its settings file is complete."""
+
+
+async def test_node_that_starts_while_its_settings_are_written_reads_them_again():
+    """Guards against a node that ends as its settings file is replaced during the start."""
+    placements = {"east-1": fleet.Placement("east", "r1", "archive")}
+    async with fleet.running(placements) as running:
+        (east_1,) = running.instances
+        east_1.process.kill()
+        east_1.process.wait()
+        running.start_node(east_1)
+        path = running.folder / f"{east_1.name}.json"
+        complete = path.read_bytes()
+        path.write_bytes(b"")
+        await asyncio.sleep(WRITE_DELAY_S)
+        path.write_bytes(complete)
+        await running.wait_ready()
