Print the tasks of an interrupted demo that does not end

The test of the interrupted demo failed three times with nothing to trace: the demo had not ended 60 s after the signal. It now prints the stacks of the tasks of the demo before it fails.

--- a/packages/goldcrestgrade-testing/tests/demo/test_deployment.py
+++ b/packages/goldcrestgrade-testing/tests/demo/test_deployment.py
@@ -11,6 +11,18 @@
 TIMEOUT_S = 60.0
 
 SCRIPT = """
+import asyncio
+import signal
+import sys
+
+def print_tasks(*_):
+    loop = asyncio._get_running_loop()
+    for task in asyncio.all_tasks(loop):
+        task.print_stack(file=sys.stderr)
+        print(task, "waits for", task._fut_waiter, file=sys.stderr, flush=True)
+
+signal.signal(signal.SIGUSR1, print_tasks)
+
 from goldcrestgrade_testing import shapes
 from goldcrestgrade_testing.demo import __main__ as demo
 demo.SHAPES["letters_desk"] = shapes.Shape(
@@ -33,6 +45,16 @@
     return processes
 
 
+def exit_status(demo: subprocess.Popen[bytes]) -> int:
+    """Return the exit status of the demo; if it does not end in time, its tasks are printed."""
+    try:
+        return demo.wait(TIMEOUT_S)
+    except subprocess.TimeoutExpired:
+        demo.send_signal(signal.SIGUSR1)
+        time.sleep(1.0)
+        raise
+
+
 IGNORE_SIGINT = "import signal; signal.signal(signal.SIGINT, signal.SIG_IGN)\n"
 """Start of a script that ignores SIGINT, as a program does that a shell started with `&`."""
 
@@ -50,5 +72,5 @@
         assert time.monotonic() < deadline
         time.sleep(0.1)
     demo.send_signal(signal_number)
-    assert demo.wait(TIMEOUT_S) == 130
+    assert exit_status(demo) == 130
     assert session_processes(demo.pid) == set()
