--- /dev/null
+++ b/packages/goldcrestgrade-node/tests/mesh/test_run.py
@@ -0,0 +1,39 @@
+"""The process of a node."""
+
+import gc
+
+import pytest
+
+from goldcrestgrade_node.mesh import run
+
+MAX_COLLECTED = 10_000
+"""Objects that one collection may free, which takes some 20 ms."""
+
+
+@pytest.fixture
+def collector():
+    """Restore the settings of the collector."""
+    thresholds = gc.get_threshold()
+    yield
+    gc.set_threshold(*thresholds)
+    gc.unfreeze()
+
+
+def test_garbage_is_collected_in_small_steps(collector):
+    """Guards against a collection that holds the event loop for 0.1 s."""
+    collected = []
+
+    def record(phase, info):
+        if phase == "stop":
+            collected.append(info["collected"])
+
+    run.configure_collector()
+    gc.callbacks.append(record)
+    try:
+        for _ in range(200_000):
+            cycle = []
+            cycle.append(cycle)
+    finally:
+        gc.callbacks.remove(record)
+    assert sum(collected) > 100_000
+    assert max(collected) <= MAX_COLLECTED
