Collect garbage in small steps in nodes of the other platform, too

Change: garbage.configure_collector, with its test, is used by both.

Measured: nothing beyond test_garbage, which passes; mesh nodes behave as before this change.

--- a/packages/goldcrestgrade-node/goldcrestgrade_node/commands/run.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/commands/run.py
@@ -10,7 +10,7 @@
 import signal
 
 from goldcrestgrade import http_client, records, settings
-from goldcrestgrade_node import intake, servers
+from goldcrestgrade_node import garbage, intake, servers
 from goldcrestgrade_node import node as nodes
 
 log = logging.getLogger(__name__)
@@ -21,9 +21,6 @@
 CONTROL_KEEPALIVE_S = 20.0
 """Time after which an idle connection to a peer is closed."""
 
-GC_THRESHOLD_ALLOCATIONS = 50_000
-"""Number of allocations between collections of the youngest generation."""
-
 
 def run(config: settings.NodeSettings) -> None:
     """Run a node with `config`; return after its drain."""
@@ -42,8 +39,7 @@
         stack.push_async_callback(node.transport.close)
         _handle_signals(node)
         gc.collect()
-        gc.freeze()
-        gc.set_threshold(GC_THRESHOLD_ALLOCATIONS)
+        garbage.configure_collector()
         await _serve(node)
 
 
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/run.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/run.py
@@ -5,7 +5,6 @@
 import asyncio
 import contextlib
 import functools
-import gc
 import itertools
 import logging
 import pathlib
@@ -14,7 +13,7 @@
 import typing
 
 from goldcrestgrade import http_client, routes
-from goldcrestgrade_node import asgi, intake, servers
+from goldcrestgrade_node import asgi, garbage, intake, servers
 from goldcrestgrade_node.mesh import node, reload, settings
 from goldcrestgrade_node.mesh.entry import pipelining
 
@@ -53,12 +52,6 @@
 RETRY_AFTER = "0.3"
 """Value of `Retry-After` in refusals of requests that were not read or found no memory."""
 
-GC_THRESHOLDS = (5_000, 10, 100)
-"""Allocations between collections of the youngest generation, and its collections between others.
-
-A collection that frees 5,000 objects takes 10 ms, in which no other request is handled.
-"""
-
 MakeApps = typing.Callable[["node.MeshNode"], typing.Mapping[str, asgi.App]]
 """Returns further applications by the address at which each listens."""
 
@@ -107,17 +100,10 @@
             loop.add_signal_handler(signum, mesh_node.stopping.set)
         reloader = reload.SettingsReloader(path, config, mesh_node.apply_settings)
         loop.add_signal_handler(signal.SIGHUP, reloader.requested.set)
-        configure_collector()
+        garbage.configure_collector()
         await _serve(config, mesh_node, make_apps(mesh_node), reloader)
 
 
-def configure_collector() -> None:
-    """Enable the collection of garbage in small steps, of what is allocated from now on."""
-    gc.freeze()
-    gc.set_threshold(*GC_THRESHOLDS)
-    gc.enable()
-
-
 async def _serve(
     config: settings.Settings,
     mesh_node: node.MeshNode,
--- a/packages/goldcrestgrade-node/tests/mesh/test_run.py
+++ b/packages/goldcrestgrade-node/tests/test_garbage.py
@@ -1,10 +1,10 @@
-"""The process of a node."""
+"""Collection of garbage in a node."""
 
 import gc
 
 import pytest
 
-from goldcrestgrade_node.mesh import run
+from goldcrestgrade_node import garbage
 
 MAX_COLLECTED = 10_000
 """Objects that one collection may free, which takes some 20 ms."""
@@ -26,7 +26,7 @@
         if phase == "stop":
             collected.append(info["collected"])
 
-    run.configure_collector()
+    garbage.configure_collector()
     gc.callbacks.append(record)
     try:
         for _ in range(200_000):
