Run the tests that flood a node one after the other

Cause: 22 tests of test_endless_answers start 60 flooding threads and 60 clients each, and -n 6 runs up to six of them at once, so that they measure the load of each other.

Change: the file is a group of pytest-xdist, whose tests one worker runs. No check, bound or case changes. The list of known failures is matched without the suffix of the group.

--- a/Makefile
+++ b/Makefile
@@ -25,7 +25,7 @@
 install: $(VENV)/ready ## Create the virtual environment with the pinned libraries
 
 test: install ## Run the tests
-	$(BIN)/python -m pytest -n 6 -rxX -m "not alone"
+	$(BIN)/python -m pytest -n 6 --dist loadgroup -rxX -m "not alone"
 	$(BIN)/python -m pytest -rxX -m alone
 
 lint: install ## Check format, lint and types
--- a/conftest.py
+++ b/conftest.py
@@ -15,7 +15,8 @@
     """Mark the listed tests; one that passes is reported as XPASS, then its entry must go."""
     listed = known_red()
     for item in items:
-        if item.nodeid in listed:
+        # pytest-xdist may have appended `@` and the group of the test.
+        if item.nodeid in listed or item.nodeid.rpartition("@")[0] in listed:
             item.add_marker(pytest.mark.xfail(reason="listed in KNOWN-RED.txt", strict=False))
 
 
--- a/packages/goldcrestgrade-testing/tests/fleet_platform/test_endless_answers.py
+++ b/packages/goldcrestgrade-testing/tests/fleet_platform/test_endless_answers.py
@@ -12,6 +12,9 @@
 
 from goldcrestgrade_testing.fleet_platform import fleet, flood, store
 
+# Each floods a node from 60 threads, which delays others of these tests beyond their bounds.
+pytestmark = pytest.mark.xdist_group("floods")
+
 PLACEMENTS = {
     "east-1": fleet.Placement("east", "r1", "archive"),
     "west-1": fleet.Placement("west", "r1", "intake"),
