--- a/review/11/run.py
+++ b/review/11/run.py
@@ -44,6 +44,7 @@
 async def send_requests(
     deployment: stage.Stage, machine: stage.Machine, method: str, path: str, end: float
 ) -> None:
+    """Send one request after the other until `end`."""
     while time.monotonic() < end:
         await deployment.request(machine, method, path)
         await asyncio.sleep(0.1)
--- a/review/stage-3/stage.py
+++ b/review/stage-3/stage.py
@@ -179,7 +179,8 @@
         echoed = f"X-Attempt-Id: {attempt_id}\r\n" if attempt_id else ""
         return (
             f"HTTP/1.1 {status}\r\nContent-Length: {len(body)}\r\n{echoed}"
-            f"X-Instance-Id: {self.upstream_id}\r\nX-Upstream-Load: {self.running},0,{self.slots}\r\n"
+            f"X-Instance-Id: {self.upstream_id}\r\n"
+            f"X-Upstream-Load: {self.running},0,{self.slots}\r\n"
             f"Keep-Alive: timeout=10\r\n{further}\r\n"
         ).encode() + body
 
