Let a review script that fails by itself end with status 2

Cause: an unexpected error ended a script with status 1, which stands for a broken rule.

Change: review/stage-3 takes every error, and a failed import, as a case that could not run.

--- a/review/stage-3/stage.py
+++ b/review/stage-3/stage.py
@@ -515,14 +515,17 @@
 
 
 def main(folder: pathlib.Path, play: typing.Callable[[Stage], typing.Awaitable[list[str]]]) -> int:
-    """Run a script; `play` returns what broke the rule. Return the exit status of the script."""
+    """Run a script; `play` returns what broke the rule. Return the exit status of the script.
+
+    Any error means that it could not run: status 1 must stand for a broken rule only.
+    """
 
     async def run() -> int:
         async with Stage(folder) as stage:
             try:
                 async with asyncio.timeout(110):
                     broken = await play(stage)
-            except (CannotRun, TimeoutError, OSError) as error:
+            except Exception as error:
                 stage.record.write(f"could not run: {error!r}")
                 print(f"could not run: {error!r}")
                 return 2
