Use an endpoint only for the service that it has reported

Cause: a health check names an id and no service. Whatever answered at the address became the own endpoint, of the service in the settings, and its id went out as the expected one.

Change: the service comes from a heartbeat, of this process or, by a row in the store, of an earlier one. A health check decides only between ids that have reported. A heartbeat of another service is applied once a health check shows that its sender has the address. A changed service in the settings applies without a restart.

Tests of the first health check now begin with a reported endpoint, as after a restart. Removal of an unreachable instance has one row more.

The soak draws reused addresses; the defect wrong_service is found.

--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/endpoint/endpoints.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/endpoint/endpoints.py
@@ -1,5 +1,9 @@
 """The endpoint on this node's instance: its identity and whether it accepts new requests.
 
+The address of an endpoint that has ended may be assigned to an endpoint of another service, and a
+health check names no service. An endpoint is therefore used only for the service that it has
+reported itself, in a heartbeat to this process or to an earlier one.
+
 Any process can send a heartbeat. One whose numbers can't be right is refused. One that is wrong in
 another way must neither hide that the endpoint drains nor end a drain, and is outranked after a
 time: heartbeats are only seconds late.
@@ -20,6 +24,12 @@
 MAX_DEPARTED = 256
 """Largest number of departed endpoint incarnations that are remembered."""
 
+MAX_REPORTED = 256
+"""Largest number of endpoints whose reported services are remembered."""
+
+CANDIDATE_CHECK_INTERVAL_S = 1.0
+"""Shortest time between health checks that heartbeats of other endpoints cause."""
+
 MAX_ID_BYTES = 128
 """Longest id of an endpoint; keys of rows, which hold it, have at most 200 bytes."""
 
@@ -69,6 +79,8 @@
     sequence: int
     slots: int
     draining: bool
+    service: str = ""
+    """Service that it has reported."""
 
 
 class OwnEndpoint:
@@ -84,6 +96,17 @@
         self.clocks = clocks
         self.on_change = on_change
         self.current: Endpoint | None = None
+        self.reported_services: collections.OrderedDict[str, str] = collections.OrderedDict()
+        """Service that an endpoint has reported at this address, by its id."""
+        self.unreported: tuple[str, int] | None = None
+        """Id and slots of an endpoint that passed the latest health check and is not reported."""
+        self.candidate: Heartbeat | None = None
+        """Heartbeat that is applied once a health check shows that its sender has the address."""
+        self.next_candidate_check_at: instants.Instant = -instants.NEVER
+        self.on_candidate: typing.Callable[[], None] = lambda: None
+        """Called when a candidate needs a health check."""
+        self.is_known_service: typing.Callable[[str], bool] = lambda _: True
+        """Returns whether the configuration in force has a service."""
         self.unreachable = False
         """Whether its address has refused a connection since the last heartbeat or health check."""
         self.departed: collections.OrderedDict[str, int] = collections.OrderedDict()
@@ -160,6 +183,23 @@
             current is not None and (current.draining or self._may_have_left(current))
         )
 
+    def service(self) -> str:
+        """Return the service of the endpoint, or the configured one while none is known."""
+        return self.configured.service if self.current is None else self.current.service
+
+    def service_to_check(self) -> str:
+        """Return the service by whose health path the next health check is made."""
+        return self.service() if self.candidate is None else self.candidate.service
+
+    def needs_check(self) -> bool:
+        """Return whether a health check may show which endpoint has the address.
+
+        One that is not reported becomes usable by its heartbeat only.
+        """
+        if self.current is None:
+            return self.unreported is None or self.candidate is not None
+        return self.unreachable or self.candidate is not None or self.is_unchecked()
+
     def is_unchecked(self) -> bool:
         """Return whether only one heartbeat says that the endpoint is in use."""
         current = self.current
@@ -188,26 +228,41 @@
         `foreign`: from an endpoint other than the configured one; `implausible`: with a number that
         can't be right, or an id that can't be used; `departed`: from an incarnation that has left;
         `stale`: older than the current state, so that only a drain was applied; `first`: no
-        endpoint was known before; `taken`: any other that was applied.
+        endpoint was known before; `taken`: any other that was applied. A foreign one of another
+        service, and one whose sender may have lost the address, is applied after a health check.
         """
-        reported = ConfiguredEndpoint(
-            heartbeat.address, heartbeat.service, heartbeat.failure_domain
-        )
-        if reported != self.configured:
+        if (heartbeat.address, heartbeat.failure_domain) != (
+            self.configured.address,
+            self.configured.failure_domain,
+        ):
+            return "foreign"
+        known = self.current
+        is_current = known is not None and known.endpoint_id == heartbeat.endpoint_id
+        if heartbeat.service != (self.service() if is_current else self.configured.service):
+            if not is_current and self._is_plausible(heartbeat):
+                self._set_candidate(heartbeat)
             return "foreign"
         if not self._is_plausible(heartbeat):
             return "implausible"
-        if self.departed.get(heartbeat.endpoint_id, -1) >= heartbeat.born_ms:
+        if self._has_departed(heartbeat):
             return "departed"
-        known = self.current
+        if self.unreported is not None and self.unreported[0] != heartbeat.endpoint_id:
+            self._set_candidate(heartbeat)
+            return "stale"
         if not self._is_newer(heartbeat):
             if known is not None and heartbeat.draining and _is_of(known, heartbeat):
                 self.is_drain_doubted = False
                 self._set_current(known._replace(draining=True))
             return "stale"
+        self._adopt(heartbeat)
+        return "taken" if known is not None else "first"
+
+    def _adopt(self, heartbeat: Heartbeat) -> None:
+        """Make the sender of a heartbeat the current endpoint, in the state that it reports."""
         self.heard_at = self.clocks.monotonic()
         self.unreachable = False
         self.slots = heartbeat.slots
+        self._record_service(heartbeat.endpoint_id, heartbeat.service)
         self._set_current(
             Endpoint(
                 heartbeat.endpoint_id,
@@ -215,11 +270,47 @@
                 heartbeat.sequence,
                 heartbeat.slots,
                 self._is_draining(heartbeat),
+                heartbeat.service,
             ),
             by_heartbeat=True,
         )
         self.coldness.record_heartbeat(heartbeat.warm_in_s)
-        return "taken" if known is not None else "first"
+
+    def _has_departed(self, heartbeat: Heartbeat) -> bool:
+        return self.departed.get(heartbeat.endpoint_id, -1) >= heartbeat.born_ms
+
+    def _set_candidate(self, heartbeat: Heartbeat) -> None:
+        """Keep a heartbeat until a health check shows which endpoint has the address."""
+        if self._has_departed(heartbeat) or not self.is_known_service(heartbeat.service):
+            return
+        known = self.candidate
+        if known is not None and (known.born_ms, known.sequence) > heartbeat[1:3]:
+            return
+        self.candidate = heartbeat
+        now = self.clocks.monotonic()
+        if now >= self.next_candidate_check_at:
+            self.next_candidate_check_at = now + CANDIDATE_CHECK_INTERVAL_S
+            self.on_candidate()
+
+    def restore_service(self, endpoint_id: str, service: str) -> None:
+        """Apply the service that an endpoint has reported to an earlier process of this node."""
+        if endpoint_id in self.reported_services:
+            return
+        self._record_service(endpoint_id, service)
+        if self.unreported is not None and self.unreported[0] == endpoint_id:
+            self.apply_health_check(*self.unreported, healthy=True)
+
+    def configure(self, configured: ConfiguredEndpoint) -> None:
+        """Apply changed settings; an endpoint that is known keeps the service it has reported."""
+        self.configured = configured
+        if self.candidate is not None:
+            self.on_candidate()
+
+    def _record_service(self, endpoint_id: str, service: str) -> None:
+        self.reported_services[endpoint_id] = service
+        self.reported_services.move_to_end(endpoint_id)
+        while len(self.reported_services) > MAX_REPORTED:
+            self.reported_services.popitem(last=False)
 
     def record_departure(self, endpoint_id: str, born_ms: int | None) -> str:
         """Record that an endpoint left and return how its departure was classified.
@@ -262,7 +353,8 @@
     def apply_health_check(self, endpoint_id: str, slots: int | None, healthy: bool) -> None:
         """Apply a health check.
 
-        A healthy endpoint that is not the current one and has not left becomes the current one.
+        A healthy endpoint that is not the current one and has not left becomes the current one if
+        it has reported its service; otherwise none is known until its heartbeat.
         """
         if not is_id(endpoint_id):
             log.warning("id in the answer to a health check can't be used; ignored")
@@ -271,18 +363,37 @@
         self.unreachable = False
         before = self.leaves()
         self.checked = endpoint_id, healthy or self.checked == (endpoint_id, True)
+        self.unreported = None
         if current is not None and current.endpoint_id == endpoint_id:
+            self.candidate = None
             if self.leaves() != before:
                 log.info("endpoint with one heartbeat checked", extra={"healthy": healthy})
                 self.on_change()
             return
-        if not healthy or endpoint_id in self.departed:
+        candidate, self.candidate = self.candidate, None
+        if not healthy:
+            return
+        if candidate is not None and candidate.endpoint_id == endpoint_id:
+            if not self._has_departed(candidate):
+                self._adopt(candidate)
+            return
+        if endpoint_id in self.departed:
+            return
+        service = self.reported_services.get(endpoint_id)
+        if service is None or not self.is_known_service(service):
+            log.warning(
+                "endpoint has not reported its service; unused until its heartbeat",
+                extra={"endpoint": endpoint_id, "before": _visible(current)},
+            )
+            self._set_current(None)
+            self.unreported = endpoint_id, slots or 1
             return
         self.slots = slots or self.slots or 1
-        self._set_current(Endpoint(endpoint_id, 0, -1, self.slots, draining=False))
+        self._set_current(Endpoint(endpoint_id, 0, -1, self.slots, False, service))
 
     def record_refused_connection(self) -> None:
         """Record that the endpoint's address refused a connection."""
+        self.unreported = None
         self.coldness.record_doubt("refused connection")
         if not self.unreachable:
             self.unreachable = True
@@ -331,6 +442,7 @@
     def _set_current(self, endpoint: Endpoint | None, by_heartbeat: bool = False) -> None:
         before, left_before = self.current, self.leaves()
         self.current = endpoint
+        self.unreported = None
         if not is_same_incarnation(before, endpoint):
             self.has_no_heartbeat = True
             self.has_one_early_heartbeat = False
@@ -370,5 +482,7 @@
     return (endpoint.endpoint_id, endpoint.born_ms) == (heartbeat.endpoint_id, heartbeat.born_ms)
 
 
-def _visible(endpoint: Endpoint | None) -> tuple[str, bool] | None:
-    return None if endpoint is None else (endpoint.endpoint_id, endpoint.draining)
+def _visible(endpoint: Endpoint | None) -> tuple[str, str, bool] | None:
+    if endpoint is None:
+        return None
+    return endpoint.endpoint_id, endpoint.service, endpoint.draining
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/endpoint/health.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/endpoint/health.py
@@ -62,7 +62,7 @@
         self.on_missing_load: typing.Callable[[], None] = lambda: None
 
     def request_check(self) -> None:
-        """Request a check of the endpoint, skipped if it is known and reachable by then."""
+        """Request a check of the endpoint, skipped if none is needed by then."""
         self.check_requested.set()
 
     def request_pace_check(self) -> None:
@@ -100,7 +100,7 @@
             await self.check_requested.wait()
             self.check_requested.clear()
             delay_s = INTERVAL_BASE_S
-            while self.own.current is None or self.own.unreachable or self.own.is_unchecked():
+            while self.own.needs_check():
                 await self.check()
                 if self.own.usable() is not None:
                     break
@@ -110,7 +110,7 @@
     async def check(self) -> None:
         """Ask the endpoint once for its id, health and load."""
         table = self.table()
-        service = None if table is None else table.services.get(self.own.configured.service)
+        service = None if table is None else table.services.get(self.own.service_to_check())
         if service is None:
             return
         begun = self.own.coldness.begin_check()
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/endpoint/local.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/endpoint/local.py
@@ -312,7 +312,7 @@
         return self._served(outcomes.Unknown(reason), arrived=True)
 
     def _find_refusal(self, call: requests.Call) -> Refused | None:
-        if call.service != self.own.configured.service:
+        if call.service != self.own.service():
             return Refused(reasons.Refusal.UNKNOWN_SERVICE, self.clocks.monotonic())
         if self.own.usable() is None:
             retry_at = self.clocks.monotonic() + NO_ENDPOINT_RETRY_S
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/entry/app.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/entry/app.py
@@ -82,6 +82,7 @@
         self.run = run
         self.table = table
         self.caller = caller
+        """Service of the instance, on which the requests originate."""
         self.header_names = header_names
         self.attempt_id_header = header_names.attempt_id.encode()
         self.remaining_ms_header = header_names.remaining_ms.encode()
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/node.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/node.py
@@ -164,6 +164,8 @@
         )
         self.controller = admission.AdmissionController(self.clocks)
         self.controller.rate.coldness = self.own.coldness
+        self.own.on_candidate = lambda: self.health.request_check()
+        self.own.is_known_service = self.is_known_service
         self.own.coldness.on_warm = self.controller.start_queued
         self.own.coldness.on_cold = self.on_endpoint_cold
         self.own.coldness.on_change = self.on_warm_up_state
@@ -258,6 +260,12 @@
         self.dispatcher.offers.own_load = self.controller.load
         self.dispatcher.link_mbps = config.link_mbps
         self.dispatcher.offers.find_service = self.find_service
+        self.client_app: app.EntryApp | None = None
+        """Application that receives requests of clients, once the servers are created."""
+
+    def is_known_service(self, name: str) -> bool:
+        """Return whether the configuration in force has a service."""
+        return self.table is not None and name in self.table.services
 
     def find_service(self, name: str) -> routes.Service | None:
         """Return a service in the configuration in force, with the warm-up rate that it may use."""
@@ -283,6 +291,11 @@
     def apply_settings(self, config: settings.Settings) -> None:
         """Apply changed settings; the node listens at changed addresses only after a restart."""
         self.config = config
+        self.initial_row = self.initial_row._replace(service=config.service)
+        self.own.configure(self.own.configured._replace(service=config.service))
+        self.on_endpoint_changed()
+        if self.client_app is not None:
+            self.client_app.caller = config.service
         self.dispatcher.set_terms(_terms(config))
         self._apply_warm_up()
         self.dispatcher.link_mbps = config.link_mbps
@@ -311,8 +324,19 @@
                 self.registration.on_own_row_change(change)
             else:
                 self.registration.on_other_row_change(change)
+        elif change.key == self.registration.endpoint_key:
+            self._apply_endpoint_row(change)
         return True
 
+    def _apply_endpoint_row(self, change: tables.Change) -> None:
+        """Apply the row by which an earlier process of this node has recorded its endpoint."""
+        found = None if change.value is None else registration.decode_endpoint(change.value)
+        if found is not None:
+            self.own.restore_service(*found)
+        elif change.value is not None:
+            log.warning("row of the endpoint is malformed; ignored", extra={"key": change.key})
+        self.registration.on_own_row_change(change)
+
     def on_evacuation_started(self, failure_domain: str) -> None:
         """Hand the queued requests back at once if the own failure domain is evacuated."""
         if failure_domain == self.config.failure_domain:
@@ -373,7 +397,7 @@
     def _apply_warm_up(self) -> None:
         """Apply the warm-up of the own endpoint's service."""
         if self.table is not None:
-            service = self.table.services.get(self.config.service)
+            service = self.table.services.get(self.own.service())
             self.own.coldness.set_terms(
                 coldness.terms(service, self.config.warm_up_overage, self.config.warm_up_slack)
             )
@@ -408,9 +432,16 @@
             self.controller.set_slots(self.own.slots)
         if self.own.usable() is None:
             self.local.reject_queued()
+        self._apply_warm_up()
+        if current is not None and not self.own.unreachable:
+            self.registration.set_endpoint(current.endpoint_id, current.service)
+        elif current is None:
+            self.registration.clear_endpoint()
         if not self.handing_over.is_set():
             serving = current is not None and not self.own.leaves()
-            self.registration.set_desired(self.initial_row._replace(serving=serving))
+            self.registration.set_desired(
+                self.initial_row._replace(serving=serving, service=self.own.service())
+            )
 
     def on_signals(self, latest: signals.Signals) -> None:
         """Apply what the own endpoint says of itself: its rate limit, and whether it leaves."""
@@ -555,7 +586,7 @@
 
     def entry(self) -> app.EntryApp:
         """Return the application that receives requests of clients."""
-        return app.EntryApp(
+        self.client_app = app.EntryApp(
             limited.limited(self.run_call, self.quotas),
             lambda: self.table,
             self.config.service,
@@ -568,6 +599,7 @@
             self.body_memory,
             self.answers,
         )
+        return self.client_app
 
     def peers(self) -> asgi.App:
         """Return the application that receives requests of other nodes."""
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/state/directory.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/state/directory.py
@@ -147,7 +147,7 @@
             known.position = change.position
             return
         else:
-            if row.serving and not known.row.serving:
+            if (row.serving and not known.row.serving) or row.service != known.row.service:
                 known.warming = Warming()
             known.row, known.position = row, change.position
         log.info(
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/state/registration.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/state/registration.py
@@ -1,4 +1,8 @@
-"""Registration of this instance: the row by which all nodes learn of it."""
+"""Registration of this instance: the row by which all nodes learn of it.
+
+A second row holds the id and service of the endpoint, by which the node finds its endpoint again
+after a restart. Both are written in one transaction.
+"""
 
 from __future__ import annotations
 
@@ -12,6 +16,9 @@
 
 log = logging.getLogger(__name__)
 
+ENDPOINT_PREFIX = "endpoint/"
+"""Prefix of the keys of rows that hold the id and service of a node's endpoint."""
+
 BACKOFF_BASE_S = 0.2
 """Longest backoff after the first failed write; it doubles with each further failure."""
 
@@ -41,6 +48,11 @@
     ) -> None:
         self.desired: directory.InstanceRow | None = initial
         self.key = directory.INSTANCE_PREFIX + initial.node_id
+        self.endpoint_key = ENDPOINT_PREFIX + initial.node_id
+        self.endpoint: tables.Value | None = None
+        """Desired row of the endpoint; none removes it."""
+        self.has_found_endpoint = False
+        """Whether this process has found an endpoint; the row stays as it is before."""
         self.replica = local_replica
         self.store = store
         self.clocks = clocks
@@ -57,9 +69,26 @@
             self.up_to_date.clear()
             self.write_due.set()
 
+    def set_endpoint(self, endpoint_id: str, service: str) -> None:
+        """Set the id and service of the endpoint that this process has found."""
+        self._set_endpoint({"endpoint_id": endpoint_id, "service": service})
+
+    def clear_endpoint(self) -> None:
+        """Remove the row of an endpoint that this process had found and that is gone."""
+        if self.has_found_endpoint:
+            self._set_endpoint(None)
+
+    def _set_endpoint(self, value: tables.Value | None) -> None:
+        if value != self.endpoint or not self.has_found_endpoint:
+            self.endpoint = value
+            self.has_found_endpoint = True
+            self.up_to_date.clear()
+            self.write_due.set()
+
     def on_own_row_change(self, change: tables.Change) -> None:
-        """Schedule a write if a change of the own row differs from the desired row."""
-        if change.value != self._desired_value():
+        """Schedule a write if a change of an own row differs from the desired row."""
+        desired = self._desired_values()
+        if change.key in desired and change.value != desired[change.key]:
             self.up_to_date.clear()
             self.write_due.set()
 
@@ -93,36 +122,36 @@
             await asyncio.sleep(limit_s * self.rng.uniform(0.5, 1.0))
 
     async def _write(self) -> bool:
-        desired = self._desired_value()
-        known = self.replica.rows.get((replica.MESH, self.key))
-        lost = self.replica.is_lost(replica.MESH, self.key)
+        unwritten = {
+            key: value
+            for key, value in self._desired_values().items()
+            if self._known_value(key) != value or self.replica.is_lost(replica.MESH, key)
+        }
         superseded_keys = [row.key for row in self._superseded_rows()[:MAX_SUPERSEDED]]
-        is_written = (None if known is None else known.value) == desired
-        if is_written and not lost and not superseded_keys:
+        writes: dict[str, tables.Value | None] = {**unwritten, **dict.fromkeys(superseded_keys)}
+        if not writes:
             self.up_to_date.set()
             return True
+        # Written again, the own row is later than those that another writer has left at its address.
+        writes = {self.key: self._desired_values()[self.key], **writes}
         result = await self.store.transact(
             tables.Transaction(
                 tuple(
                     tables.Condition(
                         replica.MESH, key, self.replica.store_position(replica.MESH, key)
                     )
-                    for key in (self.key, *superseded_keys)
-                ),
-                (
-                    tables.Write(replica.MESH, self.key, desired),
-                    *(tables.Write(replica.MESH, key, None) for key in superseded_keys),
+                    for key in writes
                 ),
+                tuple(tables.Write(replica.MESH, key, value) for key, value in writes.items()),
             )
         )
         match result:
             case tables.Committed(position=position):
-                self.replica.apply_change(tables.Change(replica.MESH, self.key, position, desired))
-                for key in superseded_keys:
-                    self.replica.apply_change(tables.Change(replica.MESH, key, position, None))
+                for key, value in writes.items():
+                    self.replica.apply_change(tables.Change(replica.MESH, key, position, value))
                 if self._superseded_rows():
                     self.write_due.set()
-                log.info("own row written", extra={"position": str(position), "row": desired})
+                log.info("own row written", extra={"position": str(position), "rows": unwritten})
             case tables.Conflicted(failures=failures):
                 # Without news, the store is in an era that this node has not read yet.
                 news = [self.replica.apply_conflict(failure) for failure in failures]
@@ -151,5 +180,20 @@
             == (self.desired.host, self.desired.port)
         )
 
-    def _desired_value(self) -> tables.Value | None:
-        return None if self.desired is None else directory.encode(self.desired)
+    def _desired_values(self) -> dict[str, tables.Value | None]:
+        """Return the desired rows by key; none removes a row."""
+        own = None if self.desired is None else directory.encode(self.desired)
+        endpoint = {self.endpoint_key: self.endpoint} if self.has_found_endpoint else {}
+        return {self.key: own, **endpoint}
+
+    def _known_value(self, key: str) -> tables.Value | None:
+        known = self.replica.rows.get((replica.MESH, key))
+        return None if known is None else known.value
+
+
+def decode_endpoint(value: tables.Value) -> tuple[str, str] | None:
+    """Return the id and service in the row of an endpoint, or none if it is malformed."""
+    endpoint_id, service = value.get("endpoint_id"), value.get("service")
+    if not isinstance(endpoint_id, str) or not isinstance(service, str):
+        return None
+    return endpoint_id, service
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/transport/peers.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/transport/peers.py
@@ -15,7 +15,7 @@
 from goldcrestgrade_node.mesh.entry import reachability
 from goldcrestgrade_node.mesh.quota import exchange
 from goldcrestgrade_node.mesh.quota import messages as quota_messages
-from goldcrestgrade_node.mesh.state import directory, replica, watch
+from goldcrestgrade_node.mesh.state import directory, registration, replica, watch
 from goldcrestgrade_node.mesh.transport import relay
 
 log = logging.getLogger(__name__)
@@ -228,10 +228,13 @@
         result = await self.store.transact(
             tables.Transaction(
                 (tables.Condition(replica.MESH, key, instance.position),),
-                (tables.Write(replica.MESH, key, None),),
+                tuple(
+                    tables.Write(replica.MESH, removed, None)
+                    for removed in (key, registration.ENDPOINT_PREFIX + instance.row.node_id)
+                ),
             )
         )
         log.info(
-            "removal of the row of an unreachable instance",
+            "removal of the rows of an unreachable instance",
             extra={"instance": instance.row.node_id, "result": result.tag},
         )
--- a/packages/goldcrestgrade-node/tests/mesh/test_health.py
+++ b/packages/goldcrestgrade-node/tests/mesh/test_health.py
@@ -44,6 +44,7 @@
     own = endpoints.OwnEndpoint(
         endpoints.ConfiguredEndpoint("10.0.0.1:80", "archive", "khomas-a"), clocks, lambda: None
     )
+    own.restore_service("i-1", "archive")
     table = types.SimpleNamespace(services={"archive": SERVICE})
     checks = health.HealthChecks(own, lambda: table, session, NAMES, clocks, random.Random(1))
     own.coldness.on_doubt = checks.request_pace_check
@@ -73,6 +74,7 @@
         clocks,
         lambda: None,
     )
+    own.restore_service("i-1", "archive")
     table = types.SimpleNamespace(services={"archive": SERVICE})
     return health.HealthChecks(own, lambda: table, session, NAMES, clocks, random.Random(1))
 
--- a/packages/goldcrestgrade-testing/goldcrestgrade_testing/fault_soak/checks.py
+++ b/packages/goldcrestgrade-testing/goldcrestgrade_testing/fault_soak/checks.py
@@ -408,6 +408,17 @@
             yield f"{request.attempt_id} was answered 500 by the node of {request.instance}"
 
 
+def wrong_service(observed: history.History) -> typing.Iterator[str]:
+    """Find runs at an endpoint of another service than that of the request's route."""
+    paths = {request.attempt_id: request.path for request in observed.requests}
+    added = {route.prefix: route.service for route in observed.routes}
+    for run in observed.runs:
+        service = observed.services.get(run.endpoint_id)
+        name = paths.get(run.attempt_id, "//").split("/")[1]
+        if service is not None and name and added.get(f"/{name}/", name) != service:
+            yield f"{run.attempt_id} for /{name}/ ran at {run.endpoint_id} of {service}"
+
+
 def not_recovered(observed: history.History) -> typing.Iterator[str]:
     """Find instances that did not serve all services again after the last fault."""
     for instance, recovered in observed.recovered.items():
@@ -436,6 +447,7 @@
         run_with_withdrawn_key,
         wrong_workspace,
         internal_error,
+        wrong_service,
         not_recovered,
     )
 }
--- a/packages/goldcrestgrade-testing/goldcrestgrade_testing/fault_soak/history.py
+++ b/packages/goldcrestgrade-testing/goldcrestgrade_testing/fault_soak/history.py
@@ -79,6 +79,7 @@
 
     prefix: str
     written_at: Instant
+    service: str = ""
 
 
 class Evacuation(typing.NamedTuple):
@@ -124,5 +125,7 @@
     """Instant at which a key was withdrawn, by key."""
     run_workspaces: typing.Sequence[tuple[str, str | None]] = ()
     """Attempt id of each attempt that ran at an endpoint, and the workspace that it named there."""
+    services: typing.Mapping[str, str] = {}
+    """Service of an endpoint, by endpoint id."""
     quotas: typing.Mapping[str, Quota] = {}
     """Quota by workspace, in force from the start."""
--- a/packages/goldcrestgrade-testing/goldcrestgrade_testing/fault_soak/injection.py
+++ b/packages/goldcrestgrade-testing/goldcrestgrade_testing/fault_soak/injection.py
@@ -48,6 +48,18 @@
 EVACUATION_PAUSE_S = 0.5
 """Time after which a failure domain is evacuated again."""
 
+MAX_SILENT_S = 1.5
+"""Longest time for which the new endpoint at a reused address sends no heartbeat."""
+
+DRAIN_S = 0.6
+"""Time between a reported drain and the end of an endpoint whose address is reused."""
+
+INTERPRETER_START_S = 0.3
+"""Time in which a signal ends a new process, since its interpreter has not run the program yet."""
+
+FREEZE_S = 0.5
+"""Time for which a node is frozen while the address of its endpoint is reused."""
+
 STOP_TIMEOUT_S = 6.0
 """Time that the platform allows a node between SIGTERM and SIGKILL."""
 
@@ -104,6 +116,8 @@
             return _evacuate(running_fleet, instance.placement.failure_domain, fault)
         case "hot":
             return _heat(running_fleet)
+        case plan.REUSED_KIND:
+            return _reuse_address(running_fleet, instance, fault.variant)
         case plan.ABUSIVE_KIND:
             return await _start_abusive_clients(instance, fault.variant)
         case _ if fault.kind in plan.ODD_KINDS:
@@ -321,6 +335,81 @@
     return resume
 
 
+class Reuse(typing.NamedTuple):
+    """How the address of an endpoint goes to an endpoint of another service."""
+
+    settings: str
+    """When the settings name the new service: `before`, `after` or `never`."""
+    node: str
+    """What happens to the node meanwhile: it `stays`, or is `killed` or `frozen`."""
+    is_drained: bool
+    """Whether the former endpoint reports a drain before it ends."""
+    is_report_late: bool
+    """Whether a heartbeat of the former endpoint arrives after the new one has started."""
+    silent_s: float
+    """Time for which the new endpoint sends no heartbeat."""
+
+
+def reuse(variant: int) -> Reuse:
+    """Return the details of a reused address that a random number selects."""
+    rng = random.Random(variant)
+    return Reuse(
+        rng.choice(("before", "after", "never")),
+        rng.choice(("stays", "stays", "killed", "frozen")),
+        rng.random() < 0.3,
+        rng.random() < 0.5,
+        rng.uniform(0.0, MAX_SILENT_S),
+    )
+
+
+async def reuse_address(
+    running_fleet: fleet.Fleet, instance: fleet.Instance, how: Reuse, service: str
+) -> None:
+    """Have the address of an endpoint go to a new endpoint of another service."""
+    former, process = instance.endpoint, instance.process
+    if how.is_drained:
+        former.behaviour.draining = True
+        await asyncio.sleep(DRAIN_S)
+    if how.settings == "before":
+        running_fleet.assign_service(instance, service)
+    if process is not None and process.poll() is None and how.node != "stays":
+        process.send_signal(signal.SIGSTOP if how.node == "frozen" else signal.SIGKILL)
+    running_fleet.replacement_count += 1
+    await running_fleet.replace_endpoint(
+        instance,
+        f"i-{instance.name}-s{running_fleet.replacement_count}",
+        service,
+        how.silent_s,
+    )
+    if process is not None and how.node == "frozen":
+        await asyncio.sleep(FREEZE_S)
+        with contextlib.suppress(ProcessLookupError):
+            process.send_signal(signal.SIGCONT)
+    elif process is not None and how.node == "killed" and instance.process is process:
+        await asyncio.to_thread(process.wait)
+        running_fleet.start_node(instance)
+    if how.is_report_late:
+        await running_fleet.report(former, instance)
+    if how.settings == "after":
+        await asyncio.sleep(max(how.silent_s, INTERPRETER_START_S))
+        running_fleet.assign_service(instance, service)
+
+
+def _reuse_address(running_fleet: fleet.Fleet, instance: fleet.Instance, variant: int) -> EndFault:
+    """Have an address go to another service, and back at the end."""
+    before = instance.placement.service
+    services = {one.placement.service for one in running_fleet.instances}
+    after = next(iter(sorted(services - {before})), before)
+    playing = asyncio.create_task(reuse_address(running_fleet, instance, reuse(variant), after))
+
+    async def end() -> None:
+        await playing
+        running_fleet.assign_service(instance, before)
+        await reuse_address(running_fleet, instance, reuse(variant + 1), before)
+
+    return end
+
+
 async def _replace_endpoint(running_fleet: fleet.Fleet, instance: fleet.Instance) -> None:
     running_fleet.replacement_count += 1
     await running_fleet.replace_endpoint(
--- a/packages/goldcrestgrade-testing/goldcrestgrade_testing/fault_soak/plan.py
+++ b/packages/goldcrestgrade-testing/goldcrestgrade_testing/fault_soak/plan.py
@@ -48,6 +48,9 @@
 ABUSIVE_KIND = "abusive_clients"
 """Kind of clients that exceed limits; `draw_abusive` draws them, so that plans of seeds stay."""
 
+REUSED_KIND = "reused_address"
+"""Kind of an address that goes to an endpoint of another service; drawn by `draw_reused`."""
+
 FLEET_WIDE_KINDS = frozenset(
     {"store_forget", "store_restore", "configure", "withdraw", "hot", "odd_rows", "odd_addresses"}
 )
@@ -87,6 +90,7 @@
     away for the kind `store_restore`, the rates for the kind `limit`, and for the
     kind `leave` whether the heartbeats say so too. For the kind `cold` it selects whether the
     endpoint becomes cold while it runs, or returns cold after its node has restarted or not. For
+    the kind `reused_address` it selects what happens around the change, and in which order. For
     the kind `evacuate` it says when the evacuation is taken back early, if it is. For odd entries
     it is the seed of their fields, for clients that exceed limits that of their kind and address.
     """
@@ -126,6 +130,16 @@
     return faults
 
 
+def draw_reused(rng: random.Random, instances: int, seconds: float) -> list[Fault]:
+    """Return times at which the addresses of two endpoints go to another service for a while."""
+    faults = []
+    for instance in rng.sample(range(instances), 2):
+        begin_s = rng.uniform(QUIET_START_S, 0.6 * seconds)
+        end_s = begin_s + rng.uniform(MAX_FAULT_S, 0.35 * seconds)
+        faults.append(Fault(REUSED_KIND, instance, begin_s, end_s, rng.randrange(1 << 16)))
+    return faults
+
+
 def _series(rng: random.Random, instances: int, seconds: float) -> typing.Iterator[Fault]:
     kind = rng.choice(KINDS)
     instance = rng.randrange(instances)
--- a/packages/goldcrestgrade-testing/goldcrestgrade_testing/fault_soak/soak.py
+++ b/packages/goldcrestgrade-testing/goldcrestgrade_testing/fault_soak/soak.py
@@ -211,7 +211,7 @@
         return history.History(
             self.requests,
             [history.Run(*run) for one in all_endpoints for run in one.started_runs],
-            [history.Route(*route) for route in self.fleet.added_routes],
+            [history.Route(*route, min(SERVICES)) for route in self.fleet.added_routes],
             {
                 one.endpoint_id: one.drain_acknowledged_at
                 for one in all_endpoints
@@ -231,6 +231,7 @@
             [self._evacuation(one) for one in self.fleet.evacuations],
             {key.text: key.withdrawn_at for key in self.fleet.keys if key.withdrawn_at is not None},
             [pair for one in all_endpoints for pair in one.workspaces.items()],
+            {one.endpoint_id: one.service for one in all_endpoints},
             {fleet.HOT_WORKSPACE: history.Quota(*fleet.HOT_QUOTA)},
         )
 
@@ -251,6 +252,7 @@
         fault for _ in range(size) for fault in plan.draw(rng, size * len(PLACEMENTS), seconds)
     ]
     faults += plan.draw_odd(random.Random(seed), size * len(PLACEMENTS), seconds)
+    faults += plan.draw_reused(random.Random(seed), size * len(PLACEMENTS), seconds)
     faults += plan.draw_abusive(random.Random(seed), size * len(PLACEMENTS), seconds)
     faults.sort(key=lambda fault: fault.begin_s)
     return await play(faults, rng, size=size)
--- a/packages/goldcrestgrade-testing/goldcrestgrade_testing/fleet_platform/endpoint.py
+++ b/packages/goldcrestgrade-testing/goldcrestgrade_testing/fleet_platform/endpoint.py
@@ -344,19 +344,36 @@
 
 
 async def send_heartbeats(
-    endpoint: Endpoint, address: str, failure_domain: str, heartbeat_address: str, interval_s: float
+    endpoint: Endpoint,
+    address: str,
+    failure_domain: str,
+    heartbeat_address: str,
+    interval_s: float,
+    after_s: float = 0.0,
 ) -> None:
-    """Send heartbeats of an endpoint to its node until cancelled; failed sends are ignored."""
+    """Send heartbeats of an endpoint to its node until cancelled, the first after `after_s`."""
+    await asyncio.sleep(after_s)
     async with aiohttp.ClientSession() as session:
         while True:
-            with contextlib.suppress(aiohttp.ClientError, OSError, TimeoutError):
-                heartbeat = endpoint.heartbeat(address, failure_domain)
-                response = await session.put(
-                    f"http://{heartbeat_address}/-/instances/{endpoint.endpoint_id}",
-                    json=heartbeat,
-                    timeout=aiohttp.ClientTimeout(total=1.0),
-                )
-                draining = heartbeat["status"]["state"] == "draining"
-                if draining and response.ok and endpoint.drain_acknowledged_at is None:
-                    endpoint.drain_acknowledged_at = time.monotonic()
+            await send_heartbeat(session, endpoint, address, failure_domain, heartbeat_address)
             await asyncio.sleep(interval_s)
+
+
+async def send_heartbeat(
+    session: aiohttp.ClientSession,
+    endpoint: Endpoint,
+    address: str,
+    failure_domain: str,
+    heartbeat_address: str,
+) -> None:
+    """Send one heartbeat of an endpoint to its node; a failure is ignored."""
+    with contextlib.suppress(aiohttp.ClientError, OSError, TimeoutError):
+        heartbeat = endpoint.heartbeat(address, failure_domain)
+        response = await session.put(
+            f"http://{heartbeat_address}/-/instances/{endpoint.endpoint_id}",
+            json=heartbeat,
+            timeout=aiohttp.ClientTimeout(total=1.0),
+        )
+        draining = heartbeat["status"]["state"] == "draining"
+        if draining and response.ok and endpoint.drain_acknowledged_at is None:
+            endpoint.drain_acknowledged_at = time.monotonic()
--- a/packages/goldcrestgrade-testing/goldcrestgrade_testing/fleet_platform/fleet.py
+++ b/packages/goldcrestgrade-testing/goldcrestgrade_testing/fleet_platform/fleet.py
@@ -185,6 +185,8 @@
         self.stack = contextlib.AsyncExitStack()
         self.session = aiohttp.ClientSession(auto_decompress=False)
         self.sent_requests = 0
+        self.sent_paths: dict[str, str] = {}
+        """Path of each request of a client, by attempt id."""
 
     async def add_instance(
         self, name: str, placement: Placement, behaviour: endpoint.Behaviour
@@ -294,8 +296,24 @@
             "quota_slack": QUOTA_SLACK,
         }
 
-    def start_heartbeats(self, instance: Instance) -> None:
-        """Start sending heartbeats of the endpoint to its node."""
+    def assign_service(self, instance: Instance, service: str) -> None:
+        """Name another service in the settings of a node, and send SIGHUP if the node runs."""
+        instance.placement = instance.placement._replace(service=service)
+        self.reload_settings(instance)
+
+    async def report(self, reporting: endpoint.Endpoint, instance: Instance) -> None:
+        """Send one heartbeat of an endpoint, which may have ended, to the node of an instance."""
+        async with aiohttp.ClientSession() as session:
+            await endpoint.send_heartbeat(
+                session,
+                reporting,
+                instance.address("endpoint"),
+                instance.placement.failure_domain,
+                instance.address("heartbeats"),
+            )
+
+    def start_heartbeats(self, instance: Instance, after_s: float = 0.0) -> None:
+        """Start sending heartbeats of the endpoint to its node, after `after_s`."""
         instance.heartbeat_task = asyncio.create_task(
             endpoint.send_heartbeats(
                 instance.endpoint,
@@ -303,25 +321,35 @@
                 instance.placement.failure_domain,
                 instance.address("heartbeats"),
                 HEARTBEAT_INTERVAL_S,
+                after_s,
             )
         )
 
-    async def replace_endpoint(self, instance: Instance, endpoint_id: str) -> None:
-        """Crash the endpoint of an instance and start another one at its address."""
+    async def replace_endpoint(
+        self,
+        instance: Instance,
+        endpoint_id: str,
+        service: str | None = None,
+        reports_after_s: float = 0.0,
+    ) -> None:
+        """Crash the endpoint of an instance and start another one at its address.
+
+        The new one is of the service in the settings unless `service` names another one.
+        """
         assert instance.heartbeat_task is not None
         instance.heartbeat_task.cancel()
         await instance.endpoint.stop()
         self.former_endpoints.append(instance.endpoint)
         new_endpoint = endpoint.Endpoint(
             endpoint_id,
-            instance.placement.service,
+            service or instance.placement.service,
             endpoint.Behaviour(service_time_s=0.02, warm_up=self.warm_up),
             instance.name,
         )
         new_endpoint.become_cold()
         await new_endpoint.start(instance.endpoint_port)
         instance.endpoint = new_endpoint
-        self.start_heartbeats(instance)
+        self.start_heartbeats(instance, reports_after_s)
 
     def configure(
         self,
@@ -475,6 +503,7 @@
         identity = {} if key is None else {"authorization": f"Token {key}", "x-tenant-id": "forged"}
         self.sent_requests += 1
         attempt_id = attempt_id or f"try-{self.sent_requests}"
+        self.sent_paths[attempt_id] = path
         started = time.monotonic()
         try:
             async with self.session.request(
--- a/packages/goldcrestgrade-testing/tests/fault_soak/test_checks.py
+++ b/packages/goldcrestgrade-testing/tests/fault_soak/test_checks.py
@@ -100,6 +100,7 @@
     "run_with_withdrawn_key": observed(KEYED, withdrawn_at={"k1": 5.0}),
     "wrong_workspace": observed(KEYED, run_workspaces=[("a", None)]),
     "internal_error": observed(ANSWERED._replace(status=500)),
+    "wrong_service": observed(ANSWERED, services={"e1": "corrections"}),
     "not_recovered": EMPTY._replace(recovered={"n1": False}),
 }
 
--- a/packages/goldcrestgrade-testing/tests/fault_soak/test_mutations.py
+++ b/packages/goldcrestgrade-testing/tests/fault_soak/test_mutations.py
@@ -56,6 +56,15 @@
     ]
 
 
+SILENT_SUCCESSOR = next(
+    variant
+    for variant in range(1000)
+    if injection.reuse(variant)[:4] == ("never", "stays", False, False)
+    and injection.reuse(variant).silent_s > 1.0
+)
+"""Variant in which the new endpoint at a reused address sends no heartbeat for a while."""
+
+
 MUTATIONS = {
     "run_twice": Mutation(
         """
@@ -247,6 +256,16 @@
 """,
         [plan.Fault("odd_addresses", 0, 1.0, 8.0, 0)],
     ),
+    "wrong_service": Mutation(
+        """
+apply_health_check = endpoints.OwnEndpoint.apply_health_check
+def conclude_service_from_the_address(self, endpoint_id, slots, healthy):
+    self._record_service(endpoint_id, self.configured.service)
+    apply_health_check(self, endpoint_id, slots, healthy)
+endpoints.OwnEndpoint.apply_health_check = conclude_service_from_the_address
+""",
+        [plan.Fault(plan.REUSED_KIND, 0, 1.0, 7.0, SILENT_SUCCESSOR)],
+    ),
     "not_recovered": Mutation(
         """
 import time
