--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/state/registration.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/state/registration.py
@@ -132,7 +132,7 @@
         if not writes:
             self.up_to_date.set()
             return True
-        # Written again, the own row is later than those that another writer has left at its address.
+        # Written again, the own row is later than those that another writer has left here.
         writes = {self.key: self._desired_values()[self.key], **writes}
         result = await self.store.transact(
             tables.Transaction(
