End the quarantine of a request that an endpoint answers

After a restart of all nodes the page was refused everywhere for two minutes, though all endpoints were up.

Cause: crashes are rows in the store, but an answer was known only to the process that saw it. Once all nodes refuse a request, no answer can come, so the verdict stood until the rows expired.

Change: an answer removes the rows of the crashes before it.

Why it works: a poison request is never answered, so an answer at any node disproves the crashes for all. The other side: a request that crashes every endpoint reaches at most three after the third crash, also over a kill of all nodes, before and after the change.

Endpoints behind proxies now refuse connections while they are crashed, which the soak needs to draw such crashes. A product without removals and trials is found as not_recovered.

--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/node.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/node.py
@@ -27,6 +27,7 @@
     registration,
     replica,
     restoration,
+    trials,
     watch,
     withdrawals,
 )
@@ -49,6 +50,9 @@
 QUARANTINE_RETRY_S = 30.0
 """Delay after which a client may retry a quarantined request, one that crashes endpoints."""
 
+TRIAL_RETRY_S = 0.3
+"""The same while a trial is under way, which may end the quarantine."""
+
 REGION_RETRY_S = 0.3
 """Delay after which a request that may not run in the region of a node may be retried."""
 
@@ -199,7 +203,14 @@
             ),
             self.clocks,
         )
-        self.quarantine = quarantine.Quarantine(platform.store, self.clocks)
+        self.quarantine = quarantine.Quarantine(
+            platform.store,
+            self.replica,
+            lambda: len(self.instances.by_id),
+            self.clocks,
+            self.counts,
+            self.rng,
+        )
         self.withdrawals = withdrawals.Withdrawals()
         self.crash_checks: set[asyncio.Task[None]] = set()
         self.body_memory = bodies.BodyMemory()
@@ -316,6 +327,8 @@
             return self._apply_configuration(change.value, change.position)
         if change.key.startswith(quarantine.KEY_PREFIX):
             self.quarantine.apply_change(change)
+        elif change.key.startswith(trials.KEY_PREFIX):
+            self.quarantine.trials.apply_change(change)
         elif change.key.startswith(departures.KEY_PREFIX):
             self.departures.apply_change(change)
         elif change.key.startswith(directory.INSTANCE_PREFIX):
@@ -508,14 +521,32 @@
 
     async def run_call(self, call: requests.Call, attempts: int) -> outcomes.Outcome:
         """Run a request of a client, unless it is quarantined since it crashes endpoints."""
-        if self.quarantine.crashes and self.quarantine.is_quarantined(requests.digest(call)):
-            retry_at = self.clocks.monotonic() + QUARANTINE_RETRY_S
-            return outcomes.NotRun(reasons.Refusal.CRASHES_ENDPOINTS, retry_at)
+        if self.quarantine.crashes:
+            digest = requests.digest(call)
+            if self.quarantine.is_quarantined(digest):
+                return await self._run_quarantined(call, digest)
         return await self.dispatcher.run(call, attempts)
 
+    async def _run_quarantined(self, call: requests.Call, digest: str) -> outcomes.Outcome:
+        """Run a quarantined request if this node holds its trial, else refuse it."""
+        held_trials = self.quarantine.trials
+        if held_trials.take(digest):
+            outcome = await self.dispatcher.run(call._replace(trial=True), attempts=1)
+            if isinstance(outcome, outcomes.NotRun):
+                held_trials.give_back(digest)
+            return outcome
+        is_under_way = held_trials.request(digest)
+        delay_s = TRIAL_RETRY_S if is_under_way else QUARANTINE_RETRY_S
+        retry_at = self.clocks.monotonic() + delay_s
+        return outcomes.NotRun(reasons.Refusal.CRASHES_ENDPOINTS, retry_at)
+
     def refusal_for(self, call: requests.Call) -> local.Refused | None:
         """Return why a request must not reach the own endpoint, or none if it may."""
-        if self.quarantine.crashes and self.quarantine.is_quarantined(requests.digest(call)):
+        if (
+            self.quarantine.crashes
+            and not call.trial
+            and self.quarantine.is_quarantined(requests.digest(call))
+        ):
             retry_at = self.clocks.monotonic() + QUARANTINE_RETRY_S
             return local.Refused(reasons.Refusal.CRASHES_ENDPOINTS, retry_at)
         if self.config.warm_up_slack > 0 and not self.is_state_read():
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/state/quarantine.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/state/quarantine.py
@@ -3,6 +3,9 @@
 Load pattern: a poison request crashes each endpoint that starts to run it, and its client sends it
 again to any node. The node of a crashed endpoint writes a row for each request that was in flight
 there; all nodes count the rows and refuse a request that has crashed too many endpoints.
+
+A poison request is never answered. An answer therefore removes the rows of the crashes before it,
+for all nodes and over restarts. Requests that all nodes refuse get answers by trials only.
 """
 
 from __future__ import annotations
@@ -10,11 +13,12 @@
 import asyncio
 import collections
 import logging
+import random
 import typing
 
-from goldcrestgrade import instants
+from goldcrestgrade import counters, instants, reasons
 from goldcrestgrade.storage import tables
-from goldcrestgrade_node.mesh.state import replica
+from goldcrestgrade_node.mesh.state import replica, trials
 
 log = logging.getLogger(__name__)
 
@@ -43,17 +47,40 @@
 """Time between two attempts of a write."""
 
 
+REMOVALS_PER_S = 100.0
+"""Mean rate of removals if all nodes see answers; the first one shows the others that it is done.
+"""
+
+
 class Quarantine:
     """Crashes that this node knows of, by request; owned by the node's event loop."""
 
-    def __init__(self, store: tables.TableService, clocks: instants.Clocks) -> None:
+    def __init__(
+        self,
+        store: tables.TableService,
+        local_replica: replica.Replica,
+        count_nodes: typing.Callable[[], int],
+        clocks: instants.Clocks,
+        counts: counters.Counts,
+        rng: random.Random,
+    ) -> None:
         self.store = store
+        self.count_nodes = count_nodes
         self.clocks = clocks
+        self.counts = counts
+        self.rng = rng
+        self.trials = trials.Trials(
+            store, local_replica, self.is_quarantined, count_nodes, clocks, counts, rng
+        )
         self.crashes: dict[str, dict[str, instants.WallInstant]] = {}
         """Expiry of each crash, by digest and endpoint."""
         self.answered: collections.OrderedDict[str, None] = collections.OrderedDict()
         self.unwritten: asyncio.Queue[tuple[str, str]] = asyncio.Queue()
         """Digests and endpoints of crashes that this node saw and has not written yet."""
+        self.disproved: dict[str, set[str]] = {}
+        """Endpoints whose crashes an answer has disproved, by digest, until their rows are removed.
+        """
+        self.removal_due = asyncio.Event()
 
     def is_quarantined(self, digest: str) -> bool:
         """Return whether a request has crashed too many endpoints."""
@@ -69,6 +96,10 @@
         self.answered.move_to_end(digest)
         if len(self.answered) > MAX_ANSWERED:
             self.answered.popitem(last=False)
+        crashes = self.crashes.get(digest)
+        if crashes:
+            self.disproved.setdefault(digest, set()).update(crashes)
+            self.removal_due.set()
 
     def record_crash(self, digest: str, endpoint: str) -> None:
         """Record that an endpoint crashed while it ran a request."""
@@ -80,6 +111,7 @@
         """Apply a change of a crash row that any node wrote."""
         digest, _, endpoint = change.key.removeprefix(KEY_PREFIX).partition("/")
         if change.value is None:
+            self._forget(digest, endpoint)
             return
         expires_at: typing.Any = change.value.get("until")
         latest = self.clocks.wall() + CRASH_LIFETIME_S + instants.MAX_CLOCK_STEP_S
@@ -91,7 +123,13 @@
         self._set_expiry(digest, endpoint, expires_at)
 
     async def run(self) -> None:
-        """Write the crashes that this node sees, until cancelled."""
+        """Write the crashes that this node sees, and remove disproved ones, until cancelled."""
+        async with asyncio.TaskGroup() as group:
+            group.create_task(self._write_crashes())
+            group.create_task(self._remove_disproved())
+            group.create_task(self.trials.run())
+
+    async def _write_crashes(self) -> None:
         while True:
             first = await self.unwritten.get()
             await asyncio.sleep(BATCH_DELAY_S)
@@ -118,6 +156,40 @@
                 return
             await asyncio.sleep(WRITE_RETRY_DELAY_S)
 
+    async def _remove_disproved(self) -> None:
+        while True:
+            await self.removal_due.wait()
+            self.removal_due.clear()
+            await asyncio.sleep(self.rng.uniform(0.0, self.count_nodes() / REMOVALS_PER_S))
+            known = [
+                (digest, endpoint)
+                for digest, endpoints in self.disproved.items()
+                for endpoint in endpoints
+                if endpoint in self.crashes.get(digest, {})
+            ]
+            self.disproved.clear()
+            for first in range(0, len(known), MAX_ROWS):
+                await self._remove(known[first : first + MAX_ROWS])
+
+    async def _remove(self, disproved: list[tuple[str, str]]) -> None:
+        """Remove the rows of crashes, and those of the trials of their requests."""
+        keys = [f"{KEY_PREFIX}{digest}/{endpoint}" for digest, endpoint in disproved]
+        digests = {digest for digest, _ in disproved}
+        keys += [trials.KEY_PREFIX + d for d in sorted(digests & self.trials.by_digest.keys())]
+        writes = tuple(tables.Write(replica.MESH, key, None) for key in keys)
+        for _ in range(WRITE_ATTEMPTS):
+            result = await self.store.transact(tables.Transaction((), writes))
+            log.warning(
+                "crashes removed, since an endpoint answered the requests",
+                extra={"rows": keys, "result": result.tag},
+            )
+            if isinstance(result, tables.Committed):
+                self.counts.events[reasons.Event.QUARANTINE_CLEARED] += len(digests)
+                for digest, endpoint in disproved:
+                    self._forget(digest, endpoint)
+                return
+            await asyncio.sleep(WRITE_RETRY_DELAY_S)
+
     def _expired_deletions(self) -> tuple[tables.Write, ...]:
         """Drop expired crashes from memory and return the writes that remove their rows."""
         now = self.clocks.wall()
@@ -128,13 +200,17 @@
             if expires_at <= now
         ][:MAX_ROWS]
         for digest, endpoint in expired:
-            del self.crashes[digest][endpoint]
-            if not self.crashes[digest]:
-                del self.crashes[digest]
+            self._forget(digest, endpoint)
         return tuple(
             tables.Write(replica.MESH, f"{KEY_PREFIX}{digest}/{endpoint}", None)
             for digest, endpoint in expired
         )
 
+    def _forget(self, digest: str, endpoint: str) -> None:
+        crashes = self.crashes.get(digest, {})
+        crashes.pop(endpoint, None)
+        if not crashes:
+            self.crashes.pop(digest, None)
+
     def _set_expiry(self, digest: str, endpoint: str, expires_at: instants.WallInstant) -> None:
         self.crashes.setdefault(digest, {})[endpoint] = expires_at
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/transport/requests.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/transport/requests.py
@@ -50,6 +50,8 @@
     """Version of the configuration by which the key of its workspace was accepted."""
     forward_allowed: bool = False
     """Whether the node that receives it may forward it within its region if it rejects it."""
+    trial: bool = False
+    """Whether it runs although it is quarantined, to show whether it crashes an endpoint."""
     answer_memory: answer_memory.Reservation | None = None
     """Memory that this process has reserved for the answer."""
 
@@ -155,6 +157,8 @@
     """Version by which the key of the workspace was accepted; left out without a workspace."""
     forward: typing.NotRequired[bool]
     """Whether the receiving node may forward it in its region; nodes of earlier builds do not."""
+    trial: typing.NotRequired[bool]
+    """Whether it runs although it is quarantined; nodes of earlier builds refuse it."""
 
 
 REQUIRED_KINDS: typing.Mapping[str, type | tuple[type, ...]] = {
@@ -176,6 +180,7 @@
     "large": bool,
     "configuration": int,
     "forward": bool,
+    "trial": bool,
 }
 """Types of the fields that a relay header may have."""
 
@@ -214,6 +219,8 @@
         document["large"] = True
     if call_.forward_allowed:
         document["forward"] = True
+    if call_.trial:
+        document["trial"] = True
     text = orjson.dumps(document)
     # Nodes of earlier builds decode the header as Latin-1.
     return text.decode() if text.isascii() else json.dumps(document)
@@ -247,6 +254,7 @@
             large_body=document.get("large", False),
             configuration=document.get("configuration", 0),
             forward_allowed=document.get("forward", False),
+            trial=document.get("trial", False),
         )
     except (orjson.JSONDecodeError, KeyError, TypeError):
         return None
--- a/packages/goldcrestgrade-node/tests/mesh/test_odd_rows.py
+++ b/packages/goldcrestgrade-node/tests/mesh/test_odd_rows.py
@@ -13,6 +13,7 @@
     registration,
     replica,
     restoration,
+    trials,
     watch,
 )
 
@@ -24,9 +25,11 @@
 TEXTS = ("", "x", "x" * 300, "\0\n", "10.0.0.1", "10.0.0.2", "khomas-a")
 VALUES = (None, True, False, *NUMBERS, *TEXTS, [], [[1]], {}, {"a": 1}, {"failure_domain": 1})
 FIELDS = (*directory.encode(OWN_ROW), "until", "endpoint_id", "born_ms", "recorded_ms", "node_id")
+FIELDS += ("claimed", "next_at")
 KEYS = (
     *("", "odd", "instance", "instance/", "instance/own", "instance/a", "instance/a/b"),
     *("instance/" + "x" * 191, "suspect/", "suspect/d", "suspect/d/e", "suspect/d/e/f"),
+    *("trial/", "trial/d", "endpoint/", "endpoint/own", "endpoint/a"),
     *("departure/", "departure/own", "departure/a", "evacuation/", "evacuation/khomas-a"),
 )
 
@@ -45,10 +48,12 @@
         configured = endpoints.ConfiguredEndpoint("10.0.0.1:81", "archive", "khomas-a")
         self.own = endpoints.OwnEndpoint(configured, clocks, lambda: None)
         self.instances = directory.Directory()
-        self.quarantine = quarantine.Quarantine(Store(), clocks)
         self.evacuations = evacuations.Evacuations(clocks, counters.Counts())
         self.replica = replica.Replica(self.apply, clocks)
         common = self.replica, Store()
+        self.quarantine = quarantine.Quarantine(
+            Store(), self.replica, lambda: 1, clocks, counters.Counts(), rng
+        )
         self.registration = registration.Registration(OWN_ROW, *common, clocks, rng)
         self.departures = departures.Departures("own", self.own, *common, lambda: True, clocks, rng)
 
@@ -57,6 +62,13 @@
             self.evacuations.apply_change(change)
         elif change.key.startswith(quarantine.KEY_PREFIX):
             self.quarantine.apply_change(change)
+        elif change.key.startswith(trials.KEY_PREFIX):
+            self.quarantine.trials.apply_change(change)
+        elif change.key == self.registration.endpoint_key:
+            found = change.value and registration.decode_endpoint(change.value)
+            if found:
+                self.own.restore_service(*found)
+            self.registration.on_own_row_change(change)
         elif change.key.startswith(departures.KEY_PREFIX):
             self.departures.apply_change(change)
         elif change.key.startswith(directory.INSTANCE_PREFIX):
--- a/packages/goldcrestgrade-operator/goldcrestgrade_operator/explanations.py
+++ b/packages/goldcrestgrade-operator/goldcrestgrade_operator/explanations.py
@@ -382,6 +382,14 @@
         "This node accounts for workspaces and asked another region for tokens.",
         "None; expected while a workspace is used in one region more than in others.",
     ),
+    reasons.Event.QUARANTINE_TRIAL: Explanation(
+        "This node claimed a trial of a request that several endpoints ended under.",
+        "Look for `trial of a quarantined request claimed`, and whether an answer followed.",
+    ),
+    reasons.Event.QUARANTINE_CLEARED: Explanation(
+        "Requests that endpoints had ended under were answered and count as harmless.",
+        "Look for another cause of the ends of these endpoints.",
+    ),
     reasons.Event.QUOTA_UNANSWERED: Explanation(
         "A node did not answer a message about quotas; the tokens in its answer are lost.",
         "Check the nodes in the log lines; workspaces may get less than their quota meanwhile.",
--- a/packages/goldcrestgrade-testing/goldcrestgrade_testing/fault_soak/injection.py
+++ b/packages/goldcrestgrade-testing/goldcrestgrade_testing/fault_soak/injection.py
@@ -54,6 +54,21 @@
 DRAIN_S = 0.6
 """Time between a reported drain and the end of an endpoint whose address is reused."""
 
+MAX_CRASHING = 3
+"""Endpoints that crash while they run requests for one path."""
+
+BUSY_SERVICE_TIME_S = 0.3
+"""Service time of these endpoints, so that requests are in work at all of them at once."""
+
+BUSY_CHECK_INTERVAL_S = 0.005
+"""Time between two checks whether they are busy."""
+
+DOWN_S = 0.4
+"""Time between the crash of an endpoint and the start of the one that replaces it."""
+
+MAX_FAULT_S = plan.MAX_FAULT_S
+"""Longest wait for busy endpoints."""
+
 INTERPRETER_START_S = 0.3
 """Time in which a signal ends a new process, since its interpreter has not run the program yet."""
 
@@ -116,6 +131,8 @@
             return _evacuate(running_fleet, instance.placement.failure_domain, fault)
         case "hot":
             return _heat(running_fleet)
+        case plan.POPULAR_KIND:
+            return _crash_under_popular_path(running_fleet, fault.variant)
         case plan.REUSED_KIND:
             return _reuse_address(running_fleet, instance, fault.variant)
         case plan.ABUSIVE_KIND:
@@ -410,6 +427,48 @@
     return end
 
 
+async def crash_busy_endpoints(
+    running_fleet: fleet.Fleet, count: int, at_once: bool, path: str = fleet.POPULAR_PATH
+) -> None:
+    """Crash endpoints that run requests for `path`, at one moment or in turn; others follow."""
+    service = path.split("/")[1]
+    crashing = [i for i in running_fleet.instances if i.endpoint.service == service][:count]
+    for instance in crashing:
+        instance.endpoint.behaviour.service_time_s = BUSY_SERVICE_TIME_S
+    async with asyncio.timeout(MAX_FAULT_S):
+        for together in [crashing] if at_once else [[instance] for instance in crashing]:
+            while not all(instance.endpoint.running_targets[path] for instance in together):
+                await asyncio.sleep(BUSY_CHECK_INTERVAL_S)
+            for instance in together:
+                if instance.heartbeat_task is not None:
+                    instance.heartbeat_task.cancel()
+                await instance.endpoint.stop()
+                if "endpoint" in instance.proxies:
+                    await instance.proxies["endpoint"].stop()
+            # The nodes beside them notice that nothing listens at the addresses.
+            await asyncio.sleep(DOWN_S)
+            for instance in together:
+                await _replace_endpoint(running_fleet, instance)
+                if "endpoint" in instance.proxies:
+                    await instance.proxies["endpoint"].start()
+
+
+def _crash_under_popular_path(running_fleet: fleet.Fleet, variant: int) -> EndFault:
+    """Have clients request one path while the endpoints that run it crash."""
+    running_fleet.popular_count += 1
+    crashing = asyncio.create_task(
+        crash_busy_endpoints(running_fleet, MAX_CRASHING, at_once=variant % 2 == 0)
+    )
+
+    async def end() -> None:
+        # Another fault may keep the endpoints from being busy.
+        with contextlib.suppress(TimeoutError):
+            await crashing
+        running_fleet.popular_count -= 1
+
+    return end
+
+
 async def _replace_endpoint(running_fleet: fleet.Fleet, instance: fleet.Instance) -> None:
     running_fleet.replacement_count += 1
     await running_fleet.replace_endpoint(
--- a/packages/goldcrestgrade-testing/goldcrestgrade_testing/fault_soak/plan.py
+++ b/packages/goldcrestgrade-testing/goldcrestgrade_testing/fault_soak/plan.py
@@ -51,8 +51,20 @@
 REUSED_KIND = "reused_address"
 """Kind of an address that goes to an endpoint of another service; drawn by `draw_reused`."""
 
+POPULAR_KIND = "popular_crash"
+"""Kind of crashes of endpoints that run requests for one path; drawn by `draw_popular`."""
+
 FLEET_WIDE_KINDS = frozenset(
-    {"store_forget", "store_restore", "configure", "withdraw", "hot", "odd_rows", "odd_addresses"}
+    {
+        POPULAR_KIND,
+        "store_forget",
+        "store_restore",
+        "configure",
+        "withdraw",
+        "hot",
+        "odd_rows",
+        "odd_addresses",
+    }
 )
 """Kinds that affect the whole fleet rather than one instance."""
 
@@ -90,6 +102,7 @@
     away for the kind `store_restore`, the rates for the kind `limit`, and for the
     kind `leave` whether the heartbeats say so too. For the kind `cold` it selects whether the
     endpoint becomes cold while it runs, or returns cold after its node has restarted or not. For
+    the kind `popular_crash` it selects whether endpoints crash at one moment or in turn. For
     the kind `reused_address` it selects what happens around the change, and in which order. For
     the kind `evacuate` it says when the evacuation is taken back early, if it is. For odd entries
     it is the seed of their fields, for clients that exceed limits that of their kind and address.
@@ -140,6 +153,24 @@
     return faults
 
 
+def draw_popular(rng: random.Random, instances: int, seconds: float) -> list[Fault]:
+    """Return crashes of the endpoints that run one path, and what follows them.
+
+    All nodes, some or none are then killed, and the store comes back from a copy or not.
+    """
+    begin_s = rng.uniform(QUIET_START_S, 0.4 * seconds)
+    end_s = begin_s + MAX_FAULT_S
+    faults = [Fault(POPULAR_KIND, 0, begin_s, end_s, rng.randrange(1 << 16))]
+    share = rng.choice((0.0, 0.5, 1.0))
+    killed_at_s = begin_s + rng.uniform(0.5, 2.5)
+    for instance in range(instances):
+        if rng.random() < share:
+            faults.append(Fault("kill", instance, killed_at_s, killed_at_s + 0.3, 0))
+    if rng.random() < 0.3:
+        faults.append(Fault("store_restore", 0, end_s, end_s + 0.3, rng.randrange(3)))
+    return faults
+
+
 def _series(rng: random.Random, instances: int, seconds: float) -> typing.Iterator[Fault]:
     kind = rng.choice(KINDS)
     instance = rng.randrange(instances)
--- a/packages/goldcrestgrade-testing/goldcrestgrade_testing/fault_soak/proxy.py
+++ b/packages/goldcrestgrade-testing/goldcrestgrade_testing/fault_soak/proxy.py
@@ -57,8 +57,8 @@
         self.server: asyncio.Server | None = None
 
     async def start(self) -> None:
-        """Listen on a free port."""
-        self.server = await asyncio.start_server(self._serve, HOST, 0)
+        """Listen on a free port, or after `stop` on the same one again."""
+        self.server = await asyncio.start_server(self._serve, HOST, self.port)
         self.port = self.server.sockets[0].getsockname()[1]
 
     def set_mode(self, mode: Mode, delay_s: float = 0.0) -> None:
--- a/packages/goldcrestgrade-testing/goldcrestgrade_testing/fault_soak/soak.py
+++ b/packages/goldcrestgrade-testing/goldcrestgrade_testing/fault_soak/soak.py
@@ -44,6 +44,12 @@
 HOT_PAUSE_S = 0.08
 """Pause of such a client; some 40 requests a second in all, which the endpoints can serve."""
 
+MAX_POPULAR_CALLERS = 6
+"""Largest number of instances whose clients request one path at once."""
+
+POPULAR_CLIENTS = 2
+"""Number of such clients at each of them."""
+
 PAUSE_S = 0.02
 """Pause of a client between an answer and its next request."""
 
@@ -83,6 +89,12 @@
         count = min(CLIENTS * size, MAX_CLIENTS)
         clients = [asyncio.create_task(self._run_client(number)) for number in range(count)]
         clients += [asyncio.create_task(self._run_hot_client()) for _ in range(HOT_CLIENTS)]
+        # Requests are the same only if they have the same caller.
+        callers = [i for i in self.fleet.instances if i.placement.service == max(SERVICES)]
+        clients += [
+            asyncio.create_task(self._run_popular_client(instance))
+            for instance in callers[:MAX_POPULAR_CALLERS] * POPULAR_CLIENTS
+        ]
         stall_recorder = asyncio.create_task(self._record_stalls())
         started = time.monotonic()
         try:
@@ -129,6 +141,12 @@
                 await self._send_request(instance, path, False, fleet.HOT_WORKSPACE)
             await asyncio.sleep(HOT_PAUSE_S)
 
+    async def _run_popular_client(self, instance: fleet.Instance) -> None:
+        while not self.finished:
+            if self.fleet.popular_count:
+                await self._send_request(instance, fleet.POPULAR_PATH, False)
+            await asyncio.sleep(PAUSE_S)
+
     async def _send_request(
         self, instance: fleet.Instance, path: str, run_once: bool, workspace: str = ""
     ) -> None:
@@ -182,13 +200,16 @@
 
     async def _wait_recovered(self) -> dict[str, bool]:
         deadline = time.monotonic() + RECOVERY_TIMEOUT_S
-        pending = set(itertools.product([i.name for i in self.fleet.instances], SERVICES))
+        paths = [f"/{service}/back" for service in SERVICES]
+        if any(fault.kind == plan.POPULAR_KIND for fault in self.injected_faults):
+            paths.append(fleet.POPULAR_PATH)
+        pending = set(itertools.product([i.name for i in self.fleet.instances], paths))
         by_name = {instance.name: instance for instance in self.fleet.instances}
         while pending and time.monotonic() < deadline:
-            for name, service in sorted(pending):
-                answer = await self.fleet.call(by_name[name], f"/{service}/back")
+            for name, path in sorted(pending):
+                answer = await self.fleet.call(by_name[name], path)
                 if answer.status == 200:
-                    pending.discard((name, service))
+                    pending.discard((name, path))
             await asyncio.sleep(CHECK_INTERVAL_S)
         not_served = {name for name, _ in pending}
         return {name: name not in not_served for name in by_name}
@@ -253,6 +274,7 @@
     ]
     faults += plan.draw_odd(random.Random(seed), size * len(PLACEMENTS), seconds)
     faults += plan.draw_reused(random.Random(seed), size * len(PLACEMENTS), seconds)
+    faults += plan.draw_popular(random.Random(seed), size * len(PLACEMENTS), seconds)
     faults += plan.draw_abusive(random.Random(seed), size * len(PLACEMENTS), seconds)
     faults.sort(key=lambda fault: fault.begin_s)
     return await play(faults, rng, size=size)
--- a/packages/goldcrestgrade-testing/goldcrestgrade_testing/fleet_platform/endpoint.py
+++ b/packages/goldcrestgrade-testing/goldcrestgrade_testing/fleet_platform/endpoint.py
@@ -102,6 +102,8 @@
         self.sequence = 0
         self.in_flight = 0
         self.queued = 0
+        self.running_targets: collections.Counter[str] = collections.Counter()
+        """Number of requests in work, by path and query."""
         self.run_counts: collections.Counter[str] = collections.Counter()
         """Number of times the endpoint began to work on an attempt of a client, by attempt id."""
         self.started_runs: list[tuple[str, str, float]] = []
@@ -246,6 +248,7 @@
             await asyncio.sleep(POLL_INTERVAL_S)
         self.queued -= 1
         self.in_flight += 1
+        self.running_targets[request.target] += 1
         self.run_counts[attempt_id] += 1
         self.started_runs.append((attempt_id, self.endpoint_id, time.monotonic()))
         self.calling_services[attempt_id] = request.field("x-caller-service")
@@ -259,6 +262,7 @@
             await asyncio.sleep(self.behaviour.service_time_s * self.behaviour.pace)
         finally:
             self.in_flight -= 1
+            self.running_targets[request.target] -= 1
         status = "500 Failed" if self.behaviour.failing else "200 OK"
         signature = f"x-upstream-signature: {self.endpoint_id}.{attempt_id}\r\n"
         await self._answer(writer, b"body of " + attempt_id.encode(), status, attempt_id, signature)
--- a/packages/goldcrestgrade-testing/goldcrestgrade_testing/fleet_platform/fleet.py
+++ b/packages/goldcrestgrade-testing/goldcrestgrade_testing/fleet_platform/fleet.py
@@ -66,6 +66,9 @@
 HOT_KEY = f"key-of-{HOT_WORKSPACE}"
 """Key of the workspace with a quota."""
 
+POPULAR_PATH = "/archive/popular"
+"""Path that many clients request at once while endpoints crash."""
+
 HOT_QUOTA = (4, 2)
 """Requests a second and burst of that workspace; a window may hold 44 of its requests."""
 
@@ -172,6 +175,8 @@
         """Prefix of each route from `add_route` and the monotonic instant when it was written."""
         self.hot_count = 0
         """Number of faults during which the workspace of the fault soak sends above its quota."""
+        self.popular_count = 0
+        """Number of faults during which many clients request `POPULAR_PATH`."""
         self.replacement_count = 0
         """Number of endpoints that the fault soak replaced; it numbers the ids of new endpoints."""
         self.store = store.Store()
--- a/packages/goldcrestgrade-testing/tests/fault_soak/test_mutations.py
+++ b/packages/goldcrestgrade-testing/tests/fault_soak/test_mutations.py
@@ -266,6 +266,16 @@
 """,
         [plan.Fault(plan.REUSED_KIND, 0, 1.0, 7.0, SILENT_SUCCESSOR)],
     ),
+    "not_recovered of a popular page": Mutation(
+        """
+from goldcrestgrade_node.mesh.state import quarantine, trials
+async def keep_rows(self, disproved):
+    pass
+quarantine.Quarantine._remove = keep_rows
+trials.Trials.request = lambda self, digest: False
+""",
+        [plan.Fault(plan.POPULAR_KIND, 0, 1.0, 4.0, 0), *on_all_instances("kill", 3.0, 3.3)],
+    ),
     "not_recovered": Mutation(
         """
 import time
--- a/packages/goldcrestgrade/goldcrestgrade/reasons.py
+++ b/packages/goldcrestgrade/goldcrestgrade/reasons.py
@@ -113,3 +113,5 @@
     QUOTA_COLLECTED = "quota_collected"
     QUOTA_BORROWED = "quota_borrowed"
     QUOTA_UNANSWERED = "quota_unanswered"
+    QUARANTINE_TRIAL = "quarantine_trial"
+    QUARANTINE_CLEARED = "quarantine_cleared"
