Bound what false heartbeats and old trials leave behind

A heartbeat of another service has the next health check made by that service's path. If the check shows no id, for example since the heartbeat was false, further checks went on by that path. The heartbeat is now discarded after one check, and its sender reports again.

Rows of trials stayed in the store when the crashes of their request expired; they are removed together. Found by reading; unit tests for both.

--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/endpoint/endpoints.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/endpoint/endpoints.py
@@ -292,6 +292,13 @@
             self.next_candidate_check_at = now + CANDIDATE_CHECK_INTERVAL_S
             self.on_candidate()
 
+    def discard_candidate(self) -> None:
+        """Discard the candidate after a health check that showed no id; its sender reports again.
+
+        Later health checks would be made by the health path of its service.
+        """
+        self.candidate = None
+
     def restore_service(self, endpoint_id: str, service: str) -> None:
         """Apply the service that an endpoint has reported to an earlier process of this node."""
         if endpoint_id in self.reported_services:
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/endpoint/health.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/endpoint/health.py
@@ -135,6 +135,7 @@
                 "health check failed; the endpoint keeps its previous state",
                 extra={"error": repr(error)},
             )
+            self.own.discard_candidate()
             self.first_check_done.set()
             return
         log.info(
@@ -154,4 +155,6 @@
                 if up_to_date:
                     begun = begun._replace(doubts=self.own.coldness.doubts)
                 self.own.coldness.record_check(begun, cold_s)
+        else:
+            self.own.discard_candidate()
         self.first_check_done.set()
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/state/quarantine.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/state/quarantine.py
@@ -201,10 +201,10 @@
         ][:MAX_ROWS]
         for digest, endpoint in expired:
             self._forget(digest, endpoint)
-        return tuple(
-            tables.Write(replica.MESH, f"{KEY_PREFIX}{digest}/{endpoint}", None)
-            for digest, endpoint in expired
-        )
+        keys = [f"{KEY_PREFIX}{digest}/{endpoint}" for digest, endpoint in expired]
+        ended = {digest for digest, _ in expired} - self.crashes.keys()
+        keys += [trials.KEY_PREFIX + d for d in sorted(ended & self.trials.by_digest.keys())]
+        return tuple(tables.Write(replica.MESH, key, None) for key in keys)
 
     def _forget(self, digest: str, endpoint: str) -> None:
         crashes = self.crashes.get(digest, {})
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/state/trials.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/state/trials.py
@@ -114,6 +114,10 @@
                 await self._claim(digest)
             self.wanted.discard(digest)
 
+    def _drop_expired(self) -> None:
+        now = self.clocks.monotonic()
+        self.granted = {d: until for d, until in self.granted.items() if until > now}
+
     def _is_due(self, digest: str) -> bool:
         now = self.clocks.wall()
         trial = self._counted(digest)
@@ -144,6 +148,7 @@
         )
         match result:
             case tables.Committed(position=position):
+                self._drop_expired()
                 self.granted[digest] = self.clocks.monotonic() + GRANT_LIFETIME_S
                 self.counts.events[reasons.Event.QUARANTINE_TRIAL] += 1
                 self.replica.apply_change(tables.Change(replica.MESH, key, position, value))
--- a/packages/goldcrestgrade-node/tests/mesh/test_endpoints.py
+++ b/packages/goldcrestgrade-node/tests/mesh/test_endpoints.py
@@ -211,6 +211,16 @@
     assert own.service() == "intake"
 
 
+def test_candidate_that_does_not_answer_leaves_health_checks_to_the_own_service(own):
+    """Guards against health checks by the path of another service after a false heartbeat."""
+    own.apply_heartbeat(heartbeat("a"))
+    own.apply_heartbeat(heartbeat("b", born_ms=200, service="intake"))
+    assert own.service_to_check() == "intake"
+    own.discard_candidate()
+    assert own.service_to_check() == "archive"
+    assert own.candidate is None
+
+
 def test_service_that_is_not_configured_is_not_adopted(own):
     own.is_known_service = {"archive", "intake"}.__contains__
     own.apply_heartbeat(heartbeat("a"))
--- a/packages/goldcrestgrade-node/tests/mesh/test_quarantine.py
+++ b/packages/goldcrestgrade-node/tests/mesh/test_quarantine.py
@@ -197,3 +197,16 @@
         return node.crashes
 
     assert list(virtual_time.run(scenario())["d"]) == ["b"]
+
+
+def test_trials_of_a_request_are_removed_with_its_expired_crashes():
+    now = [0.0]
+    known_crashes = make_quarantine(instants.Clocks(lambda: 0.0, lambda: now[0]))
+    known_crashes.apply_change(row("d", "a"))
+    value = {"claimed": 1, "next_at": 8.0, "until": 120.0}
+    key = trials.KEY_PREFIX + "d"
+    known_crashes.trials.apply_change(
+        tables.Change(replica.MESH, key, tables.Position(1, 2), value)
+    )
+    now[0] = 110.0
+    assert [write.key for write in known_crashes._expired_deletions()] == ["suspect/d/a", key]
