Wait before the first trial of a quarantined request

Answers of requests in flight elsewhere mostly end a wrong quarantine sooner. A refusal names the time until the next trial, 30 s at most.

--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/node.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/node.py
@@ -535,8 +535,9 @@
             if isinstance(outcome, outcomes.NotRun):
                 held_trials.give_back(digest)
             return outcome
-        is_under_way = held_trials.request(digest)
-        delay_s = TRIAL_RETRY_S if is_under_way else QUARANTINE_RETRY_S
+        delay_s = TRIAL_RETRY_S
+        if not held_trials.request(digest):
+            delay_s = min(QUARANTINE_RETRY_S, TRIAL_RETRY_S + held_trials.wait_s(digest))
         retry_at = self.clocks.monotonic() + delay_s
         return outcomes.NotRun(reasons.Refusal.CRASHES_ENDPOINTS, retry_at)
 
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/state/quarantine.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/state/quarantine.py
@@ -70,7 +70,14 @@
         self.counts = counts
         self.rng = rng
         self.trials = trials.Trials(
-            store, local_replica, self.is_quarantined, count_nodes, clocks, counts, rng
+            store,
+            local_replica,
+            self.is_quarantined,
+            self.latest_crash,
+            count_nodes,
+            clocks,
+            counts,
+            rng,
         )
         self.crashes: dict[str, dict[str, instants.WallInstant]] = {}
         """Expiry of each crash, by digest and endpoint."""
@@ -90,6 +97,10 @@
         now = self.clocks.wall()
         return sum(expires_at > now for expires_at in crashes.values()) >= MAX_CRASHES
 
+    def latest_crash(self, digest: str) -> instants.WallInstant:
+        """Return when an endpoint last crashed under a request, as far as this node knows."""
+        return max(self.crashes.get(digest, {}).values(), default=0.0) - CRASH_LIFETIME_S
+
     def record_answer(self, digest: str) -> None:
         """Record that an endpoint answered a request, which thus did not cause the crashes."""
         self.answered[digest] = None
