Give places of slow bodies to other requests at the limit

What callers saw: 503 for up to a minute at a node whose endpoints are idle, while other clients send bodies byte by byte.

Cause: a request counts as under way from its head on, and one with a slow body keeps its place until it misses the least rate after 10 s. Clients that are refused return at once and take most places that become free. Printing the answers showed more than a hundred refusals, all `saturated`, before the first 200.

Change: at the limit, the request whose body has been incomplete for longest, and for at least 0.5 s, is refused with 503 and a time to return; the new one takes its place.

--- a/packages/goldcrestgrade-node/goldcrestgrade_node/intake.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/intake.py
@@ -51,6 +51,9 @@
 SLOW_BODY_S = 3.0
 """Time for which a body may be incomplete while others are refused for lack of its memory."""
 
+PARTIAL_BODY_S = 0.5
+"""Time for which a body may be incomplete while its address has too many requests under way."""
+
 WANTED_S = 1.0
 """Time for which memory for bodies counts as wanted after one was refused."""
 
@@ -162,6 +165,8 @@
         self.connections: set[Connection] = set()
         self.watched: set[Connection] = set()
         """Connections whose clients have to send or read something."""
+        self.partial_bodies: dict[int, dict[Connection, instants.Instant]] = {}
+        """When each incomplete body of a request under way began, the oldest first, by server."""
         self.sweep_timer: asyncio.TimerHandle | None = None
         self.freeing = False
         self.answers_wait: typing.Callable[[], bool] = lambda: False
@@ -193,6 +198,33 @@
         self.held_bytes -= counted_bytes
         self.connections.discard(connection)
         self.watched.discard(connection)
+        for connections in self.partial_bodies.values():
+            connections.pop(connection, None)
+
+    def begin_body(self, connection: Connection, server: int, now: instants.Instant) -> None:
+        """Record that a request under way lacks a part of its body."""
+        self.partial_bodies.setdefault(server, {}).setdefault(connection, now)
+
+    def end_body(self, connection: Connection, server: int) -> None:
+        """Record that a request is complete, or has ended."""
+        self.partial_bodies.get(server, {}).pop(connection, None)
+
+    def free_request(self, server: int, now: instants.Instant) -> bool:
+        """Refuse the request whose body has been incomplete for longest; return whether any was.
+
+        Load pattern: more clients than there may be requests under way send bodies byte by byte,
+        and return at once when they are refused.
+        """
+        partial = self.partial_bodies.get(server, {})
+        while partial:
+            connection, began_at = next(iter(partial.items()))
+            if now < began_at + PARTIAL_BODY_S:
+                return False
+            del partial[connection]
+            if connection.holding().state == State.INCOMPLETE:
+                connection.give_up(reasons.Event.REQUEST_TOO_SLOW, at_once=False)
+                return True
+        return False
 
     def record_change(self, change_bytes: int) -> None:
         """Record that a connection holds more or less; close others if all hold too much."""
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/servers.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/servers.py
@@ -385,6 +385,10 @@
             self.since = self.loop.time()
             self.head_by = self.since + self.bounds.head_timeout_s()
         in_body = waits and self.in_body and self.may_parse()
+        if not in_body:
+            self.bounds.intake.end_body(self, id(self.server_state))
+        elif not self.cycle.response_started:
+            self.bounds.intake.begin_body(self, id(self.server_state), self.body_began_at)
         if not in_body or self.cycle.waiting_for_100_continue:
             self.body_progress.reset()
         elif self.body_progress.due_at is None:
@@ -529,7 +533,10 @@
     def _start_asgi_task(self, cycle: typing.Any, app: typing.Any) -> None:
         """Start a request, or refuse it if too many are under way."""
         bounds = self.bounds
-        if len(self.tasks) >= bounds.intake.limits.requests or bounds.intake.is_full:
+        is_full = len(self.tasks) >= bounds.intake.limits.requests
+        if is_full and bounds.intake.free_request(id(self.server_state), self.loop.time()):
+            is_full = False
+        if is_full or bounds.intake.is_full:
             bounds.intake.counts.events[reasons.Event.REQUESTS_FULL] += 1
             if bounds.app_refuses:
                 cycle.scope[asgi.SATURATED] = True
--- a/packages/goldcrestgrade-node/tests/test_client_limits.py
+++ b/packages/goldcrestgrade-node/tests/test_client_limits.py
@@ -322,6 +322,30 @@
         assert events[reasons.Event.REQUEST_TOO_SLOW] == wanted
 
 
+@pytest.mark.parametrize("age_s, status", [(0.0, b"503"), (0.7, b"200")])
+async def test_slow_body_gives_way_to_other_requests_at_the_limit_of_requests(age_s, status):
+    """Guards against slow bodies that take the places of all requests at an address."""
+    app = App()
+    async with (
+        serving(app, requests=2) as (port, events),
+        connected(port) as (slow_reader, slow),
+        connected(port) as (_, complete),
+        connected(port) as (reader, writer),
+    ):
+        app.gate.clear()
+        complete.write(b"GET /?1 HTTP/1.1\r\nhost: h\r\n\r\n")
+        slow.write(b"POST / HTTP/1.1\r\nhost: h\r\ncontent-length: 9000\r\n\r\nx")
+        await asyncio.sleep(0.1 + age_s)
+        writer.write(b"GET /?2 HTTP/1.1\r\nhost: h\r\n\r\n")
+        await asyncio.sleep(0.1)
+        app.gate.set()
+        assert (await reader.readline()).startswith(b"HTTP/1.1 " + status)
+        if status == b"200":
+            refusal = await received(slow_reader)
+            assert refusal.startswith(b"HTTP/1.1 503 ") and b"retry-after: " in refusal
+        assert app.began == events[reasons.Event.REQUEST_TOO_SLOW] + 1
+
+
 @pytest.mark.parametrize("kind", PROTOCOLS)
 @pytest.mark.parametrize("rest", [b"x", b"zz\r\n", b"1\r\nx\r\n0\r\n" + b"a:\r\n" * 9000])
 async def test_fault_in_a_body_adds_no_refusal_to_an_answer_that_has_begun(kind, rest, monkeypatch):
--- a/packages/goldcrestgrade-node/tests/test_intake.py
+++ b/packages/goldcrestgrade-node/tests/test_intake.py
@@ -88,3 +88,21 @@
     assert bounds.sweep_timer is not None
     await asyncio.sleep(0.05)
     assert not bounds.watched and bounds.sweep_timer is None
+
+
+def test_request_with_the_oldest_incomplete_body_is_given_up_at_its_address():
+    """Guards against clients that send bodies byte by byte and take the places of all requests."""
+    bounds = limited()
+    busy, older, newer = (
+        Connection(bounds, state)
+        for state in (intake.State.BUSY, intake.State.INCOMPLETE, intake.State.INCOMPLETE)
+    )
+    for began_at, connection in enumerate((busy, older, newer)):
+        bounds.begin_body(connection, 1, float(began_at))
+    assert not bounds.free_request(2, 9.0)
+    assert not bounds.free_request(1, 0.4)
+    assert bounds.free_request(1, 1.6) and not bounds.free_request(1, 1.6)
+    assert not busy.reasons and not newer.reasons
+    assert older.reasons == [reasons.Event.REQUEST_TOO_SLOW]
+    bounds.end_body(newer, 1)
+    assert not bounds.free_request(1, 9.0)
