Accept heartbeats from the beginning of a node's start

Change: the heartbeats' address listens before the imports. Connections wait in the kernel until the node serves them.

The new test in test_start.py failed before.

--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/run.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/run.py
@@ -9,6 +9,7 @@
 import logging
 import pathlib
 import signal
+import socket
 import time
 import typing
 
@@ -55,6 +56,9 @@
 MakeApps = typing.Callable[["node.MeshNode"], typing.Mapping[str, asgi.App]]
 """Returns further applications by the address at which each listens."""
 
+Listeners = typing.Mapping[str, socket.socket]
+"""Sockets that listen already, by address."""
+
 MakePlatform = typing.Callable[[], "node.Platform"]
 """Returns the adapter of the deployment."""
 
@@ -68,15 +72,23 @@
 
 
 def run(
-    path: pathlib.Path, config: settings.Settings, make_platform: MakePlatform, make_apps: MakeApps
+    path: pathlib.Path,
+    config: settings.Settings,
+    make_platform: MakePlatform,
+    make_apps: MakeApps,
+    listeners: Listeners,
 ) -> None:
     """Run a node with `config`, which was read from `path`; return after its drain."""
     with asyncio.Runner(loop_factory=BootClockLoop) as runner:
-        runner.run(_run(path, config, make_platform, make_apps))
+        runner.run(_run(path, config, make_platform, make_apps, listeners))
 
 
 async def _run(
-    path: pathlib.Path, config: settings.Settings, make_platform: MakePlatform, make_apps: MakeApps
+    path: pathlib.Path,
+    config: settings.Settings,
+    make_platform: MakePlatform,
+    make_apps: MakeApps,
+    listeners: Listeners,
 ) -> None:
     async with contextlib.AsyncExitStack() as stack:
         session = await stack.enter_async_context(
@@ -101,13 +113,14 @@
         reloader = reload.SettingsReloader(path, config, mesh_node.apply_settings)
         loop.add_signal_handler(signal.SIGHUP, reloader.requested.set)
         garbage.configure_collector()
-        await _serve(config, mesh_node, make_apps(mesh_node), reloader)
+        await _serve(config, mesh_node, make_apps(mesh_node), listeners, reloader)
 
 
 async def _serve(
     config: settings.Settings,
     mesh_node: node.MeshNode,
     extra_apps: typing.Mapping[str, asgi.App],
+    listeners: Listeners,
     reloader: reload.SettingsReloader,
 ) -> None:
     clients = _client_bounds(config, mesh_node)
@@ -126,8 +139,14 @@
             for address, app in extra_apps.items()
         ),
     ]
+    addresses = [config.calls, config.relay, *extra_apps]
+    for address in listeners.keys() - set(addresses):
+        listeners[address].close()
     async with asyncio.TaskGroup() as group:
-        serving = [group.create_task(server.serve()) for server in http_servers]
+        serving = [
+            group.create_task(server.serve([listeners[address]] if address in listeners else None))
+            for address, server in zip(addresses, http_servers, strict=True)
+        ]
         background = [group.create_task(task) for task in (*mesh_node.tasks(), reloader.run())]
         log.info("node started", extra={"settings": config._asdict()})
         await mesh_node.stopping.wait()
--- a/packages/goldcrestgrade-testing/tests/fleet_platform/test_start.py
+++ b/packages/goldcrestgrade-testing/tests/fleet_platform/test_start.py
@@ -1,6 +1,7 @@
 """Start of a node on the platform."""
 
 import asyncio
+import contextlib
 import re
 import subprocess
 import sys
@@ -54,6 +55,37 @@
         assert float(slacks[-1]) == running.settings(east_1)["resend_slack"] + 1
 
 
+CONNECT_INTERVAL_S = 0.005
+"""Time between two connection attempts while a node starts."""
+
+
+async def test_heartbeat_sent_during_the_start_waits_for_the_node():
+    """Guards against endpoints that stay unused after a restart, as heartbeats are refused.
+
+    Whoever sends them retries with a growing delay.
+    """
+    placements = {"east-1": fleet.Placement("east", "r1", "archive")}
+    async with fleet.running(placements) as running:
+        (east_1,) = running.instances
+        east_1.process.kill()
+        east_1.process.wait()
+        running.start_node(east_1)
+        async with asyncio.timeout(fleet.READY_TIMEOUT_S):
+            while True:
+                with contextlib.suppress(OSError):
+                    reader, writer = await asyncio.open_connection(
+                        fleet.HOST, east_1.ports["heartbeats"]
+                    )
+                    break
+                await asyncio.sleep(CONNECT_INTERVAL_S)
+            with pytest.raises(OSError):
+                await asyncio.open_connection(fleet.HOST, east_1.ports["calls"])
+            writer.write(b"PUT /-/instances/i-x HTTP/1.1\r\nhost: h\r\ncontent-length: 0\r\n\r\n")
+            assert (await reader.readline()).startswith(b"HTTP/1.1 400 ")
+        writer.close()
+        await running.wait_ready()
+
+
 WRITE_DELAY_S = 0.7
 """Time from the start of a process until its settings file is complete."""
 
