Apply the leaving of an endpoint that restarted with a lower start time

Cause: incarnations under one id were ordered by their start times alone, so that all messages of this one were stale.

Change: that an incarnation with an earlier start time leaves counts once the current one misses a heartbeat (1.8 s), so that late messages of a former one leave the living endpoint in use.

--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/endpoint/endpoints.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/endpoint/endpoints.py
@@ -7,6 +7,11 @@
 Any process can send a heartbeat. One whose numbers can't be right is refused. One that is wrong in
 another way must neither hide that the endpoint drains nor end a drain, and is outranked after a
 time: heartbeats are only seconds late.
+
+An endpoint may start again under its id after its clock was set back. Its start time is then lower
+than that of the incarnation before. That it leaves counts once the incarnation with the highest
+start time misses a heartbeat; it becomes the current one once that has been silent for longer than
+a heartbeat can be late.
 """
 
 from __future__ import annotations
@@ -46,6 +51,13 @@
 """Time after which a heartbeat is no longer expected to arrive after those that were sent later."""
 
 
+MISSED_HEARTBEAT_S = 1.8
+"""Time without a heartbeat after which one is missing; they are sent every 1.5 seconds.
+
+Below the time in which an endpoint that leaves must get no more requests, 2 seconds.
+"""
+
+
 class Heartbeat(typing.NamedTuple):
     """What an endpoint reports about itself."""
 
@@ -111,6 +123,16 @@
         """Whether its address has refused a connection since the last heartbeat or health check."""
         self.departed: collections.OrderedDict[str, int] = collections.OrderedDict()
         """Highest departed `born_ms` by endpoint id; a health check makes none of these current."""
+        self.earlier_until: dict[str, instants.Instant] = {}
+        """Until when earlier incarnations count as departed, too, by id of a departed endpoint.
+
+        For good for ids without an entry, whose start times are not known exactly.
+        """
+        self.earlier_leaves = False
+        """Whether an incarnation with the current id and an earlier start time says that it leaves.
+
+        Either this comes late, or the clock was set back before the endpoint started again.
+        """
         self.has_one_early_heartbeat = False
         """Whether one heartbeat of the current incarnation has come, soon after the start."""
         self.has_no_heartbeat = True
@@ -180,9 +202,15 @@
         """Return whether the endpoint drains, says that it leaves, or may have left before."""
         current = self.current
         return self.signals.leaving or (
-            current is not None and (current.draining or self._may_have_left(current))
+            current is not None
+            and (current.draining or self._earlier_has_left() or self._may_have_left(current))
         )
 
+    def _earlier_has_left(self) -> bool:
+        """Return whether an earlier start time is that of the present incarnation, which leaves."""
+        is_missing = self.clocks.monotonic() >= self.heard_at + MISSED_HEARTBEAT_S
+        return self.earlier_leaves and is_missing
+
     def service(self) -> str:
         """Return the service of the endpoint, or the configured one while none is known."""
         return self.configured.service if self.current is None else self.current.service
@@ -253,6 +281,8 @@
             if known is not None and heartbeat.draining and _is_of(known, heartbeat):
                 self.is_drain_doubted = False
                 self._set_current(known._replace(draining=True))
+            elif is_current and heartbeat.draining:
+                self._record_earlier_leaving()
             return "stale"
         self._adopt(heartbeat)
         return "taken" if known is not None else "first"
@@ -276,8 +306,19 @@
         )
         self.coldness.record_heartbeat(heartbeat.warm_in_s)
 
+    def _record_earlier_leaving(self) -> None:
+        """Record that an incarnation with the current id and an earlier start time leaves."""
+        if not self.earlier_leaves:
+            log.info("incarnation with an earlier start time leaves")
+        self.earlier_leaves = True
+        self.on_change()
+
     def _has_departed(self, heartbeat: Heartbeat) -> bool:
-        return self.departed.get(heartbeat.endpoint_id, -1) >= heartbeat.born_ms
+        departed_ms = self.departed.get(heartbeat.endpoint_id, -1)
+        if departed_ms <= heartbeat.born_ms:
+            return departed_ms == heartbeat.born_ms
+        earlier_until = self.earlier_until.get(heartbeat.endpoint_id, instants.NEVER)
+        return self.clocks.monotonic() < earlier_until
 
     def _set_candidate(self, heartbeat: Heartbeat) -> None:
         """Keep a heartbeat until a health check shows which endpoint has the address."""
@@ -322,19 +363,22 @@
     def record_departure(self, endpoint_id: str, born_ms: int | None) -> str:
         """Record that an endpoint left and return how its departure was classified.
 
-        `left`: it was the current endpoint; `stale`: it was an incarnation older than the current
-        one, and nothing is recorded; `unknown`: it was any other endpoint.
+        `left`: it was the current endpoint; `stale`: its start time is earlier than that of the
+        current incarnation, which counts as leaving if its next heartbeat is missing; `unknown`: it
+        was any other endpoint.
         """
         if born_ms is not None and not self.is_plausible_start(born_ms):
             born_ms = None
         current = self.current
         matches = current is not None and current.endpoint_id == endpoint_id
         if matches and current is not None and born_ms is not None and current.born_ms > born_ms:
+            self._remember_departure(endpoint_id, born_ms, is_exact=True)
+            self._record_earlier_leaving()
             return "stale"
         known_born = current.born_ms if matches and current is not None else 0
         # Without a known start time, every incarnation that started before now counts as departed.
         started_ms = born_ms or known_born or int(1000 * self.clocks.wall())
-        self._remember_departure(endpoint_id, started_ms)
+        self._remember_departure(endpoint_id, started_ms, is_exact=born_ms is not None)
         if matches:
             self._set_current(None)
         return "left" if matches else "unknown"
@@ -351,11 +395,17 @@
             log.info("endpoint has left before", extra={"endpoint": endpoint_id})
             self._set_current(None)
 
-    def _remember_departure(self, endpoint_id: str, born_ms: int) -> None:
-        self.departed[endpoint_id] = max(born_ms, self.departed.get(endpoint_id, 0))
+    def _remember_departure(self, endpoint_id: str, born_ms: int, is_exact: bool = False) -> None:
+        if born_ms >= self.departed.setdefault(endpoint_id, 0):
+            self.departed[endpoint_id] = born_ms
+            if is_exact:
+                self.earlier_until[endpoint_id] = self.clocks.monotonic() + MAX_LATENESS_S
+            else:
+                self.earlier_until.pop(endpoint_id, None)
         self.departed.move_to_end(endpoint_id)
         while len(self.departed) > MAX_DEPARTED:
-            self.departed.popitem(last=False)
+            oldest_id, _ = self.departed.popitem(last=False)
+            self.earlier_until.pop(oldest_id, None)
 
     def apply_health_check(self, endpoint_id: str, slots: int | None, healthy: bool) -> None:
         """Apply a health check.
@@ -438,18 +488,21 @@
         current = self.current
         if current is None:
             return True
+        is_late_possible = self.clocks.monotonic() < self.heard_at + MAX_DELAY_S
         if current.born_ms != heartbeat.born_ms and current.born_ms:
-            return heartbeat.born_ms > current.born_ms
+            is_same_id = current.endpoint_id == heartbeat.endpoint_id
+            return heartbeat.born_ms > current.born_ms or (is_same_id and not is_late_possible)
         if current.endpoint_id != heartbeat.endpoint_id:
             # The current one is known from a health check; the heartbeat may be of an older one.
             return current.born_ms != 0
-        is_late_possible = self.clocks.monotonic() < self.heard_at + MAX_DELAY_S
         return heartbeat.sequence > current.sequence or not is_late_possible
 
     def _set_current(self, endpoint: Endpoint | None, by_heartbeat: bool = False) -> None:
         before, left_before = self.current, self.leaves()
         self.current = endpoint
         self.unreported = None
+        if by_heartbeat or not is_same_incarnation(before, endpoint):
+            self.earlier_leaves = False
         if not is_same_incarnation(before, endpoint):
             self.has_no_heartbeat = True
             self.has_one_early_heartbeat = False
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/state/departures.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/state/departures.py
@@ -79,8 +79,6 @@
         Returns once the store has the departure, after `MAX_CONFIRMATION_DELAY_S` at the latest.
         """
         result = self.own.record_departure(endpoint_id, born_ms)
-        if result == "stale":
-            return result
         self.unwritten = {
             "endpoint_id": endpoint_id,
             "born_ms": self.own.departed[endpoint_id],
--- a/packages/goldcrestgrade-node/tests/mesh/test_endpoints.py
+++ b/packages/goldcrestgrade-node/tests/mesh/test_endpoints.py
@@ -370,3 +370,74 @@
     assert own.usable() is None
     own.apply_heartbeat(heartbeat(sequence=2))
     assert own.usable() is not None
+
+
+@pytest.fixture
+def clock():
+    return [0.0]
+
+
+@pytest.fixture
+def set_back(clock):
+    """Return an endpoint that started again under its id after its clock was set back."""
+    own = endpoints.OwnEndpoint(OWN, instants.Clocks(lambda: clock[0], lambda: 1.0), lambda: None)
+    own.apply_heartbeat(heartbeat(born_ms=2500))
+    clock[0] = 1.5
+    assert own.apply_heartbeat(heartbeat(born_ms=100)) == "stale"
+    assert own.usable() is not None
+    return own
+
+
+@pytest.mark.parametrize("said_by", ["heartbeat", "departure"])
+def test_leaving_of_an_endpoint_whose_clock_was_set_back_is_applied(set_back, clock, said_by):
+    """Guards against an endpoint that leaves and is used for good, as its start time is lower."""
+    if said_by == "heartbeat":
+        set_back.apply_heartbeat(heartbeat(born_ms=100, sequence=2, draining=True))
+    else:
+        set_back.record_departure("a", 100)
+    clock[0] = endpoints.MISSED_HEARTBEAT_S
+    assert set_back.usable() is None
+    clock[0] = 2 * endpoints.MAX_LATENESS_S
+    later = heartbeat(born_ms=100, sequence=3, draining=said_by == "heartbeat")
+    assert set_back.apply_heartbeat(later) in ("taken", "departed")
+    assert set_back.usable() is None
+
+
+@pytest.mark.parametrize("said_by", ["heartbeat", "departure"])
+def test_late_leaving_of_an_earlier_incarnation_leaves_the_living_one_in_use(
+    set_back, clock, said_by
+):
+    """Guards against an endpoint that is unused since its earlier incarnation has left."""
+    if said_by == "heartbeat":
+        set_back.apply_heartbeat(heartbeat(born_ms=100, sequence=2, draining=True))
+    else:
+        set_back.record_departure("a", 100)
+    assert set_back.usable() is not None
+    set_back.apply_heartbeat(heartbeat(born_ms=2500, sequence=2))
+    clock[0] = 10 * endpoints.MISSED_HEARTBEAT_S
+    assert set_back.usable() is not None
+
+
+def test_endpoint_whose_clock_was_set_back_is_the_current_one_after_a_time(set_back, clock):
+    """Guards against an endpoint whose heartbeats are ignored for good."""
+    set_back.apply_heartbeat(heartbeat(born_ms=2500, sequence=2, draining=True))
+    assert set_back.apply_heartbeat(heartbeat(born_ms=100, sequence=2)) == "stale"
+    clock[0] += endpoints.MAX_DELAY_S
+    assert set_back.apply_heartbeat(heartbeat(born_ms=100, sequence=3)) == "taken"
+    assert set_back.usable().born_ms == 100
+
+
+def test_endpoint_whose_clock_was_set_back_after_it_left_is_used_after_a_time(set_back, clock):
+    """Guards against an endpoint that is unused for good under the id of one that left."""
+    set_back.record_departure("a", 2500)
+    assert set_back.apply_heartbeat(heartbeat(born_ms=100, sequence=2)) == "departed"
+    clock[0] += endpoints.MAX_LATENESS_S
+    assert set_back.apply_heartbeat(heartbeat(born_ms=2500, sequence=9)) == "departed"
+    assert set_back.apply_heartbeat(heartbeat(born_ms=100, sequence=3)) == "first"
+
+
+def test_endpoint_that_left_without_its_start_time_stays_unused(set_back, clock):
+    """Guards against an endpoint that leaves, serves on, and is used again after a time."""
+    set_back.record_departure("b", None)
+    clock[0] += 2 * endpoints.MAX_LATENESS_S
+    assert set_back.apply_heartbeat(heartbeat("b", born_ms=900)) == "departed"
