Doubt all heartbeats soon after a start, not the first one only

Cause: after a restart, the first heartbeat of an endpoint that fails its health check is doubted, and any second one ended the doubt, also if both were sent before the endpoint left.

test_only_heartbeat_of_an_endpoint_that_fails_its_health_check_is_doubted required the fault: it asked that a second heartbeat at the same moment ends the doubt. The test in its place asks that four don't, and that one after 10 s does.

--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/endpoint/endpoints.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/endpoint/endpoints.py
@@ -133,12 +133,14 @@
 
         Either this comes late, or the clock was set back before the endpoint started again.
         """
-        self.has_one_early_heartbeat = False
-        """Whether one heartbeat of the current incarnation has come, soon after the start."""
+        self.has_early_heartbeats_only = False
+        """Whether each heartbeat of the current incarnation may be one to an earlier process."""
         self.has_no_heartbeat = True
         """Whether none has come yet."""
         self.early_until: instants.Instant = clocks.monotonic() + MAX_LATENESS_S
-        """Until then, a heartbeat may be one that was sent to an earlier process of the node."""
+        """Until then, a first heartbeat may be one that was sent to an earlier process."""
+        self.further_early_until: instants.Instant = clocks.monotonic() + MAX_DELAY_S
+        """Until then, further ones may be, too."""
         self.checked: tuple[str, bool] | None = None
         """Id in the latest answer to a health check, and whether any with this id was healthy."""
         self.heard_at: instants.Instant = -instants.NEVER
@@ -226,24 +228,29 @@
         """
         if self.current is None:
             return self.unreported is None or self.candidate is not None
-        return self.unreachable or self.candidate is not None or self.is_unchecked()
+        return (
+            self.unreachable
+            or self.candidate is not None
+            or self.is_unchecked()
+            or self._may_have_left(self.current)
+        )
 
     def is_unchecked(self) -> bool:
-        """Return whether only one heartbeat says that the endpoint is in use."""
+        """Return whether only early heartbeats say that the endpoint is in use."""
         current = self.current
         return (
             current is not None
-            and self.has_one_early_heartbeat
+            and self.has_early_heartbeats_only
             and (self.checked is None or self.checked[0] != current.endpoint_id)
         )
 
     def _may_have_left(self, current: Endpoint) -> bool:
-        """Return whether the only heartbeat may be a late one of an endpoint that has left.
+        """Return whether all heartbeats may be late ones of an endpoint that has left.
 
         An earlier process of this node may have confirmed that it left, and the store may not have
-        the row. Such an endpoint sends no further heartbeat, and its health check fails.
+        the row. Such an endpoint sends no further heartbeats, and its health check fails.
         """
-        return self.has_one_early_heartbeat and self.checked == (current.endpoint_id, False)
+        return self.has_early_heartbeats_only and self.checked == (current.endpoint_id, False)
 
     def usable(self) -> Endpoint | None:
         """Return the endpoint if it accepts new requests, else none."""
@@ -424,7 +431,7 @@
         if current is not None and current.endpoint_id == endpoint_id:
             self.candidate = None
             if self.leaves() != before:
-                log.info("endpoint with one heartbeat checked", extra={"healthy": healthy})
+                log.info("endpoint with early heartbeats checked", extra={"healthy": healthy})
                 self.on_change()
             return
         candidate, self.candidate = self.candidate, None
@@ -505,13 +512,16 @@
             self.earlier_leaves = False
         if not is_same_incarnation(before, endpoint):
             self.has_no_heartbeat = True
-            self.has_one_early_heartbeat = False
+            self.has_early_heartbeats_only = False
             self.answered = self.known_to_stay = False
             self.coldness.record_doubt("new incarnation", new_incarnation=True)
             self._set_signals(signals.NONE)
         if by_heartbeat:
-            is_early = self.clocks.monotonic() < self.early_until
-            self.has_one_early_heartbeat = self.has_no_heartbeat and is_early
+            now = self.clocks.monotonic()
+            if self.has_no_heartbeat:
+                self.has_early_heartbeats_only = now < self.early_until
+            elif now >= self.further_early_until:
+                self.has_early_heartbeats_only = False
             self.has_no_heartbeat = False
         if _visible(before) != _visible(endpoint) or self.leaves() != left_before:
             log.info(
--- a/packages/goldcrestgrade-node/tests/mesh/test_endpoints.py
+++ b/packages/goldcrestgrade-node/tests/mesh/test_endpoints.py
@@ -22,6 +22,11 @@
     return endpoints.OwnEndpoint(OWN, clocks, lambda: None)
 
 
+@pytest.fixture
+def clock():
+    return [0.0]
+
+
 def test_first_heartbeat_makes_the_endpoint_usable(own):
     assert own.apply_heartbeat(heartbeat()) == "first"
     assert own.usable().endpoint_id == "a"
@@ -333,8 +338,11 @@
 
 
 @pytest.mark.parametrize("order", ["check first", "heartbeat first"])
-def test_only_heartbeat_of_an_endpoint_that_fails_its_health_check_is_doubted(own, order):
-    """Guards against a late heartbeat, after a restart that has lost the endpoint's departure."""
+def test_heartbeats_soon_after_the_start_of_an_endpoint_that_fails_its_check_are_doubted(
+    order, clock
+):
+    """Guards against late heartbeats, after a restart that has lost the endpoint's departure."""
+    own = endpoints.OwnEndpoint(OWN, instants.Clocks(lambda: clock[0], lambda: 1.0), lambda: None)
     if order == "check first":
         own.apply_health_check("a", 9, healthy=False)
         assert own.apply_heartbeat(heartbeat()) == "first"
@@ -343,10 +351,25 @@
         assert own.is_unchecked()
         own.apply_health_check("a", 9, healthy=False)
     assert own.usable() is None and not own.is_unchecked()
-    own.apply_heartbeat(heartbeat(sequence=2))
+    for sequence in range(2, 6):
+        clock[0] = endpoints.MAX_DELAY_S - 0.1
+        own.apply_heartbeat(heartbeat(sequence=sequence))
+        assert own.usable() is None and own.needs_check()
+    clock[0] = endpoints.MAX_DELAY_S
+    own.apply_heartbeat(heartbeat(sequence=6))
     assert own.usable() is not None
 
 
+def test_doubted_endpoint_is_used_once_it_passes_a_health_check(own):
+    """Guards against an endpoint that is unused for seconds since one health check failed."""
+    own.apply_heartbeat(heartbeat())
+    own.apply_health_check("a", 9, healthy=False)
+    own.apply_heartbeat(heartbeat(sequence=2))
+    assert own.needs_check()
+    own.apply_health_check("a", 9, healthy=True)
+    assert own.usable() is not None and not own.needs_check()
+
+
 def test_endpoint_that_was_healthy_or_is_late_after_the_start_is_not_doubted():
     now = [0.0]
     clocks = instants.Clocks(lambda: now[0], lambda: 1.0)
@@ -372,11 +395,6 @@
     assert own.usable() is not None
 
 
-@pytest.fixture
-def clock():
-    return [0.0]
-
-
 @pytest.fixture
 def set_back(clock):
     """Return an endpoint that started again under its id after its clock was set back."""
--- a/packages/goldcrestgrade-testing/tests/fleet_platform/test_fleet.py
+++ b/packages/goldcrestgrade-testing/tests/fleet_platform/test_fleet.py
@@ -529,15 +529,20 @@
     assert sum(west_1.endpoint.run_counts.values()) >= len(answers)
 
 
+@pytest.mark.parametrize("late", [1, 3])
 @pytest.mark.parametrize("lost", ["not written", "lost by the store", "removed"])
 async def test_late_heartbeat_is_doubted_after_a_restart_without_the_row_of_the_departure(
-    running_fleet, lost
+    running_fleet, lost, late
 ):
-    """Guards against use of an endpoint that left, when nothing but its health check says so."""
+    """Guards against use of an endpoint that left, when nothing but its health check says so.
+
+    One or several of its heartbeats arrive at the next process of its node.
+    """
     east_1, east_2, _ = running_fleet.instances
-    late_heartbeat = east_1.endpoint.heartbeat(
-        east_1.address("endpoint"), east_1.placement.failure_domain
-    )
+    late_heartbeats = [
+        east_1.endpoint.heartbeat(east_1.address("endpoint"), east_1.placement.failure_domain)
+        for _ in range(late)
+    ]
     url = f"http://{east_1.address('heartbeats')}/-/instances/{east_1.endpoint.endpoint_id}"
     east_1.heartbeat_task.cancel()
     east_1.endpoint.behaviour.draining = True
@@ -555,9 +560,10 @@
         running_fleet.store.remove("goldcrestgrade", "departure/east-1")
     running_fleet.start_node(east_1)
     await running_fleet.wait_ready([east_1])
-    async with running_fleet.session.put(url, json=late_heartbeat) as response:
-        assert response.status == 200
-    await asyncio.sleep(1.0)
+    for late_heartbeat in late_heartbeats:
+        async with running_fleet.session.put(url, json=late_heartbeat) as response:
+            assert response.status == 200
+        await asyncio.sleep(1.0)
     before = sum(east_1.endpoint.run_counts.values())
     answers = [await running_fleet.call(east_2, "/archive/file/x", "POST") for _ in range(12)]
     answers += [await running_fleet.call(east_1, "/archive/file/x", "POST") for _ in range(12)]
