Share answers and trials of quarantined requests on the own path

Cause, by reading: crashes are told to all nodes, an answer is known to one node only, and none comes once all nodes refuse the request.

Change: a node may claim a trial 5 s after the latest crash, two in a quarantine, in an order that differs by request; claims and answers are notices. Refusals name the time of the next trial.

Measured: with eight nodes in virtual time, a harmless request is tried once and is allowed at all nodes after the answer; one that crashes each endpoint is tried twice in a minute and stays refused. These tests use the new calls and can't run on the former code, whose quarantine ended by time only.

--- a/packages/goldcrestgrade-node/goldcrestgrade_node/early_listener.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/early_listener.py
@@ -1,9 +1,9 @@
 """Listening sockets that are opened before a node's modules are imported.
 
-Connections wait in the kernel until the node serves them. Without these, they are refused for the
-time of the imports, and whoever connects retries with a growing delay.
+Connections wait in the kernel until the node serves them. Otherwise they would be refused during
+the imports, and clients would retry with a growing delay.
 
-Imports the standard library only, for the same reason.
+Imports only the standard library, so that the sockets listen as early as possible.
 """
 
 from __future__ import annotations
@@ -14,7 +14,7 @@
 import typing
 
 BACKLOG = 64
-"""Connections that wait for the node."""
+"""Largest number of connections that wait for the node to serve them."""
 
 
 def open_listeners(path: pathlib.Path, names: typing.Sequence[str]) -> dict[str, socket.socket]:
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/entry/calls.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/entry/calls.py
@@ -135,8 +135,10 @@
     def _choose(self, call: Call) -> choice.Decision:
         now = self.clocks.monotonic()
         match self.quarantine.permission(call.request_key, now):
-            case quarantine.Quarantined(until=until):
-                return choice.Refuse(reasons.Refusal.QUARANTINED, until)
+            case quarantine.Quarantined():
+                if not self.quarantine.claim_trial(call.request_key, now):
+                    retry_at = self.quarantine.retry_at(call.request_key, now)
+                    return choice.Refuse(reasons.Refusal.QUARANTINED, retry_at)
             case quarantine.OnlyAt(node_ids=node_ids):
                 return choice.choose_confined(call.view, node_ids, call.tried, now)
         ejection.readmit_due(call.view, now)
--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/endpoint/endpoints.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/endpoint/endpoints.py
@@ -126,7 +126,7 @@
         self.earlier_until: dict[str, instants.Instant] = {}
         """Until when earlier incarnations count as departed, too, by id of a departed endpoint.
 
-        For good for ids without an entry, whose start times are not known exactly.
+        They do so for good without an entry, as for departures that stated no start time.
         """
         self.earlier_leaves = False
         """Whether an incarnation with the current id and an earlier start time says that it leaves.
@@ -209,7 +209,7 @@
         )
 
     def _earlier_has_left(self) -> bool:
-        """Return whether an earlier start time is that of the present incarnation, which leaves."""
+        """Return whether an incarnation with an earlier start time leaves and is the living one."""
         is_missing = self.clocks.monotonic() >= self.heard_at + MISSED_HEARTBEAT_S
         return self.earlier_leaves and is_missing
 
--- a/packages/goldcrestgrade-node/tests/routing/test_quarantine.py
+++ b/packages/goldcrestgrade-node/tests/routing/test_quarantine.py
@@ -90,3 +90,52 @@
     for index in range(quarantine.MAX_CRASH_HISTORIES + 10):
         own.record_crash(str(index), make_endpoint("a"), 0.0, 0.0)
     assert len(own.histories) == quarantine.MAX_CRASH_HISTORIES
+
+
+def test_quarantined_request_gets_two_trials_at_most():
+    """Guards against a poison request that crashes more endpoints than its trials may."""
+    own = quarantine.Quarantine()
+    crash(own, "a")
+    crash(own, "b")
+    due_at = 0.5 + quarantine.FIRST_TRIAL_DELAY_S
+    assert own.retry_at("r", 1.0) == due_at
+    assert not own.claim_trial("r", due_at - 0.1)
+    assert own.claim_trial("r", due_at) and not own.claim_trial("r", due_at)
+    crash(own, "c", due_at)
+    second_at = due_at + quarantine.TRIAL_INTERVAL_S
+    assert not own.claim_trial("r", second_at - 0.1) and own.claim_trial("r", second_at)
+    crash(own, "d", second_at)
+    assert own.retry_at("r", 100.0) == second_at + 0.5 + quarantine.QUARANTINE_S
+    assert not any(own.claim_trial("r", float(now)) for now in range(15, 500))
+
+
+def test_answer_to_a_trial_ends_the_quarantine_at_nodes_that_learn_of_it_in_any_order():
+    """Guards against a verdict that stands since the answer is known to one node only."""
+    crashes, cleared = [], []
+    own = quarantine.Quarantine(crashes.append)
+    own.notify_cleared = cleared.append
+    crash(own, "a")
+    crash(own, "b")
+    assert own.claim_trial("r", 10.0)
+    own.record_answer("r", 10.1)
+    assert own.permission("r", 10.2) == quarantine.ANY
+    for notices in ((*crashes, *cleared), (*cleared, *crashes)):
+        other = quarantine.Quarantine()
+        for notice in notices:
+            if isinstance(notice, quarantine.Crash):
+                other.apply_crash(notice, 10.2)
+            else:
+                other.apply_cleared(notice, 10.2)
+        assert other.permission("r", 10.3) == quarantine.ANY
+
+
+def test_crash_after_an_answer_counts_though_its_endpoint_has_crashed_before():
+    """Guards against a crash that is taken for one before the answer."""
+    crashes = []
+    own = quarantine.Quarantine(crashes.append)
+    crash(own, "a")
+    own.record_answer("r", 1.0)
+    crash(own, "a", 3.0)
+    crash(own, "b", 3.0)
+    assert len({one.endpoint for one in crashes}) == 3
+    assert isinstance(own.permission("r", 4.0), quarantine.Quarantined)
--- a/packages/goldcrestgrade-node/tests/test_crash_notices.py
+++ b/packages/goldcrestgrade-node/tests/test_crash_notices.py
@@ -1,5 +1,9 @@
 from __future__ import annotations
 
+import asyncio
+
+import pytest
+
 from goldcrestgrade import reasons
 from goldcrestgrade_node import crash_notices
 from goldcrestgrade_node.attempts import results
@@ -61,3 +65,31 @@
         return node_quarantine.histories
 
     assert virtual_time.run(scenario()) == {}
+
+
+@pytest.mark.parametrize("is_poison", [False, True])
+def test_all_nodes_together_try_a_quarantined_request_and_share_the_answer(is_poison):
+    """Guards against a popular page that all nodes refuse, and a poison one that all nodes try."""
+
+    async def scenario():
+        running = fleet.Fleet(fleet.Shape(nodes=8), seed=1)
+        await running.start()
+        quarantines = connect_quarantines(running)
+        clock = running.nodes[0].clocks.monotonic
+        record_crash(quarantines[0], "a", clock())
+        record_crash(quarantines[1], "b", clock())
+        until, trials = clock() + 60.0, 0
+        while clock() < until:
+            await asyncio.sleep(0.1)
+            for node_quarantine in quarantines:
+                if node_quarantine.claim_trial("r", clock()):
+                    trials += 1
+                    if is_poison:
+                        record_crash(node_quarantine, f"c{trials}", clock())
+                    else:
+                        node_quarantine.record_answer("r", clock())
+        running.stop()
+        return trials, [one.permission("r", clock()) == quarantine.ANY for one in quarantines]
+
+    expected = (quarantine.MAX_TRIALS, [False] * 8) if is_poison else (1, [True] * 8)
+    assert virtual_time.run(scenario()) == expected
