Stagger the reads of a region that loses the store

Cause: all followers of a source that lost the store read it within 0.3 s, and each repeats a read that fails. With 48 nodes and a configuration of 1,400 routes they fill the link between the regions, and each new version fills it again.

Change: the first four nodes of a region read at once, and the others ask one of them first. After a failed read a node asks one of them until its turn comes, 0.3 s for each node before it, 2 s at most; if that peer doesn't answer, it reads at once.

--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/state/watch.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/state/watch.py
@@ -21,7 +21,8 @@
 Load pattern: a configuration grows by 1,600 routes, and the link of the node that watches the store
 carries 5 Mbit/s. The node reads on for as long as parts of the answer arrive. When all nodes of a
 region have lost the store and regain it, they would fill the link between the regions that way for
-seconds, so all but one of them give a slow read up after `QUICK_POLL_TRANSFER_S`.
+seconds, so all but one of them give a slow read up after `QUICK_POLL_TRANSFER_S`. After a read
+that failed, a node asks the first nodes of its region until its turn to read comes.
 
 Load pattern: many nodes of a failure domain are lost or cut off at once, the watcher among them.
 Each round of the search takes as long as one silent peer, however many are silent. While no peer
@@ -63,6 +64,12 @@
 AGE_SPREAD_S = 0.3
 """Time over which the followers of one lost source spread their reads of the configuration."""
 
+FIRST_READERS = 4
+"""Nodes of a region that read the configuration at `MAX_AGE_S`; the others ask them first."""
+
+READERS_LEAD_S = 0.3
+"""Time that the other nodes leave to them."""
+
 READ_BACKOFF_S = 1.5
 """Longest time between two reads of a follower while the store does not answer."""
 
@@ -153,7 +160,7 @@
 """Time between two rounds in which a starting node asks peers for the configuration."""
 
 MAX_LOAD_DELAY_S = 2.0
-"""Longest time for which a starting node leaves that to others of its region."""
+"""Longest time for which a node leaves that to others of its region."""
 
 FIRST_ERA = 1
 """Era of a store that has never come back from a copy."""
@@ -208,8 +215,8 @@
         """Failures of the store since all tables were last read."""
         self.failed_tables: set[str] = set()
         """Tables that the store has not returned since a poll of them failed."""
-        self.cut_at: instants.Instant | None = None
-        """When a read was first given up while its answer arrived; none once it is up to date."""
+        self.read_failed_at: instants.Instant | None = None
+        """When a read of the store first failed; none once one succeeds or a source is followed."""
         self.source_id: str | None = None
         """Peer that this node polls; none while it watches the store or searches a peer."""
         self.source_answered_at: instants.Instant = -instants.NEVER
@@ -295,9 +302,34 @@
             max_age_s = MAX_AGE_S + self.rng.uniform(0.0, AGE_SPREAD_S)
             while self.watches_store or self.age_s() < max_age_s:
                 await asyncio.sleep(max(AGE_CHECK_INTERVAL_S, max_age_s - self.age_s()))
-            if not await self._read_configuration():
+            readers = self._readers_before()
+            is_their_turn = self.age_s() < max_age_s + READERS_LEAD_S
+            leaves_read = is_their_turn and len(readers) == FIRST_READERS
+            leaves_read = leaves_read or self._leaves_reads_to_peers()
+            if leaves_read and await self._hears_from(readers, 0.0):
+                await asyncio.sleep(AGE_CHECK_INTERVAL_S)
+            elif not await self._read_configuration():
                 await asyncio.sleep(READ_BACKOFF_S * self.rng.uniform(0.5, 1.0))
 
+    def _readers_before(self) -> list[directory.Instance]:
+        """Return the nodes of the region that read before this one, `FIRST_READERS` at most."""
+        return sorted(self._peers_before(), key=_source_rank)[:FIRST_READERS]
+
+    async def _hears_from(
+        self, readers: typing.Sequence[directory.Instance], wait_s: float
+    ) -> bool:
+        """Apply the changes of one of several peers; return whether it answered."""
+        if not readers:
+            return False
+        peer = self.rng.choice(readers)
+        try:
+            await self._poll_peer(peer, wait_s)
+        except PeerError as error:
+            log.info("poll of a peer failed", extra={"peer": peer.row.node_id, "error": str(error)})
+            self._back_off_from([peer], PEER_BACKOFF_S)
+            return False
+        return True
+
     async def _read_configuration(self) -> bool:
         """Read what changed in the configuration; return whether the store answered."""
         table = replica.CONFIGURATION
@@ -316,9 +348,10 @@
                 self.answered_by = STORE
                 self.replica.apply_snapshot(table, snapshot)
         except tables.ReadError as error:
-            self._record_cut(error)
+            self._record_failed_read()
             log.info("configuration not read from the store", extra={"error": str(error)})
             return False
+        self.read_failed_at = None
         self._record_current(self.clocks.monotonic())
         return True
 
@@ -331,8 +364,8 @@
         if as_of > self.current_at:
             self.current_at = as_of
             self.replica.notify()
-        if self.age_s() < MAX_AGE_S:
-            self.cut_at = None
+        if self.source_id is not None and self.age_s() < MAX_AGE_S:
+            self.read_failed_at = None
 
     async def _load(self) -> None:
         """Read the instances from the store, and the configuration from a peer if there is one.
@@ -370,26 +403,48 @@
         It grows with the number of nodes before this one in the order of sources, so it is 0 for
         the node that watches the store.
         """
+        return min(len(self._peers_before()) * LOAD_STAGGER_S, MAX_LOAD_DELAY_S)
+
+    def _peers_before(self) -> list[directory.Instance]:
+        """Return the peers before this node in the order of sources of its region."""
         own_rank = (self.location.failure_domain, self.own_id)
-        before = sum(_source_rank(peer) < own_rank for peer in self._peers_in_region())
-        return min(before * LOAD_STAGGER_S, MAX_LOAD_DELAY_S)
+        return [peer for peer in self._peers_in_region() if _source_rank(peer) < own_rank]
 
     def _transfer_s(self, quick_s: float) -> float:
         """Return how long an answer of the store may take to arrive.
 
         That is `quick_s` while a slow read is left to other nodes of the region.
         """
-        delay_s = self._load_delay_s()
-        if not delay_s:
-            return MAX_TRANSFER_S
-        if self.cut_at is not None and self.clocks.monotonic() >= self.cut_at + delay_s:
+        if not self._peers_before():
             return MAX_TRANSFER_S
-        return quick_s
+        turn_at = self._read_turn_at()
+        has_turn = turn_at is not None and self.clocks.monotonic() >= turn_at
+        return MAX_TRANSFER_S if has_turn else quick_s
+
+    def _leaves_reads_to_peers(self) -> bool:
+        """Return whether this node leaves reads of the store to those before it in its region.
 
-    def _record_cut(self, error: tables.ReadError) -> None:
-        """Record when a read first took too long."""
-        if self.cut_at is None and isinstance(error, tables.ReadCut):
-            self.cut_at = self.clocks.monotonic()
+        Load pattern: the node that watches the store loses it for a second. All nodes of its region
+        read the store at once, over a link that carries a few reads of a large configuration in a
+        second. If they all read on, each new version fills the link again, and none regains the
+        store.
+        """
+        turn_at = self._read_turn_at()
+        return turn_at is not None and self.clocks.monotonic() < turn_at
+
+    def _read_turn_at(self) -> instants.Instant | None:
+        """Return from when this node reads the store on after a failure; none without one.
+
+        While peers have a recent configuration, that is left to them.
+        """
+        delay_s = self._load_delay_s()
+        if self.read_failed_at is None or not delay_s:
+            return None
+        return max(self.read_failed_at, self.current_at + MAX_AGE_S) + delay_s
+
+    def _record_failed_read(self) -> None:
+        if self.read_failed_at is None:
+            self.read_failed_at = self.clocks.monotonic()
 
     async def _ask_for_configuration(self, is_first: bool) -> bool:
         """Ask peers for their configuration until one has it; return whether one had."""
@@ -536,6 +591,10 @@
         ]
 
     async def _watch_store(self) -> None:
+        if self._leaves_reads_to_peers():
+            self._cancel_polls()
+            if await self._hears_from(self._readers_before(), PEER_LONG_POLL_S):
+                return
         if any(position.era < self.known_era for position in self.replica.positions.values()):
             self._cancel_polls()
             await self._read_all()
@@ -735,12 +794,13 @@
         if self.failures:
             log.info("store regained", extra={"failures": self.failures})
         self.failures = 0
+        self.read_failed_at = None
         self.answered_by = STORE
         self.store_answered_at = self.clocks.monotonic()
 
     def _store_failed(self, error: tables.ReadError) -> None:
         self.failures += 1
-        self._record_cut(error)
+        self._record_failed_read()
         self.region_search_at = self.clocks.monotonic()
         if self.failures == 1:
             log.warning("store lost", extra={"error": str(error)})
--- a/packages/goldcrestgrade-node/tests/mesh/test_watch_fleet.py
+++ b/packages/goldcrestgrade-node/tests/mesh/test_watch_fleet.py
@@ -348,6 +348,66 @@
     assert play_on_thin_link(cut, [11.0]).late() == []
 
 
+LARGE_REGIONS = {
+    f"{domain}-{number}": directory.Location(domain, domain.partition("-")[0])
+    for domain, count in (("east-a", 23), ("east-b", 20), ("west-a", 32), ("west-b", 16))
+    for number in range(1, count + 1)
+}
+
+
+class LossyClient(ThinLinkClient):
+    """Reads over a thin link from a store that loses a part of its answers for a time."""
+
+    NODE_SHARE_PER_S = 4.0
+    """Configurations that the link of one node carries in a second."""
+    LOST_SHARE, LOST_FROM, LOST_UNTIL = 0.35, 17.0, 21.5
+
+    def __init__(self, fleet, node_id, link_share_per_s):
+        super().__init__(fleet, node_id)
+        self.LINK_SHARE_PER_S = link_share_per_s
+        self.rng = random.Random(node_id)
+
+    async def changes(self, table, after, wait_s, transfer_s):
+        received = await Client.changes(self, table, after, wait_s, transfer_s)
+        is_lossy = self.LOST_FROM <= asyncio.get_running_loop().time() < self.LOST_UNTIL
+        if is_lossy and self.rng.random() < self.LOST_SHARE:
+            await asyncio.sleep(CONNECT_TIMEOUT_S)
+            raise tables.ReadError("lost")
+        if table == replica.CONFIGURATION and received.changes and self.node_id.startswith("west"):
+            await self._transfer(transfer_s)
+        return received
+
+    async def _transfer(self, transfer_s):
+        left, until = 1.0, asyncio.get_running_loop().time() + transfer_s
+        ThinLinkClient.reading += 1
+        try:
+            while left > 0:
+                await asyncio.sleep(self.STEP_S)
+                share = self.LINK_SHARE_PER_S / ThinLinkClient.reading
+                left -= min(share, self.NODE_SHARE_PER_S) * self.STEP_S
+                if asyncio.get_running_loop().time() > until:
+                    raise tables.ReadCut("slow")
+        finally:
+            ThinLinkClient.reading -= 1
+
+
+@pytest.mark.parametrize("link_share_per_s", [8.0, 12.0, 25.0])
+def test_large_region_has_each_configuration_in_time_while_the_store_loses_answers(
+    monkeypatch, link_share_per_s
+):
+    """Guards against nodes that all read the store at once, and fill the link with each version."""
+    monkeypatch.setattr(sys.modules[__name__], "LOCATIONS", LARGE_REGIONS)
+
+    async def main():
+        fleet = Fleet([], 1)
+        for node_id, sync in fleet.nodes.items():
+            sync.store = LossyClient(fleet, node_id, link_share_per_s)
+        await fleet.run([8.0 + 1.35 * number for number in range(19)])
+        return fleet
+
+    assert virtual_time.run(main()).late() == []
+
+
 class NewFleet(Fleet):
     """A fleet without rows, whose nodes write theirs as `MeshNode` does."""
 
