Count no bytes for connecting sockets in the tests of abusive clients

Cause: the test adds the queue lengths of /proc/net/tcp to the memory of a node. For a connecting socket the kernel reads two sequence numbers while they are set, so that any number may appear: a script that opened and reset connections for 40 s read 11 values above 16 MB in 11.8 million rows; the ten that it printed were all in SYN_SENT (02).

Change: sockets in SYN_SENT don't count, as they hold no bytes; all others count as before, so the check is as strict.

--- a/packages/goldcrestgrade-testing/tests/fleet_platform/test_abusive_clients.py
+++ b/packages/goldcrestgrade-testing/tests/fleet_platform/test_abusive_clients.py
@@ -47,6 +47,24 @@
 """Limits of the configuration, the first as the platform sets it."""
 
 
+LISTENING, CONNECTING = "0A", "02"
+"""States of a socket in /proc/net/tcp."""
+
+
+def queued_bytes(text):
+    """Return the bytes in the kernel by inode of each socket in the text of /proc/net/tcp.
+
+    Listening sockets show connections there. A connecting one holds no bytes, but shows the
+    difference of two sequence numbers that are read while they are set, up to 4 GB.
+    """
+    rows = [row.split() for row in text.splitlines()[1:]]
+    return {
+        fields[9]: sum(int(part, 16) for part in fields[4].split(":"))
+        for fields in rows
+        if fields[3] not in (LISTENING, CONNECTING)
+    }
+
+
 class Usage:
     """Largest memory and number of descriptors of the nodes of a fleet.
 
@@ -69,13 +87,7 @@
             await asyncio.sleep(SAMPLE_S)
 
     def read(self):
-        rows = pathlib.Path("/proc/net/tcp").read_text().splitlines()[1:]
-        queued_by_inode = {}
-        for row in rows:
-            fields = row.split()
-            queued = sum(int(part, 16) for part in fields[4].split(":"))
-            if queued and fields[3] != "0A":
-                queued_by_inode[fields[9]] = queued
+        queued_by_inode = queued_bytes(pathlib.Path("/proc/net/tcp").read_text())
         for instance in self.running.instances:
             inodes = set()
             descriptors = 0
@@ -109,6 +121,13 @@
     running.further_settings = {"memory_mb": MEMORY_MB, "max_fds": MAX_FDS}
 
 
+def test_sockets_that_connect_count_as_without_bytes():
+    """Guards against a reading of 2.5 GB, as connecting sockets show any number for a moment."""
+    columns = "sl local rem st queues tr retrnsmt uid timeout inode"
+    rows = [f"0: a b {state} 00000010:00000002 0 0 0 0 7{state}" for state in ("01", "02", "0A")]
+    assert queued_bytes("\n".join([columns, *rows])) == {"701": 18}
+
+
 @contextlib.asynccontextmanager
 async def process(*command):
     """Run a process, and end it once its standard input is closed."""
