Leave reads to peers from the second failure of a watcher on

Change: the first failure of a watcher is followed by a poll without a delay, as before. A read that is cut counts at once.

--- a/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/state/watch.py
+++ b/packages/goldcrestgrade-node/goldcrestgrade_node/mesh/state/watch.py
@@ -609,7 +609,7 @@
             self._cancel_polls()
             self._store_failed(error)
             if self.failures == 1:
-                # Only the connection may be dead, so the store is polled again without a backoff.
+                # The connection alone may be dead, so the store is polled again without a backoff.
                 return
             peer = self._fallback_peer()
             if peer is None:
@@ -800,7 +800,9 @@
 
     def _store_failed(self, error: tables.ReadError) -> None:
         self.failures += 1
-        self._record_failed_read()
+        if self.failures > 1 or isinstance(error, tables.ReadCut):
+            # After the first failure, the connection alone may be dead.
+            self._record_failed_read()
         self.region_search_at = self.clocks.monotonic()
         if self.failures == 1:
             log.warning("store lost", extra={"error": str(error)})
